--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+BIN := $(CURDIR)/.bin
+GOFILES = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '\.pb\.go$$')
+SEED ?= 1
+STEPS ?= 200
+DURATION ?= 30s
+
+.PHONY: all build test lint fmt tidy generate demo random soak bench clean
+
+all: build
+
+build: ## builds every program into .bin
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ work
+
+$(BIN)/gofumpt $(BIN)/staticcheck: tools/go.mod
+	@mkdir -p $(BIN)
+	cd tools && GOWORK=off go build -o $(BIN)/ mvdan.cc/gofumpt honnef.co/go/tools/cmd/staticcheck
+
+fmt: $(BIN)/gofumpt
+	@$(BIN)/gofumpt -w $(GOFILES)
+
+lint: $(BIN)/gofumpt $(BIN)/staticcheck
+	@out=$$($(BIN)/gofumpt -l $(GOFILES)); if [ -n "$$out" ]; then echo "gofumpt:"; echo "$$out"; exit 1; fi
+	go vet work
+	$(BIN)/staticcheck work
+	tools/shape.sh
+
+test: ## the test command
+	go test work
+
+tidy:
+	tools/tidy.sh
+
+generate: ## regenerates the committed drpc code
+	tools/protogen/generate.sh
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/api/record.go
@@ -0,0 +1,99 @@
+package api
+
+// Streams of the platform's log that daemons share. Trainer streams are named
+// by TrainerStream.
+const (
+	StreamConfig = "config"
+	StreamClaims = "claims"
+)
+
+// TrainerStream returns the name of the stream that holds a trainer's steps and samples.
+func TrainerStream(t TrainerID) string { return "trainer." + string(t) }
+
+// Record is one entry of the config or claims stream before it has an offset.
+type Record struct {
+	ID       RecordID
+	Actor    string   // who asked for it: an operator, or a daemon's own id
+	Via      DaemonID // the daemon that appended it
+	AtMillis int64    // wall clock of Via; informational, never compared across daemons
+	Body     Body
+}
+
+// Body is the content of a record: one of the types below.
+type Body interface{ recordBody() }
+
+// PublishPlanList puts a new plan list in force if Base is still in force.
+type PublishPlanList struct {
+	Base Revision `json:"base"`
+	List PlanList `json:"list"`
+}
+
+// PublishUsageList puts a new usage list in force if Base is still in force.
+type PublishUsageList struct {
+	Base Revision  `json:"base"`
+	List UsageList `json:"list"`
+}
+
+// MarkUpstream changes the mark of one upstream if Base is the revision of its
+// current mark (zero if it never was marked).
+type MarkUpstream struct {
+	Base     Revision   `json:"base"`
+	Upstream UpstreamID `json:"upstream"`
+	Mark     Mark       `json:"mark"`
+}
+
+// AnnounceWeights puts a new weight version of a model in force if it is above
+// the present one.
+type AnnounceWeights struct {
+	Model   ModelName     `json:"model"`
+	Version WeightVersion `json:"version"`
+}
+
+// Strike reports that an upstream crashed while it ran a request of this
+// fingerprint. Alone is true when no other request was in flight there.
+type Strike struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Upstream    UpstreamID  `json:"upstream"`
+	Alone       bool        `json:"alone"`
+}
+
+// LiftQuarantine clears the strikes of a fingerprint.
+type LiftQuarantine struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+}
+
+// Claim takes the right to run the once-only request with this key; the first
+// claim of a key wins for as long as claims are remembered.
+type Claim struct {
+	Customer    CustomerID  `json:"customer"`
+	Key         string      `json:"key"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Holder      DaemonID    `json:"holder"`
+}
+
+// Settle records how the holder's run of a claim ended. NotRun frees the key.
+type Settle struct {
+	Customer CustomerID `json:"customer"`
+	Key      string     `json:"key"`
+	Claim    RecordID   `json:"claim"` // id of the winning claim
+	Outcome  Outcome    `json:"outcome"`
+	Status   int        `json:"status"` // the upstream's HTTP-like status, zero if none
+	Answer   []byte     `json:"answer,omitempty"`
+}
+
+// Checkpoint republishes the state that the records up to Through produce, so
+// that a reader may start here after older records expired.
+type Checkpoint struct {
+	Through Offset `json:"through"`
+	State   []byte `json:"state"`
+}
+
+func (PublishPlanList) recordBody()  {}
+func (PublishUsageList) recordBody() {}
+func (MarkUpstream) recordBody()     {}
+func (AnnounceWeights) recordBody()  {}
+func (Strike) recordBody()           {}
+func (LiftQuarantine) recordBody()   {}
+func (Claim) recordBody()            {}
+func (Settle) recordBody()           {}
+func (Checkpoint) recordBody()       {}
--- /dev/null
+++ b/lib/duty/mailbox.go
@@ -0,0 +1,146 @@
+package duty
+
+import (
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/lib/ring"
+	"github.com/asynkron/protoactor-go/actor"
+)
+
+// tick is the message that a handler's Tick method stands for.
+type tick struct{}
+
+// mailbox implements actor.Mailbox over a bounded ring. System messages have
+// an unbounded queue of their own, so a full ring never blocks or loses them.
+type mailbox struct {
+	cfg      Config
+	queue    *ring.Ring[any]
+	rejected atomic.Uint64
+	invoker  actor.MessageInvoker
+	done     chan struct{}
+
+	mu      sync.Mutex
+	ready   sync.Cond
+	system  []any
+	signals int  // posts not yet looked at
+	tickDue bool // one tick waits
+}
+
+func newMailbox(cfg Config) *mailbox {
+	m := &mailbox{cfg: cfg, queue: ring.New[any](cfg.RingSize), done: make(chan struct{})}
+	m.ready.L = &m.mu
+	return m
+}
+
+// PostUserMessage implements actor.Mailbox; it drops and counts on a full ring.
+func (m *mailbox) PostUserMessage(message any) {
+	if m.queue.TryPush(message) != nil {
+		m.rejected.Add(1)
+		return
+	}
+	m.wake()
+}
+
+// PostSystemMessage implements actor.Mailbox.
+func (m *mailbox) PostSystemMessage(message any) {
+	m.mu.Lock()
+	m.system = append(m.system, message)
+	m.mu.Unlock()
+	m.ready.Signal()
+}
+
+// RegisterHandlers implements actor.Mailbox.
+func (m *mailbox) RegisterHandlers(invoker actor.MessageInvoker, _ actor.Dispatcher) {
+	m.invoker = invoker
+}
+
+// Start implements actor.Mailbox.
+func (m *mailbox) Start() { go m.run() }
+
+// UserMessageCount implements actor.Mailbox.
+func (m *mailbox) UserMessageCount() int { return m.queue.Len() }
+
+func (m *mailbox) wake() {
+	m.mu.Lock()
+	m.signals++
+	m.mu.Unlock()
+	m.ready.Signal()
+}
+
+func (m *mailbox) run() {
+	if !m.cfg.Unlocked {
+		runtime.LockOSThread()
+	}
+	defer close(m.done)
+	defer m.queue.Close()
+	stopTicks := m.startTicks()
+	defer stopTicks()
+	for m.step() {
+	}
+}
+
+// step waits for work and does one round of it; false ends the duty.
+func (m *mailbox) step() bool {
+	system, due := m.wait()
+	for _, message := range system {
+		m.invoker.InvokeSystemMessage(message)
+		if _, stop := message.(*actor.Stop); stop {
+			return false
+		}
+	}
+	if due {
+		m.invoker.InvokeUserMessage(tick{})
+	}
+	if message, ok := m.queue.TryPop(); ok {
+		m.invoker.InvokeUserMessage(message)
+	}
+	return true
+}
+
+// wait sleeps until there is a system message, a tick or a queued message.
+func (m *mailbox) wait() ([]any, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for len(m.system) == 0 && m.signals == 0 && !m.tickDue {
+		m.ready.Wait()
+	}
+	if m.signals > 0 {
+		m.signals--
+	}
+	system, due := m.system, m.tickDue
+	m.system, m.tickDue = nil, false
+	return system, due
+}
+
+// startTicks arms the periodic tick and returns the function that ends it.
+func (m *mailbox) startTicks() func() {
+	if m.cfg.Tick <= 0 {
+		return func() {}
+	}
+	var mu sync.Mutex
+	var timer *time.Timer
+	ended := false
+	fire := func() {
+		m.mu.Lock()
+		m.tickDue = true
+		m.mu.Unlock()
+		m.ready.Signal()
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			timer.Reset(m.cfg.Tick)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(m.cfg.Tick, fire)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		timer.Stop()
+	}
+}
--- /dev/null
+++ b/tools/shape.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Checks that the code keeps to its shape: threads, rings, typed errors, small files, few tests' share.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+failed=0
+
+sources() {
+  git ls-files --cached --others --exclude-standard '*.go' | grep -v -e '_test\.go$' -e '\.pb\.go$'
+}
+
+# forbid TITLE PATTERN EXEMPT: no source line may match PATTERN unless it matches EXEMPT.
+forbid() {
+  local found
+  found=$(sources | xargs grep -HnE "$2" | grep -vE "$3" || true)
+  if [ -n "$found" ]; then
+    failed=1
+    printf 'shape: %s:\n%s\n' "$1" "$found"
+  fi
+}
+
+forbid 'go statement outside lib/duty and lib/ring' '^[[:space:]]*go (func|[a-zA-Z_.]+\()' '^lib/(duty|ring)/|:[[:space:]]*//'
+forbid 'unbuffered data channel outside lib/duty and lib/ring' 'make\(chan [^,)]*\)' '^lib/(duty|ring)/|struct\{\}|os\.Signal'
+forbid 'sleep or yield in place of waiting' 'time\.Sleep\(|runtime\.Gosched\(' ':[0-9]+:[[:space:]]*//'
+forbid 'error without a type' 'errors\.New\(|fmt\.Errorf\("[^%]*"\)' ':[0-9]+:[[:space:]]*//'
+
+MAX_LINES=500
+long=$(sources | xargs wc -l | awk -v m="$MAX_LINES" '$2 != "total" && $1 > m {print $2 ": " $1 " lines"}')
+if [ -n "$long" ]; then failed=1; printf 'shape: file over %s lines:\n%s\n' "$MAX_LINES" "$long"; fi
+
+MAX_TEST_PERCENT=33
+code=$(sources | xargs cat | wc -l)
+tests=$(git ls-files --cached --others --exclude-standard '*_test.go' | xargs cat | wc -l)
+percent=$((100 * tests / (code + tests)))
+echo "shape: tests are $percent% of $((code + tests)) hand-written lines (at most $MAX_TEST_PERCENT%)"
+[ "$percent" -le "$MAX_TEST_PERCENT" ] || failed=1
+exit "$failed"
