--- /dev/null
+++ b/lib/ledger/config.go
@@ -0,0 +1,216 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+
+	"dotterelmount.example/api"
+)
+
+// SeenWindowMillis is how long record ids are remembered, in milliseconds of
+// the log's time. It is longer than any appender retries a record.
+const SeenWindowMillis = 24 * 60 * 60 * 1000
+
+// seen is what the fold remembers of a record id.
+type seen struct {
+	verdict    Verdict
+	timeMillis int64
+}
+
+// Config folds the configuration stream. The zero value is not usable; see NewConfig.
+type Config struct {
+	state State
+	seen  map[api.RecordID]seen
+	order []api.RecordID // ids in offset order, for expiry
+}
+
+// NewConfig returns the fold before the first record.
+func NewConfig() *Config {
+	return &Config{
+		state: State{Plans: &api.PlanList{}, Usage: &api.UsageList{}},
+		seen:  make(map[api.RecordID]seen),
+	}
+}
+
+// Snapshot returns the state so far. It stays as it is when more records are applied.
+func (c *Config) Snapshot() *State {
+	s := c.state
+	return &s
+}
+
+// Through returns the offset of the last record applied.
+func (c *Config) Through() api.Offset { return c.state.Through }
+
+// Skip passes over a record that could not be decoded, so that all daemons
+// leave it out alike.
+func (c *Config) Skip(offset api.Offset) { c.state.Through = offset }
+
+// Apply folds the next record in; offset must be Through()+1. A repeated id
+// has no effect and yields the first verdict.
+func (c *Config) Apply(offset api.Offset, timeMillis int64, r api.Record) Verdict {
+	c.state.Through = offset
+	c.forget(timeMillis)
+	if old, ok := c.seen[r.ID]; ok {
+		return old.verdict
+	}
+	v := Verdict{ID: r.ID, Offset: offset, Err: c.fold(offset, timeMillis, r.Body)}
+	c.seen[r.ID] = seen{verdict: v, timeMillis: timeMillis}
+	c.order = append(c.order, r.ID)
+	return v
+}
+
+func (c *Config) forget(nowMillis int64) {
+	for len(c.order) > 0 && c.seen[c.order[0]].timeMillis < nowMillis-SeenWindowMillis {
+		delete(c.seen, c.order[0])
+		c.order = c.order[1:]
+	}
+}
+
+func (c *Config) fold(offset api.Offset, timeMillis int64, body api.Body) error {
+	switch b := body.(type) {
+	case api.PublishPlanList:
+		return c.publishPlans(offset, b)
+	case api.PublishUsageList:
+		return c.publishUsage(offset, b)
+	case api.MarkUpstream:
+		return c.mark(offset, b)
+	case api.AnnounceWeights:
+		return c.announce(offset, b)
+	case api.Strike:
+		c.strike(timeMillis, b)
+		return nil
+	case api.LiftQuarantine:
+		c.state.Strikes = without(c.state.Strikes, b.Fingerprint)
+		return nil
+	case api.Checkpoint:
+		return nil
+	default:
+		return api.Errorf(api.CodeInvalid, "record of type %T in the configuration stream", body)
+	}
+}
+
+func (c *Config) publishPlans(offset api.Offset, b api.PublishPlanList) error {
+	if b.Base != c.state.PlansRevision {
+		return conflict("plan list", b.Base, c.state.PlansRevision)
+	}
+	if err := b.List.Validate(); err != nil {
+		return err
+	}
+	c.state.Plans = &b.List
+	c.state.PlansRevision = offset
+	return nil
+}
+
+func (c *Config) publishUsage(offset api.Offset, b api.PublishUsageList) error {
+	if b.Base != c.state.UsageRevision {
+		return conflict("usage list", b.Base, c.state.UsageRevision)
+	}
+	if err := b.List.Validate(); err != nil {
+		return err
+	}
+	if err := c.removalsDrained(&b.List); err != nil {
+		return err
+	}
+	c.state.Usage = &b.List
+	c.state.UsageRevision = offset
+	c.dropMarksOfRemoved()
+	return nil
+}
+
+// removalsDrained refuses a list without an upstream that still takes work,
+// or that changes such an upstream's address under running requests.
+func (c *Config) removalsDrained(next *api.UsageList) error {
+	for _, u := range c.state.Usage.Upstreams {
+		if c.state.Draining(u.ID) {
+			continue
+		}
+		i := slices.IndexFunc(next.Upstreams, func(n api.Upstream) bool { return n.ID == u.ID })
+		if i < 0 {
+			return api.Errorf(api.CodeStillInUse, "usage list removes upstream %q, which is not marked draining", u.ID)
+		}
+		if next.Upstreams[i].Address != u.Address {
+			return api.Errorf(api.CodeStillInUse, "usage list moves upstream %q, which is not marked draining", u.ID)
+		}
+	}
+	return nil
+}
+
+func (c *Config) dropMarksOfRemoved() {
+	kept := make(map[api.UpstreamID]MarkState, len(c.state.Marks))
+	for _, u := range c.state.Usage.Upstreams {
+		if m, ok := c.state.Marks[u.ID]; ok {
+			kept[u.ID] = m
+		}
+	}
+	c.state.Marks = kept
+}
+
+func (c *Config) mark(offset api.Offset, b api.MarkUpstream) error {
+	if b.Mark != api.MarkActive && b.Mark != api.MarkDraining {
+		return api.Errorf(api.CodeInvalid, "mark %q; allowed: active, draining", b.Mark)
+	}
+	if _, err := c.state.Upstream(b.Upstream); err != nil {
+		return err
+	}
+	if now := c.state.Marks[b.Upstream].Revision; b.Base != now {
+		return conflict("mark of "+string(b.Upstream), b.Base, now)
+	}
+	c.state.Marks = with(c.state.Marks, b.Upstream, MarkState{Mark: b.Mark, Revision: offset})
+	return nil
+}
+
+func (c *Config) announce(offset api.Offset, b api.AnnounceWeights) error {
+	if b.Model == "" {
+		return api.Errorf(api.CodeInvalid, "weights of an unnamed model")
+	}
+	if now := c.state.Weights[b.Model].Version; b.Version <= now {
+		return api.Errorf(api.CodeStaleVersion, "weights %d of model %q are not above %d", b.Version, b.Model, now)
+	}
+	c.state.Weights = with(c.state.Weights, b.Model, WeightState{Version: b.Version, Revision: offset})
+	return nil
+}
+
+func (c *Config) strike(timeMillis int64, b api.Strike) {
+	s := c.state.Strikes[b.Fingerprint]
+	if b.Alone {
+		s.Alone++
+	} else {
+		s.Shared++
+	}
+	if !slices.Contains(s.Upstreams, b.Upstream) {
+		s.Upstreams = append(slices.Clone(s.Upstreams), b.Upstream)
+	}
+	s.LastMillis = timeMillis
+	c.state.Strikes = with(c.forgetOldStrikes(timeMillis), b.Fingerprint, s)
+}
+
+// StrikeMemoryMillis is how long a fingerprint's last strike is remembered.
+const StrikeMemoryMillis = 60 * 60 * 1000
+
+func (c *Config) forgetOldStrikes(nowMillis int64) map[api.Fingerprint]StrikeState {
+	kept := make(map[api.Fingerprint]StrikeState, len(c.state.Strikes))
+	for f, s := range c.state.Strikes {
+		if s.LastMillis >= nowMillis-StrikeMemoryMillis {
+			kept[f] = s
+		}
+	}
+	return kept
+}
+
+func conflict(what string, base, inForce api.Revision) error {
+	return api.Errorf(api.CodeConflict, "%s: base revision is %d, in force is %d", what, base, inForce)
+}
+
+// with returns a copy of m that has v at k; snapshots keep the old map.
+func with[K comparable, V any](m map[K]V, k K, v V) map[K]V {
+	next := make(map[K]V, len(m)+1)
+	maps.Copy(next, m)
+	next[k] = v
+	return next
+}
+
+func without[K comparable, V any](m map[K]V, k K) map[K]V {
+	next := maps.Clone(m)
+	delete(next, k)
+	return next
+}
--- /dev/null
+++ b/lib/ledger/image.go
@@ -0,0 +1,71 @@
+package ledger
+
+import (
+	"errors"
+	"maps"
+
+	"dotterelmount.example/api"
+)
+
+// Image is the whole state of the configuration fold as a checkpoint carries it.
+type Image struct {
+	Through       api.Offset                      `json:"through"`
+	Plans         api.PlanList                    `json:"plans"`
+	PlansRevision api.Revision                    `json:"plans_revision"`
+	Usage         api.UsageList                   `json:"usage"`
+	UsageRevision api.Revision                    `json:"usage_revision"`
+	Marks         map[api.UpstreamID]MarkState    `json:"marks"`
+	Weights       map[api.ModelName]WeightState   `json:"weights"`
+	Strikes       map[api.Fingerprint]StrikeState `json:"strikes"`
+	Seen          []SeenRecord                    `json:"seen"`
+}
+
+// SeenRecord is a remembered record id with its verdict.
+type SeenRecord struct {
+	ID         api.RecordID `json:"id"`
+	Offset     api.Offset   `json:"offset"`
+	TimeMillis int64        `json:"time_millis"`
+	Code       api.Code     `json:"code,omitempty"`
+	Detail     string       `json:"detail,omitempty"`
+}
+
+// Image returns a copy of the fold's state.
+func (c *Config) Image() Image {
+	s := c.state
+	img := Image{
+		Through: s.Through,
+		Plans:   *s.Plans, PlansRevision: s.PlansRevision,
+		Usage: *s.Usage, UsageRevision: s.UsageRevision,
+		Marks: maps.Clone(s.Marks), Weights: maps.Clone(s.Weights), Strikes: maps.Clone(s.Strikes),
+	}
+	for _, id := range c.order {
+		e := c.seen[id]
+		r := SeenRecord{ID: id, Offset: e.verdict.Offset, TimeMillis: e.timeMillis}
+		var failure *api.Error
+		if errors.As(e.verdict.Err, &failure) {
+			r.Code, r.Detail = failure.Code, failure.Detail
+		}
+		img.Seen = append(img.Seen, r)
+	}
+	return img
+}
+
+// ConfigFrom returns the fold that an image was taken of.
+func ConfigFrom(img Image) *Config {
+	c := NewConfig()
+	c.state = State{
+		Through: img.Through,
+		Plans:   &img.Plans, PlansRevision: img.PlansRevision,
+		Usage: &img.Usage, UsageRevision: img.UsageRevision,
+		Marks: img.Marks, Weights: img.Weights, Strikes: img.Strikes,
+	}
+	for _, r := range img.Seen {
+		v := Verdict{ID: r.ID, Offset: r.Offset}
+		if r.Code != "" {
+			v.Err = &api.Error{Code: r.Code, Detail: r.Detail}
+		}
+		c.seen[r.ID] = seen{verdict: v, timeMillis: r.TimeMillis}
+		c.order = append(c.order, r.ID)
+	}
+	return c
+}
--- /dev/null
+++ b/lib/ledger/ledger_test.go
@@ -0,0 +1,117 @@
+package ledger_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func usage(ids ...api.UpstreamID) api.UsageList {
+	l := api.UsageList{Usages: []api.Usage{{Plan: "p", Models: []api.ModelName{"m"}}}}
+	for _, id := range ids {
+		l.Upstreams = append(l.Upstreams, api.Upstream{
+			ID: id, Kind: api.KindEngine, Address: "127.0.0.1:1", Models: []api.ModelName{"m"}, Window: 1,
+		})
+	}
+	return l
+}
+
+func genBody(t *rapid.T) api.Body {
+	base := api.Revision(rapid.IntRange(0, 12).Draw(t, "base"))
+	ids := []api.UpstreamID{"a", "b", "c"}
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		return api.PublishPlanList{Base: base, List: api.PlanList{Plans: []api.Plan{{Name: "p"}}}}
+	case 1:
+		return api.PublishUsageList{Base: base, List: usage(ids[:rapid.IntRange(1, 3).Draw(t, "n")]...)}
+	case 2:
+		m := rapid.SampledFrom([]api.Mark{api.MarkActive, api.MarkDraining}).Draw(t, "mark")
+		return api.MarkUpstream{Base: base, Upstream: rapid.SampledFrom(ids).Draw(t, "upstream"), Mark: m}
+	case 3:
+		return api.AnnounceWeights{Model: "m", Version: api.WeightVersion(rapid.IntRange(0, 9).Draw(t, "version"))}
+	case 4:
+		return api.Strike{Fingerprint: 1, Upstream: rapid.SampledFrom(ids).Draw(t, "upstream"), Alone: rapid.Bool().Draw(t, "alone")}
+	default:
+		return api.LiftQuarantine{Fingerprint: 1}
+	}
+}
+
+// Any daemon, whether it read from the start or from a checkpoint taken
+// anywhere, reaches the same state; revisions and versions never go back; a
+// repeated record changes nothing.
+func TestFoldIsDeterministicFromAnyCheckpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := ledger.NewConfig()
+		resumed := ledger.NewConfig()
+		n := rapid.IntRange(1, 40).Draw(t, "records")
+		for i := 1; i <= n; i++ {
+			id := api.RecordID(fmt.Sprint(rapid.IntRange(1, 30).Draw(t, "id")))
+			r := api.Record{ID: id, Body: genBody(t)}
+			before := whole.Snapshot()
+			a := whole.Apply(api.Offset(i), int64(i), r)
+			b := resumed.Apply(api.Offset(i), int64(i), r)
+			assert.Equal(t, a.Offset, b.Offset)
+			assert.Equal(t, api.CodeOf(a.Err), api.CodeOf(b.Err))
+			after := whole.Snapshot()
+			assert.Assert(t, after.PlansRevision >= before.PlansRevision)
+			assert.Assert(t, after.UsageRevision >= before.UsageRevision)
+			assert.Assert(t, after.Weights["m"].Version >= before.Weights["m"].Version)
+			if rapid.Bool().Draw(t, "checkpoint") {
+				resumed = reload(t, resumed)
+			}
+		}
+		x, _ := json.Marshal(whole.Image())
+		y, _ := json.Marshal(resumed.Image())
+		assert.Equal(t, string(x), string(y))
+	})
+}
+
+func reload(t *rapid.T, c *ledger.Config) *ledger.Config {
+	raw, err := json.Marshal(c.Image())
+	assert.NilError(t, err)
+	var img ledger.Image
+	assert.NilError(t, json.Unmarshal(raw, &img))
+	return ledger.ConfigFrom(img)
+}
+
+func TestFirstOfTwoConflictingListsWins(t *testing.T) {
+	c := ledger.NewConfig()
+	one := api.PublishPlanList{List: api.PlanList{Plans: []api.Plan{{Name: "one"}}}}
+	two := api.PublishPlanList{List: api.PlanList{Plans: []api.Plan{{Name: "two"}}}}
+	assert.NilError(t, c.Apply(1, 0, api.Record{ID: "1", Body: one}).Err)
+	err := c.Apply(2, 0, api.Record{ID: "2", Body: two}).Err
+	assert.Equal(t, api.CodeOf(err), api.CodeConflict)
+	assert.Equal(t, c.Snapshot().Plans.Plans[0].Name, api.PlanName("one"))
+}
+
+func TestListMayRemoveOnlyDrainingUpstream(t *testing.T) {
+	c := ledger.NewConfig()
+	assert.NilError(t, c.Apply(1, 0, api.Record{ID: "1", Body: api.PublishUsageList{List: usage("a", "b")}}).Err)
+	err := c.Apply(2, 0, api.Record{ID: "2", Body: api.PublishUsageList{Base: 1, List: usage("a")}}).Err
+	assert.Equal(t, api.CodeOf(err), api.CodeStillInUse)
+	mark := api.MarkUpstream{Upstream: "b", Mark: api.MarkDraining}
+	assert.NilError(t, c.Apply(3, 0, api.Record{ID: "3", Body: mark}).Err)
+	assert.NilError(t, c.Apply(4, 0, api.Record{ID: "4", Body: api.PublishUsageList{Base: 1, List: usage("a")}}).Err)
+	assert.Equal(t, len(c.Snapshot().Marks), 0)
+}
+
+func TestClaimHasOneWinnerUntilReleased(t *testing.T) {
+	c := ledger.NewClaims()
+	claim := func(offset api.Offset, id api.RecordID) error {
+		return c.Apply(offset, 0, api.Record{ID: id, Body: api.Claim{Customer: "c", Key: "k", Holder: "d"}}).Err
+	}
+	assert.NilError(t, claim(1, "x"))
+	assert.NilError(t, claim(2, "x"))
+	assert.Equal(t, api.CodeOf(claim(3, "y")), api.CodeDuplicateKey)
+	foreign := api.Settle{Customer: "c", Key: "k", Claim: "y", Outcome: api.OutcomeNotRun}
+	assert.Equal(t, api.CodeOf(c.Apply(4, 0, api.Record{ID: "s", Body: foreign}).Err), api.CodeInvalid)
+	free := api.Settle{Customer: "c", Key: "k", Claim: "x", Outcome: api.OutcomeNotRun}
+	assert.NilError(t, c.Apply(5, 0, api.Record{ID: "t", Body: free}).Err)
+	assert.Equal(t, api.CodeOf(claim(6, "x")), api.CodeDuplicateKey) // a late repeat wins nothing back
+	assert.NilError(t, claim(7, "y"))
+}
