--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -175,3 +175,16 @@
 		a.onPanic(&Panic{Duty: a.name, Reason: r, Stack: debug.Stack()})
 	}
 }
+
+// Stats describes a duty's ring at one moment.
+type Stats struct {
+	Name     string `json:"name"`
+	Depth    int    `json:"depth"`    // messages queued
+	Capacity int    `json:"capacity"` // messages at most
+	Rejected uint64 `json:"rejected"` // posts that found the ring full
+}
+
+// Stats returns the state of the duty's ring.
+func (d *Duty[M]) Stats() Stats {
+	return Stats{Name: d.name, Depth: d.Depth(), Capacity: d.mailbox.queue.Cap(), Rejected: d.Rejected()}
+}
--- /dev/null
+++ b/server/logbook/folder.go
@@ -0,0 +1,252 @@
+package logbook
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/invariant"
+	"dotterelmount.example/lib/ledger"
+)
+
+var (
+	recordsFolded    = expvar.NewInt("log_records_folded")
+	recordsRefused   = expvar.NewInt("log_records_refused")
+	checkpointsAsked = expvar.NewInt("log_checkpoints_proposed")
+	configOffset     = expvar.NewInt("config_offset_in_force")
+)
+
+// maxTailBytes bounds the entries kept for peers that are behind.
+const maxTailBytes = 2 << 20
+
+// proposal waits for its record to come back in the fold.
+type proposal struct {
+	done     func(ledger.Verdict, error)
+	deadline time.Time
+}
+
+// folder is the duty that owns both folds and the open proposals.
+type folder struct {
+	book      *Book
+	streams   map[string]*follower
+	proposals map[api.RecordID]proposal
+	tailBytes int
+	plans     map[string]*checkpointPlan
+}
+
+// checkpointPlan says when a stream was last seen checkpointed and when this
+// daemon would do it next. Both are local times: the log's clock may differ.
+type checkpointPlan struct {
+	seen  int
+	since time.Time
+	due   time.Time
+}
+
+func newFolder(b *Book) *folder {
+	return &folder{
+		book: b,
+		streams: map[string]*follower{
+			api.StreamConfig: {fold: ledger.NewConfig(), restore: restoreConfig},
+			api.StreamClaims: {fold: ledger.NewClaims(), restore: restoreClaims},
+		},
+		proposals: make(map[api.RecordID]proposal),
+		plans: map[string]*checkpointPlan{
+			api.StreamConfig: {since: b.cfg.Now()},
+			api.StreamClaims: {since: b.cfg.Now()},
+		},
+	}
+}
+
+func (f *folder) config() *ledger.Config { return f.streams[api.StreamConfig].fold.(*ledger.Config) }
+
+func (f *folder) claims() *ledger.Claims { return f.streams[api.StreamClaims].fold.(*ledger.Claims) }
+
+// Handle processes one message.
+func (f *folder) Handle(_ context.Context, m event) {
+	switch m := m.(type) {
+	case readMsg:
+		f.read(m)
+	case offerMsg:
+		f.offer(m.entries)
+	case proposeMsg:
+		f.propose(m)
+	case appendedMsg:
+		f.appended(m)
+	case claimMsg:
+		state, found := f.claims().Get(m.key)
+		m.done.Put(claimReply{state: state, found: found})
+	}
+}
+
+// Tick ends expired proposals and proposes checkpoints that are due.
+func (f *folder) Tick(context.Context) {
+	now := f.book.cfg.Now()
+	for id, p := range f.proposals {
+		if now.After(p.deadline) {
+			f.finish(id, ledger.Verdict{}, api.Errorf(api.CodeUnknownResult, "record %s was not seen in the log in time", id))
+		}
+	}
+	for name, s := range f.streams {
+		f.checkpoint(name, s, now)
+	}
+}
+
+func (f *folder) read(m readMsg) {
+	var next []eventlog.Position
+	for _, batch := range m.batches {
+		s, ok := f.streams[batch.Stream]
+		if !ok {
+			continue
+		}
+		before := s.fold.Through()
+		f.settle(s.feed(batch.Entries, batch.Oldest))
+		f.changed(batch.Stream, before, batch.Entries)
+		next = append(next, eventlog.Position{Stream: batch.Stream, From: s.next()})
+	}
+	f.book.known.Store(f.streams[api.StreamConfig].known && f.streams[api.StreamClaims].known)
+	m.done.Put(next)
+}
+
+func (f *folder) offer(entries []eventlog.Entry) {
+	s := f.streams[api.StreamConfig]
+	before := s.fold.Through()
+	f.settle(s.offer(entries))
+	f.changed(api.StreamConfig, before, entries)
+}
+
+// changed publishes a new snapshot if the configuration moved on.
+func (f *folder) changed(stream string, before api.Offset, entries []eventlog.Entry) {
+	if stream != api.StreamConfig {
+		return
+	}
+	state := f.config().Snapshot()
+	old := f.book.state.Load()
+	invariant.Check(state.Through >= old.Through && state.PlansRevision >= old.PlansRevision &&
+		state.UsageRevision >= old.UsageRevision, "config-never-reverts",
+		"through %d after %d, plans %d after %d, usage %d after %d", state.Through, old.Through,
+		state.PlansRevision, old.PlansRevision, state.UsageRevision, old.UsageRevision)
+	if state.Through == before {
+		return
+	}
+	f.extendTail(before, entries)
+	f.book.state.Store(state)
+	configOffset.Set(int64(state.Through))
+	for _, w := range f.book.watchers {
+		w(state)
+	}
+}
+
+// extendTail keeps the newest entries, contiguous, for peers that are behind.
+func (f *folder) extendTail(before api.Offset, entries []eventlog.Entry) {
+	tail := append([]eventlog.Entry(nil), *f.book.tail.Load()...)
+	through := f.config().Through()
+	for _, e := range entries {
+		if e.Offset <= before || e.Offset > through {
+			continue
+		}
+		if n := len(tail); n > 0 && tail[n-1].Offset+1 != e.Offset {
+			tail, f.tailBytes = nil, 0
+		}
+		tail = append(tail, e)
+		f.tailBytes += len(e.Payload)
+	}
+	for len(tail) > 1 && f.tailBytes > maxTailBytes {
+		f.tailBytes -= len(tail[0].Payload)
+		tail = tail[1:]
+	}
+	f.book.tail.Store(&tail)
+}
+
+func (f *folder) propose(m proposeMsg) {
+	rec, err := f.book.record(m)
+	if err != nil {
+		m.done(ledger.Verdict{}, err)
+		return
+	}
+	f.proposals[rec.ID] = proposal{done: m.done, deadline: m.deadline}
+	err = f.book.app.Append(m.stream, rec, m.deadline, func(err error) { f.post(rec.ID, err) })
+	if err != nil {
+		f.finish(rec.ID, ledger.Verdict{}, api.Errorf(api.CodeLogUnavailable, "not appended: %w", err))
+	}
+}
+
+// post brings the appender's result back to this duty. When the ring stays
+// full the proposal ends by its deadline as unknown.
+func (f *folder) post(id api.RecordID, err error) {
+	if err != nil {
+		_ = f.book.folder.Post(appendedMsg{id: id, err: err})
+	}
+}
+
+// appended ends a proposal that surely is not in the log. One that may be
+// there goes on waiting for the fold until its deadline.
+func (f *folder) appended(m appendedMsg) {
+	if api.CodeOf(m.err) == api.CodeLogUnavailable {
+		f.finish(m.id, ledger.Verdict{}, m.err)
+	}
+}
+
+func (f *folder) settle(verdicts []ledger.Verdict) {
+	for _, v := range verdicts {
+		recordsFolded.Add(1)
+		if v.Err != nil {
+			recordsRefused.Add(1)
+		}
+		f.finish(v.ID, v, nil)
+	}
+}
+
+func (f *folder) finish(id api.RecordID, v ledger.Verdict, err error) {
+	p, ok := f.proposals[id]
+	if !ok {
+		return
+	}
+	delete(f.proposals, id)
+	p.done(v, err)
+}
+
+// maxCheckpointDelay spreads the daemons' checkpoints, so that the first one's
+// is seen by the others before they propose theirs.
+const maxCheckpointDelay = 5 * time.Second
+
+// checkpoint republishes a stream's state well before the records it rests on
+// expire. Two daemons that do so at once do no harm.
+func (f *folder) checkpoint(name string, s *follower, now time.Time) {
+	every := f.book.cfg.CheckpointEvery
+	p := f.plans[name]
+	if s.checkpoints != p.seen {
+		p.seen, p.since, p.due = s.checkpoints, now, time.Time{}
+	}
+	if !s.known || every <= 0 || s.fold.Through() == 0 || now.Sub(p.since) < every {
+		return
+	}
+	if p.due.IsZero() {
+		p.due = now.Add(time.Duration(f.book.cfg.Jitter() * float64(maxCheckpointDelay)))
+	}
+	if now.Before(p.due) {
+		return
+	}
+	p.due = now.Add(maxCheckpointDelay)
+	f.proposeCheckpoint(name, s)
+}
+
+func (f *folder) proposeCheckpoint(name string, s *follower) {
+	var image any = f.config().Image()
+	if name == api.StreamClaims {
+		image = f.claims().Image()
+	}
+	state, err := json.Marshal(image)
+	if err != nil {
+		return
+	}
+	checkpointsAsked.Add(1)
+	f.propose(proposeMsg{
+		stream: name, actor: string(f.book.cfg.Daemon),
+		body:     api.Checkpoint{Through: s.fold.Through(), State: state},
+		deadline: f.book.cfg.Now().Add(f.book.cfg.ProposeTimeout),
+		done:     func(ledger.Verdict, error) {},
+	})
+}
--- /dev/null
+++ b/server/logbook/follower.go
@@ -0,0 +1,131 @@
+package logbook
+
+import (
+	"encoding/json"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/recordcodec"
+)
+
+// fold is what both streams' folds have in common.
+type fold interface {
+	Through() api.Offset
+	Skip(offset api.Offset)
+	Apply(offset api.Offset, timeMillis int64, r api.Record) ledger.Verdict
+}
+
+// restore builds a fold from the state of a checkpoint.
+type restore func(state []byte) (fold, error)
+
+func restoreConfig(state []byte) (fold, error) {
+	var img ledger.Image
+	if err := json.Unmarshal(state, &img); err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "configuration checkpoint: %w", err)
+	}
+	return ledger.ConfigFrom(img), nil
+}
+
+func restoreClaims(state []byte) (fold, error) {
+	var img ledger.ClaimsImage
+	if err := json.Unmarshal(state, &img); err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "claims checkpoint: %w", err)
+	}
+	return ledger.ClaimsFrom(img), nil
+}
+
+// follower applies a stream's entries to its fold in offset order. It starts
+// from the first offset, or, where the log no longer has that one, from a
+// checkpoint and the entries around it. Its fold never goes backwards.
+type follower struct {
+	fold    fold
+	restore restore
+	known   bool // the fold holds the state of the stream, not just a part
+	pending []eventlog.Entry
+	// checkpoints counts the checkpoints seen in the stream.
+	checkpoints int
+}
+
+// next returns the offset to read from.
+func (f *follower) next() api.Offset {
+	if n := len(f.pending); n > 0 {
+		return f.pending[n-1].Offset + 1
+	}
+	return f.fold.Through() + 1
+}
+
+// feed takes a read's entries; oldest is the first offset the log retains.
+func (f *follower) feed(entries []eventlog.Entry, oldest api.Offset) []ledger.Verdict {
+	if !f.known && oldest <= f.fold.Through()+1 {
+		f.known = true
+	}
+	var out []ledger.Verdict
+	for _, e := range entries {
+		out = append(out, f.entry(e, oldest)...)
+	}
+	return out
+}
+
+// offer takes entries learned from a peer; only the very next ones count.
+func (f *follower) offer(entries []eventlog.Entry) []ledger.Verdict {
+	var out []ledger.Verdict
+	for _, e := range entries {
+		if f.known && e.Offset == f.fold.Through()+1 {
+			out = append(out, f.apply(e))
+		}
+	}
+	return out
+}
+
+func (f *follower) entry(e eventlog.Entry, oldest api.Offset) []ledger.Verdict {
+	through := f.fold.Through()
+	switch {
+	case e.Offset <= through:
+		return nil
+	case f.known && e.Offset == through+1:
+		return []ledger.Verdict{f.apply(e)}
+	}
+	f.known = false // a gap: the missing records expired before they were read
+	f.pending = append(f.pending, e)
+	return f.tryRestore(e, oldest)
+}
+
+// tryRestore starts over from a checkpoint that reaches back no further than
+// what the log still has.
+func (f *follower) tryRestore(e eventlog.Entry, oldest api.Offset) []ledger.Verdict {
+	rec, err := recordcodec.Decode(e.ID, e.Payload)
+	if err != nil {
+		return nil
+	}
+	c, ok := rec.Body.(api.Checkpoint)
+	if !ok || c.Through+1 < oldest || c.Through < f.fold.Through() {
+		return nil
+	}
+	restored, err := f.restore(c.State)
+	if err != nil || restored.Through() != c.Through {
+		return nil
+	}
+	f.fold, f.known = restored, true
+	pending := f.pending
+	f.pending = nil
+	var out []ledger.Verdict
+	for _, p := range pending {
+		if p.Offset == f.fold.Through()+1 {
+			out = append(out, f.apply(p))
+		}
+	}
+	return out
+}
+
+func (f *follower) apply(e eventlog.Entry) ledger.Verdict {
+	rec, err := recordcodec.Decode(e.ID, e.Payload)
+	if err != nil {
+		f.fold.Skip(e.Offset)
+		return ledger.Verdict{ID: e.ID, Offset: e.Offset, Err: err}
+	}
+	if _, ok := rec.Body.(api.Checkpoint); ok {
+		f.checkpoints++
+	}
+	return f.fold.Apply(e.Offset, e.TimeMillis, rec)
+}
--- /dev/null
+++ b/server/logbook/logbook.go
@@ -0,0 +1,218 @@
+// Package logbook keeps a daemon's copy of the platform's configuration and
+// claims streams. A duty reads the log, another folds what was read; whoever
+// proposes a change learns the verdict from the fold, never from the append.
+//
+// After a crash nothing is lost: the log holds all that was accepted, and a
+// new daemon folds the same records to the same state.
+package logbook
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/recordcodec"
+	"dotterelmount.example/lib/ring"
+)
+
+// Appender queues a record for the log. done is called exactly once unless
+// Append itself fails: nil means appended at least once, CodeLogUnavailable
+// surely never, CodeUnknownResult that it may have been.
+type Appender interface {
+	Append(stream string, r eventlog.Record, deadline time.Time, done func(error)) error
+}
+
+// Config of a Book.
+type Config struct {
+	Daemon          api.DaemonID
+	RingSize        int           // entries of the fold's ring
+	ReadWait        time.Duration // long-poll time
+	ReadLimit       int           // entries a stream and read
+	RetryEvery      time.Duration // pause after a failed read
+	ProposeTimeout  time.Duration // longest life of a proposal
+	CheckpointEvery time.Duration // well below the log's retention
+	NewID           func() api.RecordID
+	Now             func() time.Time
+	Jitter          func() float64 // in [0,1), spreads checkpoints over daemons
+}
+
+// Book is the handle of the duties.
+type Book struct {
+	cfg    Config
+	app    Appender
+	folder *duty.Duty[event]
+	reader *duty.Duty[pollMsg]
+
+	state    atomic.Pointer[ledger.State]
+	tail     atomic.Pointer[[]eventlog.Entry]
+	known    atomic.Bool
+	contact  atomic.Int64 // Unix nanoseconds of the last answer from the log
+	watchers []func(*ledger.State)
+}
+
+// event is a message to the folding duty.
+type event interface{ isEvent() }
+
+type (
+	readMsg struct {
+		batches []eventlog.Batch
+		done    *ring.Slot[[]eventlog.Position] // where to read on
+	}
+	offerMsg   struct{ entries []eventlog.Entry }
+	proposeMsg struct {
+		stream   string
+		body     api.Body
+		actor    string
+		deadline time.Time
+		done     func(ledger.Verdict, error)
+	}
+	appendedMsg struct {
+		id  api.RecordID
+		err error
+	}
+	claimMsg struct {
+		key  ledger.ClaimKey
+		done *ring.Slot[claimReply]
+	}
+	claimReply struct {
+		state ledger.ClaimState
+		found bool
+	}
+)
+
+func (readMsg) isEvent()     {}
+func (offerMsg) isEvent()    {}
+func (proposeMsg) isEvent()  {}
+func (appendedMsg) isEvent() {}
+func (claimMsg) isEvent()    {}
+
+// foldTick is how often expired proposals and due checkpoints are looked for.
+const foldTick = 100 * time.Millisecond
+
+// Start spawns the duties. watchers are called on the folding duty's thread
+// after each change of the configuration and must only post.
+func Start(sys *duty.System, log eventlog.Log, app Appender, cfg Config, watchers ...func(*ledger.State)) *Book {
+	b := &Book{cfg: cfg, app: app, watchers: watchers}
+	f := newFolder(b)
+	b.state.Store(f.config().Snapshot())
+	b.tail.Store(&[]eventlog.Entry{})
+	b.folder = duty.Start(sys, duty.Config{Name: "ledger", RingSize: cfg.RingSize, Tick: foldTick}, duty.Handler[event](f))
+	r := &reader{book: b, log: log}
+	b.reader = duty.Start(sys, duty.Config{Name: "log-reader", RingSize: 1}, duty.Handler[pollMsg](r))
+	_ = b.reader.Post(pollMsg{})
+	return b
+}
+
+// State returns the configuration in force here; it is never nil.
+func (b *Book) State() *ledger.State { return b.state.Load() }
+
+// Known reports whether the state in force was learned, from the first record
+// or from a checkpoint.
+func (b *Book) Known() bool { return b.known.Load() }
+
+// LastContact returns when the log last answered; zero if it never did.
+func (b *Book) LastContact() time.Time {
+	if n := b.contact.Load(); n != 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
+// Through returns the configuration offset in force here.
+func (b *Book) Through() api.Offset { return b.State().Through }
+
+// Tail returns up to limit of the most recent configuration entries from the
+// given offset on, or none when it no longer has that one.
+func (b *Book) Tail(from api.Offset, limit int) []eventlog.Entry {
+	tail := *b.tail.Load()
+	if len(tail) == 0 || from < tail[0].Offset {
+		return nil
+	}
+	start := min(int(from-tail[0].Offset), len(tail))
+	return tail[start:min(start+limit, len(tail))]
+}
+
+// Offer hands over configuration entries learned from a peer.
+func (b *Book) Offer(entries []eventlog.Entry) {
+	_ = b.folder.Post(offerMsg{entries: entries}) // a full ring: the peer or the log tells again
+}
+
+// Propose appends a record and waits for its verdict. Errors:
+// CodeLogUnavailable when it surely is not in the log, CodeUnknownResult when
+// it may be.
+func (b *Book) Propose(ctx context.Context, stream string, body api.Body, actor string) (ledger.Verdict, error) {
+	type reply struct {
+		verdict ledger.Verdict
+		err     error
+	}
+	slot := ring.NewSlot[reply]()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = b.cfg.Now().Add(b.cfg.ProposeTimeout)
+	}
+	err := b.ProposeAsync(stream, body, actor, deadline, func(v ledger.Verdict, err error) { slot.Put(reply{v, err}) })
+	if err != nil {
+		return ledger.Verdict{}, err
+	}
+	r, err := slot.Wait(ctx)
+	if err != nil {
+		return ledger.Verdict{}, api.Errorf(api.CodeUnknownResult, "no verdict in time: %w", err)
+	}
+	return r.verdict, r.err
+}
+
+// ProposeAsync is Propose for duties: done is called once, on another duty's
+// thread, and must only post. Errors: CodeLogUnavailable when the ring is full
+// or closed; done is not called then.
+func (b *Book) ProposeAsync(stream string, body api.Body, actor string, deadline time.Time, done func(ledger.Verdict, error)) error {
+	if last := b.cfg.Now().Add(b.cfg.ProposeTimeout); deadline.After(last) {
+		deadline = last
+	}
+	err := b.folder.Post(proposeMsg{stream: stream, body: body, actor: actor, deadline: deadline, done: done})
+	if err != nil {
+		return api.Errorf(api.CodeLogUnavailable, "not proposed: %w", err)
+	}
+	return nil
+}
+
+// Claim returns what the log says of a once-only request's key.
+// Errors: CodeNotReady, CodeDeadlineExceeded.
+func (b *Book) Claim(ctx context.Context, k ledger.ClaimKey) (ledger.ClaimState, bool, error) {
+	slot := ring.NewSlot[claimReply]()
+	if err := b.folder.PostWait(ctx, claimMsg{key: k, done: slot}); err != nil {
+		return ledger.ClaimState{}, false, api.Errorf(api.CodeNotReady, "claim not read: %w", err)
+	}
+	r, err := slot.Wait(ctx)
+	if err != nil {
+		return ledger.ClaimState{}, false, api.Errorf(api.CodeDeadlineExceeded, "claim not read: %w", err)
+	}
+	return r.state, r.found, nil
+}
+
+// Duties returns the name, depth, capacity and rejections of each duty.
+func (b *Book) Duties() []duty.Stats { return []duty.Stats{b.folder.Stats(), b.reader.Stats()} }
+
+// Stop ends the duties. Errors: ctx.Err().
+func (b *Book) Stop(ctx context.Context) error {
+	if err := b.reader.Stop(ctx); err != nil {
+		return err
+	}
+	return b.folder.Stop(ctx)
+}
+
+// record builds the log's form of a proposal.
+func (b *Book) record(m proposeMsg) (eventlog.Record, error) {
+	r := api.Record{
+		ID: b.cfg.NewID(), Actor: m.actor, Via: b.cfg.Daemon,
+		AtMillis: api.Millis(b.cfg.Now()), Body: m.body,
+	}
+	payload, err := recordcodec.Encode(r)
+	if err != nil {
+		return eventlog.Record{}, err
+	}
+	return eventlog.Record{ID: r.ID, Payload: payload}, nil
+}
--- /dev/null
+++ b/server/logbook/reader.go
@@ -0,0 +1,59 @@
+package logbook
+
+import (
+	"context"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/ring"
+)
+
+// pollMsg makes the reader read once more.
+type pollMsg struct{}
+
+// reader is the duty that blocks on the log. It keeps no state but where to
+// read on, which the fold tells it.
+type reader struct {
+	book      *Book
+	log       eventlog.Log
+	positions []eventlog.Position
+}
+
+// Handle reads once and hands the batches to the fold.
+func (r *reader) Handle(ctx context.Context, _ pollMsg) {
+	if ctx.Err() != nil {
+		return
+	}
+	if r.positions == nil {
+		r.positions = []eventlog.Position{{Stream: api.StreamConfig, From: 1}, {Stream: api.StreamClaims, From: 1}}
+	}
+	batches, err := r.log.Read(ctx, r.positions, r.book.cfg.ReadLimit, r.book.cfg.ReadWait)
+	if err != nil {
+		r.pause(ctx)
+	} else {
+		r.book.contact.Store(r.book.cfg.Now().UnixNano())
+		r.deliver(ctx, batches)
+	}
+	_ = r.book.reader.Post(pollMsg{}) // fails only once the duty is stopped
+}
+
+func (r *reader) deliver(ctx context.Context, batches []eventlog.Batch) {
+	done := ring.NewSlot[[]eventlog.Position]()
+	if err := r.book.folder.PostWait(ctx, readMsg{batches: batches, done: done}); err != nil {
+		return
+	}
+	if next, err := done.Wait(ctx); err == nil {
+		r.positions = next
+	}
+}
+
+// pause waits before the next read, so that an outage is not a busy loop.
+func (r *reader) pause(ctx context.Context) {
+	t := time.NewTimer(r.book.cfg.RetryEvery)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
