--- /dev/null
+++ b/lib/routing/baseline.go
@@ -0,0 +1,54 @@
+package routing
+
+import "dotterelmount.example/api"
+
+// The baselines know neither windows nor slow upstreams; measurements compare
+// the other policies with them.
+
+type roundRobin struct{ next int }
+
+// Pick implements Policy.
+func (p *roundRobin) Pick(_ Request, cs []Candidate, _ func(n int) int) (api.UpstreamID, bool) {
+	if len(cs) == 0 {
+		return "", false
+	}
+	i := p.next % len(cs)
+	p.next = i + 1
+	return cs[i].ID, true
+}
+
+type random struct{}
+
+// Pick implements Policy.
+func (random) Pick(_ Request, cs []Candidate, rnd func(n int) int) (api.UpstreamID, bool) {
+	if len(cs) == 0 {
+		return "", false
+	}
+	return cs[rnd(len(cs))].ID, true
+}
+
+type leastInFlight struct{}
+
+// Pick implements Policy. Between equals it prefers local candidates and then
+// draws, so that daemons with equal views do not all pick the same one.
+func (leastInFlight) Pick(_ Request, cs []Candidate, rnd func(n int) int) (api.UpstreamID, bool) {
+	if len(cs) == 0 {
+		return "", false
+	}
+	start := rnd(len(cs))
+	best := start
+	for k := 1; k < len(cs); k++ {
+		i := (start + k) % len(cs)
+		if better(&cs[i], &cs[best]) {
+			best = i
+		}
+	}
+	return cs[best].ID, true
+}
+
+func better(a, b *Candidate) bool {
+	if a.InFlight != b.InFlight {
+		return a.InFlight < b.InFlight
+	}
+	return a.Local && !b.Local
+}
--- /dev/null
+++ b/lib/routing/observer.go
@@ -0,0 +1,166 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+)
+
+const (
+	// smoothing is the weight of a new observation in the moving average.
+	smoothing = 0.3
+	// slowFactor is how many times the median of all upstreams a latency is
+	// that counts as slow.
+	slowFactor = 2.5
+	// failuresInRow is the number of failed calls in a row that counts as slow.
+	failuresInRow = 2
+	// probeInterval is the time between two probes of a slow upstream.
+	probeInterval = 200 * time.Millisecond
+	// observationLife is the time without observations after which a slow
+	// upstream is tried again like any other.
+	observationLife = 2 * time.Second
+	// medianLife is the time for which a computed median is used again.
+	medianLife = 20 * time.Millisecond
+)
+
+// Observer keeps one daemon's own observations of upstreams, which come ahead
+// of their late load reports. It belongs to one duty: it is not safe for
+// concurrent use.
+type Observer struct {
+	upstreams map[api.UpstreamID]*observed
+	median    time.Duration
+	medianAt  time.Time
+	sorted    []time.Duration // reused between computations of the median
+}
+
+type observed struct {
+	latency  time.Duration // moving average; zero is unknown
+	seen     time.Time     // last observation
+	failures int           // failed calls in a row
+	probed   time.Time     // last probe, or the moment it was found slow; zero while not slow
+	fresh    bool          // a probe is out: the next observation replaces the average
+}
+
+// NewObserver returns an observer that has seen nothing.
+func NewObserver() *Observer {
+	return &Observer{upstreams: make(map[api.UpstreamID]*observed)}
+}
+
+// Done records the end of a call and its mean time per token (or per call).
+// A failed call's time is not counted.
+func (o *Observer) Done(id api.UpstreamID, perToken time.Duration, ok bool, now time.Time) {
+	u := o.upstream(id)
+	if !ok {
+		u.failures++
+		u.seen = now
+		return
+	}
+	u.failures = 0
+	u.observe(perToken, now)
+}
+
+// Progress records the time per token of a piece of a running call, or the
+// time for which a running call has made no progress.
+func (o *Observer) Progress(id api.UpstreamID, perToken time.Duration, now time.Time) {
+	o.upstream(id).observe(perToken, now)
+}
+
+// Latency returns the moving average of the time per token; zero is unknown.
+func (o *Observer) Latency(id api.UpstreamID) time.Duration {
+	u, ok := o.upstreams[id]
+	if !ok {
+		return 0
+	}
+	return u.latency
+}
+
+// Slow reports whether the upstream is to be avoided: its recent time per
+// token is several times the median of all, or its last calls failed. Once in
+// each probe interval it returns false and forgets the old average, so that
+// one request can show that the upstream has recovered.
+func (o *Observer) Slow(id api.UpstreamID, now time.Time) bool {
+	u, ok := o.upstreams[id]
+	if !ok {
+		return false
+	}
+	if now.Sub(u.seen) >= observationLife {
+		u.forget()
+		return false
+	}
+	if !u.fresh && !o.exceeds(u, now) {
+		u.probed = time.Time{}
+		return false
+	}
+	if u.probed.IsZero() {
+		u.probed = now
+		return true
+	}
+	if now.Sub(u.probed) < probeInterval {
+		return true
+	}
+	u.probed = now
+	u.fresh = true
+	u.latency = o.medianLatency(now)
+	return false
+}
+
+// Forget drops the observations of an upstream that left the usage list.
+func (o *Observer) Forget(id api.UpstreamID) { delete(o.upstreams, id) }
+
+func (o *Observer) upstream(id api.UpstreamID) *observed {
+	u, ok := o.upstreams[id]
+	if !ok {
+		u = &observed{}
+		o.upstreams[id] = u
+	}
+	return u
+}
+
+func (o *Observer) exceeds(u *observed, now time.Time) bool {
+	if u.failures >= failuresInRow {
+		return true
+	}
+	median := o.medianLatency(now)
+	return median > 0 && float64(u.latency) > slowFactor*float64(median)
+}
+
+// medianLatency returns the lower median, so that the faster of two upstreams
+// is the measure for the other.
+func (o *Observer) medianLatency(now time.Time) time.Duration {
+	if !o.medianAt.IsZero() && now.Sub(o.medianAt) < medianLife {
+		return o.median
+	}
+	o.sorted = o.sorted[:0]
+	for _, u := range o.upstreams {
+		if u.latency > 0 {
+			o.sorted = append(o.sorted, u.latency)
+		}
+	}
+	o.median, o.medianAt = 0, now
+	if len(o.sorted) > 0 {
+		slices.Sort(o.sorted)
+		o.median = o.sorted[(len(o.sorted)-1)/2]
+	}
+	return o.median
+}
+
+func (u *observed) observe(perToken time.Duration, now time.Time) {
+	u.seen = now
+	if perToken <= 0 {
+		return
+	}
+	if u.latency == 0 || u.fresh {
+		u.latency = perToken
+		u.fresh = false
+		return
+	}
+	u.latency += time.Duration(smoothing * float64(perToken-u.latency))
+}
+
+func (u *observed) forget() {
+	u.latency = 0
+	u.failures = 0
+	u.fresh = false
+	u.probed = time.Time{}
+}
--- /dev/null
+++ b/lib/routing/rendezvous.go
@@ -0,0 +1,41 @@
+package routing
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// maxHashedID is the length of an identifier up to which a score needs no
+// allocation.
+const maxHashedID = 56
+
+// Rendezvous returns ids ordered by their rendezvous hash with key, highest
+// first. All daemons compute the same order from the same set, in whatever
+// order it comes, and removing an id leaves the order of the others as it was.
+func Rendezvous(key uint64, ids []string) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	ranked := make([]scored, len(ids))
+	for i, id := range ids {
+		ranked[i] = scored{id: id, score: rendezvousScore(key, id)}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	ordered := make([]string, len(ids))
+	for i := range ranked {
+		ordered[i] = ranked[i].id
+	}
+	return ordered
+}
+
+func rendezvousScore(key uint64, id string) uint64 {
+	var room [8 + maxHashedID]byte
+	b := binary.BigEndian.AppendUint64(room[:0], key)
+	return xxhash.Sum64(append(b, id...))
+}
--- /dev/null
+++ b/lib/routing/routing_test.go
@@ -0,0 +1,121 @@
+package routing_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/routing"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+func drawCandidates(t *rapid.T) []routing.Candidate {
+	n := rapid.IntRange(0, 12).Draw(t, "n")
+	cs := make([]routing.Candidate, n)
+	for i := range cs {
+		cs[i] = routing.Candidate{
+			ID:       api.UpstreamID(fmt.Sprintf("u%d", i)),
+			Free:     rapid.IntRange(-1, 4).Draw(t, "free"),
+			InFlight: rapid.IntRange(0, 20).Draw(t, "in flight"),
+			Latency:  time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond,
+			Slow:     rapid.Bool().Draw(t, "slow"),
+		}
+	}
+	return cs
+}
+
+func TestWindowedPoliciesRespectWindowsAndAvoidSlow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, err := routing.New(rapid.SampledFrom([]string{"affinity", "two-choice"}).Draw(t, "policy"))
+		assert.NilError(t, err)
+		cs := drawCandidates(t)
+		rnd := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "rnd") }
+		id, ok := p.Pick(routing.Request{Prefix: rapid.Uint64().Draw(t, "prefix")}, cs, rnd)
+		allSlow := !slices.ContainsFunc(cs, func(c routing.Candidate) bool { return !c.Slow })
+		usable := func(c routing.Candidate) bool { return c.Free > 0 && (allSlow || !c.Slow) }
+		assert.Equal(t, ok, slices.ContainsFunc(cs, usable))
+		if ok {
+			i := slices.IndexFunc(cs, func(c routing.Candidate) bool { return c.ID == id })
+			assert.Assert(t, usable(cs[i]))
+		}
+	})
+}
+
+func TestAffinityKeepsAPrefixTogetherUntilOverloaded(t *testing.T) {
+	p, err := routing.New(routing.PolicyAffinity)
+	assert.NilError(t, err)
+	cs := []routing.Candidate{{ID: "a", Free: 9}, {ID: "b", Free: 9}, {ID: "c", Free: 9}}
+	first, _ := p.Pick(routing.Request{Prefix: 7}, cs, func(int) int { return 0 })
+	for i := range cs {
+		if cs[i].ID == first {
+			cs[i].InFlight = 2 // mean+1 is 1.67; the bound 2.08
+		}
+	}
+	again, _ := p.Pick(routing.Request{Prefix: 7}, cs, func(int) int { return 0 })
+	assert.Equal(t, again, first)
+	for i := range cs {
+		cs[i].InFlight *= 3
+	}
+	moved, _ := p.Pick(routing.Request{Prefix: 7}, cs, func(int) int { return 0 })
+	assert.Assert(t, moved != first)
+}
+
+func TestRendezvousIsStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := rapid.SliceOfNDistinct(rapid.StringMatching(`[a-z]{1,70}`), 1, 20, rapid.ID[string]).Draw(t, "ids")
+		key := rapid.Uint64().Draw(t, "key")
+		order := routing.Rendezvous(key, ids)
+		shuffled := rapid.Permutation(ids).Draw(t, "shuffled")
+		assert.DeepEqual(t, routing.Rendezvous(key, shuffled), order)
+		gone := rapid.IntRange(0, len(order)-1).Draw(t, "gone")
+		rest := slices.Delete(slices.Clone(order), gone, gone+1)
+		assert.DeepEqual(t, routing.Rendezvous(key, rest), rest)
+	})
+}
+
+func TestSlowUpstreamIsFoundAndProbedBack(t *testing.T) {
+	o := routing.NewObserver()
+	now := t0
+	for range 4 {
+		now = now.Add(50 * time.Millisecond)
+		o.Done("a", 10*time.Millisecond, true, now)
+		o.Done("b", 11*time.Millisecond, true, now)
+		o.Progress("c", 55*time.Millisecond, now)
+	}
+	assert.Assert(t, o.Slow("c", now) && !o.Slow("a", now))
+	now = now.Add(250 * time.Millisecond)
+	assert.Assert(t, !o.Slow("c", now), "one probe")
+	assert.Assert(t, o.Slow("c", now), "only one")
+	o.Done("c", 52*time.Millisecond, true, now)
+	assert.Assert(t, o.Slow("c", now.Add(30*time.Millisecond)), "still slow")
+	now = now.Add(250 * time.Millisecond)
+	assert.Assert(t, !o.Slow("c", now))
+	o.Done("c", 10*time.Millisecond, true, now)
+	assert.Assert(t, !o.Slow("c", now.Add(30*time.Millisecond)), "recovered")
+}
+
+func TestFailingUpstreamIsAvoidedAndNeverForgottenForGood(t *testing.T) {
+	o := routing.NewObserver()
+	o.Done("a", 0, false, t0)
+	assert.Assert(t, !o.Slow("a", t0))
+	o.Done("a", 0, false, t0)
+	assert.Assert(t, o.Slow("a", t0))
+	assert.Assert(t, !o.Slow("a", t0.Add(3*time.Second)))
+}
+
+func BenchmarkAffinity650(b *testing.B) {
+	p, _ := routing.New(routing.PolicyAffinity)
+	cs := make([]routing.Candidate, 650)
+	for i := range cs {
+		cs[i] = routing.Candidate{ID: api.UpstreamID(fmt.Sprintf("upstream-%d", i)), Free: 8}
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		p.Pick(routing.Request{Prefix: uint64(i + 1)}, cs, func(int) int { return 0 })
+	}
+}
