--- /dev/null
+++ b/lib/quarantine/quarantine_test.go
@@ -0,0 +1,43 @@
+package quarantine_test
+
+import (
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quarantine"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func TestSharedStrikesNeverCondemn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := ledger.StrikeState{
+			Alone:     rapid.IntRange(0, 1).Draw(t, "alone"),
+			Shared:    rapid.IntRange(0, 50).Draw(t, "shared"),
+			Upstreams: []api.UpstreamID{"a", "b", "c"},
+		}
+		assert.Assert(t, quarantine.Decide(s, rapid.Int64Range(0, 1e9).Draw(t, "now")) != quarantine.Condemned)
+	})
+}
+
+func TestCondemnationExpiresThroughSolo(t *testing.T) {
+	s := ledger.StrikeState{Alone: 2, Upstreams: []api.UpstreamID{"a", "b"}, LastMillis: 1000}
+	condemned, solo := quarantine.CondemnedTime.Milliseconds(), quarantine.SoloTime.Milliseconds()
+	assert.Equal(t, quarantine.Decide(s, 0), quarantine.Condemned, "a clock that is behind")
+	assert.Equal(t, quarantine.Decide(s, 999+condemned), quarantine.Condemned)
+	assert.Equal(t, quarantine.Decide(s, 1000+condemned), quarantine.Solo)
+	assert.Equal(t, quarantine.Decide(s, 1000+condemned+solo), quarantine.Free)
+}
+
+func TestOneBadUpstreamDoesNotCondemn(t *testing.T) {
+	s := ledger.StrikeState{Alone: 5, Upstreams: []api.UpstreamID{"a"}}
+	assert.Equal(t, quarantine.Decide(s, 1), quarantine.Solo)
+}
+
+func TestSuspectIsFreeAgainAfterQuietTime(t *testing.T) {
+	s := ledger.StrikeState{Shared: 3, Upstreams: []api.UpstreamID{"a", "b"}}
+	assert.Equal(t, quarantine.Decide(s, 0), quarantine.Solo)
+	assert.Equal(t, quarantine.Decide(s, quarantine.SoloTime.Milliseconds()), quarantine.Free)
+	assert.Equal(t, quarantine.Decide(ledger.StrikeState{}, 0), quarantine.Free)
+}
