--- /dev/null
+++ b/front/adminapi/handler.go
@@ -0,0 +1,234 @@
+package adminapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/httpapi/errmap"
+)
+
+const (
+	maxBodyBytes      = 8 << 20 // lists of some thousand upstreams fit
+	defaultAuditLimit = 100     // entries
+	maxAuditLimit     = 1000    // entries
+	fingerprintBits   = 64
+)
+
+type handler struct{ op Operator }
+
+// NewHandler returns the handler of all routes under /v1/admin/.
+func NewHandler(op Operator) http.Handler {
+	h := &handler{op: op}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathPlanList, h.getPlanList)
+	mux.HandleFunc("PUT "+PathPlanList, h.putPlanList)
+	mux.HandleFunc("GET "+PathUsageList, h.getUsageList)
+	mux.HandleFunc("PUT "+PathUsageList, h.putUsageList)
+	mux.HandleFunc("POST "+PathUpstreams+"{id}/mark", h.postMark)
+	mux.HandleFunc("POST "+PathWeights, h.postWeights)
+	mux.HandleFunc("POST "+PathQuarantine+"{fingerprint}/lift", h.postLift)
+	mux.HandleFunc("GET "+PathStatus, h.getStatus)
+	mux.HandleFunc("GET "+PathAudit, h.getAudit)
+	mux.HandleFunc("GET "+PathState, h.getState)
+	return mux
+}
+
+func (h *handler) getPlanList(w http.ResponseWriter, _ *http.Request) {
+	s := h.op.State()
+	writeJSON(w, PlanListInForce{Revision: s.PlansRevision, List: *s.Plans})
+}
+
+func (h *handler) getUsageList(w http.ResponseWriter, _ *http.Request) {
+	s := h.op.State()
+	writeJSON(w, UsageListInForce{Revision: s.UsageRevision, List: *s.Usage})
+}
+
+func (h *handler) getState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, NewStateView(h.op.State()))
+}
+
+func (h *handler) getStatus(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, h.op.Status(r.Context()))
+}
+
+func (h *handler) putPlanList(w http.ResponseWriter, r *http.Request) {
+	var in PutPlanList
+	if err := decode(w, r, &in); err != nil {
+		refuse(w, err)
+		return
+	}
+	if in.Base == nil || in.List == nil {
+		refuse(w, api.Errorf(api.CodeInvalid, "base and list are required"))
+		return
+	}
+	if err := in.List.Validate(); err != nil {
+		refuse(w, err)
+		return
+	}
+	h.propose(w, r, api.PublishPlanList{Base: *in.Base, List: *in.List})
+}
+
+func (h *handler) putUsageList(w http.ResponseWriter, r *http.Request) {
+	var in PutUsageList
+	if err := decode(w, r, &in); err != nil {
+		refuse(w, err)
+		return
+	}
+	if in.Base == nil || in.List == nil {
+		refuse(w, api.Errorf(api.CodeInvalid, "base and list are required"))
+		return
+	}
+	if err := in.List.Validate(); err != nil {
+		refuse(w, err)
+		return
+	}
+	h.propose(w, r, api.PublishUsageList{Base: *in.Base, List: *in.List})
+}
+
+func (h *handler) postMark(w http.ResponseWriter, r *http.Request) {
+	var in PostMark
+	if err := decode(w, r, &in); err != nil {
+		refuse(w, err)
+		return
+	}
+	if in.Base == nil {
+		refuse(w, api.Errorf(api.CodeInvalid, "base is required"))
+		return
+	}
+	if in.Mark != api.MarkActive && in.Mark != api.MarkDraining {
+		refuse(w, api.Errorf(api.CodeInvalid, "mark %q; allowed: active, draining", in.Mark))
+		return
+	}
+	id := api.UpstreamID(r.PathValue("id"))
+	h.propose(w, r, api.MarkUpstream{Base: *in.Base, Upstream: id, Mark: in.Mark})
+}
+
+func (h *handler) postWeights(w http.ResponseWriter, r *http.Request) {
+	var in PostWeights
+	if err := decode(w, r, &in); err != nil {
+		refuse(w, err)
+		return
+	}
+	if in.Model == "" || in.Version == 0 {
+		refuse(w, api.Errorf(api.CodeInvalid, "model and a version above 0 are required"))
+		return
+	}
+	h.propose(w, r, api.AnnounceWeights{Model: in.Model, Version: in.Version})
+}
+
+func (h *handler) postLift(w http.ResponseWriter, r *http.Request) {
+	text := r.PathValue("fingerprint")
+	f, err := strconv.ParseUint(text, 16, fingerprintBits)
+	if err != nil {
+		refuse(w, api.Errorf(api.CodeInvalid, "fingerprint %q; allowed: hexadecimal: %w", text, err))
+		return
+	}
+	h.propose(w, r, api.LiftQuarantine{Fingerprint: api.Fingerprint(f)})
+}
+
+func (h *handler) getAudit(w http.ResponseWriter, r *http.Request) {
+	from, err := queryUint(r, "from", 1)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	limit, err := queryUint(r, "limit", defaultAuditLimit)
+	if err != nil {
+		refuse(w, err)
+		return
+	}
+	if limit < 1 || limit > maxAuditLimit {
+		refuse(w, api.Errorf(api.CodeInvalid, "limit %d; allowed: 1 to %d", limit, maxAuditLimit))
+		return
+	}
+	entries, err := h.op.Audit(r.Context(), api.Offset(from), int(limit))
+	if err != nil {
+		errmap.Write(w, err, api.OutcomeFailed)
+		return
+	}
+	writeJSON(w, AuditPage{Entries: entries})
+}
+
+func (h *handler) propose(w http.ResponseWriter, r *http.Request, body api.Body) {
+	actor := r.Header.Get(HeaderOperator)
+	if actor == "" {
+		refuse(w, api.Errorf(api.CodeInvalid, "header %s is required", HeaderOperator))
+		return
+	}
+	verdict, err := h.op.Propose(r.Context(), body, actor)
+	if err != nil {
+		errmap.Write(w, err, outcomeOf(err))
+		return
+	}
+	if verdict.Err != nil {
+		refuse(w, verdict.Err)
+		return
+	}
+	writeJSON(w, Changed{Record: verdict.ID, Revision: verdict.Offset})
+}
+
+// outcomeOf says what is known of a change whose verdict was not seen. Only
+// failures that precede the append prove that the record is not in the log.
+func outcomeOf(err error) api.Outcome {
+	switch {
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		return api.OutcomeUnknown
+	}
+	switch api.CodeOf(err) {
+	case api.CodeLogUnavailable, api.CodeNotReady, api.CodeInvalid, api.CodeShed, api.CodeTooLarge:
+		return api.OutcomeNotRun
+	default:
+		return api.OutcomeUnknown
+	}
+}
+
+func refuse(w http.ResponseWriter, err error) { errmap.Write(w, err, api.OutcomeNotRun) }
+
+// decode reads one JSON value and nothing after it; unknown fields are refused.
+func decode(w http.ResponseWriter, r *http.Request, into any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return bodyError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return api.Errorf(api.CodeInvalid, "body: more than one JSON value")
+	}
+	return nil
+}
+
+func bodyError(err error) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return api.Errorf(api.CodeTooLarge, "body: over %d bytes: %w", tooLarge.Limit, err)
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return api.Errorf(api.CodeInvalid, "body: truncated: %w", err)
+	}
+	return api.Errorf(api.CodeInvalid, "body: %w", err)
+}
+
+func queryUint(r *http.Request, key string, missing uint64) (uint64, error) {
+	text := r.URL.Query().Get(key)
+	if text == "" {
+		return missing, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, api.Errorf(api.CodeInvalid, "%s %q; allowed: a whole number: %w", key, text, err)
+	}
+	return n, nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(errmap.HeaderOutcome, api.OutcomeComplete.String())
+	// A failed write means that the operator went away: nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/front/adminapi/messages.go
@@ -0,0 +1,133 @@
+package adminapi
+
+import (
+	"maps"
+	"slices"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+)
+
+// The routes below the daemon's address for callers.
+const (
+	PathPlanList   = "/v1/admin/plan-list"
+	PathUsageList  = "/v1/admin/usage-list"
+	PathUpstreams  = "/v1/admin/upstreams/" // {id}/mark
+	PathWeights    = "/v1/admin/weights"
+	PathQuarantine = "/v1/admin/quarantine/" // {fingerprint}/lift
+	PathStatus     = "/v1/admin/status"
+	PathAudit      = "/v1/admin/audit"
+	PathState      = "/v1/admin/state"
+)
+
+// HeaderOperator names who asks for a change.
+const HeaderOperator = "X-Operator"
+
+// PlanListInForce answers GET plan-list.
+type PlanListInForce struct {
+	Revision api.Revision `json:"revision"`
+	List     api.PlanList `json:"list"`
+}
+
+// UsageListInForce answers GET usage-list.
+type UsageListInForce struct {
+	Revision api.Revision  `json:"revision"`
+	List     api.UsageList `json:"list"`
+}
+
+// PutPlanList is the body of PUT plan-list; both fields are required.
+type PutPlanList struct {
+	Base *api.Revision `json:"base"`
+	List *api.PlanList `json:"list"`
+}
+
+// PutUsageList is the body of PUT usage-list; both fields are required.
+type PutUsageList struct {
+	Base *api.Revision  `json:"base"`
+	List *api.UsageList `json:"list"`
+}
+
+// PostMark is the body of POST upstreams/{id}/mark; both fields are required.
+type PostMark struct {
+	Base *api.Revision `json:"base"`
+	Mark api.Mark      `json:"mark"`
+}
+
+// PostWeights is the body of POST weights.
+type PostWeights struct {
+	Model   api.ModelName     `json:"model"`
+	Version api.WeightVersion `json:"version"`
+}
+
+// Changed answers every accepted change.
+type Changed struct {
+	Record api.RecordID `json:"record"`
+	// Revision is the offset of the change in the configuration stream.
+	Revision api.Revision `json:"revision"`
+}
+
+// AuditPage answers GET audit.
+type AuditPage struct {
+	Entries []AuditEntry `json:"entries"`
+}
+
+// StateView answers GET state: everything in force except the two lists.
+type StateView struct {
+	Through       api.Offset     `json:"through"`
+	PlansRevision api.Revision   `json:"plans_revision"`
+	UsageRevision api.Revision   `json:"usage_revision"`
+	Marks         []MarkView     `json:"marks"`
+	Weights       []WeightView   `json:"weights"`
+	Strikes       []StrikeRecord `json:"strikes"`
+}
+
+// MarkView is the mark of one upstream that was marked at least once.
+type MarkView struct {
+	Upstream api.UpstreamID `json:"upstream"`
+	ledger.MarkState
+}
+
+// WeightView is the weight version in force of one model.
+type WeightView struct {
+	Model api.ModelName `json:"model"`
+	ledger.WeightState
+}
+
+// StrikeRecord counts the crashes that one fingerprint was part of.
+type StrikeRecord struct {
+	Fingerprint string `json:"fingerprint"` // hexadecimal
+	ledger.StrikeState
+}
+
+// NewStateView returns what GET state shows of s, sorted by key.
+func NewStateView(s *ledger.State) StateView {
+	v := StateView{
+		Through:       s.Through,
+		PlansRevision: s.PlansRevision,
+		UsageRevision: s.UsageRevision,
+		Marks:         []MarkView{},
+		Weights:       []WeightView{},
+		Strikes:       []StrikeRecord{},
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Marks)) {
+		v.Marks = append(v.Marks, MarkView{Upstream: id, MarkState: s.Marks[id]})
+	}
+	for _, model := range slices.Sorted(maps.Keys(s.Weights)) {
+		v.Weights = append(v.Weights, WeightView{Model: model, WeightState: s.Weights[model]})
+	}
+	for _, f := range slices.Sorted(maps.Keys(s.Strikes)) {
+		v.Strikes = append(v.Strikes, StrikeRecord{Fingerprint: f.String(), StrikeState: s.Strikes[f]})
+	}
+	return v
+}
+
+// Mark returns the mark of an upstream and the revision that a change of it
+// must name as its base.
+func (v StateView) Mark(id api.UpstreamID) ledger.MarkState {
+	for _, m := range v.Marks {
+		if m.Upstream == id {
+			return m.MarkState
+		}
+	}
+	return ledger.MarkState{Mark: api.MarkActive}
+}
