--- /dev/null
+++ b/lib/settings/internal/strictyaml/strictyaml.go
@@ -0,0 +1,216 @@
+// Package strictyaml decodes one YAML document and refuses unknown keys. Its
+// errors name the key, the value and what is allowed.
+package strictyaml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/token"
+)
+
+// Error is a value that is not allowed.
+type Error struct {
+	Key     string // path of the key, for example dispatch.routing; empty for the whole document
+	Value   string // as written
+	Line    int    // 1 for the first line; 0 when unknown
+	Allowed string // what may stand there
+	Cause   error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	var b strings.Builder
+	if e.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", e.Line)
+	}
+	if e.Key != "" {
+		fmt.Fprintf(&b, "key %s, ", e.Key)
+	}
+	fmt.Fprintf(&b, "value %q, allowed: %s", e.Value, e.Allowed)
+	return b.String()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Decode decodes data into the struct that into points to; keys that data does
+// not name keep their values. Errors: *Error.
+func Decode(data []byte, into any) error {
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := dec.Decode(into); err != nil {
+		if e := badDuration(data, into); e != nil {
+			return e
+		}
+		return translate(err, into)
+	}
+	var second any
+	if err := dec.Decode(&second); !errors.Is(err, io.EOF) {
+		return &Error{Allowed: "one YAML document", Value: "a second document"}
+	}
+	return nil
+}
+
+func translate(err error, into any) error {
+	if errors.Is(err, io.EOF) {
+		return &Error{Allowed: "a YAML mapping", Cause: err}
+	}
+	var unknown *yaml.UnknownFieldError
+	if errors.As(err, &unknown) {
+		path := append(parents(unknown.Token), unknown.Token.Value)
+		return at(unknown.Token, path, allowedKeys(into, path), err)
+	}
+	var mismatch *yaml.TypeError
+	if errors.As(err, &mismatch) {
+		return at(mismatch.Token, parents(mismatch.Token), typeName(mismatch.DstType), err)
+	}
+	var tagged yaml.Error
+	if errors.As(err, &tagged) && tagged.GetToken() != nil {
+		return syntaxError(tagged, err)
+	}
+	return &Error{Allowed: "YAML of the documented keys: " + err.Error(), Cause: err}
+}
+
+func syntaxError(tagged yaml.Error, cause error) *Error {
+	tok := tagged.GetToken()
+	path := parents(tok)
+	if isKey(tok) {
+		path = append(path, tok.Value)
+	}
+	allowed := tagged.GetMessage()
+	if strings.Contains(allowed, "already defined") {
+		allowed = "each key once"
+	}
+	return at(tok, path, allowed, cause)
+}
+
+// badDuration finds the first duration that does not parse, as the decoder's
+// error names neither its key nor its line. It returns nil when there is none.
+func badDuration(data []byte, into any) *Error {
+	var raw any
+	if err := yaml.Unmarshal(data, &raw); err != nil {
+		return nil
+	}
+	return badDurationIn(raw, structBelow(reflect.TypeOf(into)), nil)
+}
+
+func badDurationIn(raw any, t reflect.Type, path []string) *Error {
+	values, ok := raw.(map[string]any)
+	if !ok || t == nil {
+		return nil
+	}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		here := append(path[:len(path):len(path)], Name(f))
+		text, isText := values[Name(f)].(string)
+		if f.Type != reflect.TypeFor[time.Duration]() {
+			if e := badDurationIn(values[Name(f)], structBelow(f.Type), here); e != nil {
+				return e
+			}
+			continue
+		}
+		if _, err := time.ParseDuration(text); isText && err != nil {
+			return &Error{Key: strings.Join(here, "."), Value: text, Allowed: typeName(f.Type), Cause: err}
+		}
+	}
+	return nil
+}
+
+func isKey(tok *token.Token) bool {
+	return tok.Next != nil && tok.Next.Type == token.MappingValueType
+}
+
+func at(tok *token.Token, path []string, allowed string, cause error) *Error {
+	e := &Error{Key: strings.Join(path, "."), Value: tok.Value, Allowed: allowed, Cause: cause}
+	if tok.Position != nil {
+		e.Line = tok.Position.Line
+	}
+	return e
+}
+
+// parents returns the keys above a token of a block mapping, outermost first.
+func parents(tok *token.Token) []string {
+	if tok.Position == nil {
+		return nil
+	}
+	var path []string
+	column := tok.Position.Column
+	for t := tok.Prev; t != nil; t = t.Prev {
+		if isKey(t) && t.Position.Column < column {
+			path = append([]string{t.Value}, path...)
+			column = t.Position.Column
+		}
+	}
+	return path
+}
+
+// allowedKeys lists the keys beside the last one of path.
+func allowedKeys(into any, path []string) string {
+	t := structBelow(reflect.TypeOf(into))
+	for _, key := range path[:len(path)-1] {
+		t = structBelow(fieldType(t, key))
+	}
+	if t == nil {
+		return "a documented key"
+	}
+	var names []string
+	for i := range t.NumField() {
+		names = append(names, Name(t.Field(i)))
+	}
+	return strings.Join(names, ", ")
+}
+
+// Name returns the key of a struct field.
+func Name(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+func fieldType(t reflect.Type, key string) reflect.Type {
+	if t == nil {
+		return nil
+	}
+	for i := range t.NumField() {
+		if Name(t.Field(i)) == key {
+			return t.Field(i).Type
+		}
+	}
+	return nil
+}
+
+func structBelow(t reflect.Type) reflect.Type {
+	for t != nil && (t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice) {
+		t = t.Elem()
+	}
+	if t == nil || t.Kind() != reflect.Struct {
+		return nil
+	}
+	return t
+}
+
+func typeName(t reflect.Type) string {
+	switch {
+	case t == nil:
+		return "a value of the documented type"
+	case t == reflect.TypeFor[time.Duration]():
+		return "a duration such as 5s or 250ms"
+	}
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		return "a mapping"
+	case reflect.Slice:
+		return "a sequence"
+	case reflect.Bool:
+		return "true, false"
+	case reflect.String:
+		return "a string"
+	default:
+		return "a number (" + t.Kind().String() + ")"
+	}
+}
--- /dev/null
+++ b/lib/settings/load.go
@@ -0,0 +1,148 @@
+package settings
+
+import (
+	"errors"
+	"net/netip"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/settings/internal/strictyaml"
+)
+
+// Error says which key has a value that is not allowed, and what is.
+type Error = strictyaml.Error
+
+// The values of keys that a file does not name.
+const (
+	DefaultCarriers         = 64
+	DefaultQueueLimit       = 512 // requests
+	DefaultRouting          = "affinity"
+	DefaultProgressDeadline = 5 * time.Second
+	DefaultDeadline         = 60 * time.Second
+	DefaultShortTokens      = 64
+	DefaultWeightInteract   = 8
+	DefaultWeightOnce       = 4
+	DefaultWeightRollout    = 1
+	DefaultBodyBytes        = 1 << 20
+	DefaultCutOff           = 10 * time.Second
+)
+
+// maxFileBytes bounds what Load reads.
+const maxFileBytes = 1 << 20
+
+// Defaults returns settings with every key that has a default set to it.
+func Defaults() *Settings {
+	return &Settings{
+		Dispatch: Dispatch{
+			Carriers:         DefaultCarriers,
+			QueueLimit:       DefaultQueueLimit,
+			Routing:          DefaultRouting,
+			ProgressDeadline: DefaultProgressDeadline,
+			DefaultDeadline:  DefaultDeadline,
+			ShortTokens:      DefaultShortTokens,
+			Weights: Weights{
+				Interactive: DefaultWeightInteract,
+				Once:        DefaultWeightOnce,
+				Rollout:     DefaultWeightRollout,
+			},
+		},
+		Limits: Limits{BodyBytes: DefaultBodyBytes, CutOff: DefaultCutOff},
+	}
+}
+
+// Load reads and checks a settings file. Errors: *Error for its content, an
+// *api.Error with CodeInvalid when it cannot be read.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "settings file: %w", err)
+	}
+	return Parse(data)
+}
+
+// Parse decodes and checks settings; unknown keys are refused. Errors: *Error.
+func Parse(data []byte) (*Settings, error) {
+	if len(data) > maxFileBytes {
+		return nil, &Error{Value: "a larger file", Allowed: "at most 1 MiB"}
+	}
+	s := Defaults()
+	if err := strictyaml.Decode(data, s); err != nil {
+		return nil, err
+	}
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// validate is safe for concurrent use after its registrations.
+var validate = newValidator()
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(strictyaml.Name)
+	// The registration only fails for an empty tag.
+	_ = v.RegisterValidation("hostport", isAddrPort)
+	return v
+}
+
+func isAddrPort(f validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(f.Field().String())
+	return err == nil
+}
+
+// Validate checks every value and names the first that is not allowed. Errors: *Error.
+func (s *Settings) Validate() error {
+	err := validate.Struct(s)
+	if err == nil {
+		return nil
+	}
+	var fields validator.ValidationErrors
+	if !errors.As(err, &fields) || len(fields) == 0 {
+		return &Error{Allowed: "settings that can be checked", Cause: err}
+	}
+	f := fields[0]
+	_, key, _ := strings.Cut(f.Namespace(), ".")
+	return &Error{Key: key, Value: valueText(f.Value()), Allowed: allowed(f), Cause: err}
+}
+
+func valueText(v any) string {
+	if d, ok := v.(time.Duration); ok {
+		return d.String()
+	}
+	return strings.TrimSpace(reflectText(reflect.ValueOf(v)))
+}
+
+func allowed(f validator.FieldError) string {
+	switch f.Tag() {
+	case "oneof":
+		return strings.Join(strings.Fields(f.Param()), ", ")
+	case "hostport":
+		return "ip:port"
+	case "min":
+		return "at least " + f.Param()
+	case "max":
+		return "at most " + f.Param()
+	case "required":
+		return "a value that is not empty"
+	default:
+		return f.Tag() + " " + f.Param()
+	}
+}
+
+func reflectText(v reflect.Value) string {
+	switch {
+	case v.CanInt():
+		return strconv.FormatInt(v.Int(), 10)
+	case v.Kind() == reflect.String:
+		return v.String()
+	default:
+		return v.Kind().String()
+	}
+}
