--- /dev/null
+++ b/standin/plain/service/service.go
@@ -0,0 +1,176 @@
+package service
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+)
+
+// HeaderRequestID carries the id by which executions are counted.
+const HeaderRequestID = "X-Request-Id"
+
+// PathSlips issues a lending slip with a new number at each execution.
+const PathSlips = "/slips"
+
+const (
+	maxBodyBytes  = 4 << 20
+	defaultFactor = 10 // of the service time in mode slow
+)
+
+// Mode is how the service behaves.
+type Mode string
+
+// The modes.
+const (
+	ModeNormal Mode = "normal"
+	ModeSlow   Mode = "slow"   // multiplies the service time
+	ModeHang   Mode = "hang"   // runs the call and never answers
+	ModeCrash  Mode = "crash"  // runs the call and ends the process
+	ModeRefuse Mode = "refuse" // answers 503 without running the call
+	ModeCut    Mode = "cut"    // runs the call and cuts the answer short
+)
+
+// Control is the body of POST /control.
+type Control struct {
+	Mode   Mode    `json:"mode"`
+	Factor float64 `json:"factor"` // of the service time in mode slow; zero: 10
+}
+
+// Answer is the body of every answered call.
+type Answer struct {
+	RequestID  string `json:"request_id"`
+	BodySHA256 string `json:"body_sha256"`
+	Executions int    `json:"executions"`
+	Slip       uint64 `json:"slip,omitempty"`
+}
+
+// Service handles calls.
+type Service struct {
+	journal     *Journal
+	serviceTime time.Duration
+	crash       func()
+	control     atomic.Pointer[Control]
+}
+
+// New returns a service whose calls take serviceTime; crash ends the process.
+func New(serviceTime time.Duration, crash func()) *Service {
+	s := &Service{journal: NewJournal(), serviceTime: serviceTime, crash: crash}
+	s.control.Store(&Control{Mode: ModeNormal})
+	return s
+}
+
+// Handler returns the service's routes.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /control", s.setControl)
+	mux.HandleFunc("GET /journal", s.getJournal)
+	mux.HandleFunc("POST /", s.call)
+	return mux
+}
+
+func (s *Service) setControl(w http.ResponseWriter, r *http.Request) {
+	var c Control
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := c.check(); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.control.Store(&c)
+	writeJSON(w, c)
+}
+
+func (c *Control) check() error {
+	switch c.Mode {
+	case ModeNormal, ModeSlow, ModeHang, ModeCrash, ModeRefuse, ModeCut:
+	default:
+		return api.Errorf(api.CodeInvalid, "mode %q; allowed: normal, slow, hang, crash, refuse, cut", c.Mode)
+	}
+	if c.Factor < 0 {
+		return api.Errorf(api.CodeInvalid, "factor %g; allowed: above 0", c.Factor)
+	}
+	if c.Factor == 0 {
+		c.Factor = defaultFactor
+	}
+	return nil
+}
+
+func (s *Service) getJournal(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.journal.All())
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	control := s.control.Load()
+	if control.Mode == ModeRefuse {
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		// A call whose body did not come whole is not run.
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	sum := sha256.Sum256(body)
+	id := r.Header.Get(HeaderRequestID)
+	execution, count := s.journal.Add(id, r.URL.Path, hex.EncodeToString(sum[:]), r.URL.Path == PathSlips)
+	answer := Answer{RequestID: id, BodySHA256: execution.BodySHA256, Executions: count, Slip: execution.Slip}
+	s.finish(w, r, control, answer)
+}
+
+// finish ends a call that has run, as the mode asks.
+func (s *Service) finish(w http.ResponseWriter, r *http.Request, control *Control, answer Answer) {
+	switch control.Mode {
+	case ModeCrash:
+		s.crash()
+	case ModeHang:
+		<-r.Context().Done()
+	case ModeCut:
+		cut(w, answer)
+	case ModeSlow:
+		wait(r, time.Duration(float64(s.serviceTime)*control.Factor))
+		writeJSON(w, answer)
+	default:
+		wait(r, s.serviceTime)
+		writeJSON(w, answer)
+	}
+}
+
+func wait(r *http.Request, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+}
+
+// cut sends half of the answer and closes the connection.
+func cut(w http.ResponseWriter, answer Answer) {
+	whole, err := json.Marshal(answer)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write cuts the answer as well.
+	_, _ = w.Write(whole[:len(whole)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the caller went away.
+	_ = json.NewEncoder(w).Encode(v)
+}
