--- /dev/null
+++ b/front/httpapi/plain.go
@@ -0,0 +1,51 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/httpapi/errmap"
+	"dotterelmount.example/lib/work"
+	"github.com/cespare/xxhash/v2"
+)
+
+// plain forwards a call of a plain service.
+func (h *handler) plain(w http.ResponseWriter, r *http.Request) {
+	q, body, err := h.open(w, r)
+	if err != nil {
+		errmap.Write(w, err, api.OutcomeNotRun)
+		return
+	}
+	defer q.cancel()
+	service := r.PathValue("service")
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	q.job.Model = api.ModelName(service)
+	q.job.Call = work.Call{Plain: &work.Plain{
+		Method: r.Method, Path: path, ContentType: r.Header.Get("Content-Type"), Body: body,
+	}}
+	q.job.Fingerprint = fingerprint(service, r.Method, path, string(body))
+	a, replayed := h.run(q, nil)
+	setAnswerHeaders(w, a, replayed)
+	if a.Outcome != api.OutcomeComplete {
+		errmap.Write(w, a.Err, a.Outcome)
+		return
+	}
+	if a.ContentType != "" {
+		w.Header().Set("Content-Type", a.ContentType)
+	}
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body) // a failed write: the caller went away
+}
+
+// fingerprint hashes the parts that make a request what it is.
+func fingerprint(parts ...string) api.Fingerprint {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return api.Fingerprint(d.Sum64())
+}
--- /dev/null
+++ b/front/httpapi/sink.go
@@ -0,0 +1,52 @@
+package httpapi
+
+import (
+	"context"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/lib/work"
+)
+
+// chunkRing is the number of pieces of an answer that wait for a slow caller.
+const chunkRing = 64
+
+// sink brings one job's answer from the duties to the connection that waits.
+type sink struct {
+	chunks *ring.Ring[work.Chunk]
+	answer *ring.Slot[work.Answer]
+}
+
+func newSink(stream bool) *sink {
+	s := &sink{answer: ring.NewSlot[work.Answer]()}
+	if stream {
+		s.chunks = ring.New[work.Chunk](chunkRing)
+	}
+	return s
+}
+
+// Chunk implements work.Sink.
+func (s *sink) Chunk(ctx context.Context, c work.Chunk) error {
+	if err := s.chunks.Push(ctx, c); err != nil {
+		return api.Errorf(api.CodeCancelled, "the caller takes no more: %w", err)
+	}
+	return nil
+}
+
+// Finish implements work.Sink.
+func (s *sink) Finish(a work.Answer) {
+	s.answer.Put(a)
+	if s.chunks != nil {
+		s.chunks.Close()
+	}
+}
+
+// wait returns the answer. It always comes: a job that was taken is finished,
+// if need be by its deadline.
+func (s *sink) wait() work.Answer {
+	a, err := s.answer.Wait(context.Background())
+	if err != nil {
+		return work.Answer{Outcome: api.OutcomeUnknown, Err: api.Errorf(api.CodeInternal, "no answer: %w", err)}
+	}
+	return a
+}
--- a/lib/ledger/state.go
+++ b/lib/ledger/state.go
@@ -60,13 +60,14 @@
 func (s *State) Plan(c api.CustomerID) (api.Plan, error) {
 	for _, customer := range s.Plans.Customers {
 		if customer.ID == c {
-			return s.planNamed(customer.Plan)
+			return s.PlanNamed(customer.Plan)
 		}
 	}
 	return api.Plan{}, api.Errorf(api.CodeUnknownCustomer, "customer %q", c)
 }
 
-func (s *State) planNamed(name api.PlanName) (api.Plan, error) {
+// PlanNamed returns a plan by its name. Errors: CodeUnknownPlan.
+func (s *State) PlanNamed(name api.PlanName) (api.Plan, error) {
 	for _, p := range s.Plans.Plans {
 		if p.Name == name {
 			return p, nil
--- /dev/null
+++ b/server/dispatch/admit.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quarantine"
+	"dotterelmount.example/lib/work"
+)
+
+// submit checks a job and queues it, or ends it as not run.
+func (h *handler) submit(j *work.Job) {
+	f := &flight{
+		job:     j,
+		short:   j.CostTokens <= h.cfg.ShortTokens,
+		running: make(map[uint64]*attempt),
+	}
+	if _, ok := h.flights[j.ID]; ok {
+		refuse(j, api.Errorf(api.CodeInvalid, "request id %q is in use", j.ID))
+		return
+	}
+	now := h.cfg.Now()
+	if err := h.check(j, now); err != nil {
+		refuse(j, err)
+		return
+	}
+	h.flights[j.ID] = f
+	h.retries.Request(now)
+	h.hedges.Request(now)
+	h.enqueue(f, now)
+}
+
+func refuse(j *work.Job, err error) {
+	refused.Add(string(api.CodeOf(err)), 1)
+	j.Sink.Finish(work.Answer{Outcome: api.OutcomeNotRun, Err: err})
+}
+
+// check refuses what the lists or a quarantine do not allow.
+func (h *handler) check(j *work.Job, now time.Time) error {
+	if !now.Before(j.Deadline) {
+		return api.Errorf(api.CodeDeadlineExceeded, "the deadline is past")
+	}
+	usage, err := h.state.UsageOf(j.Plan)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(usage.Models, j.Model) {
+		return api.Errorf(api.CodeUnknownModel, "plan %q may not use %q", j.Plan, j.Model)
+	}
+	if len(h.served(j)) == 0 {
+		return api.Errorf(api.CodeUnknownModel, "no upstream of plan %q serves %q", j.Plan, j.Model)
+	}
+	if h.verdict(j.Fingerprint, now) == quarantine.Condemned {
+		return api.Errorf(api.CodeQuarantined, "requests %s crashed upstreams", j.Fingerprint)
+	}
+	return nil
+}
+
+// enqueue puts a flight into the queue; a rollout that it displaces is not run.
+func (h *handler) enqueue(f *flight, now time.Time) {
+	shed, err := h.queue.Push(admission.Item{
+		ID: f.job.ID, Lane: f.job.Lane, Customer: f.job.Customer, Cost: f.job.CostTokens,
+		Deadline: f.job.Deadline, Enqueued: now,
+	}, now)
+	f.queued = err == nil
+	if err != nil {
+		h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err})
+	}
+	for _, it := range shed {
+		h.shed(it.ID)
+	}
+}
+
+func (h *handler) shed(id api.RequestID) {
+	f, ok := h.flights[id]
+	if !ok {
+		return
+	}
+	f.queued = false
+	h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: api.Errorf(api.CodeShed, "displaced by more urgent work")})
+}
+
+// served returns the upstreams that the lists allow for a job.
+func (h *handler) served(j *work.Job) []*upstreamState {
+	k := eligibleKey{plan: j.Plan, model: j.Model}
+	if list, ok := h.eligible[k]; ok {
+		return list
+	}
+	var list []*upstreamState
+	usage, err := h.state.UsageOf(j.Plan)
+	if err != nil {
+		return nil
+	}
+	for i := range h.state.Usage.Upstreams {
+		info := &h.state.Usage.Upstreams[i]
+		allowed := len(usage.Upstreams) == 0 || slices.Contains(usage.Upstreams, info.ID)
+		if allowed && slices.Contains(info.Models, j.Model) {
+			list = append(list, h.upstreams[info.ID])
+		}
+	}
+	h.eligible[k] = list
+	return list
+}
+
+// verdict combines the log's strikes with this daemon's own, which it has
+// also while the log is out.
+func (h *handler) verdict(f api.Fingerprint, now time.Time) quarantine.Verdict {
+	s := worse(h.state.Strikes[f], h.strikes[f])
+	return quarantine.Decide(s, now.UnixMilli())
+}
+
+func worse(a, b ledger.StrikeState) ledger.StrikeState {
+	out := ledger.StrikeState{
+		Alone: max(a.Alone, b.Alone), Shared: max(a.Shared, b.Shared),
+		LastMillis: max(a.LastMillis, b.LastMillis), Upstreams: slices.Clone(a.Upstreams),
+	}
+	for _, u := range b.Upstreams {
+		if !slices.Contains(out.Upstreams, u) {
+			out.Upstreams = append(out.Upstreams, u)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/server/dispatch/crash.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/quarantine"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/carrier"
+)
+
+const (
+	// probeTimeout bounds the call that tells a crashed upstream from a lost connection.
+	probeTimeout = 500 * time.Millisecond
+	// maxOwnStrikes bounds the strikes kept for the time when the log is out.
+	maxOwnStrikes = 1024
+	// maxCrashes is the number of crashes after which a request is not tried again.
+	maxCrashes = 2
+)
+
+// crashCheck collects the flights whose connections to one upstream were lost
+// together, until a probe tells whether it crashed. The upstream gets no work
+// meanwhile.
+type crashCheck struct{ flights []*flight }
+
+// lost reports whether a call ended because the connection went away.
+func lost(call *upstream.CallError) bool {
+	return call.Status == 0 && (call.Code == api.CodeTruncated || call.Code == api.CodeUpstreamFailed)
+}
+
+// suspect holds a flight whose connection was lost back until the probe.
+func (h *handler) suspect(f *flight, u *upstreamState, now time.Time) {
+	if u.crash != nil {
+		u.crash.flights = append(u.crash.flights, f)
+		return
+	}
+	if len(h.idle) == 0 {
+		h.again(f, now)
+		return
+	}
+	u.crash = &crashCheck{flights: []*flight{f}}
+	ctx, cancel := context.WithTimeout(h.cutCtx, probeTimeout)
+	h.send(&carrier.Task{
+		Ctx: ctx, Cancel: cancel,
+		Target: upstream.Target{ID: u.info.ID, Address: u.info.Address, Fresh: true},
+	})
+}
+
+// probed takes in the probe's result: only an upstream that refuses new
+// connections counts as crashed.
+func (h *handler) probed(r carrier.Result, now time.Time) {
+	u := h.upstreams[r.Task.Target.ID]
+	if u == nil || u.crash == nil {
+		return
+	}
+	check := u.crash
+	u.crash = nil
+	crashed := refusedConnection(r.Err)
+	if crashed {
+		h.suspend(u, now)
+		h.strike(check, u, now)
+	}
+	for _, f := range check.flights {
+		if h.flights[f.job.ID] == f {
+			h.afterLoss(f, crashed, now)
+		}
+	}
+}
+
+func refusedConnection(err error) bool {
+	call, ok := err.(*upstream.CallError) //nolint:errorlint // the carrier returns it bare
+	return ok && !call.Sent && call.Code != api.CodeCancelled && call.Code != api.CodeDeadlineExceeded
+}
+
+func (h *handler) afterLoss(f *flight, crashed bool, now time.Time) {
+	if crashed {
+		f.crashes++
+	}
+	if f.crashes >= maxCrashes || h.verdict(f.job.Fingerprint, now) == quarantine.Condemned {
+		err := api.Errorf(api.CodeQuarantined, "the request was part of %d crashes: %w", f.crashes, f.lastErr)
+		h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err, Text: f.text, Tokens: f.tokens, Versions: f.versions})
+		return
+	}
+	h.again(f, now)
+}
+
+// strike records a crash against each fingerprint that was part of it.
+func (h *handler) strike(check *crashCheck, u *upstreamState, now time.Time) {
+	var prints []api.Fingerprint
+	for _, f := range check.flights {
+		if !slices.Contains(prints, f.job.Fingerprint) {
+			prints = append(prints, f.job.Fingerprint)
+		}
+	}
+	for _, p := range prints {
+		s := api.Strike{Fingerprint: p, Upstream: u.info.ID, Alone: len(prints) == 1}
+		h.ownStrike(s, now)
+		crashStrikes.Add(1)
+		if h.cfg.Strike != nil {
+			h.cfg.Strike(s)
+		}
+	}
+}
+
+func (h *handler) ownStrike(s api.Strike, now time.Time) {
+	if len(h.strikes) >= maxOwnStrikes {
+		clear(h.strikes)
+	}
+	own := h.strikes[s.Fingerprint]
+	if s.Alone {
+		own.Alone++
+	} else {
+		own.Shared++
+	}
+	if !slices.Contains(own.Upstreams, s.Upstream) {
+		own.Upstreams = append(own.Upstreams, s.Upstream)
+	}
+	own.LastMillis = now.UnixMilli()
+	h.strikes[s.Fingerprint] = own
+}
--- /dev/null
+++ b/server/dispatch/dispatch.go
@@ -0,0 +1,167 @@
+// Package dispatch is the duty that owns a daemon's queue and decides which
+// job goes to which upstream, when, and what becomes of it after a failure.
+// The decisions themselves are in the libraries admission, routing, quota,
+// retry and quarantine; this package holds the state they work on.
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/carrier"
+)
+
+// Config of a Dispatcher.
+type Config struct {
+	DataCentre       api.DataCentre
+	Carriers         int // threads that talk to upstreams; calls in progress at most
+	RingSize         int
+	QueueLimit       int // jobs queued at most
+	Routing          string
+	ProgressDeadline time.Duration
+	ShortTokens      int // up to this many tokens a job is short
+	Weights          [api.LaneCount]int
+	RolloutShare     float64 // part of the queue that rollouts may fill
+	ShortReserve     float64 // part of each window kept free for short work
+	HedgeRatio       float64 // hedges as a part of requests; zero: none
+	RetryRatio       float64 // retries as a part of requests
+	Now              func() time.Time
+	Rand             func(n int) int
+	// Strike reports that an upstream crashed under a fingerprint; it must only post.
+	Strike func(api.Strike)
+	// Shares bounds the calls in progress from this daemon to an upstream; nil
+	// or a negative result leaves the whole window.
+	Shares func(id api.UpstreamID) int
+	// Truth returns the weight version that an engine was last read back to
+	// run; zero is unknown.
+	Truth func(id api.UpstreamID, m api.ModelName) api.WeightVersion
+}
+
+// Dispatcher is the handle of the duty. It implements work.Submitter.
+type Dispatcher struct {
+	cfg      Config
+	duty     *duty.Duty[event]
+	carriers []*duty.Duty[*carrier.Task]
+	state    atomic.Pointer[ledger.State]
+	view     atomic.Pointer[View]
+	closed   atomic.Bool
+}
+
+// event is a message to the dispatching duty.
+type event interface{ isEvent() }
+
+type (
+	submitMsg struct{ job *work.Job }
+	cancelMsg struct{ id api.RequestID }
+	resultMsg struct{ result carrier.Result }
+	stateMsg  struct{ state *ledger.State }
+)
+
+func (submitMsg) isEvent() {}
+func (cancelMsg) isEvent() {}
+func (resultMsg) isEvent() {}
+func (stateMsg) isEvent()  {}
+
+// dispatchTick is how often deadlines, hedges and shares are looked at.
+const dispatchTick = 10 * time.Millisecond
+
+// Start spawns the dispatching duty and its carriers. Errors: CodeInvalid for
+// an unknown routing policy.
+func Start(sys *duty.System, client upstream.Client, cfg Config, state *ledger.State) (*Dispatcher, error) {
+	d := &Dispatcher{cfg: cfg}
+	d.state.Store(state)
+	d.view.Store(&View{})
+	h, err := newHandler(d)
+	if err != nil {
+		return nil, err
+	}
+	d.carriers = carrier.Start(sys, cfg.Carriers, client, cfg.Now, d.report)
+	d.duty = duty.Start(sys, duty.Config{Name: "dispatch", RingSize: cfg.RingSize, Tick: dispatchTick}, duty.Handler[event](h))
+	d.Update(state)
+	return d, nil
+}
+
+// Submit queues a job. Errors: CodeShed when the ring is full, CodeNotReady
+// after Close; the job was not run then and Finish is not called.
+func (d *Dispatcher) Submit(j *work.Job) error {
+	if d.closed.Load() {
+		return api.Errorf(api.CodeNotReady, "shutting down")
+	}
+	if err := d.duty.Post(submitMsg{job: j}); err != nil {
+		return api.Errorf(api.CodeShed, "not queued: %w", err)
+	}
+	return nil
+}
+
+// Cancel asks to end a job early.
+func (d *Dispatcher) Cancel(id api.RequestID) {
+	_ = d.duty.PostWait(context.Background(), cancelMsg{id: id}) // fails only once the duty is stopped
+}
+
+// Update hands over a new configuration; carriers see it at once, the duty
+// with its next message.
+func (d *Dispatcher) Update(s *ledger.State) {
+	d.state.Store(s)
+	_ = d.duty.Post(stateMsg{state: s}) // a full ring: the next tick compares revisions
+}
+
+// View returns an immutable picture of the duty's state.
+func (d *Dispatcher) View() *View { return d.view.Load() }
+
+// Close refuses new jobs; those taken go on.
+func (d *Dispatcher) Close() { d.closed.Store(true) }
+
+// Duties returns the rings' state, the carriers' summed up in one entry.
+func (d *Dispatcher) Duties() []duty.Stats {
+	sum := duty.Stats{Name: "carriers"}
+	for _, c := range d.carriers {
+		s := c.Stats()
+		sum.Depth += s.Depth
+		sum.Capacity += s.Capacity
+		sum.Rejected += s.Rejected
+	}
+	return []duty.Stats{d.duty.Stats(), sum}
+}
+
+// Stop ends the duties; jobs still in progress are cut. Errors: ctx.Err().
+func (d *Dispatcher) Stop(ctx context.Context) error {
+	d.Close()
+	if err := d.duty.Stop(ctx); err != nil {
+		return err
+	}
+	for _, c := range d.carriers {
+		if err := c.Stop(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// report brings a carrier's result to the duty; it waits for room, as a
+// result must not be lost.
+func (d *Dispatcher) report(ctx context.Context, r carrier.Result) {
+	_ = d.duty.PostWait(ctx, resultMsg{result: r}) // fails only at the stop
+}
+
+// View is a picture of the queue and the upstreams at one moment.
+type View struct {
+	Queued    [api.LaneCount]int
+	Running   int
+	Upstreams []UpstreamView
+}
+
+// UpstreamView is one upstream as the dispatcher sees it.
+type UpstreamView struct {
+	ID       api.UpstreamID
+	Draining bool
+	InFlight int // calls in progress from this daemon
+	Window   int // calls in progress at most from this daemon
+	Slow     bool
+	Latency  time.Duration // observed time per token, or per plain call
+}
--- /dev/null
+++ b/server/dispatch/handler.go
@@ -0,0 +1,263 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/retry"
+	"dotterelmount.example/lib/routing"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/carrier"
+)
+
+// handler is the state of the dispatching duty.
+type handler struct {
+	d       *Dispatcher
+	cfg     Config
+	state   *ledger.State
+	queue   *admission.Queue
+	policy  routing.Policy
+	watch   *routing.Observer
+	retries *retry.Budget
+	hedges  *retry.Budget
+
+	flights   map[api.RequestID]*flight
+	upstreams map[api.UpstreamID]*upstreamState
+	eligible  map[eligibleKey][]*upstreamState // of this state's lists
+	idle      []int                            // carriers without a task
+	attempts  uint64
+	short     movingTime // time of short work, for hedging
+	strikes   map[api.Fingerprint]ledger.StrikeState
+	ticks     int
+	cutCtx    context.Context // ends with the duty
+	cut       context.CancelFunc
+}
+
+// flight is a job between Submit and Finish.
+type flight struct {
+	job       *work.Job
+	short     bool
+	running   map[uint64]*attempt
+	started   int // attempts made
+	sent      bool
+	answered  bool
+	cancelled bool
+	hedged    bool
+	fresh     bool // the next attempt takes a new connection
+	queued    bool
+	crashes   int
+	text      string // of ended attempts of this answer
+	tokens    int
+	versions  []api.WeightVersion
+	tried     []api.UpstreamID
+	lastErr   error
+}
+
+// attempt is one call in progress.
+type attempt struct {
+	id      uint64
+	flight  *flight
+	up      *upstreamState
+	cancel  context.CancelFunc
+	started time.Time
+	solo    bool
+}
+
+// upstreamState is what this daemon knows of one upstream.
+type upstreamState struct {
+	info      api.Upstream
+	draining  bool
+	removed   bool
+	window    *admission.Window
+	running   map[uint64]*attempt
+	suspended time.Time // no calls before then
+	refusals  int       // in a row
+	solo      bool      // a suspect runs here alone
+	reserved  api.RequestID
+	crash     *crashCheck
+	slow      bool // as of the last tick or start
+}
+
+type eligibleKey struct {
+	plan  api.PlanName
+	model api.ModelName
+}
+
+func newHandler(d *Dispatcher) (*handler, error) {
+	policy, err := routing.New(d.cfg.Routing)
+	if err != nil {
+		return nil, err
+	}
+	h := &handler{
+		d: d, cfg: d.cfg, policy: policy,
+		watch:     routing.NewObserver(),
+		retries:   retry.NewBudget(d.cfg.RetryRatio, minRetriesPerSecond),
+		hedges:    retry.NewBudget(d.cfg.HedgeRatio, 0),
+		flights:   make(map[api.RequestID]*flight),
+		upstreams: make(map[api.UpstreamID]*upstreamState),
+		strikes:   make(map[api.Fingerprint]ledger.StrikeState),
+		queue: admission.NewQueue(admission.Config{
+			Limit: d.cfg.QueueLimit, Weights: d.cfg.Weights, RolloutShare: d.cfg.RolloutShare,
+		}),
+	}
+	for i := range d.cfg.Carriers {
+		h.idle = append(h.idle, i)
+	}
+	h.cutCtx, h.cut = context.WithCancel(context.Background())
+	h.adopt(d.state.Load())
+	return h, nil
+}
+
+// minRetriesPerSecond lets a quiet daemon retry at all.
+const minRetriesPerSecond = 2
+
+// Handle processes one message.
+func (h *handler) Handle(_ context.Context, m event) {
+	switch m := m.(type) {
+	case submitMsg:
+		h.submit(m.job)
+	case cancelMsg:
+		h.cancel(m.id)
+	case resultMsg:
+		h.result(m.result)
+	case stateMsg:
+		h.adopt(m.state)
+	}
+	h.pump()
+}
+
+// viewTicks is the number of ticks between two pictures of the state.
+const viewTicks = 5
+
+// Tick looks at deadlines, shares and hedges.
+func (h *handler) Tick(context.Context) {
+	if s := h.d.state.Load(); s != h.state {
+		h.adopt(s)
+	}
+	now := h.cfg.Now()
+	for _, it := range h.queue.Expired(now) {
+		h.expire(it.ID)
+	}
+	h.resize()
+	for id, u := range h.upstreams {
+		u.slow = h.watch.Slow(id, now)
+	}
+	h.hedge(now)
+	h.pump()
+	h.ticks++
+	if h.ticks%viewTicks == 0 {
+		h.publish(now)
+	}
+}
+
+// Stopped cuts what is still in progress.
+func (h *handler) Stopped() {
+	h.cut()
+	for _, f := range h.flights {
+		h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: api.Errorf(api.CodeNotReady, "the daemon stopped")})
+	}
+}
+
+// adopt takes over a configuration.
+func (h *handler) adopt(s *ledger.State) {
+	if h.state != nil && s.Through < h.state.Through {
+		return
+	}
+	h.state = s
+	h.eligible = make(map[eligibleKey][]*upstreamState)
+	for _, u := range h.upstreams {
+		u.removed = true
+	}
+	for _, info := range s.Usage.Upstreams {
+		u, ok := h.upstreams[info.ID]
+		if !ok {
+			u = &upstreamState{running: make(map[uint64]*attempt), window: h.newWindow(info.Window)}
+			h.upstreams[info.ID] = u
+		}
+		u.info, u.removed = info, false
+		u.draining = s.Draining(info.ID)
+	}
+	for id, u := range h.upstreams {
+		if u.removed && len(u.running) == 0 {
+			delete(h.upstreams, id)
+			h.watch.Forget(id)
+		}
+	}
+	h.resize()
+}
+
+func (h *handler) newWindow(limit int) *admission.Window {
+	return admission.NewWindow(admission.WindowConfig{Limit: limit, Floor: 1, ShortReserve: h.cfg.ShortReserve})
+}
+
+// resize gives each window this daemon's present share of the upstream's.
+func (h *handler) resize() {
+	for id, u := range h.upstreams {
+		limit := u.info.Window
+		if h.cfg.Shares != nil {
+			if share := h.cfg.Shares(id); share >= 0 {
+				limit = min(limit, share)
+			}
+		}
+		u.window.SetLimit(limit)
+	}
+}
+
+func (h *handler) cancel(id api.RequestID) {
+	f, ok := h.flights[id]
+	if !ok {
+		return
+	}
+	f.cancelled = true
+	if f.queued && h.queue.Remove(id) {
+		f.queued = false
+	}
+	if len(f.running) == 0 {
+		h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: api.Errorf(api.CodeCancelled, "the caller went away")})
+		return
+	}
+	for _, a := range f.running {
+		a.cancel()
+	}
+}
+
+func (h *handler) expire(id api.RequestID) {
+	f, ok := h.flights[id]
+	if !ok {
+		return
+	}
+	f.queued = false
+	err := api.Errorf(api.CodeDeadlineExceeded, "the deadline passed while queued")
+	if f.lastErr != nil {
+		err = api.Errorf(api.CodeDeadlineExceeded, "the deadline passed before another attempt after: %w", f.lastErr)
+	}
+	h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err})
+}
+
+// giveUp returns the outcome of a flight that is not tried again.
+func (h *handler) giveUp(f *flight) api.Outcome {
+	return retry.GiveUp(retry.Failure{Sent: f.sent, Answered: f.answered})
+}
+
+// finish ends a flight; its other attempts are cancelled.
+func (h *handler) finish(f *flight, a work.Answer) {
+	if h.flights[f.job.ID] != f {
+		return
+	}
+	delete(h.flights, f.job.ID)
+	if f.queued {
+		h.queue.Remove(f.job.ID)
+	}
+	for _, other := range f.running {
+		other.cancel()
+	}
+	a.Upstreams = f.tried
+	count(f, a)
+	f.job.Sink.Finish(a)
+}
+
+// release frees what a task held.
+func (h *handler) release(t *carrier.Task) { h.idle = append(h.idle, t.Carrier) }
--- /dev/null
+++ b/server/dispatch/hedge.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/quarantine"
+)
+
+const (
+	// hedgeFactor is how many times the usual time of short work an attempt
+	// takes before a second one starts.
+	hedgeFactor = 3
+	// timeSmoothing is the weight of a new time in the usual time.
+	timeSmoothing = 0.05
+)
+
+// movingTime is an exponential moving average.
+type movingTime struct{ mean time.Duration }
+
+func (m *movingTime) add(d time.Duration) {
+	if m.mean == 0 {
+		m.mean = d
+		return
+	}
+	m.mean += time.Duration(timeSmoothing * float64(d-m.mean))
+}
+
+// hedge starts a second attempt of whole short repeatable requests that take
+// far longer than usual; the first whole answer wins.
+func (h *handler) hedge(now time.Time) {
+	if h.cfg.HedgeRatio <= 0 || h.short.mean == 0 {
+		return
+	}
+	for _, u := range h.upstreams {
+		for _, a := range u.running {
+			if len(h.idle) == 0 {
+				return
+			}
+			if h.hedgeable(a, now) && len(h.candidates(a.flight, now)) > 0 && h.hedges.Allow(now) {
+				a.flight.hedged = h.start(a.flight, now)
+				hedged.Add(1)
+			}
+		}
+	}
+}
+
+func (h *handler) hedgeable(a *attempt, now time.Time) bool {
+	f := a.flight
+	if f.hedged || f.cancelled || f.job.Stream || !f.job.Repeatable || !f.short || f.job.Lane != api.LaneInteractive {
+		return false
+	}
+	if now.Sub(a.started) < hedgeFactor*h.short.mean {
+		return false
+	}
+	return h.verdict(f.job.Fingerprint, now) == quarantine.Free
+}
--- /dev/null
+++ b/server/dispatch/start.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/quarantine"
+	"dotterelmount.example/lib/routing"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/server/carrier"
+)
+
+// pump starts queued flights while carriers and windows allow.
+func (h *handler) pump() {
+	now := h.cfg.Now()
+	for len(h.idle) > 0 {
+		it, ok := h.queue.Next(now, func(it admission.Item) bool { return h.runnable(it.ID, now) })
+		if !ok {
+			return
+		}
+		f := h.flights[it.ID]
+		f.queued = false
+		if !h.start(f, now) {
+			h.enqueue(f, now)
+			return
+		}
+	}
+}
+
+func (h *handler) runnable(id api.RequestID, now time.Time) bool {
+	f, ok := h.flights[id]
+	return ok && len(h.candidates(f, now)) > 0
+}
+
+// start sends a flight to the upstream that the policy picks.
+func (h *handler) start(f *flight, now time.Time) bool {
+	cs := h.candidates(f, now)
+	id, ok := h.policy.Pick(routing.Request{Prefix: f.job.Prefix, Lane: f.job.Lane}, cs, h.cfg.Rand)
+	if !ok {
+		return false
+	}
+	u := h.upstreams[id]
+	h.attempts++
+	a := &attempt{id: h.attempts, flight: f, up: u, started: now}
+	a.solo = h.verdict(f.job.Fingerprint, now) == quarantine.Solo
+	u.solo = a.solo
+	if u.reserved == f.job.ID {
+		u.reserved = ""
+	}
+	f.running[a.id], u.running[a.id] = a, a
+	f.started++
+	f.tried = append(f.tried, id)
+	u.window.Start(f.job.Lane, f.short)
+	u.slow = h.watch.Slow(id, now) // a probe lets one request through
+	var ctx context.Context
+	ctx, a.cancel = context.WithDeadline(h.cutCtx, f.job.Deadline)
+	h.send(&carrier.Task{
+		Attempt: a.id, Job: f.job, Resume: f.text, Ctx: ctx,
+		Target:   upstream.Target{ID: id, Address: u.info.Address, Fresh: f.fresh},
+		Silence:  h.cfg.ProgressDeadline,
+		Admitted: h.admitted(id),
+	})
+	return true
+}
+
+// admitted returns the check that a carrier makes right before it sends: the
+// upstream may have been marked since the decision.
+func (h *handler) admitted(id api.UpstreamID) func() bool {
+	return func() bool {
+		s := h.d.state.Load()
+		_, err := s.Upstream(id)
+		return err == nil && !s.Draining(id)
+	}
+}
+
+// send gives a task to an idle carrier; there must be one.
+func (h *handler) send(t *carrier.Task) {
+	last := len(h.idle) - 1
+	t.Carrier = h.idle[last]
+	h.idle = h.idle[:last]
+	_ = h.d.carriers[t.Carrier].Post(t) // an idle carrier's ring has room
+}
+
+// candidates returns the upstreams that may take a flight now. Those already
+// tried come back only when no other is left.
+func (h *handler) candidates(f *flight, now time.Time) []routing.Candidate {
+	var untried, tried []routing.Candidate
+	solo := h.verdict(f.job.Fingerprint, now) == quarantine.Solo
+	for _, u := range h.served(f.job) {
+		if !h.open(u, f, solo, now) {
+			continue
+		}
+		c := h.candidate(u)
+		if slices.Contains(f.tried, u.info.ID) {
+			tried = append(tried, c)
+		} else {
+			untried = append(untried, c)
+		}
+	}
+	if len(untried) > 0 {
+		return untried
+	}
+	if len(f.running) > 0 { // a hedge needs another upstream
+		return nil
+	}
+	return tried
+}
+
+func (h *handler) candidate(u *upstreamState) routing.Candidate {
+	return routing.Candidate{
+		ID: u.info.ID, Free: u.window.Free(), InFlight: len(u.running),
+		Latency: h.watch.Latency(u.info.ID),
+		Slow:    u.slow,
+		Local:   u.info.DataCentre == h.cfg.DataCentre,
+	}
+}
+
+// open reports whether an upstream may take a flight now.
+func (h *handler) open(u *upstreamState, f *flight, solo bool, now time.Time) bool {
+	switch {
+	case u.draining || u.removed || now.Before(u.suspended) || u.crash != nil:
+		return false
+	case u.solo && len(u.running) > 0:
+		return false
+	case u.reserved != "" && u.reserved != f.job.ID && h.flights[u.reserved] != nil:
+		return false
+	case solo && len(u.running) > 0:
+		return h.reserve(u, f, now)
+	case f.job.Lane == api.LaneRollout && !h.fresh(u, f):
+		return false
+	}
+	return h.windowless() || u.window.Admits(f.job.Lane, f.short)
+}
+
+// soloPatience is how long a suspect waits for an empty upstream before one
+// is emptied for it.
+const soloPatience = time.Second
+
+// reserve keeps other work off an upstream on which a suspect is to run alone.
+// It reports false: the upstream is not empty yet.
+func (h *handler) reserve(u *upstreamState, f *flight, now time.Time) bool {
+	for _, other := range h.upstreams {
+		if other.reserved == f.job.ID {
+			return false
+		}
+	}
+	if u.reserved == "" && f.job.Deadline.Sub(now) > soloPatience {
+		u.reserved = f.job.ID
+	}
+	return false
+}
+
+// fresh reports whether an engine is not known to run weights too old for the
+// plan's staleness bound.
+func (h *handler) fresh(u *upstreamState, f *flight) bool {
+	if h.cfg.Truth == nil {
+		return true
+	}
+	loaded := h.cfg.Truth(u.info.ID, f.job.Model)
+	inForce := h.state.Weights[f.job.Model].Version
+	if loaded == 0 || loaded >= inForce {
+		return true
+	}
+	plan, err := h.state.PlanNamed(f.job.Plan)
+	return err == nil && uint64(inForce-loaded) <= plan.StalenessBound
+}
+
+// windowless reports whether the policy is a baseline that knows no windows.
+func (h *handler) windowless() bool {
+	switch h.cfg.Routing {
+	case routing.PolicyRoundRobin, routing.PolicyRandom, routing.PolicyLeastInFlight:
+		return true
+	default:
+		return false
+	}
+}
