--- /dev/null
+++ b/lib/eventlog/memlog/memlog.go
@@ -0,0 +1,244 @@
+// Package memlog is an eventlog.Log in memory, with switches for the faults
+// that the platform's log can have. It serves tests and the stand-in log.
+package memlog
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+)
+
+// Options configures a log. The zero value keeps everything for ever.
+type Options struct {
+	Clock      func() time.Time // nil: time.Now
+	Retention  time.Duration    // entries older than this expire; zero: never
+	MaxEntries int              // per stream; older entries expire first; zero: no limit
+}
+
+// OutageError is the cause of a call that met a switched-on outage.
+type OutageError struct{}
+
+// Error implements error.
+func (*OutageError) Error() string { return "outage" }
+
+// LostAnswerError is the cause of an append that took effect unanswered.
+type LostAnswerError struct{}
+
+// Error implements error.
+func (*LostAnswerError) Error() string { return "answer lost" }
+
+// Log implements eventlog.Log. All methods may be called from any thread.
+type Log struct {
+	opts Options
+
+	mu      sync.Mutex
+	changed sync.Cond
+	streams map[string]*stream
+	outage  bool
+	lose    int
+	delay   time.Duration
+	appends uint64
+}
+
+// stream holds the retained entries; entries[0] has the offset oldest.
+type stream struct {
+	entries    []eventlog.Entry
+	oldest     api.Offset
+	lastMillis int64
+}
+
+// New returns an empty log.
+func New(opts Options) *Log {
+	if opts.Clock == nil {
+		opts.Clock = time.Now
+	}
+	l := &Log{opts: opts, streams: make(map[string]*stream)}
+	l.changed.L = &l.mu
+	return l
+}
+
+// Outage switches an outage on or off; during one, appends and reads fail.
+func (l *Log) Outage(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outage = on
+	l.changed.Broadcast()
+}
+
+// LoseAnswers makes the next n appends take effect and fail as ambiguous.
+func (l *Log) LoseAnswers(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lose = n
+}
+
+// Delay makes each later call wait for d before it takes effect.
+func (l *Log) Delay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// Appends returns how many appends took effect, lost answers included.
+func (l *Log) Appends() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Streams returns the names of the streams that were appended to, sorted.
+func (l *Log) Streams() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names := make([]string, 0, len(l.streams))
+	for name := range l.streams {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Append implements eventlog.Log. The records share one critical section, so
+// they are next to each other.
+func (l *Log) Append(ctx context.Context, name string, records []eventlog.Record) (api.Offset, error) {
+	if err := l.pause(ctx); err != nil {
+		return 0, &eventlog.UnavailableError{Op: "append", Cause: err}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.outage {
+		return 0, &eventlog.UnavailableError{Op: "append", Cause: &OutageError{}}
+	}
+	first := l.appendLocked(name, records)
+	if l.lose > 0 {
+		l.lose--
+		return 0, &eventlog.AmbiguousError{Cause: &LostAnswerError{}}
+	}
+	return first, nil
+}
+
+// Read implements eventlog.Log.
+func (l *Log) Read(ctx context.Context, positions []eventlog.Position, limit int, wait time.Duration) ([]eventlog.Batch, error) {
+	if err := l.pause(ctx); err != nil {
+		return nil, &eventlog.UnavailableError{Op: "read", Cause: err}
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	stop := context.AfterFunc(waitCtx, l.wake)
+	defer stop()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for {
+		if l.outage {
+			return nil, &eventlog.UnavailableError{Op: "read", Cause: &OutageError{}}
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, &eventlog.UnavailableError{Op: "read", Cause: err}
+		}
+		batches, found := l.readLocked(positions, limit)
+		if found || waitCtx.Err() != nil {
+			return batches, nil
+		}
+		l.changed.Wait()
+	}
+}
+
+// pause waits for the configured delay or until ctx ends.
+func (l *Log) pause(ctx context.Context) error {
+	l.mu.Lock()
+	d := l.delay
+	l.mu.Unlock()
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *Log) wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changed.Broadcast()
+}
+
+func (l *Log) appendLocked(name string, records []eventlog.Record) api.Offset {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{oldest: 1}
+		l.streams[name] = s
+	}
+	s.lastMillis = max(s.lastMillis, l.opts.Clock().UnixMilli())
+	first := s.next()
+	for _, r := range records {
+		s.entries = append(s.entries, eventlog.Entry{Offset: s.next(), TimeMillis: s.lastMillis, Record: r})
+	}
+	l.appends++
+	l.expireLocked(s)
+	l.changed.Broadcast()
+	return first
+}
+
+func (l *Log) readLocked(positions []eventlog.Position, limit int) ([]eventlog.Batch, bool) {
+	found := false
+	batches := make([]eventlog.Batch, 0, len(positions))
+	for _, p := range positions {
+		b := eventlog.Batch{Stream: p.Stream, Oldest: 1, Next: 1}
+		if s := l.streams[p.Stream]; s != nil {
+			l.expireLocked(s)
+			b.Oldest, b.Next = s.oldest, s.next()
+			b.Entries = s.from(p.From, limit)
+		}
+		found = found || len(b.Entries) > 0
+		batches = append(batches, b)
+	}
+	return batches, found
+}
+
+// expireLocked drops the entries past the retention or the entry limit.
+func (l *Log) expireLocked(s *stream) {
+	drop := 0
+	if l.opts.MaxEntries > 0 {
+		drop = max(0, len(s.entries)-l.opts.MaxEntries)
+	}
+	if l.opts.Retention > 0 {
+		limit := l.opts.Clock().Add(-l.opts.Retention).UnixMilli()
+		for drop < len(s.entries) && s.entries[drop].TimeMillis < limit {
+			drop++
+		}
+	}
+	s.entries = s.entries[drop:]
+	s.oldest += api.Offset(drop)
+}
+
+func (s *stream) next() api.Offset { return s.oldest + api.Offset(len(s.entries)) }
+
+// from copies up to limit entries from the offset on, or from oldest.
+func (s *stream) from(offset api.Offset, limit int) []eventlog.Entry {
+	if offset < s.oldest {
+		offset = s.oldest
+	}
+	if offset >= s.next() || limit <= 0 {
+		return nil
+	}
+	rest := s.entries[offset-s.oldest:]
+	rest = rest[:min(limit, len(rest))]
+	return append([]eventlog.Entry(nil), rest...)
+}
+
+// String describes the log's fault switches.
+func (l *Log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fmt.Sprintf("outage %t, answers to lose %d, delay %s", l.outage, l.lose, l.delay)
+}
