--- /dev/null
+++ b/server/appender/appender_test.go
@@ -0,0 +1,122 @@
+package appender_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/eventlog/memlog"
+	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/server/appender"
+	"gotest.tools/v3/assert"
+)
+
+const far = time.Hour
+
+func request(id string, ttl time.Duration) (appender.Request, *ring.Slot[error]) {
+	done := ring.NewSlot[error]()
+	r := appender.Request{
+		Stream:   "s",
+		Record:   eventlog.Record{ID: api.RecordID(id)},
+		Deadline: time.Now().Add(ttl),
+		Done:     func(err error) { done.Put(err) },
+	}
+	return r, done
+}
+
+func verdict(t *testing.T, done *ring.Slot[error]) api.Code {
+	t.Helper()
+	err, waitErr := done.Wait(t.Context())
+	assert.NilError(t, waitErr)
+	return api.CodeOf(err)
+}
+
+func TestVerdicts(t *testing.T) {
+	const short = 100 * time.Millisecond
+	cases := []struct {
+		name string
+		set  func(*memlog.Log)
+		ttl  time.Duration
+		want api.Code
+	}{
+		{"healthy", func(*memlog.Log) {}, far, ""},
+		{"lost answers are retried", func(l *memlog.Log) { l.LoseAnswers(2) }, far, ""},
+		{"outage", func(l *memlog.Log) { l.Outage(true) }, short, api.CodeLogUnavailable},
+		{"all answers lost", func(l *memlog.Log) { l.LoseAnswers(1 << 30) }, short, api.CodeUnknownResult},
+		{"deadline already past", func(*memlog.Log) {}, -time.Second, api.CodeLogUnavailable},
+		{"log stands still", func(l *memlog.Log) { l.Delay(far) }, short, api.CodeLogUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log := memlog.New(memlog.Options{})
+			c.set(log)
+			a := appender.Start(duty.NewSystem(nil), log, appender.Config{RingSize: 4, MaxBatch: 4, CallTimeout: short})
+			r, done := request("r", c.ttl)
+			assert.NilError(t, a.Append(r))
+			assert.Equal(t, verdict(t, done), c.want)
+			assert.NilError(t, a.Stop(t.Context()))
+			assert.Equal(t, a.Outstanding(), 0)
+		})
+	}
+}
+
+func TestAmbiguousThenOutageStaysUnknown(t *testing.T) {
+	log := &lostThenDown{Log: memlog.New(memlog.Options{})}
+	log.LoseAnswers(1)
+	a := appender.Start(duty.NewSystem(nil), log, appender.Config{RingSize: 4, MaxBatch: 4})
+	r, done := request("r", 100*time.Millisecond)
+	assert.NilError(t, a.Append(r))
+	assert.Equal(t, verdict(t, done), api.CodeUnknownResult)
+	assert.NilError(t, a.Stop(t.Context()))
+}
+
+// lostThenDown goes down after its first append.
+type lostThenDown struct{ *memlog.Log }
+
+func (l *lostThenDown) Append(ctx context.Context, s string, r []eventlog.Record) (api.Offset, error) {
+	defer l.Outage(true)
+	return l.Log.Append(ctx, s, r)
+}
+
+func TestFullRingRefusesAndStopFailsTheRest(t *testing.T) {
+	log := memlog.New(memlog.Options{})
+	log.Outage(true)
+	a := appender.Start(duty.NewSystem(nil), log, appender.Config{RingSize: 2, MaxBatch: 4})
+	first, done1 := request("1", far)
+	second, done2 := request("2", far)
+	third, done3 := request("3", far)
+	assert.NilError(t, a.Append(first))
+	assert.NilError(t, a.Append(second))
+	var full *duty.FullError
+	assert.Assert(t, errors.As(a.Append(third), &full))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, a.Stop(ctx), context.Canceled)
+	assert.Equal(t, verdict(t, done1), api.CodeLogUnavailable)
+	assert.Equal(t, verdict(t, done2), api.CodeLogUnavailable)
+	assert.Assert(t, done3.Put(nil), "Done of a refused request was called")
+	assert.Equal(t, api.CodeOf(a.Append(third)), api.CodeNotReady)
+}
+
+func TestStopFinishesWhatIsQueuedInGroups(t *testing.T) {
+	const requests = 100
+	log := memlog.New(memlog.Options{})
+	log.Delay(time.Millisecond)
+	a := appender.Start(duty.NewSystem(nil), log, appender.Config{RingSize: requests, MaxBatch: 50, FlushEvery: far})
+	slots := make([]*ring.Slot[error], 0, requests)
+	for i := range requests {
+		r, done := request(fmt.Sprintf("r%d", i), far)
+		assert.NilError(t, a.Append(r))
+		slots = append(slots, done)
+	}
+	assert.NilError(t, a.Stop(t.Context()))
+	for _, done := range slots {
+		assert.Equal(t, verdict(t, done), api.Code(""))
+	}
+	assert.Assert(t, log.Appends() < requests/2, "%d appends", log.Appends())
+}
