--- /dev/null
+++ b/lib/eventlog/httplog/httplog.go
@@ -0,0 +1,148 @@
+// Package httplog is an eventlog.Log that speaks HTTP and JSON with the log.
+package httplog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+)
+
+const (
+	// readSlack is how much longer than its wait a read may take before its
+	// connection counts as silent.
+	readSlack = 3 * time.Second
+	// appendBound limits an append whose context has no deadline.
+	appendBound = 10 * time.Second
+	// maxAnswerBytes limits an answer's body.
+	maxAnswerBytes = 64 << 20
+)
+
+// StatusError is an answer with an HTTP status other than 200.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// TooLargeError is an answer beyond the limit.
+type TooLargeError struct{ Limit int }
+
+// Error implements error.
+func (e *TooLargeError) Error() string { return fmt.Sprintf("answer exceeds %d bytes", e.Limit) }
+
+type log struct {
+	base   string
+	client *http.Client
+	slack  time.Duration
+}
+
+// New returns a client of the log at address (host:port). A nil client stands
+// for one with its own connection pool.
+func New(address string, client *http.Client) eventlog.Log {
+	return newLog(address, client, readSlack)
+}
+
+func newLog(address string, client *http.Client, slack time.Duration) *log {
+	if client == nil {
+		client = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+	}
+	return &log{base: "http://" + address, client: client, slack: slack}
+}
+
+// Append implements eventlog.Log.
+func (l *log) Append(ctx context.Context, stream string, records []eventlog.Record) (api.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendBound)
+	defer cancel()
+	a, err := l.post(ctx, PathAppend, AppendRequest{Stream: stream, Records: records})
+	if err == nil && a.status == http.StatusOK {
+		offset, err := DecodeAppend(a.body)
+		if err != nil {
+			return 0, &eventlog.AmbiguousError{Cause: err}
+		}
+		return offset, nil
+	}
+	if err == nil {
+		err = &StatusError{Status: a.status}
+	}
+	if !a.sent || a.notAppended() {
+		return 0, &eventlog.UnavailableError{Op: "append", Cause: err}
+	}
+	return 0, &eventlog.AmbiguousError{Cause: err}
+}
+
+// Read implements eventlog.Log.
+func (l *log) Read(ctx context.Context, positions []eventlog.Position, limit int, wait time.Duration) ([]eventlog.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+l.slack)
+	defer cancel()
+	request := ReadRequest{Positions: positions, Limit: limit, WaitMillis: wait.Milliseconds()}
+	a, err := l.post(ctx, PathRead, request)
+	if err == nil && a.status != http.StatusOK {
+		err = &StatusError{Status: a.status}
+	}
+	var batches []eventlog.Batch
+	if err == nil {
+		batches, err = DecodeRead(a.body, positions)
+	}
+	if err != nil {
+		return nil, &eventlog.UnavailableError{Op: "read", Cause: err}
+	}
+	return batches, nil
+}
+
+// answer is what came back; sent is true when a byte of the request may have
+// reached the log.
+type answer struct {
+	sent   bool
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *answer) notAppended() bool {
+	return a.status == http.StatusServiceUnavailable && a.header.Get(HeaderNotAppended) == "true"
+}
+
+// post sends one request once. After a failure it drops the idle connections,
+// which may have gone silent as well, so that the next call opens a new one.
+func (l *log) post(ctx context.Context, path string, payload any) (answer, error) {
+	body, err := json.Marshal(payload)
+	if err != nil {
+		return answer{}, err
+	}
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, l.base+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	request.GetBody = nil // so that net/http sends it at most once
+	request.Header.Set("Content-Type", "application/json")
+	a, err := l.exchange(request)
+	a.sent = sent.Load()
+	if err != nil {
+		l.client.CloseIdleConnections()
+	}
+	return a, err
+}
+
+func (l *log) exchange(request *http.Request) (answer, error) {
+	response, err := l.client.Do(request)
+	if err != nil {
+		return answer{}, err
+	}
+	defer response.Body.Close()
+	a := answer{status: response.StatusCode, header: response.Header}
+	a.body, err = io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err == nil && len(a.body) > maxAnswerBytes {
+		err = &TooLargeError{Limit: maxAnswerBytes}
+	}
+	return a, err
+}
--- /dev/null
+++ b/lib/eventlog/httplog/wire.go
@@ -0,0 +1,113 @@
+package httplog
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+)
+
+// Paths and headers of the log's HTTP interface.
+const (
+	PathAppend = "/v1/append"
+	PathRead   = "/v1/read"
+	// HeaderNotAppended is "true" on a 503 answer to an append without effect.
+	HeaderNotAppended = "X-Log-Not-Appended"
+)
+
+// AppendRequest is the body of an append.
+type AppendRequest struct {
+	Stream  string            `json:"stream"`
+	Records []eventlog.Record `json:"records"`
+}
+
+// AppendAnswer is the body of a successful append's answer.
+type AppendAnswer struct {
+	Offset api.Offset `json:"offset"` // of the first record
+}
+
+// ReadRequest is the body of a read.
+type ReadRequest struct {
+	Positions  []eventlog.Position `json:"positions"`
+	Limit      int                 `json:"limit"`
+	WaitMillis int64               `json:"wait_millis"`
+}
+
+// ReadAnswer is the body of a successful read's answer.
+type ReadAnswer struct {
+	Batches []eventlog.Batch `json:"batches"`
+}
+
+// DecodeError reports an answer that breaks the interface.
+type DecodeError struct {
+	Detail string
+	Cause  error
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string {
+	if e.Cause == nil {
+		return "malformed answer: " + e.Detail
+	}
+	return fmt.Sprintf("malformed answer: %s: %v", e.Detail, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+func malformed(format string, args ...any) error {
+	return &DecodeError{Detail: fmt.Sprintf(format, args...)}
+}
+
+// DecodeAppend parses the answer to an append. Errors: *DecodeError.
+func DecodeAppend(body []byte) (api.Offset, error) {
+	var a AppendAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return 0, &DecodeError{Detail: "append", Cause: err}
+	}
+	if a.Offset == 0 {
+		return 0, malformed("append: offset is missing")
+	}
+	return a.Offset, nil
+}
+
+// DecodeRead parses the answer to a read of the positions and checks that each
+// batch belongs to its position and that its entries leave no gap.
+// Errors: *DecodeError.
+func DecodeRead(body []byte, positions []eventlog.Position) ([]eventlog.Batch, error) {
+	var a ReadAnswer
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&a); err != nil {
+		return nil, &DecodeError{Detail: "read", Cause: err}
+	}
+	if len(a.Batches) != len(positions) {
+		return nil, malformed("read: %d batches for %d positions", len(a.Batches), len(positions))
+	}
+	for i := range a.Batches {
+		if err := checkBatch(&a.Batches[i], positions[i]); err != nil {
+			return nil, err
+		}
+	}
+	return a.Batches, nil
+}
+
+func checkBatch(b *eventlog.Batch, p eventlog.Position) error {
+	if b.Stream != p.Stream {
+		return malformed("read: batch of stream %q in place of %q", b.Stream, p.Stream)
+	}
+	if b.Oldest == 0 || b.Next < b.Oldest {
+		return malformed("read: stream %q: oldest %d, next %d", b.Stream, b.Oldest, b.Next)
+	}
+	want := max(p.From, b.Oldest)
+	for i := range b.Entries {
+		if b.Entries[i].Offset != want {
+			return malformed("read: stream %q: offset %d in place of %d", b.Stream, b.Entries[i].Offset, want)
+		}
+		want++
+	}
+	if len(b.Entries) > 0 && want > b.Next {
+		return malformed("read: stream %q: entries beyond next %d", b.Stream, b.Next)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/log/handler.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/eventlog/httplog"
+	"dotterelmount.example/lib/eventlog/memlog"
+	"dotterelmount.example/standin/serve"
+)
+
+const (
+	maxWait   = time.Minute
+	handLimit = 1000 // entries of a read by hand
+)
+
+// control is the body of POST /control; absent fields change nothing.
+type control struct {
+	Outage      *bool  `json:"outage"`
+	LoseAnswers *int   `json:"lose_answers"`
+	DelayMillis *int64 `json:"delay_ms"`
+}
+
+type handler struct{ log *memlog.Log }
+
+func newHandler(log *memlog.Log) http.Handler {
+	h := &handler{log: log}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+httplog.PathAppend, h.append)
+	mux.HandleFunc("POST "+httplog.PathRead, h.read)
+	mux.HandleFunc("GET /v1/streams/{stream}", h.stream)
+	mux.HandleFunc("POST /control", h.control)
+	return mux
+}
+
+func (h *handler) append(w http.ResponseWriter, r *http.Request) {
+	var q httplog.AppendRequest
+	if !serve.Decode(w, r, &q) {
+		return
+	}
+	offset, err := h.log.Append(r.Context(), q.Stream, q.Records)
+	var ambiguous *eventlog.AmbiguousError
+	if errors.As(err, &ambiguous) {
+		panic(http.ErrAbortHandler) // closes the connection unanswered
+	}
+	if err != nil {
+		w.Header().Set(httplog.HeaderNotAppended, "true")
+		serve.Fail(w, http.StatusServiceUnavailable, "unavailable", err.Error())
+		return
+	}
+	serve.JSON(w, http.StatusOK, httplog.AppendAnswer{Offset: offset})
+}
+
+func (h *handler) read(w http.ResponseWriter, r *http.Request) {
+	var q httplog.ReadRequest
+	if !serve.Decode(w, r, &q) {
+		return
+	}
+	wait := min(maxWait, time.Duration(q.WaitMillis)*time.Millisecond)
+	h.answerRead(w, r, q.Positions, q.Limit, wait)
+}
+
+// stream reads by hand: GET /v1/streams/{stream}?from=N.
+func (h *handler) stream(w http.ResponseWriter, r *http.Request) {
+	from := uint64(1)
+	if s := r.URL.Query().Get("from"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			serve.Fail(w, http.StatusBadRequest, "invalid", err.Error())
+			return
+		}
+		from = n
+	}
+	position := eventlog.Position{Stream: r.PathValue("stream"), From: api.Offset(from)}
+	h.answerRead(w, r, []eventlog.Position{position}, handLimit, 0)
+}
+
+func (h *handler) answerRead(w http.ResponseWriter, r *http.Request, p []eventlog.Position, limit int, wait time.Duration) {
+	batches, err := h.log.Read(r.Context(), p, limit, wait)
+	if err != nil {
+		serve.Fail(w, http.StatusServiceUnavailable, "unavailable", err.Error())
+		return
+	}
+	serve.JSON(w, http.StatusOK, httplog.ReadAnswer{Batches: batches})
+}
+
+func (h *handler) control(w http.ResponseWriter, r *http.Request) {
+	var c control
+	if !serve.Decode(w, r, &c) {
+		return
+	}
+	if c.Outage != nil {
+		h.log.Outage(*c.Outage)
+	}
+	if c.LoseAnswers != nil {
+		h.log.LoseAnswers(*c.LoseAnswers)
+	}
+	if c.DelayMillis != nil {
+		h.log.Delay(time.Duration(*c.DelayMillis) * time.Millisecond)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/standin/log/main.go
@@ -0,0 +1,36 @@
+// Program log is a stand-in for the platform's append-only log. It keeps all
+// streams in memory and can be told over HTTP to fail.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"dotterelmount.example/lib/eventlog/memlog"
+	"dotterelmount.example/standin/serve"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	if err := command().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "log",
+		Usage: "stand-in for the platform's append-only log",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ip:port`; port 0 takes a free one"},
+			&cli.DurationFlag{Name: "retention", Usage: "`duration` for which records are kept; 0 keeps them all"},
+			&cli.IntFlag{Name: "max-entries", Usage: "most records kept in a stream; 0 keeps them all"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			log := memlog.New(memlog.Options{Retention: c.Duration("retention"), MaxEntries: c.Int("max-entries")})
+			return serve.Run(ctx, c.String("listen"), newHandler(log), os.Stdout)
+		},
+	}
+}
--- /dev/null
+++ b/standin/serve/serve.go
@@ -0,0 +1,78 @@
+// Package serve holds what the stand-in programs share: a server that prints
+// where it listens, and the reading and writing of JSON bodies.
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+const (
+	maxBodyBytes      = 64 << 20
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Run listens on address (ip:port, port 0 for any), prints one line
+// "listening ip:port" to out and serves until ctx ends or the process gets
+// SIGINT or SIGTERM. Errors: those of the listener.
+func Run(ctx context.Context, address string, h http.Handler, out io.Writer) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if _, err := fmt.Fprintf(out, "listening %s\n", listener.Addr()); err != nil {
+		return err
+	}
+	err = server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Failure is the body of an answer that reports an error.
+type Failure struct {
+	Error FailureDetail `json:"error"`
+}
+
+// FailureDetail says what went wrong.
+type FailureDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message,omitempty"`
+}
+
+// JSON answers with v.
+func JSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Fail answers with a failure.
+func Fail(w http.ResponseWriter, status int, code, message string) {
+	JSON(w, status, Failure{Error: FailureDetail{Code: code, Message: message}})
+}
+
+// Decode reads the body into v; on a malformed body it answers 400 and returns false.
+func Decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err := decoder.Decode(v); err != nil {
+		Fail(w, http.StatusBadRequest, "invalid", err.Error())
+		return false
+	}
+	return true
+}
