--- /dev/null
+++ b/lib/admission/lane.go
@@ -0,0 +1,127 @@
+package admission
+
+import (
+	"slices"
+
+	"dotterelmount.example/api"
+)
+
+// lane is the queue of one class of work, fair between customers.
+type lane struct {
+	customers map[api.CustomerID]*customer
+	active    []*customer // those with items queued
+	length    int         // items of all customers
+	pass      float64     // start tag of the lane's next item
+	virtual   float64     // start tag of the customer served last
+	cursor    int         // index in active at which the next scan starts
+}
+
+// customer is one customer's queue, oldest first.
+type customer struct {
+	id     api.CustomerID
+	items  []*entry
+	pass   float64 // start tag of the customer's next item
+	cursor int     // index in items at which the next scan starts
+}
+
+func (l *lane) add(e *entry) {
+	c, ok := l.customers[e.Customer]
+	if !ok {
+		l.forgetIdle()
+		c = &customer{id: e.Customer}
+		l.customers[e.Customer] = c
+	}
+	if len(c.items) == 0 {
+		c.pass = max(c.pass, l.virtual)
+		l.active = append(l.active, c)
+	}
+	c.items = append(c.items, e)
+	l.length++
+}
+
+// forgetIdle drops customers with nothing queued that owe no service.
+func (l *lane) forgetIdle() {
+	if len(l.customers)-len(l.active) < idleCustomers {
+		return
+	}
+	for id, c := range l.customers {
+		if len(c.items) == 0 && c.pass <= l.virtual {
+			delete(l.customers, id)
+		}
+	}
+}
+
+// pick returns the first runnable item of the customer that is owed most,
+// among those that a bounded scan reaches; nil if it reaches none.
+func (l *lane) pick(runnable func(Item) bool) *entry {
+	perCustomer := max(scanPerCustomer, scanItems/len(l.active))
+	customers := min(len(l.active), scanItems/scanPerCustomer)
+	start := l.cursor % len(l.active)
+	var best *entry
+	var bestCustomer *customer
+	for k := range customers {
+		c := l.active[(start+k)%len(l.active)]
+		if bestCustomer != nil && c.pass >= bestCustomer.pass {
+			continue
+		}
+		if e := c.scan(perCustomer, runnable); e != nil {
+			best, bestCustomer = e, c
+		}
+	}
+	if customers < len(l.active) {
+		l.cursor = start + customers
+	}
+	return best
+}
+
+// scan returns the first runnable item of a bounded stretch, or nil. A stretch
+// that covers the whole queue starts at the oldest item; of a longer queue, a
+// scan in vain makes the next one start where it ended.
+func (c *customer) scan(items int, runnable func(Item) bool) *entry {
+	n := len(c.items)
+	if n <= items {
+		c.cursor = 0
+	}
+	start := c.cursor % n
+	for k := range min(n, items) {
+		e := c.items[(start+k)%n]
+		if runnable(e.Item) {
+			c.cursor = 0
+			return e
+		}
+	}
+	c.cursor = start + items
+	return nil
+}
+
+// charge moves the customer's tag by the cost of an item that goes to run.
+func (l *lane) charge(e *entry) {
+	c := l.customers[e.Customer]
+	l.virtual = max(l.virtual, c.pass)
+	c.pass = max(c.pass, l.virtual) + float64(e.Cost)
+}
+
+func (l *lane) remove(e *entry) {
+	c := l.customers[e.Customer]
+	i := slices.Index(c.items, e)
+	c.items = slices.Delete(c.items, i, i+1)
+	l.length--
+	if len(c.items) > 0 {
+		return
+	}
+	c.cursor = 0
+	k := slices.Index(l.active, c)
+	l.active = slices.Delete(l.active, k, k+1)
+}
+
+// youngest returns the item that was queued last; nil in an empty lane.
+func (l *lane) youngest() *entry {
+	var last *entry
+	for _, c := range l.active {
+		e := c.items[len(c.items)-1]
+		if last == nil || e.sequence > last.sequence {
+			last = e
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/lib/admission/window_test.go
@@ -0,0 +1,83 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/admission"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+type call struct {
+	lane  api.Lane
+	short bool
+}
+
+// TestWindowKeepsItsBounds starts only what the window admits, under random
+// latencies, failures and changed limits.
+func TestWindowKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := admission.NewWindow(admission.WindowConfig{Limit: 10, Floor: 2, ShortReserve: 0.2})
+		now, limit := t0, 10
+		var running []call
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				c := call{lane: api.Lane(rapid.IntRange(0, 2).Draw(t, "lane")), short: rapid.Bool().Draw(t, "short")}
+				if !w.Admits(c.lane, c.short) {
+					return
+				}
+				w.Start(c.lane, c.short)
+				running = append(running, c)
+				long := 0
+				for _, r := range running {
+					if r.lane == api.LaneRollout || !r.short {
+						long++
+					}
+				}
+				assert.Assert(t, len(running) <= w.Limit())
+				assert.Assert(t, c.short && c.lane != api.LaneRollout || long <= max(1, w.Limit()*8/10))
+			},
+			"done": func(t *rapid.T) {
+				if len(running) == 0 {
+					return
+				}
+				now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				latency := time.Duration(rapid.IntRange(0, 90).Draw(t, "latency")) * time.Millisecond
+				w.Done(running[0].lane, running[0].short, latency, rapid.Bool().Draw(t, "ok"), now)
+				running = running[1:]
+			},
+			"limit": func(t *rapid.T) {
+				limit = rapid.IntRange(0, 12).Draw(t, "limit")
+				w.SetLimit(limit)
+			},
+			"": func(t *rapid.T) {
+				assert.Equal(t, w.InFlight(), len(running))
+				assert.Assert(t, w.Limit() <= limit && w.Limit() >= min(2, limit))
+			},
+		})
+	})
+}
+
+func TestWindowShrinksWhenSlowAndGrowsBack(t *testing.T) {
+	w := admission.NewWindow(admission.WindowConfig{Limit: 20, Floor: 1})
+	now := t0
+	run := func(calls int, latency time.Duration) {
+		for range calls {
+			now = now.Add(20 * time.Millisecond)
+			for w.Admits(api.LaneInteractive, true) {
+				w.Start(api.LaneInteractive, true)
+			}
+			w.Done(api.LaneInteractive, true, latency, true, now)
+		}
+	}
+	run(50, 10*time.Millisecond)
+	assert.Equal(t, w.Limit(), 20)
+	run(100, 50*time.Millisecond)
+	assert.Assert(t, w.Limit() <= 5, "limit %d", w.Limit())
+	run(400, 10*time.Millisecond)
+	assert.Equal(t, w.Limit(), 20)
+	run(4000, 30*time.Millisecond)
+	assert.Assert(t, w.Limit() >= 18, "slower for good: limit %d", w.Limit())
+}
