--- /dev/null
+++ b/bench/check/check_test.go
@@ -0,0 +1,101 @@
+package check
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/work"
+)
+
+var chat = []work.Message{{Role: "system", Content: "a"}, {Role: "user", Content: "b len=3"}}
+
+func TestExpected(t *testing.T) {
+	// FNV-1a 32 of the empty string is the offset basis 811c9dc5.
+	assert.Equal(t, Expected(nil, 2), "811c9dc5-0 811c9dc5-1 ")
+	assert.Equal(t, strings.Count(Expected(chat, 9), " "), 3)
+}
+
+func TestTextTellsCutFromForeign(t *testing.T) {
+	want := Expected(chat, 9)
+	assert.NilError(t, Text(chat, 9, want))
+	var wrong *WrongAnswerError
+	assert.Assert(t, errors.As(Text(chat, 9, want[:5]), &wrong))
+	assert.Equal(t, wrong.Reason, "answer cut short")
+	assert.Assert(t, errors.As(Text(chat, 9, "other"), &wrong))
+	assert.Equal(t, wrong.Reason, "foreign answer")
+}
+
+func ask(t *testing.T, stream bool, outcome, answer string) (Reply, error) {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.Header.Get("X-Customer") == "c" && r.Header.Get("X-Deadline-Ms") == "1000")
+		if outcome != "" {
+			w.Header().Set("X-Outcome", outcome)
+		}
+		_, _ = fmt.Fprint(w, answer)
+	}))
+	defer srv.Close()
+	c := Caller{Customer: "c", Client: srv.Client(), Deadline: time.Second}
+	return c.Ask(context.Background(), srv.Listener.Addr().String(), Chat{Model: "m", Messages: chat, Stream: stream})
+}
+
+func TestWholeAnswers(t *testing.T) {
+	text := Expected(chat, 0)
+	whole := `{"choices":[{"message":{"content":"` + text + `"},"finish_reason":"stop"}],"weight_versions":[1,2]}`
+	reply, err := ask(t, false, "complete", whole)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply.Versions, []api.WeightVersion{1, 2})
+	for _, c := range []struct{ outcome, answer string }{
+		{"", whole},
+		{"unknown", whole},
+		{"complete", whole[:40]},
+		{"complete", `{"choices":[]}`},
+		{"complete", strings.Replace(whole, "-2 ", "", 1)},
+	} {
+		_, err := ask(t, false, c.outcome, c.answer)
+		assert.Assert(t, err != nil, "%v", c)
+	}
+}
+
+func TestStreamedAnswers(t *testing.T) {
+	var events string
+	for _, token := range strings.SplitAfter(strings.TrimSpace(Expected(chat, 0))+" ", " ")[:3] {
+		events += `data: {"choices":[{"delta":{"content":"` + token + `"}}],"weight_version":4}` + "\n\n"
+	}
+	end := `data: {"choices":[{"delta":{},"finish_reason":"length"}]}` + "\n\n"
+	reply, err := ask(t, true, "", events+end+"data: [DONE]\n\n")
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Outcome, api.OutcomeComplete)
+	assert.DeepEqual(t, reply.Versions, []api.WeightVersion{4})
+	for _, answer := range []string{
+		events + end,
+		events + "data: [DONE]\n\n",
+		end + "data: [DONE]\n\n",
+		events + `data: {"error":{"code":"truncated"},"outcome":"failed"}` + "\n\n" + end + "data: [DONE]\n\n",
+	} {
+		_, err := ask(t, true, "", answer)
+		assert.Assert(t, err != nil, answer)
+	}
+}
+
+func TestPoolRunsAll(t *testing.T) {
+	p := NewPool(3)
+	var ran atomic.Int64
+	jobs := make([]func(), 100)
+	for i := range jobs {
+		jobs[i] = func() { ran.Add(1) }
+	}
+	assert.NilError(t, p.Do(context.Background(), jobs))
+	assert.Equal(t, ran.Load(), int64(100))
+	assert.NilError(t, p.Close(context.Background()))
+}
--- /dev/null
+++ b/bench/check/stream.go
@@ -0,0 +1,68 @@
+package check
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"dotterelmount.example/api"
+)
+
+const (
+	eventPrefix = "data:"
+	eventDone   = "[DONE]"
+	maxEvent    = 1 << 20 // bytes
+)
+
+// readStream reads server-sent events up to the end mark. The outcome of a
+// stream is complete when it has a finish reason and the end mark; a failure
+// comes as an event with an error.
+func readStream(res *http.Response, reply *Reply) error {
+	lines := bufio.NewScanner(res.Body)
+	lines.Buffer(nil, maxEvent)
+	finished := false
+	for lines.Scan() {
+		event, ok := strings.CutPrefix(lines.Text(), eventPrefix)
+		if !ok {
+			continue
+		}
+		event = strings.TrimSpace(event)
+		if event == eventDone {
+			return endOfStream(reply, finished)
+		}
+		last, err := reply.addEvent(event)
+		if err != nil {
+			return err
+		}
+		finished = finished || last
+	}
+	return &ReplyError{Status: reply.Status, Reason: "stream without end mark", Cause: lines.Err()}
+}
+
+func endOfStream(reply *Reply, finished bool) error {
+	if !finished {
+		return &ReplyError{Status: reply.Status, Reason: "stream without finish reason"}
+	}
+	reply.Outcome = api.OutcomeComplete
+	return nil
+}
+
+// addEvent adds one event; it reports whether the event has a finish reason.
+func (r *Reply) addEvent(event string) (bool, error) {
+	var answer chatAnswer
+	if err := json.Unmarshal([]byte(event), &answer); err != nil {
+		return false, &ReplyError{Status: r.Status, Reason: "event", Cause: err}
+	}
+	if len(answer.Error) > 0 {
+		r.Outcome, _ = api.ParseOutcome(answer.Outcome) // zero when unknown
+		return false, &ReplyError{Status: r.Status, Outcome: r.Outcome, Reason: shorten(string(answer.Error))}
+	}
+	r.addVersions(answer)
+	finished := false
+	for _, choice := range answer.Choices {
+		r.Text += choice.Delta.Content
+		finished = finished || choice.FinishReason != ""
+	}
+	return finished, nil
+}
--- /dev/null
+++ b/bench/proc/proc.go
@@ -0,0 +1,239 @@
+// Package proc starts and ends the processes of a trial: it waits until a
+// program says where it listens, sends signals, and keeps each program's output
+// in a file.
+package proc
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"dotterelmount.example/lib/duty"
+)
+
+// outputDelay is how long Wait reads on after the end of a program whose
+// children still hold its output open.
+const outputDelay = time.Second
+
+// StartError reports a program that did not come up.
+type StartError struct {
+	Name  string
+	Log   string // file with its output
+	Cause error
+}
+
+// Error implements error.
+func (e *StartError) Error() string {
+	return fmt.Sprintf("start %s (output in %s): %v", e.Name, e.Log, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+// ExitError reports a program that ended, or would not.
+type ExitError struct {
+	Name  string
+	Log   string // file with its output
+	Code  int    // exit status; -1 when a signal ended it or it still runs
+	Cause error
+}
+
+// Error implements error.
+func (e *ExitError) Error() string {
+	return fmt.Sprintf("%s ended with status %d (output in %s): %v", e.Name, e.Code, e.Log, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ExitError) Unwrap() error { return e.Cause }
+
+// Runner starts programs of one directory. Its methods may be called from
+// several threads.
+type Runner struct {
+	binDir string
+	outDir string
+	duties *duty.System
+
+	mu      sync.Mutex
+	started []*Process
+}
+
+// NewRunner returns a runner of the programs in binDir that writes outputs to
+// outDir, which it creates. Errors: those of os.MkdirAll.
+func NewRunner(binDir, outDir string) (*Runner, error) {
+	if err := os.MkdirAll(outDir, 0o755); err != nil {
+		return nil, fmt.Errorf("output directory: %w", err)
+	}
+	return &Runner{binDir: binDir, outDir: outDir, duties: duty.NewSystem(nil)}, nil
+}
+
+// OutDir returns the directory of the output files.
+func (r *Runner) OutDir() string { return r.outDir }
+
+// Process is one started program.
+type Process struct {
+	Name    string
+	Address string // ip:port it listens on
+	Log     string // file with its output
+
+	cmd    *exec.Cmd
+	exited chan struct{} // closed after Wait
+	err    error         // of Wait; valid once exited is closed
+}
+
+// Start runs a program and waits until it prints "listening ip:port" or ctx
+// ends. Errors: *StartError; the program does not run then.
+func (r *Runner) Start(ctx context.Context, name, program string, args ...string) (*Process, error) {
+	p := &Process{Name: name, Log: filepath.Join(r.outDir, name+".log"), exited: make(chan struct{})}
+	file, err := os.OpenFile(p.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, &StartError{Name: name, Log: p.Log, Cause: err}
+	}
+	watch := newListenWriter(file)
+	p.cmd = exec.Command(filepath.Join(r.binDir, program), args...)
+	p.cmd.Stdout = watch
+	p.cmd.Stderr = file
+	p.cmd.WaitDelay = outputDelay
+	if err := p.cmd.Start(); err != nil {
+		_ = file.Close()
+		return nil, &StartError{Name: name, Log: p.Log, Cause: err}
+	}
+	r.watchExit(p, file)
+	if err := p.awaitListening(ctx, watch); err != nil {
+		p.Kill()
+		return nil, &StartError{Name: name, Log: p.Log, Cause: err}
+	}
+	r.mu.Lock()
+	r.started = append(r.started, p)
+	r.mu.Unlock()
+	return p, nil
+}
+
+func (p *Process) awaitListening(ctx context.Context, watch *listenWriter) error {
+	select {
+	case p.Address = <-watch.address:
+		return nil
+	case <-p.exited:
+		return &ExitError{Name: p.Name, Log: p.Log, Code: p.ExitCode(), Cause: p.err}
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// exitWatcher waits for one process on a thread of its own.
+type exitWatcher struct{ file *os.File }
+
+// Handle reaps the process.
+func (w *exitWatcher) Handle(_ context.Context, p *Process) {
+	p.err = p.cmd.Wait()
+	_ = w.file.Close()
+	close(p.exited)
+}
+
+func (r *Runner) watchExit(p *Process, file *os.File) {
+	d := duty.Start(r.duties, duty.Config{Name: "exit-" + p.Name, RingSize: 1}, &exitWatcher{file: file})
+	// An empty ring of one entry takes the only message.
+	_ = d.Post(p)
+}
+
+// Run runs a program to its end and returns what it wrote to stdout; its
+// stderr goes to the output file. Errors: *StartError, *ExitError.
+func (r *Runner) Run(ctx context.Context, name, program string, args ...string) ([]byte, error) {
+	log := filepath.Join(r.outDir, name+".log")
+	file, err := os.OpenFile(log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+	if err != nil {
+		return nil, &StartError{Name: name, Log: log, Cause: err}
+	}
+	defer func() { _ = file.Close() }()
+	cmd := exec.CommandContext(ctx, filepath.Join(r.binDir, program), args...)
+	cmd.Stderr = file
+	out, err := cmd.Output()
+	_, _ = file.Write(out)
+	if err == nil {
+		return out, nil
+	}
+	if cmd.ProcessState == nil {
+		return nil, &StartError{Name: name, Log: log, Cause: err}
+	}
+	return out, &ExitError{Name: name, Log: log, Code: cmd.ProcessState.ExitCode(), Cause: err}
+}
+
+// StopAll sends SIGTERM to what still runs, the last started first, and waits
+// for each. Errors: *ExitError of the first that did not end with status 0.
+func (r *Runner) StopAll(ctx context.Context) error {
+	r.mu.Lock()
+	started := r.started
+	r.started = nil
+	r.mu.Unlock()
+	var first error
+	for i := len(started) - 1; i >= 0; i-- {
+		if err := started[i].Stop(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// KillAll ends at once what still runs.
+func (r *Runner) KillAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.started {
+		p.Kill()
+	}
+	r.started = nil
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
+
+// ExitCode returns the exit status; -1 when a signal ended the process or it
+// still runs.
+func (p *Process) ExitCode() int {
+	select {
+	case <-p.exited:
+		return p.cmd.ProcessState.ExitCode()
+	default:
+		return -1
+	}
+}
+
+// Signal sends a signal. Errors: those of os.Process.Signal.
+func (p *Process) Signal(sig syscall.Signal) error { return p.cmd.Process.Signal(sig) }
+
+// Pause freezes the process with SIGSTOP. Errors: as Signal.
+func (p *Process) Pause() error { return p.Signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process. Errors: as Signal.
+func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
+
+// Stop sends SIGTERM and waits; when ctx ends first it kills the process.
+// Errors: *ExitError unless the process ended with status 0.
+func (p *Process) Stop(ctx context.Context) error {
+	// The signal fails when the process has ended already; Exited tells.
+	_ = p.Signal(syscall.SIGTERM)
+	select {
+	case <-p.exited:
+	case <-ctx.Done():
+		p.Kill()
+		return &ExitError{Name: p.Name, Log: p.Log, Code: -1, Cause: ctx.Err()}
+	}
+	if p.err != nil {
+		return &ExitError{Name: p.Name, Log: p.Log, Code: p.ExitCode(), Cause: p.err}
+	}
+	return nil
+}
+
+// Kill sends SIGKILL and waits for the end.
+func (p *Process) Kill() {
+	// The signal fails when the process has ended already.
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.exited
+}
