--- /dev/null
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -0,0 +1,180 @@
+// Package node wires the parts of one daemon together, in one place.
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/httpapi"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/eventlog/httplog"
+	"dotterelmount.example/lib/invariant"
+	"dotterelmount.example/lib/settings"
+	"dotterelmount.example/lib/upstream/httpupstream"
+	"dotterelmount.example/server/appender"
+	"dotterelmount.example/server/dispatch"
+	"dotterelmount.example/server/logbook"
+	"dotterelmount.example/server/once"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+)
+
+// Sizes and times of the parts.
+const (
+	ledgerRing     = 1024                   // messages
+	dispatchRing   = 4096                   // messages
+	appenderRing   = 4096                   // records
+	appendBatch    = 256                    // records in one append
+	flushEvery     = 5 * time.Millisecond   // between two appends to a stream
+	logCallTimeout = 2 * time.Second        // one call of the log
+	logReadWait    = 2 * time.Second        // long poll
+	logReadLimit   = 512                    // entries a read and stream
+	logRetryEvery  = 100 * time.Millisecond // after a failed read
+	proposeTimeout = 10 * time.Second
+	retryRatio     = 0.2
+	hedgeRatio     = 0.05
+	rolloutShare   = 0.5
+	exitInvariant  = 70
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+)
+
+// Node is a running daemon.
+type Node struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	platform eventlog.Log
+	system   *duty.System
+	appender *appender.Appender
+	book     *logbook.Book
+	dispatch *dispatch.Dispatcher
+	callers  *http.Server
+	address  string
+	stopping atomic.Bool
+	started  time.Time
+}
+
+// Start starts a daemon; it serves as soon as it knows the configuration.
+// Errors: an address that can't be listened on, CodeInvalid.
+func Start(s *settings.Settings, log *zap.Logger) (*Node, error) {
+	n := &Node{settings: s, log: log, started: time.Now()}
+	invariant.OnViolation(n.violated)
+	n.system = duty.NewSystem(n.panicked)
+	n.platform = httplog.New(s.Platform.Log, &http.Client{})
+	n.startLog()
+	if err := n.startDispatch(); err != nil {
+		return nil, err
+	}
+	if err := n.serveCallers(); err != nil {
+		return nil, err
+	}
+	log.Info("started", zap.String("callers", n.address), zap.String("data_centre", s.DataCentre))
+	return n, nil
+}
+
+// CallersAddress returns the address (ip:port) that callers are served on.
+func (n *Node) CallersAddress() string { return n.address }
+
+func (n *Node) startLog() {
+	n.appender = appender.Start(n.system, n.platform, appender.Config{
+		RingSize: appenderRing, MaxBatch: appendBatch, FlushEvery: flushEvery, CallTimeout: logCallTimeout,
+	})
+	n.book = logbook.Start(n.system, n.platform, appendAdapter{n.appender}, logbook.Config{
+		Daemon: api.DaemonID(n.settings.Daemon), RingSize: ledgerRing,
+		ReadWait: logReadWait, ReadLimit: logReadLimit, RetryEvery: logRetryEvery,
+		ProposeTimeout: proposeTimeout, CheckpointEvery: n.settings.Platform.CheckpointEvery,
+		NewID: func() api.RecordID { return api.RecordID(newID()) },
+		Now:   time.Now, Jitter: rand.Float64,
+	}, n.configChanged)
+}
+
+func (n *Node) startDispatch() error {
+	d := n.settings.Dispatch
+	var err error
+	n.dispatch, err = dispatch.Start(n.system, httpupstream.New(httpupstream.Config{}), dispatch.Config{
+		DataCentre: api.DataCentre(n.settings.DataCentre), Carriers: d.Carriers, RingSize: dispatchRing,
+		QueueLimit: d.QueueLimit, Routing: d.Routing, ProgressDeadline: d.ProgressDeadline,
+		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
+		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
+		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
+		Now: time.Now, Rand: rand.IntN, Strike: n.strike,
+	}, n.book.State())
+	return err
+}
+
+func (n *Node) serveCallers() error {
+	listener, err := net.Listen("tcp", n.settings.Listen.Callers)
+	if err != nil {
+		return api.Errorf(api.CodeInvalid, "listen.callers: %w", err)
+	}
+	n.address = listener.Addr().String()
+	n.callers = &http.Server{Handler: n.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	serve(n.system, n.callers, listener, n.log)
+	return nil
+}
+
+func (n *Node) callerDeps() httpapi.Deps {
+	return httpapi.Deps{
+		Submitter: n.dispatch, Guard: once.New(n.book, api.DaemonID(n.settings.Daemon), time.Now),
+		State: n.book.State, Ready: n.ready,
+		NewID: func() api.RequestID { return api.RequestID(newID()) }, Now: time.Now,
+		BodyBytes: n.settings.Limits.BodyBytes, DefaultDeadline: n.settings.Dispatch.DefaultDeadline,
+	}
+}
+
+// ready returns why the daemon refuses requests, or nil.
+func (n *Node) ready() error {
+	switch {
+	case n.stopping.Load():
+		return api.Errorf(api.CodeNotReady, "shutting down")
+	case !n.book.Known():
+		return api.Errorf(api.CodeNotReady, "the configuration was not read yet")
+	case time.Since(n.book.LastContact()) > n.settings.Limits.CutOff:
+		return api.Errorf(api.CodeNotReady, "cut off from the log for %s", time.Since(n.book.LastContact()).Round(time.Second))
+	default:
+		return nil
+	}
+}
+
+// Shutdown stops gracefully: it refuses new requests, lets those in progress
+// end by themselves and then ends the duties. Errors: ctx.Err().
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.log.Info("shutting down")
+	n.stopping.Store(true)
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.Warn("requests were cut", zap.Error(err))
+	}
+	err := errors.Join(n.dispatch.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
+	n.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func (n *Node) violated(v *invariant.Violation) {
+	n.log.Error("invariant violated", zap.String("invariant", v.Name), zap.String("detail", v.Detail))
+	if n.settings.FatalInvariants {
+		os.Exit(exitInvariant)
+	}
+}
+
+func (n *Node) panicked(p *duty.Panic) {
+	n.log.Error("duty panicked", zap.Error(p), zap.ByteString("stack", p.Stack))
+	os.Exit(exitInvariant)
+}
+
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// appendAdapter gives the appender the shape that the other duties ask for.
+type appendAdapter struct{ a *appender.Appender }
+
+// Append implements logbook.Appender.
+func (a appendAdapter) Append(stream string, r eventlog.Record, deadline time.Time, done func(error)) error {
+	return a.a.Append(appender.Request{Stream: stream, Record: r, Deadline: deadline, Done: done})
+}
--- /dev/null
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -0,0 +1,145 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/adminapi"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/recordcodec"
+	"dotterelmount.example/server/logbook"
+	"go.uber.org/zap"
+)
+
+// operator offers the daemon to its operators.
+type operator struct{ n *Node }
+
+// State implements adminapi.Operator.
+func (o *operator) State() *ledger.State { return o.n.book.State() }
+
+// Propose implements adminapi.Operator.
+func (o *operator) Propose(ctx context.Context, body api.Body, actor string) (ledger.Verdict, error) {
+	if err := o.n.ready(); err != nil {
+		return ledger.Verdict{}, err
+	}
+	v, err := o.n.book.Propose(ctx, api.StreamConfig, body, actor)
+	o.n.log.Info("change proposed", zap.String("actor", actor), zap.String("kind", recordcodec.KindOf(body)),
+		zap.String("record", string(v.ID)), zap.Uint64("offset", uint64(v.Offset)),
+		zap.NamedError("refused", v.Err), zap.Error(err))
+	return v, err
+}
+
+// Audit implements adminapi.Operator.
+func (o *operator) Audit(ctx context.Context, from api.Offset, limit int) ([]adminapi.AuditEntry, error) {
+	entries, err := logbook.Audit(ctx, o.n.platform, from, limit)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]adminapi.AuditEntry, len(entries))
+	for i, e := range entries {
+		out[i] = auditEntry(e)
+	}
+	return out, nil
+}
+
+func auditEntry(e logbook.AuditEntry) adminapi.AuditEntry {
+	verdict := adminapi.VerdictInForce
+	if e.Err != nil {
+		verdict = string(api.CodeOf(e.Err))
+	}
+	return adminapi.AuditEntry{
+		Offset: e.Offset, Time: time.UnixMilli(e.Record.AtMillis).UTC().Format(time.RFC3339Nano),
+		Actor: e.Record.Actor, Via: e.Record.Via,
+		Kind: recordcodec.KindOf(e.Record.Body), What: subject(e.Record.Body),
+		From: e.From, To: e.To, Verdict: verdict,
+	}
+}
+
+// subject names the thing that a record is about.
+func subject(body api.Body) string {
+	switch b := body.(type) {
+	case api.PublishPlanList:
+		return "plan list"
+	case api.PublishUsageList:
+		return "usage list"
+	case api.MarkUpstream:
+		return string(b.Upstream) + " " + string(b.Mark)
+	case api.AnnounceWeights:
+		return string(b.Model) + " " + b.Version.String()
+	case api.Strike:
+		return b.Fingerprint.String() + " at " + string(b.Upstream)
+	case api.LiftQuarantine:
+		return b.Fingerprint.String()
+	default:
+		return ""
+	}
+}
+
+// Status implements adminapi.Operator.
+func (o *operator) Status(context.Context) adminapi.Status {
+	n := o.n
+	state := n.book.State()
+	s := adminapi.Status{
+		Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre),
+		Ready: true, ConfigOffset: state.Through, Members: n.members(),
+		Duties: dutyStatus(n.book.Duties(), n.dispatch.Duties()),
+	}
+	if err := n.ready(); err != nil {
+		s.Ready, s.NotReady = false, err.Error()
+	}
+	view := n.dispatch.View()
+	for _, u := range view.Upstreams {
+		mark := api.MarkActive
+		if state.Draining(u.ID) {
+			mark = api.MarkDraining
+		}
+		s.Upstreams = append(s.Upstreams, adminapi.UpstreamStatus{
+			ID: u.ID, Mark: mark, InFlight: u.InFlight, Window: u.Window, Slow: u.Slow, Loaded: n.loaded(u.ID),
+		})
+	}
+	for lane := range api.LaneCount {
+		s.Queues = append(s.Queues, adminapi.QueueStatus{Lane: lane.String(), Depth: view.Queued[lane]})
+	}
+	return s
+}
+
+func dutyStatus(groups ...[]duty.Stats) []adminapi.DutyStatus {
+	var out []adminapi.DutyStatus
+	for _, g := range groups {
+		for _, d := range g {
+			out = append(out, adminapi.DutyStatus(d))
+		}
+	}
+	return out
+}
+
+func (n *Node) members() []adminapi.MemberStatus {
+	return []adminapi.MemberStatus{{
+		Name: api.DaemonID(n.settings.Daemon), Address: n.address, State: adminapi.MemberAlive,
+		DataCentre: api.DataCentre(n.settings.DataCentre), ConfigOffset: n.book.Through(),
+	}}
+}
+
+func (n *Node) loaded(api.UpstreamID) map[api.ModelName]api.WeightVersion { return nil }
+
+// configChanged runs on the ledger's thread.
+func (n *Node) configChanged(s *ledger.State) {
+	if n.dispatch != nil {
+		n.dispatch.Update(s)
+	}
+}
+
+// strikeTime is how long a strike is tried to be recorded.
+const strikeTime = 30 * time.Second
+
+// strike runs on the dispatcher's thread.
+func (n *Node) strike(s api.Strike) {
+	n.log.Warn("upstream crashed under a request", zap.String("upstream", string(s.Upstream)),
+		zap.String("fingerprint", s.Fingerprint.String()), zap.Bool("alone", s.Alone))
+	err := n.book.ProposeAsync(api.StreamConfig, s, n.settings.Daemon, time.Now().Add(strikeTime), func(ledger.Verdict, error) {})
+	if err != nil {
+		n.log.Warn("strike not recorded", zap.Error(err))
+	}
+}
--- a/lib/settings/load.go
+++ b/lib/settings/load.go
@@ -31,6 +31,8 @@
 	DefaultWeightRollout    = 1
 	DefaultBodyBytes        = 1 << 20
 	DefaultCutOff           = 10 * time.Second
+	DefaultCheckpointEvery  = 10 * time.Minute
+	DefaultShortReserve     = 0.25
 )
 
 // maxFileBytes bounds what Load reads.
@@ -46,13 +48,15 @@
 			ProgressDeadline: DefaultProgressDeadline,
 			DefaultDeadline:  DefaultDeadline,
 			ShortTokens:      DefaultShortTokens,
+			ShortReserve:     DefaultShortReserve,
 			Weights: Weights{
 				Interactive: DefaultWeightInteract,
 				Once:        DefaultWeightOnce,
 				Rollout:     DefaultWeightRollout,
 			},
 		},
-		Limits: Limits{BodyBytes: DefaultBodyBytes, CutOff: DefaultCutOff},
+		Platform: Platform{CheckpointEvery: DefaultCheckpointEvery},
+		Limits:   Limits{BodyBytes: DefaultBodyBytes, CutOff: DefaultCutOff},
 	}
 }
 
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -28,6 +28,9 @@
 	Log         string `yaml:"log" validate:"required,hostport"`
 	WeightStore string `yaml:"weight_store" validate:"omitempty,hostport"`
 	HostList    string `yaml:"host_list" validate:"omitempty,hostport"`
+	// CheckpointEvery is the longest time without a checkpoint in the log; it
+	// must be well below the log's retention.
+	CheckpointEvery time.Duration `yaml:"checkpoint_every" validate:"min=100ms"`
 }
 
 // Dispatch tunes the queue in front of the upstreams.
@@ -35,9 +38,10 @@
 	Carriers         int           `yaml:"carriers" validate:"min=1,max=4096"` // threads that talk to upstreams
 	QueueLimit       int           `yaml:"queue_limit" validate:"min=1"`       // requests queued at most
 	Routing          string        `yaml:"routing" validate:"oneof=affinity two-choice round-robin random least-in-flight"`
-	ProgressDeadline time.Duration `yaml:"progress_deadline" validate:"min=10ms"` // silence after which a call is given up
-	DefaultDeadline  time.Duration `yaml:"default_deadline" validate:"min=10ms"`  // for requests that name none
-	ShortTokens      int           `yaml:"short_tokens" validate:"min=1"`         // up to this many tokens work is short
+	ProgressDeadline time.Duration `yaml:"progress_deadline" validate:"min=10ms"`  // silence after which a call is given up
+	DefaultDeadline  time.Duration `yaml:"default_deadline" validate:"min=10ms"`   // for requests that name none
+	ShortTokens      int           `yaml:"short_tokens" validate:"min=1"`          // up to this many tokens work is short
+	ShortReserve     float64       `yaml:"short_reserve" validate:"min=0,max=0.9"` // part of each window kept for short work
 	Weights          Weights       `yaml:"weights"`
 }
 
--- a/server/logbook/follower.go
+++ b/server/logbook/follower.go
@@ -43,6 +43,9 @@
 	restore restore
 	known   bool // the fold holds the state of the stream, not just a part
 	pending []eventlog.Entry
+	// trace, if set, sees every record that is applied, with a revision lookup
+	// before and after it.
+	trace func(e eventlog.Entry, r api.Record, from, to api.Revision, v ledger.Verdict)
 	// checkpoints counts the checkpoints seen in the stream.
 	checkpoints int
 }
@@ -127,5 +130,20 @@
 	if _, ok := rec.Body.(api.Checkpoint); ok {
 		f.checkpoints++
 	}
-	return f.fold.Apply(e.Offset, e.TimeMillis, rec)
+	from := f.revision(rec.Body)
+	v := f.fold.Apply(e.Offset, e.TimeMillis, rec)
+	if f.trace != nil {
+		f.trace(e, rec, from, f.revision(rec.Body), v)
+	}
+	return v
+}
+
+// revision returns the revision of the thing that a record is about; only a
+// trace needs it.
+func (f *follower) revision(body api.Body) api.Revision {
+	config, ok := f.fold.(*ledger.Config)
+	if f.trace == nil || !ok {
+		return 0
+	}
+	return revisionOf(config.Snapshot(), body)
 }
