--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -17,6 +17,7 @@
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/eventlog/httplog"
 	"dotterelmount.example/lib/invariant"
+	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/upstream/httpupstream"
 	"dotterelmount.example/server/appender"
@@ -69,10 +70,10 @@
 	invariant.OnViolation(n.violated)
 	n.system = duty.NewSystem(n.panicked)
 	n.platform = httplog.New(s.Platform.Log, &http.Client{})
-	n.startLog()
 	if err := n.startDispatch(); err != nil {
 		return nil, err
 	}
+	n.startLog()
 	if err := n.serveCallers(); err != nil {
 		return nil, err
 	}
@@ -93,7 +94,7 @@
 		ProposeTimeout: proposeTimeout, CheckpointEvery: n.settings.Platform.CheckpointEvery,
 		NewID: func() api.RecordID { return api.RecordID(newID()) },
 		Now:   time.Now, Jitter: rand.Float64,
-	}, n.configChanged)
+	}, n.dispatch.Update)
 }
 
 func (n *Node) startDispatch() error {
@@ -106,7 +107,7 @@
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
 		Now: time.Now, Rand: rand.IntN, Strike: n.strike,
-	}, n.book.State())
+	}, ledger.NewConfig().Snapshot())
 	return err
 }
 
@@ -149,6 +150,7 @@
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.log.Info("shutting down")
 	n.stopping.Store(true)
+	n.linger(ctx)
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", zap.Error(err))
 	}
@@ -157,6 +159,17 @@
 	return err
 }
 
+// linger answers new requests as not run for a while, so that the platform's
+// balancer takes this host out before connections are refused.
+func (n *Node) linger(ctx context.Context) {
+	t := time.NewTimer(n.settings.Limits.Linger)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (n *Node) violated(v *invariant.Violation) {
 	n.log.Error("invariant violated", zap.String("invariant", v.Name), zap.String("detail", v.Detail))
 	if n.settings.FatalInvariants {
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -124,13 +124,6 @@
 
 func (n *Node) loaded(api.UpstreamID) map[api.ModelName]api.WeightVersion { return nil }
 
-// configChanged runs on the ledger's thread.
-func (n *Node) configChanged(s *ledger.State) {
-	if n.dispatch != nil {
-		n.dispatch.Update(s)
-	}
-}
-
 // strikeTime is how long a strike is tried to be recorded.
 const strikeTime = 30 * time.Second
 
--- a/lib/settings/load.go
+++ b/lib/settings/load.go
@@ -31,6 +31,7 @@
 	DefaultWeightRollout    = 1
 	DefaultBodyBytes        = 1 << 20
 	DefaultCutOff           = 10 * time.Second
+	DefaultLinger           = 500 * time.Millisecond
 	DefaultCheckpointEvery  = 10 * time.Minute
 	DefaultShortReserve     = 0.25
 )
@@ -56,7 +57,7 @@
 			},
 		},
 		Platform: Platform{CheckpointEvery: DefaultCheckpointEvery},
-		Limits:   Limits{BodyBytes: DefaultBodyBytes, CutOff: DefaultCutOff},
+		Limits:   Limits{BodyBytes: DefaultBodyBytes, CutOff: DefaultCutOff, Linger: DefaultLinger},
 	}
 }
 
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -56,4 +56,7 @@
 type Limits struct {
 	BodyBytes int64         `yaml:"body_bytes" validate:"min=1"`
 	CutOff    time.Duration `yaml:"cut_off" validate:"min=100ms"` // without log and peers for longer: not ready
+	// Linger is how long a stopping daemon still answers, as not run, before it
+	// closes its address.
+	Linger time.Duration `yaml:"linger" validate:"min=0s"`
 }
--- /dev/null
+++ b/server/dispatch/dispatch_test.go
@@ -0,0 +1,363 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/dispatch"
+	"gotest.tools/v3/assert"
+)
+
+// fake is an upstream.Client whose engines follow scripts.
+type fake struct {
+	mu    sync.Mutex
+	calls map[api.RequestID][]api.UpstreamID
+	// generate plays one call; n counts the calls of the request from 1.
+	generate func(ctx context.Context, t upstream.Target, n int, g *work.Generate, delta func(work.Chunk) error) error
+	down     map[api.UpstreamID]bool
+}
+
+func (f *fake) call(id api.RequestID, u api.UpstreamID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[id] = append(f.calls[id], u)
+	return len(f.calls[id])
+}
+
+func (f *fake) isDown(u api.UpstreamID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down[u]
+}
+
+func (f *fake) crash(u api.UpstreamID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down[u] = true
+	return &upstream.CallError{Upstream: u, Sent: true, Code: api.CodeTruncated, Cause: context.Canceled}
+}
+
+func (f *fake) Generate(ctx context.Context, t upstream.Target, id api.RequestID, _ api.ModelName, g *work.Generate,
+	delta func(work.Chunk) error,
+) (upstream.Finish, error) {
+	if f.isDown(t.ID) {
+		return upstream.Finish{}, &upstream.CallError{Upstream: t.ID, Code: api.CodeNoUpstream, Cause: context.Canceled}
+	}
+	n := f.call(id, t.ID)
+	if err := f.generate(ctx, t, n, g, delta); err != nil {
+		return upstream.Finish{}, err
+	}
+	return upstream.Finish{Reason: "stop"}, nil
+}
+
+func (f *fake) Plain(context.Context, upstream.Target, api.RequestID, *work.Plain) (upstream.PlainAnswer, error) {
+	return upstream.PlainAnswer{Status: 200}, nil
+}
+
+func (f *fake) Status(_ context.Context, t upstream.Target) (upstream.Status, error) {
+	if f.isDown(t.ID) {
+		return upstream.Status{}, &upstream.CallError{Upstream: t.ID, Code: api.CodeNoUpstream, Cause: context.Canceled}
+	}
+	return upstream.Status{}, nil
+}
+
+func (f *fake) Loaded(context.Context, upstream.Target) (map[api.ModelName]api.WeightVersion, error) {
+	return nil, nil
+}
+func (f *fake) Load(context.Context, upstream.Target, upstream.LoadOrder) error { return nil }
+
+// collector is a sink that keeps all it gets.
+type collector struct {
+	mu     sync.Mutex
+	text   strings.Builder
+	answer *ring.Slot[work.Answer]
+}
+
+func newCollector() *collector { return &collector{answer: ring.NewSlot[work.Answer]()} }
+
+func (c *collector) Chunk(_ context.Context, k work.Chunk) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.text.WriteString(k.Text)
+	return nil
+}
+
+func (c *collector) Finish(a work.Answer) {
+	if !c.answer.Put(a) {
+		panic("finished twice")
+	}
+}
+
+func (c *collector) wait(t *testing.T) work.Answer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	a, err := c.answer.Wait(ctx)
+	assert.NilError(t, err)
+	return a
+}
+
+func state(window int, ids ...api.UpstreamID) *ledger.State {
+	c := ledger.NewConfig()
+	list := api.UsageList{Usages: []api.Usage{{Plan: "p", Models: []api.ModelName{"m"}}}}
+	for _, id := range ids {
+		list.Upstreams = append(list.Upstreams, api.Upstream{
+			ID: id, Kind: api.KindEngine, Address: "127.0.0.1:1", Models: []api.ModelName{"m"}, Window: window,
+		})
+	}
+	c.Apply(1, 0, api.Record{ID: "1", Body: api.PublishPlanList{List: api.PlanList{Plans: []api.Plan{{Name: "p"}}}}})
+	c.Apply(2, 0, api.Record{ID: "2", Body: api.PublishUsageList{List: list}})
+	return c.Snapshot()
+}
+
+func start(t *testing.T, f *fake, s *ledger.State, change func(*dispatch.Config)) *dispatch.Dispatcher {
+	t.Helper()
+	f.calls = make(map[api.RequestID][]api.UpstreamID)
+	if f.down == nil {
+		f.down = make(map[api.UpstreamID]bool)
+	}
+	rnd := rand.New(rand.NewPCG(1, 1))
+	cfg := dispatch.Config{
+		Carriers: 8, RingSize: 64, QueueLimit: 8, Routing: "two-choice", ProgressDeadline: time.Second,
+		ShortTokens: 16, Weights: [api.LaneCount]int{8, 4, 1}, RolloutShare: 0.5, RetryRatio: 0.5,
+		Now: time.Now, Rand: rnd.IntN,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	d, err := dispatch.Start(duty.NewSystem(nil), f, cfg, s)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		assert.NilError(t, d.Stop(ctx))
+	})
+	return d
+}
+
+func job(id api.RequestID, s work.Sink) *work.Job {
+	return &work.Job{
+		ID: id, Customer: "c", Plan: "p", Model: "m", Repeatable: true, CostTokens: 4,
+		Fingerprint: api.Fingerprint(len(id)), Deadline: time.Now().Add(15 * time.Second), Sink: s,
+		Call: work.Call{Generate: &work.Generate{MaxTokens: 4}},
+	}
+}
+
+func say(delta func(work.Chunk) error, v api.WeightVersion, from, to int) error {
+	for i := from; i < to; i++ {
+		if err := delta(work.Chunk{Text: fmt.Sprint(i, " "), Tokens: 1, Version: v}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestCutStreamIsResumedElsewhereAndNamesBothVersions(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, u upstream.Target, n int, g *work.Generate, delta func(work.Chunk) error) error {
+		if n == 1 {
+			assert.NilError(t, say(delta, 1, 0, 2))
+			return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeTruncated, Cause: context.Canceled}
+		}
+		return say(delta, 2, len(strings.Fields(g.Resume)), 4)
+	}
+	d := start(t, f, state(4, "a", "b"), nil)
+	c := newCollector()
+	j := job("x", c)
+	j.Stream = true
+	assert.NilError(t, d.Submit(j))
+	a := c.wait(t)
+	assert.Equal(t, a.Outcome, api.OutcomeComplete)
+	assert.Equal(t, c.text.String(), "0 1 2 3 ")
+	assert.Equal(t, a.Text, c.text.String())
+	assert.DeepEqual(t, a.Versions, []api.WeightVersion{1, 2})
+	assert.Equal(t, len(a.Upstreams), 2)
+	assert.Assert(t, a.Upstreams[0] != a.Upstreams[1])
+}
+
+func TestOnceOnlyIsNotSentAgainAfterAByte(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, u upstream.Target, _ int, _ *work.Generate, _ func(work.Chunk) error) error {
+		return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeTruncated, Cause: context.Canceled}
+	}
+	d := start(t, f, state(4, "a", "b"), nil)
+	c := newCollector()
+	j := job("x", c)
+	j.Repeatable, j.Lane = false, api.LaneOnce
+	assert.NilError(t, d.Submit(j))
+	a := c.wait(t)
+	assert.Equal(t, a.Outcome, api.OutcomeUnknown)
+	assert.Equal(t, len(f.calls["x"]), 1)
+}
+
+func TestUnsentAttemptIsMadeElsewhereEvenOnceOnly(t *testing.T) {
+	f := &fake{down: map[api.UpstreamID]bool{"a": true, "b": true}}
+	f.generate = func(_ context.Context, _ upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		return say(delta, 1, 0, 4)
+	}
+	d := start(t, f, state(4, "a", "b", "c"), nil)
+	c := newCollector()
+	j := job("x", c)
+	j.Repeatable, j.Lane = false, api.LaneOnce
+	assert.NilError(t, d.Submit(j))
+	assert.Equal(t, c.wait(t).Outcome, api.OutcomeComplete)
+	assert.DeepEqual(t, f.calls["x"], []api.UpstreamID{"c"})
+}
+
+func TestNothingReachableIsNotRunAtTheDeadline(t *testing.T) {
+	f := &fake{down: map[api.UpstreamID]bool{"a": true}}
+	d := start(t, f, state(4, "a"), nil)
+	c := newCollector()
+	j := job("x", c)
+	j.Deadline = time.Now().Add(300 * time.Millisecond)
+	assert.NilError(t, d.Submit(j))
+	a := c.wait(t)
+	assert.Equal(t, a.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, api.CodeOf(a.Err), api.CodeDeadlineExceeded)
+	assert.Equal(t, len(f.calls), 0)
+}
+
+func TestMarkedUpstreamGetsNoNewWorkAndCutsNone(t *testing.T) {
+	entered, release := make(chan struct{}, 1), make(chan struct{})
+	f := &fake{}
+	f.generate = func(ctx context.Context, u upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		if u.ID == "a" {
+			entered <- struct{}{}
+			select {
+			case <-release:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		return say(delta, 1, 0, 4)
+	}
+	s := state(8, "a")
+	d := start(t, f, s, nil)
+	running := newCollector()
+	assert.NilError(t, d.Submit(job("running", running)))
+	<-entered
+	marked := state(8, "a", "b")
+	marked.Through = 9
+	marked.Marks = map[api.UpstreamID]ledger.MarkState{"a": {Mark: api.MarkDraining, Revision: 9}}
+	d.Update(marked)
+	for i := range 6 {
+		c := newCollector()
+		id := api.RequestID(fmt.Sprint("after", i))
+		assert.NilError(t, d.Submit(job(id, c)))
+		assert.Equal(t, c.wait(t).Outcome, api.OutcomeComplete)
+		assert.DeepEqual(t, f.calls[id], []api.UpstreamID{"b"})
+	}
+	close(release)
+	assert.Equal(t, running.wait(t).Outcome, api.OutcomeComplete)
+}
+
+func TestCrashingRequestIsQuarantinedAndInnocentOneCompletes(t *testing.T) {
+	const killer, innocent = api.RequestID("killer"), api.RequestID("bystander")
+	together := make(chan struct{})
+	var strikes sync.Map
+	f := &fake{}
+	f.generate = func(ctx context.Context, u upstream.Target, n int, g *work.Generate, delta func(work.Chunk) error) error {
+		if g.MaxTokens == 6 { // the killer
+			if n == 1 {
+				<-together
+			}
+			return f.crash(u.ID)
+		}
+		if n == 1 {
+			close(together)
+			for !f.isDown(u.ID) && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
+			return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeTruncated, Cause: context.Canceled}
+		}
+		return say(delta, 1, 0, 4)
+	}
+	one := state(8, "a")
+	d := start(t, f, one, func(c *dispatch.Config) {
+		c.Strike = func(s api.Strike) { strikes.Store(s, true) }
+	})
+	bad, good := newCollector(), newCollector()
+	j := job(killer, bad)
+	j.Call.Generate.MaxTokens = 6
+	assert.NilError(t, d.Submit(j))
+	assert.NilError(t, d.Submit(job(innocent, good)))
+	<-together
+	more := state(8, "a", "b", "c", "d")
+	more.Through = 9
+	d.Update(more)
+	assert.Equal(t, good.wait(t).Outcome, api.OutcomeComplete)
+	a := bad.wait(t)
+	assert.Assert(t, a.Outcome != api.OutcomeComplete && a.Outcome != api.OutcomeNotRun)
+	assert.Equal(t, api.CodeOf(a.Err), api.CodeQuarantined)
+	assert.Assert(t, len(f.calls[killer]) <= 2, "%v", f.calls[killer])
+	down := 0
+	for _, u := range []api.UpstreamID{"a", "b", "c", "d"} {
+		if f.isDown(u) {
+			down++
+		}
+	}
+	assert.Assert(t, down <= 2)
+}
+
+func TestFullQueueRefusesAsNotRun(t *testing.T) {
+	release := make(chan struct{})
+	f := &fake{}
+	f.generate = func(context.Context, upstream.Target, int, *work.Generate, func(work.Chunk) error) error {
+		<-release
+		return nil
+	}
+	d := start(t, f, state(1, "a"), func(c *dispatch.Config) { c.QueueLimit = 2 })
+	var all []*collector
+	for i := range 8 {
+		c := newCollector()
+		all = append(all, c)
+		assert.NilError(t, d.Submit(job(api.RequestID(fmt.Sprint("r", i)), c)))
+	}
+	shed := 0
+	for range 5 {
+		last := all[len(all)-1]
+		all = all[:len(all)-1]
+		a := last.wait(t)
+		assert.Equal(t, a.Outcome, api.OutcomeNotRun)
+		assert.Equal(t, api.CodeOf(a.Err), api.CodeShed)
+		shed++
+	}
+	close(release)
+	for _, c := range all {
+		assert.Equal(t, c.wait(t).Outcome, api.OutcomeComplete)
+	}
+	assert.Equal(t, shed, 5)
+	assert.Equal(t, len(f.calls), 3)
+}
+
+func TestCancelEndsRunningAndQueued(t *testing.T) {
+	entered := make(chan struct{}, 1)
+	f := &fake{}
+	f.generate = func(ctx context.Context, u upstream.Target, _ int, _ *work.Generate, _ func(work.Chunk) error) error {
+		entered <- struct{}{}
+		<-ctx.Done()
+		return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeInternal, Cause: ctx.Err()}
+	}
+	d := start(t, f, state(1, "a"), nil)
+	running, queued := newCollector(), newCollector()
+	assert.NilError(t, d.Submit(job("running", running)))
+	<-entered
+	assert.NilError(t, d.Submit(job("queued", queued)))
+	d.Cancel("queued")
+	assert.Equal(t, queued.wait(t).Outcome, api.OutcomeNotRun)
+	d.Cancel("running")
+	a := running.wait(t)
+	assert.Equal(t, a.Outcome, api.OutcomeUnknown)
+	assert.Equal(t, api.CodeOf(a.Err), api.CodeCancelled)
+}
