--- /dev/null
+++ b/lib/upstream/httpupstream/assembly.go
@@ -0,0 +1,111 @@
+package httpupstream
+
+import (
+	"encoding/json"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+)
+
+// doneMarker is the data of the event that ends a stream.
+const doneMarker = "[DONE]"
+
+// chunkBody is one event of a generation.
+type chunkBody struct {
+	ID            string            `json:"id"`
+	WeightVersion api.WeightVersion `json:"weight_version"`
+	Choices       []choice          `json:"choices"`
+	Usage         *usage            `json:"usage"`
+	Error         *errorBody        `json:"error"`
+}
+
+type choice struct {
+	Delta        delta   `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type errorBody struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// assembly checks that the events of one generation make a whole answer.
+type assembly struct {
+	id       api.RequestID
+	received int    // tokens, one for each chunk with content
+	reason   string // empty until the last chunk
+	declared int    // tokens that the last chunk declares
+	done     bool
+}
+
+// add takes the next event and returns the piece of text in it; an event
+// without text gives a chunk without tokens. Errors: CodeInvalid for malformed
+// or foreign events, CodeTruncated at an end that came too early,
+// CodeUpstreamFailed for a failure that the engine reports.
+func (a *assembly) add(data []byte) (work.Chunk, error) {
+	if string(data) == doneMarker {
+		a.done = true
+		_, err := a.finish()
+		return work.Chunk{}, err
+	}
+	var c chunkBody
+	if err := json.Unmarshal(data, &c); err != nil {
+		return work.Chunk{}, api.Errorf(api.CodeInvalid, "event: %w", err)
+	}
+	if c.Error != nil {
+		return work.Chunk{}, api.Errorf(api.CodeUpstreamFailed, "engine reports %q: %s", c.Error.Code, c.Error.Message)
+	}
+	if c.ID != string(a.id) {
+		return work.Chunk{}, api.Errorf(api.CodeInvalid, "event of request %q in place of %q", c.ID, a.id)
+	}
+	if a.reason != "" {
+		return work.Chunk{}, api.Errorf(api.CodeInvalid, "event after the last chunk")
+	}
+	return a.take(&c)
+}
+
+func (a *assembly) take(c *chunkBody) (work.Chunk, error) {
+	if len(c.Choices) != 1 {
+		return work.Chunk{}, api.Errorf(api.CodeInvalid, "event has %d choices in place of 1", len(c.Choices))
+	}
+	choice := c.Choices[0]
+	chunk := work.Chunk{Text: choice.Delta.Content, Version: c.WeightVersion}
+	if chunk.Text != "" {
+		chunk.Tokens = 1
+		a.received++
+	}
+	if choice.FinishReason == nil {
+		return chunk, nil
+	}
+	if r := *choice.FinishReason; r != "stop" && r != "length" {
+		return work.Chunk{}, api.Errorf(api.CodeInvalid, "finish reason %q; allowed: stop, length", r)
+	}
+	if c.Usage == nil {
+		return work.Chunk{}, api.Errorf(api.CodeInvalid, "last chunk has no usage")
+	}
+	a.reason, a.declared = *choice.FinishReason, c.Usage.CompletionTokens
+	return chunk, nil
+}
+
+// finish returns the end of a whole answer. Errors: CodeTruncated.
+func (a *assembly) finish() (upstream.Finish, error) {
+	if !a.done {
+		return upstream.Finish{}, api.Errorf(api.CodeTruncated, "stream ended without its end marker after %d tokens", a.received)
+	}
+	if a.reason == "" {
+		return upstream.Finish{}, api.Errorf(api.CodeTruncated, "no last chunk after %d tokens", a.received)
+	}
+	if a.declared != a.received {
+		return upstream.Finish{}, api.Errorf(api.CodeTruncated, "%d tokens received of %d", a.received, a.declared)
+	}
+	return upstream.Finish{Reason: a.reason, Tokens: a.received}, nil
+}
--- /dev/null
+++ b/lib/upstream/httpupstream/client.go
@@ -0,0 +1,234 @@
+// Package httpupstream is an upstream.Client over net/http. Engines speak an
+// OpenAI-compatible interface with server-sent events; plain services get the
+// call as the caller made it.
+package httpupstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/upstream"
+)
+
+// HeaderRequestID carries the request id to the upstream.
+const HeaderRequestID = "X-Request-Id"
+
+const (
+	defaultDialTimeout = 2 * time.Second
+	defaultIdleTime    = 30 * time.Second
+	defaultMaxAge      = 5 * time.Minute
+	defaultMaxIdle     = 64
+	defaultMaxAnswer   = 16 << 20 // bytes
+	// drainBound is how long a whole stream's connection may take to end its
+	// answer, so that it can be used again.
+	drainBound = 50 * time.Millisecond
+)
+
+// Options configures a client; zero fields take defaults.
+type Options struct {
+	DialTimeout    time.Duration
+	IdleTime       time.Duration // an idle connection is closed after this
+	MaxAge         time.Duration // an older connection is not used for new calls
+	MaxIdle        int           // idle connections kept for each upstream
+	MaxAnswerBytes int64         // most bytes of a whole answer
+	Clock          func() time.Time
+}
+
+// Client implements upstream.Client. All methods may be called from any thread.
+type Client struct {
+	opts Options
+	pool *pool
+}
+
+var _ upstream.Client = (*Client)(nil)
+
+// New returns a client with its own connection pool.
+func New(opts Options) *Client {
+	setDefault(&opts.DialTimeout, defaultDialTimeout)
+	setDefault(&opts.IdleTime, defaultIdleTime)
+	setDefault(&opts.MaxAge, defaultMaxAge)
+	setDefault(&opts.MaxIdle, defaultMaxIdle)
+	setDefault(&opts.MaxAnswerBytes, defaultMaxAnswer)
+	if opts.Clock == nil {
+		opts.Clock = time.Now
+	}
+	return &Client{opts: opts, pool: newPool(opts)}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// DropIdle closes the idle pooled connections of the upstream at address;
+// connections in use are not used again after their call.
+func (c *Client) DropIdle(address string) { c.pool.drop(address) }
+
+// Close closes all idle connections.
+func (c *Client) Close() { c.pool.close() }
+
+// StatusError is an answer with an unexpected HTTP status.
+type StatusError struct {
+	Status int
+	Body   string // its beginning
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
+
+// call is one HTTP exchange with an upstream.
+type call struct {
+	client *Client
+	target upstream.Target
+	ctx    context.Context
+	sent   atomic.Bool
+	status int
+}
+
+func (c *Client) newCall(ctx context.Context, t upstream.Target) *call {
+	return &call{client: c, target: t, ctx: ctx}
+}
+
+// request describes what a call sends.
+type request struct {
+	method, path, contentType string
+	id                        api.RequestID
+	body                      []byte
+}
+
+// onceBody has no second copy. It keeps net/http from sending a request
+// again, which it does on its own for replayable ones, such as a GET whose
+// kept-alive connection was closed.
+type onceBody struct{ *bytes.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// reader returns the body. Only the methods that net/http repeats need a
+// onceBody when they have none; others would send an empty one as a chunk.
+func (q *request) reader() io.Reader {
+	replayable := []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace}
+	if len(q.body) == 0 && !slices.Contains(replayable, q.method) {
+		return http.NoBody
+	}
+	return onceBody{bytes.NewReader(q.body)}
+}
+
+// do sends the request at most once. The caller closes the answer's body.
+func (k *call) do(q request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { k.sent.Store(true) }}
+	ctx := httptrace.WithClientTrace(k.ctx, trace)
+	if !strings.HasPrefix(q.path, "/") {
+		return nil, api.Errorf(api.CodeInvalid, "path %q does not begin with /", q.path)
+	}
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+k.target.Address+q.path, q.reader())
+	if err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "request: %w", err)
+	}
+	r.ContentLength = int64(len(q.body))
+	if q.contentType != "" {
+		r.Header.Set("Content-Type", q.contentType)
+	}
+	if q.id != "" {
+		r.Header.Set(HeaderRequestID, string(q.id))
+	}
+	answer, err := k.transport().RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	k.status = answer.StatusCode
+	return answer, nil
+}
+
+// transport is used without an http.Client, which would follow redirects.
+func (k *call) transport() *http.Transport {
+	if k.target.Fresh {
+		return k.client.pool.fresh
+	}
+	return k.client.pool.transport(k.target.Address)
+}
+
+// readAll reads a whole body. Errors: CodeTruncated, CodeTooLarge.
+func (k *call) readAll(answer *http.Response) ([]byte, error) {
+	limit := k.client.opts.MaxAnswerBytes
+	body, err := io.ReadAll(io.LimitReader(answer.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, api.Errorf(api.CodeTooLarge, "answer exceeds %d bytes", limit)
+	}
+	return body, nil
+}
+
+// exchangeJSON sends a request and decodes the body of its answer into v,
+// which may be nil.
+func (k *call) exchangeJSON(q request, v any) error {
+	answer, err := k.do(q)
+	if err != nil {
+		return k.fail(err)
+	}
+	defer answer.Body.Close()
+	body, err := k.readAll(answer)
+	if err != nil {
+		return k.fail(err)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return k.fail(statusError(answer.StatusCode, body))
+	}
+	if v == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		return k.fail(api.Errorf(api.CodeInvalid, "answer: %w", err))
+	}
+	return nil
+}
+
+func statusError(status int, body []byte) error {
+	const shown = 4096 // bytes
+	return &StatusError{Status: status, Body: string(body[:min(shown, len(body))])}
+}
+
+// fail wraps err. When the context ended, its cause decides the code of a
+// connection's error.
+func (k *call) fail(err error) error {
+	return &upstream.CallError{
+		Upstream: k.target.ID,
+		Sent:     k.sent.Load(),
+		Code:     k.code(err),
+		Status:   k.status,
+		Cause:    err,
+	}
+}
+
+func (k *call) code(err error) api.Code {
+	var coded *api.Error
+	switch cause := context.Cause(k.ctx); {
+	case errors.As(err, &coded):
+		return coded.Code
+	case errors.As(cause, &coded):
+		return coded.Code
+	case errors.Is(cause, context.DeadlineExceeded):
+		return api.CodeDeadlineExceeded
+	case cause != nil:
+		return api.CodeCancelled
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return api.CodeTruncated
+	default:
+		return api.CodeUpstreamFailed
+	}
+}
--- /dev/null
+++ b/lib/upstream/httpupstream/generate.go
@@ -0,0 +1,123 @@
+package httpupstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+)
+
+const pathCompletions = "/v1/chat/completions"
+
+// completionBody is the body of a generation's request.
+type completionBody struct {
+	Model     api.ModelName  `json:"model"`
+	Messages  []work.Message `json:"messages"`
+	MaxTokens int            `json:"max_tokens"`
+	Stream    bool           `json:"stream"`
+	// The next two are only sent with an answer to continue.
+	ContinueFinalMessage *bool `json:"continue_final_message,omitempty"`
+	AddGenerationPrompt  *bool `json:"add_generation_prompt,omitempty"`
+}
+
+func newCompletionBody(model api.ModelName, g *work.Generate) completionBody {
+	b := completionBody{Model: model, Messages: g.Messages, MaxTokens: g.MaxTokens, Stream: true}
+	if g.Resume == "" {
+		return b
+	}
+	last := work.Message{Role: "assistant", Content: g.Resume}
+	b.Messages = append(g.Messages[:len(g.Messages):len(g.Messages)], last)
+	b.ContinueFinalMessage = new(bool)
+	*b.ContinueFinalMessage = true
+	b.AddGenerationPrompt = new(bool)
+	return b
+}
+
+// Generate implements upstream.Client.
+func (c *Client) Generate(ctx context.Context, t upstream.Target, id api.RequestID, model api.ModelName,
+	g *work.Generate, delta func(work.Chunk) error,
+) (upstream.Finish, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	k := c.newCall(ctx, t)
+	body, err := json.Marshal(newCompletionBody(model, g))
+	if err != nil {
+		return upstream.Finish{}, k.fail(api.Errorf(api.CodeInvalid, "request: %w", err))
+	}
+	answer, err := k.do(request{method: http.MethodPost, path: pathCompletions, contentType: "application/json", id: id, body: body})
+	if err != nil {
+		return upstream.Finish{}, k.fail(err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return upstream.Finish{}, k.failStatus(answer)
+	}
+	events := newEventReader(answer.Body)
+	a := &assembly{id: id}
+	if err := deliver(events, a, delta); err != nil {
+		return upstream.Finish{}, k.fail(err)
+	}
+	finish, err := a.finish()
+	if err != nil {
+		return upstream.Finish{}, k.fail(err)
+	}
+	drain(answer.Body, cancel)
+	return finish, nil
+}
+
+// deliver passes chunks on until the end marker. Errors: those of add, of
+// delta and of the connection.
+func deliver(events *eventReader, a *assembly, delta func(work.Chunk) error) error {
+	for !a.done {
+		data, err := events.next()
+		if errors.Is(err, io.EOF) {
+			_, err = a.finish()
+			return err
+		}
+		if err != nil {
+			return err
+		}
+		chunk, err := a.add(data)
+		if err != nil {
+			return err
+		}
+		if chunk.Tokens == 0 {
+			continue
+		}
+		if err := delta(chunk); err != nil {
+			return receiverError(err)
+		}
+	}
+	return nil
+}
+
+// receiverError is the failure of whoever takes the chunks.
+func receiverError(err error) error {
+	var coded *api.Error
+	if errors.As(err, &coded) {
+		return err
+	}
+	return api.Errorf(api.CodeCancelled, "receiver: %w", err)
+}
+
+// drain reads the rest of a whole answer so that its connection can be used
+// again; one that does not end within the bound is closed.
+func drain(body io.Reader, cancel context.CancelFunc) {
+	timer := time.AfterFunc(drainBound, cancel)
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxEventBytes))
+}
+
+func (k *call) failStatus(answer *http.Response) error {
+	body, err := k.readAll(answer)
+	if err != nil {
+		return k.fail(err)
+	}
+	return k.fail(statusError(answer.StatusCode, body))
+}
--- /dev/null
+++ b/lib/upstream/httpupstream/orders.go
@@ -0,0 +1,121 @@
+package httpupstream
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+)
+
+const (
+	pathLoadReport  = "/load"
+	pathWeights     = "/v1/weights"
+	pathLoadWeights = "/v1/load_weights"
+	codeStaleFence  = "stale-fence"
+)
+
+type modelBody struct {
+	Name    api.ModelName     `json:"name"`
+	Version api.WeightVersion `json:"version"`
+}
+
+type loadReportBody struct {
+	Running int         `json:"running"`
+	Waiting int         `json:"waiting"`
+	Models  []modelBody `json:"models"`
+}
+
+type weightsBody struct {
+	Models []modelBody `json:"models"`
+}
+
+type loadOrderBody struct {
+	Model   api.ModelName     `json:"model"`
+	Version api.WeightVersion `json:"version"`
+	Fence   api.Offset        `json:"fence"`
+}
+
+type failureBody struct {
+	Error errorBody `json:"error"`
+}
+
+// Plain implements upstream.Client. An answer whose end can't be told from a
+// cut connection counts as truncated.
+func (c *Client) Plain(ctx context.Context, t upstream.Target, id api.RequestID, p *work.Plain) (upstream.PlainAnswer, error) {
+	k := c.newCall(ctx, t)
+	answer, err := k.do(request{method: p.Method, path: p.Path, contentType: p.ContentType, id: id, body: p.Body})
+	if err != nil {
+		return upstream.PlainAnswer{}, k.fail(err)
+	}
+	defer answer.Body.Close()
+	body, err := k.readAll(answer)
+	if err != nil {
+		return upstream.PlainAnswer{}, k.fail(err)
+	}
+	if !framed(answer) {
+		return upstream.PlainAnswer{}, k.fail(api.Errorf(api.CodeTruncated, "answer has neither a length nor an end marker"))
+	}
+	contentType := answer.Header.Get("Content-Type")
+	return upstream.PlainAnswer{Status: answer.StatusCode, ContentType: contentType, Body: body}, nil
+}
+
+// framed reports whether net/http could tell that the body is whole.
+func framed(answer *http.Response) bool {
+	if answer.Request.Method == http.MethodHead {
+		return true
+	}
+	return answer.ContentLength >= 0 || slices.Contains(answer.TransferEncoding, "chunked")
+}
+
+// Status implements upstream.Client.
+func (c *Client) Status(ctx context.Context, t upstream.Target) (upstream.Status, error) {
+	var b loadReportBody
+	err := c.newCall(ctx, t).exchangeJSON(request{method: http.MethodGet, path: pathLoadReport}, &b)
+	if err != nil {
+		return upstream.Status{}, err
+	}
+	return upstream.Status{Running: b.Running, Waiting: b.Waiting, Loaded: versions(b.Models)}, nil
+}
+
+// Loaded implements upstream.Client.
+func (c *Client) Loaded(ctx context.Context, t upstream.Target) (map[api.ModelName]api.WeightVersion, error) {
+	var b weightsBody
+	err := c.newCall(ctx, t).exchangeJSON(request{method: http.MethodGet, path: pathWeights}, &b)
+	if err != nil {
+		return nil, err
+	}
+	return versions(b.Models), nil
+}
+
+// Load implements upstream.Client. A fence that the engine refuses as old
+// gives CodeSuperseded.
+func (c *Client) Load(ctx context.Context, t upstream.Target, o upstream.LoadOrder) error {
+	k := c.newCall(ctx, t)
+	body, err := json.Marshal(loadOrderBody(o))
+	if err != nil {
+		return k.fail(err)
+	}
+	err = k.exchangeJSON(request{method: http.MethodPost, path: pathLoadWeights, contentType: "application/json", body: body}, nil)
+	var status *StatusError
+	if !errors.As(err, &status) || status.Status != http.StatusConflict {
+		return err
+	}
+	var f failureBody
+	if json.Unmarshal([]byte(status.Body), &f) == nil && f.Error.Code == codeStaleFence {
+		return k.fail(api.Errorf(api.CodeSuperseded, "fence %d is old: %w", o.Fence, status))
+	}
+	return err
+}
+
+func versions(models []modelBody) map[api.ModelName]api.WeightVersion {
+	loaded := make(map[api.ModelName]api.WeightVersion, len(models))
+	for _, m := range models {
+		loaded[m.Name] = m.Version
+	}
+	return loaded
+}
