--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 test: ## the test command
 	go test work
 
+demo: build ## runs a whole deployment on loopback and checks it
+	$(BIN)/demo --bin $(BIN) --out out/demo
+
 tidy:
 	tools/tidy.sh
 
--- /dev/null
+++ b/bench/demo/main.go
@@ -0,0 +1,74 @@
+// Command demo starts a whole deployment on loopback, runs members' requests
+// and one trainer's step through it, drains an upstream and swaps weights, and
+// prints as its last line one JSON object. Its exit status is 0 only where all
+// was right.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dotterelmount.example/bench/proc"
+)
+
+const (
+	defaultLimit = 38 * time.Second
+	stopLimit    = 8 * time.Second // for all processes together
+	failedStatus = 1
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		stop()
+		os.Exit(failedStatus)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "runs a whole deployment on loopback and checks it",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: ".bin", Usage: "`directory` of the programs"},
+			&cli.StringFlag{Name: "out", Value: "out/demo", Usage: "`directory` for the programs' output"},
+			&cli.DurationFlag{Name: "limit", Value: defaultLimit, Usage: "`duration` after which the demo fails"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, c.Duration("limit"))
+			defer cancel()
+			return run(ctx, c.String("bin"), c.String("out"))
+		},
+	}
+}
+
+// run plays the demo and prints its result, also when a part of it failed.
+func run(ctx context.Context, bin, out string) error {
+	begin := time.Now()
+	runner, err := proc.NewRunner(bin, out)
+	if err != nil {
+		return err
+	}
+	defer runner.KillAll()
+	result := &Result{}
+	err = play(ctx, runner, result)
+	if err != nil {
+		result.fail(err)
+	}
+	result.Seconds = time.Since(begin).Seconds()
+	line, err := json.Marshal(result)
+	if err != nil {
+		return fmt.Errorf("encode the result: %w", err)
+	}
+	fmt.Println(string(line))
+	return result.check()
+}
--- /dev/null
+++ b/bench/demo/operate.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"dotterelmount.example/api"
+)
+
+// waitLimit bounds each wait of the command-line tool.
+const waitLimit = 10 * time.Second
+
+// operator drives the deployment through the command-line tool.
+type operator struct {
+	fleet *fleet
+	calls int
+}
+
+// do runs one command and decodes its JSON output into answer unless it is nil.
+func (o *operator) do(ctx context.Context, answer any, command ...string) error {
+	o.calls++
+	args := []string{"--output", "json", "--operator", "demo", "--timeout", waitLimit.String()}
+	for _, d := range o.fleet.daemons {
+		args = append(args, "--daemon", d.Address)
+	}
+	name := fmt.Sprintf("cli-%02d-%s", o.calls, command[0])
+	out, err := o.fleet.runner.Run(ctx, name, "dotterelmount", append(args, command...)...)
+	if err != nil {
+		return fmt.Errorf("dotterelmount %s: %w", command[0], err)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(out, answer); err != nil {
+		return fmt.Errorf("output of dotterelmount %s: %w", command[0], err)
+	}
+	return nil
+}
+
+// change runs a command that changes the configuration and waits until the
+// change is in force on every daemon.
+func (o *operator) change(ctx context.Context, command ...string) error {
+	var changed struct {
+		Revision api.Revision `json:"revision"`
+	}
+	if err := o.do(ctx, &changed, command...); err != nil {
+		return err
+	}
+	return o.do(ctx, nil, "in-force", "--offset", fmt.Sprint(changed.Revision))
+}
+
+func (o *operator) publishLists(ctx context.Context) error {
+	plans, usage, err := o.fleet.writeLists()
+	if err != nil {
+		return err
+	}
+	if err := o.change(ctx, "plan-list", "publish", plans); err != nil {
+		return err
+	}
+	return o.change(ctx, "usage-list", "publish", usage)
+}
+
+// announce puts a weight version in force and waits until every upstream that
+// is not draining runs it.
+func (o *operator) announce(ctx context.Context, v api.WeightVersion) error {
+	return o.do(ctx, nil, "weights", "announce", "--wait", string(model), v.String())
+}
+
+func (o *operator) drain(ctx context.Context, id api.UpstreamID) error {
+	return o.do(ctx, nil, "drain", "--wait", string(id))
+}
+
+// trainerResult is the last line of the trainer program.
+type trainerResult struct {
+	SamplesDue        int `json:"samples_due"`
+	SamplesDelivered  int `json:"samples_delivered"`
+	SamplesDuplicated int `json:"samples_duplicated"`
+	StaleDelivered    int `json:"stale_delivered"`
+}
+
+// The trainer's step.
+const (
+	stepGroups    = 8
+	stepGroupSize = 4  // samples
+	stepTokens    = 24 // of each sample
+)
+
+func (f *fleet) trainStep(ctx context.Context) (trainerResult, error) {
+	args := []string{
+		"--name", string(trainer), "--customer", string(trainer), "--model", string(model),
+		"--steps", "1",
+		"--groups", fmt.Sprint(stepGroups),
+		"--group-size", fmt.Sprint(stepGroupSize),
+		"--max-tokens", fmt.Sprint(stepTokens),
+	}
+	for _, d := range f.daemons {
+		args = append(args, "--daemon", d.Address)
+	}
+	var result trainerResult
+	out, err := f.runner.Run(ctx, "trainer", "trainer", args...)
+	if err != nil {
+		return result, fmt.Errorf("trainer: %w", err)
+	}
+	if err := json.Unmarshal(lastLine(out), &result); err != nil {
+		return result, fmt.Errorf("last line of the trainer: %w", err)
+	}
+	return result, nil
+}
+
+func lastLine(out []byte) []byte {
+	lines := bytes.Split(bytes.TrimSpace(out), []byte("\n"))
+	return lines[len(lines)-1]
+}
--- /dev/null
+++ b/bench/demo/play.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/check"
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/standin/plain/service"
+)
+
+// The members' load.
+const (
+	memberThreads    = 8
+	chatsPerRound    = 30
+	onceCallsPerTurn = 6
+	memberDeadline   = 10 * time.Second
+)
+
+// The versions that the demo announces.
+const (
+	firstVersion  api.WeightVersion = 1
+	secondVersion api.WeightVersion = 2
+)
+
+type demo struct {
+	fleet   *fleet
+	result  *Result
+	pool    *check.Pool
+	caller  *check.Caller
+	rounds  int
+	deliver func(check.Reply) error // further check of a member's reply; may be nil
+}
+
+// play runs the demo's parts in order. Errors end it early.
+func play(ctx context.Context, r *proc.Runner, result *Result) error {
+	f, err := startFleet(ctx, r)
+	if err != nil {
+		return err
+	}
+	d := &demo{
+		fleet: f, result: result, pool: check.NewPool(memberThreads),
+		caller: &check.Caller{Customer: member, Client: &http.Client{}, Deadline: memberDeadline},
+	}
+	if err := d.use(ctx); err != nil {
+		return err
+	}
+	if err := d.inspect(ctx); err != nil {
+		return err
+	}
+	stopping, cancel := context.WithTimeout(ctx, stopLimit)
+	defer cancel()
+	if err := r.StopAll(stopping); err != nil {
+		return err
+	}
+	result.StoppedCleanly = true
+	return d.pool.Close(stopping)
+}
+
+// use drives the deployment as operators, members and a trainer do.
+func (d *demo) use(ctx context.Context) error {
+	op := &operator{fleet: d.fleet}
+	for _, part := range []func(context.Context) error{
+		op.publishLists,
+		func(ctx context.Context) error { return op.announce(ctx, firstVersion) },
+		d.round,
+		d.step,
+		func(ctx context.Context) error { return d.drain(ctx, op) },
+		d.round,
+		func(ctx context.Context) error { return d.swap(ctx, op) },
+		d.round,
+	} {
+		if err := part(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *demo) step(ctx context.Context) error {
+	t, err := d.fleet.trainStep(ctx)
+	if err != nil {
+		return err
+	}
+	d.result.SamplesDue = t.SamplesDue
+	d.result.SamplesDelivered = t.SamplesDelivered
+	d.result.SamplesDuplicated = t.SamplesDuplicated
+	d.result.StaleDelivered = t.StaleDelivered
+	if want := stepGroups * stepGroupSize; t.SamplesDue != want {
+		return api.Errorf(api.CodeInternal, "trainer says %d samples due, want %d", t.SamplesDue, want)
+	}
+	return nil
+}
+
+func (d *demo) drain(ctx context.Context, op *operator) error {
+	if err := op.drain(ctx, engineID(engineCount-1)); err != nil {
+		return err
+	}
+	d.result.Drained = true
+	return nil
+}
+
+// swap announces new weights; from then on members' answers come from them.
+func (d *demo) swap(ctx context.Context, op *operator) error {
+	if err := op.announce(ctx, secondVersion); err != nil {
+		return err
+	}
+	d.result.WeightsSwapped = true
+	d.deliver = func(r check.Reply) error {
+		if !slices.Equal(r.Versions, []api.WeightVersion{secondVersion}) {
+			return api.Errorf(api.CodeStaleVersion, "answer made by versions %v after the swap, want %s", r.Versions, secondVersion)
+		}
+		return nil
+	}
+	return nil
+}
+
+// round asks through every daemon, streamed and whole, and makes calls that
+// must not be repeated.
+func (d *demo) round(ctx context.Context) error {
+	d.rounds++
+	var jobs []func()
+	for i := range chatsPerRound {
+		jobs = append(jobs, func() { d.result.member(d.chat(ctx, i)) })
+	}
+	for i := range onceCallsPerTurn {
+		jobs = append(jobs, func() { d.result.once(d.callOnce(ctx, i)) })
+	}
+	return d.pool.Do(ctx, jobs)
+}
+
+func (d *demo) daemon(i int) string { return d.fleet.daemons[i%daemonCount].Address }
+
+func (d *demo) chat(ctx context.Context, i int) error {
+	reply, err := d.caller.Ask(ctx, d.daemon(i), check.Chat{
+		Model: model,
+		Messages: []work.Message{
+			{Role: "system", Content: "You coach bakers."},
+			{Role: "user", Content: fmt.Sprintf("round %d, check-in %d: len=%d", d.rounds, i, 5+i)},
+		},
+		MaxTokens: 64,
+		Stream:    i/daemonCount%2 == 0, // both kinds through every daemon
+	})
+	if err != nil || d.deliver == nil {
+		return err
+	}
+	return d.deliver(reply)
+}
+
+func (d *demo) callOnce(ctx context.Context, i int) error {
+	name := fmt.Sprintf("slip-%d-%d", d.rounds, i)
+	_, err := d.caller.CallOnce(ctx, d.daemon(i), check.Once{
+		Service: string(plainService), Path: "slips", Body: []byte(name), Key: name,
+	})
+	return err
+}
+
+// inspect reads the invariants' counts and the plain service's journal.
+func (d *demo) inspect(ctx context.Context) error {
+	for _, daemon := range d.fleet.daemons {
+		n, err := violations(ctx, daemon.Address)
+		if err != nil {
+			return fmt.Errorf("invariants of %s: %w", daemon.Name, err)
+		}
+		d.result.InvariantViolations += n
+	}
+	var journal []service.Execution
+	if err := getJSON(ctx, d.fleet.plain.Address, "/journal", &journal); err != nil {
+		return err
+	}
+	runs := make(map[string]int)
+	for _, e := range journal {
+		runs[e.BodySHA256]++
+	}
+	for _, n := range runs {
+		if n > 1 {
+			d.result.OnceRepeated++
+		}
+	}
+	if len(runs) != d.result.OnceAsked {
+		return api.Errorf(api.CodeInternal, "plain service ran %d different calls, want %d", len(runs), d.result.OnceAsked)
+	}
+	return nil
+}
+
+// violations sums a daemon's counts; a missing map is an error, not zero.
+func violations(ctx context.Context, address string) (int64, error) {
+	var vars struct {
+		Violations *map[string]int64 `json:"invariant_violations"`
+	}
+	if err := getJSON(ctx, address, "/debug/vars", &vars); err != nil {
+		return 0, err
+	}
+	if vars.Violations == nil {
+		return 0, api.Errorf(api.CodeInternal, "/debug/vars has no invariant_violations")
+	}
+	var sum int64
+	for _, n := range *vars.Violations {
+		sum += n
+	}
+	return sum, nil
+}
+
+func getJSON(ctx context.Context, address, path string, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return fmt.Errorf("request %s: %w", path, err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("get %s: %w", path, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return api.Errorf(api.CodeUpstreamFailed, "get %s: status %d", path, res.StatusCode)
+	}
+	if err := json.NewDecoder(res.Body).Decode(into); err != nil {
+		return fmt.Errorf("decode %s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/demo/result_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/settings/listfile"
+)
+
+func right() *Result {
+	return &Result{
+		MembersAsked: 1, MembersWhole: 1, OnceAsked: 1, OnceComplete: 1, SamplesDue: 1, SamplesDelivered: 1,
+		Drained: true, WeightsSwapped: true, StoppedCleanly: true,
+	}
+}
+
+func TestOnlyAllRightPasses(t *testing.T) {
+	assert.NilError(t, right().check())
+	for name, spoil := range map[string]func(*Result){
+		"members_whole":        func(r *Result) { r.MembersWhole = 0 },
+		"once_complete":        func(r *Result) { r.OnceComplete = 0 },
+		"once_repeated":        func(r *Result) { r.OnceRepeated = 1 },
+		"samples_delivered":    func(r *Result) { r.SamplesDelivered = 2 },
+		"samples_duplicated":   func(r *Result) { r.SamplesDuplicated = 1 },
+		"stale_delivered":      func(r *Result) { r.StaleDelivered = 1 },
+		"invariant_violations": func(r *Result) { r.InvariantViolations = 1 },
+		"drained":              func(r *Result) { r.Drained = false },
+		"weights_swapped":      func(r *Result) { r.WeightsSwapped = false },
+		"stopped_cleanly":      func(r *Result) { r.StoppedCleanly = false },
+		"errors":               func(r *Result) { r.Errors = []string{"x"} },
+	} {
+		r := right()
+		spoil(r)
+		var failed *FailedError
+		assert.Assert(t, errors.As(r.check(), &failed), name)
+		assert.DeepEqual(t, failed.Points, []string{name})
+	}
+	assert.Assert(t, (&Result{}).check() != nil)
+}
+
+func TestListsAreValid(t *testing.T) {
+	runner, err := proc.NewRunner(t.TempDir(), t.TempDir())
+	assert.NilError(t, err)
+	f := &fleet{runner: runner, plain: &proc.Process{Address: "127.0.0.1:9"}}
+	for range engineCount {
+		f.engines = append(f.engines, &proc.Process{Address: "127.0.0.1:8"})
+	}
+	plans, usage, err := f.writeLists()
+	assert.NilError(t, err)
+	gotPlans, err := listfile.LoadPlanList(plans)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *gotPlans, planList())
+	gotUsage, err := listfile.LoadUsageList(usage)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *gotUsage, f.usageList())
+}
+
+func TestViolationsAreNeverGuessed(t *testing.T) {
+	body := `{"invariant_violations":{"a":2,"b":3}}`
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(json.RawMessage(body))
+	}))
+	defer srv.Close()
+	n, err := violations(context.Background(), srv.Listener.Addr().String())
+	assert.NilError(t, err)
+	assert.Equal(t, n, int64(5))
+	body = `{}`
+	_, err = violations(context.Background(), srv.Listener.Addr().String())
+	assert.Equal(t, api.CodeOf(err), api.CodeInternal)
+}
