--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -100,7 +100,7 @@
 func (n *Node) startDispatch() error {
 	d := n.settings.Dispatch
 	var err error
-	n.dispatch, err = dispatch.Start(n.system, httpupstream.New(httpupstream.Config{}), dispatch.Config{
+	n.dispatch, err = dispatch.Start(n.system, httpupstream.New(httpupstream.Options{}), dispatch.Config{
 		DataCentre: api.DataCentre(n.settings.DataCentre), Carriers: d.Carriers, RingSize: dispatchRing,
 		QueueLimit: d.QueueLimit, Routing: d.Routing, ProgressDeadline: d.ProgressDeadline,
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
