--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -32,7 +32,7 @@
 		},
 		{
 			minimal + "dispatch:\n  routes: foo\n", "dispatch.routes", "routes",
-			"carriers, queue_limit, routing, progress_deadline, default_deadline, short_tokens, weights",
+			"carriers, queue_limit, routing, progress_deadline, default_deadline, short_tokens, short_reserve, weights",
 		},
 		{
 			minimal + "colour: red\n", "colour", "colour",
