Blame no request alone for a crash that others were part of

Cause: a daemon sees only its own requests. Two daemons with one request each in flight at a crashing upstream both reported a strike as alone, so two such crashes condemned an innocent request. Ruled out: asking the engine for its running count (its load report lags, and it is dead). The fold sees every daemon's strikes: those at one upstream within 5 s are one crash. TestStrikesOfOneCrashAreShared failed before (Alone 1, want 0).

--- a/lib/ledger/config.go
+++ b/lib/ledger/config.go
@@ -22,13 +22,16 @@
 	state State
 	seen  map[api.RecordID]seen
 	order []api.RecordID // ids in offset order, for expiry
+	// crashes holds the last crash of each upstream.
+	crashes map[api.UpstreamID]Crash
 }
 
 // NewConfig returns the fold before the first record.
 func NewConfig() *Config {
 	return &Config{
-		state: State{Plans: &api.PlanList{}, Usage: &api.UsageList{}},
-		seen:  make(map[api.RecordID]seen),
+		state:   State{Plans: &api.PlanList{}, Usage: &api.UsageList{}},
+		seen:    make(map[api.RecordID]seen),
+		crashes: make(map[api.UpstreamID]Crash),
 	}
 }
 
@@ -170,7 +173,31 @@
 	return nil
 }
 
+// CrashWindowMillis is the time within which strikes at one upstream are taken
+// for the same crash, in milliseconds of the log's time.
+const CrashWindowMillis = 5 * 1000
+
+// strike books a crash. Daemons report what they saw; only here it shows that
+// requests of different daemons were part of one crash, so none was alone.
 func (c *Config) strike(timeMillis int64, b api.Strike) {
+	c.state.Strikes = c.forgetOldStrikes(timeMillis)
+	crash := c.crashes[b.Upstream]
+	if crash.Fingerprints == nil || timeMillis-crash.TimeMillis >= CrashWindowMillis {
+		crash = Crash{TimeMillis: timeMillis}
+	}
+	if slices.Contains(crash.Fingerprints, b.Fingerprint) {
+		return
+	}
+	switch len(crash.Fingerprints) {
+	case 0:
+	case 1:
+		c.demote(crash.Fingerprints[0])
+		fallthrough
+	default:
+		b.Alone = false
+	}
+	crash.Fingerprints = append(slices.Clone(crash.Fingerprints), b.Fingerprint)
+	c.crashes[b.Upstream] = crash
 	s := c.state.Strikes[b.Fingerprint]
 	if b.Alone {
 		s.Alone++
@@ -181,7 +208,18 @@
 		s.Upstreams = append(slices.Clone(s.Upstreams), b.Upstream)
 	}
 	s.LastMillis = timeMillis
-	c.state.Strikes = with(c.forgetOldStrikes(timeMillis), b.Fingerprint, s)
+	c.state.Strikes[b.Fingerprint] = s
+}
+
+// demote turns the last strike of a fingerprint into a shared one.
+func (c *Config) demote(f api.Fingerprint) {
+	s, ok := c.state.Strikes[f]
+	if !ok || s.Alone == 0 {
+		return
+	}
+	s.Alone--
+	s.Shared++
+	c.state.Strikes[f] = s
 }
 
 // StrikeMemoryMillis is how long a fingerprint's last strike is remembered.
--- a/lib/ledger/image.go
+++ b/lib/ledger/image.go
@@ -18,6 +18,14 @@
 	Weights       map[api.ModelName]WeightState   `json:"weights"`
 	Strikes       map[api.Fingerprint]StrikeState `json:"strikes"`
 	Seen          []SeenRecord                    `json:"seen"`
+	Crashes       map[api.UpstreamID]Crash        `json:"crashes,omitempty"`
+}
+
+// Crash is the last crash of an upstream: when its first strike was recorded,
+// in Unix milliseconds, and which fingerprints were part of it.
+type Crash struct {
+	TimeMillis   int64             `json:"time_millis"`
+	Fingerprints []api.Fingerprint `json:"fingerprints"`
 }
 
 // SeenRecord is a remembered record id with its verdict.
@@ -37,6 +45,7 @@
 		Plans:   *s.Plans, PlansRevision: s.PlansRevision,
 		Usage: *s.Usage, UsageRevision: s.UsageRevision,
 		Marks: maps.Clone(s.Marks), Weights: maps.Clone(s.Weights), Strikes: maps.Clone(s.Strikes),
+		Crashes: maps.Clone(c.crashes),
 	}
 	for _, id := range c.order {
 		e := c.seen[id]
@@ -59,6 +68,9 @@
 		Usage: &img.Usage, UsageRevision: img.UsageRevision,
 		Marks: img.Marks, Weights: img.Weights, Strikes: img.Strikes,
 	}
+	if img.Crashes != nil {
+		c.crashes = img.Crashes
+	}
 	for _, r := range img.Seen {
 		v := Verdict{ID: r.ID, Offset: r.Offset}
 		if r.Code != "" {
--- a/lib/ledger/ledger_test.go
+++ b/lib/ledger/ledger_test.go
@@ -115,3 +115,21 @@
 	assert.Equal(t, api.CodeOf(claim(6, "x")), api.CodeDuplicateKey) // a late repeat wins nothing back
 	assert.NilError(t, claim(7, "y"))
 }
+
+// Two daemons that each saw only their own request in a crash report it as
+// alone; the fold must blame neither for it alone.
+func TestStrikesOfOneCrashAreShared(t *testing.T) {
+	c := ledger.NewConfig()
+	strike := func(offset api.Offset, millis int64, f api.Fingerprint, u api.UpstreamID) {
+		body := api.Strike{Fingerprint: f, Upstream: u, Alone: true}
+		c.Apply(offset, millis, api.Record{ID: api.RecordID(fmt.Sprint(offset)), Body: body})
+	}
+	strike(1, 1000, 7, "a")
+	strike(2, 1200, 8, "a")
+	strike(3, 1300, 7, "a") // a second report of the same crash
+	assert.Equal(t, c.Snapshot().Strikes[7].Alone, 0)
+	assert.Equal(t, c.Snapshot().Strikes[7].Shared, 1)
+	assert.Equal(t, c.Snapshot().Strikes[8].Alone, 0)
+	strike(4, 60_000, 7, "b")
+	assert.Equal(t, c.Snapshot().Strikes[7].Alone, 1)
+}
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/upstream"
 	"dotterelmount.example/lib/work"
@@ -17,8 +18,10 @@
 	probeTimeout = 500 * time.Millisecond
 	// maxOwnStrikes bounds the strikes kept for the time when the log is out.
 	maxOwnStrikes = 1024
-	// maxCrashes is the number of crashes after which a request is not tried again.
-	maxCrashes = 2
+	// maxAloneCrashes and maxCrashes are the numbers of crashes, alone and in
+	// all, after which a request is not tried again.
+	maxAloneCrashes = 2
+	maxCrashes      = 4
 )
 
 // crashCheck collects the flights whose connections to one upstream were lost
@@ -65,7 +68,13 @@
 	}
 	for _, f := range check.flights {
 		if h.flights[f.job.ID] == f {
-			h.afterLoss(f, crashed, now)
+			if crashed {
+				f.crashes++
+			}
+			if crashed && len(check.flights) == 1 {
+				f.aloneCrashes++
+			}
+			h.afterLoss(f, now)
 		}
 	}
 }
@@ -75,11 +84,8 @@
 	return ok && !call.Sent && call.Code != api.CodeCancelled && call.Code != api.CodeDeadlineExceeded
 }
 
-func (h *handler) afterLoss(f *flight, crashed bool, now time.Time) {
-	if crashed {
-		f.crashes++
-	}
-	if f.crashes >= maxCrashes || h.verdict(f.job.Fingerprint, now) == quarantine.Condemned {
+func (h *handler) afterLoss(f *flight, now time.Time) {
+	if f.crashes >= maxCrashes || f.aloneCrashes >= maxAloneCrashes || h.verdict(f.job.Fingerprint, now) == quarantine.Condemned {
 		err := api.Errorf(api.CodeQuarantined, "the request was part of %d crashes: %w", f.crashes, f.lastErr)
 		h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err, Text: f.text, Tokens: f.tokens, Versions: f.versions})
 		return
@@ -121,3 +127,13 @@
 	own.LastMillis = now.UnixMilli()
 	h.strikes[s.Fingerprint] = own
 }
+
+// dropReported forgets own strikes once the log has something newer to say of
+// their fingerprint: it knows also what other daemons saw of the crash.
+func (h *handler) dropReported(next *ledger.State) {
+	for f := range h.strikes {
+		if h.state != nil && next.Strikes[f].LastMillis != h.state.Strikes[f].LastMillis {
+			delete(h.strikes, f)
+		}
+	}
+}
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -49,11 +49,13 @@
 	fresh     bool // the next attempt takes a new connection
 	queued    bool
 	crashes   int
-	text      string // of ended attempts of this answer
-	tokens    int
-	versions  []api.WeightVersion
-	tried     []api.UpstreamID
-	lastErr   error
+	// aloneCrashes counts those with no other request of this daemon in flight.
+	aloneCrashes int
+	text         string // of ended attempts of this answer
+	tokens       int
+	versions     []api.WeightVersion
+	tried        []api.UpstreamID
+	lastErr      error
 }
 
 // attempt is one call in progress.
@@ -166,6 +168,7 @@
 	if h.state != nil && s.Through < h.state.Through {
 		return
 	}
+	h.dropReported(s)
 	h.state = s
 	h.eligible = make(map[eligibleKey][]*upstreamState)
 	for _, u := range h.upstreams {
