Release claims that are won too late; run released keys on lagging daemons

Cause of a flaky TestKeyIsFreeAgainAfterNotRun (1 of 2 runs): a daemon whose fold had the claim but not yet its release waited for the result and then answered not-run as a replay, in place of claiming the free key.

--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -131,7 +131,10 @@
 func (n *Node) strike(s api.Strike) {
 	n.log.Warn("upstream crashed under a request", zap.String("upstream", string(s.Upstream)),
 		zap.String("fingerprint", s.Fingerprint.String()), zap.Bool("alone", s.Alone))
-	err := n.book.ProposeAsync(api.StreamConfig, s, n.settings.Daemon, time.Now().Add(strikeTime), func(ledger.Verdict, error) {})
+	err := n.book.ProposeAsync(logbook.Proposal{
+		Stream: api.StreamConfig, Body: s, Actor: n.settings.Daemon,
+		Deadline: time.Now().Add(strikeTime), Done: func(ledger.Verdict, error) {},
+	})
 	if err != nil {
 		n.log.Warn("strike not recorded", zap.Error(err))
 	}
--- a/server/logbook/folder.go
+++ b/server/logbook/folder.go
@@ -24,15 +24,19 @@
 
 // proposal waits for its record to come back in the fold.
 type proposal struct {
-	done     func(ledger.Verdict, error)
-	deadline time.Time
+	Proposal
+	told bool // Done was called; only Late is still owed
 }
 
+// lateTime is how long after its deadline a record that may be in the log is
+// still looked out for.
+const lateTime = 2 * time.Minute
+
 // folder is the duty that owns both folds and the open proposals.
 type folder struct {
 	book      *Book
 	streams   map[string]*follower
-	proposals map[api.RecordID]proposal
+	proposals map[api.RecordID]*proposal
 	tailBytes int
 	plans     map[string]*checkpointPlan
 }
@@ -52,7 +56,7 @@
 			api.StreamConfig: {fold: ledger.NewConfig(), restore: restoreConfig},
 			api.StreamClaims: {fold: ledger.NewClaims(), restore: restoreClaims},
 		},
-		proposals: make(map[api.RecordID]proposal),
+		proposals: make(map[api.RecordID]*proposal),
 		plans: map[string]*checkpointPlan{
 			api.StreamConfig: {since: b.cfg.Now()},
 			api.StreamClaims: {since: b.cfg.Now()},
@@ -72,7 +76,7 @@
 	case offerMsg:
 		f.offer(m.entries)
 	case proposeMsg:
-		f.propose(m)
+		f.propose(m.proposal)
 	case appendedMsg:
 		f.appended(m)
 	case claimMsg:
@@ -85,9 +89,7 @@
 func (f *folder) Tick(context.Context) {
 	now := f.book.cfg.Now()
 	for id, p := range f.proposals {
-		if now.After(p.deadline) {
-			f.finish(id, ledger.Verdict{}, api.Errorf(api.CodeUnknownResult, "record %s was not seen in the log in time", id))
-		}
+		f.expire(id, p, now)
 	}
 	for name, s := range f.streams {
 		f.checkpoint(name, s, now)
@@ -160,16 +162,30 @@
 	f.book.tail.Store(&tail)
 }
 
-func (f *folder) propose(m proposeMsg) {
-	rec, err := f.book.record(m)
+// expire tells a proposer at its deadline that the result is unknown.
+func (f *folder) expire(id api.RecordID, p *proposal, now time.Time) {
+	if now.Before(p.Deadline) {
+		return
+	}
+	if !p.told {
+		p.told = true
+		p.Done(ledger.Verdict{ID: id}, api.Errorf(api.CodeUnknownResult, "record %s was not seen in the log in time", id))
+	}
+	if p.Late == nil || now.Sub(p.Deadline) > lateTime {
+		delete(f.proposals, id)
+	}
+}
+
+func (f *folder) propose(p Proposal) {
+	rec, err := f.book.record(p)
 	if err != nil {
-		m.done(ledger.Verdict{}, err)
+		p.Done(ledger.Verdict{}, err)
 		return
 	}
-	f.proposals[rec.ID] = proposal{done: m.done, deadline: m.deadline}
-	err = f.book.app.Append(m.stream, rec, m.deadline, func(err error) { f.post(rec.ID, err) })
+	f.proposals[rec.ID] = &proposal{Proposal: p}
+	err = f.book.app.Append(p.Stream, rec, p.Deadline, func(err error) { f.post(rec.ID, err) })
 	if err != nil {
-		f.finish(rec.ID, ledger.Verdict{}, api.Errorf(api.CodeLogUnavailable, "not appended: %w", err))
+		f.finish(rec.ID, ledger.Verdict{ID: rec.ID}, api.Errorf(api.CodeLogUnavailable, "not appended: %w", err))
 	}
 }
 
@@ -185,7 +201,7 @@
 // there goes on waiting for the fold until its deadline.
 func (f *folder) appended(m appendedMsg) {
 	if api.CodeOf(m.err) == api.CodeLogUnavailable {
-		f.finish(m.id, ledger.Verdict{}, m.err)
+		f.finish(m.id, ledger.Verdict{ID: m.id}, m.err)
 	}
 }
 
@@ -205,7 +221,12 @@
 		return
 	}
 	delete(f.proposals, id)
-	p.done(v, err)
+	switch {
+	case !p.told:
+		p.Done(v, err)
+	case err == nil && p.Late != nil:
+		p.Late(v)
+	}
 }
 
 // maxCheckpointDelay spreads the daemons' checkpoints, so that the first one's
@@ -243,10 +264,10 @@
 		return
 	}
 	checkpointsAsked.Add(1)
-	f.propose(proposeMsg{
-		stream: name, actor: string(f.book.cfg.Daemon),
-		body:     api.Checkpoint{Through: s.fold.Through(), State: state},
-		deadline: f.book.cfg.Now().Add(f.book.cfg.ProposeTimeout),
-		done:     func(ledger.Verdict, error) {},
+	f.propose(Proposal{
+		Stream: name, Actor: string(f.book.cfg.Daemon),
+		Body:     api.Checkpoint{Through: s.fold.Through(), State: state},
+		Deadline: f.book.cfg.Now().Add(f.book.cfg.ProposeTimeout),
+		Done:     func(ledger.Verdict, error) {},
 	})
 }
--- a/server/logbook/logbook.go
+++ b/server/logbook/logbook.go
@@ -54,6 +54,20 @@
 	watchers []func(*ledger.State)
 }
 
+// Proposal asks for a record in the log.
+type Proposal struct {
+	Stream   string
+	Body     api.Body
+	Actor    string
+	Deadline time.Time // no append starts after it; at most Config.ProposeTimeout away
+	// Done is called exactly once with the verdict, or with CodeLogUnavailable
+	// when the record surely is not in the log, or with CodeUnknownResult.
+	Done func(ledger.Verdict, error)
+	// Late, if set, is called with the verdict when the record shows up in the
+	// log after Done said that it was unknown.
+	Late func(ledger.Verdict)
+}
+
 // event is a message to the folding duty.
 type event interface{ isEvent() }
 
@@ -62,14 +76,8 @@
 		batches []eventlog.Batch
 		done    *ring.Slot[[]eventlog.Position] // where to read on
 	}
-	offerMsg   struct{ entries []eventlog.Entry }
-	proposeMsg struct {
-		stream   string
-		body     api.Body
-		actor    string
-		deadline time.Time
-		done     func(ledger.Verdict, error)
-	}
+	offerMsg    struct{ entries []eventlog.Entry }
+	proposeMsg  struct{ proposal Proposal }
 	appendedMsg struct {
 		id  api.RecordID
 		err error
@@ -154,7 +162,10 @@
 	if !ok {
 		deadline = b.cfg.Now().Add(b.cfg.ProposeTimeout)
 	}
-	err := b.ProposeAsync(stream, body, actor, deadline, func(v ledger.Verdict, err error) { slot.Put(reply{v, err}) })
+	err := b.ProposeAsync(Proposal{
+		Stream: stream, Body: body, Actor: actor, Deadline: deadline,
+		Done: func(v ledger.Verdict, err error) { slot.Put(reply{v, err}) },
+	})
 	if err != nil {
 		return ledger.Verdict{}, err
 	}
@@ -165,15 +176,14 @@
 	return r.verdict, r.err
 }
 
-// ProposeAsync is Propose for duties: done is called once, on another duty's
-// thread, and must only post. Errors: CodeLogUnavailable when the ring is full
-// or closed; done is not called then.
-func (b *Book) ProposeAsync(stream string, body api.Body, actor string, deadline time.Time, done func(ledger.Verdict, error)) error {
-	if last := b.cfg.Now().Add(b.cfg.ProposeTimeout); deadline.After(last) {
-		deadline = last
+// ProposeAsync is Propose for duties: the callbacks come on another duty's
+// thread and must only post. Errors: CodeLogUnavailable when the ring is full
+// or closed; neither callback comes then.
+func (b *Book) ProposeAsync(p Proposal) error {
+	if last := b.cfg.Now().Add(b.cfg.ProposeTimeout); p.Deadline.After(last) {
+		p.Deadline = last
 	}
-	err := b.folder.Post(proposeMsg{stream: stream, body: body, actor: actor, deadline: deadline, done: done})
-	if err != nil {
+	if err := b.folder.Post(proposeMsg{proposal: p}); err != nil {
 		return api.Errorf(api.CodeLogUnavailable, "not proposed: %w", err)
 	}
 	return nil
@@ -205,10 +215,10 @@
 }
 
 // record builds the log's form of a proposal.
-func (b *Book) record(m proposeMsg) (eventlog.Record, error) {
+func (b *Book) record(p Proposal) (eventlog.Record, error) {
 	r := api.Record{
-		ID: b.cfg.NewID(), Actor: m.actor, Via: b.cfg.Daemon,
-		AtMillis: api.Millis(b.cfg.Now()), Body: m.body,
+		ID: b.cfg.NewID(), Actor: p.Actor, Via: b.cfg.Daemon,
+		AtMillis: api.Millis(b.cfg.Now()), Body: p.Body,
 	}
 	payload, err := recordcodec.Encode(r)
 	if err != nil {
--- a/server/logbook/logbook_test.go
+++ b/server/logbook/logbook_test.go
@@ -2,48 +2,25 @@
 
 import (
 	"context"
-	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"dotterelmount.example/api"
-	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/eventlog/memlog"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/ring"
-	"dotterelmount.example/server/appender"
 	"dotterelmount.example/server/logbook"
+	"dotterelmount.example/server/logbook/logbooktest"
 	"gotest.tools/v3/assert"
 )
 
-type adapter struct{ a *appender.Appender }
-
-func (a adapter) Append(stream string, r eventlog.Record, deadline time.Time, done func(error)) error {
-	return a.a.Append(appender.Request{Stream: stream, Record: r, Deadline: deadline, Done: done})
-}
-
-var ids atomic.Int64
-
 // start runs a book over a log; changed gets each state that comes in force.
 func start(t *testing.T, log eventlog.Log, checkpointEvery time.Duration) (*logbook.Book, *ring.Ring[*ledger.State]) {
 	t.Helper()
-	sys := duty.NewSystem(nil)
-	app := appender.Start(sys, log, appender.Config{RingSize: 64, MaxBatch: 16, CallTimeout: time.Second})
 	changed := ring.New[*ledger.State](256)
-	book := logbook.Start(sys, log, adapter{app}, logbook.Config{
-		Daemon: "d", RingSize: 64, ReadWait: 20 * time.Millisecond, ReadLimit: 8, RetryEvery: time.Millisecond,
-		ProposeTimeout: 5 * time.Second, CheckpointEvery: checkpointEvery,
-		NewID: func() api.RecordID { return api.RecordID(fmt.Sprint("r", ids.Add(1))) },
-		Now:   time.Now, Jitter: func() float64 { return 0 },
-	}, func(s *ledger.State) { _ = changed.TryPush(s) })
-	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		defer cancel()
-		_ = app.Stop(ctx)
-		assert.NilError(t, book.Stop(ctx))
-	})
+	book := logbooktest.Start(t, log, "d", checkpointEvery, func(s *ledger.State) { _ = changed.TryPush(s) })
 	return book, changed
 }
 
@@ -98,7 +75,10 @@
 	two, changed := start(t, log, 0)
 	slot := ring.NewSlot[ledger.Verdict]()
 	deadline := time.Now().Add(5 * time.Second)
-	assert.NilError(t, one.ProposeAsync(api.StreamConfig, plans(0, "one"), "x", deadline, func(v ledger.Verdict, _ error) { slot.Put(v) }))
+	assert.NilError(t, one.ProposeAsync(logbook.Proposal{
+		Stream: api.StreamConfig, Body: plans(0, "one"), Actor: "x", Deadline: deadline,
+		Done: func(v ledger.Verdict, _ error) { slot.Put(v) },
+	}))
 	b, err := two.Propose(t.Context(), api.StreamConfig, plans(0, "two"), "y")
 	assert.NilError(t, err)
 	a, err := slot.Wait(t.Context())
--- a/server/once/once.go
+++ b/server/once/once.go
@@ -10,17 +10,20 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/ring"
 	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/logbook"
 )
 
 // Book is the daemon's view of the log.
 type Book interface {
 	Propose(ctx context.Context, stream string, body api.Body, actor string) (ledger.Verdict, error)
-	ProposeAsync(stream string, body api.Body, actor string, deadline time.Time, done func(ledger.Verdict, error)) error
+	ProposeAsync(p logbook.Proposal) error
 	Claim(ctx context.Context, k ledger.ClaimKey) (ledger.ClaimState, bool, error)
 }
 
@@ -57,57 +60,108 @@
 // from the log. replayed is true when the answer is that of an earlier call.
 // ctx must carry the request's deadline.
 func (g *Guard) Run(ctx context.Context, r Request, run func() work.Answer) (a work.Answer, replayed bool) {
-	if state, found, err := g.book.Claim(ctx, r.Key); err != nil {
-		return notRun(err), false
-	} else if found && !state.Released {
-		return g.replay(ctx, r, state), true
+	for {
+		state, found, err := g.book.Claim(ctx, r.Key)
+		if err != nil {
+			return notRun(err), false
+		}
+		if found && !state.Released {
+			if a, ended := g.replay(ctx, r, state); ended {
+				return a, true
+			}
+			continue // released meanwhile: the key may be won again
+		}
+		verdict, err := g.claim(ctx, r)
+		if err != nil {
+			// Nothing was dispatched, and this call will not, whatever became of the record.
+			return notRun(err), false
+		}
+		if verdict.Err == nil {
+			answer := run()
+			g.settle(ctx, r, verdict.ID, answer)
+			return answer, false
+		}
+	}
+}
+
+// claim proposes the claim and waits for the verdict. A claim that is won only
+// after the caller was told that nothing ran is released at once.
+func (g *Guard) claim(ctx context.Context, r Request) (ledger.Verdict, error) {
+	deadline, _ := ctx.Deadline()
+	var told atomic.Bool // by the verdict or by the deadline, whichever was first
+	slot := ring.NewSlot[claimed]()
+	late := func(v ledger.Verdict) {
+		if v.Err == nil {
+			g.release(r, v.ID)
+		}
 	}
-	verdict, err := g.book.Propose(ctx, api.StreamClaims, api.Claim{
-		Customer: r.Key.Customer, Key: r.Key.Key, Fingerprint: r.Fingerprint, Holder: g.daemon,
-	}, string(g.daemon))
+	err := g.book.ProposeAsync(logbook.Proposal{
+		Stream: api.StreamClaims, Actor: string(g.daemon), Deadline: deadline, Late: late,
+		Body: api.Claim{Customer: r.Key.Customer, Key: r.Key.Key, Fingerprint: r.Fingerprint, Holder: g.daemon},
+		Done: func(v ledger.Verdict, err error) {
+			if told.CompareAndSwap(false, true) {
+				slot.Put(claimed{v, err})
+			} else if err == nil {
+				late(v)
+			}
+		},
+	})
 	if err != nil {
-		// Nothing was dispatched, and this call will not, whatever became of the record.
-		return notRun(err), false
+		return ledger.Verdict{}, err
 	}
-	if verdict.Err != nil {
-		return g.lost(ctx, r, verdict.Err)
+	c, err := slot.Wait(ctx)
+	if err == nil {
+		return c.verdict, c.err
 	}
-	answer := run()
-	g.settle(ctx, r, verdict.ID, answer)
-	return answer, false
+	if told.CompareAndSwap(false, true) {
+		return ledger.Verdict{}, api.Errorf(api.CodeDeadlineExceeded, "key %q was not claimed in time: %w", r.Key.Key, err)
+	}
+	c, _ = slot.Wait(context.WithoutCancel(ctx)) // the verdict came first
+	return c.verdict, c.err
 }
 
-func notRun(err error) work.Answer { return work.Answer{Outcome: api.OutcomeNotRun, Err: err} }
+type claimed struct {
+	verdict ledger.Verdict
+	err     error
+}
 
-// lost answers a call whose claim came second.
-func (g *Guard) lost(ctx context.Context, r Request, refused error) (work.Answer, bool) {
-	state, found, err := g.book.Claim(ctx, r.Key)
-	if err != nil || !found {
-		return work.Answer{Outcome: api.OutcomeUnknown, Err: refused}, true
-	}
-	return g.replay(ctx, r, state), true
+// release frees a key whose request this daemon will not dispatch.
+func (g *Guard) release(r Request, claim api.RecordID) {
+	body := api.Settle{Customer: r.Key.Customer, Key: r.Key.Key, Claim: claim, Outcome: api.OutcomeNotRun}
+	g.record(body) // without it later calls hear unknown, which is safe
 }
 
-// replay waits for the claim's result and returns it, or says that it is unknown.
-func (g *Guard) replay(ctx context.Context, r Request, s ledger.ClaimState) work.Answer {
+// record proposes the result of a claim without waiting for it.
+func (g *Guard) record(body api.Settle) {
+	_ = g.book.ProposeAsync(logbook.Proposal{
+		Stream: api.StreamClaims, Body: body, Actor: string(g.daemon),
+		Deadline: g.now().Add(settleTime), Done: func(ledger.Verdict, error) {},
+	})
+}
+
+func notRun(err error) work.Answer { return work.Answer{Outcome: api.OutcomeNotRun, Err: err} }
+
+// replay waits for the claim's result and returns it, or says that it is
+// unknown. It reports false when the claim was released.
+func (g *Guard) replay(ctx context.Context, r Request, s ledger.ClaimState) (work.Answer, bool) {
 	if s.Fingerprint != r.Fingerprint {
-		return notRun(api.Errorf(api.CodeConflict, "key %q was used for another request", r.Key.Key))
+		return notRun(api.Errorf(api.CodeConflict, "key %q was used for another request", r.Key.Key)), true
 	}
 	ticker := time.NewTicker(pollEvery)
 	defer ticker.Stop()
 	for !s.Settled {
 		select {
 		case <-ctx.Done():
-			return unsettled(s)
+			return unsettled(s), true
 		case <-ticker.C:
 		}
 		next, found, err := g.book.Claim(ctx, r.Key)
 		if err != nil || !found {
-			return unsettled(s)
+			return unsettled(s), true
 		}
 		s = next
 	}
-	return fromClaim(s)
+	return fromClaim(s), !s.Released
 }
 
 func unsettled(s ledger.ClaimState) work.Answer {
@@ -139,6 +193,5 @@
 		_, _ = g.book.Propose(ctx, api.StreamClaims, body, string(g.daemon)) // unsettled: later calls hear unknown
 		return
 	}
-	// Without a result in the log, later calls hear unknown, which is true.
-	_ = g.book.ProposeAsync(api.StreamClaims, body, string(g.daemon), g.now().Add(settleTime), func(ledger.Verdict, error) {})
+	g.record(body) // without it later calls hear unknown, which is true
 }
