--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"container/list"
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/standin/engine/tokens"
+)
+
+// maxCacheEvents limits the cache events that are kept.
+const maxCacheEvents = 10000
+
+// prefixCache remembers the prefixes that were used last.
+type prefixCache struct {
+	limit    int           // entries
+	lag      time.Duration // until an event can be read
+	gapEvery uint64        // one event in so many is lost; zero: none
+	order    *list.List    // of uint64, the last used in front
+	entries  map[uint64]*list.Element
+	seq      uint64
+	events   []timedEvent
+}
+
+type timedEvent struct {
+	cacheEvent
+	visibleAt time.Time
+}
+
+func newPrefixCache(limit int, lag time.Duration, gapEvery uint64) *prefixCache {
+	return &prefixCache{limit: limit, lag: lag, gapEvery: gapEvery, order: list.New(), entries: make(map[uint64]*list.Element)}
+}
+
+// use looks the prompt's prefixes up, stores them and returns how many of the
+// prompt's tokens were not cached.
+func (c *prefixCache) use(now time.Time, messages []work.Message) int {
+	h := fnv.New64a()
+	missing := 0
+	for i, m := range messages {
+		if i > 0 {
+			_, _ = h.Write([]byte("\n"))
+		}
+		_, _ = h.Write([]byte(m.Content))
+		if !c.touch(now, h.Sum64()) {
+			missing += tokens.Count(m.Content)
+		}
+	}
+	return missing
+}
+
+// touch makes the prefix the last used one and reports whether it was cached.
+func (c *prefixCache) touch(now time.Time, prefix uint64) bool {
+	if e, ok := c.entries[prefix]; ok {
+		c.order.MoveToFront(e)
+		return true
+	}
+	if c.limit <= 0 {
+		return false
+	}
+	c.entries[prefix] = c.order.PushFront(prefix)
+	c.record(now, "stored", prefix)
+	if c.order.Len() > c.limit {
+		oldest := c.order.Remove(c.order.Back()).(uint64)
+		delete(c.entries, oldest)
+		c.record(now, "removed", oldest)
+	}
+	return false
+}
+
+func (c *prefixCache) record(now time.Time, kind string, prefix uint64) {
+	c.seq++
+	if c.gapEvery > 0 && c.seq%c.gapEvery == 0 {
+		return
+	}
+	event := cacheEvent{Seq: c.seq, Type: kind, Prefix: fmt.Sprintf("%016x", prefix)}
+	c.events = append(c.events, timedEvent{cacheEvent: event, visibleAt: now.Add(c.lag)})
+	c.events = c.events[max(0, len(c.events)-maxCacheEvents):]
+}
+
+// since returns the events from a sequence number on that can be read by now.
+func (c *prefixCache) since(now time.Time, from uint64) cacheEventsBody {
+	body := cacheEventsBody{Events: []cacheEvent{}, Next: max(1, from)}
+	for _, e := range c.events {
+		if e.Seq >= from && !now.Before(e.visibleAt) {
+			body.Events = append(body.Events, e.cacheEvent)
+			body.Next = e.Seq + 1
+		}
+	}
+	return body
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/upstream/httpupstream"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/standin/engine/tokens"
+	"gotest.tools/v3/assert"
+)
+
+func testConfig() config {
+	return config{
+		slots: 2, tokenTime: 200 * time.Microsecond, cacheEntries: 4, journalLimit: 100,
+		models: map[api.ModelName]api.WeightVersion{"m": 1},
+	}
+}
+
+type fixture struct {
+	t      *testing.T
+	url    string
+	client *httpupstream.Client
+	to     upstream.Target
+	exits  chan int
+}
+
+func start(t *testing.T, cfg config) *fixture {
+	f := &fixture{t: t, client: httpupstream.New(httpupstream.Options{}), exits: make(chan int, 1)}
+	h := newHandler(cfg, func(status int) { f.exits <- status })
+	server := httptest.NewServer(h.routes())
+	t.Cleanup(func() {
+		h.gate.set(false)
+		server.Close()
+		assert.Check(t, h.loop.stop(t.Context()) == nil || t.Context().Err() != nil)
+	})
+	f.url = server.URL
+	f.to = upstream.Target{ID: "e", Address: strings.TrimPrefix(server.URL, "http://")}
+	return f
+}
+
+func (f *fixture) control(body string) {
+	f.t.Helper()
+	r, err := http.Post(f.url+"/control", "application/json", strings.NewReader(body))
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, r.Body.Close())
+	assert.Equal(f.t, r.StatusCode, http.StatusNoContent)
+}
+
+func (f *fixture) journal() journalBody {
+	f.t.Helper()
+	r, err := http.Get(f.url + "/journal")
+	assert.NilError(f.t, err)
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	assert.NilError(f.t, err)
+	var j journalBody
+	assert.NilError(f.t, json.NewDecoder(bytes.NewReader(body)).Decode(&j))
+	return j
+}
+
+// generate runs one request; each, if set, sees each chunk.
+func (f *fixture) generate(g *work.Generate, each func(work.Chunk) error) (string, upstream.Finish, error) {
+	text := ""
+	finish, err := f.client.Generate(f.t.Context(), f.to, "r", "m", g, func(c work.Chunk) error {
+		text += c.Text
+		if each != nil {
+			return each(c)
+		}
+		return nil
+	})
+	return text, finish, err
+}
+
+func ask1(content string, maxTokens int) *work.Generate {
+	return &work.Generate{Messages: []work.Message{{Role: "user", Content: content}}, MaxTokens: maxTokens}
+}
+
+func TestAnswersAreWholeAndResumable(t *testing.T) {
+	f := start(t, testConfig())
+	for _, c := range []struct {
+		name, prompt, reason string
+		max, resumed, want   int
+	}{
+		{"length", "hello", "length", 5, 0, 5},
+		{"stop", "hello len=3", "stop", 5, 0, 3},
+		{"resumed", "hello len=6", "stop", 9, 2, 4},
+		{"resumed whole", "hello len=2", "stop", 9, 2, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := ask1(c.prompt, c.max)
+			g.Resume = tokens.Answer(g.Messages, c.resumed)
+			text, finish, err := f.generate(g, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, g.Resume+text, tokens.Answer(g.Messages, c.resumed+c.want))
+			assert.Equal(t, finish, upstream.Finish{Reason: c.reason, Tokens: c.want})
+		})
+	}
+}
+
+func TestStreamGoesOnWithNewWeights(t *testing.T) {
+	f := start(t, testConfig())
+	loaded := false
+	var last api.WeightVersion
+	_, _, err := f.generate(ask1("x", 2000), func(c work.Chunk) error {
+		last = c.Version
+		if loaded {
+			return nil
+		}
+		loaded = true
+		return f.client.Load(t.Context(), f.to, upstream.LoadOrder{Model: "m", Version: 2})
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, last, api.WeightVersion(2))
+	j := f.journal()
+	assert.Equal(t, len(j.Requests[0].Versions), 2)
+	assert.Equal(t, j.Requests[0].Ended, endedComplete)
+	assert.Equal(t, j.Orders[0].Result, resultLoaded)
+}
+
+func TestOrders(t *testing.T) {
+	cfg := testConfig()
+	cfg.fenced = true
+	f := start(t, cfg)
+	load := func(version api.WeightVersion, fence api.Offset) api.Code {
+		err := f.client.Load(t.Context(), f.to, upstream.LoadOrder{Model: "m", Version: version, Fence: fence})
+		var call *upstream.CallError
+		if errors.As(err, &call) {
+			return call.Code
+		}
+		assert.NilError(t, err)
+		return ""
+	}
+	expect := func(version api.WeightVersion) {
+		t.Helper()
+		loaded, err := f.client.Loaded(t.Context(), f.to)
+		assert.NilError(t, err)
+		assert.Equal(t, loaded["m"], version)
+	}
+	assert.Equal(t, load(3, 10), api.Code(""))
+	assert.Equal(t, load(2, 9), api.CodeSuperseded)
+	expect(3)
+	f.control(`{"fail_loads":1}`)
+	assert.Equal(t, load(4, 11), api.CodeUpstreamFailed)
+	expect(3)
+	assert.Equal(t, load(4, 11), api.Code(""))
+	expect(4)
+}
+
+func TestFaults(t *testing.T) {
+	t.Run("cut", func(t *testing.T) {
+		f := start(t, testConfig())
+		f.control(`{"mode":"cut"}`)
+		text, _, err := f.generate(ask1("x", 8), nil)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, text, tokens.Answer(ask1("x", 8).Messages, 4))
+		assert.Equal(t, f.journal().Requests[0].Ended, endedCut)
+	})
+	t.Run("refuse", func(t *testing.T) {
+		f := start(t, testConfig())
+		f.control(`{"mode":"refuse"}`)
+		_, _, err := f.generate(ask1("x", 8), nil)
+		var call *upstream.CallError
+		assert.Assert(t, errors.As(err, &call))
+		assert.Equal(t, call.Status, http.StatusServiceUnavailable)
+	})
+	t.Run("hang and go on", func(t *testing.T) {
+		f := start(t, testConfig())
+		seen := 0
+		text, _, err := f.generate(ask1("x", 600), func(work.Chunk) error {
+			seen++
+			if seen == 1 {
+				f.control(`{"mode":"hang"}`)
+				assert.Check(t, f.journal().Requests[0].Ended == endedNot)
+				f.control(`{"mode":"normal"}`)
+			}
+			return nil
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, text, tokens.Answer(ask1("x", 600).Messages, 600))
+	})
+	t.Run("crash on", func(t *testing.T) {
+		f := start(t, testConfig())
+		f.control(`{"crash_on":"poison"}`)
+		_, _, err := f.generate(ask1("some poison", 1), nil)
+		assert.NilError(t, err) // the test's exit does not end the process
+		assert.Equal(t, <-f.exits, crashStatus)
+	})
+	t.Run("caller goes away", func(t *testing.T) {
+		f := start(t, testConfig())
+		gone := api.Errorf(api.CodeCancelled, "gone")
+		_, _, err := f.generate(ask1("x", 100_000), func(work.Chunk) error { return gone })
+		assert.Assert(t, errors.Is(err, gone))
+		deadline := time.Now().Add(10 * time.Second)
+		for f.journal().Requests[0].Ended != endedCancelled {
+			assert.Assert(t, time.Now().Before(deadline))
+		}
+	})
+}
+
+func TestAdmissionIsFirstInFirstOutWithinSlots(t *testing.T) {
+	now := time.Unix(100, 0)
+	b := newBatch(testConfig(), func(int) {}, now)
+	var all []*sequence
+	for range 4 {
+		s := newSequence("r", &completionRequest{Model: "m", Messages: ask1("x", 2).Messages, MaxTokens: 2})
+		assert.NilError(t, b.submit(now, s))
+		all = append(all, s)
+	}
+	assert.Equal(t, len(b.active), 2)
+	for len(b.active) > 0 {
+		now = b.stepAt
+		b.advance(now)
+		assert.Assert(t, all[1].entry.Tokens >= all[2].entry.Tokens)
+		assert.Assert(t, len(b.active) <= 2)
+	}
+	for _, s := range all {
+		assert.Equal(t, s.entry.Tokens, 2)
+	}
+	assert.Equal(t, b.reports.visible(now).Running, 0)
+}
+
+func TestCacheShortensPrefillAndReportsLate(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := newPrefixCache(2, time.Second, 3)
+	messages := []work.Message{{Content: "one two"}, {Content: "three"}}
+	assert.Equal(t, c.use(now, messages), 3)
+	assert.Equal(t, c.use(now, messages), 0)
+	assert.Equal(t, c.use(now, messages[1:]), 1)
+	assert.Equal(t, len(c.since(now, 1).Events), 0)
+	events := c.since(now.Add(time.Second), 1)
+	assert.Equal(t, len(events.Events), 3, "the third of four events is lost")
+	assert.Equal(t, events.Next, uint64(5))
+}
+
+func TestLoadReportLags(t *testing.T) {
+	r := &reports{lag: time.Second}
+	now := time.Unix(100, 0)
+	r.add(now, loadReport{Running: 1})
+	r.add(now.Add(500*time.Millisecond), loadReport{Running: 2})
+	assert.Equal(t, r.visible(now.Add(1400*time.Millisecond)).Running, 1)
+	assert.Equal(t, r.visible(now.Add(1500*time.Millisecond)).Running, 2)
+}
--- /dev/null
+++ b/standin/engine/handler.go
@@ -0,0 +1,186 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/standin/engine/tokens"
+	"dotterelmount.example/standin/serve"
+)
+
+const headerRequestID = "X-Request-Id"
+
+// handler is the HTTP edge: it decodes, posts to the decode loop and waits.
+type handler struct {
+	loop   *loop
+	gate   *gate
+	loader *loader
+}
+
+func newHandler(cfg config, exit func(int)) *handler {
+	l := startLoop(newBatch(cfg, exit, time.Now()))
+	return &handler{loop: l, gate: newGate(), loader: newLoader(cfg, l)}
+}
+
+func (h *handler) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/chat/completions", h.gated(h.complete))
+	mux.Handle("GET /load", h.gated(h.query(func(now time.Time, b *batch) any { return b.reports.visible(now) })))
+	mux.Handle("GET /v1/weights", h.gated(h.query(func(_ time.Time, b *batch) any {
+		return weightsBody{Models: modelList(b.weights.versions)}
+	})))
+	mux.Handle("GET /v1/cache_events", h.gated(h.cacheEvents))
+	mux.Handle("POST /v1/load_weights", h.gated(h.loadWeights))
+	mux.HandleFunc("POST /control", h.control)
+	mux.HandleFunc("GET /journal", h.query(func(_ time.Time, b *batch) any {
+		return journalBody{Requests: b.journal, Orders: b.weights.orders, Dropped: b.dropped}
+	}))
+	return mux
+}
+
+// gated holds requests back while the engine hangs.
+func (h *handler) gated(next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.gate.wait(r.Context()) == nil {
+			next(w, r)
+		}
+	})
+}
+
+func (h *handler) query(read func(time.Time, *batch) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		reply := ring.NewSlot[json.RawMessage]()
+		body, err := ask(r.Context(), h.loop, query{read: read, reply: reply}, reply)
+		if err != nil {
+			serve.Fail(w, http.StatusServiceUnavailable, "busy", err.Error())
+			return
+		}
+		serve.JSON(w, http.StatusOK, body)
+	}
+}
+
+func (h *handler) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	from := uint64(1)
+	if s := r.URL.Query().Get("from"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			serve.Fail(w, http.StatusBadRequest, "invalid", err.Error())
+			return
+		}
+		from = n
+	}
+	h.query(func(now time.Time, b *batch) any { return b.cache.since(now, from) })(w, r)
+}
+
+func (h *handler) control(w http.ResponseWriter, r *http.Request) {
+	var c controlBody
+	if !serve.Decode(w, r, &c) {
+		return
+	}
+	if c.Mode != nil && !c.Mode.valid() {
+		serve.Fail(w, http.StatusBadRequest, "invalid", fmt.Sprintf("mode %q; allowed: normal, slow, hang, crash, refuse, cut", *c.Mode))
+		return
+	}
+	if c.Factor != nil && *c.Factor <= 0 {
+		serve.Fail(w, http.StatusBadRequest, "invalid", fmt.Sprintf("factor %v; allowed: above 0", *c.Factor))
+		return
+	}
+	reply := ring.NewSlot[struct{}]()
+	if _, err := ask(r.Context(), h.loop, control{body: c, reply: reply}, reply); err != nil {
+		serve.Fail(w, http.StatusServiceUnavailable, "busy", err.Error())
+		return
+	}
+	if c.Mode != nil {
+		h.gate.set(*c.Mode == modeHang)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// complete serves one generation.
+func (h *handler) complete(w http.ResponseWriter, r *http.Request) {
+	var q completionRequest
+	if !serve.Decode(w, r, &q) {
+		return
+	}
+	if !q.Stream || len(q.Messages) == 0 {
+		serve.Fail(w, http.StatusBadRequest, "invalid", "stream must be true and messages must not be empty")
+		return
+	}
+	id := r.Header.Get(headerRequestID)
+	s := newSequence(id, &q)
+	reply := ring.NewSlot[error]()
+	refused, err := ask(r.Context(), h.loop, submit{sequence: s, reply: reply}, reply)
+	if err != nil {
+		h.loop.abandon(r.Context(), s)
+		serve.Fail(w, http.StatusServiceUnavailable, "busy", err.Error())
+		return
+	}
+	if refused != nil {
+		serve.Fail(w, refusalStatus(refused), string(api.CodeOf(refused)), refused.Error())
+		return
+	}
+	h.stream(w, r, s)
+}
+
+// stream writes the sequence's tokens until its end or the caller's.
+func (h *handler) stream(w http.ResponseWriter, r *http.Request, s *sequence) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	count := 0
+	for {
+		o, err := s.out.Pop(r.Context())
+		if err == nil {
+			err = h.gate.wait(r.Context())
+		}
+		if err != nil {
+			h.loop.abandon(r.Context(), s)
+			return
+		}
+		if o.cut {
+			panic(http.ErrAbortHandler) // closes the connection
+		}
+		if o.text != "" {
+			count++
+		}
+		if err := writeChunk(w, s, o, count); err != nil {
+			h.loop.abandon(r.Context(), s)
+			return
+		}
+		if o.reason != "" {
+			return
+		}
+	}
+}
+
+func writeChunk(w http.ResponseWriter, s *sequence, o output, count int) error {
+	c := chunkBody{
+		ID: s.entry.RequestID, Object: "chat.completion.chunk", Model: s.model, WeightVersion: o.version,
+		Choices: []choiceBody{{Delta: deltaBody{Content: o.text}}},
+	}
+	end := ""
+	if o.reason != "" {
+		c.Choices[0].FinishReason = &o.reason
+		c.Usage = &usageBody{PromptTokens: promptTokens(s), CompletionTokens: count}
+		end = "data: [DONE]\n\n"
+	}
+	body, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n%s", body, end); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+func promptTokens(s *sequence) int {
+	n := tokens.Count(s.resume)
+	for _, m := range s.messages {
+		n += tokens.Count(m.Content)
+	}
+	return n
+}
--- /dev/null
+++ b/standin/engine/main.go
@@ -0,0 +1,90 @@
+// Program engine is a stand-in for a model engine: it batches continuously,
+// caches prompt prefixes, streams tokens with the weight version that made
+// each, loads weights on orders, and can be told over HTTP to misbehave.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/standin/serve"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	if err := program().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func program() *cli.Command {
+	return &cli.Command{
+		Name:   "engine",
+		Usage:  "stand-in for a model engine",
+		Flags:  flags(),
+		Action: run,
+	}
+}
+
+func flags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ip:port`; port 0 takes a free one"},
+		&cli.StringSliceFlag{Name: "model", Value: []string{"m:1"}, Usage: "`name:version` loaded at the start; may be repeated"},
+		&cli.IntFlag{Name: "slots", Value: 8, Usage: "sequences decoded at once"},
+		&cli.DurationFlag{Name: "token-time", Value: 2 * time.Millisecond, Usage: "time of one token of a sequence that runs alone"},
+		&cli.FloatFlag{Name: "batch-growth", Value: 0.1, Usage: "share of the token time that each further sequence adds to a step"},
+		&cli.DurationFlag{Name: "prefill-time", Value: 50 * time.Microsecond, Usage: "time of one prompt token that is not cached"},
+		&cli.IntFlag{Name: "cache-entries", Value: 256, Usage: "prefixes kept"},
+		&cli.DurationFlag{Name: "cache-lag", Value: time.Second, Usage: "delay of cache events"},
+		&cli.Uint64Flag{Name: "cache-gap", Value: 10, Usage: "one cache event in `n` is lost; 0 for none"},
+		&cli.DurationFlag{Name: "load-lag", Value: time.Second, Usage: "age of the load report"},
+		&cli.DurationFlag{Name: "load-time", Value: 100 * time.Millisecond, Usage: "time of loading a weight version"},
+		&cli.BoolFlag{Name: "fenced", Usage: "refuse orders with an old fencing number"},
+		&cli.StringFlag{Name: "weight-store", Usage: "`URL` from which weights are read; empty for none"},
+		&cli.IntFlag{Name: "journal-limit", Value: 200_000, Usage: "requests kept in the journal"},
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	models, err := parseModels(c.StringSlice("model"))
+	if err != nil {
+		return err
+	}
+	cfg := config{
+		slots:        max(1, c.Int("slots")),
+		tokenTime:    c.Duration("token-time"),
+		growth:       c.Float("batch-growth"),
+		prefillTime:  c.Duration("prefill-time"),
+		cacheEntries: c.Int("cache-entries"),
+		cacheLag:     c.Duration("cache-lag"),
+		cacheGap:     c.Uint64("cache-gap"),
+		loadLag:      c.Duration("load-lag"),
+		loadTime:     c.Duration("load-time"),
+		fenced:       c.Bool("fenced"),
+		weightStore:  c.String("weight-store"),
+		journalLimit: max(1, c.Int("journal-limit")),
+		models:       models,
+	}
+	h := newHandler(cfg, os.Exit)
+	return serve.Run(ctx, c.String("listen"), h.routes(), os.Stdout)
+}
+
+// parseModels reads "name:version" pairs. Errors: CodeInvalid.
+func parseModels(pairs []string) (map[api.ModelName]api.WeightVersion, error) {
+	models := make(map[api.ModelName]api.WeightVersion, len(pairs))
+	for _, pair := range pairs {
+		name, version, _ := strings.Cut(pair, ":")
+		n, err := strconv.ParseUint(version, 10, 64)
+		if err != nil || name == "" || n == 0 {
+			return nil, api.Errorf(api.CodeInvalid, "model %q; allowed: name:version with a version of at least 1", pair)
+		}
+		models[api.ModelName(name)] = api.WeightVersion(n)
+	}
+	return models, nil
+}
