--- /dev/null
+++ b/standin/hostlist/handler.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"dotterelmount.example/standin/serve"
+)
+
+// hostState says whether a host stays.
+type hostState string
+
+const (
+	stateLive    hostState = "live"
+	stateLeaving hostState = "leaving"
+)
+
+// host is one entry of the list.
+type host struct {
+	ID      string    `json:"id"`
+	Address string    `json:"address"` // host:port
+	State   hostState `json:"state"`
+}
+
+func (h *host) problem() string {
+	if h.ID == "" {
+		return "id is empty"
+	}
+	if _, _, err := net.SplitHostPort(h.Address); err != nil {
+		return fmt.Sprintf("address %q: %v", h.Address, err)
+	}
+	if h.State != stateLive && h.State != stateLeaving {
+		return fmt.Sprintf("state %q; allowed: live, leaving", h.State)
+	}
+	return ""
+}
+
+// hostsBody is the answer of GET /v1/hosts.
+type hostsBody struct {
+	Hosts []host `json:"hosts"` // sorted by id
+}
+
+// change is a change that does not show yet.
+type change struct {
+	host
+	visibleAt time.Time
+}
+
+type handler struct {
+	lag   time.Duration
+	clock func() time.Time
+
+	mu      sync.Mutex
+	visible map[string]host
+	pending []change // oldest first
+}
+
+func newHandler(lag time.Duration, clock func() time.Time) http.Handler {
+	h := &handler{lag: lag, clock: clock, visible: make(map[string]host)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/hosts", h.post)
+	mux.HandleFunc("GET /v1/hosts", h.get)
+	return mux
+}
+
+func (h *handler) post(w http.ResponseWriter, r *http.Request) {
+	var b host
+	if !serve.Decode(w, r, &b) {
+		return
+	}
+	if problem := b.problem(); problem != "" {
+		serve.Fail(w, http.StatusBadRequest, "invalid", problem)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock()
+	h.settle(now)
+	h.pending = append(h.pending, change{host: b, visibleAt: now.Add(h.lag)})
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *handler) get(w http.ResponseWriter, _ *http.Request) {
+	serve.JSON(w, http.StatusOK, h.list())
+}
+
+func (h *handler) list() hostsBody {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.settle(h.clock())
+	hosts := make([]host, 0, len(h.visible))
+	for _, b := range h.visible {
+		hosts = append(hosts, b)
+	}
+	slices.SortFunc(hosts, func(a, b host) int { return cmp.Compare(a.ID, b.ID) })
+	return hostsBody{Hosts: hosts}
+}
+
+// settle makes the changes visible that are as old as the lag.
+func (h *handler) settle(now time.Time) {
+	for len(h.pending) > 0 && !now.Before(h.pending[0].visibleAt) {
+		b := h.pending[0].host
+		h.visible[b.ID] = b
+		h.pending = h.pending[1:]
+	}
+}
--- /dev/null
+++ b/standin/hostlist/main.go
@@ -0,0 +1,35 @@
+// Program hostlist is a stand-in for the platform's list of live and leaving
+// hosts, which lags behind reality.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"dotterelmount.example/standin/serve"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	if err := program().Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func program() *cli.Command {
+	return &cli.Command{
+		Name:  "hostlist",
+		Usage: "stand-in for the platform's lagging list of hosts",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ip:port`; port 0 takes a free one"},
+			&cli.DurationFlag{Name: "lag", Value: time.Second, Usage: "time until a change shows"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			h := newHandler(c.Duration("lag"), time.Now)
+			return serve.Run(ctx, c.String("listen"), h, os.Stdout)
+		},
+	}
+}
