--- a/server/appender/appender_test.go
+++ b/server/appender/appender_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -120,3 +121,64 @@
 	}
 	assert.Assert(t, log.Appends() < requests/2, "%d appends", log.Appends())
 }
+
+func TestEveryAcceptedRequestGetsOneHonestVerdict(t *testing.T) {
+	const producers, each = 8, 200
+	log := memlog.New(memlog.Options{})
+	a := appender.Start(duty.NewSystem(nil), log, appender.Config{RingSize: 64, MaxBatch: 16, CallTimeout: time.Second})
+	var mu sync.Mutex
+	verdicts := make(map[api.RecordID][]api.Code)
+	accepted := 0
+	var group sync.WaitGroup
+	for p := range producers {
+		group.Go(func() {
+			for i := range each {
+				id := api.RecordID(fmt.Sprintf("%d-%d", p, i))
+				r, done := request(string(id), 20*time.Millisecond)
+				r.Stream = fmt.Sprintf("s%d", p%3)
+				r.Done = func(err error) {
+					mu.Lock()
+					defer mu.Unlock()
+					verdicts[id] = append(verdicts[id], api.CodeOf(err))
+					done.Put(err)
+				}
+				log.Outage(i%7 == 0)
+				log.LoseAnswers(i % 2)
+				if a.Append(r) != nil {
+					continue
+				}
+				mu.Lock()
+				accepted++
+				mu.Unlock()
+				if i%8 == 0 { // lets the ring empty now and then
+					_, err := done.Wait(t.Context())
+					assert.Check(t, err == nil)
+				}
+			}
+		})
+	}
+	group.Wait()
+	log.Outage(false)
+	assert.NilError(t, a.Stop(t.Context()))
+	stored := make(map[api.RecordID]bool)
+	for _, name := range log.Streams() {
+		batches, err := log.Read(t.Context(), []eventlog.Position{{Stream: name, From: 1}}, 1<<20, 0)
+		assert.NilError(t, err)
+		for _, e := range batches[0].Entries {
+			stored[e.ID] = true
+		}
+	}
+	assert.Equal(t, len(verdicts), accepted)
+	for id, codes := range verdicts {
+		assert.Equal(t, len(codes), 1, "%s", id)
+		switch codes[0] {
+		case "":
+			assert.Assert(t, stored[id], "%s is not in the log", id)
+		case api.CodeLogUnavailable:
+			assert.Assert(t, !stored[id], "%s is in the log", id)
+		default:
+			assert.Equal(t, codes[0], api.CodeUnknownResult)
+		}
+	}
+	t.Logf("%d accepted, %d appends", accepted, log.Appends())
+}
