--- /dev/null
+++ b/lib/quota/bucket.go
@@ -0,0 +1,53 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Bucket is a token bucket for one daemon's share of a rate. It belongs to one
+// duty: it is not safe for concurrent use.
+type Bucket struct {
+	rate   float64 // tokens a second
+	burst  float64 // most tokens kept
+	tokens float64
+	last   time.Time
+}
+
+// NewBucket returns a full bucket that gains rate tokens a second and keeps at
+// most burst of them; a burst below 1 counts as 1.
+func NewBucket(rate, burst float64) *Bucket {
+	b := &Bucket{rate: max(0, rate), burst: max(1, burst)}
+	b.tokens = b.burst
+	return b
+}
+
+// Allow takes one token and reports whether there was one.
+func (b *Bucket) Allow(now time.Time) bool {
+	b.refill(now)
+	// The rounding error of many small refills must not cost a token.
+	const epsilon = 1e-9
+	if b.tokens < 1-epsilon {
+		return false
+	}
+	b.tokens = max(0, b.tokens-1)
+	return true
+}
+
+// SetRate changes the rate from now on; tokens gained so far stay.
+func (b *Bucket) SetRate(rate float64, now time.Time) {
+	b.refill(now)
+	b.rate = max(0, rate)
+}
+
+func (b *Bucket) refill(now time.Time) {
+	if b.last.IsZero() {
+		b.last = now
+	}
+	elapsed := now.Sub(b.last).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	b.tokens = math.Min(b.burst, b.tokens+b.rate*elapsed)
+	b.last = now
+}
--- /dev/null
+++ b/lib/quota/keeper.go
@@ -0,0 +1,213 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+)
+
+const (
+	// keeperMargin is the part of a lease for which a keeper counts a grant
+	// beyond its life, for clocks that run at different rates.
+	keeperMargin = 0.05
+	// pauseShare is the part of a lease without a sign of life after which a
+	// keeper takes itself for replaced.
+	pauseShare = 0.5
+	// turnShare is the part of a lease for which a daemon keeps its slot when
+	// there are more daemons than slots.
+	turnShare = 0.5
+)
+
+// Keeper hands out the slots of one upstream's window. It belongs to one duty:
+// it is not safe for concurrent use.
+type Keeper struct {
+	window  int
+	lease   time.Duration
+	knowing time.Time // from then on all holdings are known
+	beat    time.Time // last sign of life
+	holders map[api.DaemonID]*holder
+	order   []*holder // reused between asks
+}
+
+// holder is what the keeper knows of one daemon.
+type holder struct {
+	id    api.DaemonID
+	seq   uint64
+	want  int
+	count int       // slots the daemon may be using, at most
+	until time.Time // count is over then
+	since time.Time // when the daemon began to hold slots, or to wait for one
+	last  Grant
+}
+
+// NewKeeper returns a keeper of window slots for a daemon that becomes
+// responsible now. A daemon that loses the responsibility drops its keeper.
+func NewKeeper(window int, lease time.Duration, now time.Time) *Keeper {
+	k := &Keeper{window: max(0, window), lease: lease, holders: make(map[api.DaemonID]*holder)}
+	k.restart(now)
+	return k
+}
+
+// SetWindow changes the number of slots; holdings above a smaller window
+// shrink with the next ask of each daemon.
+func (k *Keeper) SetWindow(n int) { k.window = max(0, n) }
+
+// Beat tells that the keeper is running; it must be called at least every
+// quarter of a lease. After a longer pause the keeper starts over.
+func (k *Keeper) Beat(now time.Time) {
+	if now.Sub(k.beat) > k.part(pauseShare) {
+		k.restart(now)
+	}
+	k.beat = now
+}
+
+// Handle answers an ask.
+func (k *Keeper) Handle(a Ask, now time.Time) Grant {
+	k.Beat(now)
+	k.expire(now)
+	h := k.holder(a.Daemon, now)
+	if a.Seq == h.seq {
+		return h.last
+	}
+	if a.Seq < h.seq {
+		return Grant{Seq: a.Seq, TTL: k.lease}
+	}
+	h.seq = a.Seq
+	h.want = max(0, a.Want)
+	slots := k.slotsFor(h, a, now)
+	k.record(h, max(slots, a.Held, a.InUse), now)
+	h.last = Grant{Seq: a.Seq, Slots: slots, TTL: k.lease}
+	return h.last
+}
+
+// InUse returns the number of slots that daemons may be using, at most.
+func (k *Keeper) InUse(now time.Time) int {
+	k.expire(now)
+	sum := 0
+	for _, h := range k.holders {
+		sum += h.count
+	}
+	return sum
+}
+
+func (k *Keeper) restart(now time.Time) {
+	k.knowing = now.Add(k.life())
+	k.beat = now
+	clear(k.holders)
+}
+
+// life is how long a grant counts at the keeper.
+func (k *Keeper) life() time.Duration { return k.lease + k.part(keeperMargin) }
+
+func (k *Keeper) part(share float64) time.Duration {
+	return time.Duration(share * float64(k.lease))
+}
+
+func (k *Keeper) expire(now time.Time) {
+	for id, h := range k.holders {
+		if !now.Before(h.until) {
+			delete(k.holders, id)
+		}
+	}
+}
+
+func (k *Keeper) holder(id api.DaemonID, now time.Time) *holder {
+	h, ok := k.holders[id]
+	if !ok {
+		h = &holder{id: id, since: now, until: now.Add(k.life())}
+		k.holders[id] = h
+	}
+	return h
+}
+
+func (k *Keeper) record(h *holder, count int, now time.Time) {
+	if (h.count > 0) != (count > 0) {
+		h.since = now
+	}
+	h.count = count
+	h.until = now.Add(k.life())
+}
+
+// slotsFor returns the fair share of the daemon as far as it is free.
+func (k *Keeper) slotsFor(h *holder, a Ask, now time.Time) int {
+	if now.Before(k.knowing) {
+		return min(max(0, a.Held), h.want)
+	}
+	free := k.window
+	for _, other := range k.holders {
+		if other != h {
+			free -= other.count
+		}
+	}
+	return max(0, min(k.share(h, now), free))
+}
+
+// share divides the window between the daemons by max-min fairness: nobody
+// gets more than it wants, and what some don't want goes to the others.
+func (k *Keeper) share(h *holder, now time.Time) int {
+	k.order = k.order[:0]
+	for _, other := range k.holders {
+		if other.want > 0 {
+			k.order = append(k.order, other)
+		}
+	}
+	slices.SortFunc(k.order, func(a, b *holder) int {
+		return cmp.Or(cmp.Compare(a.want, b.want), cmp.Compare(a.id, b.id))
+	})
+	left := k.window
+	for i, other := range k.order {
+		level := left / (len(k.order) - i)
+		if other.want > level {
+			return k.shareAbove(h, level, left, k.order[i:], now)
+		}
+		if other == h {
+			return h.want
+		}
+		left -= other.want
+	}
+	return 0
+}
+
+// shareAbove divides left slots between the daemons that want more than the
+// level: each gets the level, and the first in turn get one more.
+func (k *Keeper) shareAbove(h *holder, level, left int, greedy []*holder, now time.Time) int {
+	if !slices.Contains(greedy, h) {
+		return min(h.want, level)
+	}
+	extra := left - level*len(greedy)
+	slices.SortFunc(greedy, func(a, b *holder) int { return k.compareTurns(a, b, now) })
+	if slices.Index(greedy, h) < extra {
+		return level + 1
+	}
+	return level
+}
+
+// compareTurns puts daemons whose turn lasts first, then those that wait,
+// longest first, then those whose turn is over, latest first.
+func (k *Keeper) compareTurns(a, b *holder, now time.Time) int {
+	classA, classB := k.turnClass(a, now), k.turnClass(b, now)
+	bySince := a.since.Compare(b.since)
+	if classA == turnOver {
+		bySince = -bySince
+	}
+	return cmp.Or(cmp.Compare(classA, classB), bySince, cmp.Compare(a.id, b.id))
+}
+
+const (
+	turnLasts = iota
+	turnAwaited
+	turnOver
+)
+
+func (k *Keeper) turnClass(h *holder, now time.Time) int {
+	switch {
+	case h.count == 0:
+		return turnAwaited
+	case now.Sub(h.since) < k.part(turnShare):
+		return turnLasts
+	default:
+		return turnOver
+	}
+}
