--- a/lib/routing/rendezvous.go
+++ b/lib/routing/rendezvous.go
@@ -39,3 +39,6 @@
 	b := binary.BigEndian.AppendUint64(room[:0], key)
 	return xxhash.Sum64(append(b, id...))
 }
+
+// Key returns the rendezvous key of a name.
+func Key(name string) uint64 { return xxhash.Sum64String(name) }
--- /dev/null
+++ b/lib/weights/planner.go
@@ -0,0 +1,263 @@
+package weights
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/routing"
+)
+
+// Planner decides about the orders of one daemon. It belongs to one duty: it
+// is not safe for concurrent use.
+type Planner struct {
+	self    api.DaemonID
+	cfg     Config
+	view    View
+	engines map[api.UpstreamID]*engine
+	order   []api.UpstreamID // keys of engines, sorted
+	first   int              // index in order at which the next round starts
+	loads   int              // in progress
+	reads   int              // in progress
+}
+
+// engine is what the planner knows of one engine.
+type engine struct {
+	upstream api.Upstream
+	gone     bool // left the usage list while an action was in progress
+	rank     int  // of this daemon in the engine's rendezvous order; -1: none
+	busy     bool // an action is in progress
+	loaded   map[api.ModelName]api.WeightVersion
+	readAt   time.Time // start of the last good read-back; zero: none, or it is outdated
+	tried    time.Time // start of the last read-back
+	failures int       // failed loads in a row
+	retryAt  time.Time // no load before
+	behind   map[api.ModelName]lag
+}
+
+// lag says since when an engine has been found behind an announcement.
+type lag struct {
+	revision api.Revision
+	since    time.Time
+}
+
+// NewPlanner returns a planner with nothing in view.
+func NewPlanner(self api.DaemonID, cfg Config) *Planner {
+	return &Planner{self: self, cfg: cfg, engines: make(map[api.UpstreamID]*engine)}
+}
+
+// SetView replaces the view.
+func (p *Planner) SetView(v View) {
+	p.view = v
+	listed := make(map[api.UpstreamID]bool, len(v.Upstreams))
+	for i := range v.Upstreams {
+		if v.Upstreams[i].Kind != api.KindEngine {
+			continue
+		}
+		listed[v.Upstreams[i].ID] = true
+		p.list(v.Upstreams[i])
+	}
+	for id, e := range p.engines {
+		e.gone = !listed[id]
+		if e.gone && !e.busy {
+			delete(p.engines, id)
+		}
+	}
+	p.order = slices.Sorted(maps.Keys(p.engines))
+}
+
+func (p *Planner) list(u api.Upstream) {
+	e, ok := p.engines[u.ID]
+	if !ok {
+		e = &engine{behind: make(map[api.ModelName]lag)}
+		p.engines[u.ID] = e
+	}
+	if e.upstream.Address != u.Address {
+		e.readAt, e.tried = time.Time{}, time.Time{}
+	}
+	e.upstream = u
+	e.rank = p.rank(u.ID)
+}
+
+func (p *Planner) rank(id api.UpstreamID) int {
+	names := make([]string, len(p.view.Members))
+	for i, m := range p.view.Members {
+		names[i] = string(m)
+	}
+	return slices.Index(routing.Rendezvous(routing.Key(string(id)), names), string(p.self))
+}
+
+// ReadDone reports a read-back that was started at startedAt.
+func (p *Planner) ReadDone(id api.UpstreamID, loaded map[api.ModelName]api.WeightVersion, startedAt time.Time) {
+	if e := p.endRead(id); e != nil {
+		e.loaded = loaded
+		e.readAt = startedAt
+	}
+}
+
+// ReadFailed reports a read-back that got no answer.
+func (p *Planner) ReadFailed(id api.UpstreamID) { p.endRead(id) }
+
+func (p *Planner) endRead(id api.UpstreamID) *engine {
+	p.reads--
+	return p.end(id)
+}
+
+// LoadDone reports how an order ended. The engine is read back next, whatever
+// the result: a failed swap may have taken effect, and an accepted one may have
+// been overtaken.
+func (p *Planner) LoadDone(o Order, r Result, now time.Time) {
+	p.loads--
+	e := p.end(o.Upstream)
+	if e == nil {
+		return
+	}
+	e.readAt, e.tried = time.Time{}, time.Time{}
+	switch r {
+	case Accepted:
+		e.failures = 0
+	case Failed:
+		e.retryAt = now.Add(p.backoff(e.failures))
+		e.failures++
+	case Expired:
+	}
+}
+
+func (p *Planner) end(id api.UpstreamID) *engine {
+	e := p.engines[id]
+	e.busy = false
+	if e.gone {
+		delete(p.engines, id)
+		p.order = slices.Sorted(maps.Keys(p.engines))
+		return nil
+	}
+	return e
+}
+
+func (p *Planner) backoff(failures int) time.Duration {
+	wait := p.cfg.BackoffMin
+	for range failures {
+		if wait >= p.cfg.BackoffMax {
+			break
+		}
+		wait *= 2
+	}
+	return min(wait, p.cfg.BackoffMax)
+}
+
+// Next returns the actions to start now. At most one is in progress for an
+// engine, and all in progress together stay within MaxLoads and MaxReads.
+func (p *Planner) Next(now time.Time) []Action {
+	var actions []Action
+	n := len(p.order)
+	for k := range n {
+		e := p.engines[p.order[(p.first+k)%n]]
+		if e.busy || e.gone || !p.watches(e) {
+			continue
+		}
+		if a := p.nextFor(e, now); a != nil {
+			e.busy = true
+			actions = append(actions, a)
+		}
+	}
+	if n > 0 {
+		// Another engine goes first next time, so that none waits for ever for a free place.
+		p.first = (p.first + 1) % n
+	}
+	return actions
+}
+
+func (p *Planner) watches(e *engine) bool {
+	return e.rank >= 0 && (p.cfg.Watchers == 0 || e.rank < p.cfg.Watchers)
+}
+
+func (p *Planner) nextFor(e *engine, now time.Time) Action {
+	if !e.readAt.IsZero() {
+		model, due := p.dueLoad(e, now)
+		if due && now.Sub(e.readAt) <= p.cfg.ReadLife {
+			return p.load(e, model, now)
+		}
+		if !due && now.Sub(e.readAt) < p.readInterval(e) {
+			return nil
+		}
+	}
+	return p.read(e, now)
+}
+
+// readInterval is longer for daemons further down the rendezvous order.
+func (p *Planner) readInterval(e *engine) time.Duration {
+	return p.cfg.ReadInterval * time.Duration(e.rank+1)
+}
+
+func (p *Planner) read(e *engine, now time.Time) Action {
+	if p.reads >= p.cfg.MaxReads || (!e.tried.IsZero() && now.Sub(e.tried) < p.cfg.ReadLife) {
+		return nil
+	}
+	p.reads++
+	e.tried = now
+	return Read{Upstream: e.upstream.ID, Address: e.upstream.Address}
+}
+
+func (p *Planner) load(e *engine, model api.ModelName, now time.Time) Action {
+	if p.loads >= p.cfg.MaxLoads {
+		return nil
+	}
+	p.loads++
+	w := p.view.Announced[model]
+	o := Order{
+		Upstream: e.upstream.ID,
+		Model:    model,
+		Version:  w.Version,
+		Fence:    w.Revision,
+		Decided:  now,
+		Life:     p.cfg.OrderLife,
+	}
+	return Load{Order: o, Address: e.upstream.Address}
+}
+
+// dueLoad returns a model whose announced version this daemon should order
+// from the engine now.
+func (p *Planner) dueLoad(e *engine, now time.Time) (api.ModelName, bool) {
+	due, found := api.ModelName(""), false
+	for _, model := range e.upstream.Models {
+		w, announced := p.view.Announced[model]
+		// A version above the announced one comes from an announcement that
+		// this daemon has yet to see: versions only grow.
+		if !announced || e.loaded[model] >= w.Version {
+			delete(e.behind, model)
+			continue
+		}
+		l := e.lagOf(model, w.Revision, now)
+		if !found && !now.Before(l.since.Add(p.delay(e, w))) && !now.Before(e.retryAt) {
+			due, found = model, true
+		}
+	}
+	return due, found
+}
+
+func (e *engine) lagOf(model api.ModelName, revision api.Revision, now time.Time) lag {
+	l, known := e.behind[model]
+	if !known || l.revision != revision {
+		l = lag{revision: revision, since: now}
+		e.behind[model] = l
+	}
+	return l
+}
+
+// delay is the time between finding the engine behind and ordering: its wave's
+// turn at the weight store and this daemon's turn in the rendezvous order.
+func (p *Planner) delay(e *engine, w ledger.WeightState) time.Duration {
+	wave := p.position(e.upstream.ID, w.Revision) / max(1, p.cfg.WaveSize)
+	return time.Duration(wave)*p.cfg.WaveInterval + time.Duration(e.rank)*p.cfg.TakeOver
+}
+
+// position is the engine's place in the order in which engines fetch an
+// announced version; it differs between announcements, so that the same
+// engines aren't always last.
+func (p *Planner) position(id api.UpstreamID, revision api.Revision) int {
+	index, _ := slices.BinarySearch(p.order, id)
+	n := uint64(len(p.order))
+	return int((uint64(index) + uint64(revision)) % n)
+}
--- /dev/null
+++ b/lib/weights/weights_test.go
@@ -0,0 +1,252 @@
+package weights_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/weights"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const model = api.ModelName("m")
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+type engine struct {
+	fenced  bool
+	version api.WeightVersion
+	fence   api.Offset
+}
+
+// task is an action in progress at a daemon; sent loads are on their way.
+type task struct {
+	daemon int
+	action weights.Action
+	since  time.Time
+	sent   bool
+}
+
+type world struct {
+	now       time.Time
+	announced ledger.WeightState
+	upstreams []api.Upstream
+	engines   map[api.UpstreamID]*engine
+	members   []api.DaemonID
+	planners  []*weights.Planner
+	tasks     []task
+	sends     int
+}
+
+func newWorld(engines, daemons int, cfg weights.Config) *world {
+	w := &world{now: t0, engines: map[api.UpstreamID]*engine{}}
+	for i := range engines {
+		id := api.UpstreamID(fmt.Sprint("e", i))
+		w.engines[id] = &engine{fenced: i%2 == 0}
+		w.upstreams = append(w.upstreams, api.Upstream{ID: id, Kind: api.KindEngine, Models: []api.ModelName{model}})
+	}
+	for i := range daemons {
+		w.members = append(w.members, api.DaemonID(fmt.Sprint("d", i)))
+		w.planners = append(w.planners, weights.NewPlanner(w.members[i], cfg))
+		w.see(i)
+	}
+	return w
+}
+
+func (w *world) announce() {
+	w.announced.Version++
+	w.announced.Revision += 3
+}
+
+func (w *world) see(daemon int) {
+	w.planners[daemon].SetView(weights.View{
+		Announced: map[api.ModelName]ledger.WeightState{model: w.announced},
+		Upstreams: w.upstreams,
+		Members:   w.members,
+	})
+}
+
+func (w *world) tick(daemon int) {
+	for _, a := range w.planners[daemon].Next(w.now) {
+		w.tasks = append(w.tasks, task{daemon: daemon, action: a, since: w.now})
+	}
+}
+
+// advance does the next step of a task. fault: 0 none, 1 the engine fails, 2
+// the answer is lost after the order took effect.
+func (w *world) advance(i, fault int) {
+	t := w.tasks[i]
+	p := w.planners[t.daemon]
+	load, isLoad := t.action.(weights.Load)
+	if isLoad && !t.sent && load.Order.Fresh(w.now) {
+		w.tasks[i].sent = true
+		w.sends++
+		return
+	}
+	w.tasks = append(w.tasks[:i:i], w.tasks[i+1:]...)
+	switch a := t.action.(type) {
+	case weights.Read:
+		if fault == 1 {
+			p.ReadFailed(a.Upstream)
+			return
+		}
+		loaded := map[api.ModelName]api.WeightVersion{model: w.engines[a.Upstream].version}
+		p.ReadDone(a.Upstream, loaded, t.since)
+	case weights.Load:
+		if !t.sent {
+			p.LoadDone(a.Order, weights.Expired, w.now)
+			return
+		}
+		p.LoadDone(a.Order, w.engines[a.Order.Upstream].load(a.Order, fault), w.now)
+	}
+}
+
+func (e *engine) load(o weights.Order, fault int) weights.Result {
+	if fault == 1 || (e.fenced && o.Fence < e.fence) {
+		return weights.Failed
+	}
+	e.version, e.fence = o.Version, max(e.fence, o.Fence)
+	if fault == 2 {
+		return weights.Failed
+	}
+	return weights.Accepted
+}
+
+// settle runs a while without faults, with all views up to date.
+func (w *world) settle(rounds int) {
+	for range rounds {
+		w.now = w.now.Add(100 * time.Millisecond)
+		for d := range w.planners {
+			w.see(d)
+			w.tick(d)
+		}
+		for len(w.tasks) > 0 {
+			w.advance(0, 0)
+		}
+	}
+}
+
+func (w *world) check(t *rapid.T, cfg weights.Config, before map[api.UpstreamID]api.WeightVersion) {
+	loads := make([]int, len(w.planners))
+	for _, k := range w.tasks {
+		if _, ok := k.action.(weights.Load); ok {
+			loads[k.daemon]++
+			assert.Assert(t, loads[k.daemon] <= cfg.MaxLoads)
+		}
+	}
+	for id, e := range w.engines {
+		assert.Assert(t, !e.fenced || e.version >= before[id], "%s went back", id)
+		before[id] = e.version
+	}
+}
+
+// TestEnginesReachTheAnnouncedVersion: lagging views, pauses between decision
+// and sending, failed swaps, lost answers and reverted engines; once they end,
+// every engine gets to the announced version, and fenced ones never go back.
+func TestEnginesReachTheAnnouncedVersion(t *testing.T) {
+	const steps = 200
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := weights.DefaultConfig()
+		cfg.MaxLoads = 2
+		w := newWorld(4, 3, cfg)
+		before := map[api.UpstreamID]api.WeightVersion{}
+		daemon := func() int { return rapid.IntRange(0, 2).Draw(t, "daemon") }
+		for range steps {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				w.announce()
+			case 1:
+				w.see(daemon())
+			case 2:
+				id := w.upstreams[rapid.IntRange(0, 3).Draw(t, "engine")].ID
+				if e := w.engines[id]; !e.fenced {
+					e.version = e.version / 2 // a paused holder's order arrives
+				}
+			case 3:
+				ms := rapid.SampledFrom([]int{10, 100, 700, 3000}).Draw(t, "ms")
+				w.now = w.now.Add(time.Duration(ms) * time.Millisecond)
+			case 4, 5:
+				w.tick(daemon())
+			default:
+				if len(w.tasks) > 0 {
+					w.advance(rapid.IntRange(0, len(w.tasks)-1).Draw(t, "task"), rapid.IntRange(0, 2).Draw(t, "fault"))
+				}
+			}
+			w.check(t, cfg, before)
+		}
+		w.settle(120)
+		for id, e := range w.engines {
+			assert.Equal(t, e.version, w.announced.Version, "%s", id)
+		}
+	})
+}
+
+func TestOneOrderForEachEngineWhenAllGoesWell(t *testing.T) {
+	w := newWorld(40, 5, weights.DefaultConfig())
+	w.settle(20)
+	w.announce()
+	w.settle(30)
+	for id, e := range w.engines {
+		assert.Equal(t, e.version, w.announced.Version, "%s", id)
+	}
+	assert.Equal(t, w.sends, 40)
+}
+
+func TestFetchesAreSpreadInWaves(t *testing.T) {
+	cfg := weights.DefaultConfig()
+	cfg.MaxLoads = 100
+	w := newWorld(40, 5, cfg)
+	w.settle(20)
+	w.announce()
+	for range 30 {
+		w.settle(1)
+		assert.Assert(t, w.sends <= cfg.WaveSize*(1+int(w.now.Sub(t0.Add(2*time.Second))/cfg.WaveInterval)), "%d sent", w.sends)
+	}
+	assert.Equal(t, w.sends, 40)
+}
+
+func TestNextDaemonTakesOverFromAStuckOne(t *testing.T) {
+	w := newWorld(1, 2, weights.DefaultConfig())
+	w.announce()
+	stuck := -1
+	for range 100 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		for d := range w.planners {
+			if d == stuck {
+				continue
+			}
+			w.see(d)
+			w.tick(d)
+			for i := len(w.tasks) - 1; i >= 0; i-- {
+				if _, load := w.tasks[i].action.(weights.Load); load && stuck < 0 {
+					stuck = d // decided, never sent
+				}
+				if w.tasks[i].daemon != stuck {
+					w.advance(i, 0)
+				}
+			}
+		}
+	}
+	assert.Assert(t, stuck >= 0)
+	assert.Equal(t, w.engines["e0"].version, w.announced.Version)
+	w.advance(0, 0) // the stuck daemon wakes up with an old order
+	assert.Equal(t, w.sends, 1, "the old order was not sent")
+}
+
+func TestDaemonBehindNeverOrdersAnOlderVersion(t *testing.T) {
+	w := newWorld(1, 1, weights.DefaultConfig())
+	w.announce()
+	w.see(0)
+	w.engines["e0"].version = 9
+	for range 50 {
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.tick(0)
+		for len(w.tasks) > 0 {
+			w.advance(0, 0)
+		}
+	}
+	assert.Equal(t, w.sends, 0)
+}
