--- /dev/null
+++ b/lib/samples/planner_test.go
@@ -0,0 +1,72 @@
+package samples_test
+
+import (
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/samples"
+	"gotest.tools/v3/assert"
+)
+
+func runConfig() samples.RunConfig {
+	return samples.RunConfig{
+		MaxOutstanding: 8, MaxHedges: 1, HedgeShare: 0.5, HedgeAfter: time.Second, HedgeFactor: 2,
+		BackoffMin: time.Second, BackoffMax: 4 * time.Second, TakeOverAfter: 10 * time.Second, LateAfter: time.Minute,
+	}
+}
+
+func alive(api.DaemonID) bool { return true }
+
+func TestRunnerHedgesStragglerAndFirstAnswerWins(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := samples.NewStream()
+	s.Apply(1, samples.Record{ID: "a", Body: openStep("s0")})
+	s.Apply(2, samples.Record{ID: "b", Body: samples.StepRunner{Step: "s0", Daemon: "d1"}})
+	r := samples.NewRunner(runConfig(), "d1")
+	p := r.Plan(s, alive, 100, now)
+	assert.Equal(t, len(p.Start), 3)
+	for i, j := range p.Start[:2] {
+		use, _ := r.Finished(j.JobKey, true, now.Add(time.Second), 0)
+		assert.Assert(t, use)
+		done := samples.SampleDone{Slot: j.Slot, Model: model, Sample: samples.Sample{Versions: []api.WeightVersion{1}}}
+		s.Apply(api.Offset(3+i), samples.Record{ID: api.RecordID(rune('c' + i)), Body: done})
+	}
+	assert.Equal(t, len(r.Plan(s, alive, 100, now.Add(time.Second)).Start), 0)
+	hedge := r.Plan(s, alive, 100, now.Add(3*time.Second)).Start
+	assert.Equal(t, len(hedge), 1)
+	use, cancel := r.Finished(hedge[0].JobKey, true, now.Add(4*time.Second), 0)
+	assert.Assert(t, use)
+	assert.DeepEqual(t, cancel, []samples.JobKey{p.Start[2].JobKey})
+	use, _ = r.Finished(p.Start[2].JobKey, true, now.Add(4*time.Second), 0)
+	assert.Assert(t, !use)
+	assert.Equal(t, r.Outstanding(), 0)
+}
+
+func TestRunnerRetriesAfterBackoff(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := samples.NewStream()
+	s.Apply(1, samples.Record{ID: "a", Body: openStep("s0")})
+	s.Apply(2, samples.Record{ID: "b", Body: samples.StepRunner{Step: "s0", Daemon: "d1"}})
+	r := samples.NewRunner(runConfig(), "d1")
+	for _, j := range r.Plan(s, alive, 100, now).Start {
+		use, _ := r.Finished(j.JobKey, false, now, 1)
+		assert.Assert(t, !use)
+	}
+	assert.Equal(t, len(r.Plan(s, alive, 100, now.Add(999*time.Millisecond)).Start), 0)
+	assert.Equal(t, len(r.Plan(s, alive, 100, now.Add(time.Second)).Start), 3)
+}
+
+func TestRunnerTakesOverFromDeadDaemon(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := samples.NewStream()
+	s.Apply(1, samples.Record{ID: "a", Body: openStep("s0")})
+	s.Apply(2, samples.Record{ID: "b", Body: samples.StepRunner{Step: "s0", Daemon: "d1"}})
+	r := samples.NewRunner(runConfig(), "d2")
+	dead := func(id api.DaemonID) bool { return id != "d1" }
+	assert.Equal(t, len(r.Plan(s, alive, 100, now).Start), 0)
+	assert.Equal(t, len(r.Plan(s, alive, 100, now.Add(2*time.Second)).TakeOver), 0)
+	p := r.Plan(s, dead, 100, now.Add(2*time.Second))
+	assert.DeepEqual(t, p.TakeOver, []samples.StepID{"s0"})
+	assert.Equal(t, len(p.Start), 3)
+}
--- /dev/null
+++ b/lib/samples/query.go
@@ -0,0 +1,194 @@
+package samples
+
+import "dotterelmount.example/api"
+
+// Pull returns the highest pull number folded.
+func (s *Stream) Pull() uint64 { return s.pull }
+
+// Through returns the offset of the last record folded.
+func (s *Stream) Through() api.Offset { return s.through }
+
+// Counts returns the stream's counters.
+func (s *Stream) Counts() Counts { return s.counts }
+
+// LimitFunc returns the version in force and the staleness bound that apply to
+// a step; false leaves the step out of the hand-over.
+type LimitFunc func(*StepOpened) (api.WeightVersion, uint64, bool)
+
+// Compose proposes the hand-over that answers a pull. The fold of the record
+// decides what is really handed.
+func (s *Stream) Compose(pull uint64, cursor api.Offset, limitOf LimitFunc, maxGroups int) HandOver {
+	h := HandOver{Pull: pull, Cursor: cursor}
+	for _, st := range s.steps {
+		inForce, bound, ok := limitOf(&st.opened)
+		if !ok {
+			continue
+		}
+		own := StepLimit{Step: st.opened.Step, Model: st.opened.Model, InForce: inForce, Bound: bound}
+		l := own
+		l.InForce = max(inForce, s.highest[st.opened.Model])
+		before := len(h.Groups) + len(h.Dropped)
+		st.propose(&h, l, maxGroups)
+		if len(h.Groups)+len(h.Dropped) > before {
+			h.Limits = append(h.Limits, own)
+		}
+	}
+	return h
+}
+
+func (st *step) propose(h *HandOver, l StepLimit, maxGroups int) {
+	for _, g := range st.groups {
+		stale, ready := g.look(h.Cursor, l)
+		for _, i := range stale {
+			h.Dropped = append(h.Dropped, SlotRef{Step: st.opened.Step, Group: g.spec.ID, Index: i})
+		}
+		if ready && len(h.Groups) < maxGroups {
+			h.Groups = append(h.Groups, GroupRef{Step: st.opened.Step, Group: g.spec.ID})
+		}
+	}
+}
+
+// look finds the stale samples of a group, and whether all are ready and
+// fresh, as they are once a pull with this cursor was folded.
+func (g *group) look(cursor api.Offset, l StepLimit) (stale []int, ready bool) {
+	ready = true
+	for i := range g.slots {
+		sl := &g.slots[i]
+		free := sl.state == slotReady || (sl.state == slotHanded && sl.handedAt > cursor)
+		if free && !l.fresh(&sl.sample) {
+			stale = append(stale, i)
+		}
+		ready = ready && free && len(stale) == 0
+	}
+	return stale, ready
+}
+
+// Settles reports whether a pull with this cursor makes any sample final.
+func (s *Stream) Settles(cursor api.Offset) bool {
+	for _, st := range s.steps {
+		for _, g := range st.groups {
+			if at, handed := g.handed(); handed && at <= cursor {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Idle reports whether no sample is open, ready, or handed after the cursor:
+// a pull with this cursor would wait in vain.
+func (s *Stream) Idle(cursor api.Offset) bool {
+	for _, st := range s.steps {
+		for _, g := range st.groups {
+			at, handed := g.handed()
+			if !g.final() && (!handed || at > cursor) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// OpenSlot is a slot that has no sample.
+type OpenSlot struct {
+	SlotRef
+	Attempt int
+	Step    *StepOpened
+	Spec    *GroupSpec
+	Runner  api.DaemonID
+	// Share of the step's samples that are there, between 0 and 1.
+	Share float64
+}
+
+// OpenSlots returns the slots without a sample, oldest step first.
+func (s *Stream) OpenSlots() []OpenSlot {
+	var open []OpenSlot
+	for _, st := range s.steps {
+		first := len(open)
+		due := 0
+		for _, g := range st.groups {
+			due += len(g.slots)
+			open = st.appendOpen(open, g)
+		}
+		share := float64(due-(len(open)-first)) / float64(due)
+		for i := first; i < len(open); i++ {
+			open[i].Share = share
+		}
+	}
+	return open
+}
+
+func (st *step) appendOpen(open []OpenSlot, g *group) []OpenSlot {
+	for i := range g.slots {
+		if g.slots[i].state != slotOpen {
+			continue
+		}
+		ref := SlotRef{Step: st.opened.Step, Group: g.spec.ID, Index: i}
+		open = append(open, OpenSlot{
+			SlotRef: ref, Attempt: g.slots[i].attempt, Step: &st.opened, Spec: &g.spec, Runner: st.runner,
+		})
+	}
+	return open
+}
+
+// Open reports whether the slot still lacks a sample of this attempt.
+func (s *Stream) Open(ref SlotRef, attempt int) bool {
+	_, sl := s.slot(ref)
+	return sl != nil && sl.state == slotOpen && sl.attempt == attempt
+}
+
+// StepReport counts the samples of one step by state.
+type StepReport struct {
+	Step     StepID       `json:"step"`
+	OpenedAt api.Offset   `json:"opened_at"`
+	Runner   api.DaemonID `json:"runner"`
+	Due      int          `json:"due"`
+	Open     int          `json:"open"`
+	Ready    int          `json:"ready"`
+	Handed   int          `json:"handed"`
+	Final    int          `json:"final"`
+	Dropped  int          `json:"dropped"`
+}
+
+// Report is what operators and trainers read of a stream.
+type Report struct {
+	Through api.Offset   `json:"through"`
+	Pull    uint64       `json:"pull"`
+	Cursor  api.Offset   `json:"cursor"`
+	Counts  Counts       `json:"counts"`
+	Steps   []StepReport `json:"steps"`
+	// Late lists slots that are still running long after they became due.
+	Late []SlotRef `json:"late"`
+	// Lost lists the last slots that ended without a sample.
+	Lost []SlotRef `json:"lost"`
+}
+
+// Report returns a snapshot, except for Late, which needs a clock.
+func (s *Stream) Report() Report {
+	r := Report{Through: s.through, Pull: s.pull, Cursor: s.cursor, Counts: s.counts}
+	r.Lost = append(r.Lost, s.lost...)
+	for _, st := range s.steps {
+		r.Steps = append(r.Steps, st.report())
+	}
+	return r
+}
+
+func (st *step) report() StepReport {
+	r := StepReport{Step: st.opened.Step, OpenedAt: st.openedAt, Runner: st.runner, Dropped: st.dropped}
+	for _, g := range st.groups {
+		for i := range g.slots {
+			r.Due++
+			switch g.slots[i].state {
+			case slotOpen:
+				r.Open++
+			case slotReady:
+				r.Ready++
+			case slotHanded:
+				r.Handed++
+			case slotFinal:
+				r.Final++
+			}
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/lib/samples/samplecodec/samplecodec_test.go
@@ -0,0 +1,56 @@
+package samplecodec_test
+
+import (
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/samples"
+	"dotterelmount.example/lib/samples/samplecodec"
+	"dotterelmount.example/lib/work"
+	"gotest.tools/v3/assert"
+)
+
+func TestEncodeDecodeKeepsRecord(t *testing.T) {
+	slot := samples.SlotRef{Step: "s", Group: "g", Index: 3}
+	group := samples.GroupSpec{ID: "g", Messages: []work.Message{{Role: "user", Content: "x"}}, N: 4, MaxTokens: 9}
+	bodies := []samples.Body{
+		samples.StepOpened{Step: "s", Model: "m", Customer: "c", Plan: "p", Groups: []samples.GroupSpec{group}},
+		samples.SampleDone{
+			Slot: slot, Model: "m", Attempt: 2, Daemon: "d",
+			Sample: samples.Sample{Text: "t", Tokens: 1, Versions: []api.WeightVersion{4, 5}, FinishReason: "stop"},
+		},
+		samples.HandOver{
+			Pull: 7, Cursor: 5, Limits: []samples.StepLimit{{Step: "s", Model: "m", InForce: 5, Bound: 1}},
+			Groups: []samples.GroupRef{{Step: "s", Group: "g"}}, Dropped: []samples.SlotRef{slot},
+		},
+		samples.StepRunner{Step: "s", Daemon: "d"},
+		samples.StepAbandoned{Step: "s"},
+	}
+	for _, b := range bodies {
+		want := samples.Record{ID: "id", Body: b}
+		payload, err := samplecodec.Encode(want)
+		assert.NilError(t, err)
+		got, err := samplecodec.Decode("id", payload)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, want)
+	}
+}
+
+// FuzzDecode also folds what it decoded: no record may break the fold.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"kind":"step-opened","body":{"step":"s","model":"m","customer":"c","groups":[{"id":"g","n":1,"max_tokens":1,"messages":[{}]}]}}`))
+	f.Add([]byte(`{"kind":"hand-over","body":{"pull":1,"groups":[{"step":"s","group":"g"}],"limits":[{"step":"s"}]}}`))
+	f.Add([]byte(`{"kind":"sample-done","body":{"slot":{"step":"s","group":"g","index":-1}}}`))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		rec, err := samplecodec.Decode("id", payload)
+		if err != nil {
+			assert.Equal(t, api.CodeOf(err), api.CodeInvalid)
+			return
+		}
+		_, err = samplecodec.Encode(rec)
+		assert.NilError(t, err)
+		s := samples.NewStream()
+		s.Apply(1, rec)
+		s.Apply(2, rec)
+	})
+}
--- /dev/null
+++ b/lib/samples/stream.go
@@ -0,0 +1,264 @@
+package samples
+
+import (
+	"fmt"
+	"hash/fnv"
+
+	"dotterelmount.example/api"
+)
+
+// rememberedSteps bounds the names of ended steps that are kept so that a
+// repeated StepOpened does not open them again.
+const rememberedSteps = 1024
+
+type slotState uint8
+
+const (
+	slotOpen slotState = iota
+	slotReady
+	slotHanded
+	slotFinal
+)
+
+type slot struct {
+	state    slotState
+	attempt  int
+	sample   Sample
+	doneID   api.RecordID // record that filled the slot
+	handedAt api.Offset
+}
+
+type group struct {
+	spec  GroupSpec
+	slots []slot
+}
+
+// handed reports whether the whole group is handed, and at which offset.
+func (g *group) handed() (api.Offset, bool) {
+	return g.slots[0].handedAt, g.slots[0].state == slotHanded
+}
+
+func (g *group) final() bool { return g.slots[0].state == slotFinal }
+
+type step struct {
+	opened   StepOpened
+	digest   uint64
+	openedAt api.Offset
+	runner   api.DaemonID
+	groups   []*group
+	byID     map[GroupID]*group
+	dropped  int
+}
+
+// Counts of one stream since its oldest record folded.
+type Counts struct {
+	Due          int `json:"due"`
+	Final        int `json:"final"`
+	Duplicate    int `json:"duplicate"`
+	DroppedStale int `json:"dropped_stale"`
+	Lost         int `json:"lost"`
+	VoidPulls    int `json:"void_pulls"`
+	Returned     int `json:"returned"` // handed, but never taken by the trainer
+}
+
+// Stream is the folded state of one trainer's log stream. It belongs to one thread.
+type Stream struct {
+	through api.Offset
+	pull    uint64
+	cursor  api.Offset
+	highest map[api.ModelName]api.WeightVersion
+	steps   []*step // in the order of their opening
+	byID    map[StepID]*step
+	ended   map[StepID]uint64 // digests of ended steps
+	order   []StepID          // of ended, oldest first
+	lost    []SlotRef
+	counts  Counts
+}
+
+// NewStream returns the state before any record.
+func NewStream() *Stream {
+	return &Stream{
+		highest: make(map[api.ModelName]api.WeightVersion),
+		byID:    make(map[StepID]*step),
+		ended:   make(map[StepID]uint64),
+	}
+}
+
+// Verdict is what the fold decided about one record.
+type Verdict struct {
+	ID     api.RecordID
+	Offset api.Offset
+	// Err is nil when the record took effect or changed nothing; otherwise an
+	// *api.Error with CodeConflict, CodeSuperseded or CodeInvalid.
+	Err error
+	// Groups handed and slots dropped by a HandOver.
+	Groups  []Group
+	Dropped []SlotRef
+	// Whole lists the steps whose last sample became final by this record.
+	Whole []StepID
+	// Duplicate is true for a sample that another one came before.
+	Duplicate bool
+}
+
+// Group is a group that was handed, with its samples in order of index.
+type Group struct {
+	GroupRef
+	Samples []Sample
+}
+
+// Apply folds the record at an offset. Offsets at or below the last one folded
+// are ignored.
+func (s *Stream) Apply(at api.Offset, r Record) Verdict {
+	v := Verdict{ID: r.ID, Offset: at}
+	if at <= s.through {
+		return v
+	}
+	s.through = at
+	switch b := r.Body.(type) {
+	case StepOpened:
+		v.Err = s.open(at, b)
+	case SampleDone:
+		v.Duplicate = s.done(r.ID, b)
+	case HandOver:
+		s.handOver(&v, b)
+	case StepRunner:
+		if st := s.byID[b.Step]; st != nil {
+			st.runner = b.Daemon
+		}
+	case StepAbandoned:
+		s.abandon(b.Step)
+	default:
+		v.Err = api.Errorf(api.CodeInvalid, "record %s of type %T", r.ID, r.Body)
+	}
+	return v
+}
+
+func (s *Stream) open(at api.Offset, b StepOpened) error {
+	if known, err := s.Check(&b); known {
+		return err
+	}
+	if err := b.Validate(); err != nil {
+		return err
+	}
+	st := &step{opened: b, digest: b.digest(), openedAt: at, byID: make(map[GroupID]*group, len(b.Groups))}
+	for i := range b.Groups {
+		g := &group{spec: b.Groups[i], slots: make([]slot, b.Groups[i].N)}
+		st.groups = append(st.groups, g)
+		st.byID[g.spec.ID] = g
+		s.counts.Due += g.spec.N
+	}
+	s.steps = append(s.steps, st)
+	s.byID[b.Step] = st
+	return nil
+}
+
+// Check compares a step with the one of the same name that is open or ended
+// not long ago; known is false if there is none. Errors: CodeConflict when the
+// contents differ.
+func (s *Stream) Check(b *StepOpened) (known bool, err error) {
+	digest, known := s.ended[b.Step]
+	if st := s.byID[b.Step]; st != nil {
+		digest, known = st.digest, true
+	}
+	if known && digest != b.digest() {
+		return true, api.Errorf(api.CodeConflict, "step %q was opened with other content", b.Step)
+	}
+	return known, nil
+}
+
+// digest covers what the trainer asked for; the plan may change between repeats.
+func (s *StepOpened) digest() uint64 {
+	h := fnv.New64a()
+	field := func(text string) { fmt.Fprintf(h, "%d:%s", len(text), text) }
+	field(string(s.Model))
+	field(string(s.Customer))
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		field(string(g.ID))
+		for _, m := range g.Messages {
+			field(m.Role)
+			field(m.Content)
+		}
+		fmt.Fprintf(h, "|%d|%d|", g.N, g.MaxTokens)
+	}
+	return h.Sum64()
+}
+
+func (s *Stream) slot(ref SlotRef) (*step, *slot) {
+	st := s.byID[ref.Step]
+	if st == nil {
+		return nil, nil
+	}
+	g := st.byID[ref.Group]
+	if g == nil || ref.Index < 0 || ref.Index >= len(g.slots) {
+		return nil, nil
+	}
+	return st, &g.slots[ref.Index]
+}
+
+// done reports whether the sample is a duplicate.
+func (s *Stream) done(id api.RecordID, b SampleDone) bool {
+	for _, v := range b.Sample.Versions {
+		s.raise(b.Model, v)
+	}
+	_, sl := s.slot(b.Slot)
+	if sl == nil {
+		return false
+	}
+	if sl.state != slotOpen || sl.attempt != b.Attempt {
+		if sl.doneID == id {
+			return false // the same record, appended again
+		}
+		s.counts.Duplicate++
+		return true
+	}
+	sl.state = slotReady
+	sl.sample = b.Sample
+	sl.doneID = id
+	return false
+}
+
+func (s *Stream) raise(m api.ModelName, v api.WeightVersion) {
+	s.highest[m] = max(s.highest[m], v)
+}
+
+func (s *Stream) abandon(id StepID) {
+	st := s.byID[id]
+	if st == nil {
+		return
+	}
+	for _, g := range st.groups {
+		for i := range g.slots {
+			if g.slots[i].state == slotOpen || g.slots[i].state == slotReady {
+				s.counts.Lost++
+				s.lose(SlotRef{Step: id, Group: g.spec.ID, Index: i})
+			}
+		}
+	}
+	s.forget(st)
+}
+
+func (s *Stream) lose(ref SlotRef) {
+	s.lost = append(s.lost, ref)
+	if over := len(s.lost) - rememberedSteps; over > 0 {
+		s.lost = s.lost[over:]
+	}
+}
+
+// forget removes a step, keeping its name and its digest.
+func (s *Stream) forget(st *step) {
+	id := st.opened.Step
+	delete(s.byID, id)
+	for i := range s.steps {
+		if s.steps[i] == st {
+			s.steps = append(s.steps[:i], s.steps[i+1:]...)
+			break
+		}
+	}
+	s.ended[id] = st.digest
+	s.order = append(s.order, id)
+	if len(s.order) > rememberedSteps {
+		delete(s.ended, s.order[0])
+		s.order = s.order[1:]
+	}
+}
