--- /dev/null
+++ b/cmd/dotterelmount/cli.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dotterelmount.example/cmd/dotterelmount/internal/adminclient"
+)
+
+// The output formats.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// pollInterval is the pause between two looks of a wait.
+const pollInterval = 100 * time.Millisecond
+
+// report is what a command shows: its JSON encoding, or text.
+type report interface{ text(w io.Writer) }
+
+// actionFunc runs one command against the daemons.
+type actionFunc func(ctx context.Context, c *cli.Command, client *adminclient.Client) (report, error)
+
+// withDaemon returns the action of a command that needs a daemon and takes the
+// named arguments.
+func withDaemon(f actionFunc, arguments ...string) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if err := checkArguments(c, arguments); err != nil {
+			return err
+		}
+		client, err := newClient(c)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(ctx, c.Duration(flagTimeout))
+		defer cancel()
+		r, err := f(ctx, c, client)
+		if err != nil {
+			return err
+		}
+		return show(c, r)
+	}
+}
+
+// withOperator is withDaemon for changes, which need a name for the audit trail.
+func withOperator(f actionFunc, arguments ...string) cli.ActionFunc {
+	action := withDaemon(f, arguments...)
+	return func(ctx context.Context, c *cli.Command) error {
+		if c.String(flagOperator) == "" {
+			return &UsageError{Detail: "a change needs --operator or DOTTERELMOUNT_OPERATOR"}
+		}
+		return action(ctx, c)
+	}
+}
+
+func checkArguments(c *cli.Command, names []string) error {
+	if out := c.String(flagOutput); out != outputText && out != outputJSON {
+		return &UsageError{Detail: fmt.Sprintf("--output %q; allowed: text, json", out)}
+	}
+	if c.Args().Len() != len(names) {
+		return &UsageError{Detail: fmt.Sprintf("%s takes %d arguments %v, got %d",
+			c.FullName(), len(names), names, c.Args().Len())}
+	}
+	return nil
+}
+
+func newClient(c *cli.Command) (*adminclient.Client, error) {
+	daemons := c.StringSlice(flagDaemon)
+	if len(daemons) == 0 {
+		return nil, &UsageError{Detail: "no daemon: give --daemon or DOTTERELMOUNT_DAEMONS"}
+	}
+	for _, d := range daemons {
+		if _, _, err := net.SplitHostPort(d); err != nil {
+			return nil, &UsageError{Detail: fmt.Sprintf("--daemon %q; allowed: host:port", d)}
+		}
+	}
+	return &adminclient.Client{HTTP: &http.Client{}, Daemons: daemons, Operator: c.String(flagOperator)}, nil
+}
+
+func show(c *cli.Command, r report) error {
+	w := c.Root().Writer
+	if c.String(flagOutput) == outputText {
+		r.text(w)
+		return nil
+	}
+	if err := json.NewEncoder(w).Encode(r); err != nil {
+		return fmt.Errorf("output: %w", err)
+	}
+	return nil
+}
+
+// await looks until nothing is missing. A look that fails counts as not known.
+// Errors: *TimeoutError.
+func await(ctx context.Context, what string, look func(context.Context) ([]string, error)) error {
+	missing := []string{"everything"}
+	for {
+		now, err := look(ctx)
+		switch {
+		case err != nil && ctx.Err() == nil:
+			missing = []string{err.Error()}
+		case err == nil && len(now) == 0:
+			return nil
+		case err == nil:
+			missing = now
+		}
+		timer := time.NewTimer(pollInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return &TimeoutError{For: what, Missing: missing}
+		}
+	}
+}
+
+func texts[T ~string](names []T) []string {
+	var out []string
+	for _, n := range names {
+		out = append(out, string(n))
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/dotterelmount/records.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/cmd/dotterelmount/internal/adminclient"
+	"dotterelmount.example/front/adminapi"
+)
+
+const (
+	flagFrom     = "from"
+	flagLimit    = "limit"
+	defaultLimit = 100 // entries
+)
+
+func trainerCommand() *cli.Command {
+	return &cli.Command{
+		Name: "trainer", Usage: "shows a trainer's steps and samples", ArgsUsage: "NAME",
+		Action: withDaemon(showTrainer, "NAME"),
+	}
+}
+
+type trainerReport json.RawMessage
+
+// MarshalJSON returns the daemon's answer as it came.
+func (r trainerReport) MarshalJSON() ([]byte, error) { return r, nil }
+
+func (r trainerReport) text(w io.Writer) {
+	var indented bytes.Buffer
+	if err := json.Indent(&indented, r, "", "  "); err != nil {
+		indented.Write(r)
+	}
+	fmt.Fprintln(w, indented.String())
+}
+
+func showTrainer(ctx context.Context, c *cli.Command, client *adminclient.Client) (report, error) {
+	raw, err := client.Trainer(ctx, api.TrainerID(c.Args().First()))
+	return trainerReport(raw), err
+}
+
+func auditCommand() *cli.Command {
+	return &cli.Command{
+		Name: "audit", Usage: "shows who changed what, from the platform's log",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: flagFrom, Value: 1, Usage: "`offset` to begin at"},
+			&cli.IntFlag{Name: flagLimit, Value: defaultLimit, Usage: "most `entries` shown"},
+		},
+		Action: withDaemon(audit),
+	}
+}
+
+type auditReport adminapi.AuditPage
+
+func (r auditReport) text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(t, "OFFSET\tTIME\tACTOR\tVIA\tKIND\tWHAT\tREVISIONS\tVERDICT")
+	for _, e := range r.Entries {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\t%d -> %d\t%s\n",
+			e.Offset, e.Time, e.Actor, e.Via, e.Kind, e.What, e.From, e.To, e.Verdict)
+	}
+	_ = t.Flush() // writing to the terminal; nobody is left to tell
+}
+
+func audit(ctx context.Context, c *cli.Command, client *adminclient.Client) (report, error) {
+	page, err := client.Audit(ctx, api.Offset(c.Uint64(flagFrom)), c.Int(flagLimit))
+	return auditReport(page), err
+}
+
+func quarantineCommand() *cli.Command {
+	return &cli.Command{
+		Name: "quarantine", Usage: "requests that crashed upstreams", Action: needsCommand,
+		Commands: []*cli.Command{
+			{Name: "list", Usage: "shows fingerprints with strikes", Action: withDaemon(listStrikes)},
+			{
+				Name: "lift", Usage: "clears the strikes of a fingerprint", ArgsUsage: "FINGERPRINT",
+				Action: withOperator(lift, "FINGERPRINT"),
+			},
+		},
+	}
+}
+
+type strikesReport struct {
+	Strikes []adminapi.StrikeRecord `json:"strikes"`
+}
+
+func (r strikesReport) text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(t, "FINGERPRINT\tALONE\tSHARED\tUPSTREAMS")
+	for _, s := range r.Strikes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%v\n", s.Fingerprint, s.Alone, s.Shared, s.Upstreams)
+	}
+	_ = t.Flush() // writing to the terminal; nobody is left to tell
+}
+
+func listStrikes(ctx context.Context, _ *cli.Command, client *adminclient.Client) (report, error) {
+	state, err := client.State(ctx)
+	return strikesReport{Strikes: state.Strikes}, err
+}
+
+func lift(ctx context.Context, c *cli.Command, client *adminclient.Client) (report, error) {
+	fingerprint := c.Args().First()
+	changed, err := client.Lift(ctx, fingerprint)
+	return changeReport{What: "quarantine of " + fingerprint + " lifted", Changed: changed}, err
+}
--- /dev/null
+++ b/cmd/dotterelmount/upstreams.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/cmd/dotterelmount/internal/adminclient"
+	"dotterelmount.example/front/adminapi"
+)
+
+const flagWait = "wait"
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "drain", Usage: "marks an upstream for cleaning: it takes no new work", ArgsUsage: "UPSTREAM",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: flagWait, Usage: "wait until no live daemon has a request in progress there"},
+			baseFlag(),
+		},
+		Action: withOperator(drain, "UPSTREAM"),
+	}
+}
+
+func undrainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "undrain", Usage: "lets an upstream take work again", ArgsUsage: "UPSTREAM",
+		Flags:  []cli.Flag{baseFlag()},
+		Action: withOperator(undrain, "UPSTREAM"),
+	}
+}
+
+func drain(ctx context.Context, c *cli.Command, client *adminclient.Client) (report, error) {
+	id := api.UpstreamID(c.Args().First())
+	r, err := mark(ctx, c, client, id, api.MarkDraining)
+	if err != nil || !c.Bool(flagWait) {
+		return r, err
+	}
+	what := fmt.Sprintf("upstream %s to be empty", id)
+	err = await(ctx, what, func(ctx context.Context) ([]string, error) {
+		f, err := client.Fleet(ctx)
+		if err != nil {
+			return nil, err
+		}
+		return texts(f.NotEmpty(id, r.Revision)), nil
+	})
+	r.What = fmt.Sprintf("upstream %s draining and empty on every live daemon", id)
+	return r, err
+}
+
+func undrain(ctx context.Context, c *cli.Command, client *adminclient.Client) (report, error) {
+	return mark(ctx, c, client, api.UpstreamID(c.Args().First()), api.MarkActive)
+}
+
+// mark changes a mark unless it is already so.
+func mark(ctx context.Context, c *cli.Command, client *adminclient.Client, id api.UpstreamID, m api.Mark) (changeReport, error) {
+	r := changeReport{What: fmt.Sprintf("upstream %s %s", id, m)}
+	base := api.Revision(c.Uint64(flagBase))
+	if !c.IsSet(flagBase) {
+		state, err := client.State(ctx)
+		if err != nil {
+			return r, err
+		}
+		present := state.Mark(id)
+		if present.Mark == m && present.Revision > 0 {
+			r.Already = true
+			r.Changed = adminapi.Changed{Revision: present.Revision}
+			return r, nil
+		}
+		base = present.Revision
+	}
+	changed, err := client.Mark(ctx, id, base, m)
+	r.Changed = changed
+	return r, err
+}
