--- a/tools/tidy.sh
+++ b/tools/tidy.sh
@@ -2,13 +2,26 @@
 # Points every module's requirements on its siblings at the workspace and tidies it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mods=$(awk '/^\t\.\//{print $1}' go.work)
-for m in $mods; do
-  args=()
+readonly prefix=dotterelmount.example
+mods=$(awk '/^\t\.\//{print substr($1, 3)}' go.work)
+
+tidy() (
+  m=$1
+  cd "$m"
+  up=$(printf '%s' "$m" | sed 's#[^/]*#..#g')
+  add=()
+  for o in $mods; do
+    [ "$o" = "$m" ] || add+=("-replace=$prefix/$o=$up/$o")
+  done
+  go mod edit "${add[@]}"
+  GOWORK=off GOFLAGS=-mod=mod go mod tidy
+  drop=()
   for o in $mods; do
-    [ "$o" = "$m" ] && continue
-    up=$(printf '%s' "${m#./}" | sed 's#[^/]*#..#g')
-    args+=("-replace=dotterelmount.example/${o#./}=$up/${o#./}")
+    grep -qE "^(require )?[[:space:]]*$prefix/$o v" go.mod || drop+=("-dropreplace=$prefix/$o")
   done
-  (cd "$m" && go mod edit "${args[@]}" && GOWORK=off GOFLAGS=-mod=mod go mod tidy)
+  go mod edit "${drop[@]}"
+)
+
+for m in $mods; do
+  tidy "$m"
 done
