--- a/bench/demo/fleet.go
+++ b/bench/demo/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -112,9 +113,49 @@
 		}
 		f.daemons = append(f.daemons, daemon)
 	}
+	for _, d := range f.daemons {
+		if err := awaitReady(ctx, d); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// readyInterval is the pause between two looks whether a daemon is ready.
+const readyInterval = 20 * time.Millisecond
+
+// awaitReady waits until a daemon has read its configuration. Errors: CodeNotReady.
+func awaitReady(ctx context.Context, p *proc.Process) error {
+	for {
+		if ready(ctx, p.Address) {
+			return nil
+		}
+		timer := time.NewTimer(readyInterval)
+		select {
+		case <-timer.C:
+		case <-p.Exited():
+			timer.Stop()
+			return api.Errorf(api.CodeNotReady, "%s ended with status %d", p.Name, p.ExitCode())
+		case <-ctx.Done():
+			timer.Stop()
+			return api.Errorf(api.CodeNotReady, "%s is not ready: %w", p.Name, ctx.Err())
+		}
+	}
+}
+
+func ready(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusNoContent
+}
+
 const settingsFormat = `daemon: %s
 data_centre: sapporo-a
 listen:
--- a/cmd/dotterelmount/internal/adminclient/fleet.go
+++ b/cmd/dotterelmount/internal/adminclient/fleet.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/adminapi"
 )
 
+// lookTimeout bounds one daemon's answer, so that a frozen one does not use up
+// the time for the others.
+const lookTimeout = 2 * time.Second
+
 // Unreached is a daemon that may be live and did not answer: what it does is
 // not known.
 type Unreached struct {
@@ -19,41 +26,89 @@
 type Fleet struct {
 	Daemons   []adminapi.Status `json:"daemons"`
 	Unreached []Unreached       `json:"unreached"`
-	// Gone are the members that the first answering daemon holds for dead or left.
+	// Gone are the members that no reached daemon holds for live.
 	Gone []adminapi.MemberStatus `json:"gone"`
+	// Silent are the given addresses that did not answer and that no reached
+	// daemon knows: they may be replaced hosts, so no wait counts them.
+	Silent []string `json:"silent"`
 }
 
-// Fleet asks one daemon for the members and every live member for its status.
-// Errors: as PlanList, when no daemon answered.
+// Fleet asks the given daemons and every live member that these know for their
+// status. Errors: *UnreachableError, when no daemon answered.
 func (c *Client) Fleet(ctx context.Context) (*Fleet, error) {
-	first, err := c.Status(ctx)
-	if err != nil {
-		return nil, err
-	}
 	f := &Fleet{
-		Daemons:   []adminapi.Status{first},
+		Daemons:   []adminapi.Status{},
 		Unreached: []Unreached{},
 		Gone:      []adminapi.MemberStatus{},
+		Silent:    []string{},
 	}
-	for _, m := range first.Members {
-		switch {
-		case m.Name == first.Daemon:
-		case m.Live():
-			f.add(ctx, c, m)
-		default:
-			f.Gone = append(f.Gone, m)
+	var last error
+	for _, address := range c.Daemons {
+		status, err := c.look(ctx, address)
+		if err != nil {
+			f.Silent = append(f.Silent, address)
+			last = err
+			continue
 		}
+		f.add(status)
+	}
+	if len(f.Daemons) == 0 {
+		return nil, &UnreachableError{Daemons: c.Daemons, Cause: last}
+	}
+	for _, m := range f.members() {
+		f.addMember(ctx, c, m)
 	}
 	return f, nil
 }
 
-func (f *Fleet) add(ctx context.Context, c *Client, m adminapi.MemberStatus) {
-	status, err := c.StatusAt(ctx, m.Address)
+func (c *Client) look(ctx context.Context, address string) (adminapi.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	return c.StatusAt(ctx, address)
+}
+
+func (f *Fleet) add(s adminapi.Status) {
+	if !f.reached(s.Daemon) {
+		f.Daemons = append(f.Daemons, s)
+	}
+}
+
+func (f *Fleet) reached(name api.DaemonID) bool {
+	return slices.ContainsFunc(f.Daemons, func(d adminapi.Status) bool { return d.Daemon == name })
+}
+
+// members merges the views of the reached daemons: live in one is live.
+func (f *Fleet) members() []adminapi.MemberStatus {
+	merged := make(map[api.DaemonID]adminapi.MemberStatus)
+	for _, d := range f.Daemons {
+		for _, m := range d.Members {
+			if known, ok := merged[m.Name]; !ok || (m.Live() && !known.Live()) {
+				merged[m.Name] = m
+			}
+		}
+	}
+	var members []adminapi.MemberStatus
+	for _, name := range slices.Sorted(maps.Keys(merged)) {
+		members = append(members, merged[name])
+	}
+	return members
+}
+
+func (f *Fleet) addMember(ctx context.Context, c *Client, m adminapi.MemberStatus) {
+	if f.reached(m.Name) {
+		return
+	}
+	f.Silent = slices.DeleteFunc(f.Silent, func(address string) bool { return address == m.Address })
+	if !m.Live() {
+		f.Gone = append(f.Gone, m)
+		return
+	}
+	status, err := c.look(ctx, m.Address)
 	if err != nil {
 		f.Unreached = append(f.Unreached, Unreached{Name: m.Name, Address: m.Address, Error: err.Error()})
 		return
 	}
-	f.Daemons = append(f.Daemons, status)
+	f.add(status)
 }
 
 // Behind returns the live daemons that are not known to be at offset o.
--- a/cmd/dotterelmount/status.go
+++ b/cmd/dotterelmount/status.go
@@ -64,6 +64,9 @@
 		fmt.Fprintf(w, "%s: %s\n", m.Name, m.State)
 	}
 	unreachedText(w, r.Unreached)
+	for _, address := range r.Silent {
+		fmt.Fprintf(w, "%s: no answer, and no daemon knows it; not known\n", address)
+	}
 }
 
 func unreachedText(w io.Writer, unreached []adminclient.Unreached) {
