--- /dev/null
+++ b/cmd/dotterelmount/internal/adminclient/fleet.go
@@ -0,0 +1,166 @@
+package adminclient
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/adminapi"
+)
+
+// lookTimeout bounds one daemon's answer, so that a frozen one does not use up
+// the time for the others.
+const lookTimeout = 2 * time.Second
+
+// Unreached is a daemon that may be live and did not answer: what it does is
+// not known.
+type Unreached struct {
+	Name    api.DaemonID `json:"name"`
+	Address string       `json:"address"`
+	Error   string       `json:"error"`
+}
+
+// Fleet is what the live daemons say of themselves.
+type Fleet struct {
+	Daemons   []adminapi.Status `json:"daemons"`
+	Unreached []Unreached       `json:"unreached"`
+	// Gone are the members that no reached daemon holds for live.
+	Gone []adminapi.MemberStatus `json:"gone"`
+	// Silent are the given addresses that did not answer and that no reached
+	// daemon knows: they may be replaced hosts, so no wait counts them.
+	Silent []string `json:"silent"`
+}
+
+// Fleet asks the given daemons and every live member that these know for their
+// status. Errors: *UnreachableError, when no daemon answered.
+func (c *Client) Fleet(ctx context.Context) (*Fleet, error) {
+	f := &Fleet{
+		Daemons:   []adminapi.Status{},
+		Unreached: []Unreached{},
+		Gone:      []adminapi.MemberStatus{},
+		Silent:    []string{},
+	}
+	var last error
+	for _, address := range c.Daemons {
+		status, err := c.look(ctx, address)
+		if err != nil {
+			f.Silent = append(f.Silent, address)
+			last = err
+			continue
+		}
+		f.add(status)
+	}
+	if len(f.Daemons) == 0 {
+		return nil, &UnreachableError{Daemons: c.Daemons, Cause: last}
+	}
+	for _, m := range f.members() {
+		f.addMember(ctx, c, m)
+	}
+	return f, nil
+}
+
+func (c *Client) look(ctx context.Context, address string) (adminapi.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	return c.StatusAt(ctx, address)
+}
+
+func (f *Fleet) add(s adminapi.Status) {
+	if !f.reached(s.Daemon) {
+		f.Daemons = append(f.Daemons, s)
+	}
+}
+
+func (f *Fleet) reached(name api.DaemonID) bool {
+	return slices.ContainsFunc(f.Daemons, func(d adminapi.Status) bool { return d.Daemon == name })
+}
+
+// members merges the views of the reached daemons: live in one is live.
+func (f *Fleet) members() []adminapi.MemberStatus {
+	merged := make(map[api.DaemonID]adminapi.MemberStatus)
+	for _, d := range f.Daemons {
+		for _, m := range d.Members {
+			if known, ok := merged[m.Name]; !ok || (m.Live() && !known.Live()) {
+				merged[m.Name] = m
+			}
+		}
+	}
+	var members []adminapi.MemberStatus
+	for _, name := range slices.Sorted(maps.Keys(merged)) {
+		members = append(members, merged[name])
+	}
+	return members
+}
+
+func (f *Fleet) addMember(ctx context.Context, c *Client, m adminapi.MemberStatus) {
+	if f.reached(m.Name) {
+		return
+	}
+	f.Silent = slices.DeleteFunc(f.Silent, func(address string) bool { return address == m.Address })
+	if !m.Live() {
+		f.Gone = append(f.Gone, m)
+		return
+	}
+	status, err := c.look(ctx, m.Address)
+	if err != nil {
+		f.Unreached = append(f.Unreached, Unreached{Name: m.Name, Address: m.Address, Error: err.Error()})
+		return
+	}
+	f.add(status)
+}
+
+// Behind returns the live daemons that are not known to be at offset o.
+func (f *Fleet) Behind(o api.Offset) []api.DaemonID {
+	behind := f.unreachedNames()
+	for _, d := range f.Daemons {
+		if d.ConfigOffset < o {
+			behind = append(behind, d.Daemon)
+		}
+	}
+	return behind
+}
+
+// NotEmpty returns the live daemons that are not known to have stopped using
+// an upstream that was marked draining at revision r.
+func (f *Fleet) NotEmpty(id api.UpstreamID, r api.Revision) []api.DaemonID {
+	busy := f.unreachedNames()
+	for _, d := range f.Daemons {
+		if d.ConfigOffset < r || !empty(d, id) {
+			busy = append(busy, d.Daemon)
+		}
+	}
+	return busy
+}
+
+func empty(d adminapi.Status, id api.UpstreamID) bool {
+	for _, u := range d.Upstreams {
+		if u.ID == id {
+			return u.Mark == api.MarkDraining && u.InFlight == 0
+		}
+	}
+	return false // not known
+}
+
+// Loaded returns the highest version of a model that any daemon read back
+// from an upstream; zero when none did.
+func (f *Fleet) Loaded(id api.UpstreamID, m api.ModelName) api.WeightVersion {
+	var highest api.WeightVersion
+	for _, d := range f.Daemons {
+		for _, u := range d.Upstreams {
+			if u.ID == id {
+				highest = max(highest, u.Loaded[m])
+			}
+		}
+	}
+	return highest
+}
+
+func (f *Fleet) unreachedNames() []api.DaemonID {
+	var names []api.DaemonID
+	for _, u := range f.Unreached {
+		names = append(names, u.Name)
+	}
+	return names
+}
--- a/standin/plain/main.go
+++ b/standin/plain/main.go
@@ -4,30 +4,20 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"dotterelmount.example/standin/plain/service"
+	"dotterelmount.example/standin/serve"
 )
 
-const (
-	headerTimeout = 10 * time.Second
-	stopTimeout   = 5 * time.Second // for calls in progress at SIGTERM
-	crashStatus   = 3
-)
+// crashStatus is the exit status in mode crash.
+const crashStatus = 3
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
+	if err := command().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "plain:", err)
 		os.Exit(1)
 	}
@@ -42,30 +32,8 @@
 			&cli.DurationFlag{Name: "service-time", Usage: "`duration` of each call"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return serve(ctx, c.String("listen"), c.Duration("service-time"))
+			s := service.New(c.Duration("service-time"), func() { os.Exit(crashStatus) })
+			return serve.Run(ctx, c.String("listen"), s.Handler(), os.Stdout)
 		},
 	}
 }
-
-func serve(ctx context.Context, address string, serviceTime time.Duration) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", address, err)
-	}
-	s := service.New(serviceTime, func() { os.Exit(crashStatus) })
-	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}
-	stopped := make(chan struct{})
-	context.AfterFunc(ctx, func() {
-		defer close(stopped)
-		deadline, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		// Calls that outlast the deadline are cut off by the end of the process.
-		_ = server.Shutdown(deadline)
-	})
-	fmt.Println("listening", listener.Addr())
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve: %w", err)
-	}
-	<-stopped
-	return nil
-}
