--- a/server/logbook/reader.go
+++ b/server/logbook/reader.go
@@ -25,10 +25,12 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if r.positions == nil {
+	wait := r.book.cfg.ReadWait
+	if r.positions == nil { // the first read must not wait to learn that the log is empty
+		wait = 0
 		r.positions = []eventlog.Position{{Stream: api.StreamConfig, From: 1}, {Stream: api.StreamClaims, From: 1}}
 	}
-	batches, err := r.log.Read(ctx, r.positions, r.book.cfg.ReadLimit, r.book.cfg.ReadWait)
+	batches, err := r.log.Read(ctx, r.positions, r.book.cfg.ReadLimit, wait)
 	if err != nil {
 		r.pause(ctx)
 	} else {
