Resume with the tokens that are left; compare like with like in observations

The engine counts max_tokens per call, so a resumed call asked for too many. A plain service's time per call and an engine's time per token shared one median, which marked an idle engine as slow.

--- a/server/carrier/carrier.go
+++ b/server/carrier/carrier.go
@@ -25,9 +25,10 @@
 	Job     *work.Job
 	Cancel  context.CancelFunc // of a probe
 	Target  upstream.Target
-	// Resume is the answer's text from earlier attempts.
-	Resume string
-	Ctx    context.Context // ends at the job's deadline, on cancel and at the stop
+	// Resume is the answer's text from earlier attempts, of ResumeTokens tokens.
+	Resume       string
+	ResumeTokens int
+	Ctx          context.Context // ends at the job's deadline, on cancel and at the stop
 	// Silence is the longest time without progress; the first piece of an
 	// answer may take FirstByteFactor times as long, as it waits in the
 	// engine's own queue.
@@ -105,6 +106,7 @@
 func (c *Carrier) generate(t *Task, w *watchdog, r *Result, started time.Time) {
 	g := *t.Job.Call.Generate
 	g.Resume = t.Resume
+	g.MaxTokens -= t.ResumeTokens
 	var text strings.Builder
 	r.Finish, r.Err = c.client.Generate(w.ctx, t.Target, t.Job.ID, t.Job.Model, &g, func(d work.Chunk) error {
 		w.pause()
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -170,7 +170,7 @@
 			assert.NilError(t, say(delta, 1, 0, 2))
 			return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeTruncated, Cause: context.Canceled}
 		}
-		return say(delta, 2, len(strings.Fields(g.Resume)), 4)
+		return say(delta, 2, len(strings.Fields(g.Resume)), len(strings.Fields(g.Resume))+g.MaxTokens)
 	}
 	d := start(t, f, state(4, "a", "b"), nil)
 	c := newCollector()
@@ -361,3 +361,18 @@
 	assert.Equal(t, a.Outcome, api.OutcomeUnknown)
 	assert.Equal(t, api.CodeOf(a.Err), api.CodeCancelled)
 }
+
+func TestAnswerThatLacksOnlyItsEndMarkerIsWhole(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, u upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		assert.NilError(t, say(delta, 1, 0, 4))
+		return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeTruncated, Cause: context.Canceled}
+	}
+	d := start(t, f, state(4, "a", "b"), nil)
+	c := newCollector()
+	assert.NilError(t, d.Submit(job("x", c)))
+	a := c.wait(t)
+	assert.Equal(t, a.Outcome, api.OutcomeComplete)
+	assert.Equal(t, a.FinishReason, "length")
+	assert.Equal(t, len(f.calls["x"]), 1)
+}
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -20,7 +20,7 @@
 	state   *ledger.State
 	queue   *admission.Queue
 	policy  routing.Policy
-	watch   *routing.Observer
+	watch   map[observedGroup]*routing.Observer
 	retries *retry.Budget
 	hedges  *retry.Budget
 
@@ -95,7 +95,7 @@
 	}
 	h := &handler{
 		d: d, cfg: d.cfg, policy: policy,
-		watch:     routing.NewObserver(),
+		watch:     make(map[observedGroup]*routing.Observer),
 		retries:   retry.NewBudget(d.cfg.RetryRatio, minRetriesPerSecond),
 		hedges:    retry.NewBudget(d.cfg.HedgeRatio, 0),
 		flights:   make(map[api.RequestID]*flight),
@@ -145,7 +145,7 @@
 	}
 	h.resize()
 	for id, u := range h.upstreams {
-		u.slow = h.watch.Slow(id, now)
+		u.slow = h.observer(u).Slow(id, now)
 	}
 	h.hedge(now)
 	h.pump()
@@ -186,12 +186,28 @@
 	for id, u := range h.upstreams {
 		if u.removed && len(u.running) == 0 {
 			delete(h.upstreams, id)
-			h.watch.Forget(id)
+			h.observer(u).Forget(id)
 		}
 	}
 	h.resize()
 }
 
+// observedGroup is a set of upstreams whose times can be compared.
+type observedGroup struct {
+	kind  api.UpstreamKind
+	model api.ModelName
+}
+
+func (h *handler) observer(u *upstreamState) *routing.Observer {
+	g := observedGroup{kind: u.info.Kind, model: u.info.Models[0]}
+	o, ok := h.watch[g]
+	if !ok {
+		o = routing.NewObserver()
+		h.watch[g] = o
+	}
+	return o
+}
+
 func (h *handler) newWindow(limit int) *admission.Window {
 	return admission.NewWindow(admission.WindowConfig{Limit: limit, Floor: 1, ShortReserve: h.cfg.ShortReserve})
 }
--- a/server/dispatch/settle.go
+++ b/server/dispatch/settle.go
@@ -55,7 +55,7 @@
 	}
 	u.window.Done(a.flight.job.Lane, a.flight.short, perToken, ok || blameless, now)
 	if !blameless {
-		h.watch.Done(u.info.ID, perToken, ok, now)
+		h.observer(u).Done(u.info.ID, perToken, ok, now)
 	}
 	if ok {
 		u.refusals = 0
@@ -87,11 +87,22 @@
 // complete ends a flight with its whole answer.
 func (h *handler) complete(f *flight, r carrier.Result) {
 	h.keep(f, r)
-	h.finish(f, work.Answer{
-		Outcome: api.OutcomeComplete,
-		Text:    f.text, Tokens: f.tokens, Versions: f.versions, FinishReason: r.Finish.Reason,
-		Status: r.Plain.Status, ContentType: r.Plain.ContentType, Body: r.Plain.Body,
-	})
+	a := f.whole(r.Finish.Reason)
+	a.Status, a.ContentType, a.Body = r.Plain.Status, r.Plain.ContentType, r.Plain.Body
+	h.finish(f, a)
+}
+
+func (f *flight) whole(reason string) work.Answer {
+	return work.Answer{
+		Outcome: api.OutcomeComplete, FinishReason: reason,
+		Text: f.text, Tokens: f.tokens, Versions: f.versions,
+	}
+}
+
+// allTokens reports whether only the end marker of a generation is missing.
+func (h *handler) allTokens(f *flight) bool {
+	g := f.job.Call.Generate
+	return g != nil && f.tokens >= g.MaxTokens
 }
 
 // keep adds an attempt's part to the answer.
@@ -126,6 +137,10 @@
 		return
 	}
 	f.sent = true
+	if h.allTokens(f) {
+		h.finish(f, f.whole("length"))
+		return
+	}
 	f.fresh = call.Code == api.CodeUpstreamSilent || call.Code == api.CodeTruncated
 	if lost(call) {
 		h.suspect(f, u, now)
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -54,11 +54,11 @@
 	f.started++
 	f.tried = append(f.tried, id)
 	u.window.Start(f.job.Lane, f.short)
-	u.slow = h.watch.Slow(id, now) // a probe lets one request through
+	u.slow = h.observer(u).Slow(id, now) // a probe lets one request through
 	var ctx context.Context
 	ctx, a.cancel = context.WithDeadline(h.cutCtx, f.job.Deadline)
 	h.send(&carrier.Task{
-		Attempt: a.id, Job: f.job, Resume: f.text, Ctx: ctx,
+		Attempt: a.id, Job: f.job, Resume: f.text, ResumeTokens: f.tokens, Ctx: ctx,
 		Target:   upstream.Target{ID: id, Address: u.info.Address, Fresh: f.fresh},
 		Silence:  h.cfg.ProgressDeadline,
 		Admitted: h.admitted(id),
@@ -112,7 +112,7 @@
 func (h *handler) candidate(u *upstreamState) routing.Candidate {
 	return routing.Candidate{
 		ID: u.info.ID, Free: u.window.Free(), InFlight: len(u.running),
-		Latency: h.watch.Latency(u.info.ID),
+		Latency: h.observer(u).Latency(u.info.ID),
 		Slow:    u.slow,
 		Local:   u.info.DataCentre == h.cfg.DataCentre,
 	}
