--- a/lib/weights/planner.go
+++ b/lib/weights/planner.go
@@ -31,7 +31,7 @@
 	busy     bool // an action is in progress
 	loaded   map[api.ModelName]api.WeightVersion
 	readAt   time.Time // start of the last good read-back; zero: none, or it is outdated
-	tried    time.Time // start of the last read-back
+	tried    time.Time // start of the last read-back if it failed; zero: it didn't
 	failures int       // failed loads in a row
 	retryAt  time.Time // no load before
 	behind   map[api.ModelName]lag
@@ -51,13 +51,17 @@
 // SetView replaces the view.
 func (p *Planner) SetView(v View) {
 	p.view = v
+	names := make([]string, len(v.Members))
+	for i, m := range v.Members {
+		names[i] = string(m)
+	}
 	listed := make(map[api.UpstreamID]bool, len(v.Upstreams))
 	for i := range v.Upstreams {
 		if v.Upstreams[i].Kind != api.KindEngine {
 			continue
 		}
 		listed[v.Upstreams[i].ID] = true
-		p.list(v.Upstreams[i])
+		p.list(v.Upstreams[i], names)
 	}
 	for id, e := range p.engines {
 		e.gone = !listed[id]
@@ -68,7 +72,7 @@
 	p.order = slices.Sorted(maps.Keys(p.engines))
 }
 
-func (p *Planner) list(u api.Upstream) {
+func (p *Planner) list(u api.Upstream, members []string) {
 	e, ok := p.engines[u.ID]
 	if !ok {
 		e = &engine{behind: make(map[api.ModelName]lag)}
@@ -78,15 +82,8 @@
 		e.readAt, e.tried = time.Time{}, time.Time{}
 	}
 	e.upstream = u
-	e.rank = p.rank(u.ID)
-}
-
-func (p *Planner) rank(id api.UpstreamID) int {
-	names := make([]string, len(p.view.Members))
-	for i, m := range p.view.Members {
-		names[i] = string(m)
-	}
-	return slices.Index(routing.Rendezvous(routing.Key(string(id)), names), string(p.self))
+	order := routing.Rendezvous(routing.Key(string(u.ID)), members)
+	e.rank = slices.Index(order, string(p.self))
 }
 
 // ReadDone reports a read-back that was started at startedAt.
@@ -94,6 +91,7 @@
 	if e := p.endRead(id); e != nil {
 		e.loaded = loaded
 		e.readAt = startedAt
+		e.tried = time.Time{}
 	}
 }
 
@@ -192,7 +190,7 @@
 }
 
 func (p *Planner) read(e *engine, now time.Time) Action {
-	if p.reads >= p.cfg.MaxReads || (!e.tried.IsZero() && now.Sub(e.tried) < p.cfg.ReadLife) {
+	if p.reads >= p.cfg.MaxReads || (!e.tried.IsZero() && now.Sub(e.tried) < p.cfg.ReadInterval) {
 		return nil
 	}
 	p.reads++
--- a/lib/weights/weights_test.go
+++ b/lib/weights/weights_test.go
@@ -250,3 +250,38 @@
 	}
 	assert.Equal(t, w.sends, 0)
 }
+
+func TestFailedLoadsBackOff(t *testing.T) {
+	cfg := weights.DefaultConfig()
+	w := newWorld(1, 1, cfg)
+	w.announce()
+	w.see(0)
+	for range 100 { // ten seconds
+		w.now = w.now.Add(100 * time.Millisecond)
+		w.tick(0)
+		for len(w.tasks) > 0 {
+			w.advance(0, 1-w.readFault())
+		}
+	}
+	assert.Assert(t, w.sends >= 4 && w.sends <= 8, "%d sent", w.sends)
+}
+
+// readFault is 1 when the first task is a read, which is to succeed.
+func (w *world) readFault() int {
+	if _, read := w.tasks[0].action.(weights.Read); read {
+		return 1
+	}
+	return 0
+}
+
+func TestOldReadBackIsRenewedBeforeAnOrder(t *testing.T) {
+	w := newWorld(1, 1, weights.DefaultConfig())
+	w.settle(20)
+	w.now = w.now.Add(time.Minute) // paused
+	w.announce()
+	w.see(0)
+	w.tick(0)
+	assert.Equal(t, len(w.tasks), 1)
+	_, read := w.tasks[0].action.(weights.Read)
+	assert.Assert(t, read)
+}
--- /dev/null
+++ b/server/weightkeeper/weightkeeper.go
@@ -0,0 +1,119 @@
+// Package weightkeeper brings the engines to the announced weight versions.
+// One planner duty decides, a fixed number of loader duties make the blocking
+// calls; each loader has one call in hand at a time.
+package weightkeeper
+
+import (
+	"context"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/weights"
+)
+
+const (
+	// plannerTick is the time between two rounds of decisions.
+	plannerTick = 50 * time.Millisecond
+	// loaderRing is one: the planner gives work to an idle loader only.
+	loaderRing = 1
+)
+
+// Metrics, under "weights" in expvar: counts of orders sent, failed and
+// expired, and of read-backs done and failed.
+var metrics = expvar.NewMap("weights")
+
+// Truth is what engines truly ran at their last read-back.
+type Truth = map[api.UpstreamID]map[api.ModelName]api.WeightVersion
+
+// Source returns the configuration in force; nil while there is none.
+type Source func() *ledger.State
+
+// Members returns the live daemons, this one included.
+type Members func() []api.DaemonID
+
+// Config describes a Keeper.
+type Config struct {
+	Daemon      api.DaemonID
+	Plan        weights.Config // zero: weights.DefaultConfig
+	ReadTimeout time.Duration  // of one read-back; zero: one second
+	LoadTimeout time.Duration  // of one load, until it is confirmed; zero: 30 seconds
+	// OnOrder, if set, is told of each order and its failure, nil if it was
+	// accepted, for the audit trail. It runs on the planner's thread.
+	OnOrder func(weights.Order, error)
+}
+
+const (
+	defaultReadTimeout = time.Second
+	defaultLoadTimeout = 30 * time.Second
+)
+
+// Keeper is a running planner with its loaders.
+type Keeper struct {
+	planner *duty.Duty[event]
+	loaders []*duty.Duty[job]
+	truth   atomic.Pointer[Truth]
+}
+
+// Start starts the planner and MaxLoads + MaxReads loaders, so that slow loads
+// never keep read-backs waiting.
+func Start(sys *duty.System, cfg Config, client upstream.Client, source Source, members Members) *Keeper {
+	cfg = cfg.withDefaults()
+	k := &Keeper{}
+	k.truth.Store(&Truth{})
+	for range cfg.Plan.MaxLoads + cfg.Plan.MaxReads {
+		h := &loader{cfg: cfg, client: client, report: k.report}
+		k.loaders = append(k.loaders, duty.Start(sys, duty.Config{Name: "weight-loader", RingSize: loaderRing}, h))
+	}
+	p := newPlanner(cfg, k, source, members)
+	// The ring has room for begin and one result of each loader: it never fills.
+	ringSize := len(k.loaders) + 1
+	k.planner = duty.Start(sys, duty.Config{Name: "weight-planner", RingSize: ringSize, Tick: plannerTick}, p)
+	// The planner hands out no work before this message, so the loaders see
+	// the finished Keeper.
+	k.report(begin{})
+	return k
+}
+
+func (c Config) withDefaults() Config {
+	if c.Plan == (weights.Config{}) {
+		c.Plan = weights.DefaultConfig()
+	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = defaultReadTimeout
+	}
+	if c.LoadTimeout == 0 {
+		c.LoadTimeout = defaultLoadTimeout
+	}
+	return c
+}
+
+// Truth returns what each engine ran when this daemon last read it back.
+// Engines that were never read, or that others watch, are missing. Callers
+// must not change it.
+func (k *Keeper) Truth() Truth { return *k.truth.Load() }
+
+// Stop ends the planner and then the loaders, whose calls are cancelled.
+// Errors: ctx.Err().
+func (k *Keeper) Stop(ctx context.Context) error {
+	if err := k.planner.Stop(ctx); err != nil {
+		return err
+	}
+	for _, l := range k.loaders {
+		if err := l.Stop(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// report posts to the planner, which fails only after the planner has stopped.
+func (k *Keeper) report(e event) {
+	if k.planner.Post(e) != nil {
+		metrics.Add("results_dropped", 1)
+	}
+}
