--- a/lib/admission/window.go
+++ b/lib/admission/window.go
@@ -22,6 +22,8 @@
 	// minimumLife is how long a least latency is trusted before it is measured
 	// afresh: an upstream that got slower for good must not shrink for ever.
 	minimumLife = 30 * time.Second
+	// sizeEpsilon keeps rounding errors of changed sizes from costing a slot.
+	sizeEpsilon = 1e-6
 )
 
 // WindowConfig describes a Window.
@@ -41,6 +43,9 @@
 	inFlight int
 	long     int // calls in progress that are not members' short work
 
+	split     bool // longShare is set
+	longShare int  // part of the limit that long work may use
+
 	latency     time.Duration // moving average per token
 	minimum     time.Duration // least average of this period and the one before
 	candidate   time.Duration // least average of this period
@@ -90,7 +95,9 @@
 }
 
 // Limit returns the number of calls that may be in progress now.
-func (w *Window) Limit() int { return min(w.cfg.Limit, max(w.cfg.Floor, int(w.size))) }
+func (w *Window) Limit() int {
+	return min(w.cfg.Limit, max(w.cfg.Floor, int(w.size+sizeEpsilon)))
+}
 
 // InFlight returns the number of calls in progress.
 func (w *Window) InFlight() int { return w.inFlight }
@@ -111,13 +118,33 @@
 	w.cfg.Limit = n
 }
 
+// SetShares changes the most calls in progress to long plus short, of which
+// long work gets long at most. It takes the place of ShortReserve where the
+// parts of a window are shared out between daemons apart: of a share of one or
+// two slots no part can be reserved.
+func (w *Window) SetShares(long, short int) {
+	w.SetLimit(long + short)
+	w.split = true
+	w.longShare = max(0, long)
+}
+
 func (w *Window) longLimit() int {
-	// The rounding error of a product such as 0.9*10 must not cost a slot.
-	const epsilon = 1e-9
-	limit := math.Floor((1-w.cfg.ShortReserve)*float64(w.Limit()) + epsilon)
+	if w.split {
+		return w.splitLimit()
+	}
+	limit := math.Floor((1-w.cfg.ShortReserve)*float64(w.Limit()) + sizeEpsilon)
 	return max(1, int(limit))
 }
 
+// splitLimit shrinks the share of long work as the window adapts.
+func (w *Window) splitLimit() int {
+	if w.longShare == 0 {
+		return 0
+	}
+	part := float64(w.longShare) * float64(w.Limit()) / float64(w.cfg.Limit)
+	return max(1, int(part+sizeEpsilon))
+}
+
 func (w *Window) observe(latency time.Duration, now time.Time) {
 	if w.latency == 0 {
 		w.latency = latency
--- a/lib/admission/window_test.go
+++ b/lib/admission/window_test.go
@@ -81,3 +81,27 @@
 	run(4000, 30*time.Millisecond)
 	assert.Assert(t, w.Limit() >= 18, "slower for good: limit %d", w.Limit())
 }
+
+func TestChangedSharesKeepTheAdaptedPart(t *testing.T) {
+	w := admission.NewWindow(admission.WindowConfig{Limit: 10})
+	for n := range 1000 {
+		w.SetLimit(1 + n%17)
+	}
+	w.SetLimit(10)
+	assert.Equal(t, w.Limit(), 10)
+}
+
+func TestSeparateSharesKeepRoomForShortWork(t *testing.T) {
+	w := admission.NewWindow(admission.WindowConfig{})
+	w.SetShares(1, 1)
+	assert.Assert(t, w.Admits(api.LaneRollout, false))
+	w.Start(api.LaneRollout, false)
+	assert.Assert(t, !w.Admits(api.LaneInteractive, false))
+	assert.Assert(t, w.Admits(api.LaneInteractive, true))
+	w.Start(api.LaneInteractive, true)
+	assert.Assert(t, !w.Admits(api.LaneInteractive, true))
+	w.SetShares(0, 2)
+	w.Done(api.LaneRollout, false, 0, true, t0)
+	assert.Assert(t, !w.Admits(api.LaneRollout, true))
+	assert.Assert(t, w.Admits(api.LaneInteractive, true))
+}
--- a/lib/quota/keeper.go
+++ b/lib/quota/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -20,6 +21,17 @@
 	turnShare = 0.5
 )
 
+// SplitWindow divides a window into the slots for long work and those that only
+// short work may use; each part has a Keeper and Holdings of its own, because of
+// a daemon's share of one or two slots no part can be reserved. Long work keeps
+// at least one slot.
+func SplitWindow(window int, shortReserve float64) (long, short int) {
+	window = max(0, window)
+	short = int(math.Round(shortReserve * float64(window)))
+	short = max(0, min(short, window-1))
+	return window - short, short
+}
+
 // Keeper hands out the slots of one upstream's window. It belongs to one duty:
 // it is not safe for concurrent use.
 type Keeper struct {
--- a/lib/quota/quota_test.go
+++ b/lib/quota/quota_test.go
@@ -279,3 +279,12 @@
 	a := w.holdings[0].NextAsk(4, w.clock(0))
 	assert.Equal(t, w.keeper.Handle(a, w.keeperClock()).Slots, 0)
 }
+
+func TestSplitWindowLosesNoSlot(t *testing.T) {
+	for window := range 40 {
+		long, short := quota.SplitWindow(window, 0.2)
+		assert.Equal(t, long+short, window)
+		assert.Assert(t, window == 0 || long >= 1)
+		assert.Assert(t, window < 5 || short >= window/5)
+	}
+}
--- a/lib/routing/observer.go
+++ b/lib/routing/observer.go
@@ -15,11 +15,11 @@
 	slowFactor = 2.5
 	// failuresInRow is the number of failed calls in a row that counts as slow.
 	failuresInRow = 2
-	// probeInterval is the time between two probes of a slow upstream.
-	probeInterval = 200 * time.Millisecond
-	// observationLife is the time without observations after which a slow
-	// upstream is tried again like any other.
-	observationLife = 2 * time.Second
+	// probeInterval is the time without an observation after which a slow
+	// upstream is probed, and the time between two probes.
+	probeInterval = 500 * time.Millisecond
+	// maxAllowance bounds the doubling of a probe's allowance.
+	maxAllowance = 1024
 	// medianLife is the time for which a computed median is used again.
 	medianLife = 20 * time.Millisecond
 )
@@ -35,11 +35,13 @@
 }
 
 type observed struct {
-	latency  time.Duration // moving average; zero is unknown
-	seen     time.Time     // last observation
-	failures int           // failed calls in a row
-	probed   time.Time     // last probe, or the moment it was found slow; zero while not slow
-	fresh    bool          // a probe is out: the next observation replaces the average
+	latency   time.Duration // moving average; zero is unknown
+	seen      time.Time     // last observation
+	failures  int           // failed calls in a row
+	probed    time.Time     // last probe, or the moment it was found slow; zero while not slow
+	fresh     bool          // a probe is out: the next observation replaces the average
+	allowance int           // how often the next probe lets the upstream pass for normal
+	left      int           // how often the present probe still does
 }
 
 // NewObserver returns an observer that has seen nothing.
@@ -53,7 +55,7 @@
 	u := o.upstream(id)
 	if !ok {
 		u.failures++
-		u.seen = now
+		u.saw(now)
 		return
 	}
 	u.failures = 0
@@ -76,18 +78,16 @@
 }
 
 // Slow reports whether the upstream is to be avoided: its recent time per
-// token is several times the median of all, or its last calls failed. Once in
-// each probe interval it returns false and forgets the old average, so that
-// one request can show that the upstream has recovered.
+// token is several times the median of all, or its last calls failed. After a
+// probe interval in which running calls told nothing of it, Slow returns false
+// once and forgets the old average, so that one request can show that the
+// upstream has recovered. A request may well go elsewhere then; so each probe
+// that led to no observation doubles the allowance of the next.
 func (o *Observer) Slow(id api.UpstreamID, now time.Time) bool {
 	u, ok := o.upstreams[id]
 	if !ok {
 		return false
 	}
-	if now.Sub(u.seen) >= observationLife {
-		u.forget()
-		return false
-	}
 	if !u.fresh && !o.exceeds(u, now) {
 		u.probed = time.Time{}
 		return false
@@ -96,13 +96,14 @@
 		u.probed = now
 		return true
 	}
-	if now.Sub(u.probed) < probeInterval {
-		return true
+	if now.Sub(u.probed) >= probeInterval && now.Sub(u.seen) >= probeInterval {
+		u.probe(o.medianLatency(now), now)
 	}
-	u.probed = now
-	u.fresh = true
-	u.latency = o.medianLatency(now)
-	return false
+	if u.left > 0 {
+		u.left--
+		return false
+	}
+	return true
 }
 
 // Forget drops the observations of an upstream that left the usage list.
@@ -111,7 +112,7 @@
 func (o *Observer) upstream(id api.UpstreamID) *observed {
 	u, ok := o.upstreams[id]
 	if !ok {
-		u = &observed{}
+		u = &observed{allowance: 1}
 		o.upstreams[id] = u
 	}
 	return u
@@ -146,8 +147,9 @@
 }
 
 func (u *observed) observe(perToken time.Duration, now time.Time) {
-	u.seen = now
+	u.saw(now)
 	if perToken <= 0 {
+		u.fresh = false
 		return
 	}
 	if u.latency == 0 || u.fresh {
@@ -158,9 +160,17 @@
 	u.latency += time.Duration(smoothing * float64(perToken-u.latency))
 }
 
-func (u *observed) forget() {
-	u.latency = 0
-	u.failures = 0
-	u.fresh = false
-	u.probed = time.Time{}
+// saw ends a probe: the upstream has shown how it is.
+func (u *observed) saw(now time.Time) {
+	u.seen = now
+	u.left = 0
+	u.allowance = 1
+}
+
+func (u *observed) probe(median time.Duration, now time.Time) {
+	u.probed = now
+	u.fresh = true
+	u.latency = median
+	u.left = u.allowance
+	u.allowance = min(maxAllowance, 2*u.allowance)
 }
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -88,12 +88,12 @@
 		o.Progress("c", 55*time.Millisecond, now)
 	}
 	assert.Assert(t, o.Slow("c", now) && !o.Slow("a", now))
-	now = now.Add(250 * time.Millisecond)
+	now = now.Add(600 * time.Millisecond)
 	assert.Assert(t, !o.Slow("c", now), "one probe")
 	assert.Assert(t, o.Slow("c", now), "only one")
 	o.Done("c", 52*time.Millisecond, true, now)
 	assert.Assert(t, o.Slow("c", now.Add(30*time.Millisecond)), "still slow")
-	now = now.Add(250 * time.Millisecond)
+	now = now.Add(600 * time.Millisecond)
 	assert.Assert(t, !o.Slow("c", now))
 	o.Done("c", 10*time.Millisecond, true, now)
 	assert.Assert(t, !o.Slow("c", now.Add(30*time.Millisecond)), "recovered")
@@ -105,7 +105,29 @@
 	assert.Assert(t, !o.Slow("a", t0))
 	o.Done("a", 0, false, t0)
 	assert.Assert(t, o.Slow("a", t0))
-	assert.Assert(t, !o.Slow("a", t0.Add(3*time.Second)))
+	// Probes that no request took up grow until one does.
+	passes := []int{}
+	for probe := range 4 {
+		now := t0.Add(time.Duration(probe+1) * time.Second)
+		n := 0
+		for !o.Slow("a", now) {
+			n++
+		}
+		passes = append(passes, n)
+	}
+	assert.DeepEqual(t, passes, []int{1, 2, 4, 8})
+	o.Done("a", time.Millisecond, true, t0.Add(5*time.Second))
+	assert.Assert(t, !o.Slow("a", t0.Add(5*time.Second)))
+}
+
+func TestRunningCallsMakeProbesUnneeded(t *testing.T) {
+	o := routing.NewObserver()
+	for i := range 100 {
+		now := t0.Add(time.Duration(i) * 100 * time.Millisecond)
+		o.Done("a", 10*time.Millisecond, true, now)
+		o.Progress("b", 60*time.Millisecond, now)
+		assert.Assert(t, i == 0 || o.Slow("b", now))
+	}
 }
 
 func BenchmarkAffinity650(b *testing.B) {
