--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -24,6 +24,7 @@
 	"dotterelmount.example/server/dispatch"
 	"dotterelmount.example/server/logbook"
 	"dotterelmount.example/server/once"
+	"dotterelmount.example/server/weightkeeper"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 )
@@ -56,7 +57,9 @@
 	system   *duty.System
 	appender *appender.Appender
 	book     *logbook.Book
+	client   *httpupstream.Client
 	dispatch *dispatch.Dispatcher
+	weights  *weightkeeper.Keeper
 	callers  *http.Server
 	address  string
 	stopping atomic.Bool
@@ -74,6 +77,7 @@
 		return nil, err
 	}
 	n.startLog()
+	n.startWeights()
 	if err := n.serveCallers(); err != nil {
 		return nil, err
 	}
@@ -100,17 +104,23 @@
 func (n *Node) startDispatch() error {
 	d := n.settings.Dispatch
 	var err error
-	n.dispatch, err = dispatch.Start(n.system, httpupstream.New(httpupstream.Options{}), dispatch.Config{
+	n.client = httpupstream.New(httpupstream.Options{})
+	n.dispatch, err = dispatch.Start(n.system, n.client, dispatch.Config{
 		DataCentre: api.DataCentre(n.settings.DataCentre), Carriers: d.Carriers, RingSize: dispatchRing,
 		QueueLimit: d.QueueLimit, Routing: d.Routing, ProgressDeadline: d.ProgressDeadline,
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
-		Now: time.Now, Rand: rand.IntN, Strike: n.strike,
+		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth,
 	}, ledger.NewConfig().Snapshot())
 	return err
 }
 
+func (n *Node) startWeights() {
+	cfg := weightkeeper.Config{Daemon: api.DaemonID(n.settings.Daemon), OnOrder: n.ordered}
+	n.weights = weightkeeper.Start(n.system, cfg, n.client, n.book.State, n.live)
+}
+
 func (n *Node) serveCallers() error {
 	listener, err := net.Listen("tcp", n.settings.Listen.Callers)
 	if err != nil {
@@ -154,7 +164,7 @@
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", zap.Error(err))
 	}
-	err := errors.Join(n.dispatch.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/recordcodec"
+	"dotterelmount.example/lib/weights"
 	"dotterelmount.example/server/logbook"
 	"go.uber.org/zap"
 )
@@ -122,7 +123,21 @@
 	}}
 }
 
-func (n *Node) loaded(api.UpstreamID) map[api.ModelName]api.WeightVersion { return nil }
+// live returns the daemons that share the work, this one included.
+func (n *Node) live() []api.DaemonID { return []api.DaemonID{api.DaemonID(n.settings.Daemon)} }
+
+func (n *Node) loaded(id api.UpstreamID) map[api.ModelName]api.WeightVersion {
+	return n.weights.Truth()[id]
+}
+
+// truth returns the version that an engine was last read back to run; zero is unknown.
+func (n *Node) truth(id api.UpstreamID, m api.ModelName) api.WeightVersion { return n.loaded(id)[m] }
+
+// ordered runs on the weight planner's thread.
+func (n *Node) ordered(o weights.Order, err error) {
+	n.log.Info("weights ordered", zap.String("upstream", string(o.Upstream)), zap.String("model", string(o.Model)),
+		zap.Uint64("version", uint64(o.Version)), zap.Uint64("fence", uint64(o.Fence)), zap.Error(err))
+}
 
 // strikeTime is how long a strike is tried to be recorded.
 const strikeTime = 30 * time.Second
