--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -16,12 +16,14 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/eventlog/httplog"
+	"dotterelmount.example/lib/hostlist"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/upstream/httpupstream"
 	"dotterelmount.example/server/appender"
 	"dotterelmount.example/server/dispatch"
+	"dotterelmount.example/server/hosts"
 	"dotterelmount.example/server/logbook"
 	"dotterelmount.example/server/once"
 	"dotterelmount.example/server/weightkeeper"
@@ -31,22 +33,24 @@
 
 // Sizes and times of the parts.
 const (
-	ledgerRing     = 1024                   // messages
-	dispatchRing   = 4096                   // messages
-	appenderRing   = 4096                   // records
-	appendBatch    = 256                    // records in one append
-	flushEvery     = 5 * time.Millisecond   // between two appends to a stream
-	logCallTimeout = 2 * time.Second        // one call of the log
-	logReadWait    = 2 * time.Second        // long poll
-	logReadLimit   = 512                    // entries a read and stream
-	logRetryEvery  = 100 * time.Millisecond // after a failed read
-	proposeTimeout = 10 * time.Second
-	retryRatio     = 0.2
-	hedgeRatio     = 0.05
-	rolloutShare   = 0.5
-	exitInvariant  = 70
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
+	ledgerRing      = 1024                   // messages
+	dispatchRing    = 4096                   // messages
+	appenderRing    = 4096                   // records
+	appendBatch     = 256                    // records in one append
+	flushEvery      = 5 * time.Millisecond   // between two appends to a stream
+	logCallTimeout  = 2 * time.Second        // one call of the log
+	logReadWait     = 2 * time.Second        // long poll
+	logReadLimit    = 512                    // entries a read and stream
+	logRetryEvery   = 100 * time.Millisecond // after a failed read
+	proposeTimeout  = 10 * time.Second
+	retryRatio      = 0.2
+	hedgeRatio      = 0.05
+	rolloutShare    = 0.5
+	exitInvariant   = 70
+	hostListEvery   = time.Second
+	hostListTimeout = time.Second
+	headerTimeout   = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
 )
 
 // Node is a running daemon.
@@ -57,6 +61,7 @@
 	system   *duty.System
 	appender *appender.Appender
 	book     *logbook.Book
+	hosts    *hosts.Follower
 	client   *httpupstream.Client
 	dispatch *dispatch.Dispatcher
 	weights  *weightkeeper.Keeper
@@ -73,6 +78,7 @@
 	invariant.OnViolation(n.violated)
 	n.system = duty.NewSystem(n.panicked)
 	n.platform = httplog.New(s.Platform.Log, &http.Client{})
+	n.startHosts()
 	if err := n.startDispatch(); err != nil {
 		return nil, err
 	}
@@ -101,6 +107,14 @@
 	}, n.dispatch.Update)
 }
 
+func (n *Node) startHosts() {
+	var source hostlist.Source
+	if address := n.settings.Platform.HostList; address != "" {
+		source = hostlist.NewHTTP(address, &http.Client{})
+	}
+	n.hosts = hosts.Start(n.system, source, hosts.Config{Every: hostListEvery, Timeout: hostListTimeout})
+}
+
 func (n *Node) startDispatch() error {
 	d := n.settings.Dispatch
 	var err error
@@ -111,7 +125,7 @@
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
-		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth,
+		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving,
 	}, ledger.NewConfig().Snapshot())
 	return err
 }
@@ -164,7 +178,7 @@
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", zap.Error(err))
 	}
-	err := errors.Join(n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
--- /dev/null
+++ b/lib/hostlist/hostlist.go
@@ -0,0 +1,84 @@
+// Package hostlist reads the platform's list of live and leaving hosts, which
+// lags behind reality. It holds the interface and the one adapter that knows
+// the list's HTTP form.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"dotterelmount.example/api"
+)
+
+// State says whether a host stays.
+type State string
+
+// The states of a host.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Host is one entry of the list.
+type Host struct {
+	ID      string `json:"id"`
+	Address string `json:"address"` // host:port
+	State   State  `json:"state"`
+}
+
+// Source reads the whole list. Errors: CodeUpstreamFailed, CodeInvalid.
+type Source interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
+
+// maxBytes bounds the list's size.
+const maxBytes = 4 << 20
+
+type httpSource struct {
+	url    string
+	client *http.Client
+}
+
+// NewHTTP returns the adapter for the list served at an address (host:port).
+func NewHTTP(address string, client *http.Client) Source {
+	return &httpSource{url: "http://" + address + "/v1/hosts", client: client}
+}
+
+// Hosts implements Source.
+func (s *httpSource) Hosts(ctx context.Context) ([]Host, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url, nil)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "host list: %w", err)
+	}
+	res, err := s.client.Do(req)
+	if err != nil {
+		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: status %d", res.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxBytes))
+	if err != nil {
+		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: %w", err)
+	}
+	return Decode(body)
+}
+
+// Decode reads a list's JSON form. Errors: CodeInvalid.
+func Decode(body []byte) ([]Host, error) {
+	var list struct {
+		Hosts []Host `json:"hosts"`
+	}
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "host list: %w", err)
+	}
+	for _, h := range list.Hosts {
+		if h.State != Live && h.State != Leaving {
+			return nil, api.Errorf(api.CodeInvalid, "host list: %q has state %q", h.ID, h.State)
+		}
+	}
+	return list.Hosts, nil
+}
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -38,6 +38,9 @@
 	// Shares bounds the calls in progress from this daemon to an upstream; nil
 	// or a negative result leaves the whole window.
 	Shares func(id api.UpstreamID) int
+	// Leaving reports whether the platform's host list says that the upstream
+	// at an address leaves; nil: never.
+	Leaving func(address string) bool
 	// Truth returns the weight version that an engine was last read back to
 	// run; zero is unknown.
 	Truth func(id api.UpstreamID, m api.ModelName) api.WeightVersion
@@ -111,6 +114,12 @@
 	_ = d.duty.Post(stateMsg{state: s}) // a full ring: the next tick compares revisions
 }
 
+// leaves reports whether an upstream takes no new work: it is marked for
+// cleaning, or the host list says that it leaves.
+func (d *Dispatcher) leaves(s *ledger.State, u *api.Upstream) bool {
+	return s.Draining(u.ID) || d.cfg.Leaving != nil && d.cfg.Leaving(u.Address)
+}
+
 // View returns an immutable picture of the duty's state.
 func (d *Dispatcher) View() *View { return d.view.Load() }
 
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -145,6 +145,7 @@
 	}
 	h.resize()
 	for id, u := range h.upstreams {
+		u.draining = h.d.leaves(h.state, &u.info)
 		u.slow = h.observer(u).Slow(id, now)
 	}
 	h.hedge(now)
@@ -181,7 +182,7 @@
 			h.upstreams[info.ID] = u
 		}
 		u.info, u.removed = info, false
-		u.draining = s.Draining(info.ID)
+		u.draining = h.d.leaves(s, &info)
 	}
 	for id, u := range h.upstreams {
 		if u.removed && len(u.running) == 0 {
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -71,8 +71,8 @@
 func (h *handler) admitted(id api.UpstreamID) func() bool {
 	return func() bool {
 		s := h.d.state.Load()
-		_, err := s.Upstream(id)
-		return err == nil && !s.Draining(id)
+		u, err := s.Upstream(id)
+		return err == nil && !h.d.leaves(s, u)
 	}
 }
 
--- /dev/null
+++ b/server/hosts/hosts.go
@@ -0,0 +1,83 @@
+// Package hosts is the duty that follows the platform's host list. The list
+// lags and may be unreachable; the last one read stays in use.
+package hosts
+
+import (
+	"context"
+	"expvar"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/hostlist"
+)
+
+var readsFailed = expvar.NewInt("host_list_reads_failed")
+
+// Config of a Follower.
+type Config struct {
+	Every   time.Duration // between two reads
+	Timeout time.Duration // of one read
+}
+
+// Follower is the handle of the duty.
+type Follower struct {
+	cfg    Config
+	source hostlist.Source
+	duty   *duty.Duty[struct{}]
+	list   atomic.Pointer[[]hostlist.Host]
+}
+
+// Start spawns the duty. A nil source leaves the list empty for good.
+func Start(sys *duty.System, source hostlist.Source, cfg Config) *Follower {
+	f := &Follower{cfg: cfg, source: source}
+	f.list.Store(&[]hostlist.Host{})
+	if source != nil {
+		f.duty = duty.Start(sys, duty.Config{Name: "host-list", RingSize: 1, Tick: cfg.Every}, duty.Handler[struct{}](f))
+		_ = f.duty.Post(struct{}{}) // a new duty's ring is empty
+	}
+	return f
+}
+
+// Handle reads the list once.
+func (f *Follower) Handle(ctx context.Context, _ struct{}) { f.Tick(ctx) }
+
+// Tick reads the list once.
+func (f *Follower) Tick(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, f.cfg.Timeout)
+	defer cancel()
+	list, err := f.source.Hosts(ctx)
+	if err != nil {
+		readsFailed.Add(1)
+		return
+	}
+	f.list.Store(&list)
+}
+
+// Leaving reports whether the host at an address (host:port) is said to leave.
+func (f *Follower) Leaving(address string) bool {
+	return slices.ContainsFunc(*f.list.Load(), func(h hostlist.Host) bool {
+		return h.Address == address && h.State == hostlist.Leaving
+	})
+}
+
+// Live returns the addresses of hosts that are said to stay, other than the
+// given ones.
+func (f *Follower) Live(except func(address string) bool) []string {
+	var out []string
+	for _, h := range *f.list.Load() {
+		if h.State == hostlist.Live && !except(h.Address) {
+			out = append(out, h.Address)
+		}
+	}
+	return out
+}
+
+// Stop ends the duty. Errors: ctx.Err().
+func (f *Follower) Stop(ctx context.Context) error {
+	if f.duty == nil {
+		return nil
+	}
+	return f.duty.Stop(ctx)
+}
