--- a/lib/samples/query.go
+++ b/lib/samples/query.go
@@ -11,6 +11,9 @@
 // Counts returns the stream's counters.
 func (s *Stream) Counts() Counts { return s.counts }
 
+// OpenSteps returns the number of steps that are not whole.
+func (s *Stream) OpenSteps() int { return len(s.steps) }
+
 // LimitFunc returns the version in force and the staleness bound that apply to
 // a step; false leaves the step out of the hand-over.
 type LimitFunc func(*StepOpened) (api.WeightVersion, uint64, bool)
--- a/lib/samples/stream.go
+++ b/lib/samples/stream.go
@@ -53,6 +53,8 @@
 // Counts of one stream since its oldest record folded.
 type Counts struct {
 	Due          int `json:"due"`
+	Ready        int `json:"ready"`  // samples that filled a slot
+	Handed       int `json:"handed"` // samples put into answers, also again after a return
 	Final        int `json:"final"`
 	Duplicate    int `json:"duplicate"`
 	DroppedStale int `json:"dropped_stale"`
@@ -212,6 +214,7 @@
 		s.counts.Duplicate++
 		return true
 	}
+	s.counts.Ready++
 	sl.state = slotReady
 	sl.sample = b.Sample
 	sl.doneID = id
--- /dev/null
+++ b/server/sampler/sampler.go
@@ -0,0 +1,218 @@
+// Package sampler brings training samples to their trainers exactly once. Its
+// duty "sampler" owns the fold of each followed trainer's stream and runs open
+// slots through the dispatcher; its duty "trainer-reader" waits for the log.
+package sampler
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/lib/samples"
+	"dotterelmount.example/lib/work"
+	"github.com/google/uuid"
+)
+
+// Config tunes the sampler.
+type Config struct {
+	Daemon api.DaemonID
+	Run    samples.RunConfig // MaxOutstanding counts the jobs of all trainers
+	// FrontLimit is the most calls of the front end that wait at once.
+	FrontLimit     int
+	MaxTrainers    int           // streams followed at once
+	MaxOpenSteps   int           // steps of one trainer that are not whole
+	MaxGroups      int           // groups in one answer at most
+	ReadLimit      int           // entries in one read at most
+	ReadWait       time.Duration // how long a read waits for an entry
+	ReadBackoff    time.Duration // after a failed read
+	AppendDeadline time.Duration // an append is given up then
+	JobDeadline    time.Duration // of one run of a slot
+	FollowIdle     time.Duration // an idle trainer's stream is forgotten then
+	Tick           time.Duration
+	// Fingerprint identifies the content of a request, and its prompt's prefix.
+	Fingerprint func(api.ModelName, *work.Generate) (api.Fingerprint, uint64)
+	// Random returns numbers in [0, 1) that spread retries.
+	Random func() float64
+}
+
+// DefaultConfig returns settings for a daemon of this name.
+func DefaultConfig(daemon api.DaemonID) Config {
+	return Config{
+		Daemon: daemon,
+		Run: samples.RunConfig{
+			MaxOutstanding: 1024, MaxHedges: 64, HedgeShare: 0.8, HedgeAfter: time.Second, HedgeFactor: 3,
+			BackoffMin: 50 * time.Millisecond, BackoffMax: 5 * time.Second,
+			TakeOverAfter: 30 * time.Second, LateAfter: 2 * time.Minute,
+		},
+		FrontLimit: 256, MaxTrainers: 64, MaxOpenSteps: 16, MaxGroups: 64,
+		ReadLimit: 512, ReadWait: 2 * time.Second, ReadBackoff: 200 * time.Millisecond,
+		AppendDeadline: 5 * time.Second, JobDeadline: 5 * time.Minute, FollowIdle: 15 * time.Minute,
+		Tick: 20 * time.Millisecond, Fingerprint: contentFingerprint, Random: rand.Float64,
+	}
+}
+
+// Appender appends records in the background, each at least once.
+type Appender interface {
+	// Append queues the record. done is called once, on the appender's thread:
+	// nil when the record is in the log, *eventlog.AmbiguousError when it may be.
+	// Errors: those of a full queue; done is not called then.
+	Append(stream string, rec eventlog.Record, deadline time.Time, done func(error)) error
+}
+
+// Catalog is the configuration in force.
+type Catalog interface {
+	// Plan returns a customer's plan. Errors: CodeUnknownCustomer, CodeUnknownPlan.
+	Plan(api.CustomerID) (api.Plan, error)
+	// WeightInForce returns a model's version; zero if none was announced.
+	WeightInForce(api.ModelName) api.WeightVersion
+}
+
+// Members tells which daemons are alive.
+type Members interface{ Alive(api.DaemonID) bool }
+
+// Deps are the neighbours of the sampler.
+type Deps struct {
+	Log       eventlog.Log
+	Appender  Appender
+	Catalog   Catalog
+	Members   Members
+	Submitter work.Submitter
+	Now       func() time.Time
+}
+
+// PullRequest asks for the next groups of a trainer.
+type PullRequest struct {
+	Trainer api.TrainerID
+	// Pull must be above every number this trainer ever sent, also before a
+	// restart: trainers store it before they ask.
+	Pull      uint64
+	Cursor    api.Offset // Next of the last answer that the trainer stored
+	MaxGroups int        // zero: as many as the daemon allows
+	// InForce is a weight version that the trainer knows of; zero if none.
+	InForce api.WeightVersion
+	Wait    time.Duration // how long to wait for a group
+}
+
+// PullAnswer hands groups to a trainer.
+type PullAnswer struct {
+	From    api.Offset
+	Next    api.Offset
+	Pull    uint64
+	Groups  []samples.Group
+	Dropped []samples.SlotRef
+	Whole   []samples.StepID
+}
+
+type result[T any] struct {
+	value T
+	err   error
+}
+
+// Sampler is the handle of the two duties. Its methods may be called from any thread.
+type Sampler struct {
+	cfg     Config
+	now     func() time.Time
+	duty    *duty.Duty[message]
+	reader  *duty.Duty[readCommand]
+	calls   atomic.Int64
+	stopped atomic.Bool
+}
+
+// Start starts the duties.
+func Start(sys *duty.System, cfg Config, deps Deps) *Sampler {
+	s := &Sampler{cfg: cfg, now: deps.Now}
+	c := newCore(cfg, deps, uuid.NewString(), func() { s.calls.Add(-1) })
+	r := &reader{log: deps.Log, limit: cfg.ReadLimit, wait: cfg.ReadWait, deliver: func(ctx context.Context, m message) {
+		_ = s.duty.PostWait(ctx, m) // fails only when the sampler has stopped
+	}}
+	s.reader = duty.Start(sys, duty.Config{Name: "trainer-reader", RingSize: 1}, r)
+	c.reader = s.reader
+	// Room for one message of each job or sample under way, of each call, of
+	// each append of a call, and of the reader.
+	size := cfg.Run.MaxOutstanding + 2*cfg.FrontLimit + 1
+	s.duty = duty.Start(sys, duty.Config{Name: "sampler", RingSize: size, Tick: cfg.Tick}, c)
+	c.post = s.duty.Post
+	return s
+}
+
+// OpenStep makes a step's samples due; a repeat with the same content succeeds.
+// Errors: CodeInvalid, CodeUnknownCustomer, CodeConflict, CodeShed,
+// CodeLogUnavailable (not opened), CodeUnknownResult, CodeNotReady,
+// CodeDeadlineExceeded, CodeCancelled.
+func (s *Sampler) OpenStep(ctx context.Context, t api.TrainerID, step samples.StepOpened) error {
+	if err := step.Validate(); err != nil {
+		return err
+	}
+	reply := ring.NewSlot[result[struct{}]]()
+	_, err := call(ctx, s, reply, openMessage{trainer: t, step: step, reply: reply, expires: s.deadline(ctx)})
+	return err
+}
+
+// Pull waits for groups and hands them over. Errors: CodeSuperseded when the
+// number is not above an earlier one, and those of OpenStep; after any of them
+// the trainer asks again with a higher number and the same cursor.
+func (s *Sampler) Pull(ctx context.Context, r PullRequest) (PullAnswer, error) {
+	if r.Trainer == "" || r.Pull == 0 {
+		return PullAnswer{}, api.Errorf(api.CodeInvalid, "pull needs a trainer and a number of 1 or more")
+	}
+	if r.MaxGroups <= 0 || r.MaxGroups > s.cfg.MaxGroups {
+		r.MaxGroups = s.cfg.MaxGroups
+	}
+	reply := ring.NewSlot[result[PullAnswer]]()
+	return call(ctx, s, reply, pullMessage{req: r, reply: reply, expires: s.now().Add(r.Wait)})
+}
+
+// TrainerState returns what the log says of a trainer. Errors:
+// CodeUnknownTrainer and those of OpenStep.
+func (s *Sampler) TrainerState(ctx context.Context, t api.TrainerID) (samples.Report, error) {
+	reply := ring.NewSlot[result[samples.Report]]()
+	return call(ctx, s, reply, stateMessage{trainer: t, reply: reply, expires: s.deadline(ctx)})
+}
+
+// Stop refuses new calls, answers waiting ones as not ready, cancels the jobs
+// and ends the duties. Errors: ctx.Err().
+func (s *Sampler) Stop(ctx context.Context) error {
+	s.stopped.Store(true)
+	if err := s.reader.Stop(ctx); err != nil {
+		return err
+	}
+	return s.duty.Stop(ctx)
+}
+
+// deadline returns when a call is given up: its context's deadline, if any.
+func (s *Sampler) deadline(ctx context.Context) time.Time {
+	if d, ok := ctx.Deadline(); ok {
+		return d
+	}
+	return s.now().Add(s.cfg.AppendDeadline)
+}
+
+// call posts a message and waits for its reply.
+func call[T any](ctx context.Context, s *Sampler, reply *ring.Slot[result[T]], m message) (T, error) {
+	var zero T
+	if s.stopped.Load() {
+		return zero, api.Errorf(api.CodeNotReady, "sampler is stopping")
+	}
+	if s.calls.Add(1) > int64(s.cfg.FrontLimit) {
+		s.calls.Add(-1)
+		return zero, api.Errorf(api.CodeShed, "%d calls wait for the sampler already", s.cfg.FrontLimit)
+	}
+	if err := s.duty.Post(m); err != nil {
+		s.calls.Add(-1)
+		return zero, api.Errorf(api.CodeNotReady, "sampler: %w", err)
+	}
+	r, err := reply.Wait(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return zero, api.Errorf(api.CodeDeadlineExceeded, "sampler: %w", err)
+	}
+	if err != nil {
+		return zero, api.Errorf(api.CodeCancelled, "sampler: %w", err)
+	}
+	return r.value, r.err
+}
--- /dev/null
+++ b/server/sampler/sampler_test.go
@@ -0,0 +1,302 @@
+package sampler_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/samples"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/sampler"
+	"gotest.tools/v3/assert"
+)
+
+// fakeLog is one log in memory for all daemons of a test.
+type fakeLog struct {
+	mu      sync.Mutex
+	streams map[string][]eventlog.Entry
+	changed chan struct{}
+	down    bool
+	repeat  bool // each append takes effect twice
+}
+
+func newLog() *fakeLog {
+	return &fakeLog{streams: map[string][]eventlog.Entry{}, changed: make(chan struct{})}
+}
+
+func (l *fakeLog) set(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+func (l *fakeLog) Append(_ context.Context, stream string, records []eventlog.Record) (api.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, &eventlog.UnavailableError{Op: "append"}
+	}
+	if l.repeat {
+		records = append(records, records...)
+	}
+	first := api.Offset(len(l.streams[stream]) + 1)
+	for i, r := range records {
+		l.streams[stream] = append(l.streams[stream], eventlog.Entry{Offset: first + api.Offset(i), Record: r})
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return first, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, positions []eventlog.Position, _ int, wait time.Duration) ([]eventlog.Batch, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for first := true; ; first = false {
+		batches, found, changed := l.look(positions)
+		if found || !first || ctx.Err() != nil {
+			return batches, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+			return nil, &eventlog.UnavailableError{Op: "read", Cause: ctx.Err()}
+		}
+	}
+}
+
+func (l *fakeLog) look(positions []eventlog.Position) (batches []eventlog.Batch, found bool, changed chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range positions {
+		all := l.streams[p.Stream]
+		b := eventlog.Batch{Stream: p.Stream, Oldest: 1, Next: api.Offset(len(all) + 1)}
+		if int(p.From) <= len(all) {
+			b.Entries = append(b.Entries, all[p.From-1:]...)
+			found = true
+		}
+		batches = append(batches, b)
+	}
+	return batches, found, l.changed
+}
+
+// fakeAppender appends at once.
+type fakeAppender struct{ log *fakeLog }
+
+func (a fakeAppender) Append(stream string, r eventlog.Record, _ time.Time, done func(error)) error {
+	_, err := a.log.Append(context.Background(), stream, []eventlog.Record{r})
+	done(err)
+	return nil
+}
+
+type fakeWorld struct {
+	mu      sync.Mutex
+	version api.WeightVersion // in force
+	engine  api.WeightVersion
+	dead    map[api.DaemonID]bool
+	stall   bool // jobs are taken and never end
+	runs    int
+	fail    int // the first runs fail
+}
+
+func (w *fakeWorld) Plan(c api.CustomerID) (api.Plan, error) {
+	if c != "choir" {
+		return api.Plan{}, api.Errorf(api.CodeUnknownCustomer, "customer %q", c)
+	}
+	return api.Plan{Name: "small", StalenessBound: 1}, nil
+}
+
+func (w *fakeWorld) WeightInForce(api.ModelName) api.WeightVersion {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+func (w *fakeWorld) Alive(id api.DaemonID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.dead[id]
+}
+
+func (w *fakeWorld) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+}
+
+// submitter is the world as one daemon sees it.
+type submitter struct{ world *fakeWorld }
+
+func (s submitter) Submit(j *work.Job) error {
+	w := s.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs++
+	switch {
+	case w.stall:
+	case w.runs <= w.fail:
+		j.Sink.Finish(work.Answer{Outcome: api.OutcomeFailed, Err: api.Errorf(api.CodeUpstreamFailed, "crash")})
+	default:
+		versions := []api.WeightVersion{w.engine}
+		j.Sink.Finish(work.Answer{Outcome: api.OutcomeComplete, Text: string(j.ID), Tokens: 1, Versions: versions})
+	}
+	return nil
+}
+
+func (submitter) Cancel(api.RequestID) {}
+
+func startDaemon(t *testing.T, id api.DaemonID, l *fakeLog, w *fakeWorld) *sampler.Sampler {
+	cfg := sampler.DefaultConfig(id)
+	cfg.Tick = time.Millisecond
+	cfg.Run.BackoffMin = time.Millisecond
+	cfg.ReadBackoff = time.Millisecond
+	cfg.Run.TakeOverAfter = 50 * time.Millisecond
+	deps := sampler.Deps{
+		Log: l, Appender: fakeAppender{l}, Catalog: w, Members: w, Submitter: submitter{w}, Now: time.Now,
+	}
+	s := sampler.Start(duty.NewSystem(nil), cfg, deps)
+	t.Cleanup(func() { assert.NilError(t, s.Stop(context.Background())) })
+	return s
+}
+
+func newWorld() *fakeWorld {
+	return &fakeWorld{version: 1, engine: 1, dead: map[api.DaemonID]bool{}}
+}
+
+func step(id samples.StepID, groups, n int) samples.StepOpened {
+	s := samples.StepOpened{Step: id, Model: "m", Customer: "choir"}
+	for i := range groups {
+		prompt := []work.Message{{Role: "user", Content: fmt.Sprint("voicing ", i)}}
+		s.Groups = append(s.Groups, samples.GroupSpec{ID: samples.GroupID(fmt.Sprint("g", i)), Messages: prompt, N: n, MaxTokens: 4})
+	}
+	return s
+}
+
+// trainer pulls from one daemon after the other.
+type trainer struct {
+	pull   uint64
+	cursor api.Offset
+	used   map[samples.SlotRef]samples.Sample
+	whole  []samples.StepID
+}
+
+func (tr *trainer) ask(t *testing.T, s *sampler.Sampler) (sampler.PullAnswer, error) {
+	tr.pull++
+	return s.Pull(t.Context(), sampler.PullRequest{
+		Trainer: "t1", Pull: tr.pull, Cursor: tr.cursor, MaxGroups: 2, Wait: 100 * time.Millisecond,
+	})
+}
+
+func (tr *trainer) take(t *testing.T, a sampler.PullAnswer) {
+	for _, g := range a.Groups {
+		for i, sample := range g.Samples {
+			ref := samples.SlotRef{Step: g.Step, Group: g.Group, Index: i}
+			_, again := tr.used[ref]
+			assert.Assert(t, !again, "slot %v used again", ref)
+			tr.used[ref] = sample
+		}
+	}
+	tr.cursor = a.Next
+	tr.whole = append(tr.whole, a.Whole...)
+}
+
+// drive pulls until a step is whole.
+func (tr *trainer) drive(t *testing.T, daemons ...*sampler.Sampler) {
+	for i := 0; len(tr.whole) == 0; i++ {
+		if a, err := tr.ask(t, daemons[i%len(daemons)]); err == nil {
+			tr.take(t, a)
+		}
+		assert.NilError(t, t.Context().Err())
+	}
+}
+
+func newTrainer() *trainer { return &trainer{used: map[samples.SlotRef]samples.Sample{}} }
+
+func TestStepIsWholeThroughAnyDaemon(t *testing.T) {
+	l, w := newLog(), newWorld()
+	l.repeat, w.fail = true, 5
+	a, b := startDaemon(t, "a", l, w), startDaemon(t, "b", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 5, 3)))
+	assert.NilError(t, b.OpenStep(t.Context(), "t1", step("s", 5, 3)))
+	err := b.OpenStep(t.Context(), "t1", step("s", 5, 2))
+	assert.Equal(t, api.CodeOf(err), api.CodeConflict)
+	tr := newTrainer()
+	tr.drive(t, a, b)
+	assert.Equal(t, len(tr.used), 15)
+	for ref, s := range tr.used {
+		prefix := fmt.Sprintf("t1/%s/%s/%d/", ref.Step, ref.Group, ref.Index)
+		assert.Assert(t, strings.HasPrefix(s.Text, prefix), s.Text)
+	}
+	report, err := b.TrainerState(t.Context(), "t1")
+	assert.NilError(t, err)
+	assert.Equal(t, report.Counts.Final, 15)
+	assert.NilError(t, b.OpenStep(t.Context(), "t1", step("s", 5, 3)), "a repeat of a whole step does not open it again")
+	_, err = b.TrainerState(t.Context(), "nobody")
+	assert.Equal(t, api.CodeOf(err), api.CodeUnknownTrainer)
+}
+
+func TestLostAnswerIsHandedAgainElsewhere(t *testing.T) {
+	l, w := newLog(), newWorld()
+	a, b := startDaemon(t, "a", l, w), startDaemon(t, "b", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	tr := newTrainer()
+	for {
+		lost, err := tr.ask(t, a)
+		assert.NilError(t, err)
+		if len(lost.Groups) > 0 {
+			break // the trainer never takes this answer
+		}
+	}
+	_, err := b.Pull(t.Context(), sampler.PullRequest{Trainer: "t1", Pull: 1})
+	assert.Equal(t, api.CodeOf(err), api.CodeSuperseded)
+	tr.drive(t, b)
+	assert.Equal(t, len(tr.used), 4)
+}
+
+func TestStaleSamplesAreDroppedAndMadeAgain(t *testing.T) {
+	l, w := newLog(), newWorld()
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 1, 2)))
+	tr := newTrainer()
+	for {
+		lost, err := tr.ask(t, a)
+		assert.NilError(t, err)
+		if len(lost.Groups) > 0 {
+			break
+		}
+	}
+	w.set(func() { w.version, w.engine = 3, 3 })
+	again, err := tr.ask(t, a)
+	assert.NilError(t, err)
+	assert.Equal(t, len(again.Groups), 0)
+	assert.Equal(t, len(again.Dropped), 2)
+	tr.take(t, again)
+	tr.drive(t, a)
+	for _, s := range tr.used {
+		assert.DeepEqual(t, s.Versions, []api.WeightVersion{3})
+	}
+}
+
+func TestOutageLosesNothing(t *testing.T) {
+	l, w := newLog(), newWorld()
+	w.stall = true
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	l.set(func() { l.down = true })
+	w.set(func() { w.stall = false })
+	err := a.OpenStep(t.Context(), "t1", step("s2", 1, 1))
+	assert.Equal(t, api.CodeOf(err), api.CodeLogUnavailable)
+	l.set(func() { l.down = false })
+	// The stalled jobs never end; another daemon takes the step over.
+	b := startDaemon(t, "b", l, w)
+	w.set(func() { w.dead["a"] = true })
+	tr := newTrainer()
+	tr.drive(t, b, a)
+	assert.Equal(t, len(tr.used), 4)
+}
