--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -144,12 +144,16 @@
 	if c.reading || len(c.order) == 0 || c.deps.Now().Before(c.readAfter) {
 		return
 	}
+	wait := c.cfg.ReadWait
 	positions := make([]eventlog.Position, len(c.order))
 	for i, f := range c.order {
+		if !f.synced {
+			wait = 0 // calls wait to learn where the stream ends
+		}
 		positions[i] = eventlog.Position{Stream: f.name, From: f.next}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	if c.reader.Post(readCommand{ctx: ctx, cancel: cancel, positions: positions}) != nil {
+	if c.reader.Post(readCommand{ctx: ctx, cancel: cancel, positions: positions, wait: wait}) != nil {
 		cancel() // stopping, or the reader's last turn has not ended; the next tick tries again
 		return
 	}
--- a/server/sampler/reader.go
+++ b/server/sampler/reader.go
@@ -13,13 +13,13 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	positions []eventlog.Position
+	wait      time.Duration // for an entry, if there is none
 }
 
 // reader is the handler of the duty that blocks in the log.
 type reader struct {
 	log     eventlog.Log
 	limit   int
-	wait    time.Duration
 	deliver func(context.Context, message)
 }
 
@@ -27,7 +27,7 @@
 func (r *reader) Handle(ctx context.Context, m readCommand) {
 	stop := context.AfterFunc(ctx, m.cancel)
 	defer stop()
-	batches, err := r.log.Read(m.ctx, m.positions, r.limit, r.wait)
+	batches, err := r.log.Read(m.ctx, m.positions, r.limit, m.wait)
 	interrupted := m.ctx.Err() != nil
 	m.cancel()
 	r.deliver(ctx, readMessage{batches: batches, err: err, interrupted: interrupted})
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -128,7 +128,7 @@
 func Start(sys *duty.System, cfg Config, deps Deps) *Sampler {
 	s := &Sampler{cfg: cfg, now: deps.Now}
 	c := newCore(cfg, deps, uuid.NewString(), func() { s.calls.Add(-1) })
-	r := &reader{log: deps.Log, limit: cfg.ReadLimit, wait: cfg.ReadWait, deliver: func(ctx context.Context, m message) {
+	r := &reader{log: deps.Log, limit: cfg.ReadLimit, deliver: func(ctx context.Context, m message) {
 		_ = s.duty.PostWait(ctx, m) // fails only when the sampler has stopped
 	}}
 	s.reader = duty.Start(sys, duty.Config{Name: "trainer-reader", RingSize: 1}, r)
