--- /dev/null
+++ b/lib/membership/events.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"time"
+
+	"dotterelmount.example/api"
+)
+
+// Event is an input of State.Step.
+type Event interface{ event() }
+
+// Tick tells that time has passed; several a probe interval are needed.
+type Tick struct{}
+
+// Probed is a probe from another daemon; it leads to a Reply with its token.
+type Probed struct {
+	Token   uint64
+	Message Message
+}
+
+// Answered is the answer to the SendProbe of the same Seq.
+type Answered struct {
+	Seq     uint64
+	Message Message
+}
+
+// Failed tells that the SendProbe of this Seq had no answer.
+type Failed struct{ Seq uint64 }
+
+// Vouched tells that an indirect probe of this Seq reached its target.
+type Vouched struct{ Seq uint64 }
+
+// Unsent tells that the probe of this Seq was never sent for want of room; it
+// says nothing of its target.
+type Unsent struct{ Seq uint64 }
+
+// PageReceived is the answer to a FetchPage. Next is empty at the list's end.
+type PageReceived struct {
+	Members []Member
+	Next    api.DaemonID
+}
+
+// PageFailed tells that the FetchPage in flight had no answer.
+type PageFailed struct{}
+
+// TailDone tells that the PullTail in flight has ended, well or badly.
+type TailDone struct{}
+
+// OffsetAdvanced tells the offset of the configuration in force here.
+type OffsetAdvanced struct{ Through api.Offset }
+
+// SeedsChanged replaces the addresses by which other daemons are found.
+type SeedsChanged struct{ Seeds []string }
+
+// StopBegun marks this daemon as Stopping.
+type StopBegun struct{}
+
+// Leave makes this daemon leave for good.
+type Leave struct{}
+
+func (Tick) event()           {}
+func (Probed) event()         {}
+func (Answered) event()       {}
+func (Failed) event()         {}
+func (Vouched) event()        {}
+func (Unsent) event()         {}
+func (PageReceived) event()   {}
+func (PageFailed) event()     {}
+func (TailDone) event()       {}
+func (OffsetAdvanced) event() {}
+func (SeedsChanged) event()   {}
+func (StopBegun) event()      {}
+func (Leave) event()          {}
+
+// Action is an output of State.Step.
+type Action interface{ action() }
+
+// SendProbe asks for a direct probe; it leads to Answered, Failed or Unsent.
+type SendProbe struct {
+	Seq     uint64
+	Addr    string
+	Message Message
+	Timeout time.Duration
+}
+
+// SendIndirect asks the member at Via to probe Target; Vouched on success.
+type SendIndirect struct {
+	Seq     uint64
+	Via     string
+	Target  string
+	Timeout time.Duration
+}
+
+// Reply answers the Probed of the same token.
+type Reply struct {
+	Token   uint64
+	Message Message
+}
+
+// FetchPage asks a member for the part of its list after a name; it leads to
+// PageReceived or PageFailed.
+type FetchPage struct {
+	Addr  string
+	After api.DaemonID
+	Limit int
+}
+
+// PullTail asks for the log records after those in force; it leads to TailDone.
+type PullTail struct{ Addr string }
+
+func (SendProbe) action()    {}
+func (SendIndirect) action() {}
+func (Reply) action()        {}
+func (FetchPage) action()    {}
+func (PullTail) action()     {}
--- /dev/null
+++ b/lib/membership/membership_test.go
@@ -0,0 +1,116 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/membership"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func cluster(seed uint64, size int) *sim {
+	s := newSim(seed, membership.DefaultConfig())
+	for i := range size {
+		s.add(fmt.Sprintf("entry-%03d", i), fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250), "10.1.0.0:7000", "10.1.0.1:7000")
+	}
+	return s
+}
+
+// TestEventuallyAllAgree brings about any mix of loss, crash, restart,
+// replacement, pause, partition and leave; once they end, all live daemons
+// agree and none of them stays declared dead.
+func TestEventuallyAllAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := cluster(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 9).Draw(t, "size"))
+		s.runFor(10 * time.Second)
+		some := func(t *rapid.T) *node { return rapid.SampledFrom(s.nodes).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) {
+				s.runFor(time.Duration(rapid.IntRange(50, 20_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"loss":   func(t *rapid.T) { s.loss = float64(rapid.IntRange(0, 40).Draw(t, "percent")) / 100 },
+			"crash":  func(t *rapid.T) { some(t).up = false },
+			"freeze": func(t *rapid.T) { some(t).frozen = true },
+			"thaw":   func(t *rapid.T) { s.thaw(some(t)) },
+			"split":  func(t *rapid.T) { some(t).side = rapid.IntRange(0, 1).Draw(t, "side") },
+			"stop":   func(t *rapid.T) { s.step(some(t), membership.StopBegun{}) },
+			"restart": func(t *rapid.T) {
+				n := some(t)
+				n.up = false
+				s.now = s.now.Add(time.Millisecond)
+				if s.at(n.addr) == nil {
+					s.start(n, "10.1.0.0:7000", "10.1.0.1:7000")
+				}
+			},
+			"replace": func(t *rapid.T) {
+				old := some(t)
+				old.up = false
+				s.now = s.now.Add(time.Millisecond)
+				if s.at(old.addr) == nil && len(s.nodes) < 14 {
+					s.add(fmt.Sprintf("new-%02d", len(s.nodes)), old.addr, "10.1.0.0:7000", "10.1.0.1:7000")
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if n := some(t); n.up && !n.frozen {
+					s.step(n, membership.Leave{})
+					n.up = false
+				}
+			},
+		})
+		s.loss = 0
+		for _, n := range s.nodes {
+			n.side = 0
+			s.thaw(n)
+		}
+		// One seed must be there, as the platform's host list would give.
+		if s.at("10.1.0.0:7000") == nil {
+			s.start(s.nodes[0], "10.1.0.1:7000")
+		}
+		_, wrong := s.settle(10 * time.Minute)
+		assert.Equal(t, wrong, "")
+	})
+}
+
+func TestOffsetsReachAllThroughOneDaemonAndNeverFall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := cluster(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 13).Draw(t, "size"))
+		s.runFor(20 * time.Second)
+		s.loss = float64(rapid.IntRange(0, 20).Draw(t, "percent")) / 100
+		through := api.Offset(rapid.IntRange(1, 1000).Draw(t, "through"))
+		s.step(s.nodes[0], membership.OffsetAdvanced{Through: through})
+		s.step(s.nodes[0], membership.OffsetAdvanced{Through: through - 1})
+		s.runFor(time.Minute)
+		for _, n := range s.nodes {
+			for _, m := range n.state.Members() {
+				assert.Equal(t, m.Through, through, "%s about %s", n.id, m.ID)
+			}
+		}
+	})
+}
+
+func TestMessagesStayBounded(t *testing.T) {
+	cfg := membership.DefaultConfig()
+	self := membership.Member{ID: "entry-000", Peer: "10.1.0.1:7000", Incarnation: 1}
+	s := newSim(1, cfg)
+	n := s.add("entry-000", self.Peer)
+	for i := range 2000 {
+		m := membership.Member{ID: api.DaemonID(fmt.Sprintf("other-%d", i)), Peer: fmt.Sprintf("10.2.%d.%d:1", i/250, i%250), Incarnation: 1}
+		s.step(n, membership.Probed{Message: membership.Message{From: m}})
+	}
+	m := n.state.Compose("other-1", s.rng)
+	assert.Assert(t, len(m.Updates) > 0 && len(m.Updates) <= cfg.PiggybackRecords)
+	assert.Assert(t, m.Size() <= cfg.PiggybackBytes+m.From.Size()+64, "%d bytes", m.Size())
+	page, next := n.state.Page("", 1_000_000)
+	assert.Equal(t, len(page), cfg.PageMembers)
+	assert.Equal(t, next, page[len(page)-1].ID)
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	cfg := membership.DefaultConfig()
+	assert.NilError(t, cfg.Validate())
+	cfg.ProbeEvery = 0
+	assert.Equal(t, api.CodeOf(cfg.Validate()), api.CodeInvalid)
+}
--- /dev/null
+++ b/lib/membership/piggyback.go
@@ -0,0 +1,94 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"dotterelmount.example/api"
+	"github.com/cespare/xxhash/v2"
+)
+
+// hashPrime spreads the bits of an incarnation over a whole hash.
+const hashPrime = 0x9e3779b185ebca87
+
+// compose builds a message to the named daemon within the piggyback's bounds.
+func (s *State) compose(to api.DaemonID) Message {
+	m := Message{From: s.self, To: to, Digest: s.digest()}
+	room := s.cfg.PiggybackBytes
+	// A daemon that is not held alive has to learn it, or it cannot refute.
+	if rec := s.members[to]; rec != nil && rec.Status != Alive {
+		m.Updates = append(m.Updates, rec.Member)
+		room -= rec.Size()
+	}
+	room = s.attachRumours(&m, room)
+	s.attachOffsets(&m, room)
+	return m
+}
+
+func (s *State) attachRumours(m *Message, room int) int {
+	limit := s.cfg.RumourFactor * s.rounds()
+	for _, id := range s.leastSent(s.rumours) {
+		if id == m.To && len(m.Updates) > 0 || id == s.self.ID {
+			s.sent(s.rumours, id, limit)
+			continue // already in the message
+		}
+		rec := s.members[id]
+		if rec.Size() > room || len(m.Updates) >= s.cfg.PiggybackRecords {
+			return room
+		}
+		m.Updates = append(m.Updates, rec.Member)
+		room -= rec.Size()
+		s.sent(s.rumours, id, limit)
+	}
+	return room
+}
+
+func (s *State) attachOffsets(m *Message, room int) {
+	limit := s.cfg.OffsetFactor * s.rounds()
+	for _, id := range s.leastSent(s.offsets) {
+		rec := s.members[id]
+		o := OffsetUpdate{ID: id, Incarnation: rec.Incarnation, Through: rec.Through}
+		if o.Size() > room || len(m.Updates)+len(m.Offsets) >= s.cfg.PiggybackRecords {
+			return
+		}
+		m.Offsets = append(m.Offsets, o)
+		room -= o.Size()
+		s.sent(s.offsets, id, limit)
+	}
+}
+
+// leastSent returns the names queued, least sent first and random among
+// equals, so that members do not all send the same records.
+func (s *State) leastSent(queue map[api.DaemonID]int) []api.DaemonID {
+	names := make([]api.DaemonID, 0, len(queue))
+	for id := range queue {
+		names = append(names, id)
+	}
+	slices.Sort(names)
+	s.shuffle(names)
+	slices.SortStableFunc(names, func(a, b api.DaemonID) int { return cmp.Compare(queue[a], queue[b]) })
+	return names
+}
+
+func (s *State) sent(queue map[api.DaemonID]int, id api.DaemonID, limit int) {
+	queue[id]++
+	if queue[id] >= limit {
+		delete(queue, id)
+	}
+}
+
+// digest sums the names and incarnations of the live members, in any order.
+func (s *State) digest() uint64 {
+	sum := memberHash(&s.self)
+	for _, rec := range s.members {
+		if rec.Status <= Suspect {
+			sum += memberHash(&rec.Member)
+		}
+	}
+	return sum
+}
+
+func memberHash(m *Member) uint64 {
+	h := xxhash.Sum64String(string(m.ID))
+	return (h ^ m.Incarnation) * hashPrime
+}
--- /dev/null
+++ b/lib/membership/scale_test.go
@@ -0,0 +1,100 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/membership"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	designDaemons     = 370
+	budgetBytes       = 2000 // a second and daemon, sent and received
+	budgetConfigDelay = 4 * time.Second
+)
+
+// TestDesignSize runs the daemons of the design size in virtual time and holds
+// the figures against the budgets.
+func TestDesignSize(t *testing.T) {
+	for _, size := range []int{13, designDaemons} {
+		s := cluster(7, size)
+		joined, wrong := s.settle(5 * time.Minute)
+		assert.Equal(t, wrong, "")
+		t.Logf("%d daemons: all joined after a start at once in %v, %d bytes a daemon", size, joined, s.meanBytes())
+		s.runFor(3 * time.Minute)
+
+		rest := s.bytesPerSecond(2 * time.Minute)
+		t.Logf("%d daemons: at rest %.0f bytes a second and daemon, the busiest %.0f", size, rest.mean, rest.most)
+		assert.Assert(t, rest.most < budgetBytes)
+
+		spread, seen := s.spread(42)
+		t.Logf("%d daemons: an offset that one daemon alone reads is in force on all in %v, and known so by one in %v", size, spread, seen)
+		assert.Assert(t, spread < budgetConfigDelay)
+		changing := s.bytesPerSecond(time.Minute)
+		t.Logf("%d daemons: in the minute after it %.0f bytes a second and daemon, the busiest %.0f", size, changing.mean, changing.most)
+		assert.Assert(t, changing.most < budgetBytes)
+
+		s.nodes[size/2].up = false
+		died, wrong := s.settle(5 * time.Minute)
+		assert.Equal(t, wrong, "")
+		t.Logf("%d daemons: a death is known to all in %v", size, died)
+	}
+}
+
+func (s *sim) meanBytes() int {
+	sum := 0
+	for _, n := range s.nodes {
+		sum += n.bytes
+	}
+	return sum / len(s.nodes)
+}
+
+type rate struct{ mean, most float64 }
+
+func (s *sim) bytesPerSecond(d time.Duration) rate {
+	for _, n := range s.nodes {
+		n.bytes = 0
+	}
+	s.runFor(d)
+	r := rate{mean: float64(s.meanBytes()) / d.Seconds()}
+	for _, n := range s.nodes {
+		r.most = max(r.most, float64(n.bytes)/d.Seconds())
+	}
+	return r
+}
+
+// spread lets one daemon advance and returns when all have the offset, and
+// when the daemon knows that.
+func (s *sim) spread(through api.Offset) (inForce, known time.Duration) {
+	const limit = 10 * time.Minute
+	start := s.now
+	first := s.nodes[1]
+	s.step(first, membership.OffsetAdvanced{Through: through})
+	for s.now.Sub(start) < limit && known == 0 {
+		s.runFor(100 * time.Millisecond)
+		if inForce == 0 && s.all(func(n *node) bool { return n.state.Self().Through == through }) {
+			inForce = s.now.Sub(start)
+		}
+		behind := 0
+		for _, m := range first.state.Members() {
+			if m.Through < through {
+				behind++
+			}
+		}
+		if behind == 0 {
+			known = s.now.Sub(start)
+		}
+	}
+	return inForce, known
+}
+
+func (s *sim) all(holds func(*node) bool) bool {
+	for _, n := range s.nodes {
+		if !holds(n) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lib/membership/sim_test.go
@@ -0,0 +1,299 @@
+package membership_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/membership"
+)
+
+const (
+	tickEvery = 200 * time.Millisecond
+	// callOverhead estimates what drpc framing adds to a message, in bytes.
+	callOverhead = 30
+)
+
+// node is one simulated daemon. Only its current run receives what is due.
+type node struct {
+	id     api.DaemonID
+	addr   string
+	run    uint64
+	up     bool
+	frozen bool
+	side   int // of the partition
+	state  *membership.State
+	late   []func() // what came while frozen
+	bytes  int      // sent and received
+}
+
+type item struct {
+	at  time.Time
+	seq uint64
+	do  func()
+}
+
+type agenda []item
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(item)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// sim is a network of nodes in virtual time.
+type sim struct {
+	cfg   membership.Config
+	rng   *rand.Rand
+	now   time.Time
+	seq   uint64
+	queue agenda
+	nodes []*node
+	loss  float64
+}
+
+func newSim(seed uint64, cfg membership.Config) *sim {
+	return &sim{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_000_000)}
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, item{at: s.now.Add(d), seq: s.seq, do: do})
+}
+
+func (s *sim) runFor(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		next := heap.Pop(&s.queue).(item)
+		s.now = next.at
+		next.do()
+	}
+	s.now = end
+}
+
+func (s *sim) add(id, addr string, seeds ...string) *node {
+	n := &node{id: api.DaemonID(id), addr: addr}
+	s.nodes = append(s.nodes, n)
+	s.start(n, seeds...)
+	return n
+}
+
+func (s *sim) start(n *node, seeds ...string) {
+	self := membership.Member{
+		ID: n.id, Peer: n.addr, Caller: n.addr, DataCentre: "sapporo-a", Incarnation: uint64(s.now.UnixMilli()),
+	}
+	n.run++
+	n.up, n.frozen, n.late = true, false, nil
+	n.state = membership.New(s.cfg, self, seeds, s.now)
+	s.after(time.Duration(s.rng.Int64N(int64(tickEvery))), s.ticker(n, n.run))
+}
+
+func (s *sim) ticker(n *node, run uint64) func() {
+	return func() {
+		if n.run != run || !n.up {
+			return
+		}
+		if !n.frozen {
+			s.step(n, membership.Tick{})
+		}
+		s.after(tickEvery, s.ticker(n, run))
+	}
+}
+
+func (s *sim) thaw(n *node) {
+	n.frozen = false
+	late := n.late
+	n.late = nil
+	for _, do := range late {
+		do()
+	}
+}
+
+// deliver lets a step happen at n after one latency, later if it is frozen,
+// and not at all if it has restarted since.
+func (s *sim) deliver(n *node, do func()) {
+	run := n.run
+	s.after(time.Millisecond+time.Duration(s.rng.Int64N(int64(20*time.Millisecond))), func() {
+		if n.run != run || !n.up {
+			return
+		}
+		if n.frozen {
+			n.late = append(n.late, do)
+			return
+		}
+		do()
+	})
+}
+
+func (s *sim) at(addr string) *node {
+	for _, n := range s.nodes {
+		if n.up && n.addr == addr {
+			return n
+		}
+	}
+	return nil
+}
+
+// reach returns the node at addr unless the message is lost on the way.
+func (s *sim) reach(from *node, addr string) *node {
+	n := s.at(addr)
+	if n == nil || n.side != from.side || s.rng.Float64() < s.loss {
+		return nil
+	}
+	return n
+}
+
+func (s *sim) step(n *node, e membership.Event) {
+	for _, a := range n.state.Step(e, s.now, s.rng) {
+		s.act(n, a)
+	}
+}
+
+func (s *sim) act(n *node, a membership.Action) {
+	switch a := a.(type) {
+	case membership.SendProbe:
+		s.probe(n, a.Addr, a.Message, a.Timeout,
+			func(m membership.Message) { s.step(n, membership.Answered{Seq: a.Seq, Message: m}) },
+			func() { s.step(n, membership.Failed{Seq: a.Seq}) })
+	case membership.SendIndirect:
+		if via := s.reach(n, a.Via); via != nil {
+			s.deliver(via, func() { s.relay(n, via, a) })
+		}
+	case membership.FetchPage:
+		s.fetch(n, a)
+	case membership.PullTail:
+		s.pull(n, a)
+	}
+}
+
+func (s *sim) relay(n, via *node, a membership.SendIndirect) {
+	m := via.state.Compose("", s.rng)
+	s.probe(via, a.Target, m, a.Timeout, func(membership.Message) {
+		if s.reach(via, n.addr) == n {
+			s.deliver(n, func() { s.step(n, membership.Vouched{Seq: a.Seq}) })
+		}
+	}, func() {})
+}
+
+// probe sends a message to addr, now and then twice, and gives the answer or
+// the failure to n.
+func (s *sim) probe(n *node, addr string, m membership.Message, timeout time.Duration,
+	answered func(membership.Message), failed func(),
+) {
+	s.count(n, m.Size())
+	copies := 1
+	if s.loss > 0 && s.rng.IntN(10) == 0 {
+		copies = 2
+	}
+	done := false
+	for range copies {
+		target := s.reach(n, addr)
+		if target == nil {
+			continue
+		}
+		s.deliver(target, func() {
+			s.count(target, m.Size())
+			for _, a := range target.state.Step(membership.Probed{Message: m}, s.now, s.rng) {
+				reply, ok := a.(membership.Reply)
+				if !ok {
+					s.act(target, a)
+					continue
+				}
+				s.count(target, reply.Message.Size())
+				if s.reach(target, n.addr) != n {
+					continue
+				}
+				s.deliver(n, func() {
+					done = true
+					s.count(n, reply.Message.Size())
+					answered(reply.Message)
+				})
+			}
+		})
+	}
+	run := n.run
+	s.after(timeout, func() {
+		if !done && n.run == run && n.up && !n.frozen {
+			failed()
+		}
+	})
+}
+
+func (s *sim) fetch(n *node, a membership.FetchPage) {
+	target := s.reach(n, a.Addr)
+	if target == nil || target.frozen {
+		s.deliver(n, func() { s.step(n, membership.PageFailed{}) })
+		return
+	}
+	members, next := target.state.Page(a.After, a.Limit)
+	size := 0
+	for i := range members {
+		size += members[i].Size()
+	}
+	s.count(n, size)
+	s.count(target, size)
+	s.deliver(n, func() { s.step(n, membership.PageReceived{Members: members, Next: next}) })
+}
+
+func (s *sim) pull(n *node, a membership.PullTail) {
+	const recordBytes = 300
+	if target := s.reach(n, a.Addr); target != nil && !target.frozen {
+		through := target.state.Self().Through
+		s.count(n, recordBytes)
+		s.count(target, recordBytes)
+		s.deliver(n, func() { s.step(n, membership.OffsetAdvanced{Through: through}) })
+	}
+	s.deliver(n, func() { s.step(n, membership.TailDone{}) })
+}
+
+func (s *sim) count(n *node, size int) { n.bytes += size + callOverhead }
+
+// disagreement names the first live node whose view is not the truth.
+func (s *sim) disagreement() string {
+	truth := map[api.DaemonID]uint64{}
+	for _, n := range s.nodes {
+		if n.up && n.state.Self().Status != membership.Left {
+			truth[n.id] = n.state.Self().Incarnation
+		}
+	}
+	for _, n := range s.nodes {
+		if truth[n.id] == 0 || !n.up {
+			continue
+		}
+		live := 0
+		for _, m := range n.state.Members() {
+			if m.Status == membership.Dead || m.Status == membership.Left {
+				continue
+			}
+			live++
+			if m.Status != membership.Alive || truth[m.ID] != m.Incarnation {
+				return fmt.Sprintf("%s holds %s %v at incarnation %d, truth %d", n.id, m.ID, m.Status, m.Incarnation, truth[m.ID])
+			}
+		}
+		if live != len(truth) {
+			return fmt.Sprintf("%s knows %d of %d live members", n.id, live, len(truth))
+		}
+	}
+	return ""
+}
+
+// settle runs until all live nodes agree and returns how long that took.
+func (s *sim) settle(limit time.Duration) (time.Duration, string) {
+	start := s.now
+	for s.now.Sub(start) < limit {
+		if s.disagreement() == "" {
+			return s.now.Sub(start), ""
+		}
+		s.runFor(tickEvery)
+	}
+	return s.now.Sub(start), s.disagreement()
+}
--- /dev/null
+++ b/tools/protogen/generate.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Builds the protobuf generators into .bin and regenerates the committed code, without a network.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+bin="$PWD/.bin"
+mkdir -p "$bin"
+(cd tools/protogen && GOWORK=off go build -o "$bin/" \
+  github.com/bufbuild/buf/cmd/buf \
+  google.golang.org/protobuf/cmd/protoc-gen-go \
+  storj.io/drpc/cmd/protoc-gen-go-drpc)
+cd front/peer
+PATH="$bin:$PATH" "$bin/buf" generate --template buf.gen.yaml
