--- a/bench/demo/fleet.go
+++ b/bench/demo/fleet.go
@@ -78,7 +78,7 @@
 			"--model", string(model) + ":1",
 			"--slots", fmt.Sprint(engineSlots),
 			"--token-time", tokenTime.String(),
-			"--weight-store", f.store.Address,
+			"--weight-store", "http://" + f.store.Address,
 		}
 		if fenced(i) {
 			args = append(args, "--fenced")
