--- a/bench/demo/play.go
+++ b/bench/demo/play.go
@@ -74,7 +74,7 @@
 		func(ctx context.Context) error { return d.drain(ctx, op) },
 		d.round,
 		func(ctx context.Context) error { return d.swap(ctx, op) },
-		d.round,
+		d.roundOnSecondVersion,
 	} {
 		if err := part(ctx); err != nil {
 			return err
@@ -98,32 +98,46 @@
 	return nil
 }
 
+// drain empties an engine while members ask.
 func (d *demo) drain(ctx context.Context, op *operator) error {
-	if err := op.drain(ctx, engineID(engineCount-1)); err != nil {
-		return err
-	}
-	d.result.Drained = true
-	return nil
+	err := d.during(ctx, func() error { return op.drain(ctx, engineID(engineCount-1)) })
+	d.result.Drained = err == nil
+	return err
 }
 
-// swap announces new weights; from then on members' answers come from them.
+// swap announces new weights while members ask.
 func (d *demo) swap(ctx context.Context, op *operator) error {
-	if err := op.announce(ctx, secondVersion); err != nil {
-		return err
-	}
-	d.result.WeightsSwapped = true
+	err := d.during(ctx, func() error { return op.announce(ctx, secondVersion) })
+	d.result.WeightsSwapped = err == nil
+	return err
+}
+
+// roundOnSecondVersion is a round whose answers must come from the new weights alone.
+func (d *demo) roundOnSecondVersion(ctx context.Context) error {
 	d.deliver = func(r check.Reply) error {
 		if !slices.Equal(r.Versions, []api.WeightVersion{secondVersion}) {
 			return api.Errorf(api.CodeStaleVersion, "answer made by versions %v after the swap, want %s", r.Versions, secondVersion)
 		}
 		return nil
 	}
-	return nil
+	return d.round(ctx)
+}
+
+// during runs a round of members' requests alongside an operation.
+func (d *demo) during(ctx context.Context, operation func() error) error {
+	var failed error
+	if err := d.pool.Do(ctx, append([]func(){func() { failed = operation() }}, d.jobs(ctx)...)); err != nil {
+		return err
+	}
+	return failed
 }
 
 // round asks through every daemon, streamed and whole, and makes calls that
 // must not be repeated.
-func (d *demo) round(ctx context.Context) error {
+func (d *demo) round(ctx context.Context) error { return d.pool.Do(ctx, d.jobs(ctx)) }
+
+// jobs returns the requests of the next round.
+func (d *demo) jobs(ctx context.Context) []func() {
 	d.rounds++
 	var jobs []func()
 	for i := range chatsPerRound {
@@ -132,7 +146,7 @@
 	for i := range onceCallsPerTurn {
 		jobs = append(jobs, func() { d.result.once(d.callOnce(ctx, i)) })
 	}
-	return d.pool.Do(ctx, jobs)
+	return jobs
 }
 
 func (d *demo) daemon(i int) string { return d.fleet.daemons[i%daemonCount].Address }
