--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -26,6 +26,7 @@
 	"dotterelmount.example/server/hosts"
 	"dotterelmount.example/server/logbook"
 	"dotterelmount.example/server/once"
+	"dotterelmount.example/server/sampler"
 	"dotterelmount.example/server/weightkeeper"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -65,6 +66,7 @@
 	client   *httpupstream.Client
 	dispatch *dispatch.Dispatcher
 	weights  *weightkeeper.Keeper
+	sampler  *sampler.Sampler
 	callers  *http.Server
 	address  string
 	stopping atomic.Bool
@@ -84,6 +86,7 @@
 	}
 	n.startLog()
 	n.startWeights()
+	n.startSampler()
 	if err := n.serveCallers(); err != nil {
 		return nil, err
 	}
@@ -135,6 +138,14 @@
 	n.weights = weightkeeper.Start(n.system, cfg, n.client, n.book.State, n.live)
 }
 
+func (n *Node) startSampler() {
+	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
+	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
+		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
+		Submitter: n.dispatch, Now: time.Now,
+	})
+}
+
 func (n *Node) serveCallers() error {
 	listener, err := net.Listen("tcp", n.settings.Listen.Callers)
 	if err != nil {
@@ -178,7 +189,7 @@
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", zap.Error(err))
 	}
-	err := errors.Join(n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dotterelmount.example/api"
@@ -126,6 +127,20 @@
 // live returns the daemons that share the work, this one included.
 func (n *Node) live() []api.DaemonID { return []api.DaemonID{api.DaemonID(n.settings.Daemon)} }
 
+// Alive implements sampler.Members.
+func (n *Node) Alive(id api.DaemonID) bool { return slices.Contains(n.live(), id) }
+
+// catalog gives the log book the shape that the sampler asks for.
+type catalog struct{ book *logbook.Book }
+
+// Plan implements sampler.Catalog.
+func (c catalog) Plan(id api.CustomerID) (api.Plan, error) { return c.book.State().Plan(id) }
+
+// WeightInForce implements sampler.Catalog.
+func (c catalog) WeightInForce(m api.ModelName) api.WeightVersion {
+	return c.book.State().Weights[m].Version
+}
+
 func (n *Node) loaded(id api.UpstreamID) map[api.ModelName]api.WeightVersion {
 	return n.weights.Truth()[id]
 }
