--- a/lib/quota/keeper.go
+++ b/lib/quota/keeper.go
@@ -19,6 +19,10 @@
 	// turnShare is the part of a lease for which a daemon keeps its slot when
 	// there are more daemons than slots.
 	turnShare = 0.5
+	// shareAge is the part of a lease for which computed shares are used again
+	// when there are more than fewHolders daemons.
+	shareAge   = 0.02
+	fewHolders = 32
 )
 
 // SplitWindow divides a window into the slots for long work and those that only
@@ -40,7 +44,8 @@
 	knowing time.Time // from then on all holdings are known
 	beat    time.Time // last sign of life
 	holders map[api.DaemonID]*holder
-	order   []*holder // reused between asks
+	order   []*holder // reused between computations of the shares
+	shared  time.Time // last computation of the shares
 }
 
 // holder is what the keeper knows of one daemon.
@@ -52,6 +57,7 @@
 	until time.Time // count is over then
 	since time.Time // when the daemon began to hold slots, or to wait for one
 	last  Grant
+	share int // of the window, when it was last shared out
 }
 
 // NewKeeper returns a keeper of window slots for a daemon that becomes
@@ -128,7 +134,8 @@
 func (k *Keeper) holder(id api.DaemonID, now time.Time) *holder {
 	h, ok := k.holders[id]
 	if !ok {
-		h = &holder{id: id, since: now, until: now.Add(k.life())}
+		// Until the next computation a new daemon counts as one that may have a slot.
+		h = &holder{id: id, since: now, until: now.Add(k.life()), share: 1}
 		k.holders[id] = h
 	}
 	return h
@@ -156,44 +163,52 @@
 	return max(0, min(k.share(h, now), free))
 }
 
-// share divides the window between the daemons by max-min fairness: nobody
-// gets more than it wants, and what some don't want goes to the others.
+// share returns the daemon's fair share. Among many daemons it is computed
+// anew once in a while rather than for each ask.
 func (k *Keeper) share(h *holder, now time.Time) int {
+	if len(k.holders) <= fewHolders || now.Sub(k.shared) >= k.part(shareAge) {
+		k.shareOut(now)
+		k.shared = now
+	}
+	return min(h.share, h.want)
+}
+
+// shareOut divides the window between the daemons by max-min fairness: nobody
+// gets more than it wants, and what some don't want goes to the others.
+func (k *Keeper) shareOut(now time.Time) {
 	k.order = k.order[:0]
-	for _, other := range k.holders {
-		if other.want > 0 {
-			k.order = append(k.order, other)
+	for _, h := range k.holders {
+		h.share = 1 // a daemon that wants nothing now may come to want a slot
+		if h.want > 0 {
+			k.order = append(k.order, h)
 		}
 	}
 	slices.SortFunc(k.order, func(a, b *holder) int {
 		return cmp.Or(cmp.Compare(a.want, b.want), cmp.Compare(a.id, b.id))
 	})
 	left := k.window
-	for i, other := range k.order {
+	for i, h := range k.order {
 		level := left / (len(k.order) - i)
-		if other.want > level {
-			return k.shareAbove(h, level, left, k.order[i:], now)
-		}
-		if other == h {
-			return h.want
+		if h.want > level {
+			k.shareAbove(level, left, k.order[i:], now)
+			return
 		}
-		left -= other.want
+		h.share = h.want
+		left -= h.want
 	}
-	return 0
 }
 
 // shareAbove divides left slots between the daemons that want more than the
 // level: each gets the level, and the first in turn get one more.
-func (k *Keeper) shareAbove(h *holder, level, left int, greedy []*holder, now time.Time) int {
-	if !slices.Contains(greedy, h) {
-		return min(h.want, level)
-	}
+func (k *Keeper) shareAbove(level, left int, greedy []*holder, now time.Time) {
 	extra := left - level*len(greedy)
 	slices.SortFunc(greedy, func(a, b *holder) int { return k.compareTurns(a, b, now) })
-	if slices.Index(greedy, h) < extra {
-		return level + 1
+	for i, h := range greedy {
+		h.share = level
+		if i < extra {
+			h.share++
+		}
 	}
-	return level
 }
 
 // compareTurns puts daemons whose turn lasts first, then those that wait,
--- a/lib/quota/quota_test.go
+++ b/lib/quota/quota_test.go
@@ -182,6 +182,22 @@
 	}
 }
 
+// TestManyDaemonsShareEvenly: shares that are computed once in a while serve as well.
+func TestManyDaemonsShareEvenly(t *testing.T) {
+	w := cluster(150, 100)
+	var served [100]int
+	for range 40 {
+		w.round(func(int) int { return 5 })
+		for d, h := range w.holdings {
+			served[d] += h.Slots(w.clock(d))
+		}
+	}
+	for d, n := range served {
+		assert.Assert(t, n >= 30, "daemon %d had %d slot rounds, the mean is 60", d, n)
+	}
+	assert.Assert(t, w.used()*100 >= 150*85, "%d of 150", w.used())
+}
+
 func TestMoreDaemonsThanSlotsTakeTurns(t *testing.T) {
 	w := cluster(3, 10)
 	var served [10]int
@@ -288,3 +304,40 @@
 		assert.Assert(t, window < 5 || short >= window/5)
 	}
 }
+
+// TestCallsInProgressNeverPassTheWindow: calls outlast grants, demand changes
+// and single messages are lost, but no daemon is silent for a lease.
+func TestCallsInProgressNeverPassTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := cluster(rapid.IntRange(1, 5).Draw(t, "window"), 4)
+		var calls [4]int
+		var lost [4]bool
+		for range 60 {
+			w.passTenths(1)
+			for d, h := range w.holdings {
+				now := w.clock(d)
+				calls[d] -= rapid.IntRange(0, calls[d]).Draw(t, "ended")
+				queued := rapid.IntRange(0, 3).Draw(t, "queued")
+				h.SetInUse(calls[d])
+				a := h.NextAsk(calls[d]+queued, now)
+				lost[d] = !lost[d] && rapid.IntRange(0, 3).Draw(t, "lost") == 0
+				if !lost[d] {
+					h.Apply(w.keeper.Handle(a, w.keeperClock()), now, now)
+				}
+				calls[d] += max(0, min(queued, h.Slots(now)-calls[d]))
+			}
+			total := calls[0] + calls[1] + calls[2] + calls[3]
+			assert.Assert(t, total <= w.window, "%d calls", total)
+		}
+	})
+}
+
+func BenchmarkHandle370Daemons(b *testing.B) {
+	w := cluster(64, 370)
+	b.ReportAllocs()
+	for i := range b.N {
+		h := w.holdings[i%370]
+		w.now += lease / quota.AsksPerLease / 370
+		w.keeper.Handle(h.NextAsk(2, w.clock(0)), w.keeperClock())
+	}
+}
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -120,6 +120,19 @@
 	assert.Assert(t, !o.Slow("a", t0.Add(5*time.Second)))
 }
 
+func TestProbeAnsweredWithoutATimeEndsTheAvoidance(t *testing.T) {
+	o := routing.NewObserver()
+	o.Done("a", 0, false, t0)
+	o.Done("a", 0, false, t0)
+	assert.Assert(t, o.Slow("a", t0))
+	now := t0.Add(time.Second)
+	assert.Assert(t, !o.Slow("a", now))
+	o.Done("a", 0, true, now)
+	for range 2 {
+		assert.Assert(t, !o.Slow("a", now))
+	}
+}
+
 func TestRunningCallsMakeProbesUnneeded(t *testing.T) {
 	o := routing.NewObserver()
 	for i := range 100 {
--- a/lib/weights/weights_test.go
+++ b/lib/weights/weights_test.go
@@ -285,3 +285,12 @@
 	_, read := w.tasks[0].action.(weights.Read)
 	assert.Assert(t, read)
 }
+
+func BenchmarkNext650Engines(b *testing.B) {
+	w := newWorld(650, 1, weights.DefaultConfig())
+	w.settle(200)
+	b.ReportAllocs()
+	for range b.N {
+		w.planners[0].Next(w.now)
+	}
+}
