--- a/lib/quota/quota_test.go
+++ b/lib/quota/quota_test.go
@@ -341,3 +341,16 @@
 		w.keeper.Handle(h.NextAsk(2, w.clock(0)), w.keeperClock())
 	}
 }
+
+// TestGrantLapsesALeaseAfterItsAsk, however late it arrives: the keeper hands
+// the slots on soon after.
+func TestGrantLapsesALeaseAfterItsAsk(t *testing.T) {
+	w := cluster(4, 1)
+	askedAt := w.clock(0)
+	g := w.keeper.Handle(w.holdings[0].NextAsk(4, askedAt), w.keeperClock())
+	w.passTenths(9)
+	w.holdings[0].Apply(g, askedAt, w.clock(0))
+	assert.Equal(t, w.used(), 4)
+	w.passTenths(1)
+	assert.Equal(t, w.used(), 0)
+}
