--- /dev/null
+++ b/standin/trainer/drive.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/trainerapi"
+	"dotterelmount.example/lib/samples"
+	"dotterelmount.example/lib/work"
+)
+
+// checkText tells whether a text is what an engine makes of the messages; nil
+// until the stand-in engine's token package is built in.
+var checkText func(messages []work.Message, text string, tokens int) bool
+
+type config struct {
+	daemons                  []string
+	trainer, customer, model string
+	steps, ahead             int
+	groups, samples          int
+	maxTokens, maxGroups     int
+	bound                    uint64
+	wait, timeout, train     time.Duration
+	verify                   bool
+}
+
+// report is what the program prints at its end.
+type report struct {
+	Trainer    string `json:"trainer"`
+	Due        int    `json:"due"`
+	Delivered  int    `json:"delivered"` // samples used, each counted once
+	Duplicated int    `json:"duplicated"`
+	Stale      int    `json:"stale"`
+	Missing    int    `json:"missing"`
+	Wrong      int    `json:"wrong"`   // samples without versions, or with a wrong text
+	Dropped    int    `json:"dropped"` // too old, and made again
+	IdleMillis int64  `json:"idle_ms"` // time spent waiting for samples in this run
+	Asks       int    `json:"asks"`
+	Failures   int    `json:"failures"` // calls without a success
+}
+
+func (r report) verdict() error {
+	if r.Duplicated+r.Stale+r.Missing+r.Wrong > 0 {
+		return api.Errorf(api.CodeInternal, "%d duplicated, %d stale, %d missing, %d wrong",
+			r.Duplicated, r.Stale, r.Missing, r.Wrong)
+	}
+	return nil
+}
+
+type trainer struct {
+	cfg      config
+	journal  *journal
+	client   client
+	opened   int
+	done     int // steps found done so far
+	idle     time.Duration
+	asks     int
+	failures int
+	last     error
+}
+
+func newTrainer(cfg config, j *journal) *trainer {
+	return &trainer{
+		cfg: cfg, journal: j,
+		client: client{daemons: cfg.daemons, timeout: cfg.timeout + cfg.wait},
+	}
+}
+
+// drive opens the steps in order and pulls until each sample was used.
+// Errors: CodeDeadlineExceeded.
+func (t *trainer) drive(ctx context.Context) error {
+	for ctx.Err() == nil {
+		done := t.stepsDone()
+		if done == t.cfg.steps {
+			return t.acknowledge(ctx)
+		}
+		if t.opened < min(t.cfg.steps, done+t.cfg.ahead) {
+			t.open(ctx)
+			continue
+		}
+		if _, err := t.pull(ctx); err != nil {
+			return err
+		}
+	}
+	return api.Errorf(api.CodeDeadlineExceeded, "%d of %d steps are done; last failure: %v", t.stepsDone(), t.cfg.steps, t.last)
+}
+
+// acknowledge pulls once more, so that the service learns the last cursor.
+func (t *trainer) acknowledge(ctx context.Context) error {
+	for ctx.Err() == nil {
+		ok, err := t.pull(ctx)
+		if ok || err != nil {
+			return err
+		}
+	}
+	return api.Errorf(api.CodeDeadlineExceeded, "the last cursor was not acknowledged: %v", t.last)
+}
+
+func stepName(i int) samples.StepID { return samples.StepID(fmt.Sprintf("step-%05d", i)) }
+
+// stepsDone counts the steps, in order, of which every sample was used.
+func (t *trainer) stepsDone() int {
+	for t.done < t.cfg.steps && t.usedOf(stepName(t.done)) == t.cfg.groups*t.cfg.samples {
+		t.done++
+	}
+	return t.done
+}
+
+func (t *trainer) usedOf(id samples.StepID) int {
+	n := 0
+	for g := range t.cfg.groups {
+		for index := range t.cfg.samples {
+			if t.journal.state.used[samples.SlotRef{Step: id, Group: groupName(g), Index: index}] > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func groupName(g int) samples.GroupID { return samples.GroupID(fmt.Sprintf("group-%04d", g)) }
+
+func (t *trainer) messages(step samples.StepID, group samples.GroupID) []work.Message {
+	return []work.Message{{Role: "user", Content: fmt.Sprintf("%s %s %s", t.cfg.trainer, step, group)}}
+}
+
+// open submits the next step; a repeat after a restart is harmless.
+func (t *trainer) open(ctx context.Context) {
+	body := trainerapi.StepBody{
+		Customer: api.CustomerID(t.cfg.customer), Model: api.ModelName(t.cfg.model), Step: stepName(t.opened),
+	}
+	for g := range t.cfg.groups {
+		body.Groups = append(body.Groups, trainerapi.GroupBody{
+			ID: groupName(g), Messages: t.messages(body.Step, groupName(g)), N: t.cfg.samples, MaxTokens: t.cfg.maxTokens,
+		})
+	}
+	var answer trainerapi.StepAnswer
+	if err := t.client.call(ctx, http.MethodPost, t.path("/steps"), body, &answer); err != nil {
+		t.failed(err)
+		return
+	}
+	t.opened++
+}
+
+func (t *trainer) path(rest string) string { return "/v1/trainers/" + t.cfg.trainer + rest }
+
+func (t *trainer) failed(err error) {
+	t.failures++
+	t.last = err
+}
+
+// pull asks once; ok is false when there was no answer. Errors: CodeInternal
+// when the journal cannot be written.
+func (t *trainer) pull(ctx context.Context) (ok bool, err error) {
+	s := &t.journal.state
+	number := s.pull + 1
+	if err := t.journal.write(&entry{Pull: number}); err != nil {
+		return false, err
+	}
+	t.asks++
+	body := trainerapi.PullBody{
+		Cursor: s.cursor, Pull: number, MaxGroups: t.cfg.maxGroups,
+		WeightVersion: s.seen, WaitMillis: t.cfg.wait.Milliseconds(),
+	}
+	started := time.Now()
+	var a trainerapi.PullAnswer
+	callErr := t.client.call(ctx, http.MethodPost, t.path("/pull"), body, &a)
+	t.idle += time.Since(started)
+	if callErr != nil {
+		t.failed(callErr)
+		return false, t.catchUp(ctx, callErr)
+	}
+	if a.Pull != number || a.From != s.cursor {
+		return false, nil // the answer to another ask
+	}
+	return true, t.take(ctx, &a)
+}
+
+// catchUp learns the highest pull number after a conflict.
+func (t *trainer) catchUp(ctx context.Context, cause error) error {
+	var status *statusError
+	if !errors.As(cause, &status) || status.status != http.StatusConflict {
+		return nil
+	}
+	var a trainerapi.StateAnswer
+	if err := t.client.call(ctx, http.MethodGet, t.path(""), nil, &a); err != nil {
+		t.failed(err)
+		return nil
+	}
+	if a.Pull <= t.journal.state.pull {
+		return nil
+	}
+	return t.journal.write(&entry{Pull: a.Pull})
+}
+
+// take stores the samples together with the cursor, and trains on them.
+func (t *trainer) take(ctx context.Context, a *trainerapi.PullAnswer) error {
+	e := &entry{Cursor: a.Next, Seen: t.journal.state.seen, Whole: a.StepWhole, Drops: a.Dropped}
+	for i := range a.Groups {
+		g := &a.Groups[i]
+		for j := range g.Samples {
+			t.look(e, g, &g.Samples[j])
+		}
+	}
+	if err := t.journal.write(e); err != nil {
+		return err
+	}
+	t.trainOn(ctx, len(a.Groups))
+	return nil
+}
+
+// look checks one sample against what was known when the pull was sent.
+func (t *trainer) look(e *entry, g *trainerapi.GroupAnswer, s *trainerapi.SampleAnswer) {
+	e.Used = append(e.Used, used{
+		SlotRef: samples.SlotRef{Step: g.Step, Group: g.ID, Index: s.Index}, Versions: s.Versions,
+	})
+	if len(s.Versions) == 0 {
+		e.Wrong++
+		return
+	}
+	e.Seen = max(e.Seen, slices.Max(s.Versions))
+	oldest, known := slices.Min(s.Versions), t.journal.state.seen
+	if oldest < known && uint64(known-oldest) > t.cfg.bound {
+		e.Stale++
+	}
+	if t.cfg.verify && !checkText(t.messages(g.Step, g.ID), s.Text, s.Tokens) {
+		e.Wrong++
+	}
+}
+
+func (t *trainer) trainOn(ctx context.Context, groups int) {
+	if t.cfg.train <= 0 || groups == 0 {
+		return
+	}
+	timer := time.NewTimer(time.Duration(groups) * t.cfg.train)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (t *trainer) report() report {
+	s := &t.journal.state
+	r := report{
+		Trainer: t.cfg.trainer, Due: t.cfg.steps * t.cfg.groups * t.cfg.samples, Duplicated: s.duplicated,
+		Stale: s.stale, Wrong: s.wrong, Dropped: s.dropped, IdleMillis: t.idle.Milliseconds(),
+		Asks: t.asks, Failures: t.failures,
+	}
+	for i := range t.cfg.steps {
+		r.Delivered += t.usedOf(stepName(i))
+	}
+	r.Missing = r.Due - r.Delivered
+	return r
+}
--- /dev/null
+++ b/standin/trainer/journal.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/samples"
+)
+
+// entry is one line of the journal. A pull number is written before it is
+// sent, and a cursor together with the samples taken up to it, each in one line.
+type entry struct {
+	Pull   uint64            `json:"pull,omitempty"`
+	Cursor api.Offset        `json:"cursor,omitempty"`
+	Used   []used            `json:"used,omitempty"`
+	Seen   api.WeightVersion `json:"seen,omitempty"` // highest version seen
+	Stale  int               `json:"stale,omitempty"`
+	Wrong  int               `json:"wrong,omitempty"`
+	Whole  []samples.StepID  `json:"whole,omitempty"`
+	Drops  []samples.SlotRef `json:"drops,omitempty"`
+}
+
+// used is one sample that was trained on.
+type used struct {
+	samples.SlotRef
+	Versions []api.WeightVersion `json:"versions"`
+}
+
+// state is what the journal's lines add up to.
+type state struct {
+	pull       uint64
+	cursor     api.Offset
+	seen       api.WeightVersion
+	used       map[samples.SlotRef]int
+	duplicated int
+	stale      int
+	wrong      int
+	dropped    int
+}
+
+func (s *state) apply(e *entry) {
+	s.pull = max(s.pull, e.Pull)
+	s.cursor = max(s.cursor, e.Cursor)
+	s.seen = max(s.seen, e.Seen)
+	s.stale += e.Stale
+	s.wrong += e.Wrong
+	s.dropped += len(e.Drops)
+	for _, u := range e.Used {
+		s.used[u.SlotRef]++
+		if s.used[u.SlotRef] > 1 {
+			s.duplicated++
+		}
+	}
+}
+
+// journal is the trainer's durable state: a file of JSON lines.
+type journal struct {
+	file  *os.File
+	state state
+}
+
+// openJournal reads the file and cuts off a line that was not written whole.
+// Errors: CodeInvalid, CodeInternal.
+func openJournal(path string) (*journal, error) {
+	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "journal: %w", err)
+	}
+	j := &journal{file: file, state: state{used: make(map[samples.SlotRef]int)}}
+	raw, err := io.ReadAll(file)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInternal, "journal: %w", err)
+	}
+	size := 0
+	for {
+		end := bytes.IndexByte(raw[size:], '\n')
+		if end < 0 {
+			break
+		}
+		var e entry
+		if err := json.Unmarshal(raw[size:size+end], &e); err != nil {
+			return nil, api.Errorf(api.CodeInvalid, "journal at byte %d: %w", size, err)
+		}
+		j.state.apply(&e)
+		size += end + 1
+	}
+	if err := file.Truncate(int64(size)); err != nil {
+		return nil, api.Errorf(api.CodeInternal, "journal: %w", err)
+	}
+	if _, err := file.Seek(int64(size), io.SeekStart); err != nil {
+		return nil, api.Errorf(api.CodeInternal, "journal: %w", err)
+	}
+	return j, nil
+}
+
+// write makes an entry durable and applies it. Errors: CodeInternal.
+func (j *journal) write(e *entry) error {
+	raw, err := json.Marshal(e)
+	if err != nil {
+		return api.Errorf(api.CodeInternal, "journal: %w", err)
+	}
+	if _, err := j.file.Write(append(raw, '\n')); err != nil {
+		return api.Errorf(api.CodeInternal, "journal: %w", err)
+	}
+	if err := j.file.Sync(); err != nil {
+		return api.Errorf(api.CodeInternal, "journal: %w", err)
+	}
+	j.state.apply(e)
+	return nil
+}
+
+func (j *journal) close() { _ = j.file.Close() }
--- /dev/null
+++ b/standin/trainer/main.go
@@ -0,0 +1,85 @@
+// Command trainer stands in for a trainer: it submits steps, pulls their
+// samples from several daemons, and checks that each comes exactly once. Its
+// state is in one file, so that it goes on after it was killed.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"dotterelmount.example/api"
+	"github.com/urfave/cli/v3"
+	"go.uber.org/zap"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		zap.Must(zap.NewProduction()).Error("trainer", zap.Error(err))
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "trainer",
+		Usage: "drive training steps and print what was delivered as one JSON line",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "daemons", Required: true, Usage: "addresses of daemons, host:port"},
+			&cli.StringFlag{Name: "trainer", Required: true, Usage: "name of this trainer"},
+			&cli.StringFlag{Name: "customer", Required: true},
+			&cli.StringFlag{Name: "model", Required: true},
+			&cli.StringFlag{Name: "file", Required: true, Usage: "journal of this trainer; made if missing"},
+			&cli.IntFlag{Name: "steps", Value: 1},
+			&cli.IntFlag{Name: "ahead", Value: 2, Usage: "steps open at the same time"},
+			&cli.IntFlag{Name: "groups", Value: 4, Usage: "groups of a step"},
+			&cli.IntFlag{Name: "samples", Value: 4, Usage: "samples of a group"},
+			&cli.IntFlag{Name: "max-tokens", Value: 32, Usage: "longest sample"},
+			&cli.IntFlag{Name: "max-groups", Usage: "groups in one answer; 0: as the daemon likes"},
+			&cli.Uint64Flag{Name: "bound", Value: 1, Usage: "staleness bound of the customer's plan, in versions"},
+			&cli.DurationFlag{Name: "wait", Value: 500 * time.Millisecond, Usage: "how long a pull waits for samples"},
+			&cli.DurationFlag{Name: "timeout", Value: 3 * time.Second, Usage: "a call is given up then"},
+			&cli.DurationFlag{Name: "deadline", Value: time.Minute, Usage: "the run is given up then"},
+			&cli.DurationFlag{Name: "train", Usage: "time spent on each group"},
+			&cli.BoolFlag{Name: "verify", Usage: "check each sample's text against its prompt"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	if c.Bool("verify") && checkText == nil {
+		return api.Errorf(api.CodeInvalid, "--verify: this program was built without a check of texts")
+	}
+	j, err := openJournal(c.String("file"))
+	if err != nil {
+		return err
+	}
+	defer j.close()
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("deadline"))
+	defer cancel()
+	t := newTrainer(configOf(c), j)
+	runErr := t.drive(ctx)
+	if err := json.NewEncoder(c.Root().Writer).Encode(t.report()); err != nil {
+		return api.Errorf(api.CodeInternal, "report: %w", err)
+	}
+	if runErr != nil {
+		return runErr
+	}
+	return t.report().verdict()
+}
+
+func configOf(c *cli.Command) config {
+	return config{
+		daemons: c.StringSlice("daemons"), trainer: c.String("trainer"), customer: c.String("customer"),
+		model: c.String("model"), steps: c.Int("steps"), ahead: max(1, c.Int("ahead")), groups: c.Int("groups"),
+		samples: c.Int("samples"), maxTokens: c.Int("max-tokens"), maxGroups: c.Int("max-groups"),
+		bound: c.Uint64("bound"), wait: c.Duration("wait"), timeout: c.Duration("timeout"),
+		train: c.Duration("train"), verify: c.Bool("verify"),
+	}
+}
--- /dev/null
+++ b/standin/trainer/trainer_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/trainerapi"
+	"gotest.tools/v3/assert"
+)
+
+// daemon hands one whole step, one group an ask, and fails or repeats at will.
+type daemon struct {
+	t        *testing.T
+	step     trainerapi.StepBody
+	pulls    []uint64
+	failures int
+	doubles  bool
+}
+
+func (d *daemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if d.failures > 0 {
+		d.failures--
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if strings.HasSuffix(r.URL.Path, "/steps") {
+		assert.Check(d.t, json.NewDecoder(r.Body).Decode(&d.step) == nil)
+		_, _ = w.Write([]byte(`{}`))
+		return
+	}
+	var b trainerapi.PullBody
+	assert.Check(d.t, json.NewDecoder(r.Body).Decode(&b) == nil)
+	d.pulls = append(d.pulls, b.Pull)
+	a := trainerapi.PullAnswer{From: b.Cursor, Next: b.Cursor + 1, Pull: b.Pull}
+	i := int(b.Cursor)
+	if d.doubles {
+		i /= 2
+	}
+	if i < len(d.step.Groups) {
+		g := trainerapi.GroupAnswer{Step: d.step.Step, ID: d.step.Groups[i].ID}
+		for n := range d.step.Groups[i].N {
+			g.Samples = append(g.Samples, trainerapi.SampleAnswer{Index: n, Versions: []api.WeightVersion{1}})
+		}
+		a.Groups = append(a.Groups, g)
+	}
+	assert.Check(d.t, json.NewEncoder(w).Encode(a) == nil)
+}
+
+func start(t *testing.T, d *daemon, file string) (report, error) {
+	d.t = t
+	server := httptest.NewServer(d)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	var out bytes.Buffer
+	c := command()
+	c.Writer = &out
+	err := c.Run(t.Context(), []string{
+		"trainer", "--daemons", address + "," + address, "--trainer", "t", "--customer", "c",
+		"--model", "m", "--file", file, "--groups", "3", "--samples", "2",
+	})
+	var r report
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &r))
+	return r, err
+}
+
+func TestStepIsDeliveredOnceThroughFailures(t *testing.T) {
+	r, err := start(t, &daemon{failures: 2}, filepath.Join(t.TempDir(), "journal"))
+	assert.NilError(t, err)
+	assert.Equal(t, r.Delivered, 6)
+	assert.Equal(t, r.Missing, 0)
+	assert.Equal(t, r.Failures, 2)
+}
+
+func TestDuplicatesAreReported(t *testing.T) {
+	r, err := start(t, &daemon{doubles: true}, filepath.Join(t.TempDir(), "journal"))
+	assert.Equal(t, api.CodeOf(err), api.CodeInternal)
+	assert.Equal(t, r.Delivered, 6)
+	assert.Assert(t, r.Duplicated > 0)
+}
+
+func TestRestartGoesOnAfterTornLine(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "journal")
+	lines := `{"pull":41}
+{"cursor":1,"used":[{"step":"step-00000","group":"group-0000","index":0},{"step":"step-00000","group":"group-0000","index":1}]}
+{"pull":42}
+{"cursor":2,"used":[{"st`
+	assert.NilError(t, os.WriteFile(file, []byte(lines), 0o600))
+	d := &daemon{}
+	r, err := start(t, d, file)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Delivered, 6)
+	assert.Equal(t, r.Duplicated, 0)
+	assert.DeepEqual(t, d.pulls, []uint64{43, 44, 45})
+}
