Serve trainers; mend replays of long answers, deadlines told as cancels, stops with the log out

- An answer over 64 KiB of a keyed request was replayed as complete with an empty body; it is now told as complete but not kept (409).
- A deadline that passed while queued was answered as a caller's cancel: the cancel now follows the caller's connection only.
- A change with the log out is told as not accepted within 3 s: proposals wait for the appender's verdict for one call's time past their deadline.
- A stop with the log out waited up to two minutes for the appender: now 3 s.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,8 @@
 	$(BIN)/staticcheck work
 	tools/shape.sh
 
-test: ## the test command
-	go test work
+test: ## the test command; the seed of the randomised tests is fixed
+	RAPID_SEED=$(SEED) RAPID_NOFAILFILE=1 go test work
 
 demo: build ## runs a whole deployment on loopback and checks it
 	$(BIN)/demo --bin $(BIN) --out out/demo
@@ -39,3 +39,7 @@
 
 clean:
 	rm -rf $(BIN) out
+
+random: ## randomised tests of the decisions: SEED=n STEPS=n
+	@echo "seed $(SEED), $(STEPS) runs of each property"
+	RAPID_SEED=$(SEED) RAPID_CHECKS=$(STEPS) RAPID_NOFAILFILE=1 go test -count=1 $$(git grep -l 'rapid.Check' -- '*_test.go' | xargs -n1 dirname | sort -u | sed 's#^#./#')
--- a/api/record.go
+++ b/api/record.go
@@ -79,6 +79,10 @@
 	Outcome  Outcome    `json:"outcome"`
 	Status   int        `json:"status"` // the upstream's HTTP-like status, zero if none
 	Answer   []byte     `json:"answer,omitempty"`
+	// AnswerBytes is the answer's length; an answer too long for the log is
+	// left out, so that Answer is shorter.
+	AnswerBytes int    `json:"answer_bytes,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
 }
 
 // Checkpoint republishes the state that the records up to Through produce, so
--- a/bench/demo/operate.go
+++ b/bench/demo/operate.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"path/filepath"
 	"time"
 
 	"dotterelmount.example/api"
@@ -24,7 +25,7 @@
 	o.calls++
 	args := []string{"--output", "json", "--operator", "demo", "--timeout", waitLimit.String()}
 	for _, d := range o.fleet.daemons {
-		args = append(args, "--daemon", d.Address)
+		args = append(args, "--daemons", d.Address)
 	}
 	name := fmt.Sprintf("cli-%02d-%s", o.calls, command[0])
 	out, err := o.fleet.runner.Run(ctx, name, "dotterelmount", append(args, command...)...)
@@ -75,10 +76,10 @@
 
 // trainerResult is the last line of the trainer program.
 type trainerResult struct {
-	SamplesDue        int `json:"samples_due"`
-	SamplesDelivered  int `json:"samples_delivered"`
-	SamplesDuplicated int `json:"samples_duplicated"`
-	StaleDelivered    int `json:"stale_delivered"`
+	SamplesDue        int `json:"due"`
+	SamplesDelivered  int `json:"delivered"`
+	SamplesDuplicated int `json:"duplicated"`
+	StaleDelivered    int `json:"stale"`
 }
 
 // The trainer's step.
@@ -90,14 +91,15 @@
 
 func (f *fleet) trainStep(ctx context.Context) (trainerResult, error) {
 	args := []string{
-		"--name", string(trainer), "--customer", string(trainer), "--model", string(model),
-		"--steps", "1",
+		"--trainer", string(trainer), "--customer", string(trainer), "--model", string(model),
+		"--steps", "1", "--verify",
+		"--file", filepath.Join(f.runner.OutDir(), "trainer.json"),
 		"--groups", fmt.Sprint(stepGroups),
-		"--group-size", fmt.Sprint(stepGroupSize),
+		"--samples", fmt.Sprint(stepGroupSize),
 		"--max-tokens", fmt.Sprint(stepTokens),
 	}
 	for _, d := range f.daemons {
-		args = append(args, "--daemon", d.Address)
+		args = append(args, "--daemons", d.Address)
 	}
 	var result trainerResult
 	out, err := f.runner.Run(ctx, "trainer", "trainer", args...)
--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -34,12 +34,15 @@
 
 // Sizes and times of the parts.
 const (
-	ledgerRing      = 1024                   // messages
-	dispatchRing    = 4096                   // messages
-	appenderRing    = 4096                   // records
-	appendBatch     = 256                    // records in one append
-	flushEvery      = 5 * time.Millisecond   // between two appends to a stream
-	logCallTimeout  = 2 * time.Second        // one call of the log
+	ledgerRing      = 1024                 // messages
+	dispatchRing    = 4096                 // messages
+	appenderRing    = 4096                 // records
+	appendBatch     = 256                  // records in one append
+	flushEvery      = 5 * time.Millisecond // between two appends to a stream
+	logCallTimeout  = time.Second          // one call of the log
+	verdictGrace    = logCallTimeout + 200*time.Millisecond
+	operatorTimeout = 3 * time.Second        // an operator's change
+	appenderStop    = 3 * time.Second        // for what is still to be appended at the stop
 	logReadWait     = 2 * time.Second        // long poll
 	logReadLimit    = 512                    // entries a read and stream
 	logRetryEvery   = 100 * time.Millisecond // after a failed read
@@ -104,7 +107,7 @@
 	n.book = logbook.Start(n.system, n.platform, appendAdapter{n.appender}, logbook.Config{
 		Daemon: api.DaemonID(n.settings.Daemon), RingSize: ledgerRing,
 		ReadWait: logReadWait, ReadLimit: logReadLimit, RetryEvery: logRetryEvery,
-		ProposeTimeout: proposeTimeout, CheckpointEvery: n.settings.Platform.CheckpointEvery,
+		ProposeTimeout: proposeTimeout, VerdictGrace: verdictGrace, CheckpointEvery: n.settings.Platform.CheckpointEvery,
 		NewID: func() api.RecordID { return api.RecordID(newID()) },
 		Now:   time.Now, Jitter: rand.Float64,
 	}, n.dispatch.Update)
@@ -189,11 +192,19 @@
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", zap.Error(err))
 	}
-	err := errors.Join(n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
 
+// stopAppender gives up soon: the log may be out, and what has not been
+// appended was not promised to anybody.
+func (n *Node) stopAppender(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, appenderStop)
+	defer cancel()
+	return n.appender.Stop(ctx)
+}
+
 // linger answers new requests as not run for a while, so that the platform's
 // balancer takes this host out before connections are refused.
 func (n *Node) linger(ctx context.Context) {
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -26,6 +26,8 @@
 	if err := o.n.ready(); err != nil {
 		return ledger.Verdict{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	v, err := o.n.book.Propose(ctx, api.StreamConfig, body, actor)
 	o.n.log.Info("change proposed", zap.String("actor", actor), zap.String("kind", recordcodec.KindOf(body)),
 		zap.String("record", string(v.ID)), zap.Uint64("offset", uint64(v.Offset)),
--- a/cmd/dotterelmountd/internal/node/serve.go
+++ b/cmd/dotterelmountd/internal/node/serve.go
@@ -6,10 +6,16 @@
 	"expvar"
 	"net"
 	"net/http"
+	"time"
 
+	"dotterelmount.example/api"
 	"dotterelmount.example/front/adminapi"
 	"dotterelmount.example/front/httpapi"
+	"dotterelmount.example/front/httpapi/errmap"
+	"dotterelmount.example/front/trainerapi"
 	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/samples"
+	"dotterelmount.example/server/sampler"
 	"go.uber.org/zap"
 )
 
@@ -33,10 +39,54 @@
 	_ = d.Post(listener) // a new duty's ring is empty
 }
 
+const (
+	// trainerTimeout bounds a trainer's call on top of the wait it asks for.
+	trainerTimeout = 15 * time.Second
+	trainerWait    = 30 * time.Second
+)
+
+// readyTrainers refuses trainers' calls while the daemon is not ready.
+type readyTrainers struct{ n *Node }
+
+// OpenStep implements trainerapi.Service.
+func (r readyTrainers) OpenStep(ctx context.Context, t api.TrainerID, step samples.StepOpened) error {
+	if err := r.n.ready(); err != nil {
+		return err
+	}
+	return r.n.sampler.OpenStep(ctx, t, step)
+}
+
+// Pull implements trainerapi.Service.
+func (r readyTrainers) Pull(ctx context.Context, q sampler.PullRequest) (sampler.PullAnswer, error) {
+	if err := r.n.ready(); err != nil {
+		return sampler.PullAnswer{}, err
+	}
+	return r.n.sampler.Pull(ctx, q)
+}
+
+// TrainerState implements trainerapi.Service.
+func (r readyTrainers) TrainerState(ctx context.Context, t api.TrainerID) (samples.Report, error) {
+	return r.n.sampler.TrainerState(ctx, t)
+}
+
+// failTrainer answers a trainer's call that failed. Repeating a call is
+// always safe, so only what surely changed nothing is told as not run.
+func failTrainer(w http.ResponseWriter, err error) {
+	outcome := api.OutcomeNotRun
+	switch api.CodeOf(err) {
+	case api.CodeUnknownResult, api.CodeDeadlineExceeded, api.CodeInternal, api.CodeCancelled:
+		outcome = api.OutcomeUnknown
+	}
+	errmap.Write(w, err, outcome)
+}
+
 func (n *Node) routes() http.Handler {
 	mux := http.NewServeMux()
 	httpapi.Register(mux, n.callerDeps())
 	mux.Handle("/v1/admin/", adminapi.NewHandler(&operator{n}))
+	trainerapi.Register(mux, trainerapi.Config{
+		BodyLimit: n.settings.Limits.StepBytes, CallTimeout: trainerTimeout, MaxWait: trainerWait,
+	}, readyTrainers{n}, failTrainer)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
 }
--- a/front/httpapi/chat.go
+++ b/front/httpapi/chat.go
@@ -135,7 +135,7 @@
 	}
 	a, replayed := h.run(q, nil)
 	setAnswerHeaders(w, a, replayed)
-	if a.Outcome != api.OutcomeComplete {
+	if a.Err != nil {
 		errmap.Write(w, a.Err, a.Outcome)
 		return
 	}
@@ -161,7 +161,7 @@
 	a, replayed := h.run(q, func(s *sink) { out.relay(q.ctx, s) })
 	if !out.started {
 		setAnswerHeaders(w, a, replayed)
-		if a.Outcome != api.OutcomeComplete {
+		if a.Err != nil {
 			errmap.Write(w, a.Err, a.Outcome)
 			return
 		}
@@ -204,7 +204,7 @@
 
 func (e *events) end(a work.Answer) {
 	e.w.Header().Set(errmap.HeaderOutcome, a.Outcome.String())
-	if a.Outcome != api.OutcomeComplete {
+	if a.Err != nil {
 		e.send(errmap.NewBody(a.Err, a.Outcome))
 		return
 	}
--- a/front/httpapi/httpapi.go
+++ b/front/httpapi/httpapi.go
@@ -69,7 +69,8 @@
 
 // request is what both kinds of calls have in common.
 type request struct {
-	ctx    context.Context
+	caller context.Context // ends when the caller goes away
+	ctx    context.Context // ends also at the deadline
 	cancel context.CancelFunc
 	job    *work.Job
 	once   bool
@@ -98,6 +99,7 @@
 		return nil, nil, err
 	}
 	q := &request{once: r.Header.Get(HeaderOnce) == "true", key: r.Header.Get(HeaderKey)}
+	q.caller = r.Context()
 	q.ctx, q.cancel = context.WithDeadline(r.Context(), deadline)
 	q.job = &work.Job{
 		ID: h.NewID(), Customer: customer, Plan: plan.Name, Lane: api.LaneInteractive,
@@ -168,7 +170,7 @@
 	if err := h.Submitter.Submit(q.job); err != nil {
 		return work.Answer{Outcome: api.OutcomeNotRun, Err: err}
 	}
-	stop := context.AfterFunc(q.ctx, func() { h.Submitter.Cancel(q.job.ID) })
+	stop := context.AfterFunc(q.caller, func() { h.Submitter.Cancel(q.job.ID) })
 	defer stop()
 	if relay != nil {
 		relay(s)
--- a/front/httpapi/plain.go
+++ b/front/httpapi/plain.go
@@ -29,7 +29,7 @@
 	q.job.Fingerprint = fingerprint(service, r.Method, path, string(body))
 	a, replayed := h.run(q, nil)
 	setAnswerHeaders(w, a, replayed)
-	if a.Outcome != api.OutcomeComplete {
+	if a.Err != nil {
 		errmap.Write(w, a.Err, a.Outcome)
 		return
 	}
--- a/lib/ledger/claims.go
+++ b/lib/ledger/claims.go
@@ -28,10 +28,12 @@
 	Fingerprint api.Fingerprint `json:"fingerprint"`
 	Settled     bool            `json:"settled"`
 	// Released claims were settled as not run: another record may win the key.
-	Released bool        `json:"released,omitempty"`
-	Outcome  api.Outcome `json:"outcome,omitempty"`
-	Status   int         `json:"status,omitempty"`
-	Answer   []byte      `json:"answer,omitempty"`
+	Released    bool        `json:"released,omitempty"`
+	Outcome     api.Outcome `json:"outcome,omitempty"`
+	Status      int         `json:"status,omitempty"`
+	Answer      []byte      `json:"answer,omitempty"`
+	AnswerBytes int         `json:"answer_bytes,omitempty"`
+	ContentType string      `json:"content_type,omitempty"`
 }
 
 // Claims folds the claims stream.
@@ -109,7 +111,8 @@
 	if b.Outcome == api.OutcomeNotRun {
 		s.Released = true
 	}
-	s.Settled, s.Outcome, s.Status, s.Answer = true, b.Outcome, b.Status, b.Answer
+	s.Settled, s.Outcome, s.Status = true, b.Outcome, b.Status
+	s.Answer, s.AnswerBytes, s.ContentType = b.Answer, b.AnswerBytes, b.ContentType
 	c.held[k] = s
 	return nil
 }
--- a/lib/settings/load.go
+++ b/lib/settings/load.go
@@ -30,6 +30,7 @@
 	DefaultWeightOnce       = 4
 	DefaultWeightRollout    = 1
 	DefaultBodyBytes        = 1 << 20
+	DefaultStepBytes        = 64 << 20
 	DefaultCutOff           = 10 * time.Second
 	DefaultLinger           = 500 * time.Millisecond
 	DefaultCheckpointEvery  = 10 * time.Minute
@@ -57,7 +58,7 @@
 			},
 		},
 		Platform: Platform{CheckpointEvery: DefaultCheckpointEvery},
-		Limits:   Limits{BodyBytes: DefaultBodyBytes, CutOff: DefaultCutOff, Linger: DefaultLinger},
+		Limits:   Limits{BodyBytes: DefaultBodyBytes, StepBytes: DefaultStepBytes, CutOff: DefaultCutOff, Linger: DefaultLinger},
 	}
 }
 
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -54,7 +54,8 @@
 
 // Limits bounds what callers may send.
 type Limits struct {
-	BodyBytes int64         `yaml:"body_bytes" validate:"min=1"`
+	BodyBytes int64         `yaml:"body_bytes" validate:"min=1"`  // of a member's or director's request
+	StepBytes int64         `yaml:"step_bytes" validate:"min=1"`  // of a trainer's request
 	CutOff    time.Duration `yaml:"cut_off" validate:"min=100ms"` // without log and peers for longer: not ready
 	// Linger is how long a stopping daemon still answers, as not run, before it
 	// closes its address.
--- a/server/logbook/folder.go
+++ b/server/logbook/folder.go
@@ -164,7 +164,7 @@
 
 // expire tells a proposer at its deadline that the result is unknown.
 func (f *folder) expire(id api.RecordID, p *proposal, now time.Time) {
-	if now.Before(p.Deadline) {
+	if now.Before(p.Deadline.Add(f.book.cfg.VerdictGrace)) {
 		return
 	}
 	if !p.told {
--- a/server/logbook/logbook.go
+++ b/server/logbook/logbook.go
@@ -28,12 +28,15 @@
 
 // Config of a Book.
 type Config struct {
-	Daemon          api.DaemonID
-	RingSize        int           // entries of the fold's ring
-	ReadWait        time.Duration // long-poll time
-	ReadLimit       int           // entries a stream and read
-	RetryEvery      time.Duration // pause after a failed read
-	ProposeTimeout  time.Duration // longest life of a proposal
+	Daemon         api.DaemonID
+	RingSize       int           // entries of the fold's ring
+	ReadWait       time.Duration // long-poll time
+	ReadLimit      int           // entries a stream and read
+	RetryEvery     time.Duration // pause after a failed read
+	ProposeTimeout time.Duration // longest life of a proposal
+	// VerdictGrace is how long after its deadline a proposal may still learn
+	// from the appender that it surely is not in the log.
+	VerdictGrace    time.Duration
 	CheckpointEvery time.Duration // well below the log's retention
 	NewID           func() api.RecordID
 	Now             func() time.Time
@@ -158,9 +161,10 @@
 		err     error
 	}
 	slot := ring.NewSlot[reply]()
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = b.cfg.Now().Add(b.cfg.ProposeTimeout)
+	deadline := b.cfg.Now().Add(b.cfg.ProposeTimeout)
+	if last, ok := ctx.Deadline(); ok {
+		left := last.Sub(b.cfg.Now())
+		deadline = last.Add(-min(b.cfg.VerdictGrace, left/2))
 	}
 	err := b.ProposeAsync(Proposal{
 		Stream: stream, Body: body, Actor: actor, Deadline: deadline,
--- a/server/once/once.go
+++ b/server/once/once.go
@@ -170,10 +170,11 @@
 }
 
 func fromClaim(s ledger.ClaimState) work.Answer {
-	if s.Outcome == api.OutcomeComplete {
-		return work.Answer{Outcome: s.Outcome, Status: s.Status, Body: s.Answer, ContentType: "application/json"}
+	if s.Outcome == api.OutcomeComplete && len(s.Answer) == s.AnswerBytes {
+		return work.Answer{Outcome: s.Outcome, Status: s.Status, Body: s.Answer, ContentType: s.ContentType}
 	}
-	err := api.Errorf(api.CodeDuplicateKey, "key %q was used at offset %d and ended as %s", s.Key, s.Offset, s.Outcome)
+	err := api.Errorf(api.CodeDuplicateKey, "key %q was used at offset %d and ended as %s; its answer of %d bytes is not kept",
+		s.Key, s.Offset, s.Outcome, s.AnswerBytes)
 	return work.Answer{Outcome: s.Outcome, Err: err}
 }
 
@@ -182,7 +183,7 @@
 func (g *Guard) settle(ctx context.Context, r Request, claim api.RecordID, a work.Answer) {
 	body := api.Settle{
 		Customer: r.Key.Customer, Key: r.Key.Key, Claim: claim,
-		Outcome: a.Outcome, Status: a.Status,
+		Outcome: a.Outcome, Status: a.Status, AnswerBytes: len(a.Body), ContentType: a.ContentType,
 	}
 	if len(a.Body) <= maxKeptAnswer {
 		body.Answer = a.Body
--- a/server/once/once_test.go
+++ b/server/once/once_test.go
@@ -158,3 +158,16 @@
 		return poll.Continue("outcome %s", a.Outcome)
 	}, poll.WithTimeout(10*time.Second))
 }
+
+// An answer too long for the log must not come back cut or empty.
+func TestLongAnswerIsNotReplayedCut(t *testing.T) {
+	log := memlog.New(memlog.Options{})
+	g := guard(t, log, "one")
+	long := work.Answer{Outcome: api.OutcomeComplete, Status: 200, Body: make([]byte, 1<<17)}
+	_, _ = g.Run(within(t, 10*time.Second), slip, func() work.Answer { return long })
+	a, replayed := g.Run(within(t, 10*time.Second), slip, never(t))
+	assert.Assert(t, replayed)
+	assert.Equal(t, a.Outcome, api.OutcomeComplete)
+	assert.Equal(t, api.CodeOf(a.Err), api.CodeDuplicateKey)
+	assert.Equal(t, len(a.Body), 0)
+}
