--- a/bench/check/answer.go
+++ b/bench/check/answer.go
@@ -4,12 +4,12 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"regexp"
 	"strconv"
 	"strings"
 
 	"dotterelmount.example/lib/work"
+	"dotterelmount.example/standin/engine/tokens"
 )
 
 // lengthMark in the last user message sets the number of tokens of the answer.
@@ -19,26 +19,10 @@
 
 // Expected returns the answer that a stand-in engine gives to a chat.
 func Expected(messages []work.Message, maxTokens int) string {
-	hash := hashMessages(messages)
-	var b strings.Builder
-	for i := range tokens(messages, maxTokens) {
-		fmt.Fprintf(&b, "%08x-%d ", hash, i)
-	}
-	return b.String()
-}
-
-func hashMessages(messages []work.Message) uint32 {
-	contents := make([]string, len(messages))
-	for i, m := range messages {
-		contents[i] = m.Content
-	}
-	h := fnv.New32a()
-	// A hash's Write returns no error.
-	_, _ = h.Write([]byte(strings.Join(contents, "\n")))
-	return h.Sum32()
+	return tokens.Answer(messages, count(messages, maxTokens))
 }
 
-func tokens(messages []work.Message, maxTokens int) int {
+func count(messages []work.Message, maxTokens int) int {
 	for i := len(messages) - 1; i >= 0; i-- {
 		if messages[i].Role != roleUser {
 			continue
--- a/bench/demo/operate.go
+++ b/bench/demo/operate.go
@@ -25,7 +25,7 @@
 	o.calls++
 	args := []string{"--output", "json", "--operator", "demo", "--timeout", waitLimit.String()}
 	for _, d := range o.fleet.daemons {
-		args = append(args, "--daemons", d.Address)
+		args = append(args, "--daemon", d.Address)
 	}
 	name := fmt.Sprintf("cli-%02d-%s", o.calls, command[0])
 	out, err := o.fleet.runner.Run(ctx, name, "dotterelmount", append(args, command...)...)
--- a/standin/trainer/drive.go
+++ b/standin/trainer/drive.go
@@ -12,12 +12,9 @@
 	"dotterelmount.example/front/trainerapi"
 	"dotterelmount.example/lib/samples"
 	"dotterelmount.example/lib/work"
+	"dotterelmount.example/standin/engine/tokens"
 )
 
-// checkText tells whether a text is what an engine makes of the messages; nil
-// until the stand-in engine's token package is built in.
-var checkText func(messages []work.Message, text string, tokens int) bool
-
 type config struct {
 	daemons                  []string
 	trainer, customer, model string
@@ -228,7 +225,7 @@
 	if oldest < known && uint64(known-oldest) > t.cfg.bound {
 		e.Stale++
 	}
-	if t.cfg.verify && !checkText(t.messages(g.Step, g.ID), s.Text, s.Tokens) {
+	if t.cfg.verify && tokens.Answer(t.messages(g.Step, g.ID), s.Tokens) != s.Text {
 		e.Wrong++
 	}
 }
--- a/standin/trainer/main.go
+++ b/standin/trainer/main.go
@@ -53,9 +53,6 @@
 }
 
 func run(ctx context.Context, c *cli.Command) error {
-	if c.Bool("verify") && checkText == nil {
-		return api.Errorf(api.CodeInvalid, "--verify: this program was built without a check of texts")
-	}
 	j, err := openJournal(c.String("file"))
 	if err != nil {
 		return err
