--- /dev/null
+++ b/front/peer/peer_test.go
@@ -0,0 +1,156 @@
+package peer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/peer"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/membership"
+	"gotest.tools/v3/assert"
+)
+
+// echo answers each call with what it was asked.
+type echo struct{}
+
+func (echo) Probe(_ context.Context, m membership.Message) (membership.Message, error) { return m, nil }
+
+func (echo) IndirectProbe(_ context.Context, target string, timeout time.Duration) (bool, error) {
+	return target == "10.1.0.2:7000" && timeout == time.Second, nil
+}
+
+func (echo) Members(_ context.Context, after api.DaemonID, limit int) (membership.Page, error) {
+	return membership.Page{Members: make([]membership.Member, 0, limit), Next: after}, nil
+}
+
+func (echo) Tail(_ context.Context, from api.Offset, limit int) ([]eventlog.Entry, error) {
+	entries := make([]eventlog.Entry, limit)
+	for i := range entries {
+		entries[i] = eventlog.Entry{
+			Offset: from + api.Offset(i), TimeMillis: 7,
+			Record: eventlog.Record{ID: "r", Payload: make([]byte, 100_000)},
+		}
+	}
+	return entries, nil
+}
+
+func (echo) Slots(_ context.Context, r peer.SlotsRequest) (peer.SlotsLease, error) {
+	return peer.SlotsLease{Seq: r.Seq, Slots: r.Want - r.Held, TTL: 2 * time.Second}, nil
+}
+
+func start(t *testing.T) (*peer.Server, *peer.Client, context.Context) {
+	t.Helper()
+	server, err := peer.Start("127.0.0.1:0", echo{})
+	assert.NilError(t, err)
+	client := peer.NewClient()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	t.Cleanup(func() {
+		client.Close()
+		cancel()
+		assert.NilError(t, server.Shutdown(context.Background()))
+	})
+	return server, client, ctx
+}
+
+func message() membership.Message {
+	m := membership.Member{
+		ID: "entry-1", Peer: "10.1.0.1:7000", Caller: "10.1.0.1:8080", DataCentre: "sapporo-a",
+		Incarnation: 1 << 41, Status: membership.Suspect, Stopping: true, Through: 99,
+	}
+	return membership.Message{
+		From: m, To: "entry-2", Digest: 1 << 63, Updates: []membership.Member{m},
+		Offsets: []membership.OffsetUpdate{{ID: "entry-3", Incarnation: 4, Through: 5}},
+	}
+}
+
+func TestCallsCarryAllFields(t *testing.T) {
+	server, client, ctx := start(t)
+	answer, err := client.Probe(ctx, server.Addr(), message())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, answer, message())
+	reached, err := client.IndirectProbe(ctx, server.Addr(), "10.1.0.2:7000", time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, reached)
+	page, err := client.Members(ctx, server.Addr(), "entry-7", 3)
+	assert.NilError(t, err)
+	assert.Equal(t, page.Next, api.DaemonID("entry-7"))
+	lease, err := client.Slots(ctx, server.Addr(), peer.SlotsRequest{Upstream: "u", Daemon: "d", Seq: 8, Held: 2, Want: 5})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, lease, peer.SlotsLease{Seq: 8, Slots: 3, TTL: 2 * time.Second})
+}
+
+func TestTailFitsOneMessage(t *testing.T) {
+	server, client, ctx := start(t)
+	entries, err := client.Tail(ctx, server.Addr(), 4, 50)
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 5)
+	assert.Equal(t, entries[4].Offset, api.Offset(8))
+	assert.Equal(t, entries[4].TimeMillis, int64(7))
+}
+
+func TestMalformedMemberIsRefused(t *testing.T) {
+	server, client, ctx := start(t)
+	m := message()
+	m.From.Status = 9
+	_, err := client.Probe(ctx, server.Addr(), m)
+	assert.Equal(t, api.CodeOf(err), api.CodeNotReady)
+}
+
+// TestSilentConnectionIsReplaced puts a forwarder between the two ends that
+// loses track of the connections it has when it is told to.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	server, client, ctx := start(t)
+	var silentUpTo, accepted atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", server.Addr())
+			if err != nil {
+				return
+			}
+			number := accepted.Add(1)
+			forward := func(to, from net.Conn) {
+				_, _ = io.Copy(gate{to, number, &silentUpTo}, from)
+				_ = to.Close()
+			}
+			go forward(near, far)
+			go forward(far, near)
+		}
+	}()
+	addr := listener.Addr().String()
+	_, err = client.Probe(ctx, addr, message())
+	assert.NilError(t, err)
+	silentUpTo.Store(accepted.Load())
+	short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err = client.Probe(short, addr, message())
+	assert.Equal(t, api.CodeOf(err), api.CodeNotReady)
+	_, err = client.Probe(ctx, addr, message())
+	assert.NilError(t, err)
+	assert.Equal(t, accepted.Load(), int64(2))
+}
+
+// gate swallows what is written to a silent connection.
+type gate struct {
+	net.Conn
+	number     int64
+	silentUpTo *atomic.Int64
+}
+
+func (g gate) Write(p []byte) (int, error) {
+	if g.number <= g.silentUpTo.Load() {
+		return len(p), nil
+	}
+	return g.Conn.Write(p)
+}
--- /dev/null
+++ b/front/peer/server.go
@@ -0,0 +1,150 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/peer/peerpb"
+	"dotterelmount.example/lib/eventlog"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+// Limits of what one message or answer may hold.
+const (
+	maxMessageBytes = 1 << 20
+	maxTailBytes    = maxMessageBytes / 2
+	maxTailEntries  = 256
+)
+
+// Server serves a Handler to other daemons.
+type Server struct {
+	listener net.Listener
+	tracker  *drpcctx.Tracker
+}
+
+// Start listens on addr (ip:port) and serves h until Shutdown.
+// Errors: CodeInternal when the address can't be had.
+func Start(addr string, h Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInternal, "listening for peers: %w", err)
+	}
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &service{handler: h}); err != nil {
+		_ = listener.Close()
+		return nil, api.Errorf(api.CodeInternal, "registering the peer service: %w", err)
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	s := &Server{listener: listener, tracker: drpcctx.NewTracker(context.Background())}
+	s.tracker.Run(func(ctx context.Context) {
+		// Serve ends with the tracker's context; what else it could report is
+		// the listener's failure, which peers see as this daemon's silence.
+		_ = server.Serve(ctx, countedListener{listener})
+	})
+	return s, nil
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+}
+
+// Addr returns the address listened on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Shutdown closes the listener and all connections and waits for the calls in
+// progress, which see their contexts end. Errors: ctx.Err().
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.tracker.Cancel()
+	done := make(chan struct{})
+	waiter := drpcctx.NewTracker(context.WithoutCancel(ctx))
+	waiter.Run(func(context.Context) {
+		s.tracker.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// service decodes calls for the handler.
+type service struct{ handler Handler }
+
+// Probe implements peerpb.DRPCPeerServer.
+func (s *service) Probe(ctx context.Context, in *peerpb.Gossip) (*peerpb.Gossip, error) {
+	m, err := messageFromProto(in)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := s.handler.Probe(ctx, m)
+	if err != nil {
+		return nil, err
+	}
+	return messageToProto(&answer), nil
+}
+
+// IndirectProbe implements peerpb.DRPCPeerServer.
+func (s *service) IndirectProbe(ctx context.Context, in *peerpb.IndirectProbeRequest) (*peerpb.IndirectProbeResponse, error) {
+	reached, err := s.handler.IndirectProbe(ctx, in.GetTarget(), millis(in.GetTimeoutMillis()))
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.IndirectProbeResponse{Reached: reached}, nil
+}
+
+// Members implements peerpb.DRPCPeerServer.
+func (s *service) Members(ctx context.Context, in *peerpb.MembersRequest) (*peerpb.MembersResponse, error) {
+	page, err := s.handler.Members(ctx, api.DaemonID(in.GetAfter()), int(in.GetLimit()))
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.MembersResponse{Members: membersToProto(page.Members), Next: string(page.Next)}, nil
+}
+
+// Tail implements peerpb.DRPCPeerServer.
+func (s *service) Tail(ctx context.Context, in *peerpb.TailRequest) (*peerpb.TailResponse, error) {
+	limit := min(int(in.GetLimit()), maxTailEntries)
+	entries, err := s.handler.Tail(ctx, api.Offset(in.GetFrom()), limit)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.TailResponse{Entries: entriesToProto(fitting(entries))}, nil
+}
+
+// fitting returns as many of the first entries as fit a message, at least one.
+func fitting(entries []eventlog.Entry) []eventlog.Entry {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Payload)
+		if i > 0 && size > maxTailBytes {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+// Slots implements peerpb.DRPCPeerServer.
+func (s *service) Slots(ctx context.Context, in *peerpb.SlotsRequest) (*peerpb.SlotsResponse, error) {
+	lease, err := s.handler.Slots(ctx, SlotsRequest{
+		Upstream: api.UpstreamID(in.GetUpstream()),
+		Daemon:   api.DaemonID(in.GetDaemon()),
+		Seq:      in.GetSeq(),
+		Held:     int(in.GetHeld()),
+		Want:     int(in.GetWant()),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.SlotsResponse{
+		Seq:       lease.Seq,
+		Slots:     uint32(max(0, lease.Slots)),
+		TtlMillis: uint32(max(0, lease.TTL.Milliseconds())),
+	}, nil
+}
--- a/lib/membership/config.go
+++ b/lib/membership/config.go
@@ -50,7 +50,7 @@
 		PullGrace:          100 * time.Millisecond,
 		PullTimeout:        2 * time.Second,
 		PauseAfter:         2 * time.Second,
-		RumourFactor:       3,
+		RumourFactor:       2,
 		OffsetFactor:       1,
 		LeaveNotifications: 4,
 	}
--- a/lib/membership/events.go
+++ b/lib/membership/events.go
@@ -34,11 +34,8 @@
 // says nothing of its target.
 type Unsent struct{ Seq uint64 }
 
-// PageReceived is the answer to a FetchPage. Next is empty at the list's end.
-type PageReceived struct {
-	Members []Member
-	Next    api.DaemonID
-}
+// PageReceived is the answer to the FetchPage in flight.
+type PageReceived struct{ Page Page }
 
 // PageFailed tells that the FetchPage in flight had no answer.
 type PageFailed struct{}
--- a/lib/membership/membership_test.go
+++ b/lib/membership/membership_test.go
@@ -103,9 +103,9 @@
 	m := n.state.Compose("other-1", s.rng)
 	assert.Assert(t, len(m.Updates) > 0 && len(m.Updates) <= cfg.PiggybackRecords)
 	assert.Assert(t, m.Size() <= cfg.PiggybackBytes+m.From.Size()+64, "%d bytes", m.Size())
-	page, next := n.state.Page("", 1_000_000)
-	assert.Equal(t, len(page), cfg.PageMembers)
-	assert.Equal(t, next, page[len(page)-1].ID)
+	page := n.state.Page("", 1_000_000)
+	assert.Equal(t, len(page.Members), cfg.PageMembers)
+	assert.Equal(t, page.Next, page.Members[len(page.Members)-1].ID)
 }
 
 func TestConfigIsChecked(t *testing.T) {
--- a/lib/membership/merge.go
+++ b/lib/membership/merge.go
@@ -59,6 +59,7 @@
 func (s *State) insert(m Member) {
 	rec := &record{Member: m}
 	s.members[m.ID] = rec
+	s.count(&m, true)
 	s.order = slices.Insert(s.order, s.rand.IntN(len(s.order)+1), m.ID)
 	s.statusChanged(rec)
 }
@@ -69,7 +70,9 @@
 	}
 	revived := rec.Status >= Dead && m.Status < Dead
 	died := rec.Status < Dead && m.Status == Dead
+	s.count(&rec.Member, false)
 	rec.Member = m
+	s.count(&m, true)
 	if died {
 		s.counters.Deaths++
 	}
@@ -155,7 +158,9 @@
 
 // raise gives the own record a new incarnation and spreads it.
 func (s *State) raise(incarnation uint64) {
+	s.count(&s.self, false)
 	s.self.Incarnation = incarnation
+	s.count(&s.self, true)
 	s.rumours[s.self.ID] = 0
 	s.changed()
 }
--- a/lib/membership/piggyback.go
+++ b/lib/membership/piggyback.go
@@ -13,7 +13,7 @@
 
 // compose builds a message to the named daemon within the piggyback's bounds.
 func (s *State) compose(to api.DaemonID) Message {
-	m := Message{From: s.self, To: to, Digest: s.digest()}
+	m := Message{From: s.self, To: to, Digest: s.digest}
 	room := s.cfg.PiggybackBytes
 	// A daemon that is not held alive has to learn it, or it cannot refute.
 	if rec := s.members[to]; rec != nil && rec.Status != Alive {
@@ -77,15 +77,16 @@
 	}
 }
 
-// digest sums the names and incarnations of the live members, in any order.
-func (s *State) digest() uint64 {
-	sum := memberHash(&s.self)
-	for _, rec := range s.members {
-		if rec.Status <= Suspect {
-			sum += memberHash(&rec.Member)
-		}
+// count adds a live member's hash to the digest, or takes it off. The digest
+// is a sum, so that it does not depend on the order in which records came.
+func (s *State) count(m *Member, present bool) {
+	switch {
+	case m.Status > Suspect:
+	case present:
+		s.digest += memberHash(m)
+	default:
+		s.digest -= memberHash(m)
 	}
-	return sum
 }
 
 func memberHash(m *Member) uint64 {
--- a/lib/membership/probe.go
+++ b/lib/membership/probe.go
@@ -193,6 +193,7 @@
 	if s.self.Status == Left {
 		return
 	}
+	s.count(&s.self, false)
 	s.self.Status = Left
 	s.raise(s.self.Incarnation + 1)
 	for _, id := range s.pick(s.live(), s.cfg.LeaveNotifications) {
--- a/lib/membership/scale_test.go
+++ b/lib/membership/scale_test.go
@@ -73,7 +73,7 @@
 	first := s.nodes[1]
 	s.step(first, membership.OffsetAdvanced{Through: through})
 	for s.now.Sub(start) < limit && known == 0 {
-		s.runFor(100 * time.Millisecond)
+		s.runFor(tickEvery)
 		if inForce == 0 && s.all(func(n *node) bool { return n.state.Self().Through == through }) {
 			inForce = s.now.Sub(start)
 		}
--- a/lib/membership/sim_test.go
+++ b/lib/membership/sim_test.go
@@ -234,14 +234,14 @@
 		s.deliver(n, func() { s.step(n, membership.PageFailed{}) })
 		return
 	}
-	members, next := target.state.Page(a.After, a.Limit)
+	page := target.state.Page(a.After, a.Limit)
 	size := 0
-	for i := range members {
-		size += members[i].Size()
+	for i := range page.Members {
+		size += page.Members[i].Size()
 	}
 	s.count(n, size)
 	s.count(target, size)
-	s.deliver(n, func() { s.step(n, membership.PageReceived{Members: members, Next: next}) })
+	s.deliver(n, func() { s.step(n, membership.PageReceived{Page: page}) })
 }
 
 func (s *sim) pull(n *node, a membership.PullTail) {
--- a/lib/membership/state.go
+++ b/lib/membership/state.go
@@ -51,6 +51,7 @@
 	seq      uint64
 	probes   uint64
 	version  uint64
+	digest   uint64 // of the live members, self included
 	counters Counters
 
 	lastTick    time.Time
@@ -68,7 +69,7 @@
 // New returns the state of a daemon that knows only itself and the seeds.
 func New(cfg Config, self Member, seeds []string, now time.Time) *State {
 	self.Status = Alive
-	return &State{
+	s := &State{
 		cfg:       cfg,
 		self:      self,
 		seeds:     slices.Clone(seeds),
@@ -79,6 +80,8 @@
 		lastTick:  now,
 		nextProbe: now,
 	}
+	s.count(&self, true)
+	return s
 }
 
 // Step handles one event and returns the actions it leads to. A random number
--- a/lib/membership/sync.go
+++ b/lib/membership/sync.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -34,12 +35,19 @@
 	due    time.Time
 }
 
-// Page returns up to limit records after a name, and the name to go on after,
-// empty at the end of the list. It serves another daemon's FetchPage.
-func (s *State) Page(after api.DaemonID, limit int) ([]Member, api.DaemonID) {
+// Page is one page of a member list; Next is the name to go on after, empty at
+// the end of the list.
+type Page struct {
+	Members []Member
+	Next    api.DaemonID
+}
+
+// Page returns up to limit records after a name. It serves another
+// daemon's FetchPage.
+func (s *State) Page(after api.DaemonID, limit int) Page {
 	all := s.Members()
 	start, found := slices.BinarySearchFunc(all, after, func(m Member, id api.DaemonID) int {
-		return compareIDs(m.ID, id)
+		return cmp.Compare(m.ID, id)
 	})
 	if found {
 		start++
@@ -47,19 +55,9 @@
 	limit = max(1, min(limit, s.cfg.PageMembers))
 	end := min(start+limit, len(all))
 	if end >= len(all) {
-		return all[start:], ""
-	}
-	return all[start:end], all[end-1].ID
-}
-
-func compareIDs(a, b api.DaemonID) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
+		return Page{Members: all[start:]}
 	}
-	return 0
+	return Page{Members: all[start:end], Next: all[end-1].ID}
 }
 
 // fetchIfDue compares one page of the member list with a random member's. It
@@ -82,7 +80,7 @@
 
 // compareDigest hastens the next page when the sender's list differs.
 func (s *State) compareDigest(m *Message) {
-	if m.Digest == s.digest() {
+	if m.Digest == s.digest {
 		s.page.differs = ""
 		return
 	}
@@ -93,14 +91,14 @@
 }
 
 func (s *State) pageReceived(e PageReceived) {
-	for _, m := range e.Members {
+	for _, m := range e.Page.Members {
 		s.mergeOld(m)
 	}
 	s.lastContact = s.now
 	s.page.inFlight = false
-	s.page.after = e.Next
+	s.page.after = e.Page.Next
 	s.page.due = s.now.Add(s.pageWait())
-	if e.Next == "" {
+	if e.Page.Next == "" {
 		s.page.passes++
 		s.page.differs = "" // until the next message shows otherwise
 	}
