--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -48,8 +48,8 @@
 	// IndirectProbe reports whether the daemon at the target address answers
 	// a probe within the timeout.
 	IndirectProbe(ctx context.Context, target string, timeout time.Duration) (bool, error)
-	// Members returns a page of the member list after a name.
-	Members(ctx context.Context, after api.DaemonID, limit int) (membership.Page, error)
+	// MembersPage returns a page of the member list after a name.
+	MembersPage(ctx context.Context, after api.DaemonID, limit int) (membership.Page, error)
 	// Tail returns up to limit records of the configuration stream from an
 	// offset on; none when that offset is not held.
 	Tail(ctx context.Context, from api.Offset, limit int) ([]eventlog.Entry, error)
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -24,7 +24,7 @@
 	return target == "10.1.0.2:7000" && timeout == time.Second, nil
 }
 
-func (echo) Members(_ context.Context, after api.DaemonID, limit int) (membership.Page, error) {
+func (echo) MembersPage(_ context.Context, after api.DaemonID, limit int) (membership.Page, error) {
 	return membership.Page{Members: make([]membership.Member, 0, limit), Next: after}, nil
 }
 
@@ -45,7 +45,9 @@
 
 func start(t *testing.T) (*peer.Server, *peer.Client, context.Context) {
 	t.Helper()
-	server, err := peer.Start("127.0.0.1:0", echo{})
+	listener, err := peer.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := peer.Start(listener, echo{})
 	assert.NilError(t, err)
 	client := peer.NewClient()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -27,13 +27,19 @@
 	tracker  *drpcctx.Tracker
 }
 
-// Start listens on addr (ip:port) and serves h until Shutdown.
-// Errors: CodeInternal when the address can't be had.
-func Start(addr string, h Handler) (*Server, error) {
+// Listen opens addr (ip:port), so that the address is known before a daemon
+// starts to serve. Errors: CodeInternal when the address can't be had.
+func Listen(addr string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, api.Errorf(api.CodeInternal, "listening for peers: %w", err)
 	}
+	return listener, nil
+}
+
+// Start serves h on the listener, which it owns from then on, until Shutdown.
+// Errors: CodeInternal.
+func Start(listener net.Listener, h Handler) (*Server, error) {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, &service{handler: h}); err != nil {
 		_ = listener.Close()
@@ -101,7 +107,7 @@
 
 // Members implements peerpb.DRPCPeerServer.
 func (s *service) Members(ctx context.Context, in *peerpb.MembersRequest) (*peerpb.MembersResponse, error) {
-	page, err := s.handler.Members(ctx, api.DaemonID(in.GetAfter()), int(in.GetLimit()))
+	page, err := s.handler.MembersPage(ctx, api.DaemonID(in.GetAfter()), int(in.GetLimit()))
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/server/gossip/caller.go
@@ -0,0 +1,124 @@
+package gossip
+
+import (
+	"context"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/ring"
+)
+
+// job is a call to a peer. A probe with a reached slot is made in another
+// daemon's place.
+type job struct {
+	action  membership.Action
+	reached *ring.Slot[bool]
+}
+
+// caller is a duty that makes one blocking call at a time.
+type caller struct {
+	gossip *Gossip
+	peers  PeerCaller
+	tail   TailSource
+}
+
+// Handle implements duty.Handler.
+func (c *caller) Handle(ctx context.Context, j job) {
+	var result membership.Event
+	switch a := j.action.(type) {
+	case membership.SendProbe:
+		result = c.probe(ctx, a, j.reached)
+	case membership.SendIndirect:
+		result = c.indirect(ctx, a)
+	case membership.FetchPage:
+		result = c.fetch(ctx, a)
+	case membership.PullTail:
+		c.pull(ctx, a)
+		result = membership.TailDone{}
+	}
+	if result == nil {
+		return
+	}
+	// The owner never waits for a caller, so waiting here cannot lock up.
+	if c.gossip.owner.PostWait(ctx, eventInput{event: result}) != nil {
+		counters.Add("events_dropped", 1)
+	}
+}
+
+// unsent is the event for an action that found no free caller.
+func unsent(action membership.Action) membership.Event {
+	switch a := action.(type) {
+	case membership.SendProbe:
+		return membership.Unsent{Seq: a.Seq}
+	case membership.FetchPage:
+		return membership.PageFailed{}
+	case membership.PullTail:
+		return membership.TailDone{}
+	}
+	return nil
+}
+
+func (c *caller) probe(ctx context.Context, a membership.SendProbe, reached *ring.Slot[bool]) membership.Event {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	answer, err := c.peers.Probe(ctx, a.Addr, a.Message)
+	if reached != nil {
+		reached.Put(err == nil)
+	}
+	switch {
+	case err == nil:
+		return membership.Answered{Seq: a.Seq, Message: answer}
+	case reached != nil:
+		return nil
+	}
+	return membership.Failed{Seq: a.Seq}
+}
+
+func (c *caller) indirect(ctx context.Context, a membership.SendIndirect) membership.Event {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	reached, err := c.peers.IndirectProbe(ctx, a.Via, a.Target, a.Timeout)
+	if err != nil || !reached {
+		return nil
+	}
+	return membership.Vouched{Seq: a.Seq}
+}
+
+func (c *caller) fetch(ctx context.Context, a membership.FetchPage) membership.Event {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := c.peers.Members(ctx, a.Addr, a.After, a.Limit)
+	if err != nil {
+		return membership.PageFailed{}
+	}
+	return membership.PageReceived{Page: page}
+}
+
+// pull fetches the records after those in force and offers them to the ledger.
+func (c *caller) pull(ctx context.Context, a membership.PullTail) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	counters.Add("pulls", 1)
+	from := c.tail.Through() + 1
+	entries, err := c.peers.Tail(ctx, a.Addr, from, tailLimit)
+	if err != nil {
+		return
+	}
+	entries = contiguous(entries, from)
+	if len(entries) == 0 {
+		return
+	}
+	counters.Add("records_pulled", int64(len(entries)))
+	c.tail.Offer(entries)
+}
+
+// contiguous returns the first entries that follow each other from an offset on.
+func contiguous(entries []eventlog.Entry, from api.Offset) []eventlog.Entry {
+	for i := range entries {
+		if entries[i].Offset != from+api.Offset(i) {
+			return entries[:i]
+		}
+	}
+	return entries[:min(len(entries), tailLimit)]
+}
--- /dev/null
+++ b/server/gossip/config_test.go
@@ -0,0 +1,21 @@
+package gossip_test
+
+import (
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/server/gossip"
+	"gotest.tools/v3/assert"
+)
+
+func TestConfigIsChecked(t *testing.T) {
+	good := gossip.Config{
+		Self:     membership.Member{ID: "entry-0", Peer: "10.1.0.1:7000", Incarnation: 1},
+		Protocol: membership.DefaultConfig(),
+	}
+	assert.NilError(t, good.Validate())
+	bad := good
+	bad.Self.Incarnation = 0
+	assert.Equal(t, api.CodeOf(bad.Validate()), api.CodeInvalid)
+}
