--- a/lib/samples/handover.go
+++ b/lib/samples/handover.go
@@ -114,6 +114,7 @@
 	}
 	attempt := sl.attempt + 1
 	*sl = slot{state: slotOpen, attempt: attempt, doneID: sl.doneID}
+	st.open++
 	st.dropped++
 	s.counts.DroppedStale++
 	return true
--- a/lib/samples/planner.go
+++ b/lib/samples/planner.go
@@ -1,6 +1,7 @@
 package samples
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,9 +47,10 @@
 	Spec *GroupSpec
 }
 
+// slotRun is a slot that this daemon has run at least once.
 type slotRun struct {
 	attempt   int
-	firstSeen time.Time
+	spec      *GroupSpec
 	running   map[int]time.Time // start of each try
 	tries     int
 	failures  int
@@ -57,8 +59,9 @@
 }
 
 type stepWatch struct {
-	open  int
-	since time.Time // of the last change of open
+	firstSeen time.Time
+	open      int
+	since     time.Time // of the last change of open
 }
 
 // Runner plans the jobs of one trainer's stream on one daemon. It is pure:
@@ -85,44 +88,70 @@
 func (r *Runner) Outstanding() int { return r.outstanding }
 
 // Plan decides what to start and cancel now. alive tells whether a daemon is
-// alive by membership; room is how many more jobs the daemon may start.
+// alive by membership; room is how many more jobs the daemon may start. Its
+// cost grows with the jobs under way, not with the open slots.
 func (r *Runner) Plan(s *Stream, alive func(api.DaemonID) bool, room int, now time.Time) Plan {
 	var p Plan
-	open := s.OpenSlots()
 	r.forgetClosed(s, &p)
-	r.watch(open, now)
-	taken := make(map[StepID]bool)
 	room = min(room, r.cfg.MaxOutstanding-r.outstanding)
-	for i := range open {
-		o := &open[i]
-		run := r.track(o, &p, now)
-		if !r.mine(o, alive, now, taken) {
-			continue
-		}
-		if room > 0 && r.shouldRun(run, o.Share, now) {
-			p.Start = append(p.Start, r.start(o, run, now))
-			room--
+	mine := make(map[StepID]bool)
+	for _, st := range s.steps {
+		id := st.opened.Step
+		w := r.watch(st, now)
+		if st.open > 0 && st.runner != r.self && r.takesOver(st.runner, w, alive, now) {
+			p.TakeOver = append(p.TakeOver, id)
+			mine[id] = true
 		}
+		mine[id] = mine[id] || st.runner == r.self
 	}
-	for id := range taken {
-		p.TakeOver = append(p.TakeOver, id)
+	room = r.startAgain(s, &p, mine, room, now)
+	for _, st := range s.steps {
+		if room > 0 && mine[st.opened.Step] {
+			room = r.startNew(st, &p, room, now)
+		}
 	}
-	slices.Sort(p.TakeOver)
 	return p
 }
 
-// track returns the slot's run, and cancels the runs of an older attempt.
-func (r *Runner) track(o *OpenSlot, p *Plan, now time.Time) *slotRun {
-	run := r.slots[o.SlotRef]
-	if run != nil && run.attempt == o.Attempt {
-		return run
+// startAgain retries and hedges slots that ran before. It returns the room left.
+func (r *Runner) startAgain(s *Stream, p *Plan, mine map[StepID]bool, room int, now time.Time) int {
+	var again []SlotRef
+	delay := r.hedgeDelay()
+	for ref, run := range r.slots {
+		if st := s.byID[ref.Step]; mine[ref.Step] && r.shouldRun(run, st, delay, now) {
+			again = append(again, ref)
+		}
 	}
-	if run != nil {
-		r.cancel(o.SlotRef, run, p)
+	slices.SortFunc(again, compareSlots)
+	for _, ref := range again {
+		run := r.slots[ref]
+		hedge := len(run.running) > 0
+		if room <= 0 || (hedge && r.hedges >= r.cfg.MaxHedges) {
+			continue
+		}
+		p.Start = append(p.Start, r.start(s.byID[ref.Step], ref, run, now))
+		room--
 	}
-	run = &slotRun{attempt: o.Attempt, firstSeen: now, running: make(map[int]time.Time)}
-	r.slots[o.SlotRef] = run
-	return run
+	return room
+}
+
+func compareSlots(a, b SlotRef) int {
+	return cmp.Or(cmp.Compare(a.Step, b.Step), cmp.Compare(a.Group, b.Group), cmp.Compare(a.Index, b.Index))
+}
+
+// startNew starts slots that have not run here. It returns the room left.
+func (r *Runner) startNew(st *step, p *Plan, room int, now time.Time) int {
+	st.eachOpen(func(o OpenSlot) bool {
+		if r.slots[o.SlotRef] != nil {
+			return true
+		}
+		run := &slotRun{attempt: o.Attempt, spec: o.Spec, running: make(map[int]time.Time)}
+		r.slots[o.SlotRef] = run
+		p.Start = append(p.Start, r.start(st, o.SlotRef, run, now))
+		room--
+		return room > 0
+	})
+	return room
 }
 
 func (r *Runner) cancel(ref SlotRef, run *slotRun, p *Plan) {
@@ -153,35 +182,27 @@
 	}
 }
 
-func (r *Runner) watch(open []OpenSlot, now time.Time) {
-	counts := make(map[StepID]int)
-	for i := range open {
-		counts[open[i].SlotRef.Step]++
+func (r *Runner) watch(st *step, now time.Time) *stepWatch {
+	w := r.steps[st.opened.Step]
+	if w == nil {
+		w = &stepWatch{firstSeen: now, open: st.open, since: now}
+		r.steps[st.opened.Step] = w
 	}
-	for id, n := range counts {
-		w := r.steps[id]
-		if w == nil || w.open != n {
-			r.steps[id] = &stepWatch{open: n, since: now}
-		}
+	if w.open != st.open {
+		w.open = st.open
+		w.since = now
 	}
+	return w
 }
 
-// mine decides whether this daemon runs the slot; a step taken over goes to taken.
-func (r *Runner) mine(o *OpenSlot, alive func(api.DaemonID) bool, now time.Time, taken map[StepID]bool) bool {
-	if o.Runner == r.self {
-		return true
-	}
-	id := o.SlotRef.Step
-	if taken[id] {
-		return true
-	}
-	idle := now.Sub(r.steps[id].since)
-	gone := o.Runner == "" || !alive(o.Runner)
+// takesOver decides whether this daemon runs a step in place of its runner.
+func (r *Runner) takesOver(runner api.DaemonID, w *stepWatch, alive func(api.DaemonID) bool, now time.Time) bool {
+	idle := now.Sub(w.since)
+	gone := runner == "" || !alive(runner)
 	if idle < r.cfg.TakeOverAfter && (!gone || idle < r.cfg.TakeOverAfter/goneDivisor) {
 		return false
 	}
-	r.steps[id].since = now
-	taken[id] = true
+	w.since = now
 	return true
 }
 
@@ -189,20 +210,15 @@
 // it is not zero, as membership lags and a step's runner is recorded after it.
 const goneDivisor = 10
 
-func (r *Runner) shouldRun(run *slotRun, share float64, now time.Time) bool {
-	if run.done || now.Before(run.notBefore) {
-		return false
-	}
-	if len(run.running) == 0 {
-		return true
-	}
-	if len(run.running) > 1 || r.hedges >= r.cfg.MaxHedges || share < r.cfg.HedgeShare {
+func (r *Runner) shouldRun(run *slotRun, st *step, delay time.Duration, now time.Time) bool {
+	if run.done || now.Before(run.notBefore) || len(run.running) > 1 {
 		return false
 	}
 	for _, started := range run.running {
-		return now.Sub(started) >= r.hedgeDelay()
+		there := float64(st.due-st.open) / float64(st.due)
+		return now.Sub(started) >= delay && there >= r.cfg.HedgeShare
 	}
-	return false
+	return true
 }
 
 func (r *Runner) hedgeDelay() time.Duration {
@@ -214,15 +230,15 @@
 	return max(r.cfg.HedgeAfter, time.Duration(r.cfg.HedgeFactor*float64(median)))
 }
 
-func (r *Runner) start(o *OpenSlot, run *slotRun, now time.Time) Start {
+func (r *Runner) start(st *step, ref SlotRef, run *slotRun, now time.Time) Start {
 	run.tries++
 	if len(run.running) > 0 {
 		r.hedges++
 	}
 	run.running[run.tries] = now
 	r.outstanding++
-	key := JobKey{Slot: o.SlotRef, Attempt: o.Attempt, Try: run.tries}
-	return Start{JobKey: key, Step: o.Step, Spec: o.Spec}
+	key := JobKey{Slot: ref, Attempt: run.attempt, Try: run.tries}
+	return Start{JobKey: key, Step: &st.opened, Spec: run.spec}
 }
 
 // Finished takes the end of a job. whole is true for a complete answer with
@@ -275,14 +291,18 @@
 	return d/2 + time.Duration(jitter*float64(d/2))
 }
 
-// Late lists the slots that are open for longer than LateAfter, as seen here.
+// Late lists the open slots of steps that this daemon saw LateAfter ago.
 func (r *Runner) Late(s *Stream, now time.Time) []SlotRef {
 	var late []SlotRef
-	for _, o := range s.OpenSlots() {
-		run := r.slots[o.SlotRef]
-		if run != nil && now.Sub(run.firstSeen) >= r.cfg.LateAfter {
-			late = append(late, o.SlotRef)
+	for _, st := range s.steps {
+		w := r.steps[st.opened.Step]
+		if w == nil || now.Sub(w.firstSeen) < r.cfg.LateAfter {
+			continue
 		}
+		st.eachOpen(func(o OpenSlot) bool {
+			late = append(late, o.SlotRef)
+			return true
+		})
 	}
 	return late
 }
--- a/lib/samples/query.go
+++ b/lib/samples/query.go
@@ -96,42 +96,37 @@
 type OpenSlot struct {
 	SlotRef
 	Attempt int
-	Step    *StepOpened
 	Spec    *GroupSpec
-	Runner  api.DaemonID
-	// Share of the step's samples that are there, between 0 and 1.
-	Share float64
 }
 
 // OpenSlots returns the slots without a sample, oldest step first.
 func (s *Stream) OpenSlots() []OpenSlot {
 	var open []OpenSlot
 	for _, st := range s.steps {
-		first := len(open)
-		due := 0
-		for _, g := range st.groups {
-			due += len(g.slots)
-			open = st.appendOpen(open, g)
-		}
-		share := float64(due-(len(open)-first)) / float64(due)
-		for i := first; i < len(open); i++ {
-			open[i].Share = share
-		}
+		st.eachOpen(func(o OpenSlot) bool {
+			open = append(open, o)
+			return true
+		})
 	}
 	return open
 }
 
-func (st *step) appendOpen(open []OpenSlot, g *group) []OpenSlot {
-	for i := range g.slots {
-		if g.slots[i].state != slotOpen {
-			continue
+// eachOpen calls yield for the open slots in order, until it returns false.
+func (st *step) eachOpen(yield func(OpenSlot) bool) {
+	if st.open == 0 {
+		return
+	}
+	for _, g := range st.groups {
+		for i := range g.slots {
+			if g.slots[i].state != slotOpen {
+				continue
+			}
+			ref := SlotRef{Step: st.opened.Step, Group: g.spec.ID, Index: i}
+			if !yield(OpenSlot{SlotRef: ref, Attempt: g.slots[i].attempt, Spec: &g.spec}) {
+				return
+			}
 		}
-		ref := SlotRef{Step: st.opened.Step, Group: g.spec.ID, Index: i}
-		open = append(open, OpenSlot{
-			SlotRef: ref, Attempt: g.slots[i].attempt, Step: &st.opened, Spec: &g.spec, Runner: st.runner,
-		})
 	}
-	return open
 }
 
 // Open reports whether the slot still lacks a sample of this attempt.
--- a/lib/samples/stream.go
+++ b/lib/samples/stream.go
@@ -47,6 +47,8 @@
 	runner   api.DaemonID
 	groups   []*group
 	byID     map[GroupID]*group
+	due      int // slots
+	open     int // slots without a sample
 	dropped  int
 }
 
@@ -147,8 +149,10 @@
 		g := &group{spec: b.Groups[i], slots: make([]slot, b.Groups[i].N)}
 		st.groups = append(st.groups, g)
 		st.byID[g.spec.ID] = g
+		st.due += g.spec.N
 		s.counts.Due += g.spec.N
 	}
+	st.open = st.due
 	s.steps = append(s.steps, st)
 	s.byID[b.Step] = st
 	return nil
@@ -203,7 +207,7 @@
 	for _, v := range b.Sample.Versions {
 		s.raise(b.Model, v)
 	}
-	_, sl := s.slot(b.Slot)
+	st, sl := s.slot(b.Slot)
 	if sl == nil {
 		return false
 	}
@@ -215,6 +219,7 @@
 		return true
 	}
 	s.counts.Ready++
+	st.open--
 	sl.state = slotReady
 	sl.sample = b.Sample
 	sl.doneID = id
--- a/server/sampler/sampler_test.go
+++ b/server/sampler/sampler_test.go
@@ -100,7 +100,8 @@
 	version api.WeightVersion // in force
 	engine  api.WeightVersion
 	dead    map[api.DaemonID]bool
-	stall   bool // jobs are taken and never end
+	stall   bool // jobs are taken and do not end by themselves
+	held    []*work.Job
 	runs    int
 	fail    int // the first runs fail
 }
@@ -130,6 +131,25 @@
 	change()
 }
 
+func (w *fakeWorld) started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs
+}
+
+func (w *fakeWorld) finishHeld() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range w.held {
+		finish(j, w.engine)
+	}
+}
+
+func finish(j *work.Job, v api.WeightVersion) {
+	versions := []api.WeightVersion{v}
+	j.Sink.Finish(work.Answer{Outcome: api.OutcomeComplete, Text: string(j.ID), Tokens: 1, Versions: versions})
+}
+
 // submitter is the world as one daemon sees it.
 type submitter struct{ world *fakeWorld }
 
@@ -140,11 +160,11 @@
 	w.runs++
 	switch {
 	case w.stall:
+		w.held = append(w.held, j)
 	case w.runs <= w.fail:
 		j.Sink.Finish(work.Answer{Outcome: api.OutcomeFailed, Err: api.Errorf(api.CodeUpstreamFailed, "crash")})
 	default:
-		versions := []api.WeightVersion{w.engine}
-		j.Sink.Finish(work.Answer{Outcome: api.OutcomeComplete, Text: string(j.ID), Tokens: 1, Versions: versions})
+		finish(j, w.engine)
 	}
 	return nil
 }
@@ -156,7 +176,7 @@
 	cfg.Tick = time.Millisecond
 	cfg.Run.BackoffMin = time.Millisecond
 	cfg.ReadBackoff = time.Millisecond
-	cfg.Run.TakeOverAfter = 50 * time.Millisecond
+	cfg.Run.TakeOverAfter = time.Second
 	deps := sampler.Deps{
 		Log: l, Appender: fakeAppender{l}, Catalog: w, Members: w, Submitter: submitter{w}, Now: time.Now,
 	}
@@ -283,20 +303,41 @@
 	}
 }
 
-func TestOutageLosesNothing(t *testing.T) {
+// awaitRuns waits until a number of jobs were submitted.
+func awaitRuns(t *testing.T, s *sampler.Sampler, w *fakeWorld, runs int) {
+	for w.started() < runs {
+		_, err := s.TrainerState(t.Context(), "t1")
+		assert.NilError(t, err)
+	}
+}
+
+func TestStepOfDeadDaemonIsTakenOver(t *testing.T) {
 	l, w := newLog(), newWorld()
 	w.stall = true
 	a := startDaemon(t, "a", l, w)
 	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	awaitRuns(t, a, w, 4)
+	w.set(func() { w.stall, w.dead["a"] = false, true })
+	b := startDaemon(t, "b", l, w)
+	tr := newTrainer()
+	tr.drive(t, b)
+	assert.Equal(t, len(tr.used), 4)
+	assert.Equal(t, w.started(), 8)
+}
+
+func TestSamplesOutliveOutageOfLog(t *testing.T) {
+	l, w := newLog(), newWorld()
+	w.stall = true
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	awaitRuns(t, a, w, 4)
 	l.set(func() { l.down = true })
-	w.set(func() { w.stall = false })
+	w.finishHeld()
 	err := a.OpenStep(t.Context(), "t1", step("s2", 1, 1))
 	assert.Equal(t, api.CodeOf(err), api.CodeLogUnavailable)
 	l.set(func() { l.down = false })
-	// The stalled jobs never end; another daemon takes the step over.
-	b := startDaemon(t, "b", l, w)
-	w.set(func() { w.dead["a"] = true })
 	tr := newTrainer()
-	tr.drive(t, b, a)
+	tr.drive(t, a)
 	assert.Equal(t, len(tr.used), 4)
+	assert.Equal(t, w.started(), 4, "no sample is made again")
 }
