--- a/lib/samples/planner.go
+++ b/lib/samples/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -61,7 +62,9 @@
 type stepWatch struct {
 	firstSeen time.Time
 	open      int
-	since     time.Time // of the last change of open
+	runner    api.DaemonID
+	since     time.Time // of the last change of open or runner
+	changes   int       // of the runner
 }
 
 // Runner plans the jobs of one trainer's stream on one daemon. It is pure:
@@ -98,7 +101,7 @@
 	for _, st := range s.steps {
 		id := st.opened.Step
 		w := r.watch(st, now)
-		if st.open > 0 && st.runner != r.self && r.takesOver(st.runner, w, alive, now) {
+		if st.open > 0 && st.runner != r.self && r.takesOver(id, w, alive, now) {
 			p.TakeOver = append(p.TakeOver, id)
 			mine[id] = true
 		}
@@ -185,9 +188,14 @@
 func (r *Runner) watch(st *step, now time.Time) *stepWatch {
 	w := r.steps[st.opened.Step]
 	if w == nil {
-		w = &stepWatch{firstSeen: now, open: st.open, since: now}
+		w = &stepWatch{firstSeen: now, open: st.open, runner: st.runner, since: now}
 		r.steps[st.opened.Step] = w
 	}
+	if w.runner != st.runner {
+		w.runner = st.runner
+		w.since = now
+		w.changes++
+	}
 	if w.open != st.open {
 		w.open = st.open
 		w.since = now
@@ -196,19 +204,35 @@
 }
 
 // takesOver decides whether this daemon runs a step in place of its runner.
-func (r *Runner) takesOver(runner api.DaemonID, w *stepWatch, alive func(api.DaemonID) bool, now time.Time) bool {
-	idle := now.Sub(w.since)
-	gone := runner == "" || !alive(runner)
-	if idle < r.cfg.TakeOverAfter && (!gone || idle < r.cfg.TakeOverAfter/goneDivisor) {
+func (r *Runner) takesOver(id StepID, w *stepWatch, alive func(api.DaemonID) bool, now time.Time) bool {
+	wait := r.cfg.TakeOverAfter << min(w.changes, maxTakeOverDoublings)
+	if w.runner == "" || !alive(w.runner) {
+		wait = r.cfg.TakeOverAfter / goneDivisor
+	}
+	wait += time.Duration(r.spread(id) * float64(wait))
+	if now.Sub(w.since) < wait {
 		return false
 	}
 	w.since = now
 	return true
 }
 
-// goneDivisor shortens the wait for a runner that membership believes dead;
-// it is not zero, as membership lags and a step's runner is recorded after it.
-const goneDivisor = 10
+const (
+	// goneDivisor shortens the wait for a runner that membership believes dead;
+	// it is not zero, as membership lags and a step's runner is recorded after it.
+	goneDivisor = 10
+	// maxTakeOverDoublings bounds the wait between daemons that take a slow
+	// step over from each other.
+	maxTakeOverDoublings = 5
+)
+
+// spread returns a number in [0, 1) that differs between daemons, so that the
+// first one's record of taking a step over reaches the others before their turn.
+func (r *Runner) spread(id StepID) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(string(r.self) + "/" + string(id)))
+	return float64(h.Sum32()) / (1 << 32)
+}
 
 func (r *Runner) shouldRun(run *slotRun, st *step, delay time.Duration, now time.Time) bool {
 	if run.done || now.Before(run.notBefore) || len(run.running) > 1 {
--- a/lib/samples/planner_test.go
+++ b/lib/samples/planner_test.go
@@ -69,4 +69,10 @@
 	p := r.Plan(s, dead, 100, now.Add(2*time.Second))
 	assert.DeepEqual(t, p.TakeOver, []samples.StepID{"s0"})
 	assert.Equal(t, len(p.Start), 3)
+
+	other := samples.NewRunner(runConfig(), "d3")
+	other.Plan(s, dead, 100, now)
+	s.Apply(3, samples.Record{ID: "c", Body: samples.StepRunner{Step: "s0", Daemon: "d2"}})
+	p = other.Plan(s, dead, 100, now.Add(2*time.Second))
+	assert.Equal(t, len(p.TakeOver)+len(p.Start), 0, "the step was taken over already")
 }
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -122,11 +122,14 @@
 	reader  *duty.Duty[readCommand]
 	calls   atomic.Int64
 	stopped atomic.Bool
+	life    context.Context // ends when the duties have ended
+	end     context.CancelFunc
 }
 
 // Start starts the duties.
 func Start(sys *duty.System, cfg Config, deps Deps) *Sampler {
 	s := &Sampler{cfg: cfg, now: deps.Now}
+	s.life, s.end = context.WithCancel(context.Background())
 	c := newCore(cfg, deps, uuid.NewString(), func() { s.calls.Add(-1) })
 	r := &reader{log: deps.Log, limit: cfg.ReadLimit, deliver: func(ctx context.Context, m message) {
 		_ = s.duty.PostWait(ctx, m) // fails only when the sampler has stopped
@@ -179,6 +182,7 @@
 // and ends the duties. Errors: ctx.Err().
 func (s *Sampler) Stop(ctx context.Context) error {
 	s.stopped.Store(true)
+	defer s.end()
 	if err := s.reader.Stop(ctx); err != nil {
 		return err
 	}
@@ -207,7 +211,14 @@
 		s.calls.Add(-1)
 		return zero, api.Errorf(api.CodeNotReady, "sampler: %w", err)
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	notReady := api.Errorf(api.CodeNotReady, "sampler has stopped")
+	defer context.AfterFunc(s.life, func() { cancel(notReady) })()
 	r, err := reply.Wait(ctx)
+	if err != nil && errors.Is(context.Cause(ctx), notReady) {
+		return zero, notReady
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return zero, api.Errorf(api.CodeDeadlineExceeded, "sampler: %w", err)
 	}
--- a/server/sampler/sampler_test.go
+++ b/server/sampler/sampler_test.go
@@ -24,6 +24,7 @@
 	changed chan struct{}
 	down    bool
 	repeat  bool // each append takes effect twice
+	expired api.Offset
 }
 
 func newLog() *fakeLog {
@@ -76,9 +77,9 @@
 	defer l.mu.Unlock()
 	for _, p := range positions {
 		all := l.streams[p.Stream]
-		b := eventlog.Batch{Stream: p.Stream, Oldest: 1, Next: api.Offset(len(all) + 1)}
-		if int(p.From) <= len(all) {
-			b.Entries = append(b.Entries, all[p.From-1:]...)
+		b := eventlog.Batch{Stream: p.Stream, Oldest: l.expired + 1, Next: api.Offset(len(all) + 1)}
+		if from := max(p.From, b.Oldest); int(from) <= len(all) {
+			b.Entries = append(b.Entries, all[from-1:]...)
 			found = true
 		}
 		batches = append(batches, b)
@@ -341,3 +342,32 @@
 	assert.Equal(t, len(tr.used), 4)
 	assert.Equal(t, w.started(), 4, "no sample is made again")
 }
+
+func TestTrainerGoesOnAfterFrontOfStreamExpired(t *testing.T) {
+	l, w := newLog(), newWorld()
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	tr := newTrainer()
+	tr.drive(t, a)
+	l.set(func() { l.expired = api.Offset(len(l.streams["trainer.t1"])) })
+	b := startDaemon(t, "b", l, w)
+	assert.NilError(t, b.OpenStep(t.Context(), "t1", step("s2", 2, 2)))
+	tr.whole = nil
+	tr.drive(t, b, a)
+	assert.Equal(t, len(tr.used), 8)
+}
+
+func TestStopAnswersWaitingCalls(t *testing.T) {
+	l, w := newLog(), newWorld()
+	w.stall = true
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 1, 1)))
+	errs := make(chan error, 1)
+	go func() {
+		_, err := a.Pull(t.Context(), sampler.PullRequest{Trainer: "t1", Pull: 1, Wait: time.Hour})
+		errs <- err
+	}()
+	awaitRuns(t, a, w, 1)
+	assert.NilError(t, a.Stop(t.Context()))
+	assert.Equal(t, api.CodeOf(<-errs), api.CodeNotReady)
+}
