--- a/server/sampler/faults_test.go
+++ b/server/sampler/faults_test.go
@@ -158,3 +158,30 @@
 	defer w.mu.Unlock()
 	t.Log(w.counts)
 }
+
+// BenchmarkStep runs whole steps of 4,096 samples whose jobs end at once.
+func BenchmarkStep(b *testing.B) {
+	l, w := newLog(), newWorld()
+	cfg := sampler.DefaultConfig("a")
+	s := sampler.Start(duty.NewSystem(nil), cfg, sampler.Deps{
+		Log: l, Appender: fakeAppender{l}, Catalog: w, Members: w, Submitter: submitter{w}, Now: time.Now,
+	})
+	var pull uint64
+	var cursor api.Offset
+	for i := 0; b.Loop(); i++ {
+		if err := s.OpenStep(b.Context(), "t1", step(samples.StepID(fmt.Sprint(i)), 512, 8)); err != nil {
+			b.Fatal(err)
+		}
+		for whole := 0; whole == 0; {
+			pull++
+			a, err := s.Pull(b.Context(), sampler.PullRequest{Trainer: "t1", Pull: pull, Cursor: cursor, Wait: time.Second})
+			if err != nil {
+				b.Fatal(err)
+			}
+			cursor, whole = a.Next, len(a.Whole)
+		}
+	}
+	if err := s.Stop(b.Context()); err != nil {
+		b.Fatal(err)
+	}
+}
