Join daemons by gossip; start work only by a configuration known to be recent

A daemon frozen for 5 s went on, when it thawed, by the lists it had: a mark accepted meanwhile was passed over until the log answered. Work now starts only within 2.5 s of an answer from the log or, in its outage, from peers while most known daemons are in touch; without either for the cut-off time the daemon refuses as not run. Ruled out: refusing at once (a short blip would fail members' requests). A minority cut off from the log cannot tell an outage from a parted network, so it refuses.

--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -13,6 +13,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/httpapi"
+	"dotterelmount.example/front/peer"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/eventlog/httplog"
@@ -23,6 +24,7 @@
 	"dotterelmount.example/lib/upstream/httpupstream"
 	"dotterelmount.example/server/appender"
 	"dotterelmount.example/server/dispatch"
+	"dotterelmount.example/server/gossip"
 	"dotterelmount.example/server/hosts"
 	"dotterelmount.example/server/logbook"
 	"dotterelmount.example/server/once"
@@ -43,7 +45,7 @@
 	verdictGrace    = logCallTimeout + 200*time.Millisecond
 	operatorTimeout = 3 * time.Second        // an operator's change
 	appenderStop    = 3 * time.Second        // for what is still to be appended at the stop
-	logReadWait     = 2 * time.Second        // long poll
+	logReadWait     = time.Second            // long poll
 	logReadLimit    = 512                    // entries a read and stream
 	logRetryEvery   = 100 * time.Millisecond // after a failed read
 	proposeTimeout  = 10 * time.Second
@@ -70,6 +72,9 @@
 	dispatch *dispatch.Dispatcher
 	weights  *weightkeeper.Keeper
 	sampler  *sampler.Sampler
+	peers    *peer.Client
+	server   *peer.Server
+	gossip   atomic.Pointer[gossip.Gossip]
 	callers  *http.Server
 	address  string
 	stopping atomic.Bool
@@ -83,16 +88,22 @@
 	invariant.OnViolation(n.violated)
 	n.system = duty.NewSystem(n.panicked)
 	n.platform = httplog.New(s.Platform.Log, &http.Client{})
+	callers, err := net.Listen("tcp", s.Listen.Callers)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "listen.callers: %w", err)
+	}
+	n.address = callers.Addr().String()
 	n.startHosts()
 	if err := n.startDispatch(); err != nil {
 		return nil, err
 	}
 	n.startLog()
-	n.startWeights()
-	n.startSampler()
-	if err := n.serveCallers(); err != nil {
+	if err := n.startGossip(); err != nil {
 		return nil, err
 	}
+	n.startWeights()
+	n.startSampler()
+	n.serveCallers(callers)
 	log.Info("started", zap.String("callers", n.address), zap.String("data_centre", s.DataCentre))
 	return n, nil
 }
@@ -110,7 +121,7 @@
 		ProposeTimeout: proposeTimeout, VerdictGrace: verdictGrace, CheckpointEvery: n.settings.Platform.CheckpointEvery,
 		NewID: func() api.RecordID { return api.RecordID(newID()) },
 		Now:   time.Now, Jitter: rand.Float64,
-	}, n.dispatch.Update)
+	}, n.dispatch.Update, n.spread)
 }
 
 func (n *Node) startHosts() {
@@ -131,7 +142,7 @@
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
-		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving,
+		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
 	}, ledger.NewConfig().Snapshot())
 	return err
 }
@@ -149,15 +160,9 @@
 	})
 }
 
-func (n *Node) serveCallers() error {
-	listener, err := net.Listen("tcp", n.settings.Listen.Callers)
-	if err != nil {
-		return api.Errorf(api.CodeInvalid, "listen.callers: %w", err)
-	}
-	n.address = listener.Addr().String()
+func (n *Node) serveCallers(listener net.Listener) {
 	n.callers = &http.Server{Handler: n.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	serve(n.system, n.callers, listener, n.log)
-	return nil
 }
 
 func (n *Node) callerDeps() httpapi.Deps {
@@ -169,30 +174,20 @@
 	}
 }
 
-// ready returns why the daemon refuses requests, or nil.
-func (n *Node) ready() error {
-	switch {
-	case n.stopping.Load():
-		return api.Errorf(api.CodeNotReady, "shutting down")
-	case !n.book.Known():
-		return api.Errorf(api.CodeNotReady, "the configuration was not read yet")
-	case time.Since(n.book.LastContact()) > n.settings.Limits.CutOff:
-		return api.Errorf(api.CodeNotReady, "cut off from the log for %s", time.Since(n.book.LastContact()).Round(time.Second))
-	default:
-		return nil
-	}
-}
-
 // Shutdown stops gracefully: it refuses new requests, lets those in progress
 // end by themselves and then ends the duties. Errors: ctx.Err().
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.log.Info("shutting down")
 	n.stopping.Store(true)
+	n.gossip.Load().StopBegun()
 	n.linger(ctx)
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", zap.Error(err))
 	}
-	err := errors.Join(n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
+	if err := n.gossip.Load().Leave(ctx); err != nil {
+		n.log.Warn("peers were not told", zap.Error(err))
+	}
+	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -119,16 +119,6 @@
 	return out
 }
 
-func (n *Node) members() []adminapi.MemberStatus {
-	return []adminapi.MemberStatus{{
-		Name: api.DaemonID(n.settings.Daemon), Address: n.address, State: adminapi.MemberAlive,
-		DataCentre: api.DataCentre(n.settings.DataCentre), ConfigOffset: n.book.Through(),
-	}}
-}
-
-// live returns the daemons that share the work, this one included.
-func (n *Node) live() []api.DaemonID { return []api.DaemonID{api.DaemonID(n.settings.Daemon)} }
-
 // Alive implements sampler.Members.
 func (n *Node) Alive(id api.DaemonID) bool { return slices.Contains(n.live(), id) }
 
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -10,6 +10,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/peer"
+	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
 	"gotest.tools/v3/assert"
@@ -47,7 +48,7 @@
 	t.Helper()
 	listener, err := peer.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	server, err := peer.Start(listener, echo{})
+	server, err := peer.Start(duty.NewSystem(nil), listener, echo{})
 	assert.NilError(t, err)
 	client := peer.NewClient()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -6,8 +6,8 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/peer/peerpb"
+	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
-	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -21,10 +21,12 @@
 	maxTailEntries  = 256
 )
 
-// Server serves a Handler to other daemons.
+// Server serves a Handler to other daemons. One duty accepts connections; drpc
+// gives each connection and call its own goroutine, which decodes, posts and
+// waits.
 type Server struct {
 	listener net.Listener
-	tracker  *drpcctx.Tracker
+	duty     *duty.Duty[*drpcserver.Server]
 }
 
 // Listen opens addr (ip:port), so that the address is known before a daemon
@@ -39,22 +41,29 @@
 
 // Start serves h on the listener, which it owns from then on, until Shutdown.
 // Errors: CodeInternal.
-func Start(listener net.Listener, h Handler) (*Server, error) {
+func Start(sys *duty.System, listener net.Listener, h Handler) (*Server, error) {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, &service{handler: h}); err != nil {
 		_ = listener.Close()
 		return nil, api.Errorf(api.CodeInternal, "registering the peer service: %w", err)
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	s := &Server{listener: listener, tracker: drpcctx.NewTracker(context.Background())}
-	s.tracker.Run(func(ctx context.Context) {
-		// Serve ends with the tracker's context; what else it could report is
-		// the listener's failure, which peers see as this daemon's silence.
-		_ = server.Serve(ctx, countedListener{listener})
-	})
+	s := &Server{listener: listener}
+	s.duty = duty.Start(sys, duty.Config{Name: "accept-peers", RingSize: 1}, duty.Handler[*drpcserver.Server](acceptor{listener}))
+	_ = s.duty.Post(server) // a new duty's ring is empty
 	return s, nil
 }
 
+// acceptor is the handler of the accepting duty.
+type acceptor struct{ listener net.Listener }
+
+// Handle serves until ctx ends and all calls in progress have.
+func (a acceptor) Handle(ctx context.Context, server *drpcserver.Server) {
+	// What Serve could report is the listener's failure, which peers see as
+	// this daemon's silence.
+	_ = server.Serve(ctx, countedListener{a.listener})
+}
+
 func managerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
 }
@@ -64,21 +73,7 @@
 
 // Shutdown closes the listener and all connections and waits for the calls in
 // progress, which see their contexts end. Errors: ctx.Err().
-func (s *Server) Shutdown(ctx context.Context) error {
-	s.tracker.Cancel()
-	done := make(chan struct{})
-	waiter := drpcctx.NewTracker(context.WithoutCancel(ctx))
-	waiter.Run(func(context.Context) {
-		s.tracker.Wait()
-		close(done)
-	})
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+func (s *Server) Shutdown(ctx context.Context) error { return s.duty.Stop(ctx) }
 
 // service decodes calls for the handler.
 type service struct{ handler Handler }
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -18,10 +18,10 @@
 	probeTimeout = 500 * time.Millisecond
 	// maxOwnStrikes bounds the strikes kept for the time when the log is out.
 	maxOwnStrikes = 1024
-	// maxAloneCrashes and maxCrashes are the numbers of crashes, alone and in
-	// all, after which a request is not tried again.
-	maxAloneCrashes = 2
-	maxCrashes      = 4
+	// maxCrashes is the number of crashes after which a request is not tried
+	// again if it was alone in one of them, and maxSharedCrashes if in none.
+	maxCrashes       = 2
+	maxSharedCrashes = 4
 )
 
 // crashCheck collects the flights whose connections to one upstream were lost
@@ -85,7 +85,7 @@
 }
 
 func (h *handler) afterLoss(f *flight, now time.Time) {
-	if f.crashes >= maxCrashes || f.aloneCrashes >= maxAloneCrashes || h.verdict(f.job.Fingerprint, now) == quarantine.Condemned {
+	if f.tooManyCrashes() || h.verdict(f.job.Fingerprint, now) == quarantine.Condemned {
 		err := api.Errorf(api.CodeQuarantined, "the request was part of %d crashes: %w", f.crashes, f.lastErr)
 		h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err, Text: f.text, Tokens: f.tokens, Versions: f.versions})
 		return
@@ -93,6 +93,10 @@
 	h.again(f, now)
 }
 
+func (f *flight) tooManyCrashes() bool {
+	return f.crashes >= maxSharedCrashes || f.crashes >= maxCrashes && f.aloneCrashes > 0
+}
+
 // strike records a crash against each fingerprint that was part of it.
 func (h *handler) strike(check *crashCheck, u *upstreamState, now time.Time) {
 	var prints []api.Fingerprint
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -41,6 +41,9 @@
 	// Leaving reports whether the platform's host list says that the upstream
 	// at an address leaves; nil: never.
 	Leaving func(address string) bool
+	// Current reports whether the configuration is known to be recent enough
+	// to start work by it; nil: always. Work waits meanwhile.
+	Current func() bool
 	// Truth returns the weight version that an engine was last read back to
 	// run; zero is unknown.
 	Truth func(id api.UpstreamID, m api.ModelName) api.WeightVersion
@@ -120,6 +123,9 @@
 	return s.Draining(u.ID) || d.cfg.Leaving != nil && d.cfg.Leaving(u.Address)
 }
 
+// current reports whether work may start.
+func (d *Dispatcher) current() bool { return d.cfg.Current == nil || d.cfg.Current() }
+
 // View returns an immutable picture of the duty's state.
 func (d *Dispatcher) View() *View { return d.view.Load() }
 
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -16,6 +16,9 @@
 // pump starts queued flights while carriers and windows allow.
 func (h *handler) pump() {
 	now := h.cfg.Now()
+	if !h.d.current() {
+		return
+	}
 	for len(h.idle) > 0 {
 		it, ok := h.queue.Next(now, func(it admission.Item) bool { return h.runnable(it.ID, now) })
 		if !ok {
@@ -72,7 +75,7 @@
 	return func() bool {
 		s := h.d.state.Load()
 		u, err := s.Upstream(id)
-		return err == nil && !h.d.leaves(s, u)
+		return err == nil && !h.d.leaves(s, u) && h.d.current()
 	}
 }
 
--- a/server/gossip/gossip_test.go
+++ b/server/gossip/gossip_test.go
@@ -97,7 +97,7 @@
 	}
 	assert.NilError(t, cfg.Validate())
 	d.gossip = gossip.Start(duty.NewSystem(nil), cfg, d.client, d.tail)
-	d.server, err = peer.Start(listener, handler{Gossip: d.gossip})
+	d.server, err = peer.Start(duty.NewSystem(nil), listener, handler{Gossip: d.gossip})
 	assert.NilError(t, err)
 	return d
 }
--- a/server/logbook/reader.go
+++ b/server/logbook/reader.go
@@ -34,8 +34,9 @@
 	if err != nil {
 		r.pause(ctx)
 	} else {
-		r.book.contact.Store(r.book.cfg.Now().UnixNano())
+		asked := r.book.cfg.Now()
 		r.deliver(ctx, batches)
+		r.book.contact.Store(asked.UnixNano())
 	}
 	_ = r.book.reader.Post(pollMsg{}) // fails only once the duty is stopped
 }
