--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -8,6 +8,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/samples"
 	"dotterelmount.example/lib/samples/samplecodec"
 )
@@ -124,9 +125,14 @@
 	return f, nil
 }
 
+// idle reports whether a stream needs not be followed: nobody asked for long,
+// and this daemon runs none of its steps.
 func (c *core) idle(f *follow) bool {
 	waiting := len(f.opening) + len(f.states) + len(f.pulls) + len(f.jobs) + len(f.pending)
-	return waiting == 0 && f.stream.OpenSteps() == 0 && c.deps.Now().Sub(f.lastUsed) > c.cfg.FollowIdle
+	if waiting > 0 || c.deps.Now().Sub(f.lastUsed) <= c.cfg.FollowIdle {
+		return false
+	}
+	return !f.stream.RunBy(c.cfg.Daemon)
 }
 
 func (c *core) unfollow(f *follow) {
@@ -153,7 +159,9 @@
 		positions[i] = eventlog.Position{Stream: f.name, From: f.next}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	if c.reader.Post(readCommand{ctx: ctx, cancel: cancel, positions: positions, wait: wait}) != nil {
+	follows := append([]*follow(nil), c.order...)
+	m := readCommand{ctx: ctx, cancel: cancel, positions: positions, follows: follows, wait: wait}
+	if c.reader.Post(m) != nil {
 		cancel() // stopping, or the reader's last turn has not ended; the next tick tries again
 		return
 	}
@@ -163,6 +171,7 @@
 
 // readMessage is the end of a read.
 type readMessage struct {
+	follows     []*follow // of batches, in the same order
 	batches     []eventlog.Batch
 	err         error
 	interrupted bool
@@ -175,12 +184,13 @@
 		c.readAfter = c.deps.Now().Add(c.cfg.ReadBackoff)
 	}
 	for i := range m.batches {
-		for _, f := range c.order {
-			if f.name == m.batches[i].Stream {
-				c.fold(f, &m.batches[i])
-				c.advance(f)
-			}
+		f := m.follows[i]
+		if c.followed[f.trainer] != f {
+			continue // forgotten meanwhile; a new follow reads from the front
 		}
+		invariant.Check(f.name == m.batches[i].Stream, "sampler_batch_of_its_stream", "%s", m.batches[i].Stream)
+		c.fold(f, &m.batches[i])
+		c.advance(f)
 	}
 	c.plan()
 }
--- a/server/sampler/reader.go
+++ b/server/sampler/reader.go
@@ -13,6 +13,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	positions []eventlog.Position
+	follows   []*follow     // those that asked, in the order of positions
 	wait      time.Duration // for an entry, if there is none
 }
 
@@ -30,5 +31,5 @@
 	batches, err := r.log.Read(m.ctx, m.positions, r.limit, m.wait)
 	interrupted := m.ctx.Err() != nil
 	m.cancel()
-	r.deliver(ctx, readMessage{batches: batches, err: err, interrupted: interrupted})
+	r.deliver(ctx, readMessage{follows: m.follows, batches: batches, err: err, interrupted: interrupted})
 }
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -33,7 +33,7 @@
 	ReadBackoff    time.Duration // after a failed read
 	AppendDeadline time.Duration // an append is given up then
 	JobDeadline    time.Duration // of one run of a slot
-	FollowIdle     time.Duration // an idle trainer's stream is forgotten then
+	FollowIdle     time.Duration // a stream that nobody asked for is forgotten then
 	Tick           time.Duration
 	// Fingerprint identifies the content of a request, and its prompt's prefix.
 	Fingerprint func(api.ModelName, *work.Generate) (api.Fingerprint, uint64)
--- a/server/sampler/sampler_test.go
+++ b/server/sampler/sampler_test.go
@@ -173,7 +173,13 @@
 func (submitter) Cancel(api.RequestID) {}
 
 func startDaemon(t *testing.T, id api.DaemonID, l *fakeLog, w *fakeWorld) *sampler.Sampler {
+	return startForgetful(t, id, l, w, time.Hour)
+}
+
+// startForgetful starts a daemon that forgets streams after a time.
+func startForgetful(t *testing.T, id api.DaemonID, l *fakeLog, w *fakeWorld, after time.Duration) *sampler.Sampler {
 	cfg := sampler.DefaultConfig(id)
+	cfg.FollowIdle = after
 	cfg.Tick = time.Millisecond
 	cfg.Run.BackoffMin = time.Millisecond
 	cfg.ReadBackoff = time.Millisecond
@@ -371,3 +377,19 @@
 	assert.NilError(t, a.Stop(t.Context()))
 	assert.Equal(t, api.CodeOf(<-errs), api.CodeNotReady)
 }
+
+func TestForgottenStreamIsReadAgain(t *testing.T) {
+	l, w := newLog(), newWorld()
+	a, b := startForgetful(t, "a", l, w, time.Nanosecond), startForgetful(t, "b", l, w, time.Nanosecond)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 20, 2)))
+	tr := newTrainer()
+	tr.drive(t, b, a)
+	assert.Equal(t, len(tr.used), 40)
+	for range 20 {
+		_, err := a.TrainerState(t.Context(), "t1")
+		assert.NilError(t, err)
+		report, err := b.TrainerState(t.Context(), "t1")
+		assert.NilError(t, err)
+		assert.Equal(t, report.Counts.Final, 40)
+	}
+}
