--- a/front/httpapi/chat.go
+++ b/front/httpapi/chat.go
@@ -1,23 +1,19 @@
 package httpapi
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/httpapi/errmap"
+	"dotterelmount.example/lib/fingerprint"
 	"dotterelmount.example/lib/work"
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	defaultMaxTokens = 256     // tokens, for requests that name no bound
 	maxMaxTokens     = 1 << 20 // tokens
-	// prefixBytes of the prompt decide its affinity to an engine's cache.
-	prefixBytes = 512
 )
 
 // chatRequest is the body of a chat completion.
@@ -115,14 +111,7 @@
 func fillChat(j *work.Job, in *chatRequest) {
 	j.Model, j.Stream, j.CostTokens = in.Model, in.Stream, in.MaxTokens
 	j.Call = work.Call{Generate: &work.Generate{Messages: in.Messages, MaxTokens: in.MaxTokens}}
-	parts := []string{string(in.Model), strconv.Itoa(in.MaxTokens)}
-	var prompt bytes.Buffer
-	for _, m := range in.Messages {
-		parts = append(parts, m.Role, m.Content)
-		prompt.WriteString(m.Content)
-	}
-	j.Fingerprint = fingerprint(parts...)
-	j.Prefix = xxhash.Sum64(prompt.Bytes()[:min(prefixBytes, prompt.Len())])
+	j.Fingerprint, j.Prefix = fingerprint.Generate(in.Model, in.Messages)
 }
 
 func (h *handler) whole(w http.ResponseWriter, q *request) {
--- a/front/httpapi/plain.go
+++ b/front/httpapi/plain.go
@@ -5,8 +5,8 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/httpapi/errmap"
+	"dotterelmount.example/lib/fingerprint"
 	"dotterelmount.example/lib/work"
-	"github.com/cespare/xxhash/v2"
 )
 
 // plain forwards a call of a plain service.
@@ -26,7 +26,7 @@
 	q.job.Call = work.Call{Plain: &work.Plain{
 		Method: r.Method, Path: path, ContentType: r.Header.Get("Content-Type"), Body: body,
 	}}
-	q.job.Fingerprint = fingerprint(service, r.Method, path, string(body))
+	q.job.Fingerprint = fingerprint.Plain(service, q.job.Call.Plain)
 	a, replayed := h.run(q, nil)
 	setAnswerHeaders(w, a, replayed)
 	if a.Err != nil {
@@ -39,13 +39,3 @@
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body) // a failed write: the caller went away
 }
-
-// fingerprint hashes the parts that make a request what it is.
-func fingerprint(parts ...string) api.Fingerprint {
-	d := xxhash.New()
-	for _, p := range parts {
-		_, _ = d.WriteString(p)
-		_, _ = d.Write([]byte{0})
-	}
-	return api.Fingerprint(d.Sum64())
-}
--- a/server/sampler/running.go
+++ b/server/sampler/running.go
@@ -7,11 +7,11 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/fingerprint"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/samples"
 	"dotterelmount.example/lib/samples/samplecodec"
 	"dotterelmount.example/lib/work"
-	"github.com/cespare/xxhash/v2"
 )
 
 // plan starts and cancels jobs of all trainers, each up to its share of the
@@ -68,11 +68,11 @@
 		plan = p.Name
 	}
 	g := &work.Generate{Messages: s.Spec.Messages, MaxTokens: s.Spec.MaxTokens}
-	fingerprint, prefix := c.cfg.Fingerprint(s.Step.Model, g)
+	print, prefix := fingerprint.Generate(s.Step.Model, g.Messages)
 	id := c.jobID(f, &s.JobKey)
 	job := &work.Job{
 		ID: id, Customer: s.Step.Customer, Plan: plan, Model: s.Step.Model, Lane: api.LaneRollout,
-		Repeatable: true, Fingerprint: fingerprint, Prefix: prefix, CostTokens: s.Spec.MaxTokens,
+		Repeatable: true, Fingerprint: print, Prefix: prefix, CostTokens: s.Spec.MaxTokens,
 		Deadline: now.Add(c.cfg.JobDeadline), Call: work.Call{Generate: g},
 		Sink: &sink{post: c.post, trainer: f.trainer, model: s.Step.Model, key: s.JobKey, id: id},
 	}
@@ -226,14 +226,3 @@
 		c.appendSample(f, p)
 	}
 }
-
-// contentFingerprint hashes the model and the whole prompt.
-func contentFingerprint(m api.ModelName, g *work.Generate) (api.Fingerprint, uint64) {
-	h := xxhash.New()
-	for i := range g.Messages {
-		fmt.Fprintf(h, "%d:%s%d:%s", len(g.Messages[i].Role), g.Messages[i].Role, len(g.Messages[i].Content), g.Messages[i].Content)
-	}
-	prefix := h.Sum64()
-	fmt.Fprintf(h, "|%s|%d", m, g.MaxTokens)
-	return api.Fingerprint(h.Sum64()), prefix
-}
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -35,8 +35,6 @@
 	JobDeadline    time.Duration // of one run of a slot
 	FollowIdle     time.Duration // a stream that nobody asked for is forgotten then
 	Tick           time.Duration
-	// Fingerprint identifies the content of a request, and its prompt's prefix.
-	Fingerprint func(api.ModelName, *work.Generate) (api.Fingerprint, uint64)
 	// Random returns numbers in [0, 1) that spread retries.
 	Random func() float64
 }
@@ -53,7 +51,7 @@
 		FrontLimit: 256, MaxTrainers: 64, MaxOpenSteps: 16, MaxGroups: 64,
 		ReadLimit: 512, ReadWait: 2 * time.Second, ReadBackoff: 200 * time.Millisecond,
 		AppendDeadline: 5 * time.Second, JobDeadline: 5 * time.Minute, FollowIdle: 15 * time.Minute,
-		Tick: 20 * time.Millisecond, Fingerprint: contentFingerprint, Random: rand.Float64,
+		Tick: 20 * time.Millisecond, Random: rand.Float64,
 	}
 }
 
