Start from a peer's state while the log is out

A daemon replaced during an outage of the log stayed not ready until its end. It now takes the folded configuration from a peer whose offset is ahead and whose tail no longer reaches back; claims still come from the log only, so keyed once-only requests wait or are refused as not run. Ruled out: serving the whole tail from offset 1 (unbounded).

--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -104,6 +104,16 @@
 	return entriesFromProto(answer.GetEntries()), err
 }
 
+// Image fetches the state of the configuration stream. Errors: CodeNotReady.
+func (c *Client) Image(ctx context.Context, addr string) ([]byte, error) {
+	var answer *peerpb.ImageResponse
+	err := c.call(ctx, addr, func(p peerpb.DRPCPeerClient) (err error) {
+		answer, err = p.Image(ctx, &peerpb.ImageRequest{})
+		return err
+	})
+	return answer.GetState(), err
+}
+
 // Slots asks for part of an upstream's window. Errors: CodeNotReady.
 func (c *Client) Slots(ctx context.Context, addr string, r SlotsRequest) (SlotsLease, error) {
 	in := &peerpb.SlotsRequest{
--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -53,6 +53,8 @@
 	// Tail returns up to limit records of the configuration stream from an
 	// offset on; none when that offset is not held.
 	Tail(ctx context.Context, from api.Offset, limit int) ([]eventlog.Entry, error)
+	// Image returns the state of the configuration stream.
+	Image(ctx context.Context) ([]byte, error)
 }
 
 // SlotsHandler is the part of Handler that shares out upstreams' windows.
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -40,6 +40,8 @@
 	return entries, nil
 }
 
+func (echo) Image(context.Context) ([]byte, error) { return make([]byte, 2_000_000), nil }
+
 func (echo) Slots(_ context.Context, r peer.SlotsRequest) (peer.SlotsLease, error) {
 	return peer.SlotsLease{Seq: r.Seq, Slots: r.Want - r.Held, TTL: 2 * time.Second}, nil
 }
@@ -89,6 +91,9 @@
 
 func TestTailFitsOneMessage(t *testing.T) {
 	server, client, ctx := start(t)
+	image, err := client.Image(ctx, server.Addr())
+	assert.NilError(t, err)
+	assert.Equal(t, len(image), 2_000_000)
 	entries, err := client.Tail(ctx, server.Addr(), 4, 50)
 	assert.NilError(t, err)
 	assert.Equal(t, len(entries), 5)
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -16,8 +16,8 @@
 
 // Limits of what one message or answer may hold.
 const (
-	maxMessageBytes = 1 << 20
-	maxTailBytes    = maxMessageBytes / 2
+	maxMessageBytes = 8 << 20
+	maxTailBytes    = 1 << 19
 	maxTailEntries  = 256
 )
 
@@ -119,6 +119,15 @@
 	return &peerpb.TailResponse{Entries: entriesToProto(fitting(entries))}, nil
 }
 
+// Image implements peerpb.DRPCPeerServer.
+func (s *service) Image(ctx context.Context, _ *peerpb.ImageRequest) (*peerpb.ImageResponse, error) {
+	state, err := s.handler.Image(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.ImageResponse{State: state}, nil
+}
+
 // fitting returns as many of the first entries as fit a message, at least one.
 func fitting(entries []eventlog.Entry) []eventlog.Entry {
 	size := 0
--- a/lib/ledger/config.go
+++ b/lib/ledger/config.go
@@ -44,6 +44,12 @@
 // Through returns the offset of the last record applied.
 func (c *Config) Through() api.Offset { return c.state.Through }
 
+// VerdictOf returns the verdict on a record folded not long ago.
+func (c *Config) VerdictOf(id api.RecordID) (Verdict, bool) {
+	s, ok := c.seen[id]
+	return s.verdict, ok
+}
+
 // Skip passes over a record that could not be decoded, so that all daemons
 // leave it out alike.
 func (c *Config) Skip(offset api.Offset) { c.state.Through = offset }
--- a/server/gossip/caller.go
+++ b/server/gossip/caller.go
@@ -107,12 +107,24 @@
 	}
 	entries = contiguous(entries, from)
 	if len(entries) == 0 {
+		c.adopt(ctx, a)
 		return
 	}
 	counters.Add("records_pulled", int64(len(entries)))
 	c.tail.Offer(entries)
 }
 
+// adopt takes over the state of a peer that no longer holds the records after
+// those in force here. So a daemon can start while the log is out.
+func (c *caller) adopt(ctx context.Context, a membership.PullTail) {
+	image, err := c.peers.Image(ctx, a.Addr)
+	if err != nil {
+		return
+	}
+	counters.Add("images_pulled", 1)
+	c.tail.Adopt(image)
+}
+
 // contiguous returns the first entries that follow each other from an offset on.
 func contiguous(entries []eventlog.Entry, from api.Offset) []eventlog.Entry {
 	for i := range entries {
--- a/server/gossip/config.go
+++ b/server/gossip/config.go
@@ -39,6 +39,11 @@
 	// Offer hands over records learned from a peer, contiguous and in order.
 	// Those already in force are ignored.
 	Offer(entries []eventlog.Entry)
+	// Image returns the encoded state, for a peer that needs records which are
+	// no longer held.
+	Image(ctx context.Context) ([]byte, error)
+	// Adopt hands over a peer's image. One that is not ahead is ignored.
+	Adopt(image []byte)
 }
 
 // SeedSource yields addresses of further daemons, such as the platform's host
@@ -56,6 +61,8 @@
 	Members(ctx context.Context, addr string, after api.DaemonID, limit int) (membership.Page, error)
 	// Tail fetches records of the configuration stream.
 	Tail(ctx context.Context, addr string, from api.Offset, limit int) ([]eventlog.Entry, error)
+	// Image fetches the state of the configuration stream.
+	Image(ctx context.Context, addr string) ([]byte, error)
 }
 
 // Config describes this daemon and how it gossips.
--- a/server/gossip/gossip.go
+++ b/server/gossip/gossip.go
@@ -129,6 +129,9 @@
 	return g.tail.Tail(from, limit), nil
 }
 
+// Image returns the state of the configuration stream to a peer.
+func (g *Gossip) Image(ctx context.Context) ([]byte, error) { return g.tail.Image(ctx) }
+
 // post queues an event that may be lost: the protocol makes up for it.
 func (g *Gossip) post(in input) {
 	if g.owner.Post(in) != nil {
--- a/server/gossip/gossip_test.go
+++ b/server/gossip/gossip_test.go
@@ -49,6 +49,10 @@
 	}
 }
 
+func (l *tail) Image(context.Context) ([]byte, error) { return nil, nil }
+
+func (l *tail) Adopt([]byte) {}
+
 func records(from, to int) []eventlog.Entry {
 	var entries []eventlog.Entry
 	for i := from; i <= to; i++ {
--- a/server/logbook/folder.go
+++ b/server/logbook/folder.go
@@ -75,13 +75,17 @@
 		f.read(m)
 	case offerMsg:
 		f.offer(m.entries)
+	case adoptMsg:
+		f.adopt(m.state)
+	case stateMsg:
+		m.done.Put(f.image())
 	case proposeMsg:
 		f.propose(m.proposal)
 	case appendedMsg:
 		f.appended(m)
 	case claimMsg:
 		state, found := f.claims().Get(m.key)
-		m.done.Put(claimReply{state: state, found: found})
+		m.done.Put(claimReply{state: state, found: found, known: f.streams[api.StreamClaims].known})
 	}
 }
 
@@ -108,7 +112,7 @@
 		f.changed(batch.Stream, before, batch.Entries)
 		next = append(next, eventlog.Position{Stream: batch.Stream, From: s.next()})
 	}
-	f.book.known.Store(f.streams[api.StreamConfig].known && f.streams[api.StreamClaims].known)
+	f.book.known.Store(f.streams[api.StreamConfig].known)
 	m.done.Put(next)
 }
 
@@ -119,6 +123,31 @@
 	f.changed(api.StreamConfig, before, entries)
 }
 
+// adopt takes over a peer's state, which may hold the verdicts on proposals
+// whose records are passed over by it.
+func (f *folder) adopt(state []byte) {
+	s := f.streams[api.StreamConfig]
+	before := s.fold.Through()
+	if !s.adopt(state) {
+		return
+	}
+	f.book.known.Store(true)
+	f.changed(api.StreamConfig, before, nil)
+	for id := range f.proposals {
+		if v, ok := f.config().VerdictOf(id); ok {
+			f.finish(id, v, nil)
+		}
+	}
+}
+
+func (f *folder) image() []byte {
+	state, err := json.Marshal(f.config().Image())
+	if err != nil {
+		return nil
+	}
+	return state
+}
+
 // changed publishes a new snapshot if the configuration moved on.
 func (f *folder) changed(stream string, before api.Offset, entries []eventlog.Entry) {
 	if stream != api.StreamConfig {
@@ -255,13 +284,9 @@
 }
 
 func (f *folder) proposeCheckpoint(name string, s *follower) {
-	var image any = f.config().Image()
+	state := f.image()
 	if name == api.StreamClaims {
-		image = f.claims().Image()
-	}
-	state, err := json.Marshal(image)
-	if err != nil {
-		return
+		state, _ = json.Marshal(f.claims().Image()) // plain data always encodes
 	}
 	checkpointsAsked.Add(1)
 	f.propose(Proposal{
--- a/server/logbook/follower.go
+++ b/server/logbook/follower.go
@@ -81,6 +81,16 @@
 	return out
 }
 
+// adopt replaces the fold by a peer's, if that one is ahead.
+func (f *follower) adopt(state []byte) bool {
+	restored, err := f.restore(state)
+	if err != nil || restored.Through() <= f.fold.Through() {
+		return false
+	}
+	f.fold, f.known, f.pending = restored, true, nil
+	return true
+}
+
 func (f *follower) entry(e eventlog.Entry, oldest api.Offset) []ledger.Verdict {
 	through := f.fold.Through()
 	switch {
--- a/server/logbook/logbook.go
+++ b/server/logbook/logbook.go
@@ -80,6 +80,8 @@
 		done    *ring.Slot[[]eventlog.Position] // where to read on
 	}
 	offerMsg    struct{ entries []eventlog.Entry }
+	adoptMsg    struct{ state []byte }
+	stateMsg    struct{ done *ring.Slot[[]byte] }
 	proposeMsg  struct{ proposal Proposal }
 	appendedMsg struct {
 		id  api.RecordID
@@ -92,11 +94,14 @@
 	claimReply struct {
 		state ledger.ClaimState
 		found bool
+		known bool // the claims stream was read from its beginning or a checkpoint
 	}
 )
 
 func (readMsg) isEvent()     {}
 func (offerMsg) isEvent()    {}
+func (adoptMsg) isEvent()    {}
+func (stateMsg) isEvent()    {}
 func (proposeMsg) isEvent()  {}
 func (appendedMsg) isEvent() {}
 func (claimMsg) isEvent()    {}
@@ -152,6 +157,28 @@
 	_ = b.folder.Post(offerMsg{entries: entries}) // a full ring: the peer or the log tells again
 }
 
+// Image returns the encoded state of the configuration, from which a peer that
+// cannot reach the log may start. Errors: CodeNotReady, CodeDeadlineExceeded.
+func (b *Book) Image(ctx context.Context) ([]byte, error) {
+	if !b.Known() {
+		return nil, api.Errorf(api.CodeNotReady, "the configuration was not read yet")
+	}
+	slot := ring.NewSlot[[]byte]()
+	if err := b.folder.PostWait(ctx, stateMsg{done: slot}); err != nil {
+		return nil, api.Errorf(api.CodeNotReady, "image not made: %w", err)
+	}
+	state, err := slot.Wait(ctx)
+	if err != nil {
+		return nil, api.Errorf(api.CodeDeadlineExceeded, "image not made: %w", err)
+	}
+	return state, nil
+}
+
+// Adopt hands over a peer's Image; one that is not ahead is ignored.
+func (b *Book) Adopt(state []byte) {
+	_ = b.folder.Post(adoptMsg{state: state}) // a full ring: the peer tells again
+}
+
 // Propose appends a record and waits for its verdict. Errors:
 // CodeLogUnavailable when it surely is not in the log, CodeUnknownResult when
 // it may be.
@@ -204,6 +231,9 @@
 	if err != nil {
 		return ledger.ClaimState{}, false, api.Errorf(api.CodeDeadlineExceeded, "claim not read: %w", err)
 	}
+	if !r.known {
+		return ledger.ClaimState{}, false, api.Errorf(api.CodeNotReady, "the claims were not read yet")
+	}
 	return r.state, r.found, nil
 }
 
--- a/server/logbook/logbook_test.go
+++ b/server/logbook/logbook_test.go
@@ -164,3 +164,27 @@
 	assert.Equal(t, api.CodeOf(trail[1].Err), api.CodeConflict)
 	assert.Equal(t, trail[1].To, api.Revision(1))
 }
+
+// A daemon that starts while the log is out gets the state from a peer, and
+// later reads on from there.
+func TestBookStartsFromPeerWhileLogIsOut(t *testing.T) {
+	log := memlog.New(memlog.Options{})
+	first, _ := start(t, log, 0)
+	_, err := first.Propose(t.Context(), api.StreamConfig, plans(0, "a"), "op")
+	assert.NilError(t, err)
+	cut := &cuttable{Log: log}
+	cut.off.Store(true)
+	second, changed := start(t, cut, 0)
+	image, err := first.Image(t.Context())
+	assert.NilError(t, err)
+	second.Adopt(image)
+	s := await(t, changed, func(s *ledger.State) bool { return s.Through == 1 })
+	assert.Equal(t, s.Plans.Plans[0].Name, api.PlanName("a"))
+	assert.Assert(t, second.Known())
+	_, _, err = second.Claim(t.Context(), ledger.ClaimKey{Customer: "c", Key: "k"})
+	assert.Equal(t, api.CodeOf(err), api.CodeNotReady) // claims are only in the log
+	cut.off.Store(false)
+	_, err = first.Propose(t.Context(), api.StreamConfig, plans(1, "b"), "op")
+	assert.NilError(t, err)
+	await(t, changed, func(s *ledger.State) bool { return s.Through == 2 })
+}
--- a/server/once/once.go
+++ b/server/once/once.go
@@ -61,7 +61,7 @@
 // ctx must carry the request's deadline.
 func (g *Guard) Run(ctx context.Context, r Request, run func() work.Answer) (a work.Answer, replayed bool) {
 	for {
-		state, found, err := g.book.Claim(ctx, r.Key)
+		state, found, err := g.lookUp(ctx, r.Key)
 		if err != nil {
 			return notRun(err), false
 		}
@@ -84,6 +84,23 @@
 	}
 }
 
+// lookUp reads a claim; a daemon that has just started first has to read them all.
+func (g *Guard) lookUp(ctx context.Context, k ledger.ClaimKey) (ledger.ClaimState, bool, error) {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		state, found, err := g.book.Claim(ctx, k)
+		if api.CodeOf(err) != api.CodeNotReady {
+			return state, found, err
+		}
+		select {
+		case <-ctx.Done():
+			return state, found, err
+		case <-ticker.C:
+		}
+	}
+}
+
 // claim proposes the claim and waits for the verdict. A claim that is won only
 // after the caller was told that nothing ran is released at once.
 func (g *Guard) claim(ctx context.Context, r Request) (ledger.Verdict, error) {
