--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -19,7 +19,6 @@
 	"dotterelmount.example/lib/eventlog/httplog"
 	"dotterelmount.example/lib/hostlist"
 	"dotterelmount.example/lib/invariant"
-	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/upstream/httpupstream"
 	"dotterelmount.example/server/appender"
@@ -69,7 +68,7 @@
 	book     *logbook.Book
 	hosts    *hosts.Follower
 	client   *httpupstream.Client
-	dispatch *dispatch.Dispatcher
+	dispatch atomic.Pointer[dispatch.Dispatcher]
 	weights  *weightkeeper.Keeper
 	sampler  *sampler.Sampler
 	peers    *peer.Client
@@ -94,10 +93,10 @@
 	}
 	n.address = callers.Addr().String()
 	n.startHosts()
+	n.startLog()
 	if err := n.startDispatch(); err != nil {
 		return nil, err
 	}
-	n.startLog()
 	if err := n.startGossip(); err != nil {
 		return nil, err
 	}
@@ -121,7 +120,7 @@
 		ProposeTimeout: proposeTimeout, VerdictGrace: verdictGrace, CheckpointEvery: n.settings.Platform.CheckpointEvery,
 		NewID: func() api.RecordID { return api.RecordID(newID()) },
 		Now:   time.Now, Jitter: rand.Float64,
-	}, n.dispatch.Update, n.spread)
+	}, n.changed)
 }
 
 func (n *Node) startHosts() {
@@ -134,17 +133,21 @@
 
 func (n *Node) startDispatch() error {
 	d := n.settings.Dispatch
-	var err error
 	n.client = httpupstream.New(httpupstream.Options{})
-	n.dispatch, err = dispatch.Start(n.system, n.client, dispatch.Config{
+	started, err := dispatch.Start(n.system, n.client, dispatch.Config{
 		DataCentre: api.DataCentre(n.settings.DataCentre), Carriers: d.Carriers, RingSize: dispatchRing,
 		QueueLimit: d.QueueLimit, Routing: d.Routing, ProgressDeadline: d.ProgressDeadline,
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
 		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
-	}, ledger.NewConfig().Snapshot())
-	return err
+	}, n.book.State())
+	if err != nil {
+		return err
+	}
+	n.dispatch.Store(started)
+	started.Update(n.book.State()) // a change before Store was not passed on
+	return nil
 }
 
 func (n *Node) startWeights() {
@@ -156,7 +159,7 @@
 	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
 		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
-		Submitter: n.dispatch, Now: time.Now,
+		Submitter: n.dispatch.Load(), Now: time.Now,
 	})
 }
 
@@ -167,7 +170,7 @@
 
 func (n *Node) callerDeps() httpapi.Deps {
 	return httpapi.Deps{
-		Submitter: n.dispatch, Guard: once.New(n.book, api.DaemonID(n.settings.Daemon), time.Now),
+		Submitter: n.dispatch.Load(), Guard: once.New(n.book, api.DaemonID(n.settings.Daemon), time.Now),
 		State: n.book.State, Ready: n.ready,
 		NewID: func() api.RequestID { return api.RequestID(newID()) }, Now: time.Now,
 		BodyBytes: n.settings.Limits.BodyBytes, DefaultDeadline: n.settings.Dispatch.DefaultDeadline,
@@ -187,7 +190,7 @@
 	if err := n.gossip.Load().Leave(ctx); err != nil {
 		n.log.Warn("peers were not told", zap.Error(err))
 	}
-	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -61,8 +61,11 @@
 	return s.n.hosts.Live(func(address string) bool { return upstreams[address] })
 }
 
-// spread runs on the ledger's thread.
-func (n *Node) spread(s *ledger.State) {
+// changed runs on the ledger's thread, also before the other parts have started.
+func (n *Node) changed(s *ledger.State) {
+	if d := n.dispatch.Load(); d != nil {
+		d.Update(s)
+	}
 	if g := n.gossip.Load(); g != nil {
 		g.Advanced(s.Through)
 	}
