--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -341,6 +341,25 @@
 	assert.Equal(t, len(f.calls), 3)
 }
 
+// A daemon that stops must not say not-run of a call that is under way.
+func TestStopDuringCallIsUnknown(t *testing.T) {
+	entered := make(chan struct{}, 1)
+	f := &fake{}
+	f.generate = func(ctx context.Context, u upstream.Target, _ int, _ *work.Generate, _ func(work.Chunk) error) error {
+		entered <- struct{}{}
+		<-ctx.Done()
+		return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeInternal, Cause: ctx.Err()}
+	}
+	d := start(t, f, state(1, "a"), nil)
+	running, queued := newCollector(), newCollector()
+	assert.NilError(t, d.Submit(job("running", running)))
+	<-entered
+	assert.NilError(t, d.Submit(job("queued", queued)))
+	d.Cancel("nobody") // the queued job is taken in before the stop
+	assert.NilError(t, d.Stop(t.Context()))
+	assert.Equal(t, running.wait(t).Outcome, api.OutcomeUnknown)
+}
+
 func TestCancelEndsRunningAndQueued(t *testing.T) {
 	entered := make(chan struct{}, 1)
 	f := &fake{}
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -6,6 +6,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/retry"
 	"dotterelmount.example/lib/routing"
@@ -257,9 +258,10 @@
 	h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err})
 }
 
-// giveUp returns the outcome of a flight that is not tried again.
+// giveUp returns the outcome of a flight that is not tried again. An attempt
+// still in progress may have been sent.
 func (h *handler) giveUp(f *flight) api.Outcome {
-	return retry.GiveUp(retry.Failure{Sent: f.sent, Answered: f.answered})
+	return retry.GiveUp(retry.Failure{Sent: f.sent || len(f.running) > 0, Answered: f.answered})
 }
 
 // finish ends a flight; its other attempts are cancelled.
@@ -268,6 +270,10 @@
 		return
 	}
 	delete(h.flights, f.job.ID)
+	invariant.Check(a.Outcome != api.OutcomeNotRun || !f.sent && len(f.running) == 0, "not-run-was-not-sent",
+		"request %s, tried %v", f.job.ID, f.tried)
+	invariant.Check((a.Outcome == api.OutcomeComplete) == (a.Err == nil), "complete-has-no-error",
+		"request %s: %s: %v", f.job.ID, a.Outcome, a.Err)
 	if f.queued {
 		h.queue.Remove(f.job.ID)
 	}
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -7,6 +7,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/routing"
 	"dotterelmount.example/lib/upstream"
@@ -46,6 +47,8 @@
 		return false
 	}
 	u := h.upstreams[id]
+	invariant.Check(!u.draining && !u.removed, "no-new-work-while-draining", "request %s to %s", f.job.ID, id)
+	invariant.Check(f.job.Repeatable || !f.sent, "once-only-is-sent-once", "request %s, tried %v", f.job.ID, f.tried)
 	h.attempts++
 	a := &attempt{id: h.attempts, flight: f, up: u, started: now}
 	a.solo = h.verdict(f.job.Fingerprint, now) == quarantine.Solo
