--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -29,6 +29,11 @@
 // their last message.
 type Stopper interface{ Stopped() }
 
+// Dropper is implemented by handlers that owe an answer to every message:
+// those still queued at the stop are passed to Dropped, on the duty's thread,
+// after Stopped.
+type Dropper[M any] interface{ Dropped(m M) }
+
 // Config describes a duty.
 type Config struct {
 	Name     string
@@ -89,6 +94,9 @@
 func Start[M any](s *System, cfg Config, h Handler[M]) *Duty[M] {
 	ctx, cancel := context.WithCancel(context.Background())
 	box := newMailbox(cfg)
+	if d, ok := any(h).(Dropper[M]); ok {
+		box.dropped = func(m any) { d.Dropped(m.(M)) }
+	}
 	act := &dutyActor[M]{name: cfg.Name, handler: h, ctx: ctx, onPanic: s.onPanic}
 	props := actor.PropsFromProducer(
 		func() actor.Actor { return act },
@@ -132,7 +140,7 @@
 func (d *Duty[M]) Rejected() uint64 { return d.mailbox.rejected.Load() }
 
 // Stop ends the duty after the message in hand and waits for it. Messages
-// still queued are dropped. Errors: ctx.Err().
+// still queued go to the handler's Dropped, if it has one. Errors: ctx.Err().
 func (d *Duty[M]) Stop(ctx context.Context) error {
 	d.cancel()
 	d.system.actors.Root.Stop(d.pid)
--- a/lib/duty/duty_test.go
+++ b/lib/duty/duty_test.go
@@ -67,6 +67,35 @@
 	assert.Assert(t, errors.As(d.Post(3), &closed))
 }
 
+type keeper struct {
+	gate
+	left []int
+}
+
+func (k *keeper) Dropped(n int) { k.left = append(k.left, n) }
+
+func TestStopHandsBackWhatIsQueued(t *testing.T) {
+	k := &keeper{gate: *newGate()}
+	d := duty.Start(duty.NewSystem(nil), duty.Config{Name: "keeper", RingSize: 4}, k)
+	for n := range 3 {
+		assert.NilError(t, d.Post(n))
+	}
+	<-k.entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Stop(t.Context()) }()
+	for { // the stop is taken in before the next message
+		select {
+		case k.release <- struct{}{}:
+			continue
+		case err := <-stopped:
+			assert.NilError(t, err)
+		}
+		break
+	}
+	handled := len(k.entered) + 1
+	assert.Equal(t, handled+len(k.left), 3)
+}
+
 func TestPanicIsReportedAndDutyGoesOn(t *testing.T) {
 	g := newGate()
 	seen := make(chan *duty.Panic, 1)
--- a/lib/duty/mailbox.go
+++ b/lib/duty/mailbox.go
@@ -20,6 +20,7 @@
 	queue    *ring.Ring[any]
 	rejected atomic.Uint64
 	invoker  actor.MessageInvoker
+	dropped  func(any) // nil: messages left at the stop are lost
 	done     chan struct{}
 
 	mu      sync.Mutex
@@ -75,13 +76,23 @@
 		runtime.LockOSThread()
 	}
 	defer close(m.done)
-	defer m.queue.Close()
+	defer m.drain()
 	stopTicks := m.startTicks()
 	defer stopTicks()
 	for m.step() {
 	}
 }
 
+// drain refuses further messages and hands back those that are left.
+func (m *mailbox) drain() {
+	m.queue.Close()
+	for message, ok := m.queue.TryPop(); ok; message, ok = m.queue.TryPop() {
+		if m.dropped != nil {
+			m.dropped(message)
+		}
+	}
+}
+
 // step waits for work and does one round of it; false ends the duty.
 func (m *mailbox) step() bool {
 	system, due := m.wait()
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -165,6 +165,16 @@
 	}
 }
 
+// Dropped answers a job that was still in the ring at the stop.
+func (h *handler) Dropped(m event) {
+	switch m := m.(type) {
+	case submitMsg:
+		refuse(m.job, api.Errorf(api.CodeNotReady, "the daemon stopped"))
+	case resultMsg:
+		// Its flight was finished by Stopped.
+	}
+}
+
 // adopt takes over a configuration.
 func (h *handler) adopt(s *ledger.State) {
 	if h.state != nil && s.Through < h.state.Through {
--- a/server/logbook/folder.go
+++ b/server/logbook/folder.go
@@ -100,6 +100,20 @@
 	}
 }
 
+// Stopped ends the open proposals: their records may be in the log.
+func (f *folder) Stopped() {
+	for id := range f.proposals {
+		f.finish(id, ledger.Verdict{ID: id}, api.Errorf(api.CodeUnknownResult, "the daemon stopped"))
+	}
+}
+
+// Dropped ends the proposals still in the ring at the stop.
+func (f *folder) Dropped(m event) {
+	if m, ok := m.(proposeMsg); ok {
+		m.proposal.Done(ledger.Verdict{}, api.Errorf(api.CodeLogUnavailable, "the daemon stopped"))
+	}
+}
+
 func (f *folder) read(m readMsg) {
 	var next []eventlog.Position
 	for _, batch := range m.batches {
