--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -157,6 +157,8 @@
 
 func (n *Node) startSampler() {
 	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
+	// More jobs than the queue takes of rollouts would only be shed and tried again.
+	cfg.Run.MaxOutstanding = max(1, int(rolloutShare*float64(n.settings.Dispatch.QueueLimit)))
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
 		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
 		Submitter: n.dispatch.Load(), Now: time.Now,
