--- a/server/logbook/follower.go
+++ b/server/logbook/follower.go
@@ -60,7 +60,9 @@
 
 // feed takes a read's entries; oldest is the first offset the log retains.
 func (f *follower) feed(entries []eventlog.Entry, oldest api.Offset) []ledger.Verdict {
-	if !f.known && oldest <= f.fold.Through()+1 {
+	if f.fold.Through()+1 < oldest {
+		f.known = false // records expired before they were read
+	} else if len(f.pending) == 0 {
 		f.known = true
 	}
 	var out []ledger.Verdict
@@ -99,20 +101,19 @@
 	case f.known && e.Offset == through+1:
 		return []ledger.Verdict{f.apply(e)}
 	}
-	f.known = false // a gap: the missing records expired before they were read
 	f.pending = append(f.pending, e)
 	return f.tryRestore(e, oldest)
 }
 
 // tryRestore starts over from a checkpoint that reaches back no further than
-// what the log still has.
+// what the log still has. It is ahead of the fold, which is behind the gap.
 func (f *follower) tryRestore(e eventlog.Entry, oldest api.Offset) []ledger.Verdict {
 	rec, err := recordcodec.Decode(e.ID, e.Payload)
 	if err != nil {
 		return nil
 	}
 	c, ok := rec.Body.(api.Checkpoint)
-	if !ok || c.Through+1 < oldest || c.Through < f.fold.Through() {
+	if !ok || c.Through+1 < oldest {
 		return nil
 	}
 	restored, err := f.restore(c.State)
--- a/server/logbook/follower_test.go
+++ b/server/logbook/follower_test.go
@@ -110,6 +110,11 @@
 				f := m.followers[pick()]
 				f.feed(m.between(int(f.next()), rapid.IntRange(1, 4).Draw(t, "limit")), m.oldest)
 			},
+			"read to the end": func(t *rapid.T) {
+				f := m.followers[pick()]
+				f.feed(m.between(int(f.next()), len(m.entries)), m.oldest)
+				assert.Assert(t, !f.known || int(f.fold.Through()) == len(m.entries))
+			},
 			"offer": func(t *rapid.T) {
 				f := m.followers[pick()]
 				from := rapid.IntRange(1, len(m.entries)+1).Draw(t, "from")
