--- a/bench/check/caller.go
+++ b/bench/check/caller.go
@@ -22,6 +22,7 @@
 	headerOutcome  = "X-Outcome"
 	headerOnce     = "X-Once"
 	headerKey      = "Idempotency-Key"
+	headerRequest  = "X-Request-Id"
 )
 
 const maxAnswerBytes = 16 << 20
@@ -43,11 +44,12 @@
 
 // Reply is what came back. Outcome is zero when the daemon did not say.
 type Reply struct {
-	Status   int
-	Outcome  api.Outcome
-	Text     string
-	Versions []api.WeightVersion // those reported, each once, in order of appearance
-	Took     time.Duration
+	RequestID api.RequestID // empty when the daemon gave none
+	Status    int
+	Outcome   api.Outcome
+	Text      string
+	Versions  []api.WeightVersion // those reported, each once, in order of appearance
+	Took      time.Duration
 }
 
 // ReplyError reports a reply that is not a whole, successful answer.
@@ -98,7 +100,10 @@
 		return Reply{Took: time.Since(begin)}, &ReplyError{Reason: "no answer", Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	reply := Reply{Status: res.StatusCode, Outcome: outcome(res.Header)}
+	reply := Reply{
+		RequestID: api.RequestID(res.Header.Get(headerRequest)),
+		Status:    res.StatusCode, Outcome: outcome(res.Header),
+	}
 	if res.StatusCode != http.StatusOK {
 		return reply, refused(res, &reply)
 	}
@@ -134,7 +139,10 @@
 		return Reply{Took: time.Since(begin)}, &ReplyError{Reason: "no answer", Cause: err}
 	}
 	defer func() { _ = res.Body.Close() }()
-	reply := Reply{Status: res.StatusCode, Outcome: outcome(res.Header)}
+	reply := Reply{
+		RequestID: api.RequestID(res.Header.Get(headerRequest)),
+		Status:    res.StatusCode, Outcome: outcome(res.Header),
+	}
 	if res.StatusCode != http.StatusOK {
 		return reply, refused(res, &reply)
 	}
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/lib/ring"
 	"dotterelmount.example/lib/work"
 	"dotterelmount.example/standin/engine/tokens"
+	"dotterelmount.example/standin/journal"
 )
 
 const (
@@ -39,6 +40,7 @@
 	fenced       bool
 	weightStore  string
 	journalLimit int // requests
+	journal      *journal.File
 	models       map[api.ModelName]api.WeightVersion
 }
 
@@ -62,6 +64,7 @@
 	readyAt  time.Time // end of its prefill
 	out      *ring.Ring[output]
 	entry    *requestEntry
+	noted    api.WeightVersion // last version in the journal's file
 }
 
 // batch is the engine's state. It is used by one duty alone; time comes in.
@@ -229,6 +232,7 @@
 	version := b.weights.versions[s.model]
 	o := output{version: version}
 	if s.next < s.target {
+		b.noteVersion(s, version)
 		o.text = tokens.Text(s.hash, s.next)
 	}
 	if s.next+1 >= s.target {
@@ -249,6 +253,18 @@
 	return true
 }
 
+// noteVersion journals, before its first token is made, that a version makes
+// the tokens from here on.
+func (b *batch) noteVersion(s *sequence, version api.WeightVersion) {
+	if s.noted == version {
+		return
+	}
+	s.noted = version
+	b.cfg.journal.Write(journal.Line{
+		Event: journal.EventTokens, RequestID: s.entry.RequestID, Version: uint64(version), From: s.next,
+	})
+}
+
 // emitted journals token number i.
 func (e *requestEntry) emitted(version api.WeightVersion, i int) {
 	e.Tokens++
@@ -262,6 +278,7 @@
 func (b *batch) ended(now time.Time, s *sequence, how ending) {
 	s.entry.Ended = how
 	s.entry.EndedMillis = now.UnixMilli()
+	b.cfg.journal.Write(journal.Line{Event: journal.EventEnd, RequestID: s.entry.RequestID, Ended: string(how)})
 }
 
 // interval is the time of one decoding step at the present batch size.
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -10,6 +10,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/ring"
 	"dotterelmount.example/standin/engine/tokens"
+	"dotterelmount.example/standin/journal"
 	"dotterelmount.example/standin/serve"
 )
 
@@ -20,16 +21,17 @@
 	loop   *loop
 	gate   *gate
 	loader *loader
+	file   *journal.File
 }
 
 func newHandler(cfg config, exit func(int)) *handler {
 	l := startLoop(newBatch(cfg, exit, time.Now()))
-	return &handler{loop: l, gate: newGate(), loader: newLoader(cfg, l)}
+	return &handler{loop: l, gate: newGate(), loader: newLoader(cfg, l), file: cfg.journal}
 }
 
 func (h *handler) routes() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/chat/completions", h.gated(h.complete))
+	mux.Handle("POST /v1/chat/completions", h.journalled(h.gated(h.complete)))
 	mux.Handle("GET /load", h.gated(h.query(func(now time.Time, b *batch) any { return b.reports.visible(now) })))
 	mux.Handle("GET /v1/weights", h.gated(h.query(func(_ time.Time, b *batch) any {
 		return weightsBody{Models: modelList(b.weights.versions)}
@@ -43,6 +45,14 @@
 	return mux
 }
 
+// journalled writes down that a request arrived, also when the engine hangs.
+func (h *handler) journalled(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.file.Write(journal.Line{Event: journal.EventStart, RequestID: r.Header.Get(headerRequestID)})
+		next.ServeHTTP(w, r)
+	})
+}
+
 // gated holds requests back while the engine hangs.
 func (h *handler) gated(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/standin/engine/main.go
+++ b/standin/engine/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/standin/journal"
 	"dotterelmount.example/standin/serve"
 	"github.com/urfave/cli/v3"
 )
@@ -48,6 +49,7 @@
 		&cli.BoolFlag{Name: "fenced", Usage: "refuse orders with an old fencing number"},
 		&cli.StringFlag{Name: "weight-store", Usage: "`URL` from which weights are read; empty for none"},
 		&cli.IntFlag{Name: "journal-limit", Value: 200_000, Usage: "requests kept in the journal"},
+		&cli.StringFlag{Name: "journal", Usage: "`FILE` to which requests are journalled as they start and end; empty for none"},
 	}
 }
 
@@ -56,6 +58,10 @@
 	if err != nil {
 		return err
 	}
+	file, err := journal.Open(c.String("journal"))
+	if err != nil {
+		return err
+	}
 	cfg := config{
 		slots:        max(1, c.Int("slots")),
 		tokenTime:    c.Duration("token-time"),
@@ -69,6 +75,7 @@
 		fenced:       c.Bool("fenced"),
 		weightStore:  c.String("weight-store"),
 		journalLimit: max(1, c.Int("journal-limit")),
+		journal:      file,
 		models:       models,
 	}
 	h := newHandler(cfg, os.Exit)
--- a/standin/plain/main.go
+++ b/standin/plain/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"dotterelmount.example/standin/journal"
 	"dotterelmount.example/standin/plain/service"
 	"dotterelmount.example/standin/serve"
 )
@@ -30,9 +31,14 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "`ip:port` to serve on; port 0 takes a free one"},
 			&cli.DurationFlag{Name: "service-time", Usage: "`duration` of each call"},
+			&cli.StringFlag{Name: "journal", Usage: "`FILE` to which calls are journalled as they start and end; empty for none"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s := service.New(c.Duration("service-time"), func() { os.Exit(crashStatus) })
+			file, err := journal.Open(c.String("journal"))
+			if err != nil {
+				return err
+			}
+			s := service.New(c.Duration("service-time"), func() { os.Exit(crashStatus) }, file)
 			return serve.Run(ctx, c.String("listen"), s.Handler(), os.Stdout)
 		},
 	}
--- a/standin/plain/service/service.go
+++ b/standin/plain/service/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/standin/journal"
 )
 
 // HeaderRequestID carries the id by which executions are counted.
@@ -55,12 +56,14 @@
 	journal     *Journal
 	serviceTime time.Duration
 	crash       func()
+	file        *journal.File
 	control     atomic.Pointer[Control]
 }
 
 // New returns a service whose calls take serviceTime; crash ends the process.
-func New(serviceTime time.Duration, crash func()) *Service {
-	s := &Service{journal: NewJournal(), serviceTime: serviceTime, crash: crash}
+// Each call is written to file before it runs and after it; file may be nil.
+func New(serviceTime time.Duration, crash func(), file *journal.File) *Service {
+	s := &Service{journal: NewJournal(), serviceTime: serviceTime, crash: crash, file: file}
 	s.control.Store(&Control{Mode: ModeNormal})
 	return s
 }
@@ -121,7 +124,10 @@
 	}
 	sum := sha256.Sum256(body)
 	id := r.Header.Get(HeaderRequestID)
-	execution, count := s.journal.Add(id, r.URL.Path, hex.EncodeToString(sum[:]), r.URL.Path == PathSlips)
+	hash := hex.EncodeToString(sum[:])
+	s.file.Write(journal.Line{Event: journal.EventStart, RequestID: id, BodySHA256: hash})
+	defer s.file.Write(journal.Line{Event: journal.EventEnd, RequestID: id, BodySHA256: hash})
+	execution, count := s.journal.Add(id, r.URL.Path, hash, r.URL.Path == PathSlips)
 	answer := Answer{RequestID: id, BodySHA256: execution.BodySHA256, Executions: count, Slip: execution.Slip}
 	s.finish(w, r, control, answer)
 }
--- a/standin/plain/service/service_test.go
+++ b/standin/plain/service/service_test.go
@@ -24,7 +24,7 @@
 }
 
 func TestExecutionsAreCounted(t *testing.T) {
-	s := New(0, func() {})
+	s := New(0, func() {}, nil)
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
 	for want := 1; want <= 2; want++ {
@@ -43,7 +43,7 @@
 
 func TestModes(t *testing.T) {
 	crashed := false
-	s := New(0, func() { crashed = true })
+	s := New(0, func() { crashed = true }, nil)
 	srv := httptest.NewServer(s.Handler())
 	defer srv.Close()
 	for _, c := range []struct {
