--- a/bench/demo/operate.go
+++ b/bench/demo/operate.go
@@ -15,7 +15,7 @@
 
 // operator drives the deployment through the command-line tool.
 type operator struct {
-	fleet *fleet
+	fleet *deployment
 	calls int
 }
 
@@ -88,7 +88,7 @@
 	stepTokens    = 24 // of each sample
 )
 
-func (f *fleet) trainStep(ctx context.Context) (trainerResult, error) {
+func (f *deployment) trainStep(ctx context.Context) (trainerResult, error) {
 	args := []string{
 		"--name", string(trainer), "--customer", string(trainer), "--model", string(model),
 		"--steps", "1",
