--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 demo: build ## runs a whole deployment on loopback and checks it
 	$(BIN)/demo --bin $(BIN) --out out/demo
 
+soak: build ## runs a whole deployment under faults: make soak SEED=n DURATION=d
+	$(BIN)/soak --bin $(BIN) --out out/soak-$(SEED) --seed $(SEED) --duration $(DURATION)
+
 tidy:
 	tools/tidy.sh
 
--- /dev/null
+++ b/bench/soak/deployment.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/duty"
+)
+
+// The deployment's sizes.
+const (
+	engineCount  = 4
+	plainCount   = 2
+	daemonCount  = 4
+	centreCount  = 2
+	engineSlots  = 8
+	engineWindow = 8 // requests in progress
+	plainWindow  = 8
+	tokenTime    = 2 * time.Millisecond
+	serviceTime  = 10 * time.Millisecond
+	loadTime     = 100 * time.Millisecond
+	readyLimit   = 10 * time.Second
+)
+
+// The deployment's names.
+const (
+	model        = api.ModelName("coach")
+	plainService = api.ModelName("slips")
+	member       = api.CustomerID("member-app")
+	trainer      = api.CustomerID("coach-trainer")
+	killerText   = "soak-killer" // crashes each engine that runs a prompt with it
+)
+
+// deployment is all that runs.
+type deployment struct {
+	runner  *proc.Runner
+	system  *duty.System
+	net     *network
+	log     *proc.Process
+	store   *proc.Process
+	engines []*supervised
+	plains  []*supervised
+	daemons []*supervised
+	callers []string // addresses by which callers reach the daemons, through links
+	usage   api.UsageList
+}
+
+func engineID(i int) api.UpstreamID { return api.UpstreamID(fmt.Sprintf("coach-%d", i+1)) }
+func plainID(i int) api.UpstreamID  { return api.UpstreamID(fmt.Sprintf("slips-%d", i+1)) }
+func daemonName(i int) string       { return fmt.Sprintf("daemon-%d", i+1) }
+func centre(i int) api.DataCentre   { return api.DataCentre(fmt.Sprintf("centre-%d", i%centreCount+1)) }
+func callerLink(i int) string       { return "caller:" + daemonName(i) }
+func logLink(i int) string          { return "log:" + daemonName(i) }
+
+// fenced reports whether the engine refuses old fencing numbers.
+func fenced(i int) bool { return i%2 == 0 }
+
+func startDeployment(ctx context.Context, r *proc.Runner) (*deployment, error) {
+	d := &deployment{runner: r, system: duty.NewSystem(nil), net: newNetwork()}
+	for _, step := range []func(context.Context) error{d.startPlatform, d.startUpstreams, d.startDaemons, d.awaitDaemons} {
+		if err := step(ctx); err != nil {
+			return d, err
+		}
+	}
+	return d, nil
+}
+
+func (d *deployment) startPlatform(ctx context.Context) (err error) {
+	d.log, err = d.runner.Start(ctx, "log", "log", "--listen", fleet.AnyPort)
+	if err != nil {
+		return err
+	}
+	d.store, err = d.runner.Start(ctx, "weightstore", "weightstore", "--listen", fleet.AnyPort)
+	return err
+}
+
+func (d *deployment) startUpstreams(context.Context) error {
+	addresses, err := proc.FreeAddresses(engineCount + plainCount)
+	if err != nil {
+		return err
+	}
+	for i := range engineCount {
+		s := d.engine(i, addresses[i])
+		link, err := d.net.open(s.name, s.address)
+		if err != nil {
+			return err
+		}
+		d.engines = append(d.engines, supervise(d.system, s))
+		d.usage.Upstreams = append(d.usage.Upstreams, api.Upstream{
+			ID: engineID(i), Kind: api.KindEngine, Address: link, DataCentre: centre(i),
+			Models: []api.ModelName{model}, Window: engineWindow, Fenced: fenced(i),
+		})
+	}
+	for i := range plainCount {
+		s := d.plain(i, addresses[engineCount+i])
+		link, err := d.net.open(s.name, s.address)
+		if err != nil {
+			return err
+		}
+		d.plains = append(d.plains, supervise(d.system, s))
+		d.usage.Upstreams = append(d.usage.Upstreams, api.Upstream{
+			ID: plainID(i), Kind: api.KindPlain, Address: link, DataCentre: centre(i),
+			Models: []api.ModelName{plainService}, Window: plainWindow,
+		})
+	}
+	d.usage.Usages = []api.Usage{
+		{Plan: "member", Models: []api.ModelName{model, plainService}},
+		{Plan: "trainer", Models: []api.ModelName{model}},
+	}
+	return nil
+}
+
+func (d *deployment) engine(i int, address string) *supervised {
+	s := &supervised{runner: d.runner, name: string(engineID(i)), program: "engine", address: address}
+	s.args = []string{
+		"--listen", address, "--model", string(model) + ":1", "--slots", fmt.Sprint(engineSlots),
+		"--token-time", tokenTime.String(), "--load-time", loadTime.String(),
+		"--weight-store", d.store.Address, "--journal", s.journal(),
+	}
+	if fenced(i) {
+		s.args = append(s.args, "--fenced")
+	}
+	s.started = func(ctx context.Context) {
+		// A failure shows as a killer request that kills nothing.
+		_ = fleet.PostJSON(ctx, address, "/control", map[string]any{"crash_on": killerText})
+	}
+	return s
+}
+
+func (d *deployment) plain(i int, address string) *supervised {
+	s := &supervised{runner: d.runner, name: string(plainID(i)), program: "plain", address: address}
+	s.args = []string{"--listen", address, "--service-time", serviceTime.String(), "--journal", s.journal()}
+	return s
+}
+
+const settingsFormat = `daemon: %s
+data_centre: %s
+listen:
+  callers: %s
+  peers: %s
+platform:
+  log: %s
+  weight_store: %s
+  checkpoint_every: 3s
+peers:
+  - %s
+  - %s
+dispatch:
+  progress_deadline: 1s
+limits:
+  cut_off: 3s
+fatal_invariants: true
+`
+
+func (d *deployment) startDaemons(context.Context) error {
+	addresses, err := proc.FreeAddresses(2 * daemonCount)
+	if err != nil {
+		return err
+	}
+	callers, peers := addresses[:daemonCount], addresses[daemonCount:]
+	for i := range daemonCount {
+		log, err := d.net.open(logLink(i), d.log.Address)
+		if err != nil {
+			return err
+		}
+		caller, err := d.net.open(callerLink(i), callers[i])
+		if err != nil {
+			return err
+		}
+		file := filepath.Join(d.runner.OutDir(), daemonName(i)+".yaml")
+		content := fmt.Sprintf(settingsFormat, daemonName(i), centre(i), callers[i], peers[i], log,
+			d.store.Address, peers[(i+1)%daemonCount], peers[(i+2)%daemonCount])
+		if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
+			return fmt.Errorf("settings of %s: %w", daemonName(i), err)
+		}
+		d.callers = append(d.callers, caller)
+		d.daemons = append(d.daemons, supervise(d.system, &supervised{
+			runner: d.runner, name: daemonName(i), program: "dotterelmountd",
+			args: []string{"--settings", file}, address: callers[i],
+		}))
+	}
+	return nil
+}
+
+// awaitDaemons waits until every daemon is ready. Errors: CodeNotReady.
+func (d *deployment) awaitDaemons(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, s := range d.daemons {
+		for !fleet.Ready(ctx, s.address) {
+			if !wait(ctx, pollEvery) {
+				return api.Errorf(api.CodeNotReady, "%s is not ready: %w", s.name, ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+func planList() api.PlanList {
+	return api.PlanList{
+		Plans:     []api.Plan{{Name: "member"}, {Name: "trainer", StalenessBound: 1}},
+		Customers: []api.Customer{{ID: member, Plan: "member"}, {ID: trainer, Plan: "trainer"}},
+	}
+}
+
+// close ends every process, each by its own signal, and the links.
+func (d *deployment) close(ctx context.Context) (exits []exit, first error) {
+	for _, group := range [][]*supervised{d.daemons, d.plains, d.engines} {
+		for _, s := range group {
+			e, err := s.close(ctx)
+			exits = append(exits, e...)
+			if err != nil && first == nil {
+				first = err
+			}
+		}
+	}
+	d.net.close()
+	return exits, first
+}
--- /dev/null
+++ b/bench/soak/main.go
@@ -0,0 +1,101 @@
+// Command soak runs a whole deployment on loopback behind a fault-injecting
+// proxy, brings faults about by a seeded schedule while members, directors and
+// operators use it, and compares what they were told with the journals of the
+// stand-ins. Its last line is one JSON object; its exit status is 0 only where
+// all was right and every kind of fault was brought about.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dotterelmount.example/bench/proc"
+)
+
+const failedStatus = 1
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		stop()
+		os.Exit(failedStatus)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "runs a whole deployment under a seeded schedule of faults and checks it",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: ".bin", Usage: "`directory` of the programs"},
+			&cli.StringFlag{Name: "out", Value: "out/soak", Usage: "`directory` for outputs and journals; emptied before"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`number` that makes the schedule"},
+			&cli.DurationFlag{Name: "duration", Value: 30 * time.Second, Usage: "`duration` of the load"},
+			&cli.BoolFlag{Name: "schedule", Usage: "only print the schedule"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := &soak{
+				bin: c.String("bin"), out: c.String("out"),
+				seed: c.Uint64("seed"), duration: c.Duration("duration"),
+			}
+			s.kinds = slices.Sorted(maps.Keys(spans))
+			// No trainers are part of the deployment yet.
+			s.kinds = slices.DeleteFunc(s.kinds, func(k kind) bool { return k == trainerKill })
+			if c.Bool("schedule") {
+				printSchedule(plan(s.seed, s.duration, s.kinds))
+				return nil
+			}
+			return s.run(ctx)
+		},
+	}
+}
+
+func printSchedule(faults []fault) {
+	for _, f := range faults {
+		fmt.Printf("%8.3fs %-20s target %10d lasts %.3fs\n", f.At.Seconds(), f.Kind, f.Target, f.Lasts.Seconds())
+	}
+}
+
+// soak is one run.
+type soak struct {
+	bin, out string
+	seed     uint64
+	duration time.Duration
+	kinds    []kind
+	result   Result
+}
+
+// run plays the soak and prints its result, also when a part of it failed.
+func (s *soak) run(ctx context.Context) error {
+	s.result.Seed = s.seed
+	s.result.NotCovered = []string{"trainers and samples", "links between daemons", "weights loaded by engines"}
+	// Journals of an earlier run must not be taken for those of this one.
+	if err := os.RemoveAll(s.out); err != nil {
+		return fmt.Errorf("output directory: %w", err)
+	}
+	runner, err := proc.NewRunner(s.bin, s.out)
+	if err != nil {
+		return err
+	}
+	defer runner.KillAll()
+	if err := s.play(ctx, runner); err != nil {
+		s.result.note("%v", err)
+	}
+	line, err := json.Marshal(&s.result)
+	if err != nil {
+		return fmt.Errorf("encode the result: %w", err)
+	}
+	fmt.Println(string(line))
+	return s.result.check()
+}
--- /dev/null
+++ b/bench/soak/operate.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/check"
+	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/front/adminapi"
+)
+
+const (
+	changeLimit  = 4 * time.Second // one call of an operator
+	changeEvery  = 100 * time.Millisecond
+	drainBound   = 3 * time.Second // no new work later than this after a mark
+	operatorName = "soak"
+)
+
+// drained is a time in which an upstream must get no new work.
+type drained struct {
+	Upstream api.UpstreamID
+	Accepted time.Time // the mark was accepted
+	Until    time.Time // the mark was asked to be taken away
+}
+
+// operators changes the configuration as several people do at once.
+type operators struct {
+	d    *deployment
+	pool *check.Pool // one thread an operator
+
+	mu       sync.Mutex
+	drains   []drained
+	accepted int // changes
+	both     int // races in which both operators were told that theirs is in force
+	version  api.WeightVersion
+}
+
+const racers = 2
+
+func newOperators(d *deployment) *operators {
+	return &operators{d: d, pool: check.NewPool(racers), version: 1}
+}
+
+func (o *operators) ask(ctx context.Context, daemon int, method, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	return fleet.Ask(ctx, fleet.Question{
+		Method: method, Address: o.d.callers[daemon%daemonCount], Path: path, Body: body,
+		Header: http.Header{adminapi.HeaderOperator: {operatorName}},
+	}, into)
+}
+
+func (o *operators) state(ctx context.Context, daemon int) (adminapi.StateView, error) {
+	var v adminapi.StateView
+	err := o.ask(ctx, daemon, http.MethodGet, adminapi.PathState, nil, &v)
+	return v, err
+}
+
+// publish puts both lists in force for the first time. Errors: as fleet.Ask.
+func (o *operators) publish(ctx context.Context) error {
+	base, plans := api.Revision(0), planList()
+	if err := o.ask(ctx, 0, http.MethodPut, adminapi.PathPlanList, adminapi.PutPlanList{Base: &base, List: &plans}, nil); err != nil {
+		return err
+	}
+	usage := o.d.usage
+	return o.ask(ctx, 0, http.MethodPut, adminapi.PathUsageList, adminapi.PutUsageList{Base: &base, List: &usage}, nil)
+}
+
+// race lets two operators make conflicting changes through two daemons at the
+// same moment. It returns how many were accepted and whether any may be.
+func (o *operators) race(ctx context.Context, target int, change func(ctx context.Context, operator, daemon int) error) (accepted int, unknown bool) {
+	errs := make([]error, racers)
+	jobs := make([]func(), racers)
+	for i := range jobs {
+		jobs[i] = func() { errs[i] = change(ctx, i, target+i) }
+	}
+	if o.pool.Do(ctx, jobs) != nil {
+		return 0, true
+	}
+	for _, err := range errs {
+		var status *fleet.StatusError
+		switch {
+		case err == nil:
+			accepted++
+		case !errors.As(err, &status) || status.Status != http.StatusConflict:
+			unknown = true
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.accepted += accepted
+	if accepted == racers {
+		o.both++
+	}
+	return accepted, unknown
+}
+
+// raceLists publishes conflicting usage lists with one base.
+func (o *operators) raceLists(ctx context.Context, target int) bool {
+	state, err := o.state(ctx, target)
+	if err != nil {
+		return false
+	}
+	accepted, _ := o.race(ctx, target, func(ctx context.Context, operator, daemon int) error {
+		list := o.d.usage
+		list.Upstreams = slices.Clone(list.Upstreams)
+		list.Upstreams[target%engineCount].Window = engineWindow + operator
+		in := adminapi.PutUsageList{Base: &state.UsageRevision, List: &list}
+		return o.ask(ctx, daemon, http.MethodPut, adminapi.PathUsageList, in, nil)
+	})
+	return accepted > 0
+}
+
+// drain marks an upstream, twice at once, and takes the mark away later.
+// marked is called as soon as the mark was accepted.
+func (o *operators) drain(ctx context.Context, f fault, marked func(context.Context)) bool {
+	ids := make([]api.UpstreamID, 0, engineCount+plainCount)
+	for _, u := range o.d.usage.Upstreams {
+		ids = append(ids, u.ID)
+	}
+	id := ids[f.Target%len(ids)]
+	state, err := o.state(ctx, f.Target)
+	if err != nil {
+		return false
+	}
+	base := state.Mark(id).Revision
+	accepted, unknown := o.race(ctx, f.Target, func(ctx context.Context, _, daemon int) error {
+		return o.mark(ctx, daemon, id, base, api.MarkDraining)
+	})
+	at := time.Now()
+	if accepted > 0 {
+		marked(ctx)
+		wait(ctx, f.Lasts)
+	}
+	if accepted > 0 || unknown {
+		o.undrain(ctx, f.Target, id, at, accepted > 0)
+	}
+	return accepted > 0
+}
+
+func (o *operators) mark(ctx context.Context, daemon int, id api.UpstreamID, base api.Revision, m api.Mark) error {
+	path := adminapi.PathUpstreams + string(id) + "/mark"
+	return o.ask(ctx, daemon, http.MethodPost, path, adminapi.PostMark{Base: &base, Mark: m}, nil)
+}
+
+// undrain takes a mark away, trying until it is gone.
+func (o *operators) undrain(ctx context.Context, daemon int, id api.UpstreamID, at time.Time, accepted bool) {
+	if accepted {
+		o.mu.Lock()
+		o.drains = append(o.drains, drained{Upstream: id, Accepted: at, Until: time.Now()})
+		o.mu.Unlock()
+	}
+	for ; ; daemon++ {
+		state, err := o.state(ctx, daemon)
+		if err == nil && o.mark(ctx, daemon, id, state.Mark(id).Revision, api.MarkActive) == nil {
+			return
+		}
+		if !wait(ctx, changeEvery) {
+			return
+		}
+	}
+}
+
+// announce puts the next weight version in force. It reports whether it was accepted.
+func (o *operators) announce(ctx context.Context, daemon int) bool {
+	o.mu.Lock()
+	o.version++
+	v := o.version
+	o.mu.Unlock()
+	return o.ask(ctx, daemon, http.MethodPost, adminapi.PathWeights, adminapi.PostWeights{Model: model, Version: v}, nil) == nil
+}
--- /dev/null
+++ b/bench/soak/play.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/standin/journal"
+)
+
+const (
+	startupLimit = 20 * time.Second
+	closeLimit   = 30 * time.Second
+	recoverLimit = 10 * time.Second
+)
+
+// play runs the parts in order. Errors end it early.
+func (s *soak) play(ctx context.Context, runner *proc.Runner) error {
+	starting, cancel := context.WithTimeout(ctx, startupLimit)
+	defer cancel()
+	d, err := startDeployment(starting, runner)
+	if err != nil {
+		return err
+	}
+	o := newOperators(d)
+	if err := o.publish(starting); err != nil {
+		return fmt.Errorf("first lists: %w", err)
+	}
+	l := newLoad(d, s.seed)
+	j := newInjector(d, o)
+	j.killer = l.killer
+	watches := s.trouble(ctx, d, l, j)
+	s.recovered(ctx, d, l)
+	s.violations(ctx, d)
+	closing, stop := context.WithTimeout(ctx, closeLimit)
+	defer stop()
+	exits, err := d.close(closing)
+	if err != nil {
+		s.result.note("end of a process: %v", err)
+	}
+	s.result.StoppedCleanly = err == nil
+	return s.judge(d, l, j, watches, exits)
+}
+
+// trouble makes load and brings the faults about; it returns when both are over.
+func (s *soak) trouble(ctx context.Context, d *deployment, l *load, j *injector) []*watch {
+	begin := time.Now()
+	loaded, stopLoad := context.WithDeadline(ctx, begin.Add(s.duration))
+	defer stopLoad()
+	watched, stopWatches := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	watches := startWatches(watched, d, &watching)
+	faulty, stopFaults := context.WithDeadline(ctx, begin.Add(s.duration-calm/2))
+	defer stopFaults()
+	var playing sync.WaitGroup
+	playing.Add(1)
+	startTask(d, "schedule", func() {
+		defer playing.Done()
+		j.play(faulty, begin, plan(s.seed, s.duration, s.kinds))
+	})
+	l.run(loaded)
+	playing.Wait()
+	stopWatches()
+	watching.Wait()
+	s.result.Seconds = time.Since(begin).Seconds()
+	return watches
+}
+
+// recovered reports whether, without faults, every daemon serves a chat and a
+// once-only call within a bounded time.
+func (s *soak) recovered(ctx context.Context, d *deployment, l *load) {
+	ctx, cancel := context.WithTimeout(ctx, recoverLimit)
+	defer cancel()
+	s.result.Recovered = true
+	for i := range daemonCount {
+		ok := false
+		for n := 0; !ok; n++ {
+			key := fmt.Sprintf("end-%d-%d", i, n)
+			chat := l.ask(i, key+": len=5", 5, n%2 == 0)
+			once := l.callOnce(i, key)
+			ok = chat.Outcome == api.OutcomeComplete && once.Outcome == api.OutcomeComplete
+			if !ok && !wait(ctx, retryEvery) {
+				s.result.Recovered = false
+				s.result.note("%s does not serve again: chat %s, once-only call %s", d.daemons[i].name, chat.Error, once.Error)
+				break
+			}
+		}
+	}
+}
+
+// violations reads the counts of the daemons that run at the end; those that
+// ended at a violation are known by their exit status.
+func (s *soak) violations(ctx context.Context, d *deployment) {
+	for _, daemon := range d.daemons {
+		n, err := fleet.Violations(ctx, daemon.address)
+		if err != nil {
+			s.result.note("invariants of %s: %v", daemon.name, err)
+		}
+		s.result.InvariantViolations += n
+	}
+}
+
+// judge fills the result in from what was seen.
+func (s *soak) judge(d *deployment, l *load, j *injector, watches []*watch, exits []exit) error {
+	e := newEvidence()
+	for _, group := range [][]*supervised{d.engines, d.plains} {
+		for _, p := range group {
+			lines, err := journal.Read(p.journal())
+			if err != nil {
+				return err
+			}
+			e.add(api.UpstreamID(p.name), lines)
+		}
+	}
+	r := &s.result
+	r.judge(l.asked, e)
+	r.judgeDrains(j.operators.drains, e)
+	r.RacesBothAccepted = j.operators.both
+	daemons := make(map[string]bool)
+	for i, w := range watches {
+		daemons[d.daemons[i].name] = true
+		r.VersionPolls += w.polls
+		r.VersionReverts += len(w.reverts)
+		for _, text := range w.reverts {
+			r.note("%s", text)
+		}
+	}
+	r.judgeExits(exits, daemons)
+	r.Faults = j.counts
+	for _, k := range s.kinds {
+		if j.counts[k] == 0 {
+			r.FaultsMissing = append(r.FaultsMissing, k)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/soak/result.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"dotterelmount.example/api"
+)
+
+// Result is the soak's last line.
+type Result struct {
+	Seed                     uint64         `json:"seed"`
+	Seconds                  float64        `json:"seconds"` // of load
+	Faults                   map[kind]int   `json:"faults"`
+	FaultsMissing            []kind         `json:"faults_missing,omitempty"`
+	NotCovered               []string       `json:"not_covered,omitempty"` // what this build can't be tried for
+	Requests                 map[string]int `json:"requests"`              // by outcome
+	SamplesDue               int            `json:"samples_due"`
+	SamplesDelivered         int            `json:"samples_delivered"`
+	SamplesDuplicated        int            `json:"samples_duplicated"`
+	StaleDelivered           int            `json:"stale_delivered"`
+	WrongVersions            int            `json:"wrong_versions"`
+	RepeatedNonIdempotent    int            `json:"repeated_nonidempotent"`
+	FalseNotRun              int            `json:"false_not_run"`
+	CutByDrain               int            `json:"cut_by_drain"`
+	CutByStop                int            `json:"cut_by_stop"`
+	Drains                   int            `json:"drains"`
+	NewWorkAfterDrain        int            `json:"new_work_after_drain"`
+	RacesBothAccepted        int            `json:"races_both_accepted"`
+	VersionReverts           int            `json:"version_reverts"`
+	VersionPolls             int            `json:"version_polls"`
+	AnswersForeignOrPartial  int            `json:"answers_foreign_or_partial"`
+	CompleteWithoutExecution int            `json:"complete_without_execution"`
+	InvariantViolations      int64          `json:"invariant_violations"`
+	DaemonPanics             int            `json:"daemon_panics"`
+	UnexpectedExits          int            `json:"unexpected_exits"` // of daemons, not otherwise listed
+	Recovered                bool           `json:"recovered"`        // in the end every daemon serves each kind of request
+	StoppedCleanly           bool           `json:"stopped_cleanly"`
+	Errors                   []string       `json:"errors,omitempty"`
+}
+
+// maxErrors bounds the errors on the last line; the rest go to stderr only.
+const maxErrors = 8
+
+func (r *Result) note(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	fmt.Fprintln(os.Stderr, "soak:", text)
+	if len(r.Errors) < maxErrors {
+		r.Errors = append(r.Errors, text)
+	}
+}
+
+// noAnswer is the outcome of requests that got none.
+const noAnswer = "no-answer"
+
+// judge compares what callers were told with what the journals show.
+func (r *Result) judge(requests []asked, e *evidence) {
+	r.Requests = make(map[string]int)
+	for _, a := range requests {
+		outcome := noAnswer
+		if a.Outcome != 0 {
+			outcome = a.Outcome.String()
+		}
+		r.Requests[outcome]++
+		r.judgeOne(a, e)
+	}
+	for body, n := range e.bodies {
+		if n > 1 {
+			r.RepeatedNonIdempotent++
+			r.note("the call with body %s ran %d times", body, n)
+		}
+	}
+}
+
+func (r *Result) judgeOne(a asked, e *evidence) {
+	ran := e.ran[a.RequestID] > 0
+	switch {
+	case a.Foreign != "":
+		r.AnswersForeignOrPartial++
+		r.note("request %s at daemon %d: %s", a.RequestID, a.Daemon+1, a.Foreign)
+	case a.Outcome == api.OutcomeNotRun && a.RequestID != "" && ran:
+		r.FalseNotRun++
+		r.note("request %s at daemon %d was told not-run and ran: %s", a.RequestID, a.Daemon+1, a.Error)
+	case a.Outcome != api.OutcomeComplete:
+	case a.Plain && e.bodies[a.Body] == 0, !a.Plain && !ran:
+		r.CompleteWithoutExecution++
+		r.note("request %s at daemon %d is complete and never ran", a.RequestID, a.Daemon+1)
+	case !a.Plain && e.wrongVersions(a.RequestID, a.Versions, a.Tokens):
+		r.WrongVersions++
+		r.note("request %s at daemon %d names versions %v, the journals %v", a.RequestID, a.Daemon+1, a.Versions, e.makings[a.RequestID])
+	}
+}
+
+func (r *Result) judgeDrains(drains []drained, e *evidence) {
+	r.Drains = len(drains)
+	for _, d := range drains {
+		for _, id := range e.afterMark(d) {
+			r.NewWorkAfterDrain++
+			r.note("%s got request %s after its mark of %s", d.Upstream, id, d.Accepted.Format("15:04:05.000"))
+		}
+	}
+}
+
+// Exit statuses of a daemon.
+const (
+	statusInvariant = 70
+	statusPanic     = 2
+)
+
+func (r *Result) judgeExits(exits []exit, daemons map[string]bool) {
+	for _, x := range exits {
+		switch {
+		case !daemons[x.Name]:
+			continue
+		case x.Code == statusInvariant:
+			r.InvariantViolations++
+		case x.Code == statusPanic:
+			r.DaemonPanics++
+		case !x.Expected:
+			r.UnexpectedExits++
+		default:
+			continue
+		}
+		r.note("%s ended with status %d", x.Name, x.Code)
+	}
+}
+
+// FailedError lists what was not right.
+type FailedError struct{ Points []string }
+
+// Error implements error.
+func (e *FailedError) Error() string { return "not right: " + strings.Join(e.Points, ", ") }
+
+func (r *Result) check() error {
+	var points []string
+	for _, c := range []struct {
+		ok   bool
+		name string
+	}{
+		{len(r.FaultsMissing) == 0, "faults_missing"},
+		{r.Requests[api.OutcomeComplete.String()] > 0, "requests"},
+		{r.SamplesDelivered == r.SamplesDue, "samples_delivered"},
+		{r.SamplesDuplicated == 0, "samples_duplicated"},
+		{r.StaleDelivered == 0, "stale_delivered"},
+		{r.WrongVersions == 0, "wrong_versions"},
+		{r.RepeatedNonIdempotent == 0, "repeated_nonidempotent"},
+		{r.FalseNotRun == 0, "false_not_run"},
+		{r.CutByDrain == 0, "cut_by_drain"},
+		{r.CutByStop == 0, "cut_by_stop"},
+		{r.Drains > 0, "drains"},
+		{r.NewWorkAfterDrain == 0, "new_work_after_drain"},
+		{r.RacesBothAccepted == 0, "races_both_accepted"},
+		{r.VersionReverts == 0, "version_reverts"},
+		{r.VersionPolls > 0, "version_polls"},
+		{r.AnswersForeignOrPartial == 0, "answers_foreign_or_partial"},
+		{r.CompleteWithoutExecution == 0, "complete_without_execution"},
+		{r.InvariantViolations == 0, "invariant_violations"},
+		{r.DaemonPanics == 0, "daemon_panics"},
+		{r.UnexpectedExits == 0, "unexpected_exits"},
+		{r.Recovered, "recovered"},
+		{r.StoppedCleanly, "stopped_cleanly"},
+		{len(r.Errors) == 0, "errors"},
+	} {
+		if !c.ok {
+			points = append(points, c.name)
+		}
+	}
+	if len(points) > 0 {
+		return &FailedError{Points: points}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/soak/schedule.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// kind is a kind of fault.
+type kind string
+
+// The kinds of faults.
+const (
+	engineCrash   kind = "engine-crash"
+	engineKill    kind = "engine-kill"
+	engineHang    kind = "engine-hang"
+	engineSlow    kind = "engine-slow"
+	engineCut     kind = "engine-cut"
+	plainCrash    kind = "plain-crash"
+	plainHang     kind = "plain-hang"
+	daemonKill    kind = "daemon-kill"
+	daemonPause   kind = "daemon-pause"
+	daemonTerm    kind = "daemon-term"
+	linkCut       kind = "link-cut"
+	linkSilent    kind = "link-silent"
+	linkSilentOld kind = "link-silent-old" // connections made before go silent, new ones work
+	centreParted  kind = "centre-parted"
+	logOutage     kind = "log-outage"
+	logSlow       kind = "log-slow"
+	logLost       kind = "log-lost-answers"
+	listRace      kind = "list-race"
+	drainRace     kind = "drain-race" // two operators mark one upstream; it is drained for a while
+	drainOutage   kind = "drain-log-outage"
+	weightSwap    kind = "weight-swap"
+	weightPartway kind = "weight-swap-partway"
+	trainerKill   kind = "trainer-kill"
+	killerRequest kind = "killer-request"
+)
+
+// span bounds how long a fault lasts.
+type span struct{ least, most time.Duration }
+
+// spans holds every kind with how long it lasts; zero for those of one moment.
+var spans = map[kind]span{
+	engineCrash: {}, engineKill: {}, plainCrash: {}, daemonKill: {}, daemonTerm: {}, listRace: {},
+	weightSwap: {}, weightPartway: {}, trainerKill: {}, killerRequest: {}, logLost: {},
+	engineHang:    {500 * time.Millisecond, 4 * time.Second},
+	engineSlow:    {time.Second, 4 * time.Second},
+	engineCut:     {500 * time.Millisecond, 2 * time.Second},
+	plainHang:     {500 * time.Millisecond, 2 * time.Second},
+	daemonPause:   {time.Second, 5 * time.Second},
+	linkCut:       {500 * time.Millisecond, 3 * time.Second},
+	linkSilent:    {500 * time.Millisecond, 3 * time.Second},
+	linkSilentOld: {3 * time.Second, 6 * time.Second},
+	centreParted:  {time.Second, 6 * time.Second},
+	logOutage:     {500 * time.Millisecond, 4 * time.Second},
+	logSlow:       {time.Second, 3 * time.Second},
+	drainRace:     {4 * time.Second, 6 * time.Second},
+	drainOutage:   {5 * time.Second, 6 * time.Second},
+}
+
+// fault is one entry of the schedule.
+type fault struct {
+	At     time.Duration // since the start of the load
+	Kind   kind
+	Target int // picks among what the kind can hit, modulo their number
+	Lasts  time.Duration
+}
+
+const (
+	warmUp      = time.Second             // load without faults
+	calm        = 7 * time.Second         // load without faults at the end
+	extraEvery  = 1500 * time.Millisecond // a further fault of any kind
+	leastFaulty = 5 * time.Second
+)
+
+// faultyTime returns how long after the start faults may last.
+func faultyTime(duration time.Duration) time.Duration {
+	return warmUp + max(leastFaulty, duration-calm-warmUp)
+}
+
+// plan makes the schedule of a seed: every kind of kinds at least once, each in
+// a slot of its own, and further ones of random kinds.
+func plan(seed uint64, duration time.Duration, kinds []kind) []fault {
+	rng := rand.New(rand.NewPCG(seed, uint64(len(kinds))))
+	end := faultyTime(duration)
+	var faults []fault
+	add := func(k kind, from, slot time.Duration) {
+		f := fault{Kind: k, Target: int(rng.Int32()), At: from + time.Duration(rng.Int64N(int64(slot)))}
+		s := spans[k]
+		f.Lasts = s.least + time.Duration(rng.Int64N(int64(s.most-s.least)+1))
+		f.At = max(warmUp, min(f.At, end-f.Lasts))
+		faults = append(faults, f)
+	}
+	order := slices.Clone(kinds)
+	rng.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	slot := (end - warmUp) / time.Duration(len(order))
+	for i, k := range order {
+		add(k, warmUp+time.Duration(i)*slot, slot)
+	}
+	for at := warmUp; at < end; at += extraEvery {
+		add(kinds[rng.IntN(len(kinds))], at, extraEvery)
+	}
+	slices.SortStableFunc(faults, func(a, b fault) int { return int(a.At - b.At) })
+	return faults
+}
--- /dev/null
+++ b/bench/soak/soak_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/standin/journal"
+)
+
+func TestEverySeedBringsEveryKindAboutBeforeTheCalm(t *testing.T) {
+	kinds := slices.Sorted(maps.Keys(spans))
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		duration := time.Duration(rapid.IntRange(15, 90).Draw(t, "seconds")) * time.Second
+		faults := plan(seed, duration, kinds)
+		seen := make(map[kind]bool)
+		for _, f := range faults {
+			seen[f.Kind] = true
+			assert.Assert(t, f.At >= warmUp && f.At+f.Lasts <= duration-calm, "%v", f)
+		}
+		assert.Equal(t, len(seen), len(kinds))
+		assert.DeepEqual(t, plan(seed, duration, kinds), faults)
+	})
+}
+
+// scene has one request that ran on two engines and one that was refused.
+func scene() *evidence {
+	e := newEvidence()
+	at := time.Unix(100, 0).UnixMilli()
+	e.add("a", []journal.Line{
+		{Event: journal.EventStart, RequestID: "r", AtMillis: at},
+		{Event: journal.EventTokens, RequestID: "r", Version: 1},
+		{Event: journal.EventStart, RequestID: "no", AtMillis: at},
+		{Event: journal.EventEnd, RequestID: "no", Ended: journal.EndRefused},
+	})
+	e.add("b", []journal.Line{
+		{Event: journal.EventStart, RequestID: "r", AtMillis: at},
+		{Event: journal.EventTokens, RequestID: "r", Version: 2, From: 3},
+		{Event: journal.EventStart, RequestID: "single", AtMillis: at},
+		{Event: journal.EventTokens, RequestID: "single", Version: 2},
+		{Event: journal.EventTokens, RequestID: "single", Version: 3, From: 4},
+	})
+	return e
+}
+
+func TestWrongVersions(t *testing.T) {
+	e := scene()
+	for _, c := range []struct {
+		id       api.RequestID
+		versions []api.WeightVersion
+		tokens   int
+		wrong    bool
+	}{
+		{"r", []api.WeightVersion{1, 2}, 5, false},
+		{"r", []api.WeightVersion{1}, 5, false}, // the second engine may have been a hedge
+		{"r", []api.WeightVersion{2}, 5, true},
+		{"r", []api.WeightVersion{1, 2}, 3, true},
+		{"r", []api.WeightVersion{1, 4}, 5, true},
+		{"r", nil, 5, true},
+		{"single", []api.WeightVersion{2, 3}, 5, false},
+		{"single", []api.WeightVersion{2}, 5, true},
+		{"single", []api.WeightVersion{2}, 4, false},
+	} {
+		assert.Equal(t, e.wrongVersions(c.id, c.versions, c.tokens), c.wrong, "%v", c)
+	}
+}
+
+func TestJudgeFindsWhatIsWrong(t *testing.T) {
+	e := scene()
+	e.bodies["twice"] = 2
+	r := &Result{}
+	r.judge([]asked{
+		{RequestID: "r", Outcome: api.OutcomeNotRun},
+		{RequestID: "no", Outcome: api.OutcomeNotRun},
+		{RequestID: "r", Outcome: api.OutcomeComplete, Tokens: 5, Versions: []api.WeightVersion{1, 2}},
+		{RequestID: "never", Outcome: api.OutcomeComplete},
+		{Plain: true, Body: "never", Outcome: api.OutcomeComplete},
+		{RequestID: "r", Foreign: "x", Outcome: api.OutcomeComplete},
+		{},
+	}, e)
+	assert.Equal(t, r.FalseNotRun, 1)
+	assert.Equal(t, r.CompleteWithoutExecution, 2)
+	assert.Equal(t, r.AnswersForeignOrPartial, 1)
+	assert.Equal(t, r.RepeatedNonIdempotent, 1)
+	assert.Equal(t, r.WrongVersions, 0)
+	assert.Equal(t, r.Requests[noAnswer], 1)
+	var failed *FailedError
+	assert.Assert(t, errors.As(r.check(), &failed))
+	assert.Assert(t, slices.Contains(failed.Points, "false_not_run"))
+}
+
+func TestNewWorkAfterMark(t *testing.T) {
+	e := scene()
+	mark := time.Unix(100, 0).Add(-drainBound)
+	assert.Equal(t, len(e.afterMark(drained{Upstream: "a", Accepted: mark.Add(-time.Millisecond), Until: mark.Add(time.Minute)})), 2)
+	assert.Equal(t, len(e.afterMark(drained{Upstream: "a", Accepted: mark, Until: mark.Add(time.Minute)})), 0)
+	assert.Equal(t, len(e.afterMark(drained{Upstream: "a", Accepted: mark.Add(-time.Second), Until: time.Unix(100, 0)})), 0)
+}
+
+func TestVersionsThatGoBackAreSeen(t *testing.T) {
+	w := &watch{daemon: &supervised{name: "d"}, last: make(map[string]api.Offset)}
+	w.see(map[string]api.Offset{"a": 2, "b": 1})
+	w.see(map[string]api.Offset{"a": 2, "b": 1})
+	assert.Equal(t, len(w.reverts), 0)
+	w.see(map[string]api.Offset{"a": 1})
+	assert.Equal(t, len(w.reverts), 2)
+}
--- /dev/null
+++ b/bench/soak/watch.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/front/adminapi"
+	"dotterelmount.example/lib/duty"
+)
+
+const (
+	pollEvery = 50 * time.Millisecond
+	pollLimit = time.Second
+)
+
+// watch reads a daemon's versions over time; they must never go back, also not
+// over a restart.
+type watch struct {
+	daemon *supervised
+	done   *sync.WaitGroup
+
+	last    map[string]api.Offset
+	reverts []string
+	polls   int
+}
+
+// startWatches watches every daemon until ctx ends; wait for done before
+// reading the watches.
+func startWatches(ctx context.Context, d *deployment, done *sync.WaitGroup) []*watch {
+	var watches []*watch
+	for _, s := range d.daemons {
+		w := &watch{daemon: s, done: done, last: make(map[string]api.Offset)}
+		done.Add(1)
+		worker := duty.Start(d.system, duty.Config{Name: "watch-" + s.name, RingSize: 1}, duty.Handler[context.Context](w))
+		// An empty ring of one entry takes the only message.
+		_ = worker.Post(ctx)
+		watches = append(watches, w)
+	}
+	return watches
+}
+
+// Handle polls until ctx, which comes as the message, ends.
+func (w *watch) Handle(_ context.Context, ctx context.Context) {
+	defer w.done.Done()
+	for {
+		w.poll(ctx)
+		if !wait(ctx, pollEvery) {
+			return
+		}
+	}
+}
+
+// poll looks only at a daemon that says it is ready: one that starts may not
+// know anything yet.
+func (w *watch) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollLimit)
+	defer cancel()
+	if !fleet.Ready(ctx, w.daemon.address) {
+		return
+	}
+	var v adminapi.StateView
+	err := fleet.Ask(ctx, fleet.Question{Method: http.MethodGet, Address: w.daemon.address, Path: adminapi.PathState}, &v)
+	if err != nil {
+		return
+	}
+	w.polls++
+	now := map[string]api.Offset{"through": v.Through, "plan list": v.PlansRevision, "usage list": v.UsageRevision}
+	for _, m := range v.Marks {
+		now["mark of "+string(m.Upstream)] = m.Revision
+	}
+	for _, m := range v.Weights {
+		now["weights of "+string(m.Model)] = api.Offset(m.Version)
+	}
+	w.see(now)
+}
+
+// see compares versions with those seen before; a missing one has gone back too.
+func (w *watch) see(now map[string]api.Offset) {
+	for what, before := range w.last {
+		if now[what] < before {
+			w.reverts = append(w.reverts, fmt.Sprintf("%s: %s went back from %d to %d", w.daemon.name, what, before, now[what]))
+		}
+	}
+	for what, version := range now {
+		w.last[what] = max(w.last[what], version)
+	}
+}
