--- a/bench/demo/deployment.go
+++ b/bench/demo/deployment.go
@@ -76,7 +76,7 @@
 			"--model", string(model) + ":1",
 			"--slots", fmt.Sprint(engineSlots),
 			"--token-time", tokenTime.String(),
-			"--weight-store", f.store.Address,
+			"--weight-store", "http://" + f.store.Address,
 		}
 		if fenced(i) {
 			args = append(args, "--fenced")
--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -16,36 +16,45 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/eventlog/httplog"
+	"dotterelmount.example/lib/hostlist"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/upstream/httpupstream"
 	"dotterelmount.example/server/appender"
 	"dotterelmount.example/server/dispatch"
+	"dotterelmount.example/server/hosts"
 	"dotterelmount.example/server/logbook"
 	"dotterelmount.example/server/once"
+	"dotterelmount.example/server/sampler"
+	"dotterelmount.example/server/weightkeeper"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 )
 
 // Sizes and times of the parts.
 const (
-	ledgerRing     = 1024                   // messages
-	dispatchRing   = 4096                   // messages
-	appenderRing   = 4096                   // records
-	appendBatch    = 256                    // records in one append
-	flushEvery     = 5 * time.Millisecond   // between two appends to a stream
-	logCallTimeout = 2 * time.Second        // one call of the log
-	logReadWait    = 2 * time.Second        // long poll
-	logReadLimit   = 512                    // entries a read and stream
-	logRetryEvery  = 100 * time.Millisecond // after a failed read
-	proposeTimeout = 10 * time.Second
-	retryRatio     = 0.2
-	hedgeRatio     = 0.05
-	rolloutShare   = 0.5
-	exitInvariant  = 70
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
+	ledgerRing      = 1024                 // messages
+	dispatchRing    = 4096                 // messages
+	appenderRing    = 4096                 // records
+	appendBatch     = 256                  // records in one append
+	flushEvery      = 5 * time.Millisecond // between two appends to a stream
+	logCallTimeout  = time.Second          // one call of the log
+	verdictGrace    = logCallTimeout + 200*time.Millisecond
+	operatorTimeout = 3 * time.Second        // an operator's change
+	appenderStop    = 3 * time.Second        // for what is still to be appended at the stop
+	logReadWait     = 2 * time.Second        // long poll
+	logReadLimit    = 512                    // entries a read and stream
+	logRetryEvery   = 100 * time.Millisecond // after a failed read
+	proposeTimeout  = 10 * time.Second
+	retryRatio      = 0.2
+	hedgeRatio      = 0.05
+	rolloutShare    = 0.5
+	exitInvariant   = 70
+	hostListEvery   = time.Second
+	hostListTimeout = time.Second
+	headerTimeout   = 10 * time.Second
+	idleTimeout     = 2 * time.Minute
 )
 
 // Node is a running daemon.
@@ -56,7 +65,11 @@
 	system   *duty.System
 	appender *appender.Appender
 	book     *logbook.Book
+	hosts    *hosts.Follower
+	client   *httpupstream.Client
 	dispatch *dispatch.Dispatcher
+	weights  *weightkeeper.Keeper
+	sampler  *sampler.Sampler
 	callers  *http.Server
 	address  string
 	stopping atomic.Bool
@@ -70,10 +83,13 @@
 	invariant.OnViolation(n.violated)
 	n.system = duty.NewSystem(n.panicked)
 	n.platform = httplog.New(s.Platform.Log, &http.Client{})
+	n.startHosts()
 	if err := n.startDispatch(); err != nil {
 		return nil, err
 	}
 	n.startLog()
+	n.startWeights()
+	n.startSampler()
 	if err := n.serveCallers(); err != nil {
 		return nil, err
 	}
@@ -91,26 +107,48 @@
 	n.book = logbook.Start(n.system, n.platform, appendAdapter{n.appender}, logbook.Config{
 		Daemon: api.DaemonID(n.settings.Daemon), RingSize: ledgerRing,
 		ReadWait: logReadWait, ReadLimit: logReadLimit, RetryEvery: logRetryEvery,
-		ProposeTimeout: proposeTimeout, CheckpointEvery: n.settings.Platform.CheckpointEvery,
+		ProposeTimeout: proposeTimeout, VerdictGrace: verdictGrace, CheckpointEvery: n.settings.Platform.CheckpointEvery,
 		NewID: func() api.RecordID { return api.RecordID(newID()) },
 		Now:   time.Now, Jitter: rand.Float64,
 	}, n.dispatch.Update)
 }
 
+func (n *Node) startHosts() {
+	var source hostlist.Source
+	if address := n.settings.Platform.HostList; address != "" {
+		source = hostlist.NewHTTP(address, &http.Client{})
+	}
+	n.hosts = hosts.Start(n.system, source, hosts.Config{Every: hostListEvery, Timeout: hostListTimeout})
+}
+
 func (n *Node) startDispatch() error {
 	d := n.settings.Dispatch
 	var err error
-	n.dispatch, err = dispatch.Start(n.system, httpupstream.New(httpupstream.Options{}), dispatch.Config{
+	n.client = httpupstream.New(httpupstream.Options{})
+	n.dispatch, err = dispatch.Start(n.system, n.client, dispatch.Config{
 		DataCentre: api.DataCentre(n.settings.DataCentre), Carriers: d.Carriers, RingSize: dispatchRing,
 		QueueLimit: d.QueueLimit, Routing: d.Routing, ProgressDeadline: d.ProgressDeadline,
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
-		Now: time.Now, Rand: rand.IntN, Strike: n.strike,
+		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving,
 	}, ledger.NewConfig().Snapshot())
 	return err
 }
 
+func (n *Node) startWeights() {
+	cfg := weightkeeper.Config{Daemon: api.DaemonID(n.settings.Daemon), OnOrder: n.ordered}
+	n.weights = weightkeeper.Start(n.system, cfg, n.client, n.book.State, n.live)
+}
+
+func (n *Node) startSampler() {
+	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
+	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
+		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
+		Submitter: n.dispatch, Now: time.Now,
+	})
+}
+
 func (n *Node) serveCallers() error {
 	listener, err := net.Listen("tcp", n.settings.Listen.Callers)
 	if err != nil {
@@ -154,11 +192,19 @@
 	if err := n.callers.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were cut", zap.Error(err))
 	}
-	err := errors.Join(n.dispatch.Stop(ctx), n.appender.Stop(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
 
+// stopAppender gives up soon: the log may be out, and what has not been
+// appended was not promised to anybody.
+func (n *Node) stopAppender(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, appenderStop)
+	defer cancel()
+	return n.appender.Stop(ctx)
+}
+
 // linger answers new requests as not run for a while, so that the platform's
 // balancer takes this host out before connections are refused.
 func (n *Node) linger(ctx context.Context) {
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dotterelmount.example/api"
@@ -9,6 +10,7 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/recordcodec"
+	"dotterelmount.example/lib/weights"
 	"dotterelmount.example/server/logbook"
 	"go.uber.org/zap"
 )
@@ -24,6 +26,8 @@
 	if err := o.n.ready(); err != nil {
 		return ledger.Verdict{}, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
+	defer cancel()
 	v, err := o.n.book.Propose(ctx, api.StreamConfig, body, actor)
 	o.n.log.Info("change proposed", zap.String("actor", actor), zap.String("kind", recordcodec.KindOf(body)),
 		zap.String("record", string(v.ID)), zap.Uint64("offset", uint64(v.Offset)),
@@ -122,7 +126,35 @@
 	}}
 }
 
-func (n *Node) loaded(api.UpstreamID) map[api.ModelName]api.WeightVersion { return nil }
+// live returns the daemons that share the work, this one included.
+func (n *Node) live() []api.DaemonID { return []api.DaemonID{api.DaemonID(n.settings.Daemon)} }
+
+// Alive implements sampler.Members.
+func (n *Node) Alive(id api.DaemonID) bool { return slices.Contains(n.live(), id) }
+
+// catalog gives the log book the shape that the sampler asks for.
+type catalog struct{ book *logbook.Book }
+
+// Plan implements sampler.Catalog.
+func (c catalog) Plan(id api.CustomerID) (api.Plan, error) { return c.book.State().Plan(id) }
+
+// WeightInForce implements sampler.Catalog.
+func (c catalog) WeightInForce(m api.ModelName) api.WeightVersion {
+	return c.book.State().Weights[m].Version
+}
+
+func (n *Node) loaded(id api.UpstreamID) map[api.ModelName]api.WeightVersion {
+	return n.weights.Truth()[id]
+}
+
+// truth returns the version that an engine was last read back to run; zero is unknown.
+func (n *Node) truth(id api.UpstreamID, m api.ModelName) api.WeightVersion { return n.loaded(id)[m] }
+
+// ordered runs on the weight planner's thread.
+func (n *Node) ordered(o weights.Order, err error) {
+	n.log.Info("weights ordered", zap.String("upstream", string(o.Upstream)), zap.String("model", string(o.Model)),
+		zap.Uint64("version", uint64(o.Version)), zap.Uint64("fence", uint64(o.Fence)), zap.Error(err))
+}
 
 // strikeTime is how long a strike is tried to be recorded.
 const strikeTime = 30 * time.Second
