--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -25,16 +25,18 @@
 	tokenTime    = 2 * time.Millisecond
 	serviceTime  = 10 * time.Millisecond
 	loadTime     = 100 * time.Millisecond
+	hostLag      = 500 * time.Millisecond // of the platform's host list
 	readyLimit   = 10 * time.Second
 )
 
 // The deployment's names.
 const (
-	model        = api.ModelName("coach")
-	plainService = api.ModelName("slips")
-	member       = api.CustomerID("member-app")
-	trainer      = api.CustomerID("coach-trainer")
-	killerText   = "soak-killer" // crashes each engine that runs a prompt with it
+	model          = api.ModelName("coach")
+	plainService   = api.ModelName("slips")
+	member         = api.CustomerID("member-app")
+	trainer        = api.CustomerID("coach-trainer")
+	stalenessBound = 1             // versions
+	killerText     = "soak-killer" // crashes each engine that runs a prompt with it
 )
 
 // deployment is all that runs.
@@ -44,6 +46,7 @@
 	net     *network
 	log     *proc.Process
 	store   *proc.Process
+	hosts   *proc.Process
 	engines []*supervised
 	plains  []*supervised
 	daemons []*supervised
@@ -77,6 +80,10 @@
 		return err
 	}
 	d.store, err = d.runner.Start(ctx, "weightstore", "weightstore", "--listen", fleet.AnyPort)
+	if err != nil {
+		return err
+	}
+	d.hosts, err = d.runner.Start(ctx, "hostlist", "hostlist", "--listen", fleet.AnyPort, "--lag", hostLag.String())
 	return err
 }
 
@@ -121,7 +128,7 @@
 	s.args = []string{
 		"--listen", address, "--model", string(model) + ":1", "--slots", fmt.Sprint(engineSlots),
 		"--token-time", tokenTime.String(), "--load-time", loadTime.String(),
-		"--weight-store", d.store.Address, "--journal", s.journal(),
+		"--weight-store", "http://" + d.store.Address, "--journal", s.journal(),
 	}
 	if fenced(i) {
 		s.args = append(s.args, "--fenced")
@@ -147,6 +154,7 @@
 platform:
   log: %s
   weight_store: %s
+  host_list: %s
   checkpoint_every: 3s
 peers:
   - %s
@@ -175,7 +183,7 @@
 		}
 		file := filepath.Join(d.runner.OutDir(), daemonName(i)+".yaml")
 		content := fmt.Sprintf(settingsFormat, daemonName(i), centre(i), callers[i], peers[i], log,
-			d.store.Address, peers[(i+1)%daemonCount], peers[(i+2)%daemonCount])
+			d.store.Address, d.hosts.Address, peers[(i+1)%daemonCount], peers[(i+2)%daemonCount])
 		if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
 			return fmt.Errorf("settings of %s: %w", daemonName(i), err)
 		}
@@ -204,7 +212,7 @@
 
 func planList() api.PlanList {
 	return api.PlanList{
-		Plans:     []api.Plan{{Name: "member"}, {Name: "trainer", StalenessBound: 1}},
+		Plans:     []api.Plan{{Name: "member"}, {Name: "trainer", StalenessBound: stalenessBound}},
 		Customers: []api.Customer{{ID: member, Plan: "member"}, {ID: trainer, Plan: "trainer"}},
 	}
 }
--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"strings"
 	"time"
 
 	"dotterelmount.example/api"
@@ -27,6 +28,9 @@
 	makings  map[api.RequestID][]making // by all engines together
 	bodies   map[string]int             // starts of plain calls, by the hash of the body
 	arrivals map[api.UpstreamID][]arrival
+	// bySlot lists the requests made for a trainer's slot "trainer/step/group/index/".
+	bySlot       map[string][]api.RequestID
+	firstArrival map[api.RequestID]time.Time
 }
 
 type arrival struct {
@@ -38,6 +42,7 @@
 	return &evidence{
 		ran: make(map[api.RequestID]int), makings: make(map[api.RequestID][]making),
 		bodies: make(map[string]int), arrivals: make(map[api.UpstreamID][]arrival),
+		bySlot: make(map[string][]api.RequestID), firstArrival: make(map[api.RequestID]time.Time),
 	}
 }
 
@@ -48,7 +53,7 @@
 		switch l.Event {
 		case journal.EventStart:
 			e.ran[id]++
-			e.arrivals[upstream] = append(e.arrivals[upstream], arrival{at: time.UnixMilli(l.AtMillis), request: id})
+			e.arrived(upstream, id, time.UnixMilli(l.AtMillis))
 			if l.BodySHA256 != "" {
 				e.bodies[l.BodySHA256]++
 			}
@@ -62,6 +67,24 @@
 	}
 }
 
+// slotParts is the number of parts of a request id that name its slot.
+const slotParts = 4
+
+func (e *evidence) arrived(upstream api.UpstreamID, id api.RequestID, at time.Time) {
+	e.arrivals[upstream] = append(e.arrivals[upstream], arrival{at: at, request: id})
+	if first, ok := e.firstArrival[id]; !ok || at.Before(first) {
+		e.firstArrival[id] = at
+	}
+	parts := strings.Split(string(id), "/")
+	if len(parts) <= slotParts {
+		return // not a trainer's
+	}
+	slot := strings.Join(parts[:slotParts], "/") + "/"
+	if !slices.Contains(e.bySlot[slot], id) {
+		e.bySlot[slot] = append(e.bySlot[slot], id)
+	}
+}
+
 // wrongVersions reports whether the versions that an answer of so many tokens
 // names can't be those that made it: one that made none of it, a first token
 // that no named version made or, where a single engine had the request, any
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -14,7 +15,8 @@
 
 const (
 	retryEvery   = 100 * time.Millisecond // of a fault that could not be brought about yet
-	retryLimit   = 3 * time.Second
+	retryLimit   = 8 * time.Second
+	callAfter    = time.Second // a plain service that waits for a call to crash under gets one
 	termLimit    = 15 * time.Second
 	lostAnswers  = 3
 	slowLog      = 300 * time.Millisecond
@@ -31,17 +33,11 @@
 	killer    func(ctx context.Context, number int)
 	facets    map[string]*duty.Duty[func()]
 
-	mu     sync.Mutex
-	counts map[kind]int
-	terms  []stopped
-	busy   sync.WaitGroup
-}
-
-// stopped is a graceful stop of a daemon.
-type stopped struct {
-	Daemon string
-	Asked  time.Time
-	Code   int
+	mu       sync.Mutex
+	counts   map[kind]int
+	past     []happened
+	trainers []*trainee
+	busy     sync.WaitGroup
 }
 
 type facet struct{}
@@ -58,6 +54,7 @@
 func (j *injector) play(ctx context.Context, begin time.Time, faults []fault) {
 	for i, f := range faults {
 		name, do := j.fault(f, i)
+		_, subject, _ := strings.Cut(name, ":")
 		if j.facets[name] == nil {
 			cfg := duty.Config{Name: "fault-" + name, RingSize: faultRing}
 			j.facets[name] = duty.Start(j.d.system, cfg, duty.Handler[func()](facet{}))
@@ -68,7 +65,7 @@
 		j.busy.Add(1)
 		run := func() {
 			defer j.busy.Done()
-			j.try(ctx, f, do)
+			j.try(ctx, f, subject, do)
 		}
 		if j.facets[name].Post(run) != nil {
 			j.busy.Done() // too many of one facet; the count of the kind tells
@@ -81,7 +78,8 @@
 	}
 }
 
-func (j *injector) try(ctx context.Context, f fault, do func(context.Context) bool) {
+func (j *injector) try(ctx context.Context, f fault, subject string, do func(context.Context) bool) {
+	begin := time.Now()
 	limit := time.Now().Add(retryLimit)
 	for !do(ctx) {
 		if time.Now().After(limit) || !wait(ctx, retryEvery) {
@@ -92,6 +90,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts[f.Kind]++
+	j.past = append(j.past, happened{Kind: f.Kind, Subject: subject, Begin: begin, End: time.Now()})
 }
 
 // fault returns the facet that a fault belongs to and what brings it about.
@@ -131,14 +130,19 @@
 	case listRace:
 		return "lists", func(ctx context.Context) bool { return j.operators.raceLists(ctx, f.Target) }
 	case drainRace:
-		return "drain", func(ctx context.Context) bool { return j.operators.drain(ctx, f, func(context.Context) {}) }
+		return j.operators.facet(f), func(ctx context.Context) bool { return j.operators.drain(ctx, f, func(context.Context) {}) }
 	case drainOutage:
-		return "drain", func(ctx context.Context) bool { return j.operators.drain(ctx, f, j.outage) }
+		return j.operators.facet(f), func(ctx context.Context) bool { return j.operators.drain(ctx, f, j.outage) }
+	case hostLeaving:
+		return j.operators.facet(f), func(ctx context.Context) bool { return j.operators.leave(ctx, f) }
+	case trainerKill:
+		t := j.trainers[f.Target%len(j.trainers)]
+		return "end:" + t.name, func(context.Context) bool { return t.end() }
 	case weightSwap:
 		return "weights", func(ctx context.Context) bool { return j.operators.announce(ctx, f.Target) }
 	case weightPartway:
 		return "weights", j.swapPartway(f, engine)
-	default: // killerRequest; play is given no kind that the deployment lacks
+	default: // killerRequest
 		return "killer", func(ctx context.Context) bool { j.killer(ctx, number); return true }
 	}
 }
@@ -159,14 +163,16 @@
 		s.expectEnd()
 		// The process ends before it answers.
 		_ = control(ctx, s.address, map[string]any{"mode": "crash"})
-		ctx, cancel := context.WithTimeout(ctx, retryLimit)
+		ctx, cancel := context.WithTimeout(ctx, callAfter)
 		defer cancel()
 		select {
 		case <-p.Exited():
-			return true
 		case <-ctx.Done():
-			return false
+			// Unanswered too. The body differs from those of all callers.
+			_ = fleet.PostJSON(context.WithoutCancel(ctx), s.address, "/", time.Now())
+			<-p.Exited()
 		}
+		return true
 	}
 }
 
@@ -189,7 +195,6 @@
 func (j *injector) terminate(s *supervised) func(context.Context) bool {
 	return func(ctx context.Context) bool {
 		p := s.process()
-		at := time.Now()
 		if p == nil || !s.signal(syscall.SIGTERM, true) {
 			return false
 		}
@@ -201,9 +206,6 @@
 			s.signal(syscall.SIGKILL, true)
 			<-p.Exited()
 		}
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		j.terms = append(j.terms, stopped{Daemon: s.name, Asked: at, Code: p.ExitCode()})
 		return true
 	}
 }
@@ -249,7 +251,9 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		remove, err := l.silence(toxic)
-		defer remove()
+		if toxic == toxicTimeout {
+			defer remove() // otherwise the old connections stay silent for good
+		}
 		if err != nil {
 			return false
 		}
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -26,7 +26,7 @@
 	clientLimit    = memberDeadline + 2*time.Second
 	shortTokens    = 20
 	longTokens     = 300
-	longOneIn      = 12
+	longOneIn      = 5
 	twiceOneIn     = 4 // once-only calls made through two daemons at the same moment
 	onceAttempts   = 5
 	killerAttempts = 6
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -50,8 +50,6 @@
 				seed: c.Uint64("seed"), duration: c.Duration("duration"),
 			}
 			s.kinds = slices.Sorted(maps.Keys(spans))
-			// No trainers are part of the deployment yet.
-			s.kinds = slices.DeleteFunc(s.kinds, func(k kind) bool { return k == trainerKill })
 			if c.Bool("schedule") {
 				printSchedule(plan(s.seed, s.duration, s.kinds))
 				return nil
@@ -79,7 +77,7 @@
 // run plays the soak and prints its result, also when a part of it failed.
 func (s *soak) run(ctx context.Context) error {
 	s.result.Seed = s.seed
-	s.result.NotCovered = []string{"trainers and samples", "links between daemons", "weights loaded by engines"}
+	s.result.NotCovered = []string{"links between daemons"}
 	// Journals of an earlier run must not be taken for those of this one.
 	if err := os.RemoveAll(s.out); err != nil {
 		return fmt.Errorf("output directory: %w", err)
--- a/bench/soak/operate.go
+++ b/bench/soak/operate.go
@@ -38,6 +38,7 @@
 	accepted int // changes
 	both     int // races in which both operators were told that theirs is in force
 	version  api.WeightVersion
+	turns    int
 }
 
 const racers = 2
@@ -100,8 +101,42 @@
 	return accepted, unknown
 }
 
+// turn returns the daemon to use next, so that a repeated change goes to another.
+func (o *operators) turn(target int) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.turns++
+	return target + o.turns
+}
+
+// upstream returns the upstream that a fault hits.
+func (o *operators) upstream(f fault) api.Upstream {
+	return o.d.usage.Upstreams[f.Target%len(o.d.usage.Upstreams)]
+}
+
+func (o *operators) facet(f fault) string { return "drain:" + string(o.upstream(f).ID) }
+
+// leave has the platform's host list say that an upstream's host leaves.
+func (o *operators) leave(ctx context.Context, f fault) bool {
+	u := o.upstream(f)
+	set := func(ctx context.Context, state string) bool {
+		body := map[string]any{"id": u.ID, "address": u.Address, "state": state}
+		return fleet.PostJSON(ctx, o.d.hosts.Address, "/v1/hosts", body) == nil
+	}
+	if !set(ctx, "leaving") {
+		return false
+	}
+	accepted := time.Now().Add(hostLag) // until then the list says nothing of it
+	wait(ctx, f.Lasts)
+	o.mu.Lock()
+	o.drains = append(o.drains, drained{Upstream: u.ID, Accepted: accepted, Until: time.Now()})
+	o.mu.Unlock()
+	return set(context.WithoutCancel(ctx), "live")
+}
+
 // raceLists publishes conflicting usage lists with one base.
 func (o *operators) raceLists(ctx context.Context, target int) bool {
+	target = o.turn(target)
 	state, err := o.state(ctx, target)
 	if err != nil {
 		return false
@@ -119,17 +154,13 @@
 // drain marks an upstream, twice at once, and takes the mark away later.
 // marked is called as soon as the mark was accepted.
 func (o *operators) drain(ctx context.Context, f fault, marked func(context.Context)) bool {
-	ids := make([]api.UpstreamID, 0, engineCount+plainCount)
-	for _, u := range o.d.usage.Upstreams {
-		ids = append(ids, u.ID)
-	}
-	id := ids[f.Target%len(ids)]
-	state, err := o.state(ctx, f.Target)
+	id, target := o.upstream(f).ID, o.turn(f.Target)
+	state, err := o.state(ctx, target)
 	if err != nil {
 		return false
 	}
 	base := state.Mark(id).Revision
-	accepted, unknown := o.race(ctx, f.Target, func(ctx context.Context, _, daemon int) error {
+	accepted, unknown := o.race(ctx, target, func(ctx context.Context, _, daemon int) error {
 		return o.mark(ctx, daemon, id, base, api.MarkDraining)
 	})
 	at := time.Now()
@@ -138,7 +169,7 @@
 		wait(ctx, f.Lasts)
 	}
 	if accepted > 0 || unknown {
-		o.undrain(ctx, f.Target, id, at, accepted > 0)
+		o.undrain(ctx, target, id, at, accepted > 0)
 	}
 	return accepted > 0
 }
@@ -172,5 +203,5 @@
 	o.version++
 	v := o.version
 	o.mu.Unlock()
-	return o.ask(ctx, daemon, http.MethodPost, adminapi.PathWeights, adminapi.PostWeights{Model: model, Version: v}, nil) == nil
+	return o.ask(ctx, o.turn(daemon), http.MethodPost, adminapi.PathWeights, adminapi.PostWeights{Model: model, Version: v}, nil) == nil
 }
--- a/bench/soak/play.go
+++ b/bench/soak/play.go
@@ -33,7 +33,12 @@
 	l := newLoad(d, s.seed)
 	j := newInjector(d, o)
 	j.killer = l.killer
+	var training sync.WaitGroup
+	trained, stopTraining := context.WithTimeout(ctx, s.duration+trainerLimit)
+	defer stopTraining()
+	j.trainers = startTrainers(trained, d, s.duration, &training)
 	watches := s.trouble(ctx, d, l, j)
+	training.Wait()
 	s.recovered(ctx, d, l)
 	s.violations(ctx, d)
 	closing, stop := context.WithTimeout(ctx, closeLimit)
@@ -119,6 +124,12 @@
 	r := &s.result
 	r.judge(l.asked, e)
 	r.judgeDrains(j.operators.drains, e)
+	r.judgeInterruptions(l.asked, e, j.operators.drains, j.past)
+	for _, t := range j.trainers {
+		if err := r.judgeTrainer(t, e); err != nil {
+			return err
+		}
+	}
 	r.RacesBothAccepted = j.operators.both
 	daemons := make(map[string]bool)
 	for i, w := range watches {
--- a/bench/soak/result.go
+++ b/bench/soak/result.go
@@ -19,12 +19,15 @@
 	SamplesDue               int            `json:"samples_due"`
 	SamplesDelivered         int            `json:"samples_delivered"`
 	SamplesDuplicated        int            `json:"samples_duplicated"`
+	SamplesDropped           int            `json:"samples_dropped"` // too old, and made again
 	StaleDelivered           int            `json:"stale_delivered"`
 	WrongVersions            int            `json:"wrong_versions"`
 	RepeatedNonIdempotent    int            `json:"repeated_nonidempotent"`
 	FalseNotRun              int            `json:"false_not_run"`
 	CutByDrain               int            `json:"cut_by_drain"`
 	CutByStop                int            `json:"cut_by_stop"`
+	DrainsJudged             int            `json:"in_progress_at_drains"` // requests that no other fault touched
+	StopsJudged              int            `json:"in_progress_at_stops"`
 	Drains                   int            `json:"drains"`
 	NewWorkAfterDrain        int            `json:"new_work_after_drain"`
 	RacesBothAccepted        int            `json:"races_both_accepted"`
@@ -140,7 +143,7 @@
 	}{
 		{len(r.FaultsMissing) == 0, "faults_missing"},
 		{r.Requests[api.OutcomeComplete.String()] > 0, "requests"},
-		{r.SamplesDelivered == r.SamplesDue, "samples_delivered"},
+		{r.SamplesDue > 0 && r.SamplesDelivered == r.SamplesDue, "samples_delivered"},
 		{r.SamplesDuplicated == 0, "samples_duplicated"},
 		{r.StaleDelivered == 0, "stale_delivered"},
 		{r.WrongVersions == 0, "wrong_versions"},
@@ -149,6 +152,8 @@
 		{r.CutByDrain == 0, "cut_by_drain"},
 		{r.CutByStop == 0, "cut_by_stop"},
 		{r.Drains > 0, "drains"},
+		{r.DrainsJudged > 0, "in_progress_at_drains"},
+		{r.StopsJudged > 0, "in_progress_at_stops"},
 		{r.NewWorkAfterDrain == 0, "new_work_after_drain"},
 		{r.RacesBothAccepted == 0, "races_both_accepted"},
 		{r.VersionReverts == 0, "version_reverts"},
--- a/bench/soak/schedule.go
+++ b/bench/soak/schedule.go
@@ -31,6 +31,7 @@
 	listRace      kind = "list-race"
 	drainRace     kind = "drain-race" // two operators mark one upstream; it is drained for a while
 	drainOutage   kind = "drain-log-outage"
+	hostLeaving   kind = "host-leaving"
 	weightSwap    kind = "weight-swap"
 	weightPartway kind = "weight-swap-partway"
 	trainerKill   kind = "trainer-kill"
@@ -56,6 +57,7 @@
 	logOutage:     {500 * time.Millisecond, 4 * time.Second},
 	logSlow:       {time.Second, 3 * time.Second},
 	drainRace:     {4 * time.Second, 6 * time.Second},
+	hostLeaving:   {5 * time.Second, 6 * time.Second},
 	drainOutage:   {5 * time.Second, 6 * time.Second},
 }
 
@@ -72,6 +74,11 @@
 	calm        = 7 * time.Second         // load without faults at the end
 	extraEvery  = 1500 * time.Millisecond // a further fault of any kind
 	leastFaulty = 5 * time.Second
+
+	// A drain and a graceful stop in the calm show whether they cut anything.
+	calmDrainAfter = 1500 * time.Millisecond
+	calmDrain      = time.Second
+	calmTermAfter  = 2800 * time.Millisecond
 )
 
 // faultyTime returns how long after the start faults may last.
@@ -80,7 +87,7 @@
 }
 
 // plan makes the schedule of a seed: every kind of kinds at least once, each in
-// a slot of its own, and further ones of random kinds.
+// a slot of its own, further ones of random kinds, and what belongs to the calm.
 func plan(seed uint64, duration time.Duration, kinds []kind) []fault {
 	rng := rand.New(rand.NewPCG(seed, uint64(len(kinds))))
 	end := faultyTime(duration)
@@ -98,9 +105,17 @@
 	for i, k := range order {
 		add(k, warmUp+time.Duration(i)*slot, slot)
 	}
+	// Further drains would leave too few upstreams.
+	more := slices.DeleteFunc(slices.Clone(kinds), func(k kind) bool {
+		return k == drainRace || k == drainOutage || k == hostLeaving
+	})
 	for at := warmUp; at < end; at += extraEvery {
-		add(kinds[rng.IntN(len(kinds))], at, extraEvery)
+		add(more[rng.IntN(len(more))], at, extraEvery)
 	}
+	faults = append(faults,
+		fault{At: end + calmDrainAfter, Kind: drainRace, Target: rng.IntN(engineCount), Lasts: calmDrain},
+		fault{At: end + calmTermAfter, Kind: daemonTerm, Target: int(rng.Int32())},
+	)
 	slices.SortStableFunc(faults, func(a, b fault) int { return int(a.At - b.At) })
 	return faults
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -23,7 +23,8 @@
 		seen := make(map[kind]bool)
 		for _, f := range faults {
 			seen[f.Kind] = true
-			assert.Assert(t, f.At >= warmUp && f.At+f.Lasts <= duration-calm, "%v", f)
+			assert.Assert(t, f.At >= warmUp && f.At+f.Lasts < duration-calm/2, "%v", f)
+			assert.Assert(t, f.Kind == drainRace || f.Kind == daemonTerm || f.At+f.Lasts <= duration-calm, "%v", f)
 		}
 		assert.Equal(t, len(seen), len(kinds))
 		assert.DeepEqual(t, plan(seed, duration, kinds), faults)
--- /dev/null
+++ b/bench/soak/trainers.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+)
+
+// The trainers' steps.
+const (
+	trainerCount  = 2
+	stepGroups    = 4
+	stepGroupSize = 4  // samples
+	stepTokens    = 24 // of each sample
+	groupTraining = 250 * time.Millisecond
+	stepEvery     = 1200 * time.Millisecond // one step of a trainer for so much load
+	trainerLimit  = 30 * time.Second        // for what is left when the faults are over
+)
+
+// trainerReport is the last line of the trainer program.
+type trainerReport struct {
+	Due        int `json:"due"`
+	Delivered  int `json:"delivered"`
+	Duplicated int `json:"duplicated"`
+	Stale      int `json:"stale"`
+	Wrong      int `json:"wrong"`
+	Dropped    int `json:"dropped"`
+}
+
+// trainee is a trainer that is started again after each kill.
+type trainee struct {
+	d     *deployment
+	name  string
+	steps int
+	done  *sync.WaitGroup
+
+	mu     sync.Mutex
+	kill   context.CancelFunc // nil while it does not run
+	killed bool
+	report trainerReport
+	err    error
+}
+
+// startTrainers starts them until ctx ends; done tells when all have ended.
+func startTrainers(ctx context.Context, d *deployment, duration time.Duration, done *sync.WaitGroup) []*trainee {
+	var out []*trainee
+	for i := range trainerCount {
+		t := &trainee{d: d, name: fmt.Sprintf("trainer-%d", i+1), steps: max(1, int(duration/stepEvery)), done: done}
+		done.Add(1)
+		worker := duty.Start(d.system, duty.Config{Name: t.name, RingSize: 1}, duty.Handler[context.Context](t))
+		// An empty ring of one entry takes the only message.
+		_ = worker.Post(ctx)
+		out = append(out, t)
+	}
+	return out
+}
+
+// Handle runs the trainer to its end, over all kills.
+func (t *trainee) Handle(_ context.Context, ctx context.Context) {
+	defer t.done.Done()
+	for t.runOnce(ctx) && wait(ctx, restartDelay) {
+	}
+}
+
+// runOnce reports whether the trainer was killed and has to go on.
+func (t *trainee) runOnce(ctx context.Context) bool {
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.mu.Lock()
+	t.kill, t.killed = cancel, false
+	t.mu.Unlock()
+	out, err := t.d.runner.Run(running, t.name, "trainer", t.args()...)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.kill = nil
+	if t.killed && err != nil && ctx.Err() == nil {
+		return true
+	}
+	t.err = err
+	lines := bytes.Split(bytes.TrimSpace(out), []byte("\n"))
+	if decodeErr := json.Unmarshal(lines[len(lines)-1], &t.report); decodeErr != nil && err == nil {
+		t.err = fmt.Errorf("last line of %s: %w", t.name, decodeErr)
+	}
+	return false
+}
+
+func (t *trainee) args() []string {
+	args := []string{
+		"--trainer", t.name, "--customer", string(trainer), "--model", string(model),
+		"--file", t.journal(), "--verify",
+		"--steps", fmt.Sprint(t.steps), "--groups", fmt.Sprint(stepGroups),
+		"--samples", fmt.Sprint(stepGroupSize), "--max-tokens", fmt.Sprint(stepTokens),
+		"--bound", fmt.Sprint(stalenessBound), "--train", groupTraining.String(),
+		"--deadline", time.Hour.String(), // the soak ends it
+	}
+	for _, address := range t.d.callers {
+		args = append(args, "--daemons", address)
+	}
+	return args
+}
+
+func (t *trainee) journal() string { return filepath.Join(t.d.runner.OutDir(), t.name+".json") }
+
+// end kills the trainer, which goes on after that. It reports whether it ran.
+func (t *trainee) end() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.kill == nil {
+		return false
+	}
+	t.killed = true
+	t.kill()
+	return true
+}
+
+// usedSample is one sample in a trainer's journal.
+type usedSample struct {
+	Step     string              `json:"step"`
+	Group    string              `json:"group"`
+	Index    int                 `json:"index"`
+	Versions []api.WeightVersion `json:"versions"`
+}
+
+// samples returns those that the trainer used. Errors: a journal that can't be
+// read; a torn last line is left out.
+func (t *trainee) samples() ([]usedSample, error) {
+	data, err := os.ReadFile(t.journal())
+	if err != nil {
+		return nil, fmt.Errorf("journal of %s: %w", t.name, err)
+	}
+	var all []usedSample
+	for line := range strings.Lines(string(data)) {
+		var entry struct {
+			Used []usedSample `json:"used"`
+		}
+		if json.Unmarshal([]byte(line), &entry) != nil {
+			break
+		}
+		all = append(all, entry.Used...)
+	}
+	return all, nil
+}
+
+// judgeTrainer compares what a trainer got with what the journals show.
+func (r *Result) judgeTrainer(t *trainee, e *evidence) error {
+	used, err := t.samples()
+	if err != nil {
+		return err
+	}
+	due := t.steps * stepGroups * stepGroupSize
+	seen := make(map[string]int)
+	for _, s := range used {
+		slot := fmt.Sprintf("%s/%s/%s/%d", t.name, s.Step, s.Group, s.Index)
+		seen[slot]++
+		if seen[slot] > 1 {
+			r.SamplesDuplicated++
+			r.note("sample %s came %d times", slot, seen[slot])
+		}
+		if !e.made(slot+"/", s.Versions) {
+			r.WrongVersions++
+			r.note("sample %s names versions %v; no request of its slot was made by them", slot, s.Versions)
+		}
+	}
+	r.SamplesDue += due
+	r.SamplesDelivered += len(seen)
+	r.SamplesDropped += t.report.Dropped
+	r.StaleDelivered += t.report.Stale
+	r.AnswersForeignOrPartial += t.report.Wrong
+	if t.err != nil {
+		r.note("%s: %d of %d samples: %v", t.name, len(seen), due, t.err)
+	}
+	return nil
+}
+
+// made reports whether one of a slot's requests can have been made by versions.
+func (e *evidence) made(prefix string, versions []api.WeightVersion) bool {
+	for _, id := range e.bySlot[prefix] {
+		if !e.wrongVersions(id, versions, stepTokens) {
+			return true
+		}
+	}
+	return false
+}
