--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -46,10 +46,16 @@
 	}
 }
 
+// ownCall is the request id of calls that the soak makes without a daemon.
+const ownCall = api.RequestID("soak")
+
 // add takes in the journal of one stand-in.
 func (e *evidence) add(upstream api.UpstreamID, lines []journal.Line) {
 	for _, l := range lines {
 		id := api.RequestID(l.RequestID)
+		if id == ownCall {
+			continue
+		}
 		switch l.Event {
 		case journal.EventStart:
 			e.ran[id]++
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"dotterelmount.example/bench/fleet"
 	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/standin/plain/service"
 )
 
 const (
@@ -168,8 +170,9 @@
 		select {
 		case <-p.Exited():
 		case <-ctx.Done():
-			// Unanswered too. The body differs from those of all callers.
-			_ = fleet.PostJSON(context.WithoutCancel(ctx), s.address, "/", time.Now())
+			// Unanswered too.
+			q := fleet.Question{Method: http.MethodPost, Address: s.address, Path: "/", Header: http.Header{service.HeaderRequestID: {string(ownCall)}}}
+			_ = fleet.Ask(context.WithoutCancel(ctx), q, nil)
 			<-p.Exited()
 		}
 		return true
@@ -198,11 +201,12 @@
 		if p == nil || !s.signal(syscall.SIGTERM, true) {
 			return false
 		}
-		ctx, cancel := context.WithTimeout(ctx, termLimit)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), termLimit)
 		defer cancel()
 		select {
 		case <-p.Exited():
 		case <-ctx.Done():
+			fmt.Fprintf(os.Stderr, "soak: %s did not stop within %s\n", s.name, termLimit)
 			s.signal(syscall.SIGKILL, true)
 			<-p.Exited()
 		}
--- a/bench/soak/interrupt.go
+++ b/bench/soak/interrupt.go
@@ -90,5 +90,5 @@
 		return false
 	}
 	first, ok := e.firstArrival[a.RequestID]
-	return ok && first.Before(at)
+	return ok && a.RequestID != "" && first.Before(at)
 }
