--- a/bench/proc/listen.go
+++ b/bench/proc/listen.go
@@ -5,7 +5,11 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"sync/atomic"
+
+	"dotterelmount.example/api"
 )
 
 // listenPrefix begins the line by which a program says where it serves.
@@ -46,18 +50,38 @@
 	}
 }
 
+// Ports are taken from below the range that systems give to outgoing
+// connections and to listeners without a port of their own, so that a port stays
+// free while its program is restarted.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+	portStep  = 64 // between the first ports of neighbouring process ids
+)
+
 // FreeAddresses returns n different loopback addresses whose ports were free
-// just now. Errors: those of net.Listen.
+// just now. Programs that run at the same time start their search at different
+// ports. Errors: CodeInternal when no more ports are free.
 func FreeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	start := os.Getpid() * portStep
+	for i := range portCount {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		// The ports given out before are passed over also when nobody listens yet.
+		port := firstPort + (start+int(given.Add(1)))%portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return nil, fmt.Errorf("free port: %w", err)
+			continue
 		}
-		// Held until all are taken, so that none comes twice.
-		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
+		if err := l.Close(); err != nil {
+			return nil, fmt.Errorf("free port after %d tries: %w", i, err)
+		}
 	}
-	return addresses, nil
+	return nil, api.Errorf(api.CodeInternal, "no free port among %d", portCount)
 }
+
+// given counts the ports looked at by this process.
+var given atomic.Int64
--- a/bench/proc/proc_test.go
+++ b/bench/proc/proc_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -68,5 +69,9 @@
 func TestFreeAddressesDiffer(t *testing.T) {
 	a, err := FreeAddresses(3)
 	assert.NilError(t, err)
-	assert.Assert(t, a[0] != a[1] && a[1] != a[2] && a[0] != a[2])
+	b, err := FreeAddresses(1)
+	assert.NilError(t, err)
+	a = append(a, b...)
+	slices.Sort(a)
+	assert.Equal(t, len(slices.Compact(a)), 4)
 }
--- a/bench/soak/network.go
+++ b/bench/soak/network.go
@@ -6,12 +6,13 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/Shopify/toxiproxy/v2"
 	"github.com/Shopify/toxiproxy/v2/toxics"
 	"github.com/rs/zerolog"
 
-	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/proc"
 )
 
 // silenceOld drops all that comes on connections that were open when it was
@@ -80,9 +81,13 @@
 // open makes a link to an address (ip:port) and returns the address to use
 // instead. Errors: a port that can't be listened on.
 func (n *network) open(name, to string) (string, error) {
-	p := toxiproxy.NewProxy(n.server, name, fleet.AnyPort, to)
-	if err := p.Start(); err != nil {
-		return "", fmt.Errorf("link %s: %w", name, err)
+	from, err := proc.FreeAddresses(1)
+	if err != nil {
+		return "", err
+	}
+	p := toxiproxy.NewProxy(n.server, name, from[0], to)
+	if err := startProxy(p); err != nil {
+		return "", err
 	}
 	l := &link{name: name, proxy: p}
 	n.links = append(n.links, l)
@@ -100,7 +105,25 @@
 func (l *link) cut() { l.proxy.Stop() }
 
 // restore ends a cut. Errors: the port was taken meanwhile.
-func (l *link) restore() error { return l.proxy.Start() }
+func (l *link) restore() error { return startProxy(l.proxy) }
+
+const (
+	listenTries = 50
+	listenEvery = 20 * time.Millisecond
+)
+
+// startProxy makes a proxy listen. A process that is just being started holds
+// copies of closed listeners for a moment, so that one try is not enough.
+func startProxy(p *toxiproxy.Proxy) error {
+	var err error
+	for range listenTries {
+		if err = p.Start(); err == nil {
+			return nil
+		}
+		wait(context.Background(), listenEvery)
+	}
+	return fmt.Errorf("link %s: %w", p.Name, err)
+}
 
 // silence adds a toxic in both directions and returns what removes it.
 func (l *link) silence(kind string) (func(), error) {
--- a/bench/soak/schedule.go
+++ b/bench/soak/schedule.go
@@ -71,14 +71,14 @@
 
 const (
 	warmUp      = time.Second             // load without faults
-	calm        = 7 * time.Second         // load without faults at the end
+	calm        = 8 * time.Second         // load without faults at the end
 	extraEvery  = 1500 * time.Millisecond // a further fault of any kind
 	leastFaulty = 5 * time.Second
 
 	// A drain and a graceful stop in the calm show whether they cut anything.
-	calmDrainAfter = 1500 * time.Millisecond
+	calmDrainAfter = 2500 * time.Millisecond
 	calmDrain      = time.Second
-	calmTermAfter  = 2800 * time.Millisecond
+	calmTermAfter  = 3200 * time.Millisecond
 )
 
 // faultyTime returns how long after the start faults may last.
