Date the contact with the log by the question, not by the answer

Cause: the reader took the time after the log's answer had come in. The answer to a long poll may lie in the socket of a frozen process; once thawed, the daemon held knowledge of before the freeze for new and started work by it, also at upstreams marked for draining meanwhile. Ruled out: the fold; batches are folded before the contact is stored. Before: TestContactIsNoLaterThanTheLogsAnswer failed, contact after the answer. After: passes; with the 1 s long poll the age at rest stays below the 2.5 s within which work is started.

--- a/server/logbook/logbook_test.go
+++ b/server/logbook/logbook_test.go
@@ -164,3 +164,31 @@
 	assert.Equal(t, api.CodeOf(trail[1].Err), api.CodeConflict)
 	assert.Equal(t, trail[1].To, api.Revision(1))
 }
+
+// stalledLog holds its first answer back, as the socket of a frozen process
+// does, and answers no further read.
+type stalledLog struct {
+	eventlog.Log
+	answered time.Time // by the log, before the answer was taken in
+	reads    int
+}
+
+func (l *stalledLog) Read(ctx context.Context, p []eventlog.Position, limit int, wait time.Duration) ([]eventlog.Batch, error) {
+	if l.reads++; l.reads > 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	batches, err := l.Log.Read(ctx, p, limit, wait)
+	l.answered = time.Now()
+	time.Sleep(time.Millisecond)
+	return batches, err
+}
+
+func TestContactIsNoLaterThanTheLogsAnswer(t *testing.T) {
+	log := &stalledLog{Log: memlog.New(memlog.Options{})}
+	book, _ := start(t, log, 0)
+	for book.LastContact().IsZero() {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !book.LastContact().After(log.answered))
+}
--- a/server/logbook/reader.go
+++ b/server/logbook/reader.go
@@ -30,11 +30,13 @@
 		wait = 0
 		r.positions = []eventlog.Position{{Stream: api.StreamConfig, From: 1}, {Stream: api.StreamClaims, From: 1}}
 	}
+	// The answer may lie in a frozen process for long; what it tells is no older
+	// than the question.
+	asked := r.book.cfg.Now()
 	batches, err := r.log.Read(ctx, r.positions, r.book.cfg.ReadLimit, wait)
 	if err != nil {
 		r.pause(ctx)
 	} else {
-		asked := r.book.cfg.Now()
 		r.deliver(ctx, batches)
 		r.book.contact.Store(asked.UnixNano())
 	}
