--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -19,7 +19,8 @@
 
 // The load.
 const (
-	memberThreads  = 10
+	memberThreads  = 8
+	steadyThreads  = 2 * daemonCount // each asks one daemon for long answers, one after the other
 	onceThreads    = 4
 	thinkTime      = 15 * time.Millisecond
 	memberDeadline = 5 * time.Second
@@ -96,6 +97,11 @@
 		twins := duty.Start(l.d.system, duty.Config{Name: fmt.Sprintf("twin-%d", i), RingSize: 1}, duty.Handler[func()](facet{}))
 		begin(memberThreads+i, func(_ context.Context, rng *rand.Rand, n int) { l.once(rng, twins, fmt.Sprintf("slip-%d-%d", i, n)) })
 	}
+	for i := range steadyThreads {
+		begin(memberThreads+onceThreads+i, func(_ context.Context, rng *rand.Rand, n int) {
+			l.ask(i%daemonCount, fmt.Sprintf("long %d-%d: len=%d", i, n, longTokens), longTokens, rng.IntN(2) == 0)
+		})
+	}
 	done.Wait()
 }
 
