--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STEPS ?= 200
 DURATION ?= 30s
 
-.PHONY: all build test lint fmt tidy generate demo random soak bench clean
+.PHONY: all build test lint fmt tidy generate demo random soak bench control clean
 
 all: build
 
@@ -31,6 +31,10 @@
 demo: build ## runs a whole deployment on loopback and checks it
 	$(BIN)/demo --bin $(BIN) --out out/demo
 
+CONTROL ?= --daemons 4,8,16,32 --repeats 2
+control: build ## measures what control costs a daemon: CONTROL=flags
+	$(BIN)/control --bin $(BIN) --out out/control $(CONTROL)
+
 tidy:
 	tools/tidy.sh
 
--- /dev/null
+++ b/bench/control/fleet.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/front/adminapi"
+	"dotterelmount.example/lib/hostlist"
+)
+
+// The fleet's names and sizes.
+const (
+	model        = api.ModelName("coach")
+	member       = api.CustomerID("member-app")
+	anyPort      = "127.0.0.1:0"
+	engineSlots  = 128
+	batchGrowth  = 0.005
+	tokenTime    = 2 * time.Millisecond
+	engineWindow = 128 // requests in progress
+	journalLimit = 1000
+	hostListLag  = 10 * time.Millisecond
+	settleTime   = 3 * time.Second // after the last daemon knows all others
+	pollEvery    = 50 * time.Millisecond
+	maxAnswer    = 16 << 20 // bytes
+)
+
+// fleet is a deployment.
+type fleet struct {
+	runner  *proc.Runner
+	client  *http.Client
+	log     *proc.Process
+	hosts   *proc.Process
+	engines []*proc.Process
+	daemons []*proc.Process
+	marked  *marker // the last change of a mark
+}
+
+func engineID(i int) api.UpstreamID { return api.UpstreamID(fmt.Sprintf("coach-%d", i+1)) }
+
+func daemonName(i int) string { return fmt.Sprintf("daemon-%d", i+1) }
+
+// startFleet starts n daemons before a number of engines, publishes the lists
+// and waits until every daemon knows all.
+func startFleet(ctx context.Context, r *proc.Runner, n, engines int) (*fleet, error) {
+	f := &fleet{runner: r, client: &http.Client{}}
+	if err := f.startPlatform(ctx, engines); err != nil {
+		return nil, err
+	}
+	if err := f.startDaemons(ctx, n); err != nil {
+		return nil, err
+	}
+	if err := f.publish(ctx); err != nil {
+		return nil, err
+	}
+	for _, d := range f.daemons {
+		if err := f.awaitMembers(ctx, d, n); err != nil {
+			return nil, err
+		}
+	}
+	return f, pause(ctx, settleTime)
+}
+
+func (f *fleet) startPlatform(ctx context.Context, engines int) (err error) {
+	if f.log, err = f.runner.Start(ctx, "log", "log", "--listen", anyPort); err != nil {
+		return err
+	}
+	if f.hosts, err = f.runner.Start(ctx, "hostlist", "hostlist", "--listen", anyPort, "--lag", hostListLag.String()); err != nil {
+		return err
+	}
+	for i := range engines {
+		e, err := f.runner.Start(ctx, string(engineID(i)), "engine", "--listen", anyPort, "--model", string(model)+":1",
+			"--slots", fmt.Sprint(engineSlots), "--batch-growth", fmt.Sprint(batchGrowth),
+			"--token-time", tokenTime.String(), "--journal-limit", fmt.Sprint(journalLimit))
+		if err != nil {
+			return err
+		}
+		f.engines = append(f.engines, e)
+		if err := f.list(ctx, string(engineID(i)), e.Address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// list puts a host on the platform's list.
+func (f *fleet) list(ctx context.Context, id, address string) error {
+	return f.call(ctx, http.MethodPost, f.hosts.Address, "/v1/hosts", hostlist.Host{ID: id, Address: address, State: hostlist.Live}, nil)
+}
+
+const settingsFormat = `daemon: %s
+data_centre: sapporo-a
+listen:
+  callers: %s
+  peers: %s
+platform:
+  log: %s
+  host_list: %s
+peers:
+  - %s
+  - %s
+`
+
+func (f *fleet) startDaemons(ctx context.Context, n int) error {
+	addresses, err := proc.FreeAddresses(2 * n)
+	if err != nil {
+		return err
+	}
+	callers, peers := addresses[:n], addresses[n:]
+	for i := range n {
+		name := daemonName(i)
+		file := filepath.Join(f.runner.OutDir(), name+".yaml")
+		content := fmt.Sprintf(settingsFormat, name, callers[i], peers[i], f.log.Address, f.hosts.Address,
+			peers[(i+1)%n], peers[(i+2)%n])
+		if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
+			return fmt.Errorf("settings of %s: %w", name, err)
+		}
+		d, err := f.runner.Start(ctx, name, "dotterelmountd", "--settings", file)
+		if err != nil {
+			return err
+		}
+		f.daemons = append(f.daemons, d)
+		if err := f.list(ctx, name, peers[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// publish puts both lists in force.
+func (f *fleet) publish(ctx context.Context) error {
+	plans := api.PlanList{
+		Plans:     []api.Plan{{Name: "member"}},
+		Customers: []api.Customer{{ID: member, Plan: "member"}},
+	}
+	usage := api.UsageList{Usages: []api.Usage{{Plan: "member", Models: []api.ModelName{model}}}}
+	for i, e := range f.engines {
+		usage.Upstreams = append(usage.Upstreams, api.Upstream{
+			ID: engineID(i), Kind: api.KindEngine, Address: e.Address, DataCentre: "sapporo-a",
+			Models: []api.ModelName{model}, Window: engineWindow,
+		})
+	}
+	if err := f.awaitReady(ctx, f.daemons[0]); err != nil {
+		return err
+	}
+	base := new(api.Revision)
+	if _, err := f.change(ctx, http.MethodPut, adminapi.PathPlanList, adminapi.PutPlanList{Base: base, List: &plans}); err != nil {
+		return err
+	}
+	_, err := f.change(ctx, http.MethodPut, adminapi.PathUsageList, adminapi.PutUsageList{Base: base, List: &usage})
+	return err
+}
+
+func (f *fleet) awaitReady(ctx context.Context, d *proc.Process) error {
+	for {
+		if s, err := f.status(ctx, d); err == nil && s.Ready {
+			return nil
+		}
+		if err := pause(ctx, pollEvery); err != nil {
+			return api.Errorf(api.CodeNotReady, "%s is not ready: %w", d.Name, err)
+		}
+	}
+}
+
+func (f *fleet) awaitMembers(ctx context.Context, d *proc.Process, n int) error {
+	for {
+		if s, err := f.status(ctx, d); err == nil && s.Ready && inState(s, adminapi.MemberAlive) == n {
+			return nil
+		}
+		if err := pause(ctx, pollEvery); err != nil {
+			return api.Errorf(api.CodeNotReady, "%s does not know all daemons: %w", d.Name, err)
+		}
+	}
+}
+
+func inState(s adminapi.Status, state string) int {
+	n := 0
+	for _, m := range s.Members {
+		if m.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) status(ctx context.Context, d *proc.Process) (s adminapi.Status, err error) {
+	return s, f.call(ctx, http.MethodGet, d.Address, adminapi.PathStatus, nil, &s)
+}
+
+// change proposes a change of the configuration through the first daemon.
+func (f *fleet) change(ctx context.Context, method, path string, body any) (api.Revision, error) {
+	var c adminapi.Changed
+	err := f.call(ctx, method, f.daemons[0].Address, path, body, &c)
+	return c.Revision, err
+}
+
+// call sends JSON and decodes the answer into out unless it is nil.
+func (f *fleet) call(ctx context.Context, method, address, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return fmt.Errorf("encode: %w", err)
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return fmt.Errorf("request %s: %w", path, err)
+	}
+	req.Header.Set(adminapi.HeaderOperator, "control")
+	res, err := f.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		return api.Errorf(api.CodeUpstreamFailed, "%s: status %d: %.200s", path, res.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("decode %s: %w", path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/control/main.go
@@ -0,0 +1,149 @@
+// Program control measures what a daemon spends on control, at rest and under
+// load, with a growing number of real daemons on loopback, and extrapolates
+// each figure to the design size. It prints tables and, as its last line, one
+// JSON object.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/proc"
+)
+
+const (
+	failedStatus = 1
+	stopLimit    = 30 * time.Second // for all processes together
+	roundLimit   = 5 * time.Minute  // for one number of daemons
+)
+
+// options of a run.
+type options struct {
+	bin, out string
+	daemons  []int
+	engines  int
+	repeats  int
+	phase    time.Duration // of each measured phase
+	rate     float64       // members' requests a second through each daemon
+	short    int           // tokens of a short answer
+	long     int           // tokens of a long answer
+	target   int           // daemons to extrapolate to
+	events   bool          // measure changes, weights and a death as well
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "control:", err)
+		stop()
+		os.Exit(failedStatus)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "control",
+		Usage: "measures what control costs each daemon",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "bin", Value: ".bin", Usage: "`directory` of the programs"},
+			&cli.StringFlag{Name: "out", Value: "out/control", Usage: "`directory` for the programs' output"},
+			&cli.StringFlag{Name: "daemons", Value: "4,8,16,32", Usage: "`numbers` of daemons, separated by commas"},
+			&cli.IntFlag{Name: "engines", Value: 4, Usage: "engines in front of which they stand"},
+			&cli.IntFlag{Name: "repeats", Value: 2, Usage: "runs of each number of daemons"},
+			&cli.DurationFlag{Name: "phase", Value: 10 * time.Second, Usage: "length of each measured phase"},
+			&cli.FloatFlag{Name: "rate", Value: 12.7, Usage: "members' requests a second through each daemon"},
+			&cli.IntFlag{Name: "short", Value: 8, Usage: "tokens of a short answer"},
+			&cli.IntFlag{Name: "long", Value: 64, Usage: "tokens of a long answer"},
+			&cli.IntFlag{Name: "target", Value: 370, Usage: "daemons to extrapolate to"},
+			&cli.BoolFlag{Name: "events", Value: true, Usage: "measure changes, weights and a killed daemon as well"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			o := options{
+				bin: c.String("bin"), out: c.String("out"), engines: c.Int("engines"), repeats: c.Int("repeats"),
+				phase: c.Duration("phase"), rate: c.Float("rate"), short: c.Int("short"), long: c.Int("long"),
+				target: c.Int("target"), events: c.Bool("events"),
+			}
+			var err error
+			if o.daemons, err = numbers(c.String("daemons")); err != nil {
+				return err
+			}
+			return run(ctx, o)
+		},
+	}
+}
+
+func numbers(list string) ([]int, error) {
+	var out []int
+	for _, s := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 2 {
+			return nil, api.Errorf(api.CodeInvalid, "daemons: %q; allowed: numbers from 2 on", s)
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
+
+func run(ctx context.Context, o options) error {
+	r := &report{Target: o.target}
+	for repeat := range o.repeats {
+		for _, n := range o.daemons {
+			if err := round(ctx, o, n, repeat, r); err != nil {
+				return fmt.Errorf("%d daemons: %w", n, err)
+			}
+		}
+	}
+	r.fit()
+	r.print(os.Stdout)
+	line, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("encode the report: %w", err)
+	}
+	fmt.Println(string(line))
+	return nil
+}
+
+// round measures one number of daemons once.
+func round(ctx context.Context, o options, n, repeat int, r *report) error {
+	ctx, cancel := context.WithTimeout(ctx, roundLimit)
+	defer cancel()
+	runner, err := proc.NewRunner(o.bin, filepath.Join(o.out, fmt.Sprintf("%d-%d", n, repeat)))
+	if err != nil {
+		return err
+	}
+	defer runner.KillAll()
+	f, err := startFleet(ctx, runner, n, o.engines)
+	if err != nil {
+		return err
+	}
+	if err := measure(ctx, o, f, r); err != nil {
+		return err
+	}
+	stopping, stop := context.WithTimeout(ctx, stopLimit)
+	defer stop()
+	return runner.StopAll(stopping)
+}
+
+// pause waits. Errors: ctx.Err().
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/bench/control/report_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestFitFindsTheLine(t *testing.T) {
+	l := fitLine([]float64{4, 8, 16}, []float64{9, 17, 33})
+	assert.Assert(t, math.Abs(l.Start-1) < 1e-9 && math.Abs(l.Slope-2) < 1e-9 && math.Abs(l.R2-1) < 1e-9)
+	assert.Assert(t, math.Abs(l.at(370)-741) < 1e-6)
+	flat := fitLine([]float64{1, 2}, []float64{5, 5})
+	assert.Equal(t, flat, line{Start: 5, R2: 1})
+}
+
+func TestRowsAreMeansPerDaemonAndSecond(t *testing.T) {
+	begin := time.Unix(100, 0)
+	before := []sample{{at: begin}, {at: begin}}
+	after := []sample{
+		{at: begin.Add(2 * time.Second), cpu: 20 * time.Millisecond, rss: 2 * megabyte},
+		{at: begin.Add(2 * time.Second), cpu: 60 * time.Millisecond, rss: 4 * megabyte},
+	}
+	after[0].vars.Peer = traffic{In: 100, Out: 300}
+	r := newRow("rest", before, after)
+	assert.Assert(t, math.Abs(r.CPU-2) < 1e-9 && math.Abs(r.CPUMax-3) < 1e-9)
+	assert.Equal(t, r.RSS, 3.0)
+	assert.Equal(t, r.Peer, 100.0)
+}
+
+func TestStatIsReadBehindAnyName(t *testing.T) {
+	cpu, err := parseStat([]byte("7 (a b) c) S 1 1 1 0 -1 0 0 0 0 0 30 12 0 0 20"))
+	assert.NilError(t, err)
+	assert.Equal(t, cpu, 420*time.Millisecond)
+	_, err = parseStat([]byte("7 (a) S 1"))
+	assert.Assert(t, err != nil)
+}
+
+func TestNumbers(t *testing.T) {
+	n, err := numbers("4,32")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, n, []int{4, 32})
+	_, err = numbers("4,x")
+	assert.Assert(t, err != nil)
+}
--- a/bench/proc/proc.go
+++ b/bench/proc/proc.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -178,6 +179,14 @@
 	return first
 }
 
+// Kill ends one process, which StopAll then leaves out.
+func (r *Runner) Kill(p *Process) {
+	r.mu.Lock()
+	r.started = slices.DeleteFunc(r.started, func(other *Process) bool { return other == p })
+	r.mu.Unlock()
+	p.Kill()
+}
+
 // KillAll ends at once what still runs.
 func (r *Runner) KillAll() {
 	r.mu.Lock()
--- a/bench/proc/proc_test.go
+++ b/bench/proc/proc_test.go
@@ -70,3 +70,12 @@
 	assert.NilError(t, err)
 	assert.Assert(t, a[0] != a[1] && a[1] != a[2] && a[0] != a[2])
 }
+
+func TestKilledOnPurposeIsLeftOut(t *testing.T) {
+	r := runner(t, "echo 'listening 127.0.0.1:1'\nexec sleep 60\n")
+	p, err := r.Start(context.Background(), "a", "prog")
+	assert.NilError(t, err)
+	r.Kill(p)
+	assert.NilError(t, r.StopAll(context.Background()))
+	assert.Equal(t, p.ExitCode(), -1)
+}
--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -87,7 +87,7 @@
 	n := &Node{settings: s, log: log, started: time.Now()}
 	invariant.OnViolation(n.violated)
 	n.system = duty.NewSystem(n.panicked)
-	n.platform = httplog.New(s.Platform.Log, &http.Client{})
+	n.platform = httplog.New(s.Platform.Log, nil)
 	callers, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
 		return nil, api.Errorf(api.CodeInvalid, "listen.callers: %w", err)
@@ -127,7 +127,7 @@
 func (n *Node) startHosts() {
 	var source hostlist.Source
 	if address := n.settings.Platform.HostList; address != "" {
-		source = hostlist.NewHTTP(address, &http.Client{})
+		source = hostlist.NewHTTP(address, nil)
 	}
 	n.hosts = hosts.Start(n.system, source, hosts.Config{Every: hostListEvery, Timeout: hostListTimeout})
 }
--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -154,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.NewWithOptions(countedConn{raw}, drpcconn.Options{Manager: managerOptions()})
+	conn := drpcconn.NewWithOptions(traffic.Conn(raw), drpcconn.Options{Manager: managerOptions()})
 	return c.callOn(addr, conn, do)
 }
 
--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -6,18 +6,20 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/netcount"
 )
 
 // counters of this process: bytes_in, bytes_out, calls, calls_failed, dials,
 // dropped (connections given up after a failure).
 var counters = expvar.NewMap("peer")
 
+var traffic = netcount.New(counters)
+
 // SlotsRequest asks for part of an upstream's window.
 type SlotsRequest struct {
 	Upstream api.UpstreamID
@@ -60,32 +62,3 @@
 	// Slots leases part of an upstream's window.
 	Slots(ctx context.Context, r SlotsRequest) (SlotsLease, error)
 }
-
-// countedConn counts the bytes of a connection in both directions.
-type countedConn struct{ net.Conn }
-
-// Read implements net.Conn.
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	counters.Add("bytes_in", int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	counters.Add("bytes_out", int64(n))
-	return n, err
-}
-
-// countedListener counts the bytes of the connections it accepts.
-type countedListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{c}, nil
-}
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -61,7 +61,7 @@
 func (a acceptor) Handle(ctx context.Context, server *drpcserver.Server) {
 	// What Serve could report is the listener's failure, which peers see as
 	// this daemon's silence.
-	_ = server.Serve(ctx, countedListener{a.listener})
+	_ = server.Serve(ctx, traffic.Listener(a.listener))
 }
 
 func managerOptions() drpcmanager.Options {
--- a/lib/eventlog/httplog/httplog.go
+++ b/lib/eventlog/httplog/httplog.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/lib/netcount"
 )
 
 const (
@@ -44,15 +46,33 @@
 	slack  time.Duration
 }
 
+// counters of this process: appends and reads sent, and bytes_in and bytes_out
+// of the connections of clients that New makes itself.
+var (
+	counters = expvar.NewMap("platform_log")
+	traffic  = netcount.New(counters)
+)
+
+// idleConnections kept open to the log: the reader, the appender and trainers'
+// readers call at the same time.
+const idleConnections = 8
+
+func countedTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = traffic.Dial(t.DialContext)
+	t.MaxIdleConnsPerHost = idleConnections
+	return t
+}
+
 // New returns a client of the log at address (host:port). A nil client stands
-// for one with its own connection pool.
+// for one with its own connection pool, whose bytes are counted.
 func New(address string, client *http.Client) eventlog.Log {
 	return newLog(address, client, readSlack)
 }
 
 func newLog(address string, client *http.Client, slack time.Duration) *log {
 	if client == nil {
-		client = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		client = &http.Client{Transport: countedTransport()}
 	}
 	return &log{base: "http://" + address, client: client, slack: slack}
 }
@@ -61,6 +81,7 @@
 func (l *log) Append(ctx context.Context, stream string, records []eventlog.Record) (api.Offset, error) {
 	ctx, cancel := context.WithTimeout(ctx, appendBound)
 	defer cancel()
+	counters.Add("appends", 1)
 	a, err := l.post(ctx, PathAppend, AppendRequest{Stream: stream, Records: records})
 	if err == nil && a.status == http.StatusOK {
 		offset, err := DecodeAppend(a.body)
@@ -82,6 +103,7 @@
 func (l *log) Read(ctx context.Context, positions []eventlog.Position, limit int, wait time.Duration) ([]eventlog.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+l.slack)
 	defer cancel()
+	counters.Add("reads", 1)
 	request := ReadRequest{Positions: positions, Limit: limit, WaitMillis: wait.Milliseconds()}
 	a, err := l.post(ctx, PathRead, request)
 	if err == nil && a.status != http.StatusOK {
--- a/lib/hostlist/hostlist.go
+++ b/lib/hostlist/hostlist.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"io"
 	"net/http"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/netcount"
 )
 
 // State says whether a host stays.
@@ -41,8 +43,24 @@
 	client *http.Client
 }
 
-// NewHTTP returns the adapter for the list served at an address (host:port).
+// counters of this process: bytes_in and bytes_out of the connections of
+// clients that NewHTTP makes itself.
+var counters = expvar.NewMap("host_list")
+
+var traffic = netcount.New(counters)
+
+func countedTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = traffic.Dial(t.DialContext)
+	return t
+}
+
+// NewHTTP returns the adapter for the list served at an address (host:port). A
+// nil client stands for one with its own connections, whose bytes are counted.
 func NewHTTP(address string, client *http.Client) Source {
+	if client == nil {
+		client = &http.Client{Transport: countedTransport()}
+	}
 	return &httpSource{url: "http://" + address + "/v1/hosts", client: client}
 }
 
--- /dev/null
+++ b/lib/netcount/netcount.go
@@ -0,0 +1,73 @@
+// Package netcount counts the bytes that cross connections, under "bytes_in"
+// and "bytes_out" of an expvar map.
+package netcount
+
+import (
+	"context"
+	"expvar"
+	"net"
+)
+
+// Counter counts the bytes of the connections it wraps. It may be used from
+// any thread.
+type Counter struct{ in, out *expvar.Int }
+
+// New returns a counter whose sums (bytes) appear in m.
+func New(m *expvar.Map) Counter {
+	m.Add("bytes_in", 0)
+	m.Add("bytes_out", 0)
+	return Counter{in: m.Get("bytes_in").(*expvar.Int), out: m.Get("bytes_out").(*expvar.Int)}
+}
+
+// Conn returns c with its bytes counted.
+func (n Counter) Conn(c net.Conn) net.Conn { return conn{Conn: c, n: n} }
+
+// Listener returns l; the bytes of the connections it accepts are counted.
+func (n Counter) Listener(l net.Listener) net.Listener { return listener{Listener: l, n: n} }
+
+// Dial returns dial; the bytes of the connections it opens are counted.
+func (n Counter) Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return n.Conn(c), nil
+	}
+}
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+type conn struct {
+	net.Conn
+	n Counter
+}
+
+// Read implements net.Conn.
+func (c conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.in.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.out.Add(int64(n))
+	return n, err
+}
+
+type listener struct {
+	net.Listener
+	n Counter
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.n.Conn(c), nil
+}
