--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -29,6 +29,8 @@
 	journalLimit = 1000
 	hostListLag  = 10 * time.Millisecond
 	settleTime   = 3 * time.Second // after the last daemon knows all others
+	hostsPerNet  = 250
+	listedName   = api.ModelName("listed")
 	pollEvery    = 50 * time.Millisecond
 	maxAnswer    = 16 << 20 // bytes
 )
@@ -41,18 +43,24 @@
 	hosts   *proc.Process
 	engines []*proc.Process
 	daemons []*proc.Process
-	marked  *marker // the last change of a mark
+	listed  []string // addresses of services that get no work
+	mark    marker   // of the first engine
 }
 
 func engineID(i int) api.UpstreamID { return api.UpstreamID(fmt.Sprintf("coach-%d", i+1)) }
 
+func listedID(i int) api.UpstreamID { return api.UpstreamID(fmt.Sprintf("listed-%d", i+1)) }
+
 func daemonName(i int) string { return fmt.Sprintf("daemon-%d", i+1) }
 
-// startFleet starts n daemons before a number of engines, publishes the lists
-// and waits until every daemon knows all.
-func startFleet(ctx context.Context, r *proc.Runner, n, engines int) (*fleet, error) {
+// startFleet starts n daemons before the engines, publishes the lists and
+// waits until every daemon knows all.
+func startFleet(ctx context.Context, r *proc.Runner, n int, o options) (*fleet, error) {
 	f := &fleet{runner: r, client: &http.Client{}}
-	if err := f.startPlatform(ctx, engines); err != nil {
+	for i := range o.listed {
+		f.listed = append(f.listed, fmt.Sprintf("127.1.%d.%d:9", i/hostsPerNet, 1+i%hostsPerNet))
+	}
+	if err := f.startPlatform(ctx, o.engines); err != nil {
 		return nil, err
 	}
 	if err := f.startDaemons(ctx, n); err != nil {
@@ -88,6 +96,11 @@
 			return err
 		}
 	}
+	for i, address := range f.listed {
+		if err := f.list(ctx, string(listedID(i)), address); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -148,6 +161,12 @@
 			Models: []api.ModelName{model}, Window: engineWindow,
 		})
 	}
+	for i, address := range f.listed {
+		usage.Upstreams = append(usage.Upstreams, api.Upstream{
+			ID: listedID(i), Kind: api.KindPlain, Address: address, DataCentre: "sapporo-a",
+			Models: []api.ModelName{listedName}, Window: engineWindow,
+		})
+	}
 	if err := f.awaitReady(ctx, f.daemons[0]); err != nil {
 		return err
 	}
--- a/bench/control/main.go
+++ b/bench/control/main.go
@@ -39,7 +39,8 @@
 	short    int           // tokens of a short answer
 	long     int           // tokens of a long answer
 	target   int           // daemons to extrapolate to
-	events   bool          // measure changes, weights and a death as well
+	phases   []string      // what is measured
+	listed   int           // further upstreams on the lists, which get no work
 }
 
 func main() {
@@ -67,13 +68,14 @@
 			&cli.IntFlag{Name: "short", Value: 8, Usage: "tokens of a short answer"},
 			&cli.IntFlag{Name: "long", Value: 64, Usage: "tokens of a long answer"},
 			&cli.IntFlag{Name: "target", Value: 370, Usage: "daemons to extrapolate to"},
-			&cli.BoolFlag{Name: "events", Value: true, Usage: "measure changes, weights and a killed daemon as well"},
+			&cli.StringFlag{Name: "phases", Value: "rest,changes,short,long,events", Usage: "`names` of what is measured"},
+			&cli.IntFlag{Name: "listed", Usage: "further plain services on the usage list and the host list, without work"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			o := options{
 				bin: c.String("bin"), out: c.String("out"), engines: c.Int("engines"), repeats: c.Int("repeats"),
 				phase: c.Duration("phase"), rate: c.Float("rate"), short: c.Int("short"), long: c.Int("long"),
-				target: c.Int("target"), events: c.Bool("events"),
+				target: c.Int("target"), phases: strings.Split(c.String("phases"), ","), listed: c.Int("listed"),
 			}
 			var err error
 			if o.daemons, err = numbers(c.String("daemons")); err != nil {
@@ -124,7 +126,7 @@
 		return err
 	}
 	defer runner.KillAll()
-	f, err := startFleet(ctx, runner, n, o.engines)
+	f, err := startFleet(ctx, runner, n, o)
 	if err != nil {
 		return err
 	}
--- a/bench/control/measure.go
+++ b/bench/control/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -18,38 +19,46 @@
 	deathPoll       = 100 * time.Millisecond
 )
 
-// measure runs the phases: at rest, changes at rest, short and long answers,
-// and the times until events are known everywhere, under the short load.
+// measure runs the phases that were asked for: at rest, changes at rest, short
+// and long answers, and the times until events are known everywhere, under the
+// short load.
 func measure(ctx context.Context, o options, f *fleet, r *report) error {
-	if err := f.phase(ctx, o, r, "rest", nil); err != nil {
-		return err
-	}
-	if err := f.changes(ctx, o, r); err != nil {
-		return err
-	}
-	for _, p := range []struct {
-		name   string
-		tokens int
-	}{{"short", o.short}, {"long", o.long}} {
-		l := f.startLoad(o.rate, p.tokens)
-		if err := pause(ctx, warmUp); err != nil {
-			return err
-		}
-		if err := f.phase(ctx, o, r, p.name, l); err != nil {
-			return err
+	for _, name := range o.phases {
+		var err error
+		switch name {
+		case "rest":
+			err = f.phase(ctx, o, r, name, nil)
+		case "changes":
+			err = f.changes(ctx, o, r)
+		case "short":
+			err = f.answer(ctx, o, r, name, o.short)
+		case "long":
+			err = f.answer(ctx, o, r, name, o.long)
+		case "events":
+			err = f.underLoad(ctx, o, o.short, func() error { return f.times(ctx, r) })
+		default:
+			err = api.Errorf(api.CodeInvalid, "phase %q; allowed: rest, changes, short, long, events", name)
 		}
-		if err := l.stop(ctx); err != nil {
+		if err != nil {
 			return err
 		}
 	}
-	if !o.events {
-		return nil
-	}
-	l := f.startLoad(o.rate, o.short)
-	if err := f.times(ctx, r); err != nil {
-		return err
-	}
-	return l.stop(ctx)
+	return nil
+}
+
+// answer measures a phase of answers of some tokens.
+func (f *fleet) answer(ctx context.Context, o options, r *report, name string, tokens int) error {
+	l := f.startLoad(o.rate, tokens)
+	err := pause(ctx, warmUp)
+	if err == nil {
+		err = f.phase(ctx, o, r, name, l)
+	}
+	return errors.Join(err, l.stop(ctx))
+}
+
+func (f *fleet) underLoad(ctx context.Context, o options, tokens int, do func() error) error {
+	l := f.startLoad(o.rate, tokens)
+	return errors.Join(do(), l.stop(ctx))
 }
 
 // phase measures for a while what each daemon spends.
@@ -84,19 +93,18 @@
 
 // marker toggles the mark of one upstream.
 type marker struct {
-	f    *fleet
 	base api.Revision
 	mark api.Mark
 }
 
-func (m *marker) change(ctx context.Context) (api.Revision, error) {
+func (m *marker) change(ctx context.Context, f *fleet) (api.Revision, error) {
 	if m.mark == api.MarkDraining {
 		m.mark = api.MarkActive
 	} else {
 		m.mark = api.MarkDraining
 	}
 	path := adminapi.PathUpstreams + string(engineID(0)) + "/mark"
-	revision, err := m.f.change(ctx, http.MethodPost, path, adminapi.PostMark{Base: &m.base, Mark: m.mark})
+	revision, err := f.change(ctx, http.MethodPost, path, adminapi.PostMark{Base: &m.base, Mark: m.mark})
 	m.base = revision
 	return revision, err
 }
@@ -107,11 +115,11 @@
 	if err != nil {
 		return err
 	}
-	m := &marker{f: f}
+	m := &f.mark
 	n := int(o.phase / changeEvery)
 	n -= n % 2 // the upstream ends active
 	for range n {
-		if _, err := m.change(ctx); err != nil {
+		if _, err := m.change(ctx, f); err != nil {
 			return err
 		}
 		if err := pause(ctx, changeEvery); err != nil {
@@ -126,7 +134,6 @@
 	row.Changes = float64(n) / after[0].at.Sub(before[0].at).Seconds()
 	row.Load = loadAverage()
 	r.add(row)
-	f.marked = m
 	return nil
 }
 
@@ -160,7 +167,7 @@
 // timeChange returns the time from the proposal until the last daemon has it in force.
 func (f *fleet) timeChange(ctx context.Context) (time.Duration, error) {
 	begin := time.Now()
-	revision, err := f.marked.change(ctx)
+	revision, err := f.mark.change(ctx, f)
 	if err != nil {
 		return 0, err
 	}
