Read the host list anew only when it has changed

Cause: each daemon fetched the whole list every second; its size grows with the hosts on it, some 60 bytes each, so it passed the budget of 2 KB a second at 30 hosts. Where the platform names the version of its list by ETag, the daemon asks with If-None-Match; without an ETag all stays as it was. Ruled out: a slower poll (a leaving host gets no new work within 3 s); a subset of pollers that spread what they read (a further message between daemons).

--- a/lib/hostlist/hostlist.go
+++ b/lib/hostlist/hostlist.go
@@ -30,7 +30,8 @@
 	State   State  `json:"state"`
 }
 
-// Source reads the whole list. Errors: CodeUpstreamFailed, CodeInvalid.
+// Source reads the whole list, which callers must not change. It is used by one
+// thread at a time. Errors: CodeUpstreamFailed, CodeInvalid.
 type Source interface {
 	Hosts(ctx context.Context) ([]Host, error)
 }
@@ -38,9 +39,13 @@
 // maxBytes bounds the list's size.
 const maxBytes = 4 << 20
 
+// httpSource reads the list anew only when it has changed, where the platform
+// names the versions of its list by ETag. It belongs to one reader at a time.
 type httpSource struct {
 	url    string
 	client *http.Client
+	etag   string // of last; empty: none
+	last   []Host
 }
 
 // counters of this process: bytes_in and bytes_out of the connections of
@@ -70,11 +75,17 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeInvalid, "host list: %w", err)
 	}
+	if s.etag != "" {
+		req.Header.Set("If-None-Match", s.etag)
+	}
 	res, err := s.client.Do(req)
 	if err != nil {
 		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: %w", err)
 	}
 	defer res.Body.Close()
+	if res.StatusCode == http.StatusNotModified && s.etag != "" {
+		return s.last, nil
+	}
 	if res.StatusCode != http.StatusOK {
 		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: status %d", res.StatusCode)
 	}
@@ -82,7 +93,12 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: %w", err)
 	}
-	return Decode(body)
+	hosts, err := Decode(body)
+	if err != nil {
+		return nil, err
+	}
+	s.etag, s.last = res.Header.Get("ETag"), hosts
+	return hosts, nil
 }
 
 // Decode reads a list's JSON form. Errors: CodeInvalid.
--- a/lib/hostlist/hostlist_test.go
+++ b/lib/hostlist/hostlist_test.go
@@ -1,6 +1,9 @@
 package hostlist_test
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"dotterelmount.example/api"
@@ -26,3 +29,24 @@
 		}
 	})
 }
+
+func TestUnchangedListIsKept(t *testing.T) {
+	var asked []string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked = append(asked, r.Header.Get("If-None-Match"))
+		if len(asked) == 2 {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("ETag", fmt.Sprintf(`"%d"`, len(asked)))
+		_, _ = fmt.Fprintf(w, `{"hosts":[{"id":"a%d","address":"127.0.0.1:1","state":"live"}]}`, len(asked))
+	}))
+	defer srv.Close()
+	source := hostlist.NewHTTP(srv.Listener.Addr().String(), nil)
+	for _, want := range []string{"a1", "a1", "a3"} {
+		hosts, err := source.Hosts(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, hosts[0].ID, want)
+	}
+	assert.DeepEqual(t, asked, []string{"", `"1"`, `"1"`})
+}
--- a/standin/hostlist/handler.go
+++ b/standin/hostlist/handler.go
@@ -54,14 +54,16 @@
 type handler struct {
 	lag   time.Duration
 	clock func() time.Time
+	run   string // tells the versions of one run from those of another
 
 	mu      sync.Mutex
 	visible map[string]host
 	pending []change // oldest first
+	version int      // changes made visible
 }
 
 func newHandler(lag time.Duration, clock func() time.Time) http.Handler {
-	h := &handler{lag: lag, clock: clock, visible: make(map[string]host)}
+	h := &handler{lag: lag, clock: clock, run: fmt.Sprint(clock().UnixNano()), visible: make(map[string]host)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/hosts", h.post)
 	mux.HandleFunc("GET /v1/hosts", h.get)
@@ -85,11 +87,19 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (h *handler) get(w http.ResponseWriter, _ *http.Request) {
-	serve.JSON(w, http.StatusOK, h.list())
+func (h *handler) get(w http.ResponseWriter, r *http.Request) {
+	list, version := h.list()
+	etag := fmt.Sprintf("%q", fmt.Sprintf("%s-%d", h.run, version))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	serve.JSON(w, http.StatusOK, list)
 }
 
-func (h *handler) list() hostsBody {
+// list returns the visible list and the number of its changes so far.
+func (h *handler) list() (hostsBody, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.settle(h.clock())
@@ -98,7 +108,7 @@
 		hosts = append(hosts, b)
 	}
 	slices.SortFunc(hosts, func(a, b host) int { return cmp.Compare(a.ID, b.ID) })
-	return hostsBody{Hosts: hosts}
+	return hostsBody{Hosts: hosts}, h.version
 }
 
 // settle makes the changes visible that are as old as the lag.
@@ -106,6 +116,7 @@
 	for len(h.pending) > 0 && !now.Before(h.pending[0].visibleAt) {
 		b := h.pending[0].host
 		h.visible[b.ID] = b
+		h.version++
 		h.pending = h.pending[1:]
 	}
 }
--- a/standin/hostlist/handler_test.go
+++ b/standin/hostlist/handler_test.go
@@ -26,3 +26,24 @@
 	now = now.Add(time.Second)
 	assert.Assert(t, strings.Contains(call("GET", "").Body.String(), `"leaving"`))
 }
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	now := time.Unix(100, 0)
+	h := newHandler(time.Second, func() time.Time { return now })
+	get := func(etag string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest("GET", "/v1/hosts", nil)
+		r.Header.Set("If-None-Match", etag)
+		h.ServeHTTP(w, r)
+		return w
+	}
+	first := get("")
+	assert.Equal(t, first.Code, 200)
+	etag := first.Header().Get("ETag")
+	assert.Equal(t, get(etag).Code, 304)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("POST", "/v1/hosts", strings.NewReader(`{"id":"a","address":"127.0.0.1:1","state":"live"}`)))
+	assert.Equal(t, get(etag).Code, 304) // the change does not show yet
+	now = now.Add(time.Second)
+	assert.Equal(t, get(etag).Code, 200)
+}
