Start no work before all parts of the daemon are started

The dispatcher ticks from its start on and asked for the age of the configuration before the log book was there: a daemon that was slow to start on a busy machine died with status 70 (seen at load average 31 with 16 daemons, daemon 15).

--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -77,6 +77,7 @@
 	gossip   atomic.Pointer[gossip.Gossip]
 	callers  *http.Server
 	address  string
+	wired    atomic.Bool // all parts are started
 	stopping atomic.Bool
 	started  time.Time
 }
@@ -103,6 +104,7 @@
 	}
 	n.startWeights()
 	n.startSampler()
+	n.wired.Store(true)
 	n.serveCallers(callers)
 	log.Info("started", zap.String("callers", n.address), zap.String("data_centre", s.DataCentre))
 	return n, nil
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -116,8 +116,9 @@
 }
 
 // current reports whether the configuration is known to be recent enough to
-// start work by it.
-func (n *Node) current() bool { return n.age() <= startBound }
+// start work by it. The dispatcher asks from its first tick on, before the
+// other parts are started.
+func (n *Node) current() bool { return n.wired.Load() && n.age() <= startBound }
 
 // ready returns why the daemon refuses requests, or nil.
 func (n *Node) ready() error {
