--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -76,6 +76,7 @@
 	gossip   atomic.Pointer[gossip.Gossip]
 	callers  *http.Server
 	address  string
+	wired    atomic.Bool // all parts are started
 	stopping atomic.Bool
 	started  time.Time
 }
@@ -86,7 +87,7 @@
 	n := &Node{settings: s, log: log, started: time.Now()}
 	invariant.OnViolation(n.violated)
 	n.system = duty.NewSystem(n.panicked)
-	n.platform = httplog.New(s.Platform.Log, &http.Client{})
+	n.platform = httplog.New(s.Platform.Log, nil)
 	callers, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
 		return nil, api.Errorf(api.CodeInvalid, "listen.callers: %w", err)
@@ -102,6 +103,7 @@
 	}
 	n.startWeights()
 	n.startSampler()
+	n.wired.Store(true)
 	n.serveCallers(callers)
 	log.Info("started", zap.String("callers", n.address), zap.String("data_centre", s.DataCentre))
 	return n, nil
@@ -126,7 +128,7 @@
 func (n *Node) startHosts() {
 	var source hostlist.Source
 	if address := n.settings.Platform.HostList; address != "" {
-		source = hostlist.NewHTTP(address, &http.Client{})
+		source = hostlist.NewHTTP(address, nil)
 	}
 	n.hosts = hosts.Start(n.system, source, hosts.Config{Every: hostListEvery, Timeout: hostListTimeout})
 }
