Let a trainer or an operator abandon a step; refuse steps of models that nobody serves

A step's abandonment was folded, but nothing appended it. Now a route, and the command line, append it: running jobs are cancelled, the samples that will not come are named, and a handed group that the trainer did not take is lost rather than handed again. A step whose model the plan may not use, or no engine serves, is refused as unknown-model in place of being retried for ever; where the model goes away later, its open slots are not run and are late by name.

--- a/api/errors.go
+++ b/api/errors.go
@@ -18,6 +18,7 @@
 	CodeUnknownModel     Code = "unknown-model"     // model not allowed for the plan
 	CodeUnknownUpstream  Code = "unknown-upstream"  // upstream not in the usage list
 	CodeUnknownTrainer   Code = "unknown-trainer"   // trainer never submitted a step
+	CodeUnknownStep      Code = "unknown-step"      // trainer never opened such a step
 	CodeConflict         Code = "conflict"          // base revision is not the one in force
 	CodeStillInUse       Code = "still-in-use"      // list removes an upstream that is not draining
 	CodeStaleVersion     Code = "stale-version"     // weight version not above the one in force
--- a/cmd/dotterelmount/internal/adminclient/client.go
+++ b/cmd/dotterelmount/internal/adminclient/client.go
@@ -17,6 +17,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/adminapi"
 	"dotterelmount.example/front/httpapi/errmap"
+	"dotterelmount.example/lib/samples"
 )
 
 const maxAnswerBytes = 64 << 20
@@ -111,31 +112,44 @@
 	return read[json.RawMessage](ctx, c, "/v1/trainers/"+url.PathEscape(string(name)))
 }
 
+// Abandoned is a daemon's answer to AbandonStep.
+type Abandoned struct {
+	Step   samples.StepID    `json:"step"`
+	Offset api.Offset        `json:"offset"` // of the record in the trainer's stream
+	Lost   []samples.SlotRef `json:"lost"`
+}
+
+// AbandonStep ends a trainer's step. Errors: as PutPlanList.
+func (c *Client) AbandonStep(ctx context.Context, t api.TrainerID, step samples.StepID) (Abandoned, error) {
+	path := "/v1/trainers/" + url.PathEscape(string(t)) + "/steps/" + url.PathEscape(string(step)) + "/abandon"
+	return change[Abandoned](ctx, c, http.MethodPost, path, nil)
+}
+
 // PutPlanList publishes a plan list. Errors: *RefusedError, *UnreachableError, *UnknownError.
 func (c *Client) PutPlanList(ctx context.Context, base api.Revision, l *api.PlanList) (adminapi.Changed, error) {
-	return c.change(ctx, http.MethodPut, adminapi.PathPlanList, adminapi.PutPlanList{Base: &base, List: l})
+	return change[adminapi.Changed](ctx, c, http.MethodPut, adminapi.PathPlanList, adminapi.PutPlanList{Base: &base, List: l})
 }
 
 // PutUsageList publishes a usage list. Errors: as PutPlanList.
 func (c *Client) PutUsageList(ctx context.Context, base api.Revision, l *api.UsageList) (adminapi.Changed, error) {
-	return c.change(ctx, http.MethodPut, adminapi.PathUsageList, adminapi.PutUsageList{Base: &base, List: l})
+	return change[adminapi.Changed](ctx, c, http.MethodPut, adminapi.PathUsageList, adminapi.PutUsageList{Base: &base, List: l})
 }
 
 // Mark changes the mark of an upstream. Errors: as PutPlanList.
 func (c *Client) Mark(ctx context.Context, id api.UpstreamID, base api.Revision, m api.Mark) (adminapi.Changed, error) {
 	path := adminapi.PathUpstreams + url.PathEscape(string(id)) + "/mark"
-	return c.change(ctx, http.MethodPost, path, adminapi.PostMark{Base: &base, Mark: m})
+	return change[adminapi.Changed](ctx, c, http.MethodPost, path, adminapi.PostMark{Base: &base, Mark: m})
 }
 
 // Announce puts a weight version in force. Errors: as PutPlanList.
 func (c *Client) Announce(ctx context.Context, m api.ModelName, v api.WeightVersion) (adminapi.Changed, error) {
-	return c.change(ctx, http.MethodPost, adminapi.PathWeights, adminapi.PostWeights{Model: m, Version: v})
+	return change[adminapi.Changed](ctx, c, http.MethodPost, adminapi.PathWeights, adminapi.PostWeights{Model: m, Version: v})
 }
 
 // Lift clears the strikes of a fingerprint (hexadecimal). Errors: as PutPlanList.
 func (c *Client) Lift(ctx context.Context, fingerprint string) (adminapi.Changed, error) {
 	path := adminapi.PathQuarantine + url.PathEscape(fingerprint) + "/lift"
-	return c.change(ctx, http.MethodPost, path, nil)
+	return change[adminapi.Changed](ctx, c, http.MethodPost, path, nil)
 }
 
 // read asks one daemon after the other until one answers.
@@ -160,11 +174,11 @@
 }
 
 // change asks one daemon after the other until one may have got the request.
-func (c *Client) change(ctx context.Context, method, path string, body any) (adminapi.Changed, error) {
-	var changed adminapi.Changed
+func change[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
+	var none T
 	data, err := json.Marshal(body)
 	if err != nil {
-		return changed, api.Errorf(api.CodeInvalid, "encode: %w", err)
+		return none, api.Errorf(api.CodeInvalid, "encode: %w", err)
 	}
 	var last error
 	for _, address := range c.Daemons {
@@ -173,24 +187,24 @@
 			last = err
 			continue
 		}
-		return c.changed(address, answer, err)
+		return changed[T](address, answer, err)
 	}
-	return changed, &UnreachableError{Daemons: c.Daemons, Cause: last}
+	return none, &UnreachableError{Daemons: c.Daemons, Cause: last}
 }
 
-func (c *Client) changed(address string, answer []byte, err error) (adminapi.Changed, error) {
-	var changed adminapi.Changed
+func changed[T any](address string, answer []byte, err error) (T, error) {
+	var value T
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		return changed, err
+		return value, err
 	}
 	if err == nil {
-		err = json.Unmarshal(answer, &changed)
+		err = json.Unmarshal(answer, &value)
 	}
 	if err != nil {
-		return changed, &UnknownError{Daemon: address, Cause: err}
+		return value, &UnknownError{Daemon: address, Cause: err}
 	}
-	return changed, nil
+	return value, nil
 }
 
 // notSent reports whether err proves that no byte of the request left.
--- a/cmd/dotterelmount/main_test.go
+++ b/cmd/dotterelmount/main_test.go
@@ -65,6 +65,9 @@
 	mux.HandleFunc("GET /v1/trainers/{name}", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = w.Write([]byte(`{"trainer":"` + r.PathValue("name") + `"}`))
 	})
+	mux.HandleFunc("POST /v1/trainers/{name}/steps/{step}/abandon", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(`{"step":"` + r.PathValue("step") + `","offset":9,"lost":[{"step":"s","group":"g4","index":2}]}`))
+	})
 	srv := httptest.NewServer(mux)
 	t.Cleanup(srv.Close)
 	address := srv.Listener.Addr().String()
@@ -143,6 +146,8 @@
 		{nil, nil, []string{"weights", "no-such-command"}, exitUsage},
 		{nil, nil, []string{"--daemon", address, "drain"}, exitUsage},
 		{nil, nil, []string{"status"}, exitUsage},
+		{nil, nil, []string{"--daemon", address, "trainer", "t1", "burn", "s"}, exitUsage},
+		{nil, nil, []string{"--daemon", address, "--operator", "", "trainer", "t1", "abandon", "s"}, exitUsage},
 		{nil, nil, []string{"--no-such-flag", "status"}, exitUsage},
 		{nil, nil, []string{"--daemon", address, "--operator", "", "drain", "u1"}, exitUsage},
 		{nil, api.Errorf(api.CodeStaleVersion, "older than %d", 4), announce, exitRefused},
@@ -218,6 +223,7 @@
 		{"id: u2", []string{"usage-list", "get"}},
 		{"not known", []string{"weights", "status"}},
 		{`"trainer": "t1"`, []string{"trainer", "t1"}},
+		{"group g4 sample 2", []string{"trainer", "t1", "abandon", "s"}},
 		{"hana", []string{"audit", "--from", "5"}},
 		{"ab", []string{"quarantine", "list"}},
 		{`"daemon":"d1"`, []string{"--output", "json", "status"}},
--- a/cmd/dotterelmount/records.go
+++ b/cmd/dotterelmount/records.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/cmd/dotterelmount/internal/adminclient"
 	"dotterelmount.example/front/adminapi"
+	"dotterelmount.example/lib/samples"
 )
 
 const (
@@ -21,11 +22,24 @@
 	defaultLimit = 100 // entries
 )
 
+// verbAbandon follows a trainer's name: trainer NAME abandon STEP.
+const verbAbandon = "abandon"
+
 func trainerCommand() *cli.Command {
 	return &cli.Command{
-		Name: "trainer", Usage: "shows a trainer's steps and samples", ArgsUsage: "NAME",
-		Action: withDaemon(showTrainer, "NAME"),
+		Name: "trainer", Usage: "shows a trainer's steps and samples, or abandons a step",
+		ArgsUsage: "NAME [abandon STEP]", Action: trainerAction,
+	}
+}
+
+func trainerAction(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() < 2 {
+		return withDaemon(showTrainer, "NAME")(ctx, c)
+	}
+	if verb := c.Args().Get(1); verb != verbAbandon {
+		return &UsageError{Detail: fmt.Sprintf("%s NAME %s; allowed: abandon", c.FullName(), verb)}
 	}
+	return withOperator(abandonStep, "NAME", verbAbandon, "STEP")(ctx, c)
 }
 
 type trainerReport json.RawMessage
@@ -46,6 +60,20 @@
 	return trainerReport(raw), err
 }
 
+type abandonReport adminclient.Abandoned
+
+func (r abandonReport) text(w io.Writer) {
+	fmt.Fprintf(w, "step %s abandoned at offset %d; %d samples lost\n", r.Step, r.Offset, len(r.Lost))
+	for _, ref := range r.Lost {
+		fmt.Fprintf(w, "lost: group %s sample %d\n", ref.Group, ref.Index)
+	}
+}
+
+func abandonStep(ctx context.Context, c *cli.Command, client *adminclient.Client) (report, error) {
+	a, err := client.AbandonStep(ctx, api.TrainerID(c.Args().Get(0)), samples.StepID(c.Args().Get(2)))
+	return abandonReport(a), err
+}
+
 func auditCommand() *cli.Command {
 	return &cli.Command{
 		Name: "audit", Usage: "shows who changed what, from the platform's log",
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -128,6 +128,9 @@
 // Plan implements sampler.Catalog.
 func (c catalog) Plan(id api.CustomerID) (api.Plan, error) { return c.book.State().Plan(id) }
 
+// MayUse implements sampler.Catalog.
+func (c catalog) MayUse(p api.PlanName, m api.ModelName) error { return c.book.State().MayUse(p, m) }
+
 // WeightInForce implements sampler.Catalog.
 func (c catalog) WeightInForce(m api.ModelName) api.WeightVersion {
 	return c.book.State().Weights[m].Version
--- a/cmd/dotterelmountd/internal/node/serve.go
+++ b/cmd/dotterelmountd/internal/node/serve.go
@@ -56,6 +56,17 @@
 	return r.n.sampler.OpenStep(ctx, t, step)
 }
 
+// AbandonStep implements trainerapi.Service.
+func (r readyTrainers) AbandonStep(ctx context.Context, t api.TrainerID, step samples.StepID, by string) (sampler.Abandonment, error) {
+	if err := r.n.ready(); err != nil {
+		return sampler.Abandonment{}, err
+	}
+	a, err := r.n.sampler.AbandonStep(ctx, t, step, by)
+	r.n.log.Info("step abandoned", zap.String("trainer", string(t)), zap.String("step", string(step)),
+		zap.String("by", by), zap.Int("lost", len(a.Lost)), zap.Error(err))
+	return a, err
+}
+
 // Pull implements trainerapi.Service.
 func (r readyTrainers) Pull(ctx context.Context, q sampler.PullRequest) (sampler.PullAnswer, error) {
 	if err := r.n.ready(); err != nil {
--- a/front/httpapi/errmap/errmap.go
+++ b/front/httpapi/errmap/errmap.go
@@ -38,6 +38,7 @@
 	api.CodeUnknownModel:     http.StatusNotFound,
 	api.CodeUnknownUpstream:  http.StatusNotFound,
 	api.CodeUnknownTrainer:   http.StatusNotFound,
+	api.CodeUnknownStep:      http.StatusNotFound,
 	api.CodeConflict:         http.StatusConflict,
 	api.CodeStillInUse:       http.StatusConflict,
 	api.CodeStaleVersion:     http.StatusConflict,
--- a/front/trainerapi/trainerapi.go
+++ b/front/trainerapi/trainerapi.go
@@ -23,6 +23,7 @@
 // Service is what the handlers ask; *sampler.Sampler implements it.
 type Service interface {
 	OpenStep(ctx context.Context, t api.TrainerID, step samples.StepOpened) error
+	AbandonStep(ctx context.Context, t api.TrainerID, step samples.StepID, by string) (sampler.Abandonment, error)
 	Pull(ctx context.Context, r sampler.PullRequest) (sampler.PullAnswer, error)
 	TrainerState(ctx context.Context, t api.TrainerID) (samples.Report, error)
 }
@@ -44,6 +45,7 @@
 func Register(mux *http.ServeMux, cfg Config, s Service, fail ErrorWriter) {
 	h := &handlers{cfg: cfg, service: s, writeFail: fail}
 	mux.HandleFunc("POST /v1/trainers/{trainer}/steps", h.openStep)
+	mux.HandleFunc("POST /v1/trainers/{trainer}/steps/{step}/abandon", h.abandonStep)
 	mux.HandleFunc("POST /v1/trainers/{trainer}/pull", h.pull)
 	mux.HandleFunc("GET /v1/trainers/{trainer}", h.state)
 }
--- a/front/trainerapi/trainerapi_test.go
+++ b/front/trainerapi/trainerapi_test.go
@@ -26,6 +26,13 @@
 	return step.Validate()
 }
 
+func (s *service) AbandonStep(_ context.Context, t api.TrainerID, step samples.StepID, by string) (sampler.Abandonment, error) {
+	if by != "trainer t1" {
+		return sampler.Abandonment{}, api.Errorf(api.CodeInternal, "by %s", by)
+	}
+	return sampler.Abandonment{Offset: 5, Lost: []samples.SlotRef{{Step: step, Group: "g"}}}, nil
+}
+
 func (s *service) Pull(_ context.Context, r sampler.PullRequest) (sampler.PullAnswer, error) {
 	s.pull = r
 	sample := samples.Sample{Text: "x", Tokens: 1, Versions: []api.WeightVersion{3}, FinishReason: "stop"}
@@ -66,6 +73,11 @@
 	assert.Equal(t, state.Pull, uint64(9))
 }
 
+func TestAbandonNamesWhatIsLost(t *testing.T) {
+	w := send(&service{}, "POST", "/v1/trainers/t1/steps/s%2F1/abandon", "")
+	assert.Equal(t, w.Body.String(), `{"step":"s/1","offset":5,"lost":[{"step":"s/1","group":"g","index":0}]}`)
+}
+
 func TestBadInputIsTyped(t *testing.T) {
 	cases := []struct{ path, body, code string }{
 		{"/v1/trainers/t1/steps", `{`, "invalid"},
--- a/lib/ledger/state.go
+++ b/lib/ledger/state.go
@@ -4,7 +4,11 @@
 // no random source here.
 package ledger
 
-import "dotterelmount.example/api"
+import (
+	"slices"
+
+	"dotterelmount.example/api"
+)
 
 // State is an immutable snapshot of the configuration in force. Readers must
 // not change it.
@@ -86,6 +90,26 @@
 	return nil, api.Errorf(api.CodeUnknownPlan, "plan %q is not in the usage list", p)
 }
 
+// MayUse checks that a plan may use a model and that an engine that the plan may
+// use serves it. Errors: CodeUnknownPlan, CodeUnknownModel.
+func (s *State) MayUse(p api.PlanName, m api.ModelName) error {
+	usage, err := s.UsageOf(p)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(usage.Models, m) {
+		return api.Errorf(api.CodeUnknownModel, "plan %q may not use model %q", p, m)
+	}
+	serves := func(u api.Upstream) bool {
+		allowed := len(usage.Upstreams) == 0 || slices.Contains(usage.Upstreams, u.ID)
+		return allowed && u.Kind == api.KindEngine && slices.Contains(u.Models, m)
+	}
+	if !slices.ContainsFunc(s.Usage.Upstreams, serves) {
+		return api.Errorf(api.CodeUnknownModel, "no engine of plan %q serves model %q", p, m)
+	}
+	return nil
+}
+
 // Upstream returns an upstream of the usage list. Errors: CodeUnknownUpstream.
 func (s *State) Upstream(id api.UpstreamID) (*api.Upstream, error) {
 	for i := range s.Usage.Upstreams {
--- a/lib/samples/handover.go
+++ b/lib/samples/handover.go
@@ -1,6 +1,8 @@
 package samples
 
 import (
+	"slices"
+
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/invariant"
 )
@@ -36,34 +38,34 @@
 }
 
 // settle makes final what the trainer took up to the cursor and returns to
-// ready what was handed later. It returns the steps that became whole.
+// ready what was handed later, or loses it where the step was abandoned. It
+// returns the steps that became whole.
 func (s *Stream) settle(cursor api.Offset) []StepID {
-	var whole []*step
-	for _, st := range s.steps {
-		finals := 0
+	var whole []StepID
+	for _, st := range slices.Clone(s.steps) {
 		for _, g := range st.groups {
-			s.settleGroup(g, cursor)
-			if g.final() {
-				finals++
-			}
+			s.settleGroup(st, g, cursor)
 		}
-		if finals == len(st.groups) {
-			whole = append(whole, st)
+		if !st.closed() {
+			continue
+		}
+		if st.abandoned == nil {
+			whole = append(whole, st.opened.Step)
 		}
-	}
-	var ids []StepID
-	for _, st := range whole {
-		ids = append(ids, st.opened.Step)
 		s.forget(st)
 	}
-	return ids
+	return whole
 }
 
-func (s *Stream) settleGroup(g *group, cursor api.Offset) {
+func (s *Stream) settleGroup(st *step, g *group, cursor api.Offset) {
 	at, handed := g.handed()
 	if !handed {
 		return
 	}
+	if at > cursor && st.abandoned != nil {
+		s.loseGroup(st, g)
+		return
+	}
 	for i := range g.slots {
 		sl := &g.slots[i]
 		invariant.Check(sl.state == slotHanded && sl.handedAt == at, "samples_group_moves_whole",
--- a/lib/samples/machine_test.go
+++ b/lib/samples/machine_test.go
@@ -55,8 +55,9 @@
 	// highest version that the log names up to each hand-over
 	highest map[api.Offset]api.WeightVersion
 	top     api.WeightVersion
-	taken   int  // answers taken
-	asked   bool // a pull is out
+	taken   int                      // answers taken
+	asked   bool                     // a pull is out
+	lost    map[samples.SlotRef]bool // by the reports of the daemons
 	// forgetful trainers ask a daemon for the last pull after a restart
 	forgetful bool
 }
@@ -64,7 +65,7 @@
 func newMachine() *machine {
 	m := &machine{
 		announce: 1, engine: 1, made: map[string][]api.WeightVersion{}, used: map[samples.SlotRef]int{},
-		highest: map[api.Offset]api.WeightVersion{},
+		highest: map[api.Offset]api.WeightVersion{}, lost: map[samples.SlotRef]bool{},
 	}
 	for range 3 {
 		m.daemons = append(m.daemons, &daemon{stream: samples.NewStream(), waiting: map[api.RecordID]uint64{}})
@@ -217,6 +218,11 @@
 		}
 	case 28, 29:
 		m.engine = m.announce
+	case 12:
+		if pick(16) == 0 {
+			id := samples.StepID(fmt.Sprint("s", pick(stepCount)))
+			m.inFlight = append(m.inFlight, m.record(samples.StepAbandoned{Step: id, By: "t"}))
+		}
 	default:
 		m.restart(d)
 	}
@@ -225,8 +231,8 @@
 // settle ends the faults and expects every sample to be delivered.
 func (m *machine) settle(t assertT) {
 	m.engine = m.announce
-	for round := 0; len(m.used) < stepCount*3 || round < 2; round++ {
-		assert.Assert(t, round < 100, "not whole: %v", m.used)
+	for round := 0; len(m.used)+len(m.lost) < stepCount*3 || round < 2; round++ {
+		assert.Assert(t, round < 100, "not whole: %v, lost %v", m.used, m.lost)
 		for _, r := range m.inFlight {
 			m.land(r)
 		}
@@ -243,6 +249,10 @@
 			m.finish(m.daemons[0], func(n int) int { return n - 1 })
 		}
 		m.ask(m.daemons[round%len(m.daemons)])
+		for _, ref := range m.daemons[0].stream.Report().Lost {
+			m.lost[ref] = true
+			assert.Equal(t, m.used[ref], 0, "slot %v was used and is called lost", ref)
+		}
 	}
 	last := m.daemons[0].stream.Report()
 	for _, d := range m.daemons[1:] {
--- a/lib/samples/planner.go
+++ b/lib/samples/planner.go
@@ -90,10 +90,16 @@
 // Outstanding returns the number of jobs that were started and not finished.
 func (r *Runner) Outstanding() int { return r.outstanding }
 
-// Plan decides what to start and cancel now. alive tells whether a daemon is
-// alive by membership; room is how many more jobs the daemon may start. Its
-// cost grows with the jobs under way, not with the open slots.
-func (r *Runner) Plan(s *Stream, alive func(api.DaemonID) bool, room int, now time.Time) Plan {
+// View is what a planner knows of the deployment.
+type View struct {
+	Alive  func(api.DaemonID) bool // by membership
+	Usable func(*StepOpened) bool  // the step's customer may use a served model
+}
+
+// Plan decides what to start and cancel now. room is how many more jobs the
+// daemon may start. Its cost grows with the jobs under way, not with the open
+// slots.
+func (r *Runner) Plan(s *Stream, view View, room int, now time.Time) Plan {
 	var p Plan
 	r.forgetClosed(s, &p)
 	room = min(room, r.cfg.MaxOutstanding-r.outstanding)
@@ -101,7 +107,10 @@
 	for _, st := range s.steps {
 		id := st.opened.Step
 		w := r.watch(st, now)
-		if st.open > 0 && st.runner != r.self && r.takesOver(id, w, alive, now) {
+		if st.open > 0 && !view.Usable(&st.opened) {
+			continue // its slots are late until the model is served again
+		}
+		if st.open > 0 && st.runner != r.self && r.takesOver(id, w, view.Alive, now) {
 			p.TakeOver = append(p.TakeOver, id)
 			mine[id] = true
 		}
@@ -315,12 +324,14 @@
 	return d/2 + time.Duration(jitter*float64(d/2))
 }
 
-// Late lists the open slots of steps that this daemon saw LateAfter ago.
-func (r *Runner) Late(s *Stream, now time.Time) []SlotRef {
+// Late lists the open slots of steps that this daemon saw LateAfter ago, and of
+// those whose model is not usable.
+func (r *Runner) Late(s *Stream, usable func(*StepOpened) bool, now time.Time) []SlotRef {
 	var late []SlotRef
 	for _, st := range s.steps {
 		w := r.steps[st.opened.Step]
-		if w == nil || now.Sub(w.firstSeen) < r.cfg.LateAfter {
+		old := w != nil && now.Sub(w.firstSeen) >= r.cfg.LateAfter
+		if !old && usable(&st.opened) {
 			continue
 		}
 		st.eachOpen(func(o OpenSlot) bool {
--- a/lib/samples/planner_test.go
+++ b/lib/samples/planner_test.go
@@ -16,7 +16,9 @@
 	}
 }
 
-func alive(api.DaemonID) bool { return true }
+func usable(*samples.StepOpened) bool { return true }
+
+var alive = samples.View{Alive: func(api.DaemonID) bool { return true }, Usable: usable}
 
 func TestRunnerHedgesStragglerAndFirstAnswerWins(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -63,7 +65,7 @@
 	s.Apply(1, samples.Record{ID: "a", Body: openStep("s0")})
 	s.Apply(2, samples.Record{ID: "b", Body: samples.StepRunner{Step: "s0", Daemon: "d1"}})
 	r := samples.NewRunner(runConfig(), "d2")
-	dead := func(id api.DaemonID) bool { return id != "d1" }
+	dead := samples.View{Alive: func(id api.DaemonID) bool { return id != "d1" }, Usable: usable}
 	assert.Equal(t, len(r.Plan(s, alive, 100, now).Start), 0)
 	assert.Equal(t, len(r.Plan(s, alive, 100, now.Add(2*time.Second)).TakeOver), 0)
 	p := r.Plan(s, dead, 100, now.Add(2*time.Second))
@@ -76,3 +78,17 @@
 	p = other.Plan(s, dead, 100, now.Add(2*time.Second))
 	assert.Equal(t, len(p.TakeOver)+len(p.Start), 0, "the step was taken over already")
 }
+
+func TestStepOfUnservedModelIsNotRunAndLate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := samples.NewStream()
+	s.Apply(1, samples.Record{ID: "a", Body: openStep("s0")})
+	s.Apply(2, samples.Record{ID: "b", Body: samples.StepRunner{Step: "s0", Daemon: "d1"}})
+	r := samples.NewRunner(runConfig(), "d1")
+	never := func(*samples.StepOpened) bool { return false }
+	view := samples.View{Alive: alive.Alive, Usable: never}
+	assert.Equal(t, len(r.Plan(s, view, 100, now).Start), 0)
+	assert.Equal(t, len(r.Late(s, never, now)), 3)
+	assert.Equal(t, len(r.Late(s, usable, now)), 0)
+	assert.Equal(t, len(r.Plan(s, alive, 100, now).Start), 3)
+}
--- a/lib/samples/query.go
+++ b/lib/samples/query.go
@@ -34,7 +34,7 @@
 	h := HandOver{Pull: pull, Cursor: cursor}
 	for _, st := range s.steps {
 		inForce, bound, ok := limitOf(&st.opened)
-		if !ok {
+		if !ok || st.abandoned != nil {
 			continue
 		}
 		own := StepLimit{Step: st.opened.Step, Model: st.opened.Model, InForce: inForce, Bound: bound}
@@ -76,11 +76,12 @@
 	return stale, ready
 }
 
-// Settles reports whether a pull with this cursor makes any sample final.
+// Settles reports whether a pull with this cursor makes any sample final, or
+// lost for good.
 func (s *Stream) Settles(cursor api.Offset) bool {
 	for _, st := range s.steps {
 		for _, g := range st.groups {
-			if at, handed := g.handed(); handed && at <= cursor {
+			if at, handed := g.handed(); handed && (at <= cursor || st.abandoned != nil) {
 				return true
 			}
 		}
@@ -92,9 +93,12 @@
 // a pull with this cursor would wait in vain.
 func (s *Stream) Idle(cursor api.Offset) bool {
 	for _, st := range s.steps {
+		if st.abandoned != nil {
+			continue
+		}
 		for _, g := range st.groups {
 			at, handed := g.handed()
-			if !g.final() && (!handed || at > cursor) {
+			if !g.closed() && (!handed || at > cursor) {
 				return false
 			}
 		}
@@ -156,6 +160,7 @@
 	Handed   int          `json:"handed"`
 	Final    int          `json:"final"`
 	Dropped  int          `json:"dropped"`
+	Lost     int          `json:"lost"`
 }
 
 // Report is what operators and trainers read of a stream.
@@ -169,12 +174,15 @@
 	Late []SlotRef `json:"late"`
 	// Lost lists the last slots that ended without a sample.
 	Lost []SlotRef `json:"lost"`
+	// Abandoned lists the abandoned steps among the open and last ended ones.
+	Abandoned []AbandonedStep `json:"abandoned"`
 }
 
 // Report returns a snapshot, except for Late, which needs a clock.
 func (s *Stream) Report() Report {
 	r := Report{Through: s.through, Pull: s.pull, Cursor: s.cursor, Counts: s.counts}
 	r.Lost = append(r.Lost, s.lost...)
+	r.Abandoned = s.abandonedSteps()
 	for _, st := range s.steps {
 		r.Steps = append(r.Steps, st.report())
 	}
@@ -195,6 +203,8 @@
 				r.Handed++
 			case slotFinal:
 				r.Final++
+			case slotLost:
+				r.Lost++
 			}
 		}
 	}
--- a/lib/samples/records.go
+++ b/lib/samples/records.go
@@ -109,9 +109,10 @@
 	Daemon api.DaemonID `json:"daemon"`
 }
 
-// StepAbandoned ends a step; what was not yet handed is lost, by name.
+// StepAbandoned ends a step; what the trainer did not take is lost, by name.
 type StepAbandoned struct {
 	Step StepID `json:"step"`
+	By   string `json:"by"` // operator or trainer, for operators to read
 }
 
 func (StepOpened) sampleBody()    {}
--- a/lib/samples/stream.go
+++ b/lib/samples/stream.go
@@ -7,9 +7,13 @@
 	"dotterelmount.example/api"
 )
 
-// rememberedSteps bounds the names of ended steps that are kept so that a
-// repeated StepOpened does not open them again.
-const rememberedSteps = 1024
+const (
+	// rememberedSteps bounds the names of ended steps that are kept so that a
+	// repeated StepOpened does not open them again.
+	rememberedSteps = 1024
+	// rememberedLost bounds the names of lost samples: two large steps.
+	rememberedLost = 8192
+)
 
 type slotState uint8
 
@@ -18,6 +22,7 @@
 	slotReady
 	slotHanded
 	slotFinal
+	slotLost
 )
 
 type slot struct {
@@ -38,7 +43,10 @@
 	return g.slots[0].handedAt, g.slots[0].state == slotHanded
 }
 
-func (g *group) final() bool { return g.slots[0].state == slotFinal }
+// closed reports whether nothing can happen to the group any more.
+func (g *group) closed() bool {
+	return g.slots[0].state == slotFinal || g.slots[0].state == slotLost
+}
 
 type step struct {
 	opened   StepOpened
@@ -50,6 +58,24 @@
 	due      int // slots
 	open     int // slots without a sample
 	dropped  int
+	// abandoned is nil unless the step was abandoned while it was open.
+	abandoned *AbandonedStep
+}
+
+// closed reports whether each group is final or lost.
+func (st *step) closed() bool {
+	for _, g := range st.groups {
+		if !g.closed() {
+			return false
+		}
+	}
+	return true
+}
+
+// endedStep is what is kept of a step that was forgotten.
+type endedStep struct {
+	digest    uint64
+	abandoned *AbandonedStep
 }
 
 // Counts of one stream since its oldest record folded.
@@ -73,8 +99,8 @@
 	highest map[api.ModelName]api.WeightVersion
 	steps   []*step // in the order of their opening
 	byID    map[StepID]*step
-	ended   map[StepID]uint64 // digests of ended steps
-	order   []StepID          // of ended, oldest first
+	ended   map[StepID]endedStep
+	order   []StepID // of ended, oldest first
 	lost    []SlotRef
 	counts  Counts
 }
@@ -84,7 +110,7 @@
 	return &Stream{
 		highest: make(map[api.ModelName]api.WeightVersion),
 		byID:    make(map[StepID]*step),
-		ended:   make(map[StepID]uint64),
+		ended:   make(map[StepID]endedStep),
 	}
 }
 
@@ -93,7 +119,7 @@
 	ID     api.RecordID
 	Offset api.Offset
 	// Err is nil when the record took effect or changed nothing; otherwise an
-	// *api.Error with CodeConflict, CodeSuperseded or CodeInvalid.
+	// *api.Error with CodeConflict, CodeSuperseded, CodeUnknownStep or CodeInvalid.
 	Err error
 	// Groups handed and slots dropped by a HandOver.
 	Groups  []Group
@@ -102,6 +128,8 @@
 	Whole []StepID
 	// Duplicate is true for a sample that another one came before.
 	Duplicate bool
+	// Lost lists the slots that a StepAbandoned ended without a sample.
+	Lost []SlotRef
 }
 
 // Group is a group that was handed, with its samples in order of index.
@@ -130,7 +158,7 @@
 			st.runner = b.Daemon
 		}
 	case StepAbandoned:
-		s.abandon(b.Step)
+		s.abandon(&v, b)
 	default:
 		v.Err = api.Errorf(api.CodeInvalid, "record %s of type %T", r.ID, r.Body)
 	}
@@ -160,14 +188,17 @@
 
 // Check compares a step with the one of the same name that is open or ended
 // not long ago; known is false if there is none. Errors: CodeConflict when the
-// contents differ.
+// contents differ or the step was abandoned.
 func (s *Stream) Check(b *StepOpened) (known bool, err error) {
-	digest, known := s.ended[b.Step]
+	was, known := s.ended[b.Step]
 	if st := s.byID[b.Step]; st != nil {
-		digest, known = st.digest, true
+		was, known = endedStep{digest: st.digest, abandoned: st.abandoned}, true
 	}
-	if known && digest != b.digest() {
+	switch {
+	case known && was.digest != b.digest():
 		return true, api.Errorf(api.CodeConflict, "step %q was opened with other content", b.Step)
+	case known && was.abandoned != nil:
+		return true, api.Errorf(api.CodeConflict, "step %q was abandoned by %s", b.Step, was.abandoned.By)
 	}
 	return known, nil
 }
@@ -208,7 +239,7 @@
 		s.raise(b.Model, v)
 	}
 	st, sl := s.slot(b.Slot)
-	if sl == nil {
+	if sl == nil || sl.state == slotLost {
 		return false
 	}
 	if sl.state != slotOpen || sl.attempt != b.Attempt {
@@ -230,30 +261,14 @@
 	s.highest[m] = max(s.highest[m], v)
 }
 
-func (s *Stream) abandon(id StepID) {
-	st := s.byID[id]
-	if st == nil {
-		return
-	}
-	for _, g := range st.groups {
-		for i := range g.slots {
-			if g.slots[i].state == slotOpen || g.slots[i].state == slotReady {
-				s.counts.Lost++
-				s.lose(SlotRef{Step: id, Group: g.spec.ID, Index: i})
-			}
-		}
-	}
-	s.forget(st)
-}
-
 func (s *Stream) lose(ref SlotRef) {
 	s.lost = append(s.lost, ref)
-	if over := len(s.lost) - rememberedSteps; over > 0 {
+	if over := len(s.lost) - rememberedLost; over > 0 {
 		s.lost = s.lost[over:]
 	}
 }
 
-// forget removes a step, keeping its name and its digest.
+// forget removes a step, keeping its name, its digest and who abandoned it.
 func (s *Stream) forget(st *step) {
 	id := st.opened.Step
 	delete(s.byID, id)
@@ -263,7 +278,7 @@
 			break
 		}
 	}
-	s.ended[id] = st.digest
+	s.ended[id] = endedStep{digest: st.digest, abandoned: st.abandoned}
 	s.order = append(s.order, id)
 	if len(s.order) > rememberedSteps {
 		delete(s.ended, s.order[0])
--- a/server/sampler/calls.go
+++ b/server/sampler/calls.go
@@ -68,6 +68,10 @@
 		w.finish(err)
 		return
 	}
+	if err := c.deps.Catalog.MayUse(w.step.Plan, w.step.Model); err != nil {
+		w.finish(err)
+		return
+	}
 	for _, other := range f.opening {
 		if other.record != "" && other.step.Step == w.step.Step {
 			return // the same step is on its way into the log
@@ -250,7 +254,7 @@
 		return true
 	}
 	r := f.stream.Report()
-	r.Late = f.runner.Late(f.stream, now)
+	r.Late = f.runner.Late(f.stream, c.usable, now)
 	m.reply.Put(result[samples.Report]{value: r})
 	return true
 }
--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -50,6 +50,7 @@
 	opening  []*stepWait
 	states   []stateMessage
 	pulls    []*pullWait
+	abandons []*abandonWait
 	jobs     map[samples.JobKey]api.RequestID
 	pending  map[api.RecordID]*pendingSample
 	lastUsed time.Time
@@ -88,6 +89,9 @@
 		for _, w := range f.pulls {
 			w.fail(err)
 		}
+		for _, w := range f.abandons {
+			w.finish(Abandonment{}, err)
+		}
 		for _, m := range f.states {
 			m.reply.Put(result[samples.Report]{err: err})
 		}
@@ -128,7 +132,7 @@
 // idle reports whether a stream needs not be followed: nobody asked for long,
 // and this daemon runs none of its steps.
 func (c *core) idle(f *follow) bool {
-	waiting := len(f.opening) + len(f.states) + len(f.pulls) + len(f.jobs) + len(f.pending)
+	waiting := len(f.opening) + len(f.abandons) + len(f.states) + len(f.pulls) + len(f.jobs) + len(f.pending)
 	if waiting > 0 || c.deps.Now().Sub(f.lastUsed) <= c.cfg.FollowIdle {
 		return false
 	}
@@ -226,6 +230,11 @@
 			w.verdict(&v)
 		}
 	}
+	for _, w := range f.abandons {
+		if w.record == v.ID {
+			w.verdict(&v)
+		}
+	}
 }
 
 // advance moves on all calls that wait on a trainer's stream.
@@ -237,8 +246,12 @@
 	for _, w := range f.pulls {
 		c.advancePull(f, w, now)
 	}
+	for _, w := range f.abandons {
+		c.advanceAbandon(f, w, now)
+	}
 	f.opening = keep(f.opening, func(w *stepWait) bool { return !w.ended })
 	f.pulls = keep(f.pulls, func(w *pullWait) bool { return !w.ended })
+	f.abandons = keep(f.abandons, func(w *abandonWait) bool { return !w.ended })
 	f.states = keep(f.states, func(m stateMessage) bool { return !c.answerState(f, m, now) })
 }
 
--- a/server/sampler/running.go
+++ b/server/sampler/running.go
@@ -40,7 +40,7 @@
 
 func (c *core) planOne(f *follow, room int) {
 	now := c.deps.Now()
-	p := f.runner.Plan(f.stream, c.deps.Members.Alive, room, now)
+	p := f.runner.Plan(f.stream, samples.View{Alive: c.deps.Members.Alive, Usable: c.usable}, room, now)
 	for _, id := range p.TakeOver {
 		takeOvers.Add(1)
 		c.claimStep(f, id)
@@ -51,6 +51,12 @@
 	}
 }
 
+// usable reports whether a step's customer may still use its model.
+func (c *core) usable(s *samples.StepOpened) bool {
+	plan, err := c.deps.Catalog.Plan(s.Customer)
+	return err == nil && c.deps.Catalog.MayUse(plan.Name, s.Model) == nil
+}
+
 func (c *core) cancel(f *follow, keys []samples.JobKey) {
 	for _, key := range keys {
 		if id, ok := f.jobs[key]; ok {
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -67,6 +67,9 @@
 type Catalog interface {
 	// Plan returns a customer's plan. Errors: CodeUnknownCustomer, CodeUnknownPlan.
 	Plan(api.CustomerID) (api.Plan, error)
+	// MayUse checks that a plan may use a model and that an engine serves it.
+	// Errors: CodeUnknownPlan, CodeUnknownModel.
+	MayUse(api.PlanName, api.ModelName) error
 	// WeightInForce returns a model's version; zero if none was announced.
 	WeightInForce(api.ModelName) api.WeightVersion
 }
@@ -143,7 +146,8 @@
 }
 
 // OpenStep makes a step's samples due; a repeat with the same content succeeds.
-// Errors: CodeInvalid, CodeUnknownCustomer, CodeConflict, CodeShed,
+// Errors: CodeInvalid, CodeUnknownCustomer, CodeUnknownPlan, CodeUnknownModel,
+// CodeConflict (other content, or abandoned), CodeShed,
 // CodeLogUnavailable (not opened), CodeUnknownResult, CodeNotReady,
 // CodeDeadlineExceeded, CodeCancelled.
 func (s *Sampler) OpenStep(ctx context.Context, t api.TrainerID, step samples.StepOpened) error {
@@ -155,6 +159,22 @@
 	return err
 }
 
+// Abandonment says what the end of a step lost.
+type Abandonment struct {
+	Offset api.Offset
+	Lost   []samples.SlotRef
+}
+
+// AbandonStep ends a step; a repeat succeeds with nothing lost. by names who
+// asked. Errors: CodeUnknownStep, CodeConflict when the step is whole,
+// CodeShed, CodeLogUnavailable (not abandoned), CodeUnknownResult,
+// CodeNotReady, CodeDeadlineExceeded, CodeCancelled.
+func (s *Sampler) AbandonStep(ctx context.Context, t api.TrainerID, step samples.StepID, by string) (Abandonment, error) {
+	reply := ring.NewSlot[result[Abandonment]]()
+	m := abandonMessage{trainer: t, step: step, by: by, reply: reply, expires: s.deadline(ctx)}
+	return call(ctx, s, reply, m)
+}
+
 // Pull waits for groups and hands them over. Errors: CodeSuperseded when the
 // number is not above an earlier one, and those of OpenStep; after any of them
 // the trainer asks again with a higher number and the same cursor.
--- a/server/sampler/sampler_test.go
+++ b/server/sampler/sampler_test.go
@@ -105,6 +105,9 @@
 	held    []*work.Job
 	runs    int
 	fail    int // the first runs fail
+	// cancelled jobs, and models that no upstream serves any more
+	cancelled []api.RequestID
+	unserved  map[api.ModelName]bool
 }
 
 func (w *fakeWorld) Plan(c api.CustomerID) (api.Plan, error) {
@@ -120,6 +123,15 @@
 	return w.version
 }
 
+func (w *fakeWorld) MayUse(_ api.PlanName, m api.ModelName) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.unserved[m] {
+		return api.Errorf(api.CodeUnknownModel, "model %q", m)
+	}
+	return nil
+}
+
 func (w *fakeWorld) Alive(id api.DaemonID) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -170,7 +182,9 @@
 	return nil
 }
 
-func (submitter) Cancel(api.RequestID) {}
+func (s submitter) Cancel(id api.RequestID) {
+	s.world.set(func() { s.world.cancelled = append(s.world.cancelled, id) })
+}
 
 func startDaemon(t *testing.T, id api.DaemonID, l *fakeLog, w *fakeWorld) *sampler.Sampler {
 	return startForgetful(t, id, l, w, time.Hour)
@@ -193,7 +207,7 @@
 }
 
 func newWorld() *fakeWorld {
-	return &fakeWorld{version: 1, engine: 1, dead: map[api.DaemonID]bool{}}
+	return &fakeWorld{version: 1, engine: 1, dead: map[api.DaemonID]bool{}, unserved: map[api.ModelName]bool{}}
 }
 
 func step(id samples.StepID, groups, n int) samples.StepOpened {
