--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,11 @@
 demo: build ## runs a whole deployment on loopback and checks it
 	$(BIN)/demo --bin $(BIN) --out out/demo
 
+EXPERIMENT ?= slowdowns
+
+bench: build ## runs an experiment of bench/load/experiments: EXPERIMENT=name
+	$(BIN)/load --bin $(BIN) --experiment bench/load/experiments/$(EXPERIMENT).yaml --out out/load
+
 tidy:
 	tools/tidy.sh
 
--- /dev/null
+++ b/bench/load/deployment.go
@@ -0,0 +1,301 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/settings"
+)
+
+// The deployment's names and times.
+const (
+	dataCentre   = api.DataCentre("sapporo-a")
+	memberPlan   = api.PlanName("member")
+	firstVersion = api.WeightVersion(1)
+	commandLimit = 20 * time.Second // of one run of the command-line tool
+	// seedPeers is how many peers a daemon's settings name.
+	seedPeers = 3
+)
+
+// deployment is what one phase started.
+type deployment struct {
+	exp     *Experiment
+	variant *Variant
+	policy  string
+	runner  *proc.Runner
+	log     *proc.Process
+	store   *proc.Process
+	engines []*proc.Process
+	daemons []*proc.Process
+	calls   int // of the command-line tool
+}
+
+// start brings the processes up and the lists in force.
+func (d *deployment) start(ctx context.Context) error {
+	for _, step := range []func(context.Context) error{d.startPlatform, d.startEngines, d.startDaemons} {
+		if err := step(ctx); err != nil {
+			return err
+		}
+	}
+	if len(d.daemons) == 0 {
+		return nil
+	}
+	if err := d.publish(ctx); err != nil {
+		return err
+	}
+	return d.announce(ctx, firstVersion)
+}
+
+func (d *deployment) startPlatform(ctx context.Context) (err error) {
+	if d.variant.Direct {
+		return nil
+	}
+	d.log, err = d.runner.Start(ctx, "log", "log", "--listen", fleet.AnyPort)
+	if err != nil {
+		return err
+	}
+	d.store, err = d.runner.Start(ctx, "weightstore", "weightstore", "--listen", fleet.AnyPort, "--rate", "0")
+	return err
+}
+
+func (d *deployment) startEngines(ctx context.Context) error {
+	s := d.exp.Engines
+	args := []string{
+		"--listen", fleet.AnyPort,
+		"--model", string(model) + ":" + firstVersion.String(),
+		"--slots", fmt.Sprint(s.Slots),
+		"--token-time", s.TokenTime.String(),
+		"--batch-growth", fmt.Sprint(s.BatchGrowth),
+		"--prefill-time", s.PrefillTime.String(),
+	}
+	if d.store != nil {
+		args = append(args, "--weight-store", "http://"+d.store.Address)
+	}
+	for i := range s.Count {
+		engine, err := d.runner.Start(ctx, string(engineID(i)), "engine", args...)
+		if err != nil {
+			return err
+		}
+		d.engines = append(d.engines, engine)
+	}
+	return nil
+}
+
+func (d *deployment) startDaemons(ctx context.Context) error {
+	if d.variant.Direct {
+		return nil
+	}
+	addresses, err := proc.FreeAddresses(2 * d.exp.Daemons)
+	if err != nil {
+		return err
+	}
+	callers, peers := addresses[:d.exp.Daemons], addresses[d.exp.Daemons:]
+	for i := range d.exp.Daemons {
+		name := fmt.Sprintf("daemon-%02d", i+1)
+		file := filepath.Join(d.runner.OutDir(), name+".yaml")
+		if err := writeYAML(file, d.settings(name, callers[i], peers[i], peers)); err != nil {
+			return err
+		}
+		daemon, err := d.runner.Start(ctx, name, "dotterelmountd", "--settings", file)
+		if err != nil {
+			return err
+		}
+		d.daemons = append(d.daemons, daemon)
+	}
+	for _, daemon := range d.daemons {
+		if err := fleet.AwaitReady(ctx, daemon); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) settings(name, callers, peer string, peers []string) *settings.Settings {
+	s := settings.Defaults()
+	s.Daemon, s.DataCentre = name, string(dataCentre)
+	s.Listen = settings.Listen{Callers: callers, Peers: peer}
+	s.Platform.Log, s.Platform.WeightStore = d.log.Address, d.store.Address
+	for _, p := range peers[:min(len(peers), seedPeers)] {
+		if p != peer {
+			s.Peers = append(s.Peers, p)
+		}
+	}
+	s.Limits.Linger = 0
+	s.Dispatch.Routing = d.policy
+	s.Dispatch.ShortTokens = d.exp.Dispatch.ShortTokens
+	s.Dispatch.ShortReserve = d.exp.Dispatch.ShortReserve
+	w := d.exp.weights(d.variant)
+	if w != (Weights{}) {
+		s.Dispatch.Weights = settings.Weights{Interactive: w.Interactive, Once: w.Once, Rollout: w.Rollout}
+	}
+	return s
+}
+
+func (d *deployment) plans() api.PlanList {
+	l := api.PlanList{Plans: []api.Plan{{Name: memberPlan}}}
+	for i := range d.exp.Classes {
+		c := &d.exp.Classes[i]
+		for n := range c.Customers {
+			l.Customers = append(l.Customers, api.Customer{ID: customerID(c, n), Plan: memberPlan})
+		}
+	}
+	for _, t := range d.exp.Trainers {
+		l.Plans = append(l.Plans, api.Plan{Name: api.PlanName(t.Name), StalenessBound: t.StalenessBound})
+		l.Customers = append(l.Customers, api.Customer{ID: api.CustomerID(t.Name), Plan: api.PlanName(t.Name)})
+	}
+	return l
+}
+
+func (d *deployment) usages() api.UsageList {
+	models := []api.ModelName{model}
+	l := api.UsageList{Usages: []api.Usage{{Plan: memberPlan, Models: models}}}
+	for _, t := range d.exp.Trainers {
+		l.Usages = append(l.Usages, api.Usage{Plan: api.PlanName(t.Name), Models: models})
+	}
+	for i, engine := range d.engines {
+		l.Upstreams = append(l.Upstreams, api.Upstream{
+			ID: engineID(i), Kind: api.KindEngine, Address: engine.Address, DataCentre: dataCentre,
+			Models: models, Window: d.exp.Engines.Window,
+		})
+	}
+	return l
+}
+
+// publish puts both lists in force on every daemon.
+func (d *deployment) publish(ctx context.Context) error {
+	plans := filepath.Join(d.runner.OutDir(), "plan-list.yaml")
+	usage := filepath.Join(d.runner.OutDir(), "usage-list.yaml")
+	if err := writeYAML(plans, d.plans()); err != nil {
+		return err
+	}
+	if err := writeYAML(usage, d.usages()); err != nil {
+		return err
+	}
+	if err := d.change(ctx, "plan-list", "publish", plans); err != nil {
+		return err
+	}
+	return d.change(ctx, "usage-list", "publish", usage)
+}
+
+// change runs a command that changes the configuration and waits until the
+// change is in force on every daemon.
+func (d *deployment) change(ctx context.Context, command ...string) error {
+	out, err := d.command(ctx, command...)
+	if err != nil {
+		return err
+	}
+	var changed struct {
+		Revision api.Revision `json:"revision"`
+	}
+	if err := json.Unmarshal(out, &changed); err != nil {
+		return fmt.Errorf("output of dotterelmount %s: %w", command[0], err)
+	}
+	_, err = d.command(ctx, "in-force", "--offset", fmt.Sprint(changed.Revision))
+	return err
+}
+
+// announce puts a weight version in force and waits for the engines.
+func (d *deployment) announce(ctx context.Context, v api.WeightVersion) error {
+	_, err := d.command(ctx, "weights", "announce", "--wait", string(model), v.String())
+	return err
+}
+
+func (d *deployment) command(ctx context.Context, command ...string) ([]byte, error) {
+	d.calls++
+	args := []string{"--output", "json", "--operator", "load", "--timeout", commandLimit.String()}
+	for _, daemon := range d.daemons {
+		args = append(args, "--daemon", daemon.Address)
+	}
+	out, err := d.runner.Run(ctx, fmt.Sprintf("cli-%02d-%s", d.calls, command[0]), "dotterelmount", append(args, command...)...)
+	if err != nil {
+		return nil, fmt.Errorf("dotterelmount %s: %w", command[0], err)
+	}
+	return out, nil
+}
+
+// slow sets an engine's slowdown; factor 1 ends it.
+func (d *deployment) slow(ctx context.Context, engine int, factor float64) error {
+	mode := "normal"
+	if factor != 1 {
+		mode = "slow"
+	}
+	body := struct {
+		Mode   string  `json:"mode"`
+		Factor float64 `json:"factor"`
+	}{mode, factor}
+	return fleet.PostJSON(ctx, d.engines[engine].Address, "/control", body)
+}
+
+// counters are daemons' counters, summed up.
+type counters struct {
+	Hedged     int64            `json:"attempts_hedged"`
+	Retried    int64            `json:"attempts_retried"`
+	Refused    map[string]int64 `json:"requests_refused"`
+	Violations int64            `json:"invariant_violations"`
+}
+
+func (d *deployment) counters(ctx context.Context) (counters, error) {
+	sum := counters{Refused: make(map[string]int64)}
+	for _, p := range d.daemons {
+		var c struct {
+			Hedged     int64            `json:"attempts_hedged"`
+			Retried    int64            `json:"attempts_retried"`
+			Refused    map[string]int64 `json:"requests_refused"`
+			Violations map[string]int64 `json:"invariant_violations"`
+		}
+		if err := fleet.GetJSON(ctx, p.Address, "/debug/vars", &c); err != nil {
+			return sum, err
+		}
+		sum.Hedged += c.Hedged
+		sum.Retried += c.Retried
+		for k, n := range c.Refused {
+			sum.Refused[k] += n
+		}
+		for _, n := range c.Violations {
+			sum.Violations += n
+		}
+	}
+	return sum, nil
+}
+
+// addresses returns where requests go, by number of the target.
+func (d *deployment) addresses() []string {
+	targets := d.daemons
+	if d.variant.Direct {
+		targets = d.engines
+	}
+	var all []string
+	for _, p := range targets {
+		all = append(all, p.Address)
+	}
+	return all
+}
+
+func writeYAML(path string, v any) error {
+	data, err := yaml.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("encode %s: %w", path, err)
+	}
+	if err := os.WriteFile(path, data, 0o644); err != nil {
+		return fmt.Errorf("write %s: %w", path, err)
+	}
+	return nil
+}
+
+// newClient returns a client that keeps as many connections as there are workers.
+func newClient() *http.Client {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxIdleConns, t.MaxIdleConnsPerHost = workers, workers
+	t.DisableCompression = true
+	return &http.Client{Transport: t}
+}
--- /dev/null
+++ b/bench/load/main.go
@@ -0,0 +1,86 @@
+// Command load runs an experiment: it starts real daemons and stand-in engines
+// on loopback, loads them open-loop with a seeded schedule, runs the policies
+// and variants under comparison in turn, and prints trainer idle time, sample
+// staleness, head-of-line blocking and tail latency as tables, with JSON, a
+// report and plots in files.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "load:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "load",
+		Usage: "runs an experiment and reports what it measured",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "experiment", Required: true, Usage: "YAML `file`"},
+			&cli.StringFlag{Name: "bin", Value: ".bin", Usage: "`directory` of the programs"},
+			&cli.StringFlag{Name: "out", Value: "out/load", Usage: "`directory` for the report and the programs' output"},
+			&cli.Uint64Flag{Name: "seed", Usage: "overrides the experiment's seed"},
+			&cli.IntFlag{Name: "repeats", Usage: "overrides the experiment's repeats"},
+			&cli.DurationFlag{Name: "duration", Usage: "overrides the experiment's duration"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			e, err := LoadExperiment(c.String("experiment"))
+			if err != nil {
+				return err
+			}
+			if c.IsSet("seed") {
+				e.Seed = c.Uint64("seed")
+			}
+			if c.IsSet("repeats") {
+				e.Repeats = c.Int("repeats")
+			}
+			if c.IsSet("duration") {
+				e.Duration = c.Duration("duration")
+			}
+			return run(ctx, e, c.String("bin"), filepath.Join(c.String("out"), e.Name))
+		},
+	}
+}
+
+// run plays every phase in turn; the policies alternate inside each repeat, so
+// that a neighbour's load meets them alike.
+func run(ctx context.Context, e *Experiment, bin, out string) error {
+	s := &Summary{
+		Experiment: e.Name, Seed: e.Seed, Repeats: e.Repeats, Started: time.Now(), Machine: machine(),
+		LoadBefore: loadAverage(), Capacity: e.Capacity(),
+	}
+	for i := range e.Variants {
+		s.Rates = append(s.Rates, VariantSum{Variant: e.Variants[i].Name, Rate: e.Rate(&e.Variants[i])})
+	}
+	for repeat := 1; repeat <= e.Repeats; repeat++ {
+		for i := range e.Variants {
+			for _, policy := range e.Policies {
+				p := &phase{exp: e, variant: &e.Variants[i], policy: policy, repeat: repeat}
+				fmt.Fprintln(os.Stderr, "phase", p.name())
+				r, err := runPhase(ctx, p, bin, out)
+				if err != nil {
+					return fmt.Errorf("phase %s: %w", p.name(), err)
+				}
+				s.add(r)
+			}
+		}
+	}
+	s.finish(e)
+	return s.write(out, os.Stdout)
+}
--- /dev/null
+++ b/bench/load/phase.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/duty"
+)
+
+const (
+	stopLimit = 15 * time.Second // for all processes of a phase
+	drainTime = 10 * time.Second // for the answers after the last arrival, beside the deadline
+	setUpTime = 40 * time.Second
+)
+
+// phase is one run of one variant under one policy.
+type phase struct {
+	exp        *Experiment
+	variant    *Variant
+	policy     string
+	repeat     int
+	deployment *deployment
+}
+
+// name is the phase's directory.
+func (p *phase) name() string { return fmt.Sprintf("%d-%s-%s", p.repeat, p.policy, p.variant.Name) }
+
+// runPhase starts a deployment, loads it, and stops it.
+func runPhase(ctx context.Context, p *phase, bin, out string) (*PhaseResult, error) {
+	limit := setUpTime + p.exp.Warmup + p.exp.Duration + p.exp.Deadline + drainTime + stopLimit
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	dir := filepath.Join(out, p.name())
+	if err := os.RemoveAll(dir); err != nil {
+		return nil, fmt.Errorf("phase: %w", err)
+	}
+	runner, err := proc.NewRunner(bin, dir)
+	if err != nil {
+		return nil, err
+	}
+	defer runner.KillAll()
+	p.deployment = &deployment{exp: p.exp, variant: p.variant, policy: p.policy, runner: runner}
+	if err := p.deployment.start(ctx); err != nil {
+		return nil, err
+	}
+	result, err := p.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	stopping, cancelStop := context.WithTimeout(ctx, stopLimit)
+	defer cancelStop()
+	if err := runner.StopAll(stopping); err != nil {
+		result.Notes = append(result.Notes, err.Error())
+	}
+	return result, nil
+}
+
+// load runs the arrivals, the trainers and the disturbances together.
+func (p *phase) load(ctx context.Context) (*PhaseResult, error) {
+	system := duty.NewSystem(nil)
+	record := newRecord(p)
+	recorder := duty.Start(system, duty.Config{Name: "recorder", RingSize: resultRing}, duty.Handler[outcome](record))
+	before := cpuOf(p.processes())
+	beside, endBeside := context.WithCancel(ctx)
+	defer endBeside()
+	running := p.startBeside(beside, system)
+	trainers := p.startTrainers(beside, system)
+	g := &generator{
+		exp: p.exp, schedule: schedule(p.exp, p.variant, p.repeat), addresses: p.deployment.addresses(),
+		stream: p.variant.Direct || p.exp.Stream, client: newClient(), recorder: recorder,
+	}
+	began := time.Now()
+	if err := g.run(ctx); err != nil {
+		return nil, err
+	}
+	result := record.result
+	for _, t := range trainers {
+		result.Trainers = append(result.Trainers, <-t)
+	}
+	endBeside()
+	for _, r := range running {
+		if err := <-r; err != nil {
+			result.Notes = append(result.Notes, err.Error())
+		}
+	}
+	result.CPU = cpuOf(p.processes()).since(before, time.Since(began))
+	if err := p.inspect(ctx, result); err != nil {
+		return nil, err
+	}
+	// Every outcome is in the ring by now; the stop would drop those still there.
+	if err := awaitEmpty(ctx, recorder); err != nil {
+		return nil, err
+	}
+	return result, recorder.Stop(ctx)
+}
+
+// awaitEmpty waits until the recorder has taken everything in.
+func awaitEmpty(ctx context.Context, recorder *duty.Duty[outcome]) error {
+	for recorder.Depth() > 0 {
+		if !wait(ctx, time.Now().Add(time.Millisecond)) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (p *phase) startBeside(ctx context.Context, system *duty.System) []<-chan error {
+	var running []<-chan error
+	if p.variant.Slowed {
+		running = append(running, launch(ctx, system, "slowdowns", p.slowDown))
+	}
+	if p.exp.Swaps.Every > 0 && !p.variant.Direct {
+		running = append(running, launch(ctx, system, "swaps", p.swapWeights))
+	}
+	return running
+}
+
+func (p *phase) processes() map[string][]int {
+	groups := map[string][]int{"bench": {os.Getpid()}}
+	for _, d := range p.deployment.daemons {
+		groups["daemons"] = append(groups["daemons"], d.PID())
+	}
+	for _, e := range p.deployment.engines {
+		groups["engines"] = append(groups["engines"], e.PID())
+	}
+	return groups
+}
+
+// inspect reads what the processes counted.
+func (p *phase) inspect(ctx context.Context, r *PhaseResult) (err error) {
+	r.LoadAvg = loadAverage()
+	if r.Counters, err = p.deployment.counters(ctx); err != nil {
+		return err
+	}
+	r.Spread, err = p.spread(ctx)
+	return err
+}
+
+// spread returns how many requests each engine got.
+func (p *phase) spread(ctx context.Context) ([]int, error) {
+	var counts []int
+	for _, e := range p.deployment.engines {
+		var j struct {
+			Requests []struct{} `json:"requests"`
+		}
+		if err := fleet.GetJSON(ctx, e.Address, "/journal", &j); err != nil {
+			return nil, err
+		}
+		counts = append(counts, len(j.Requests))
+	}
+	return counts, nil
+}
--- /dev/null
+++ b/bench/load/record.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/check"
+)
+
+// The range and precision of the histograms, in microseconds.
+const (
+	lowestLatency  = 1
+	highestLatency = 10 * 60 * 1_000_000
+	digits         = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, digits)
+}
+
+// ClassResult is what became of one class's requests in one phase. A request
+// that failed counts with the deadline, so that refusals cannot look fast.
+type ClassResult struct {
+	Class   string
+	Asked   int
+	Failed  map[string]int // by what the daemon said
+	Latency *hdrhistogram.Histogram
+}
+
+// PhaseResult is what one phase measured.
+type PhaseResult struct {
+	Policy   string
+	Variant  string
+	Repeat   int
+	Classes  []*ClassResult
+	Lag      *hdrhistogram.Histogram // of the generator itself
+	Trainers []TrainerResult
+	CPU      map[string]float64 // cores by group of processes
+	Counters counters
+	Spread   []int  // requests by engine
+	LoadAvg  string // of the machine, at the end
+	Notes    []string
+}
+
+// record is the duty that takes the outcomes in.
+type record struct {
+	exp    *Experiment
+	result *PhaseResult
+}
+
+func newRecord(p *phase) *record {
+	r := &PhaseResult{Policy: p.policy, Variant: p.variant.Name, Repeat: p.repeat, Lag: newHistogram()}
+	for i := range p.exp.Classes {
+		r.Classes = append(r.Classes, &ClassResult{Class: p.exp.Classes[i].Name, Failed: make(map[string]int), Latency: newHistogram()})
+	}
+	return &record{exp: p.exp, result: r}
+}
+
+// Handle counts one outcome.
+func (r *record) Handle(_ context.Context, o outcome) {
+	if !o.counted {
+		return
+	}
+	c := r.result.Classes[o.class]
+	c.Asked++
+	latency := o.latency
+	if o.err != nil {
+		c.Failed[reason(o.err)]++
+		latency = max(latency, r.exp.Deadline)
+	}
+	note(c.Latency, latency)
+	note(r.result.Lag, o.lag)
+}
+
+func note(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is kept inside the histogram's range, so it is always taken.
+	_ = h.RecordValue(min(highestLatency, max(lowestLatency, d.Microseconds())))
+}
+
+func reason(err error) string {
+	switch e := err.(type) { //nolint:errorlint // package check returns them bare
+	case *check.ReplyError:
+		if e.Status == 0 {
+			return "no answer"
+		}
+		return fmt.Sprintf("status %d, %s", e.Status, e.Outcome)
+	case *check.WrongAnswerError:
+		return e.Reason
+	default:
+		return string(api.CodeOf(err))
+	}
+}
+
+// clockTicks is the number of ticks a second in /proc/PID/stat.
+const clockTicks = 100
+
+// cpuTimes is the processor time, in seconds, of groups of processes.
+type cpuTimes map[string]float64
+
+func cpuOf(groups map[string][]int) cpuTimes {
+	times := make(cpuTimes)
+	for name, pids := range groups {
+		for _, pid := range pids {
+			times[name] += cpuSeconds(pid)
+		}
+	}
+	return times
+}
+
+// since returns the mean number of cores used between two readings.
+func (t cpuTimes) since(before cpuTimes, elapsed time.Duration) map[string]float64 {
+	cores := make(map[string]float64, len(t))
+	for name, seconds := range t {
+		cores[name] = (seconds - before[name]) / elapsed.Seconds()
+	}
+	return cores
+}
+
+// cpuSeconds returns zero for a process that cannot be read.
+func cpuSeconds(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), ") ") // behind the name
+	const user, system = 11, 12                   // fields counted from the state
+	fields := strings.Fields(rest)
+	if len(fields) <= system {
+		return 0
+	}
+	u, _ := strconv.ParseFloat(fields[user], 64)
+	s, _ := strconv.ParseFloat(fields[system], 64)
+	return (u + s) / clockTicks
+}
+
+// loadAverage returns the machine's load averages of 1, 5 and 15 minutes.
+func loadAverage() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	fields := strings.Fields(string(data))
+	return strings.Join(fields[:min(3, len(fields))], " ")
+}
+
+func machine() string {
+	return fmt.Sprintf("%d cores, %s, %s/%s", runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH)
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
