--- /dev/null
+++ b/bench/load/load_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/bench/check"
+)
+
+const experiments = "experiments"
+
+func TestExperimentsAreValid(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(experiments, "*.yaml"))
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) >= 6)
+	for _, file := range files {
+		e, err := LoadExperiment(file)
+		assert.NilError(t, err)
+		assert.Equal(t, e.Name+".yaml", filepath.Base(file))
+	}
+}
+
+func load(t *testing.T, name string) *Experiment {
+	t.Helper()
+	e, err := LoadExperiment(filepath.Join(experiments, name+".yaml"))
+	assert.NilError(t, err)
+	return e
+}
+
+func TestUnknownKeysAreRefused(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join(experiments, "entry.yaml"))
+	assert.NilError(t, err)
+	for _, change := range [][2]string{
+		{"seed: 13", "sede: 13"},
+		{"policies: [two-choice]", "policies: [two-choices]"},
+		{"repeats: 3", "repeats: 0"},
+		{"rate: 1000}", "rate: 0}"},
+		{"direct: true,", "classes: [long],"},
+	} {
+		file := filepath.Join(t.TempDir(), "x.yaml")
+		assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(string(data), change[0], change[1], 1)), 0o600))
+		_, err := LoadExperiment(file)
+		assert.Equal(t, api.CodeOf(err), api.CodeInvalid, change[1])
+	}
+}
+
+func TestScheduleIsRepeatableAndClassesAreIndependent(t *testing.T) {
+	e := load(t, "headofline")
+	alone, mixed := schedule(e, &e.Variants[0], 1), schedule(e, &e.Variants[1], 1)
+	assert.Assert(t, len(mixed) > len(alone))
+	var short []arrival
+	tokens := 0
+	for i, a := range mixed {
+		assert.Assert(t, i == 0 || a.at >= mixed[i-1].at)
+		tokens += a.tokens
+		if e.Classes[a.class].Name == "short" {
+			short = append(short, a)
+		}
+	}
+	assert.Equal(t, len(short), len(alone))
+	for i := range alone {
+		assert.Equal(t, short[i].at, alone[i].at)
+		assert.Equal(t, short[i].prompt[1].Content, alone[i].prompt[1].Content)
+	}
+	assert.Assert(t, schedule(e, &e.Variants[0], 2)[0].at != alone[0].at)
+	offered := float64(tokens) / (e.Warmup + e.Duration).Seconds() / e.Capacity()
+	assert.Assert(t, math.Abs(offered-e.Load) < 0.15, "offered %.2f of the capacity", offered)
+}
+
+func TestBoundedParetoKeepsItsBoundsAndMean(t *testing.T) {
+	for _, alpha := range []float64{0.8, 1, 1.1, 2.5} {
+		c := Class{MinTokens: 64, MaxTokens: 768, Alpha: alpha}
+		rnd := rand.New(rand.NewPCG(1, 2))
+		sum, n := 0.0, 200_000
+		for range n {
+			v := boundedPareto(rnd.Float64(), alpha, 64, 768)
+			assert.Assert(t, v >= 64 && v <= 768.001)
+			sum += v
+		}
+		mean := sum / float64(n)
+		assert.Assert(t, math.Abs(mean-c.meanTokens()) < 0.02*mean, "alpha %v: drawn %.1f, said %.1f", alpha, mean, c.meanTokens())
+	}
+}
+
+func TestBurstsDoNotOverlap(t *testing.T) {
+	e := load(t, "slowdowns")
+	all := bursts(e, 1)
+	assert.Assert(t, len(all) > 2)
+	for i, b := range all {
+		assert.Equal(t, len(b.engines), 2)
+		assert.Assert(t, b.engines[0] != b.engines[1])
+		assert.Assert(t, i == 0 || b.from >= all[i-1].to+e.Slowdowns.Gap)
+	}
+	assert.DeepEqual(t, all[0].engines, bursts(e, 1)[0].engines)
+}
+
+func phaseResult(e *Experiment, policy, variant string, latency time.Duration, failed int) *PhaseResult {
+	p := &phase{exp: e, variant: &Variant{Name: variant}, policy: policy, repeat: 1}
+	r := newRecord(p)
+	r.Handle(context.Background(), outcome{latency: time.Hour})
+	for range 100 {
+		r.Handle(context.Background(), outcome{counted: true, latency: latency})
+	}
+	for range failed {
+		r.Handle(context.Background(), outcome{counted: true, err: &check.ReplyError{Status: 503}})
+	}
+	return r.result
+}
+
+func TestSummaryComparesAndFailuresCountWithTheDeadline(t *testing.T) {
+	e := load(t, "slowdowns")
+	s := &Summary{Rates: []VariantSum{{Variant: "normal"}, {Variant: "slowed"}}}
+	s.add(phaseResult(e, "two-choice", "normal", 10*time.Millisecond, 0))
+	s.add(phaseResult(e, "two-choice", "slowed", 20*time.Millisecond, 0))
+	s.add(phaseResult(e, "random", "slowed", 40*time.Millisecond, 0))
+	s.add(phaseResult(e, "round-robin", "slowed", time.Millisecond, 5))
+	s.finish(e)
+	row := s.find("slowed", "round-robin", "short")
+	assert.Equal(t, row.Asked, 105)
+	assert.Assert(t, row.P99 >= float64(e.Deadline.Milliseconds()))
+	assert.Equal(t, row.Failed["status 503, none"]+row.Failed["status 503, "+api.Outcome(0).String()], 5)
+	assert.Equal(t, len(s.Reference), 1)
+	assert.Assert(t, math.Abs(s.Reference[0].Ratio-2) < 0.01)
+	assert.Equal(t, len(s.Baselines), 1)
+	assert.Equal(t, s.Baselines[0].Against, "random")
+	assert.Assert(t, math.Abs(s.Baselines[0].Ratio-0.5) < 0.01)
+	dir := t.TempDir()
+	assert.NilError(t, s.write(dir, &strings.Builder{}))
+	for _, name := range []string{"report.md", "result.json", "latency-short-slowed.png"} {
+		info, err := os.Stat(filepath.Join(dir, name))
+		assert.NilError(t, err)
+		assert.Assert(t, info.Size() > 0)
+	}
+}
+
+func TestStalenessIsReadFromTheJournal(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "j")
+	lines := `{"pull":1}
+{"cursor":2,"seen":3,"used":[{"versions":[3]},{"versions":[2,3]},{"versions":[1]}]}
+`
+	assert.NilError(t, os.WriteFile(file, []byte(lines), 0o600))
+	counts, err := staleness(file)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, counts, []int{1, 1, 1})
+	_, err = staleness(file + ".none")
+	var typed *api.Error
+	assert.Assert(t, errors.As(err, &typed))
+}
