--- a/server/sampler/sampler_test.go
+++ b/server/sampler/sampler_test.go
@@ -24,6 +24,7 @@
 	changed chan struct{}
 	down    bool
 	repeat  bool // each append takes effect twice
+	expired api.Offset
 }
 
 func newLog() *fakeLog {
@@ -76,9 +77,9 @@
 	defer l.mu.Unlock()
 	for _, p := range positions {
 		all := l.streams[p.Stream]
-		b := eventlog.Batch{Stream: p.Stream, Oldest: 1, Next: api.Offset(len(all) + 1)}
-		if int(p.From) <= len(all) {
-			b.Entries = append(b.Entries, all[p.From-1:]...)
+		b := eventlog.Batch{Stream: p.Stream, Oldest: l.expired + 1, Next: api.Offset(len(all) + 1)}
+		if from := max(p.From, b.Oldest); int(from) <= len(all) {
+			b.Entries = append(b.Entries, all[from-1:]...)
 			found = true
 		}
 		batches = append(batches, b)
@@ -100,7 +101,8 @@
 	version api.WeightVersion // in force
 	engine  api.WeightVersion
 	dead    map[api.DaemonID]bool
-	stall   bool // jobs are taken and never end
+	stall   bool // jobs are taken and do not end by themselves
+	held    []*work.Job
 	runs    int
 	fail    int // the first runs fail
 }
@@ -130,6 +132,25 @@
 	change()
 }
 
+func (w *fakeWorld) started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs
+}
+
+func (w *fakeWorld) finishHeld() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, j := range w.held {
+		finish(j, w.engine)
+	}
+}
+
+func finish(j *work.Job, v api.WeightVersion) {
+	versions := []api.WeightVersion{v}
+	j.Sink.Finish(work.Answer{Outcome: api.OutcomeComplete, Text: string(j.ID), Tokens: 1, Versions: versions})
+}
+
 // submitter is the world as one daemon sees it.
 type submitter struct{ world *fakeWorld }
 
@@ -140,11 +161,11 @@
 	w.runs++
 	switch {
 	case w.stall:
+		w.held = append(w.held, j)
 	case w.runs <= w.fail:
 		j.Sink.Finish(work.Answer{Outcome: api.OutcomeFailed, Err: api.Errorf(api.CodeUpstreamFailed, "crash")})
 	default:
-		versions := []api.WeightVersion{w.engine}
-		j.Sink.Finish(work.Answer{Outcome: api.OutcomeComplete, Text: string(j.ID), Tokens: 1, Versions: versions})
+		finish(j, w.engine)
 	}
 	return nil
 }
@@ -152,11 +173,17 @@
 func (submitter) Cancel(api.RequestID) {}
 
 func startDaemon(t *testing.T, id api.DaemonID, l *fakeLog, w *fakeWorld) *sampler.Sampler {
+	return startForgetful(t, id, l, w, time.Hour)
+}
+
+// startForgetful starts a daemon that forgets streams after a time.
+func startForgetful(t *testing.T, id api.DaemonID, l *fakeLog, w *fakeWorld, after time.Duration) *sampler.Sampler {
 	cfg := sampler.DefaultConfig(id)
+	cfg.FollowIdle = after
 	cfg.Tick = time.Millisecond
 	cfg.Run.BackoffMin = time.Millisecond
 	cfg.ReadBackoff = time.Millisecond
-	cfg.Run.TakeOverAfter = 50 * time.Millisecond
+	cfg.Run.TakeOverAfter = time.Second
 	deps := sampler.Deps{
 		Log: l, Appender: fakeAppender{l}, Catalog: w, Members: w, Submitter: submitter{w}, Now: time.Now,
 	}
@@ -283,20 +310,86 @@
 	}
 }
 
-func TestOutageLosesNothing(t *testing.T) {
+// awaitRuns waits until a number of jobs were submitted.
+func awaitRuns(t *testing.T, s *sampler.Sampler, w *fakeWorld, runs int) {
+	for w.started() < runs {
+		_, err := s.TrainerState(t.Context(), "t1")
+		assert.NilError(t, err)
+	}
+}
+
+func TestStepOfDeadDaemonIsTakenOver(t *testing.T) {
+	l, w := newLog(), newWorld()
+	w.stall = true
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	awaitRuns(t, a, w, 4)
+	w.set(func() { w.stall, w.dead["a"] = false, true })
+	b := startDaemon(t, "b", l, w)
+	tr := newTrainer()
+	tr.drive(t, b)
+	assert.Equal(t, len(tr.used), 4)
+	assert.Equal(t, w.started(), 8)
+}
+
+func TestSamplesOutliveOutageOfLog(t *testing.T) {
 	l, w := newLog(), newWorld()
 	w.stall = true
 	a := startDaemon(t, "a", l, w)
 	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	awaitRuns(t, a, w, 4)
 	l.set(func() { l.down = true })
-	w.set(func() { w.stall = false })
+	w.finishHeld()
 	err := a.OpenStep(t.Context(), "t1", step("s2", 1, 1))
 	assert.Equal(t, api.CodeOf(err), api.CodeLogUnavailable)
 	l.set(func() { l.down = false })
-	// The stalled jobs never end; another daemon takes the step over.
+	tr := newTrainer()
+	tr.drive(t, a)
+	assert.Equal(t, len(tr.used), 4)
+	assert.Equal(t, w.started(), 4, "no sample is made again")
+}
+
+func TestTrainerGoesOnAfterFrontOfStreamExpired(t *testing.T) {
+	l, w := newLog(), newWorld()
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	tr := newTrainer()
+	tr.drive(t, a)
+	l.set(func() { l.expired = api.Offset(len(l.streams["trainer.t1"])) })
 	b := startDaemon(t, "b", l, w)
-	w.set(func() { w.dead["a"] = true })
+	assert.NilError(t, b.OpenStep(t.Context(), "t1", step("s2", 2, 2)))
+	tr.whole = nil
+	tr.drive(t, b, a)
+	assert.Equal(t, len(tr.used), 8)
+}
+
+func TestStopAnswersWaitingCalls(t *testing.T) {
+	l, w := newLog(), newWorld()
+	w.stall = true
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 1, 1)))
+	errs := make(chan error, 1)
+	go func() {
+		_, err := a.Pull(t.Context(), sampler.PullRequest{Trainer: "t1", Pull: 1, Wait: time.Hour})
+		errs <- err
+	}()
+	awaitRuns(t, a, w, 1)
+	assert.NilError(t, a.Stop(t.Context()))
+	assert.Equal(t, api.CodeOf(<-errs), api.CodeNotReady)
+}
+
+func TestForgottenStreamIsReadAgain(t *testing.T) {
+	l, w := newLog(), newWorld()
+	a, b := startForgetful(t, "a", l, w, time.Nanosecond), startForgetful(t, "b", l, w, time.Nanosecond)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 20, 2)))
 	tr := newTrainer()
 	tr.drive(t, b, a)
-	assert.Equal(t, len(tr.used), 4)
+	assert.Equal(t, len(tr.used), 40)
+	for range 20 {
+		_, err := a.TrainerState(t.Context(), "t1")
+		assert.NilError(t, err)
+		report, err := b.TrainerState(t.Context(), "t1")
+		assert.NilError(t, err)
+		assert.Equal(t, report.Counts.Final, 40)
+	}
 }
