--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 SEED ?= 1
 STEPS ?= 200
 DURATION ?= 30s
+CONTROL ?= --daemons 4,8,16,32 --repeats 2
+EXPERIMENT ?= slowdowns
 
 .PHONY: all build test lint fmt tidy generate demo random soak bench control clean
 
@@ -31,21 +33,14 @@
 demo: build ## runs a whole deployment on loopback and checks it
 	$(BIN)/demo --bin $(BIN) --out out/demo
 
-<<<<<<< HEAD
-<<<<<<< HEAD
 soak: build ## runs a whole deployment under faults: make soak SEED=n DURATION=d
 	$(BIN)/soak --bin $(BIN) --out out/soak-$(SEED) --seed $(SEED) --duration $(DURATION)
-=======
-CONTROL ?= --daemons 4,8,16,32 --repeats 2
+
 control: build ## measures what control costs a daemon: CONTROL=flags
 	$(BIN)/control --bin $(BIN) --out out/control $(CONTROL)
->>>>>>> helper-i
-=======
-EXPERIMENT ?= slowdowns
 
 bench: build ## runs an experiment of bench/load/experiments: EXPERIMENT=name
 	$(BIN)/load --bin $(BIN) --experiment bench/load/experiments/$(EXPERIMENT).yaml --out out/load
->>>>>>> helper-h
 
 tidy:
 	tools/tidy.sh
