Share many resources by one table a daemon: batched asks, keepers by rendezvous, floors

A new keeper grants nothing for a lease, so a cold start or a keeper's death would have stopped members' short work for 4.2 s. Weighed: one slot for each daemon without a share (370 daemons: several windows), no floor (a lease of silence), an even part of the short slots by rendezvous rank. The last adds up to the short part over all daemons, so a cold start over-admits nothing.

--- a/lib/quota/keeper.go
+++ b/lib/quota/keeper.go
@@ -81,6 +81,13 @@
 	k.beat = now
 }
 
+// Trust tells a running keeper that no predecessor of it granted slots, so that
+// there are no unknown holdings to wait for.
+func (k *Keeper) Trust(now time.Time) {
+	k.Beat(now)
+	k.knowing = now
+}
+
 // Handle answers an ask.
 func (k *Keeper) Handle(a Ask, now time.Time) Grant {
 	k.Beat(now)
@@ -96,7 +103,7 @@
 	h.want = max(0, a.Want)
 	slots := k.slotsFor(h, a, now)
 	k.record(h, max(slots, a.Held, a.InUse), now)
-	h.last = Grant{Seq: a.Seq, Slots: slots, TTL: k.lease}
+	h.last = Grant{Seq: a.Seq, Slots: slots, TTL: k.lease, New: now.Before(k.knowing)}
 	return h.last
 }
 
--- a/lib/quota/quota.go
+++ b/lib/quota/quota.go
@@ -25,6 +25,16 @@
 // What this needs: a keeper stops handling asks no later than its successor
 // starts. While two daemons both act as keeper, as in a parted network, each
 // side may use the whole window.
+//
+// A Table does this for all resources of a daemon. While no keeper can give a
+// grant, for a lease after a cold start or a keeper's death, a daemon may use
+// its floor: an even part, by rendezvous rank, of the slots that only short
+// work may use, and none of the others. So the floors of all daemons add up to
+// the short part of the window. At a cold start nothing is over-admitted, and
+// after a keeper's death at most the floors of the daemons that held nothing
+// come on top of the window: with a fifth kept for short work and half of the
+// daemons idle, a tenth. One slot for each daemon would have come to several
+// windows with many daemons, and no floor would stop members' work for a lease.
 package quota
 
 import (
@@ -56,6 +66,9 @@
 	Seq   uint64
 	Slots int           // replaces what the daemon held
 	TTL   time.Duration // counts from the moment of the ask
+	// New is set by a keeper that does not know all holdings yet and therefore
+	// only renews.
+	New bool
 }
 
 // Holding is a daemon's leased slots of one upstream. It belongs to one duty:
--- /dev/null
+++ b/lib/quota/table.go
@@ -0,0 +1,380 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/routing"
+)
+
+// Kind tells what a Resource is a part of.
+type Kind uint8
+
+// The kinds of resources.
+const (
+	KindLong  Kind = iota // slots of an upstream's window for any work
+	KindShort             // slots of an upstream's window that only short work may use
+	KindPlan              // a plan's requests in progress
+)
+
+// Resource names slots that daemons share: the name is an upstream's or a plan's.
+type Resource struct {
+	Kind Kind
+	Name string
+}
+
+// key is the same on all daemons. Both parts of a window have one keeper, so
+// that one call asks for both.
+func (r Resource) key() uint64 {
+	if r.Kind == KindPlan {
+		return routing.Key("plan/" + r.Name)
+	}
+	return routing.Key("upstream/" + r.Name)
+}
+
+// Need is a daemon's demand for a resource.
+type Need struct {
+	Want  int // slots there is work for, with the calls in progress
+	InUse int // calls in progress
+}
+
+// ResourceAsk is an ask about one resource.
+type ResourceAsk struct {
+	Resource Resource
+	Ask      Ask
+}
+
+// ResourceGrant answers a ResourceAsk.
+type ResourceGrant struct {
+	Resource Resource
+	Grant    Grant
+}
+
+// Batch is what to send to one daemon in one call.
+type Batch struct {
+	To   api.DaemonID
+	At   time.Time // when the asks were made
+	Asks []ResourceAsk
+}
+
+const (
+	// renewPart is the part of a lease after which satisfied slots are renewed.
+	renewPart = 0.5
+	// changePart is the part of a lease between two asks when the need changes.
+	changePart = 1.0 / 40
+	// earlyFactor is the part of its interval after which an ask joins a call
+	// that is made anyway.
+	earlyFactor = 0.7
+	// floorPart is the part of a lease for which an ask stays unanswered before
+	// the daemon uses its floor.
+	floorPart = 1.0 / 40
+)
+
+// Table is one daemon's part in sharing many resources: a Holding of each and
+// the Keeper of those for which rendezvous hashing chooses this daemon. It
+// belongs to one duty: it is not safe for concurrent use.
+type Table struct {
+	self    api.DaemonID
+	lease   time.Duration
+	seq     uint64
+	members []string
+	single  bool // no other member was ever seen
+	entries map[Resource]*entry
+}
+
+type entry struct {
+	resource Resource
+	size     int
+	floor    int // slots without a grant while no keeper can give one
+	keeper   api.DaemonID
+	own      *Keeper // nil when another daemon is the keeper
+	holding  *Holding
+	need     Need
+	asked    Need
+	sent     time.Time // latest ask; zero: none of the present keeper
+	waiting  time.Time // first ask without an answer; zero: none
+	pending  bool      // an ask is on its way
+	unsure   bool      // the latest answer came from a new keeper
+}
+
+// NewTable returns a table without resources. seq must be above any number
+// that an earlier life of this daemon used; wall-clock milliseconds serve.
+func NewTable(self api.DaemonID, lease time.Duration, seq uint64) *Table {
+	return &Table{self: self, lease: lease, seq: seq, single: true, members: []string{string(self)}, entries: make(map[Resource]*entry)}
+}
+
+// SetSizes takes over the resources that exist, with their slots.
+func (t *Table) SetSizes(sizes map[Resource]int, now time.Time) {
+	maps.DeleteFunc(t.entries, func(r Resource, _ *entry) bool { _, ok := sizes[r]; return !ok })
+	for r, n := range sizes {
+		e, ok := t.entries[r]
+		if !ok {
+			e = &entry{resource: r, holding: NewHolding(t.self, t.seq)}
+			t.entries[r] = e
+		}
+		if ok && e.size == n {
+			continue
+		}
+		e.size = n
+		t.place(e, now)
+	}
+}
+
+// SetMembers takes over the live daemons; this one always counts as live.
+func (t *Table) SetMembers(ids []api.DaemonID, now time.Time) {
+	members := []string{string(t.self)}
+	for _, id := range ids {
+		members = append(members, string(id))
+	}
+	slices.Sort(members)
+	members = slices.Compact(members)
+	if slices.Equal(members, t.members) {
+		return
+	}
+	t.members = members
+	t.single = t.single && len(members) == 1
+	for _, e := range t.entries {
+		t.place(e, now)
+	}
+}
+
+// place finds an entry's keeper and floor among the live members.
+func (t *Table) place(e *entry, now time.Time) {
+	key := e.resource.key()
+	e.floor = t.floorOf(e, key)
+	keeper := api.DaemonID(routing.First(key, t.members))
+	if keeper != e.keeper {
+		e.keeper = keeper
+		e.own = nil
+		e.sent, e.pending = time.Time{}, false // the new keeper is told at once
+	}
+	switch {
+	case keeper != t.self:
+	case e.own == nil:
+		e.own = NewKeeper(e.size, t.lease, now)
+	default:
+		e.own.SetWindow(e.size)
+	}
+}
+
+// floorOf returns an even part of the resource; the members that rank first
+// share what does not divide. The sum over all members is the resource's size.
+func (t *Table) floorOf(e *entry, key uint64) int {
+	if e.resource.Kind == KindLong {
+		return 0
+	}
+	n := len(t.members)
+	floor := e.size / n
+	if routing.Rank(key, t.members, string(t.self)) < e.size%n {
+		floor++
+	}
+	return floor
+}
+
+// SetNeed tells the demand for a resource; unknown resources are ignored.
+func (t *Table) SetNeed(r Resource, need Need) {
+	if e, ok := t.entries[r]; ok {
+		e.need = Need{Want: max(0, need.Want, need.InUse), InUse: max(0, need.InUse)}
+		e.holding.SetInUse(e.need.InUse)
+	}
+}
+
+// Due makes the asks that are due and returns those for other daemons, at most
+// limit batches. Asks to this daemon's own keepers are answered at once.
+// Answered or Failed must follow for each batch.
+func (t *Table) Due(limit int, now time.Time) []Batch {
+	t.beat(now)
+	due := make(map[api.DaemonID]bool)
+	for _, e := range t.entries {
+		if !t.isDue(e, 1, now) {
+			continue
+		}
+		if e.own != nil {
+			t.askOwn(e, now)
+			continue
+		}
+		due[e.keeper] = true
+	}
+	batches := make([]Batch, 0, min(limit, len(due)))
+	for _, to := range t.order(due) {
+		if len(batches) == limit {
+			break
+		}
+		batches = append(batches, t.batch(to, now))
+	}
+	return batches
+}
+
+func (t *Table) beat(now time.Time) {
+	for _, e := range t.entries {
+		switch {
+		case e.own == nil:
+		case t.single:
+			e.own.Trust(now)
+		default:
+			e.own.Beat(now)
+		}
+	}
+}
+
+// order returns the daemons to be asked, each time from another one on, so
+// that a limit passes none over for good.
+func (t *Table) order(due map[api.DaemonID]bool) []api.DaemonID {
+	ids := slices.Sorted(maps.Keys(due))
+	if len(ids) == 0 {
+		return nil
+	}
+	t.seq++
+	first := int(t.seq % uint64(len(ids)))
+	return append(ids[first:], ids[:first]...)
+}
+
+// batch makes the asks for one daemon, with those that would soon be due.
+func (t *Table) batch(to api.DaemonID, now time.Time) Batch {
+	b := Batch{To: to, At: now}
+	for _, e := range t.entries {
+		if e.keeper == to && t.isDue(e, earlyFactor, now) {
+			e.pending = true
+			b.Asks = append(b.Asks, ResourceAsk{Resource: e.resource, Ask: t.ask(e, now)})
+		}
+	}
+	return b
+}
+
+func (t *Table) ask(e *entry, now time.Time) Ask {
+	e.sent, e.asked = now, e.need
+	if e.waiting.IsZero() {
+		e.waiting = now
+	}
+	return e.holding.NextAsk(e.need.Want, now)
+}
+
+// askOwn asks this daemon's own keeper; slots taken back are told at once.
+func (t *Table) askOwn(e *entry, now time.Time) {
+	const rounds = 2
+	for range rounds {
+		g := e.own.Handle(t.ask(e, now), now)
+		t.take(e, g, now, now)
+		if !e.holding.Shrunk() {
+			return
+		}
+	}
+}
+
+// isDue reports whether the time since the latest ask passed factor times the
+// interval that the entry's state calls for.
+func (t *Table) isDue(e *entry, factor float64, now time.Time) bool {
+	held := e.holding.Slots(now)
+	if e.pending || (held == 0 && e.need == Need{}) {
+		return false
+	}
+	if e.sent.IsZero() || e.holding.Shrunk() {
+		return true
+	}
+	return now.Sub(e.sent) >= t.part(factor*t.interval(e, held))
+}
+
+// interval returns the part of a lease between two asks.
+func (t *Table) interval(e *entry, held int) float64 {
+	grown := e.need.Want > held && e.need.Want > e.asked.Want
+	freed := 2*e.need.Want < held
+	switch {
+	case grown || freed:
+		return changePart
+	case e.need.Want > held, e.need.InUse > held:
+		return 1.0 / AsksPerLease
+	default:
+		return renewPart
+	}
+}
+
+func (t *Table) part(share float64) time.Duration {
+	return time.Duration(share * float64(t.lease))
+}
+
+// Handle answers other daemons' asks, but for resources of which this daemon
+// is not the keeper: those are left out.
+func (t *Table) Handle(asks []ResourceAsk, now time.Time) []ResourceGrant {
+	grants := make([]ResourceGrant, 0, len(asks))
+	for _, a := range asks {
+		e, ok := t.entries[a.Resource]
+		if !ok || e.own == nil {
+			continue
+		}
+		grants = append(grants, ResourceGrant{Resource: a.Resource, Grant: e.own.Handle(a.Ask, now)})
+	}
+	return grants
+}
+
+// Answered takes in the answer to a batch.
+func (t *Table) Answered(b Batch, grants []ResourceGrant, now time.Time) {
+	t.Failed(b)
+	for _, g := range grants {
+		if e, ok := t.entries[g.Resource]; ok && e.keeper == b.To {
+			t.take(e, g.Grant, b.At, now)
+		}
+	}
+}
+
+// Failed tells that a batch got no answer; its asks are made anew when due.
+func (t *Table) Failed(b Batch) {
+	for _, a := range b.Asks {
+		if e, ok := t.entries[a.Resource]; ok {
+			e.pending = false
+		}
+	}
+}
+
+func (t *Table) take(e *entry, g Grant, askedAt, now time.Time) {
+	e.holding.Apply(g, askedAt, now)
+	e.unsure = g.New
+	e.waiting = time.Time{}
+}
+
+// Share is what a daemon may use of a resource over time.
+type Share struct {
+	Slots   int
+	Until   time.Time // Slots lapse then
+	Floor   int
+	FloorAt time.Time // the floor may be used from then on; zero: never
+}
+
+// At returns the number of slots at a moment.
+func (s Share) At(now time.Time) int {
+	n := 0
+	if now.Before(s.Until) {
+		n = s.Slots
+	}
+	if !s.FloorAt.IsZero() && !now.Before(s.FloorAt) {
+		n = max(n, s.Floor)
+	}
+	return n
+}
+
+// Shares returns this daemon's share of each resource of which it may have one.
+func (t *Table) Shares() map[Resource]Share {
+	out := make(map[Resource]Share)
+	for r, e := range t.entries {
+		if e.holding.slots == 0 && !e.unsure && e.waiting.IsZero() {
+			continue
+		}
+		s := Share{Slots: e.holding.slots, Until: e.holding.until, Floor: e.floor}
+		switch {
+		case e.unsure:
+			s.FloorAt = e.sent
+		case !e.waiting.IsZero():
+			s.FloorAt = later(e.waiting.Add(t.part(floorPart)), e.holding.until)
+		}
+		out[r] = s
+	}
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/lib/routing/rendezvous.go
+++ b/lib/routing/rendezvous.go
@@ -34,6 +34,31 @@
 	return ordered
 }
 
+// First returns the id that Rendezvous puts first; empty when there are none.
+func First(key uint64, ids []string) string {
+	best, top := "", uint64(0)
+	for _, id := range ids {
+		score := rendezvousScore(key, id)
+		if best == "" || score > top || (score == top && id < best) {
+			best, top = id, score
+		}
+	}
+	return best
+}
+
+// Rank returns the number of ids that Rendezvous puts before id.
+func Rank(key uint64, ids []string, id string) int {
+	own := rendezvousScore(key, id)
+	rank := 0
+	for _, other := range ids {
+		score := rendezvousScore(key, other)
+		if score > own || (score == own && other < id) {
+			rank++
+		}
+	}
+	return rank
+}
+
 func rendezvousScore(key uint64, id string) uint64 {
 	var room [8 + maxHashedID]byte
 	b := binary.BigEndian.AppendUint64(room[:0], key)
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -72,6 +72,10 @@
 		order := routing.Rendezvous(key, ids)
 		shuffled := rapid.Permutation(ids).Draw(t, "shuffled")
 		assert.DeepEqual(t, routing.Rendezvous(key, shuffled), order)
+		assert.Equal(t, routing.First(key, shuffled), order[0])
+		for i, id := range order {
+			assert.Equal(t, routing.Rank(key, shuffled, id), i)
+		}
 		gone := rapid.IntRange(0, len(order)-1).Draw(t, "gone")
 		rest := slices.Delete(slices.Clone(order), gone, gone+1)
 		assert.DeepEqual(t, routing.Rendezvous(key, rest), rest)
