--- /dev/null
+++ b/lib/quota/need.go
@@ -0,0 +1,33 @@
+package quota
+
+// headroomPart is the part of the calls in progress for which slots are wanted
+// ahead of work, so that new work finds one without waiting for an ask.
+const headroomPart = 4
+
+// Load is one daemon's work for one upstream.
+type Load struct {
+	Long        int // calls in progress that are not members' short work
+	Short       int // calls in progress of members' short work
+	QueuedLong  int // calls queued that this upstream might get
+	QueuedShort int
+	Recent      bool // had calls lately; an upstream without any is not asked for
+}
+
+// Needs returns the demand for the two parts of the upstream's window. Short
+// calls beyond the daemon's short slots count against the slots for any work.
+// shortInUse is the latest result's short.InUse: a call stays counted where it
+// was, because slots that one part's keeper took back it may have handed on
+// before the other part's keeper hears of the call.
+func (l Load) Needs(shortSlots, shortInUse int) (long, short Need) {
+	if l == (Load{}) {
+		return Need{}, Need{}
+	}
+	short.InUse = min(l.Short, max(shortInUse, shortSlots))
+	short.Want = l.Short + l.QueuedShort + headroom(l.Short)
+	long.InUse = l.Long + l.Short - short.InUse
+	beyond := max(0, l.Short+l.QueuedShort-max(0, shortSlots))
+	long.Want = l.Long + beyond + l.QueuedLong + headroom(l.Long)
+	return long, short
+}
+
+func headroom(inUse int) int { return max(1, inUse/headroomPart) }
--- a/lib/quota/quota.go
+++ b/lib/quota/quota.go
@@ -28,8 +28,8 @@
 //
 // A Table does this for all resources of a daemon. While no keeper can give a
 // grant, for a lease after a cold start or a keeper's death, a daemon may use
-// its floor: an even part, by rendezvous rank, of the slots that only short
-// work may use, and none of the others. So the floors of all daemons add up to
+// its floor: an even part of the slots that only short work may use, and none of
+// the others. So the floors of all daemons add up to
 // the short part of the window. At a cold start nothing is over-admitted, and
 // after a keeper's death at most the floors of the daemons that held nothing
 // come on top of the window: with a fifth kept for short work and half of the
--- a/lib/quota/table.go
+++ b/lib/quota/table.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -92,7 +93,8 @@
 	own      *Keeper // nil when another daemon is the keeper
 	holding  *Holding
 	need     Need
-	asked    Need
+	asked    int       // slots wanted in the latest ask
+	peak     int       // most slots wanted since the latest ask
 	sent     time.Time // latest ask; zero: none of the present keeper
 	waiting  time.Time // first ask without an answer; zero: none
 	pending  bool      // an ask is on its way
@@ -120,6 +122,7 @@
 		e.size = n
 		t.place(e, now)
 	}
+	t.deal()
 }
 
 // SetMembers takes over the live daemons; this one always counts as live.
@@ -138,13 +141,12 @@
 	for _, e := range t.entries {
 		t.place(e, now)
 	}
+	t.deal()
 }
 
-// place finds an entry's keeper and floor among the live members.
+// place finds an entry's keeper among the live members.
 func (t *Table) place(e *entry, now time.Time) {
-	key := e.resource.key()
-	e.floor = t.floorOf(e, key)
-	keeper := api.DaemonID(routing.First(key, t.members))
+	keeper := api.DaemonID(routing.First(e.resource.key(), t.members))
 	if keeper != e.keeper {
 		e.keeper = keeper
 		e.own = nil
@@ -159,24 +161,35 @@
 	}
 }
 
-// floorOf returns an even part of the resource; the members that rank first
-// share what does not divide. The sum over all members is the resource's size.
-func (t *Table) floorOf(e *entry, key uint64) int {
-	if e.resource.Kind == KindLong {
-		return 0
-	}
+// deal gives the slots of all resources that have floors to the members in
+// turn, so that each member gets as many as any other. The floors of one
+// resource add up to its size.
+func (t *Table) deal() {
+	resources := slices.SortedFunc(maps.Keys(t.entries), compareResources)
 	n := len(t.members)
-	floor := e.size / n
-	if routing.Rank(key, t.members, string(t.self)) < e.size%n {
-		floor++
+	self := slices.Index(t.members, string(t.self))
+	dealt := 0
+	for _, r := range resources {
+		e := t.entries[r]
+		e.floor = 0
+		if r.Kind == KindLong {
+			continue
+		}
+		first := ((self-dealt)%n + n) % n // of this resource's slots, the first for this member
+		e.floor = (e.size - first + n - 1) / n
+		dealt += e.size
 	}
-	return floor
+}
+
+func compareResources(a, b Resource) int {
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
 
 // SetNeed tells the demand for a resource; unknown resources are ignored.
 func (t *Table) SetNeed(r Resource, need Need) {
 	if e, ok := t.entries[r]; ok {
 		e.need = Need{Want: max(0, need.Want, need.InUse), InUse: max(0, need.InUse)}
+		e.peak = max(e.peak, e.need.Want)
 		e.holding.SetInUse(e.need.InUse)
 	}
 }
@@ -243,12 +256,25 @@
 	return b
 }
 
+// ask makes an ask. It wants what was wanted at most since the latest one, so
+// that a need that goes up and down costs no ask each time; nothing once the
+// need is over. While the floor may be in use, that is told like calls in
+// progress.
 func (t *Table) ask(e *entry, now time.Time) Ask {
-	e.sent, e.asked = now, e.need
+	want := e.need.Want
+	if want > 0 {
+		want = max(want, e.peak)
+	}
+	floored := e.unsure || !e.waiting.IsZero()
+	e.sent, e.asked, e.peak = now, want, e.need.Want
 	if e.waiting.IsZero() {
 		e.waiting = now
 	}
-	return e.holding.NextAsk(e.need.Want, now)
+	a := e.holding.NextAsk(want, now)
+	if floored {
+		a.InUse = max(a.InUse, e.floor)
+	}
+	return a
 }
 
 // askOwn asks this daemon's own keeper; slots taken back are told at once.
@@ -278,8 +304,8 @@
 
 // interval returns the part of a lease between two asks.
 func (t *Table) interval(e *entry, held int) float64 {
-	grown := e.need.Want > held && e.need.Want > e.asked.Want
-	freed := 2*e.need.Want < held
+	grown := e.need.Want > held && e.need.Want > e.asked
+	freed := held > 0 && (e.need.Want == 0 || 2*e.peak < held)
 	switch {
 	case grown || freed:
 		return changePart
--- /dev/null
+++ b/server/shares/caller.go
@@ -0,0 +1,30 @@
+package shares
+
+import (
+	"context"
+	"time"
+
+	"dotterelmount.example/lib/quota"
+)
+
+// call is one batch on its way to another daemon.
+type call struct {
+	address string
+	batch   quota.Batch
+}
+
+// caller is the handler of one caller duty.
+type caller struct {
+	index   int
+	peers   Peers
+	timeout time.Duration
+	report  func(message)
+}
+
+// Handle makes one call and reports its end.
+func (c *caller) Handle(ctx context.Context, m call) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	grants, err := c.peers.Ask(ctx, m.address, m.batch.Asks)
+	c.report(answeredMsg{caller: c.index, batch: m.batch, grants: grants, err: err})
+}
--- /dev/null
+++ b/server/shares/shares.go
@@ -0,0 +1,185 @@
+// Package shares gives a daemon its part of what all daemons share: the window
+// of each upstream and the requests in progress of each plan. One owner duty
+// holds the quota.Table, which decides; a fixed number of caller duties make
+// the blocking calls to other daemons. Readers look at an immutable snapshot.
+//
+// A daemon that never saw another one grants itself everything at once. Package
+// quota tells what keeps the sum below the window and what the floor is for.
+package shares
+
+import (
+	"context"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
+	"dotterelmount.example/lib/ring"
+)
+
+const (
+	// ownerTick is the time between two looks at what is due.
+	ownerTick = 25 * time.Millisecond
+	// callerRing is one: the owner gives calls to an idle caller only.
+	callerRing = 1
+	// Defaults of Config.
+	defaultCallers     = 8
+	defaultRingSize    = 1024
+	defaultCallTimeout = 500 * time.Millisecond
+)
+
+// Metrics, under "shares" in expvar: counts of calls made and failed, of asks
+// sent and handled, and of messages dropped because the ring was full.
+var metrics = expvar.NewMap("shares")
+
+// MemberAddr is a live daemon and the address (ip:port) of its peer protocol.
+type MemberAddr struct {
+	ID      api.DaemonID
+	Address string
+}
+
+// Peers asks other daemons. Ask blocks until the answer or the end of ctx and
+// is called from several threads. Errors: any; the asks are made again later.
+type Peers interface {
+	Ask(ctx context.Context, address string, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error)
+}
+
+// Demand is this daemon's need of one resource.
+type Demand struct {
+	Resource quota.Resource
+	Need     quota.Need
+}
+
+// Config describes Shares. Zero values stand for the defaults.
+type Config struct {
+	Daemon       api.DaemonID
+	ShortReserve float64       // part of each window that only short work may use
+	Lease        time.Duration // life of a grant; zero: quota.DefaultLease
+	Callers      int           // calls to other daemons at a time
+	RingSize     int           // messages of the owner
+	CallTimeout  time.Duration // of one call
+	Now          func() time.Time
+	// Changed is called on the owner's thread after shares changed; it must
+	// only post. Nil: nobody is told.
+	Changed func()
+}
+
+func (c Config) withDefaults() Config {
+	if c.Lease == 0 {
+		c.Lease = quota.DefaultLease
+	}
+	if c.Callers == 0 {
+		c.Callers = defaultCallers
+	}
+	if c.RingSize == 0 {
+		c.RingSize = defaultRingSize
+	}
+	if c.CallTimeout == 0 {
+		c.CallTimeout = defaultCallTimeout
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	return c
+}
+
+// Shares is the handle of the duties. Its methods may be called from any thread.
+type Shares struct {
+	cfg      Config
+	owner    *duty.Duty[message]
+	callers  []*duty.Duty[call]
+	snapshot atomic.Pointer[snapshot]
+}
+
+type snapshot = map[quota.Resource]quota.Share
+
+// Start spawns the owner and its callers. state returns the configuration in
+// force, members the live daemons with or without this one; both are called
+// on the owner's thread.
+func Start(sys *duty.System, cfg Config, peers Peers, state func() *ledger.State, members func() []MemberAddr) *Shares {
+	cfg = cfg.withDefaults()
+	s := &Shares{cfg: cfg}
+	s.snapshot.Store(&snapshot{})
+	for i := range cfg.Callers {
+		c := &caller{index: i, peers: peers, timeout: cfg.CallTimeout, report: s.report}
+		s.callers = append(s.callers, duty.Start(sys, duty.Config{Name: "shares-caller", RingSize: callerRing}, duty.Handler[call](c)))
+	}
+	o := newOwner(s, state, members)
+	s.owner = duty.Start(sys, duty.Config{Name: "shares", RingSize: cfg.RingSize, Tick: ownerTick}, duty.Handler[message](o))
+	s.report(begin{})
+	return s
+}
+
+// Window returns this daemon's part of an upstream's window now: slots for any
+// work and slots for short work only. It never blocks.
+func (s *Shares) Window(id api.UpstreamID) (long, short int) {
+	m, now := *s.snapshot.Load(), s.cfg.Now()
+	name := string(id)
+	long = m[quota.Resource{Kind: quota.KindLong, Name: name}].At(now)
+	short = m[quota.Resource{Kind: quota.KindShort, Name: name}].At(now)
+	return long, short
+}
+
+// Concurrency returns how many requests of a limited plan this daemon may have
+// in progress now. It never blocks.
+func (s *Shares) Concurrency(p api.PlanName) int {
+	m := *s.snapshot.Load()
+	return m[quota.Resource{Kind: quota.KindPlan, Name: string(p)}].At(s.cfg.Now())
+}
+
+// Demand tells this daemon's needs; a resource keeps its need until the next
+// call that names it. It never blocks and reports whether there was room.
+func (s *Shares) Demand(d []Demand) bool { return s.post(demandMsg{demands: d}) }
+
+// HandleAsk answers another daemon's asks; those that this daemon does not
+// keep are left out. Errors: CodeShed when the ring is full, ctx.Err().
+func (s *Shares) HandleAsk(ctx context.Context, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error) {
+	m := askMsg{asks: asks, answer: ring.NewSlot[[]quota.ResourceGrant]()}
+	if !s.post(m) {
+		return nil, api.Errorf(api.CodeShed, "shares: the ring is full")
+	}
+	return m.answer.Wait(ctx)
+}
+
+// Duties returns the rings' state, the callers' summed up in one entry.
+func (s *Shares) Duties() []duty.Stats {
+	sum := duty.Stats{Name: "shares-callers"}
+	for _, c := range s.callers {
+		stats := c.Stats()
+		sum.Depth += stats.Depth
+		sum.Capacity += stats.Capacity
+		sum.Rejected += stats.Rejected
+	}
+	return []duty.Stats{s.owner.Stats(), sum}
+}
+
+// Stop ends the duties; a call in progress ends with its context.
+// Errors: ctx.Err().
+func (s *Shares) Stop(ctx context.Context) error {
+	if err := s.owner.Stop(ctx); err != nil {
+		return err
+	}
+	for _, c := range s.callers {
+		if err := c.Stop(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Shares) post(m message) bool {
+	if s.owner.Post(m) != nil {
+		metrics.Add("dropped", 1)
+		return false
+	}
+	return true
+}
+
+// report brings a caller's result to the owner, waiting for room: a lost one
+// would leave its asks pending for good.
+func (s *Shares) report(m message) {
+	_ = s.owner.PostWait(context.Background(), m) // fails only once the owner is stopped
+}
