--- a/lib/quota/need.go
+++ b/lib/quota/need.go
@@ -1,5 +1,10 @@
 package quota
 
+import "time"
+
+// RecentTime is how long slots ahead of work are wanted after the last work.
+const RecentTime = 3 * time.Second
+
 // headroomPart is the part of the calls in progress for which slots are wanted
 // ahead of work, so that new work finds one without waiting for an ask.
 const headroomPart = 4
@@ -10,7 +15,10 @@
 	Short       int // calls in progress of members' short work
 	QueuedLong  int // calls queued that this upstream might get
 	QueuedShort int
-	Recent      bool // had calls lately; an upstream without any is not asked for
+	// RecentLong and RecentShort tell that slots of the part were needed lately;
+	// slots ahead of work are wanted only then.
+	RecentLong  bool
+	RecentShort bool
 }
 
 // Needs returns the demand for the two parts of the upstream's window. Short
@@ -23,11 +31,18 @@
 		return Need{}, Need{}
 	}
 	short.InUse = min(l.Short, max(shortInUse, shortSlots))
-	short.Want = l.Short + l.QueuedShort + headroom(l.Short)
+	short.Spare = headroom(l.Short, l.RecentShort)
+	short.Want = l.Short + l.QueuedShort + short.Spare
 	long.InUse = l.Long + l.Short - short.InUse
+	long.Spare = headroom(l.Long, l.RecentLong)
 	beyond := max(0, l.Short+l.QueuedShort-max(0, shortSlots))
-	long.Want = l.Long + beyond + l.QueuedLong + headroom(l.Long)
+	long.Want = l.Long + beyond + l.QueuedLong + long.Spare
 	return long, short
 }
 
-func headroom(inUse int) int { return max(1, inUse/headroomPart) }
+func headroom(inUse int, recent bool) int {
+	if inUse == 0 && !recent {
+		return 0
+	}
+	return max(1, inUse/headroomPart)
+}
--- a/lib/quota/table.go
+++ b/lib/quota/table.go
@@ -37,7 +37,8 @@
 
 // Need is a daemon's demand for a resource.
 type Need struct {
-	Want  int // slots there is work for, with the calls in progress
+	Want  int // slots there is work for, with the calls in progress and Spare
+	Spare int // slots wanted ahead of work
 	InUse int // calls in progress
 }
 
@@ -63,6 +64,9 @@
 const (
 	// renewPart is the part of a lease after which satisfied slots are renewed.
 	renewPart = 0.5
+	// sparePart is the part of a lease between two asks of a daemon that holds
+	// nothing and has no work.
+	sparePart = 2.0
 	// changePart is the part of a lease between two asks when the need changes.
 	changePart = 1.0 / 40
 	// earlyFactor is the part of its interval after which an ask joins a call
@@ -188,7 +192,7 @@
 // SetNeed tells the demand for a resource; unknown resources are ignored.
 func (t *Table) SetNeed(r Resource, need Need) {
 	if e, ok := t.entries[r]; ok {
-		e.need = Need{Want: max(0, need.Want, need.InUse), InUse: max(0, need.InUse)}
+		e.need = Need{Want: max(0, need.Want, need.InUse), Spare: max(0, need.Spare), InUse: max(0, need.InUse)}
 		e.peak = max(e.peak, e.need.Want)
 		e.holding.SetInUse(e.need.InUse)
 	}
@@ -304,13 +308,15 @@
 
 // interval returns the part of a lease between two asks.
 func (t *Table) interval(e *entry, held int) float64 {
-	grown := e.need.Want > held && e.need.Want > e.asked
+	work := e.need.Want - e.need.Spare
 	freed := held > 0 && (e.need.Want == 0 || 2*e.peak < held)
 	switch {
-	case grown || freed:
+	case freed, work > held && work > e.asked:
 		return changePart
-	case e.need.Want > held, e.need.InUse > held:
+	case work > held, e.need.InUse > held, e.need.Want > max(held, e.asked):
 		return 1.0 / AsksPerLease
+	case held == 0:
+		return sparePart
 	default:
 		return renewPart
 	}
