Use shares in the dispatcher, serve them to peers, limit plans

Windows come from the shares, needs are reported when they change, a plan's rate is a token bucket of rate/live and its concurrency a shared resource. Rollouts avoid an engine whose latest answer named too old a version, for 2 s. The peer protocol's Slots becomes Shares: one call for all resources of a keeper.

--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -29,6 +29,7 @@
 	"dotterelmount.example/server/logbook"
 	"dotterelmount.example/server/once"
 	"dotterelmount.example/server/sampler"
+	"dotterelmount.example/server/shares"
 	"dotterelmount.example/server/weightkeeper"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -75,6 +76,7 @@
 	peers    *peer.Client
 	server   *peer.Server
 	gossip   atomic.Pointer[gossip.Gossip]
+	shares   atomic.Pointer[shares.Shares]
 	callers  *http.Server
 	address  string
 	stopping atomic.Bool
@@ -143,6 +145,7 @@
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
 		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
+		Shares: dispatchShares{n}, Live: n.liveCount,
 	}, ledger.NewConfig().Snapshot())
 	return err
 }
@@ -187,7 +190,7 @@
 	if err := n.gossip.Load().Leave(ctx); err != nil {
 		n.log.Warn("peers were not told", zap.Error(err))
 	}
-	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.shares.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"dotterelmount.example/api"
@@ -9,7 +8,9 @@
 	"dotterelmount.example/front/peer"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/server/gossip"
+	"dotterelmount.example/server/shares"
 )
 
 // startBound is the longest time since the log or a majority of the daemons
@@ -37,16 +38,62 @@
 	}
 	g := gossip.Start(n.system, cfg, n.peers, n.book)
 	n.gossip.Store(g)
-	n.server, err = peer.Start(n.system, listener, peerHandler{g})
+	s := shares.Start(n.system, shares.Config{
+		Daemon: cfg.Self.ID, ShortReserve: n.settings.Dispatch.ShortReserve, Changed: n.dispatch.SharesChanged,
+	}, n.peers, n.book.State, n.sharers)
+	n.shares.Store(s)
+	n.server, err = peer.Start(n.system, listener, peerHandler{g, s})
 	return err
 }
 
 // peerHandler serves peers.
-type peerHandler struct{ *gossip.Gossip }
+type peerHandler struct {
+	*gossip.Gossip
+	*shares.Shares
+}
 
-// Slots implements peer.SlotsHandler.
-func (peerHandler) Slots(context.Context, peer.SlotsRequest) (peer.SlotsLease, error) {
-	return peer.SlotsLease{}, api.Errorf(api.CodeNoUpstream, "windows are not shared out here")
+// sharers returns the daemons between which windows and limits are shared.
+func (n *Node) sharers() []shares.MemberAddr {
+	var out []shares.MemberAddr
+	for _, m := range n.gossip.Load().Members() {
+		if m.Status <= membership.Suspect {
+			out = append(out, shares.MemberAddr{ID: m.ID, Address: m.Peer})
+		}
+	}
+	return out
+}
+
+// dispatchShares gives the dispatcher, which starts first, the shares.
+type dispatchShares struct{ n *Node }
+
+// Window implements dispatch.Shares.
+func (d dispatchShares) Window(id api.UpstreamID) (long, short int) {
+	if s := d.n.shares.Load(); s != nil {
+		return s.Window(id)
+	}
+	return 0, 0
+}
+
+// Concurrency implements dispatch.Shares.
+func (d dispatchShares) Concurrency(p api.PlanName) int {
+	if s := d.n.shares.Load(); s != nil {
+		return s.Concurrency(p)
+	}
+	return 0
+}
+
+// Demand implements dispatch.Shares.
+func (d dispatchShares) Demand(list []quota.Demand) bool {
+	s := d.n.shares.Load()
+	return s != nil && s.Demand(list)
+}
+
+// liveCount returns the number of daemons that share the plans' rates.
+func (n *Node) liveCount() int {
+	if n.gossip.Load() == nil {
+		return 1
+	}
+	return len(n.live())
 }
 
 // seeds offers the hosts of the platform's list that are not upstreams.
--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -10,6 +10,7 @@
 	"dotterelmount.example/front/peer/peerpb"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/quota"
 	"storj.io/drpc/drpcconn"
 )
 
@@ -104,22 +105,17 @@
 	return entriesFromProto(answer.GetEntries()), err
 }
 
-// Slots asks for part of an upstream's window. Errors: CodeNotReady.
-func (c *Client) Slots(ctx context.Context, addr string, r SlotsRequest) (SlotsLease, error) {
-	in := &peerpb.SlotsRequest{
-		Upstream: string(r.Upstream),
-		Daemon:   string(r.Daemon),
-		Seq:      r.Seq,
-		Held:     uint32(max(0, r.Held)),
-		Want:     uint32(max(0, r.Want)),
-	}
-	var answer *peerpb.SlotsResponse
+// Ask asks for slots of resources that the daemon at addr keeps; all asks must
+// be of one daemon. Resources that it does not keep are missing in the answer.
+// Errors: CodeNotReady.
+func (c *Client) Ask(ctx context.Context, addr string, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error) {
+	in := asksToProto(asks)
+	var answer *peerpb.SharesResponse
 	err := c.call(ctx, addr, func(p peerpb.DRPCPeerClient) (err error) {
-		answer, err = p.Slots(ctx, in)
+		answer, err = p.Shares(ctx, in)
 		return err
 	})
-	lease := SlotsLease{Seq: answer.GetSeq(), Slots: int(answer.GetSlots()), TTL: millis(answer.GetTtlMillis())}
-	return lease, err
+	return grantsFromProto(answer, asks), err
 }
 
 // call runs one call on a connection of its own for that time. All calls may
--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -12,33 +12,18 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/quota"
 )
 
 // counters of this process: bytes_in, bytes_out, calls, calls_failed, dials,
 // dropped (connections given up after a failure).
 var counters = expvar.NewMap("peer")
 
-// SlotsRequest asks for part of an upstream's window.
-type SlotsRequest struct {
-	Upstream api.UpstreamID
-	Daemon   api.DaemonID // who asks
-	Seq      uint64       // grows with each request of the daemon
-	Held     int          // slots leased now
-	Want     int          // slots wanted
-}
-
-// SlotsLease is the answer to a SlotsRequest.
-type SlotsLease struct {
-	Seq   uint64
-	Slots int
-	TTL   time.Duration
-}
-
 // Handler is what a daemon serves to its peers. Its methods are called on the
 // server's own goroutines, many at a time, and end when ctx does.
 type Handler interface {
 	GossipHandler
-	SlotsHandler
+	SharesHandler
 }
 
 // GossipHandler is the part of Handler that keeps daemons in touch.
@@ -55,10 +40,11 @@
 	Tail(ctx context.Context, from api.Offset, limit int) ([]eventlog.Entry, error)
 }
 
-// SlotsHandler is the part of Handler that shares out upstreams' windows.
-type SlotsHandler interface {
-	// Slots leases part of an upstream's window.
-	Slots(ctx context.Context, r SlotsRequest) (SlotsLease, error)
+// SharesHandler is the part of Handler that shares out windows and limits.
+type SharesHandler interface {
+	// HandleAsk leases slots of the resources that this daemon keeps; asks for
+	// others get no answer.
+	HandleAsk(ctx context.Context, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error)
 }
 
 // countedConn counts the bytes of a connection in both directions.
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/quota"
 	"gotest.tools/v3/assert"
 )
 
@@ -40,8 +41,13 @@
 	return entries, nil
 }
 
-func (echo) Slots(_ context.Context, r peer.SlotsRequest) (peer.SlotsLease, error) {
-	return peer.SlotsLease{Seq: r.Seq, Slots: r.Want - r.Held, TTL: 2 * time.Second}, nil
+func (echo) HandleAsk(_ context.Context, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error) {
+	var grants []quota.ResourceGrant
+	for _, a := range asks[1:] { // the first is for a resource kept elsewhere
+		g := quota.Grant{Seq: a.Ask.Seq, Slots: a.Ask.Want - a.Ask.Held + 10*a.Ask.InUse, TTL: 2 * time.Second, New: a.Ask.Daemon == "d"}
+		grants = append(grants, quota.ResourceGrant{Resource: a.Resource, Grant: g})
+	}
+	return grants, nil
 }
 
 func start(t *testing.T) (*peer.Server, *peer.Client, context.Context) {
@@ -82,9 +88,16 @@
 	page, err := client.Members(ctx, server.Addr(), "entry-7", 3)
 	assert.NilError(t, err)
 	assert.Equal(t, page.Next, api.DaemonID("entry-7"))
-	lease, err := client.Slots(ctx, server.Addr(), peer.SlotsRequest{Upstream: "u", Daemon: "d", Seq: 8, Held: 2, Want: 5})
+	plan := quota.Resource{Kind: quota.KindPlan, Name: "p"}
+	asks := []quota.ResourceAsk{
+		{Resource: quota.Resource{Kind: quota.KindShort, Name: "u"}, Ask: quota.Ask{Daemon: "d", Seq: 7}},
+		{Resource: plan, Ask: quota.Ask{Daemon: "d", Seq: 1 << 41, Held: 2, InUse: 3, Want: 5}},
+	}
+	grants, err := client.Ask(ctx, server.Addr(), asks)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, lease, peer.SlotsLease{Seq: 8, Slots: 3, TTL: 2 * time.Second})
+	assert.DeepEqual(t, grants, []quota.ResourceGrant{
+		{Resource: plan, Grant: quota.Grant{Seq: 1 << 41, Slots: 33, TTL: 2 * time.Second, New: true}},
+	})
 }
 
 func TestTailFitsOneMessage(t *testing.T) {
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -131,21 +131,12 @@
 	return entries
 }
 
-// Slots implements peerpb.DRPCPeerServer.
-func (s *service) Slots(ctx context.Context, in *peerpb.SlotsRequest) (*peerpb.SlotsResponse, error) {
-	lease, err := s.handler.Slots(ctx, SlotsRequest{
-		Upstream: api.UpstreamID(in.GetUpstream()),
-		Daemon:   api.DaemonID(in.GetDaemon()),
-		Seq:      in.GetSeq(),
-		Held:     int(in.GetHeld()),
-		Want:     int(in.GetWant()),
-	})
+// Shares implements peerpb.DRPCPeerServer.
+func (s *service) Shares(ctx context.Context, in *peerpb.SharesRequest) (*peerpb.SharesResponse, error) {
+	asks := asksFromProto(in)
+	grants, err := s.handler.HandleAsk(ctx, asks)
 	if err != nil {
 		return nil, err
 	}
-	return &peerpb.SlotsResponse{
-		Seq:       lease.Seq,
-		Slots:     uint32(max(0, lease.Slots)),
-		TtlMillis: uint32(max(0, lease.TTL.Milliseconds())),
-	}, nil
+	return grantsToProto(grants, asks), nil
 }
--- a/lib/admission/window.go
+++ b/lib/admission/window.go
@@ -102,6 +102,9 @@
 // InFlight returns the number of calls in progress.
 func (w *Window) InFlight() int { return w.inFlight }
 
+// Long returns the number of calls in progress that are not members' short work.
+func (w *Window) Long() int { return w.long }
+
 // Free returns the number of calls that may still start; below zero after the
 // limit fell under the calls in progress.
 func (w *Window) Free() int { return w.Limit() - w.inFlight }
--- a/lib/quota/bucket.go
+++ b/lib/quota/bucket.go
@@ -40,6 +40,12 @@
 	b.rate = max(0, rate)
 }
 
+// SetBurst changes the most tokens kept; below 1 counts as 1.
+func (b *Bucket) SetBurst(burst float64) {
+	b.burst = max(1, burst)
+	b.tokens = min(b.tokens, b.burst)
+}
+
 func (b *Bucket) refill(now time.Time) {
 	if b.last.IsZero() {
 		b.last = now
--- a/lib/quota/table.go
+++ b/lib/quota/table.go
@@ -42,6 +42,12 @@
 	InUse int // calls in progress
 }
 
+// Demand is a daemon's need of one resource.
+type Demand struct {
+	Resource Resource
+	Need     Need
+}
+
 // ResourceAsk is an ask about one resource.
 type ResourceAsk struct {
 	Resource Resource
--- a/server/dispatch/admit.go
+++ b/server/dispatch/admit.go
@@ -28,6 +28,7 @@
 		return
 	}
 	h.flights[j.ID] = f
+	h.plans[j.Plan].pending++
 	h.retries.Request(now)
 	h.hedges.Request(now)
 	h.enqueue(f, now)
@@ -56,7 +57,7 @@
 	if h.verdict(j.Fingerprint, now) == quarantine.Condemned {
 		return api.Errorf(api.CodeQuarantined, "requests %s crashed upstreams", j.Fingerprint)
 	}
-	return nil
+	return h.admitPlan(usage, now)
 }
 
 // enqueue puts a flight into the queue; a rollout that it displaces is not run.
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/lib/upstream"
 	"dotterelmount.example/lib/work"
 	"dotterelmount.example/server/carrier"
@@ -35,9 +36,11 @@
 	Rand             func(n int) int
 	// Strike reports that an upstream crashed under a fingerprint; it must only post.
 	Strike func(api.Strike)
-	// Shares bounds the calls in progress from this daemon to an upstream; nil
-	// or a negative result leaves the whole window.
-	Shares func(id api.UpstreamID) int
+	// Shares is this daemon's part of windows and limits; nil: all of them.
+	Shares Shares
+	// Live returns the number of live daemons, which share the plans' rates
+	// evenly; nil: one.
+	Live func() int
 	// Leaving reports whether the platform's host list says that the upstream
 	// at an address leaves; nil: never.
 	Leaving func(address string) bool
@@ -49,6 +52,17 @@
 	Truth func(id api.UpstreamID, m api.ModelName) api.WeightVersion
 }
 
+// Shares tells what this daemon may use of what all daemons share. Its methods
+// never block.
+type Shares interface {
+	// Window returns the slots of an upstream: for any work, and for short work only.
+	Window(id api.UpstreamID) (long, short int)
+	// Concurrency returns the requests in progress of a plan with such a limit.
+	Concurrency(p api.PlanName) int
+	// Demand tells needs that changed and reports whether there was room for them.
+	Demand(d []quota.Demand) bool
+}
+
 // Dispatcher is the handle of the duty. It implements work.Submitter.
 type Dispatcher struct {
 	cfg      Config
@@ -67,12 +81,14 @@
 	cancelMsg struct{ id api.RequestID }
 	resultMsg struct{ result carrier.Result }
 	stateMsg  struct{ state *ledger.State }
+	sharesMsg struct{}
 )
 
 func (submitMsg) isEvent() {}
 func (cancelMsg) isEvent() {}
 func (resultMsg) isEvent() {}
 func (stateMsg) isEvent()  {}
+func (sharesMsg) isEvent() {}
 
 // dispatchTick is how often deadlines, hedges and shares are looked at.
 const dispatchTick = 10 * time.Millisecond
@@ -117,6 +133,11 @@
 	_ = d.duty.Post(stateMsg{state: s}) // a full ring: the next tick compares revisions
 }
 
+// SharesChanged tells that Shares has other numbers than before. It never blocks.
+func (d *Dispatcher) SharesChanged() {
+	_ = d.duty.Post(sharesMsg{}) // a full ring: the next tick looks
+}
+
 // leaves reports whether an upstream takes no new work: it is marked for
 // cleaning, or the host list says that it leaves.
 func (d *Dispatcher) leaves(s *ledger.State, u *api.Upstream) bool {
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -7,6 +7,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/admission"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/lib/retry"
 	"dotterelmount.example/lib/routing"
 	"dotterelmount.example/lib/work"
@@ -27,7 +28,10 @@
 	flights   map[api.RequestID]*flight
 	upstreams map[api.UpstreamID]*upstreamState
 	eligible  map[eligibleKey][]*upstreamState // of this state's lists
-	idle      []int                            // carriers without a task
+	plans     map[api.PlanName]*planState
+	demand    demand
+	resized   time.Time // latest look at the shares
+	idle      []int     // carriers without a task
 	attempts  uint64
 	short     movingTime // time of short work, for hedging
 	strikes   map[api.Fingerprint]ledger.StrikeState
@@ -81,6 +85,8 @@
 	reserved  api.RequestID
 	crash     *crashCheck
 	slow      bool // as of the last tick or start
+	share     windowShare
+	seen      map[api.ModelName]seenVersion // versions that answers named
 }
 
 type eligibleKey struct {
@@ -101,6 +107,8 @@
 		flights:   make(map[api.RequestID]*flight),
 		upstreams: make(map[api.UpstreamID]*upstreamState),
 		strikes:   make(map[api.Fingerprint]ledger.StrikeState),
+		plans:     make(map[api.PlanName]*planState),
+		demand:    demand{told: make(map[quota.Resource]quota.Need)},
 		queue: admission.NewQueue(admission.Config{
 			Limit: d.cfg.QueueLimit, Weights: d.cfg.Weights, RolloutShare: d.cfg.RolloutShare,
 		}),
@@ -127,8 +135,13 @@
 		h.result(m.result)
 	case stateMsg:
 		h.adopt(m.state)
+	case sharesMsg:
+		h.resize(h.cfg.Now())
 	}
 	h.pump()
+	if h.queue.Len() > 0 {
+		h.tellDemand(h.cfg.Now(), h.demandInterval())
+	}
 }
 
 // viewTicks is the number of ticks between two pictures of the state.
@@ -143,13 +156,14 @@
 	for _, it := range h.queue.Expired(now) {
 		h.expire(it.ID)
 	}
-	h.resize()
+	h.resize(now)
 	for id, u := range h.upstreams {
 		u.draining = h.d.leaves(h.state, &u.info)
 		u.slow = h.observer(u).Slow(id, now)
 	}
 	h.hedge(now)
 	h.pump()
+	h.tellDemand(now, h.demandInterval())
 	h.ticks++
 	if h.ticks%viewTicks == 0 {
 		h.publish(now)
@@ -178,7 +192,10 @@
 	for _, info := range s.Usage.Upstreams {
 		u, ok := h.upstreams[info.ID]
 		if !ok {
-			u = &upstreamState{running: make(map[uint64]*attempt), window: h.newWindow(info.Window)}
+			u = &upstreamState{
+				running: make(map[uint64]*attempt), window: h.newWindow(info.Window),
+				seen: make(map[api.ModelName]seenVersion),
+			}
 			h.upstreams[info.ID] = u
 		}
 		u.info, u.removed = info, false
@@ -190,7 +207,8 @@
 			h.observer(u).Forget(id)
 		}
 	}
-	h.resize()
+	h.adoptPlans()
+	h.resize(h.cfg.Now())
 }
 
 // observedGroup is a set of upstreams whose times can be compared.
@@ -213,19 +231,6 @@
 	return admission.NewWindow(admission.WindowConfig{Limit: limit, Floor: 1, ShortReserve: h.cfg.ShortReserve})
 }
 
-// resize gives each window this daemon's present share of the upstream's.
-func (h *handler) resize() {
-	for id, u := range h.upstreams {
-		limit := u.info.Window
-		if h.cfg.Shares != nil {
-			if share := h.cfg.Shares(id); share >= 0 {
-				limit = min(limit, share)
-			}
-		}
-		u.window.SetLimit(limit)
-	}
-}
-
 func (h *handler) cancel(id api.RequestID) {
 	f, ok := h.flights[id]
 	if !ok {
@@ -251,6 +256,9 @@
 	}
 	f.queued = false
 	err := api.Errorf(api.CodeDeadlineExceeded, "the deadline passed while queued")
+	if h.limited(f.job.Plan) {
+		err = api.Errorf(api.CodeQuotaExceeded, "the deadline passed while plan %q was at its concurrency", f.job.Plan)
+	}
 	if f.lastErr != nil {
 		err = api.Errorf(api.CodeDeadlineExceeded, "the deadline passed before another attempt after: %w", f.lastErr)
 	}
@@ -268,6 +276,7 @@
 		return
 	}
 	delete(h.flights, f.job.ID)
+	h.plans[f.job.Plan].pending--
 	if f.queued {
 		h.queue.Remove(f.job.ID)
 	}
--- a/server/dispatch/settle.go
+++ b/server/dispatch/settle.go
@@ -46,6 +46,10 @@
 	a.cancel()
 	delete(u.running, a.id)
 	delete(a.flight.running, a.id)
+	h.planEnds(a.flight)
+	if n := len(r.Versions); n > 0 {
+		u.seen[a.flight.job.Model] = seenVersion{version: r.Versions[n-1], at: now}
+	}
 	u.solo = u.solo && len(u.running) > 0
 	perToken := r.Elapsed / time.Duration(max(1, r.Tokens))
 	ok := r.Err == nil
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -19,6 +19,9 @@
 	if !h.d.current() {
 		return
 	}
+	if now.Sub(h.resized) > staleShares {
+		h.resize(now)
+	}
 	for len(h.idle) > 0 {
 		it, ok := h.queue.Next(now, func(it admission.Item) bool { return h.runnable(it.ID, now) })
 		if !ok {
@@ -35,7 +38,7 @@
 
 func (h *handler) runnable(id api.RequestID, now time.Time) bool {
 	f, ok := h.flights[id]
-	return ok && len(h.candidates(f, now)) > 0
+	return ok && !h.limited(f.job.Plan) && len(h.candidates(f, now)) > 0
 }
 
 // start sends a flight to the upstream that the policy picks.
@@ -53,6 +56,7 @@
 	if u.reserved == f.job.ID {
 		u.reserved = ""
 	}
+	h.planStarts(f)
 	f.running[a.id], u.running[a.id] = a, a
 	f.started++
 	f.tried = append(f.tried, id)
@@ -132,7 +136,7 @@
 		return false
 	case solo && len(u.running) > 0:
 		return h.reserve(u, f, now)
-	case f.job.Lane == api.LaneRollout && !h.fresh(u, f):
+	case f.job.Lane == api.LaneRollout && !h.fresh(u, f, now):
 		return false
 	}
 	return h.windowless() || u.window.Admits(f.job.Lane, f.short)
@@ -158,11 +162,8 @@
 
 // fresh reports whether an engine is not known to run weights too old for the
 // plan's staleness bound.
-func (h *handler) fresh(u *upstreamState, f *flight) bool {
-	if h.cfg.Truth == nil {
-		return true
-	}
-	loaded := h.cfg.Truth(u.info.ID, f.job.Model)
+func (h *handler) fresh(u *upstreamState, f *flight, now time.Time) bool {
+	loaded := h.loaded(u, f.job.Model, now)
 	inForce := h.state.Weights[f.job.Model].Version
 	if loaded == 0 || loaded >= inForce {
 		return true
@@ -171,6 +172,28 @@
 	return err == nil && uint64(inForce-loaded) <= plan.StalenessBound
 }
 
+// seenLife is how long a version that an answer named counts ahead of the
+// latest read-back. After that an engine is tried again.
+const seenLife = 2 * time.Second
+
+// seenVersion is the version that made the last token of an answer.
+type seenVersion struct {
+	version api.WeightVersion
+	at      time.Time
+}
+
+// loaded returns the version that an engine runs as far as is known; zero is
+// unknown. An answer tells more surely than a read-back, until it is old.
+func (h *handler) loaded(u *upstreamState, m api.ModelName, now time.Time) api.WeightVersion {
+	if seen, ok := u.seen[m]; ok && now.Sub(seen.at) < seenLife {
+		return seen.version
+	}
+	if h.cfg.Truth == nil {
+		return 0
+	}
+	return h.cfg.Truth(u.info.ID, m)
+}
+
 // windowless reports whether the policy is a baseline that knows no windows.
 func (h *handler) windowless() bool {
 	switch h.cfg.Routing {
--- a/server/gossip/gossip_test.go
+++ b/server/gossip/gossip_test.go
@@ -61,7 +61,7 @@
 // handler serves gossip alone.
 type handler struct {
 	*gossip.Gossip
-	peer.SlotsHandler
+	peer.SharesHandler
 }
 
 type daemon struct {
--- a/server/shares/measure_test.go
+++ b/server/shares/measure_test.go
@@ -60,7 +60,6 @@
 	from   int
 	batch  quota.Batch
 	grants []quota.ResourceGrant
-	at     time.Duration
 }
 
 type sim struct {
--- a/server/shares/owner.go
+++ b/server/shares/owner.go
@@ -14,7 +14,7 @@
 
 type (
 	begin     struct{}
-	demandMsg struct{ demands []Demand }
+	demandMsg struct{ demands []quota.Demand }
 	askMsg    struct {
 		asks   []quota.ResourceAsk
 		answer *ring.Slot[[]quota.ResourceGrant]
--- /dev/null
+++ b/server/shares/real_test.go
@@ -0,0 +1,245 @@
+package shares_test
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/front/peer"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/dispatch"
+	"dotterelmount.example/server/shares"
+	"gotest.tools/v3/assert"
+)
+
+// engines is an upstream.Client that counts the calls in progress.
+type engines struct {
+	upstream.Client
+	inProgress [upstreams]atomic.Int64
+	peak       atomic.Int64
+}
+
+func (e *engines) Generate(ctx context.Context, t upstream.Target, _ api.RequestID, _ api.ModelName, g *work.Generate,
+	_ func(work.Chunk) error,
+) (upstream.Finish, error) {
+	u, _ := strconv.Atoi(string(t.ID[len("upstream-"):]))
+	n := e.inProgress[u].Add(1)
+	defer e.inProgress[u].Add(-1)
+	for was := e.peak.Load(); n > was && !e.peak.CompareAndSwap(was, n); was = e.peak.Load() {
+	}
+	timer := time.NewTimer(time.Duration(g.MaxTokens) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return upstream.Finish{Reason: "stop"}, nil
+	case <-ctx.Done():
+		return upstream.Finish{}, &upstream.CallError{Upstream: t.ID, Sent: true, Code: api.CodeCancelled, Cause: ctx.Err()}
+	}
+}
+
+// realDaemon is a dispatcher with its shares, served to peers over TCP.
+type realDaemon struct {
+	server   *peer.Server
+	shares   atomic.Pointer[shares.Shares]
+	dispatch *dispatch.Dispatcher
+	active   atomic.Bool
+	number   int
+	jobs     atomic.Int64
+	refused  atomic.Int64
+}
+
+// sharesOnly serves no gossip.
+type sharesOnly struct {
+	peer.GossipHandler
+	*shares.Shares
+}
+
+// Finish implements work.Sink: the next job takes the place of the ended one.
+func (d *realDaemon) Finish(a work.Answer) {
+	if a.Err != nil {
+		d.refused.Add(1)
+	}
+	if d.active.Load() {
+		d.submit()
+	}
+}
+
+// Chunk implements work.Sink.
+func (d *realDaemon) Chunk(context.Context, work.Chunk) error { return nil }
+
+func (d *realDaemon) submit() {
+	n := d.jobs.Add(1)
+	millis := 50 + int(n*7919%400)
+	_ = d.dispatch.Submit(&work.Job{
+		ID: api.RequestID(strconv.Itoa(d.number) + "-" + strconv.FormatInt(n, 10)), Plan: "p", Model: "m", Repeatable: true,
+		CostTokens: millis, Deadline: time.Now().Add(time.Minute), Sink: d,
+		Call: work.Call{Generate: &work.Generate{MaxTokens: millis}},
+	})
+}
+
+// resume makes the daemon keep jobs in hand.
+func (d *realDaemon) resume(jobs int) {
+	if d.active.Swap(true) {
+		return
+	}
+	for range jobs {
+		d.submit()
+	}
+}
+
+func lists() *ledger.State {
+	list := api.UsageList{Usages: []api.Usage{{Plan: "p", Models: []api.ModelName{"m"}}}}
+	for u := range upstreams {
+		list.Upstreams = append(list.Upstreams, api.Upstream{
+			ID: api.UpstreamID(name(u)), Kind: api.KindEngine, Address: "127.0.0.1:1", Models: []api.ModelName{"m"}, Window: window,
+		})
+	}
+	c := ledger.NewConfig()
+	c.Apply(1, 0, api.Record{ID: "1", Body: api.PublishPlanList{List: api.PlanList{Plans: []api.Plan{{Name: "p"}}}}})
+	c.Apply(2, 0, api.Record{ID: "2", Body: api.PublishUsageList{List: list}})
+	return c.Snapshot()
+}
+
+// startReal starts n daemons before one set of engines.
+func startReal(tb testing.TB, n int, lease time.Duration) (*engines, []*realDaemon) {
+	tb.Helper()
+	e, state, sys, client := &engines{}, lists(), duty.NewSystem(nil), peer.NewClient()
+	tb.Cleanup(client.Close)
+	var members []shares.MemberAddr
+	var listeners []net.Listener
+	for d := range n {
+		listener, err := peer.Listen("127.0.0.1:0")
+		assert.NilError(tb, err)
+		listeners = append(listeners, listener)
+		members = append(members, shares.MemberAddr{ID: id(d), Address: listener.Addr().String()})
+	}
+	var out []*realDaemon
+	for d, listener := range listeners {
+		r := &realDaemon{number: d}
+		out = append(out, r)
+		rnd := rand.New(rand.NewPCG(1, uint64(d)))
+		var err error
+		r.dispatch, err = dispatch.Start(sys, e, dispatch.Config{
+			Carriers: 48, RingSize: 1024, QueueLimit: 256, Routing: "two-choice", ProgressDeadline: time.Minute,
+			ShortTokens: 200, Weights: [api.LaneCount]int{8, 4, 1}, Now: time.Now, Rand: rnd.IntN, Shares: r,
+		}, state)
+		assert.NilError(tb, err)
+		cfg := shares.Config{Daemon: id(d), ShortReserve: reserve, Lease: lease, Changed: r.dispatch.SharesChanged}
+		r.shares.Store(shares.Start(sys, cfg, client, func() *ledger.State { return state }, func() []shares.MemberAddr { return members }))
+		r.server, err = peer.Start(sys, listener, sharesOnly{Shares: r.shares.Load()})
+		assert.NilError(tb, err)
+		tb.Cleanup(func() { r.stop(tb) })
+	}
+	return e, out
+}
+
+func (d *realDaemon) stop(tb testing.TB) {
+	d.active.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	assert.NilError(tb, d.dispatch.Stop(ctx))
+	assert.NilError(tb, d.shares.Load().Stop(ctx))
+	assert.NilError(tb, d.server.Shutdown(ctx))
+}
+
+// Window implements dispatch.Shares.
+func (d *realDaemon) Window(u api.UpstreamID) (long, short int) {
+	if s := d.shares.Load(); s != nil {
+		return s.Window(u)
+	}
+	return 0, 0
+}
+
+// Concurrency implements dispatch.Shares.
+func (d *realDaemon) Concurrency(api.PlanName) int { return 0 }
+
+// Demand implements dispatch.Shares.
+func (d *realDaemon) Demand(list []quota.Demand) bool {
+	s := d.shares.Load()
+	return s != nil && s.Demand(list)
+}
+
+const jobsInHand = 40 // of each active daemon; those of half of them fill the windows
+
+// watch samples the calls in progress for a time and returns the part of the
+// windows that was used.
+func (e *engines) watch(d time.Duration) float64 {
+	const every = 5 * time.Millisecond
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	samples, sum := 0, int64(0)
+	for range d / every {
+		<-ticker.C
+		samples++
+		for u := range e.inProgress {
+			sum += e.inProgress[u].Load()
+		}
+	}
+	return float64(sum) / float64(samples*upstreams*window)
+}
+
+func (e *engines) over() float64 { return max(0, float64(e.peak.Load()-window)/window) }
+
+// TestRealDutiesKeepToTheWindows runs daemons with work without end; half of
+// them pause and go on.
+func TestRealDutiesKeepToTheWindows(t *testing.T) {
+	e, all := startReal(t, 6, time.Second)
+	for _, d := range all {
+		d.resume(jobsInHand)
+	}
+	e.watch(1500 * time.Millisecond)
+	for _, d := range all[:3] {
+		d.active.Store(false)
+	}
+	e.watch(time.Second)
+	for _, d := range all[:3] {
+		d.resume(jobsInHand)
+	}
+	e.watch(time.Second)
+	t.Logf("%d calls at one upstream at most", e.peak.Load())
+	assert.Assert(t, e.peak.Load() > 0)
+	assert.Assert(t, e.over() <= 0.1, "%d calls", e.peak.Load())
+	for _, d := range all {
+		assert.Equal(t, d.refused.Load(), int64(0))
+	}
+}
+
+func peerBytes() int64 {
+	n, _ := strconv.ParseInt(expvar.Get("peer").(*expvar.Map).Get("bytes_out").String(), 10, 64)
+	return n
+}
+
+// BenchmarkTwelveDaemons reports what twelve daemons use of the windows, with
+// all of them busy and with half of them idle, and the control bytes that each
+// sends a second.
+func BenchmarkTwelveDaemons(b *testing.B) {
+	const settle, measured = 6 * time.Second, 10 * time.Second
+	for range b.N {
+		e, all := startReal(b, daemons, quota.DefaultLease)
+		for _, d := range all {
+			d.resume(jobsInHand)
+		}
+		e.watch(settle)
+		bytes := peerBytes()
+		b.ReportMetric(100*e.watch(measured), "%used")
+		b.ReportMetric(float64(peerBytes()-bytes)/measured.Seconds()/daemons, "B/s/daemon")
+		for _, d := range all[:daemons/2] {
+			d.active.Store(false)
+		}
+		e.watch(settle)
+		bytes = peerBytes()
+		b.ReportMetric(100*e.watch(measured), "%used-half-idle")
+		b.ReportMetric(float64(peerBytes()-bytes)/measured.Seconds()/daemons, "B/s/daemon-half-idle")
+		b.ReportMetric(100*e.over(), "%over")
+	}
+}
--- a/server/shares/shares.go
+++ b/server/shares/shares.go
@@ -47,12 +47,6 @@
 	Ask(ctx context.Context, address string, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error)
 }
 
-// Demand is this daemon's need of one resource.
-type Demand struct {
-	Resource quota.Resource
-	Need     quota.Need
-}
-
 // Config describes Shares. Zero values stand for the defaults.
 type Config struct {
 	Daemon       api.DaemonID
@@ -132,7 +126,7 @@
 
 // Demand tells this daemon's needs; a resource keeps its need until the next
 // call that names it. It never blocks and reports whether there was room.
-func (s *Shares) Demand(d []Demand) bool { return s.post(demandMsg{demands: d}) }
+func (s *Shares) Demand(d []quota.Demand) bool { return s.post(demandMsg{demands: d}) }
 
 // HandleAsk answers another daemon's asks; those that this daemon does not
 // keep are left out. Errors: CodeShed when the ring is full, ctx.Err().
