Hand on slots only after the dispatcher knows that they are gone

Cause: after a grant that took slots back, the next ask told calls in progress from before the dispatcher had seen it, and the keeper handed on slots in which it had started calls meanwhile. Shares now carry a generation that the dispatcher confirms with its needs; until then an ask tells slots taken back like calls in progress.

--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -83,9 +83,17 @@
 }
 
 // Demand implements dispatch.Shares.
-func (d dispatchShares) Demand(list []quota.Demand) bool {
+func (d dispatchShares) Demand(list []quota.Demand, generation uint64) bool {
 	s := d.n.shares.Load()
-	return s != nil && s.Demand(list)
+	return s != nil && s.Demand(list, generation)
+}
+
+// Generation implements dispatch.Shares.
+func (d dispatchShares) Generation() uint64 {
+	if s := d.n.shares.Load(); s != nil {
+		return s.Generation()
+	}
+	return 0
 }
 
 // liveCount returns the number of daemons that share the plans' rates.
--- a/lib/quota/table.go
+++ b/lib/quota/table.go
@@ -93,6 +93,8 @@
 	members []string
 	single  bool // no other member was ever seen
 	entries map[Resource]*entry
+	// generation numbers the published shares that differ from earlier ones.
+	generation uint64
 }
 
 type entry struct {
@@ -109,6 +111,11 @@
 	waiting  time.Time // first ask without an answer; zero: none
 	pending  bool      // an ask is on its way
 	unsure   bool      // the latest answer came from a new keeper
+
+	published int    // slots in the latest published shares
+	loose     int    // slots published before, which may be used until the user of the shares confirms
+	looseTo   uint64 // generation that ends loose
+	followUp  bool   // the latest ask told slots that were only loosely in use
 }
 
 // NewTable returns a table without resources. seq must be above any number
@@ -284,29 +291,26 @@
 	if floored {
 		a.InUse = max(a.InUse, e.floor)
 	}
+	believed := max(e.loose, e.published)
+	e.followUp = believed > max(a.Held, a.InUse)
+	a.InUse = max(a.InUse, believed)
 	return a
 }
 
-// askOwn asks this daemon's own keeper; slots taken back are told at once.
+// askOwn asks this daemon's own keeper.
 func (t *Table) askOwn(e *entry, now time.Time) {
-	const rounds = 2
-	for range rounds {
-		g := e.own.Handle(t.ask(e, now), now)
-		t.take(e, g, now, now)
-		if !e.holding.Shrunk() {
-			return
-		}
-	}
+	g := e.own.Handle(t.ask(e, now), now)
+	t.take(e, g, now, now)
 }
 
 // isDue reports whether the time since the latest ask passed factor times the
 // interval that the entry's state calls for.
 func (t *Table) isDue(e *entry, factor float64, now time.Time) bool {
 	held := e.holding.Slots(now)
-	if e.pending || (held == 0 && e.need == Need{}) {
+	if e.pending || (held == 0 && !e.followUp && e.need == Need{}) {
 		return false
 	}
-	if e.sent.IsZero() || e.holding.Shrunk() {
+	if e.sent.IsZero() || (e.holding.Shrunk() && e.confirmed()) {
 		return true
 	}
 	return now.Sub(e.sent) >= t.part(factor*t.interval(e, held))
@@ -319,6 +323,8 @@
 	switch {
 	case freed, work > held && work > e.asked:
 		return changePart
+	case e.followUp && e.confirmed():
+		return 1.0 / AsksPerLease
 	case work > held, e.need.InUse > held, e.need.Want > max(held, e.asked):
 		return 1.0 / AsksPerLease
 	case held == 0:
@@ -328,6 +334,9 @@
 	}
 }
 
+// confirmed reports whether the user of the shares knows the present ones.
+func (e *entry) confirmed() bool { return e.loose == 0 && e.published <= e.holding.slots }
+
 func (t *Table) part(share float64) time.Duration {
 	return time.Duration(share * float64(t.lease))
 }
@@ -391,23 +400,51 @@
 	return n
 }
 
-// Shares returns this daemon's share of each resource of which it may have one.
-func (t *Table) Shares() map[Resource]Share {
+// Publish returns this daemon's share of each resource of which it may have
+// one, and the generation of these numbers. Their user confirms a generation
+// once it has told its needs by it; until then an ask tells the keeper of slots
+// that were taken back as if calls were in progress in them, because the user
+// may have started some before it knew.
+func (t *Table) Publish(now time.Time) (map[Resource]Share, uint64) {
 	out := make(map[Resource]Share)
+	next := t.generation + 1
 	for r, e := range t.entries {
-		if e.holding.slots == 0 && !e.unsure && e.waiting.IsZero() {
-			continue
+		s := t.shareOf(e)
+		n := s.At(now)
+		if n < e.published {
+			e.loose = max(e.loose, e.published)
+			e.looseTo = next
 		}
-		s := Share{Slots: e.holding.slots, Until: e.holding.until, Floor: e.floor}
-		switch {
-		case e.unsure:
-			s.FloorAt = e.sent
-		case !e.waiting.IsZero():
-			s.FloorAt = later(e.waiting.Add(t.part(floorPart)), e.holding.until)
+		if n != e.published {
+			t.generation = next
 		}
-		out[r] = s
+		e.published = n
+		if n > 0 || !s.FloorAt.IsZero() {
+			out[r] = s
+		}
+	}
+	return out, t.generation
+}
+
+// Confirm tells that the needs set so far were found by the shares of a
+// generation or later ones.
+func (t *Table) Confirm(generation uint64) {
+	for _, e := range t.entries {
+		if e.looseTo <= generation {
+			e.loose = 0
+		}
+	}
+}
+
+func (t *Table) shareOf(e *entry) Share {
+	s := Share{Slots: e.holding.slots, Until: e.holding.until, Floor: e.floor}
+	switch {
+	case e.unsure:
+		s.FloorAt = e.sent
+	case !e.waiting.IsZero():
+		s.FloorAt = later(e.waiting.Add(t.part(floorPart)), e.holding.until)
 	}
-	return out
+	return s
 }
 
 func later(a, b time.Time) time.Time {
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -59,8 +59,11 @@
 	Window(id api.UpstreamID) (long, short int)
 	// Concurrency returns the requests in progress of a plan with such a limit.
 	Concurrency(p api.PlanName) int
-	// Demand tells needs that changed and reports whether there was room for them.
-	Demand(d []quota.Demand) bool
+	// Generation numbers the present shares; it grows when they change.
+	Generation() uint64
+	// Demand tells needs that changed, found by the shares of a generation or
+	// later ones, and reports whether there was room for them.
+	Demand(d []quota.Demand, generation uint64) bool
 }
 
 // Dispatcher is the handle of the duty. It implements work.Submitter.
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -137,6 +137,9 @@
 		h.adopt(m.state)
 	case sharesMsg:
 		h.resize(h.cfg.Now())
+		h.pump()
+		h.tellDemand(h.cfg.Now(), 0)
+		return
 	}
 	h.pump()
 	if h.queue.Len() > 0 {
--- a/server/dispatch/shares.go
+++ b/server/dispatch/shares.go
@@ -36,11 +36,16 @@
 	wholeAt time.Time      // latest report of all of them
 	whole   bool           // this report is one
 	changed []quota.Demand // the report being made
+	// generation of the shares that the windows have, and the one told last.
+	generation, toldGeneration uint64
 }
 
 // resize gives each window this daemon's present share of the upstream's.
 func (h *handler) resize(now time.Time) {
 	h.resized = now
+	if h.cfg.Shares != nil {
+		h.demand.generation = h.cfg.Shares.Generation()
+	}
 	for id, u := range h.upstreams {
 		if h.cfg.Shares == nil {
 			u.window.SetLimit(u.info.Window)
@@ -72,9 +77,14 @@
 		h.needWindow(u, queued[u], now)
 	}
 	h.needPlans()
-	if len(h.demand.changed) == 0 || !h.cfg.Shares.Demand(h.demand.changed) {
+	generation := h.demand.generation
+	if len(h.demand.changed) == 0 && generation == h.demand.toldGeneration {
+		return
+	}
+	if !h.cfg.Shares.Demand(h.demand.changed, generation) {
 		return
 	}
+	h.demand.toldGeneration = generation
 	for _, d := range h.demand.changed {
 		if d.Need == (quota.Need{}) {
 			delete(h.demand.told, d.Resource)
--- a/server/shares/measure_test.go
+++ b/server/shares/measure_test.go
@@ -166,7 +166,7 @@
 }
 
 func (s *sim) work(d int, m *simDaemon) {
-	shares := m.table.Shares()
+	shares, generation := m.table.Publish(s.clock(d))
 	m.credit += max(0, m.load)
 	arrived := int(m.credit)
 	m.credit -= float64(arrived)
@@ -183,6 +183,7 @@
 	for u := range upstreams {
 		s.need(d, m, u, shares)
 	}
+	m.table.Confirm(generation)
 	const callers = 8
 	for _, b := range m.table.Due(callers, s.clock(d)) {
 		s.bytes += callBytes + askBytes*len(b.Asks)
--- a/server/shares/owner.go
+++ b/server/shares/owner.go
@@ -14,8 +14,11 @@
 
 type (
 	begin     struct{}
-	demandMsg struct{ demands []quota.Demand }
-	askMsg    struct {
+	demandMsg struct {
+		demands    []quota.Demand
+		generation uint64
+	}
+	askMsg struct {
 		asks   []quota.ResourceAsk
 		answer *ring.Slot[[]quota.ResourceGrant]
 	}
@@ -65,6 +68,7 @@
 		for _, d := range m.demands {
 			o.table.SetNeed(d.Resource, d.Need)
 		}
+		o.table.Confirm(m.generation)
 	case askMsg:
 		metrics.Add("asks_handled", int64(len(m.asks)))
 		m.answer.Put(o.table.Handle(m.asks, o.s.cfg.Now()))
@@ -141,27 +145,13 @@
 	_ = o.s.callers[i].Post(call{address: o.addresses[b.To], batch: b}) // an idle caller's ring has room
 }
 
-// publish replaces the snapshot if slots changed and tells of it; a mere
-// renewal is published quietly.
+// publish replaces the snapshot and tells of new numbers; a mere renewal is
+// published quietly.
 func (o *owner) publish() {
-	next := o.table.Shares()
-	old := *o.s.snapshot.Load()
-	o.s.snapshot.Store(&next)
-	if o.s.cfg.Changed != nil && differs(old, next) {
+	next, generation := o.table.Publish(o.s.cfg.Now())
+	old := o.s.snapshot.Load()
+	o.s.snapshot.Store(&snapshot{generation: generation, shares: next})
+	if o.s.cfg.Changed != nil && generation != old.generation {
 		o.s.cfg.Changed()
 	}
 }
-
-// differs reports whether the shares allow other numbers than before.
-func differs(old, next snapshot) bool {
-	if len(old) != len(next) {
-		return true
-	}
-	for r, s := range next {
-		was, ok := old[r]
-		if !ok || was.Slots != s.Slots || was.FloorAt.IsZero() != s.FloorAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
--- a/server/shares/real_test.go
+++ b/server/shares/real_test.go
@@ -30,7 +30,7 @@
 }
 
 func (e *engines) Generate(ctx context.Context, t upstream.Target, _ api.RequestID, _ api.ModelName, g *work.Generate,
-	_ func(work.Chunk) error,
+	delta func(work.Chunk) error,
 ) (upstream.Finish, error) {
 	u, _ := strconv.Atoi(string(t.ID[len("upstream-"):]))
 	n := e.inProgress[u].Add(1)
@@ -41,7 +41,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return upstream.Finish{Reason: "stop"}, nil
+		return upstream.Finish{Reason: "stop"}, delta(work.Chunk{Tokens: g.MaxTokens, Version: 1}) // a token a millisecond
 	case <-ctx.Done():
 		return upstream.Finish{}, &upstream.CallError{Upstream: t.ID, Sent: true, Code: api.CodeCancelled, Cause: ctx.Err()}
 	}
@@ -164,13 +164,33 @@
 func (d *realDaemon) Concurrency(api.PlanName) int { return 0 }
 
 // Demand implements dispatch.Shares.
-func (d *realDaemon) Demand(list []quota.Demand) bool {
+func (d *realDaemon) Demand(list []quota.Demand, generation uint64) bool {
 	s := d.shares.Load()
-	return s != nil && s.Demand(list)
+	return s != nil && s.Demand(list, generation)
+}
+
+// Generation implements dispatch.Shares.
+func (d *realDaemon) Generation() uint64 {
+	if s := d.shares.Load(); s != nil {
+		return s.Generation()
+	}
+	return 0
 }
 
 const jobsInHand = 40 // of each active daemon; those of half of them fill the windows
 
+// granted returns the part of the windows that the daemons may use now.
+func granted(all []*realDaemon) float64 {
+	sum := 0
+	for _, d := range all {
+		for u := range upstreams {
+			long, short := d.Window(api.UpstreamID(name(u)))
+			sum += long + short
+		}
+	}
+	return float64(sum) / (upstreams * window)
+}
+
 // watch samples the calls in progress for a time and returns the part of the
 // windows that was used.
 func (e *engines) watch(d time.Duration) float64 {
@@ -240,6 +260,8 @@
 		bytes = peerBytes()
 		b.ReportMetric(100*e.watch(measured), "%used-half-idle")
 		b.ReportMetric(float64(peerBytes()-bytes)/measured.Seconds()/daemons, "B/s/daemon-half-idle")
+		b.ReportMetric(100*granted(all[daemons/2:]), "%granted-half-idle")
+		b.ReportMetric(100*granted(all[:daemons/2]), "%granted-to-idle")
 		b.ReportMetric(100*e.over(), "%over")
 	}
 }
--- a/server/shares/shares.go
+++ b/server/shares/shares.go
@@ -88,7 +88,11 @@
 	snapshot atomic.Pointer[snapshot]
 }
 
-type snapshot = map[quota.Resource]quota.Share
+// snapshot is what readers see.
+type snapshot struct {
+	generation uint64
+	shares     map[quota.Resource]quota.Share
+}
 
 // Start spawns the owner and its callers. state returns the configuration in
 // force, members the live daemons with or without this one; both are called
@@ -110,7 +114,7 @@
 // Window returns this daemon's part of an upstream's window now: slots for any
 // work and slots for short work only. It never blocks.
 func (s *Shares) Window(id api.UpstreamID) (long, short int) {
-	m, now := *s.snapshot.Load(), s.cfg.Now()
+	m, now := s.snapshot.Load().shares, s.cfg.Now()
 	name := string(id)
 	long = m[quota.Resource{Kind: quota.KindLong, Name: name}].At(now)
 	short = m[quota.Resource{Kind: quota.KindShort, Name: name}].At(now)
@@ -120,13 +124,19 @@
 // Concurrency returns how many requests of a limited plan this daemon may have
 // in progress now. It never blocks.
 func (s *Shares) Concurrency(p api.PlanName) int {
-	m := *s.snapshot.Load()
+	m := s.snapshot.Load().shares
 	return m[quota.Resource{Kind: quota.KindPlan, Name: string(p)}].At(s.cfg.Now())
 }
 
-// Demand tells this daemon's needs; a resource keeps its need until the next
-// call that names it. It never blocks and reports whether there was room.
-func (s *Shares) Demand(d []quota.Demand) bool { return s.post(demandMsg{demands: d}) }
+// Generation numbers the shares that readers see now; it grows when they change.
+func (s *Shares) Generation() uint64 { return s.snapshot.Load().generation }
+
+// Demand tells this daemon's needs, found by the shares of a generation or
+// later ones; a resource keeps its need until the next call that names it. It
+// never blocks and reports whether there was room.
+func (s *Shares) Demand(d []quota.Demand, generation uint64) bool {
+	return s.post(demandMsg{demands: d, generation: generation})
+}
 
 // HandleAsk answers another daemon's asks; those that this daemon does not
 // keep are left out. Errors: CodeShed when the ring is full, ctx.Err().
