--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -11,13 +11,18 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
+<<<<<<< HEAD
 	"dotterelmount.example/lib/netcount"
+=======
+	"dotterelmount.example/lib/quota"
+>>>>>>> helper-g
 )
 
 // counters of this process: bytes_in, bytes_out, calls, calls_failed, dials,
 // dropped (connections given up after a failure).
 var counters = expvar.NewMap("peer")
 
+<<<<<<< HEAD
 var traffic = netcount.New(counters)
 
 // SlotsRequest asks for part of an upstream's window.
@@ -36,11 +41,13 @@
 	TTL   time.Duration
 }
 
+=======
+>>>>>>> helper-g
 // Handler is what a daemon serves to its peers. Its methods are called on the
 // server's own goroutines, many at a time, and end when ctx does.
 type Handler interface {
 	GossipHandler
-	SlotsHandler
+	SharesHandler
 }
 
 // GossipHandler is the part of Handler that keeps daemons in touch.
@@ -59,8 +66,9 @@
 	Image(ctx context.Context) ([]byte, error)
 }
 
-// SlotsHandler is the part of Handler that shares out upstreams' windows.
-type SlotsHandler interface {
-	// Slots leases part of an upstream's window.
-	Slots(ctx context.Context, r SlotsRequest) (SlotsLease, error)
+// SharesHandler is the part of Handler that shares out windows and limits.
+type SharesHandler interface {
+	// HandleAsk leases slots of the resources that this daemon keeps; asks for
+	// others get no answer.
+	HandleAsk(ctx context.Context, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error)
 }
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -8,6 +8,7 @@
 	"dotterelmount.example/lib/admission"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/lib/retry"
 	"dotterelmount.example/lib/routing"
 	"dotterelmount.example/lib/work"
@@ -28,7 +29,10 @@
 	flights   map[api.RequestID]*flight
 	upstreams map[api.UpstreamID]*upstreamState
 	eligible  map[eligibleKey][]*upstreamState // of this state's lists
-	idle      []int                            // carriers without a task
+	plans     map[api.PlanName]*planState
+	demand    demand
+	resized   time.Time // latest look at the shares
+	idle      []int     // carriers without a task
 	attempts  uint64
 	short     movingTime // time of short work, for hedging
 	strikes   map[api.Fingerprint]ledger.StrikeState
@@ -82,6 +86,8 @@
 	reserved  api.RequestID
 	crash     *crashCheck
 	slow      bool // as of the last tick or start
+	share     windowShare
+	seen      map[api.ModelName]seenVersion // versions that answers named
 }
 
 type eligibleKey struct {
@@ -102,6 +108,8 @@
 		flights:   make(map[api.RequestID]*flight),
 		upstreams: make(map[api.UpstreamID]*upstreamState),
 		strikes:   make(map[api.Fingerprint]ledger.StrikeState),
+		plans:     make(map[api.PlanName]*planState),
+		demand:    demand{told: make(map[quota.Resource]quota.Need)},
 		queue: admission.NewQueue(admission.Config{
 			Limit: d.cfg.QueueLimit, Weights: d.cfg.Weights, RolloutShare: d.cfg.RolloutShare,
 		}),
@@ -128,8 +136,16 @@
 		h.result(m.result)
 	case stateMsg:
 		h.adopt(m.state)
+	case sharesMsg:
+		h.resize(h.cfg.Now())
+		h.pump()
+		h.tellDemand(h.cfg.Now(), 0)
+		return
 	}
 	h.pump()
+	if h.queue.Len() > 0 {
+		h.tellDemand(h.cfg.Now(), h.demandInterval())
+	}
 }
 
 // viewTicks is the number of ticks between two pictures of the state.
@@ -144,13 +160,14 @@
 	for _, it := range h.queue.Expired(now) {
 		h.expire(it.ID)
 	}
-	h.resize()
+	h.resize(now)
 	for id, u := range h.upstreams {
 		u.draining = h.d.leaves(h.state, &u.info)
 		u.slow = h.observer(u).Slow(id, now)
 	}
 	h.hedge(now)
 	h.pump()
+	h.tellDemand(now, h.demandInterval())
 	h.ticks++
 	if h.ticks%viewTicks == 0 {
 		h.publish(now)
@@ -189,7 +206,10 @@
 	for _, info := range s.Usage.Upstreams {
 		u, ok := h.upstreams[info.ID]
 		if !ok {
-			u = &upstreamState{running: make(map[uint64]*attempt), window: h.newWindow(info.Window)}
+			u = &upstreamState{
+				running: make(map[uint64]*attempt), window: h.newWindow(info.Window),
+				seen: make(map[api.ModelName]seenVersion),
+			}
 			h.upstreams[info.ID] = u
 		}
 		u.info, u.removed = info, false
@@ -201,7 +221,8 @@
 			h.observer(u).Forget(id)
 		}
 	}
-	h.resize()
+	h.adoptPlans()
+	h.resize(h.cfg.Now())
 }
 
 // observedGroup is a set of upstreams whose times can be compared.
@@ -224,19 +245,6 @@
 	return admission.NewWindow(admission.WindowConfig{Limit: limit, Floor: 1, ShortReserve: h.cfg.ShortReserve})
 }
 
-// resize gives each window this daemon's present share of the upstream's.
-func (h *handler) resize() {
-	for id, u := range h.upstreams {
-		limit := u.info.Window
-		if h.cfg.Shares != nil {
-			if share := h.cfg.Shares(id); share >= 0 {
-				limit = min(limit, share)
-			}
-		}
-		u.window.SetLimit(limit)
-	}
-}
-
 func (h *handler) cancel(id api.RequestID) {
 	f, ok := h.flights[id]
 	if !ok {
@@ -262,6 +270,9 @@
 	}
 	f.queued = false
 	err := api.Errorf(api.CodeDeadlineExceeded, "the deadline passed while queued")
+	if h.limited(f.job.Plan) {
+		err = api.Errorf(api.CodeQuotaExceeded, "the deadline passed while plan %q was at its concurrency", f.job.Plan)
+	}
 	if f.lastErr != nil {
 		err = api.Errorf(api.CodeDeadlineExceeded, "the deadline passed before another attempt after: %w", f.lastErr)
 	}
@@ -280,10 +291,14 @@
 		return
 	}
 	delete(h.flights, f.job.ID)
+<<<<<<< HEAD
 	invariant.Check(a.Outcome != api.OutcomeNotRun || !f.sent && len(f.running) == 0, "not-run-was-not-sent",
 		"request %s, tried %v", f.job.ID, f.tried)
 	invariant.Check((a.Outcome == api.OutcomeComplete) == (a.Err == nil), "complete-has-no-error",
 		"request %s: %s: %v", f.job.ID, a.Outcome, a.Err)
+=======
+	h.plans[f.job.Plan].pending--
+>>>>>>> helper-g
 	if f.queued {
 		h.queue.Remove(f.job.ID)
 	}
