Let a duty without work tick rarely; the dispatcher does

Cause: the dispatcher woke its thread 100 times a second also without a job, and walked over all upstreams each time. A duty whose handler says that it is idle now ticks at a second, longer interval until a message gives it work. The dispatcher's is 200 ms; carriers look at marks themselves right before they send, so the bound of 3 s holds. Ruled out: a longer tick at all times (hedges and deadlines need it short).

--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -25,6 +25,11 @@
 // tick that comes while another waits is dropped.
 type Ticker interface{ Tick(ctx context.Context) }
 
+// Idler is implemented by tickers that have nothing to do at times. After a
+// tick at whose end Idle is true, the next comes after Config.IdleTick, or
+// Config.Tick after the first message at whose end Idle is false.
+type Idler interface{ Idle() bool }
+
 // Stopper is implemented by handlers that clean up on their own thread after
 // their last message.
 type Stopper interface{ Stopped() }
@@ -34,6 +39,7 @@
 	Name     string
 	RingSize int           // entries; a full ring rejects posts
 	Tick     time.Duration // zero: no ticks
+	IdleTick time.Duration // between ticks of an idle Idler; zero: Tick
 	Unlocked bool          // do not lock the thread; for measurements only
 }
 
@@ -89,6 +95,9 @@
 func Start[M any](s *System, cfg Config, h Handler[M]) *Duty[M] {
 	ctx, cancel := context.WithCancel(context.Background())
 	box := newMailbox(cfg)
+	if idler, ok := h.(Idler); ok && cfg.IdleTick > 0 {
+		box.idle = idler.Idle
+	}
 	act := &dutyActor[M]{name: cfg.Name, handler: h, ctx: ctx, onPanic: s.onPanic}
 	props := actor.PropsFromProducer(
 		func() actor.Actor { return act },
--- a/lib/duty/duty_test.go
+++ b/lib/duty/duty_test.go
@@ -88,6 +88,31 @@
 	assert.NilError(t, d.Stop(t.Context()))
 }
 
+// sleeper is idle until it gets a message.
+type sleeper struct {
+	busy  bool
+	ticks chan bool // whether it was busy
+}
+
+func (s *sleeper) Handle(_ context.Context, busy bool) { s.busy = busy }
+func (s *sleeper) Idle() bool                          { return !s.busy }
+func (s *sleeper) Tick(context.Context)                { s.ticks <- s.busy }
+
+func TestIdleDutyTicksRarelyUntilItHasWork(t *testing.T) {
+	s := &sleeper{ticks: make(chan bool, 1024)}
+	cfg := duty.Config{Name: "sleeper", RingSize: 1, Tick: time.Millisecond, IdleTick: time.Hour}
+	d := duty.Start(duty.NewSystem(nil), cfg, s)
+	assert.Equal(t, <-s.ticks, false) // the next one would come after an hour
+	assert.NilError(t, d.Post(true))
+	assert.Equal(t, <-s.ticks, true)
+	assert.Equal(t, <-s.ticks, true)
+	assert.NilError(t, d.PostWait(t.Context(), false))
+	for <-s.ticks {
+	}
+	assert.NilError(t, d.Stop(t.Context()))
+	assert.Equal(t, len(s.ticks), 0)
+}
+
 type counter struct{ done chan struct{} }
 
 func (c *counter) Handle(_ context.Context, last bool) {
--- a/lib/duty/mailbox.go
+++ b/lib/duty/mailbox.go
@@ -22,6 +22,11 @@
 	invoker  actor.MessageInvoker
 	done     chan struct{}
 
+	// The duty's thread alone uses these.
+	idle    func() bool // nil: never idle
+	timer   *time.Timer
+	relaxed bool // the next tick comes after Config.IdleTick
+
 	mu      sync.Mutex
 	ready   sync.Cond
 	system  []any
@@ -92,10 +97,10 @@
 		}
 	}
 	if due {
-		m.invoker.InvokeUserMessage(tick{})
+		m.tick()
 	}
 	if message, ok := m.queue.TryPop(); ok {
-		m.invoker.InvokeUserMessage(message)
+		m.handle(message)
 	}
 	return true
 }
@@ -116,31 +121,40 @@
 }
 
 // startTicks arms the periodic tick and returns the function that ends it.
+// Both belong to the duty's thread.
 func (m *mailbox) startTicks() func() {
 	if m.cfg.Tick <= 0 {
 		return func() {}
 	}
-	var mu sync.Mutex
-	var timer *time.Timer
-	ended := false
-	fire := func() {
-		m.mu.Lock()
-		m.tickDue = true
-		m.mu.Unlock()
-		m.ready.Signal()
-		mu.Lock()
-		defer mu.Unlock()
-		if !ended {
-			timer.Reset(m.cfg.Tick)
-		}
+	m.timer = time.AfterFunc(m.cfg.Tick, m.tickNow)
+	return func() { m.timer.Stop() }
+}
+
+func (m *mailbox) tickNow() {
+	m.mu.Lock()
+	m.tickDue = true
+	m.mu.Unlock()
+	m.ready.Signal()
+}
+
+// tick handles a tick and arms the next one, which is due an interval after
+// this one began.
+func (m *mailbox) tick() {
+	began := time.Now()
+	m.invoker.InvokeUserMessage(tick{})
+	interval := m.cfg.Tick
+	m.relaxed = m.idle != nil && m.idle()
+	if m.relaxed {
+		interval = m.cfg.IdleTick
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	timer = time.AfterFunc(m.cfg.Tick, fire)
-	return func() {
-		mu.Lock()
-		defer mu.Unlock()
-		ended = true
-		timer.Stop()
+	m.timer.Reset(max(0, interval-time.Since(began)))
+}
+
+// handle handles a message; a duty that has work again ticks at its full rate.
+func (m *mailbox) handle(message any) {
+	m.invoker.InvokeUserMessage(message)
+	if m.relaxed && !m.idle() {
+		m.relaxed = false
+		m.timer.Reset(m.cfg.Tick)
 	}
 }
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -74,8 +74,13 @@
 func (resultMsg) isEvent() {}
 func (stateMsg) isEvent()  {}
 
-// dispatchTick is how often deadlines, hedges and shares are looked at.
-const dispatchTick = 10 * time.Millisecond
+const (
+	// dispatchTick is how often deadlines, hedges and shares are looked at.
+	dispatchTick = 10 * time.Millisecond
+	// idleTick is the same while there are no jobs. Carriers look at marks
+	// themselves right before they send.
+	idleTick = 200 * time.Millisecond
+)
 
 // Start spawns the dispatching duty and its carriers. Errors: CodeInvalid for
 // an unknown routing policy.
@@ -88,7 +93,7 @@
 		return nil, err
 	}
 	d.carriers = carrier.Start(sys, cfg.Carriers, client, cfg.Now, d.report)
-	d.duty = duty.Start(sys, duty.Config{Name: "dispatch", RingSize: cfg.RingSize, Tick: dispatchTick}, duty.Handler[event](h))
+	d.duty = duty.Start(sys, duty.Config{Name: "dispatch", RingSize: cfg.RingSize, Tick: dispatchTick, IdleTick: idleTick}, duty.Handler[event](h))
 	d.Update(state)
 	return d, nil
 }
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -151,11 +151,14 @@
 	h.hedge(now)
 	h.pump()
 	h.ticks++
-	if h.ticks%viewTicks == 0 {
+	if h.ticks%viewTicks == 0 || h.Idle() {
 		h.publish(now)
 	}
 }
 
+// Idle implements duty.Idler: there is no job.
+func (h *handler) Idle() bool { return len(h.flights) == 0 }
+
 // Stopped cuts what is still in progress.
 func (h *handler) Stopped() {
 	h.cut()
