Let the sampler and the weight planner tick rarely while they have nothing to do

Cause: without a trainer the sampler woke 50 times a second; the planner woke 20 times a second between its read-backs, once a second and engine. Ruled out: one timer for all duties (each duty keeps its own thread and state). An announcement is seen up to 150 ms later, a new trainer's call at once, as a message ends the idle time.

--- a/lib/weights/planner.go
+++ b/lib/weights/planner.go
@@ -167,6 +167,20 @@
 	return actions
 }
 
+// Idle reports whether nothing is in progress and no watched engine is known
+// to be behind an announcement, so that only read-backs are ahead.
+func (p *Planner) Idle() bool {
+	if p.loads+p.reads > 0 {
+		return false
+	}
+	for _, e := range p.engines {
+		if p.watches(e) && len(e.behind) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Planner) watches(e *engine) bool {
 	return e.rank >= 0 && (p.cfg.Watchers == 0 || e.rank < p.cfg.Watchers)
 }
--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -78,6 +78,9 @@
 	c.read()
 }
 
+// Idle implements duty.Idler: no trainer is followed.
+func (c *core) Idle() bool { return len(c.order) == 0 }
+
 // Stopped implements duty.Stopper.
 func (c *core) Stopped() {
 	err := api.Errorf(api.CodeNotReady, "sampler is stopping")
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// idleTick is the time between ticks while no trainer is followed.
+const idleTick = time.Second
+
 // Appender appends records in the background, each at least once.
 type Appender interface {
 	// Append queues the record. done is called once, on the appender's thread:
@@ -137,7 +140,7 @@
 	// Room for one message of each job or sample under way, of each call, of
 	// each append of a call, and of the reader.
 	size := cfg.Run.MaxOutstanding + 2*cfg.FrontLimit + 1
-	s.duty = duty.Start(sys, duty.Config{Name: "sampler", RingSize: size, Tick: cfg.Tick}, c)
+	s.duty = duty.Start(sys, duty.Config{Name: "sampler", RingSize: size, Tick: cfg.Tick, IdleTick: idleTick}, c)
 	c.post = s.duty.Post
 	return s
 }
--- a/server/weightkeeper/planner.go
+++ b/server/weightkeeper/planner.go
@@ -55,6 +55,9 @@
 // Tick implements duty.Ticker.
 func (p *planner) Tick(context.Context) { p.dispatch() }
 
+// Idle implements duty.Idler: only read-backs are ahead.
+func (p *planner) Idle() bool { return len(p.waiting) == 0 && p.plan.Idle() }
+
 func (p *planner) readDone(e readResult) {
 	if e.err != nil {
 		metrics.Add("reads_failed", 1)
--- a/server/weightkeeper/weightkeeper.go
+++ b/server/weightkeeper/weightkeeper.go
@@ -19,6 +19,9 @@
 const (
 	// plannerTick is the time between two rounds of decisions.
 	plannerTick = 50 * time.Millisecond
+	// idleTick is the same while only read-backs are ahead; an announcement is
+	// seen that much later at most.
+	idleTick = 200 * time.Millisecond
 	// loaderRing is one: the planner gives work to an idle loader only.
 	loaderRing = 1
 )
@@ -72,7 +75,7 @@
 	p := newPlanner(cfg, k, source, members)
 	// The ring has room for begin and one result of each loader: it never fills.
 	ringSize := len(k.loaders) + 1
-	k.planner = duty.Start(sys, duty.Config{Name: "weight-planner", RingSize: ringSize, Tick: plannerTick}, p)
+	k.planner = duty.Start(sys, duty.Config{Name: "weight-planner", RingSize: ringSize, Tick: plannerTick, IdleTick: idleTick}, p)
 	// The planner hands out no work before this message, so the loaders see
 	// the finished Keeper.
 	k.report(begin{})
