Bring weights to all engines of a model within the spread, however many there are

Cause: engines fetch in waves of 8 every 250 ms, counted over the engines of all models. With 650 engines the last wave began after 20 s, also for a model that ten engines serve; 7 s are asked for. Waves now count the engines of the model alone, and grow so that the last begins within 4 s. Ruled out: no waves (the weight store is rate limited; small fleets keep waves of 8). A store that can't give 650 fetches within 4 s can't keep the 7 s in any order. Before: the new tests failed (650 engines were not up to date after 7 s; engines of other models delayed a wave). After: they pass, on a simulated clock without load times. Not measured with 650 real engines.

--- a/lib/weights/planner.go
+++ b/lib/weights/planner.go
@@ -17,10 +17,11 @@
 	cfg     Config
 	view    View
 	engines map[api.UpstreamID]*engine
-	order   []api.UpstreamID // keys of engines, sorted
-	first   int              // index in order at which the next round starts
-	loads   int              // in progress
-	reads   int              // in progress
+	order   []api.UpstreamID                   // keys of engines, sorted
+	serving map[api.ModelName][]api.UpstreamID // engines that serve a model, sorted
+	first   int                                // index in order at which the next round starts
+	loads   int                                // in progress
+	reads   int                                // in progress
 }
 
 // engine is what the planner knows of one engine.
@@ -70,6 +71,12 @@
 		}
 	}
 	p.order = slices.Sorted(maps.Keys(p.engines))
+	p.serving = make(map[api.ModelName][]api.UpstreamID)
+	for _, id := range p.order {
+		for _, model := range p.engines[id].upstream.Models {
+			p.serving[model] = append(p.serving[model], id)
+		}
+	}
 }
 
 func (p *Planner) list(u api.Upstream, members []string) {
@@ -242,7 +249,7 @@
 			continue
 		}
 		l := e.lagOf(model, w.Revision, now)
-		if !found && !now.Before(l.since.Add(p.delay(e, w))) && !now.Before(e.retryAt) {
+		if !found && !now.Before(l.since.Add(p.delay(e, model, w))) && !now.Before(e.retryAt) {
 			due, found = model, true
 		}
 	}
@@ -260,16 +267,27 @@
 
 // delay is the time between finding the engine behind and ordering: its wave's
 // turn at the weight store and this daemon's turn in the rendezvous order.
-func (p *Planner) delay(e *engine, w ledger.WeightState) time.Duration {
-	wave := p.position(e.upstream.ID, w.Revision) / max(1, p.cfg.WaveSize)
+func (p *Planner) delay(e *engine, model api.ModelName, w ledger.WeightState) time.Duration {
+	wave := p.position(e.upstream.ID, model, w.Revision) / p.waveSize(model)
 	return time.Duration(wave)*p.cfg.WaveInterval + time.Duration(e.rank)*p.cfg.TakeOver
 }
 
-// position is the engine's place in the order in which engines fetch an
-// announced version; it differs between announcements, so that the same
-// engines aren't always last.
-func (p *Planner) position(id api.UpstreamID, revision api.Revision) int {
-	index, _ := slices.BinarySearch(p.order, id)
-	n := uint64(len(p.order))
-	return int((uint64(index) + uint64(revision)) % n)
+// waveSize grows with the number of engines that serve a model, so that the
+// last wave begins within Spread.
+func (p *Planner) waveSize(model api.ModelName) int {
+	size := max(1, p.cfg.WaveSize)
+	if p.cfg.WaveInterval <= 0 || p.cfg.Spread <= 0 {
+		return size
+	}
+	waves := 1 + int(p.cfg.Spread/p.cfg.WaveInterval)
+	return max(size, (len(p.serving[model])+waves-1)/waves)
+}
+
+// position is the engine's place in the order in which the engines of a model
+// fetch an announced version; it differs between announcements, so that the
+// same engines aren't always last.
+func (p *Planner) position(id api.UpstreamID, model api.ModelName, revision api.Revision) int {
+	engines := p.serving[model]
+	index, _ := slices.BinarySearch(engines, id)
+	return int((uint64(index) + uint64(revision)) % uint64(max(1, len(engines))))
 }
--- a/lib/weights/weights.go
+++ b/lib/weights/weights.go
@@ -36,11 +36,14 @@
 	// WaveInterval later, over all daemons, because the weight store is rate limited.
 	WaveSize     int
 	WaveInterval time.Duration
-	BackoffMin   time.Duration // after the first failed load of an engine
-	BackoffMax   time.Duration
+	// Spread is the time within which the last wave of an announcement begins;
+	// waves grow beyond WaveSize to keep it. Zero: they never do.
+	Spread     time.Duration
+	BackoffMin time.Duration // after the first failed load of an engine
+	BackoffMax time.Duration
 }
 
-// DefaultConfig returns the settings for a deployment of some dozens of engines.
+// DefaultConfig returns the settings for up to some hundreds of engines.
 func DefaultConfig() Config {
 	return Config{
 		MaxLoads:     4,
@@ -52,6 +55,7 @@
 		TakeOver:     3 * time.Second,
 		WaveSize:     8,
 		WaveInterval: 250 * time.Millisecond,
+		Spread:       4 * time.Second,
 		BackoffMin:   250 * time.Millisecond,
 		BackoffMax:   5 * time.Second,
 	}
--- a/lib/weights/weights_test.go
+++ b/lib/weights/weights_test.go
@@ -208,6 +208,33 @@
 	assert.Equal(t, w.sends, 40)
 }
 
+func TestManyEnginesAreUpToDateWithinSevenSeconds(t *testing.T) {
+	cfg := weights.DefaultConfig()
+	cfg.MaxLoads, cfg.MaxReads = 70, 70 // few daemons stand for many
+	w := newWorld(650, 10, cfg)
+	w.settle(20)
+	w.announce()
+	w.settle(70)
+	for id, e := range w.engines {
+		assert.Equal(t, e.version, w.announced.Version, "%s", id)
+	}
+}
+
+func TestEnginesOfOtherModelsDoNotDelayAWave(t *testing.T) {
+	cfg := weights.DefaultConfig()
+	cfg.MaxLoads, cfg.MaxReads, cfg.Spread = 700, 700, 0
+	w := newWorld(650, 1, cfg)
+	for i := range w.upstreams {
+		if i%65 > 0 {
+			w.upstreams[i].Models = []api.ModelName{"other"}
+		}
+	}
+	w.settle(1)
+	w.announce()
+	w.settle(20)
+	assert.Equal(t, w.sends, 10)
+}
+
 func TestNextDaemonTakesOverFromAStuckOne(t *testing.T) {
 	w := newWorld(1, 2, weights.DefaultConfig())
 	w.announce()
