--- a/bench/load/main.go
+++ b/bench/load/main.go
@@ -36,6 +36,7 @@
 			&cli.StringFlag{Name: "bin", Value: ".bin", Usage: "`directory` of the programs"},
 			&cli.StringFlag{Name: "out", Value: "out/load", Usage: "`directory` for the report and the programs' output"},
 			&cli.Uint64Flag{Name: "seed", Usage: "overrides the experiment's seed"},
+			&cli.StringSliceFlag{Name: "policy", Usage: "overrides the experiment's policies; may be repeated"},
 			&cli.IntFlag{Name: "repeats", Usage: "overrides the experiment's repeats"},
 			&cli.DurationFlag{Name: "duration", Usage: "overrides the experiment's duration"},
 		},
@@ -47,6 +48,9 @@
 			if c.IsSet("seed") {
 				e.Seed = c.Uint64("seed")
 			}
+			if c.IsSet("policy") {
+				e.Policies = c.StringSlice("policy")
+			}
 			if c.IsSet("repeats") {
 				e.Repeats = c.Int("repeats")
 			}
--- a/server/dispatch/hedge.go
+++ b/server/dispatch/hedge.go
@@ -27,9 +27,10 @@
 }
 
 // hedge starts a second attempt of whole short repeatable requests that take
-// far longer than usual; the first whole answer wins.
+// far longer than usual; the first whole answer wins. The baselines, which
+// stand for simple policies in measurements, do not hedge.
 func (h *handler) hedge(now time.Time) {
-	if h.cfg.HedgeRatio <= 0 || h.short.mean == 0 {
+	if h.cfg.HedgeRatio <= 0 || h.short.mean == 0 || h.windowless() {
 		return
 	}
 	for _, u := range h.upstreams {
