--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -145,7 +145,7 @@
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
 		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
-<<<<<<< HEAD
+		Shares: dispatchShares{n}, Live: n.liveCount,
 	}, n.book.State())
 	if err != nil {
 		return err
@@ -153,11 +153,6 @@
 	n.dispatch.Store(started)
 	started.Update(n.book.State()) // a change before Store was not passed on
 	return nil
-=======
-		Shares: dispatchShares{n}, Live: n.liveCount,
-	}, ledger.NewConfig().Snapshot())
-	return err
->>>>>>> helper-g
 }
 
 func (n *Node) startWeights() {
@@ -167,12 +162,9 @@
 
 func (n *Node) startSampler() {
 	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
-<<<<<<< HEAD
 	// More jobs than the queue takes of rollouts would only be shed and tried again.
 	cfg.Run.MaxOutstanding = max(1, int(rolloutShare*float64(n.settings.Dispatch.QueueLimit)))
-=======
 	cfg.CheckpointEvery = n.settings.Platform.CheckpointEvery
->>>>>>> helper-j
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
 		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
 		Submitter: n.dispatch.Load(), Now: time.Now,
@@ -206,15 +198,19 @@
 	if err := n.gossip.Load().Leave(ctx); err != nil {
 		n.log.Warn("peers were not told", zap.Error(err))
 	}
-<<<<<<< HEAD
-	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
-=======
-	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.shares.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
->>>>>>> helper-g
+	err := n.stopDuties(ctx)
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
 
+// stopDuties ends the duties, those that others answer to last.
+func (n *Node) stopDuties(ctx context.Context) error {
+	return errors.Join(
+		n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Load().Stop(ctx),
+		n.shares.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx),
+	)
+}
+
 // stopAppender gives up soon: the log may be out, and what has not been
 // appended was not promised to anybody.
 func (n *Node) stopAppender(ctx context.Context) error {
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -88,11 +88,7 @@
 	s := adminapi.Status{
 		Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre),
 		Ready: true, ConfigOffset: state.Through, Members: n.members(),
-<<<<<<< HEAD
-		Duties: dutyStatus(n.book.Duties(), n.dispatch.Load().Duties()),
-=======
-		Duties: dutyStatus(n.book.Duties(), n.dispatch.Duties(), n.shares.Load().Duties()),
->>>>>>> helper-g
+		Duties: dutyStatus(n.book.Duties(), n.dispatch.Load().Duties(), n.shares.Load().Duties()),
 	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -43,7 +43,7 @@
 	g := gossip.Start(n.system, cfg, n.peers, n.book)
 	n.gossip.Store(g)
 	s := shares.Start(n.system, shares.Config{
-		Daemon: cfg.Self.ID, ShortReserve: n.settings.Dispatch.ShortReserve, Changed: n.dispatch.SharesChanged,
+		Daemon: cfg.Self.ID, ShortReserve: n.settings.Dispatch.ShortReserve, Changed: n.dispatch.Load().SharesChanged,
 	}, n.peers, n.book.State, n.sharers)
 	n.shares.Store(s)
 	n.server, err = peer.Start(n.system, listener, peerHandler{g, s})
--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -105,7 +105,6 @@
 	return entriesFromProto(answer.GetEntries()), err
 }
 
-<<<<<<< HEAD
 // Image fetches the state of the configuration stream. Errors: CodeNotReady.
 func (c *Client) Image(ctx context.Context, addr string) ([]byte, error) {
 	var answer *peerpb.ImageResponse
@@ -116,24 +115,12 @@
 	return answer.GetState(), err
 }
 
-// Slots asks for part of an upstream's window. Errors: CodeNotReady.
-func (c *Client) Slots(ctx context.Context, addr string, r SlotsRequest) (SlotsLease, error) {
-	in := &peerpb.SlotsRequest{
-		Upstream: string(r.Upstream),
-		Daemon:   string(r.Daemon),
-		Seq:      r.Seq,
-		Held:     uint32(max(0, r.Held)),
-		Want:     uint32(max(0, r.Want)),
-	}
-	var answer *peerpb.SlotsResponse
-=======
 // Ask asks for slots of resources that the daemon at addr keeps; all asks must
 // be of one daemon. Resources that it does not keep are missing in the answer.
 // Errors: CodeNotReady.
 func (c *Client) Ask(ctx context.Context, addr string, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error) {
 	in := asksToProto(asks)
 	var answer *peerpb.SharesResponse
->>>>>>> helper-g
 	err := c.call(ctx, addr, func(p peerpb.DRPCPeerClient) (err error) {
 		answer, err = p.Shares(ctx, in)
 		return err
--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -11,38 +11,16 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
-<<<<<<< HEAD
 	"dotterelmount.example/lib/netcount"
-=======
 	"dotterelmount.example/lib/quota"
->>>>>>> helper-g
 )
 
 // counters of this process: bytes_in, bytes_out, calls, calls_failed, dials,
 // dropped (connections given up after a failure).
 var counters = expvar.NewMap("peer")
 
-<<<<<<< HEAD
 var traffic = netcount.New(counters)
 
-// SlotsRequest asks for part of an upstream's window.
-type SlotsRequest struct {
-	Upstream api.UpstreamID
-	Daemon   api.DaemonID // who asks
-	Seq      uint64       // grows with each request of the daemon
-	Held     int          // slots leased now
-	Want     int          // slots wanted
-}
-
-// SlotsLease is the answer to a SlotsRequest.
-type SlotsLease struct {
-	Seq   uint64
-	Slots int
-	TTL   time.Duration
-}
-
-=======
->>>>>>> helper-g
 // Handler is what a daemon serves to its peers. Its methods are called on the
 // server's own goroutines, many at a time, and end when ctx does.
 type Handler interface {
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -41,12 +41,8 @@
 	return entries, nil
 }
 
-<<<<<<< HEAD
 func (echo) Image(context.Context) ([]byte, error) { return make([]byte, 2_000_000), nil }
 
-func (echo) Slots(_ context.Context, r peer.SlotsRequest) (peer.SlotsLease, error) {
-	return peer.SlotsLease{Seq: r.Seq, Slots: r.Want - r.Held, TTL: 2 * time.Second}, nil
-=======
 func (echo) HandleAsk(_ context.Context, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error) {
 	var grants []quota.ResourceGrant
 	for _, a := range asks[1:] { // the first is for a resource kept elsewhere
@@ -54,7 +50,6 @@
 		grants = append(grants, quota.ResourceGrant{Resource: a.Resource, Grant: g})
 	}
 	return grants, nil
->>>>>>> helper-g
 }
 
 func start(t *testing.T) (*peer.Server, *peer.Client, context.Context) {
--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -100,13 +100,11 @@
 func Start[M any](s *System, cfg Config, h Handler[M]) *Duty[M] {
 	ctx, cancel := context.WithCancel(context.Background())
 	box := newMailbox(cfg)
-<<<<<<< HEAD
 	if d, ok := any(h).(Dropper[M]); ok {
 		box.dropped = func(m any) { d.Dropped(m.(M)) }
-=======
+	}
 	if idler, ok := h.(Idler); ok && cfg.IdleTick > 0 {
 		box.idle = idler.Idle
->>>>>>> helper-i
 	}
 	act := &dutyActor[M]{name: cfg.Name, handler: h, ctx: ctx, onPanic: s.onPanic}
 	props := actor.PropsFromProducer(
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -294,14 +294,11 @@
 		return
 	}
 	delete(h.flights, f.job.ID)
-<<<<<<< HEAD
 	invariant.Check(a.Outcome != api.OutcomeNotRun || !f.sent && len(f.running) == 0, "not-run-was-not-sent",
 		"request %s, tried %v", f.job.ID, f.tried)
 	invariant.Check((a.Outcome == api.OutcomeComplete) == (a.Err == nil), "complete-has-no-error",
 		"request %s: %s: %v", f.job.ID, a.Outcome, a.Err)
-=======
 	h.plans[f.job.Plan].pending--
->>>>>>> helper-g
 	if f.queued {
 		h.queue.Remove(f.job.ID)
 	}
