--- a/front/adminapi/handler.go
+++ b/front/adminapi/handler.go
@@ -58,67 +58,61 @@
 
 func (h *handler) putPlanList(w http.ResponseWriter, r *http.Request) {
 	var in PutPlanList
-	if err := decode(w, r, &in); err != nil {
-		refuse(w, err)
-		return
-	}
-	if in.Base == nil || in.List == nil {
-		refuse(w, api.Errorf(api.CodeInvalid, "base and list are required"))
-		return
-	}
-	if err := in.List.Validate(); err != nil {
-		refuse(w, err)
-		return
-	}
-	h.propose(w, r, api.PublishPlanList{Base: *in.Base, List: *in.List})
+	h.publish(w, r, &in, func() (api.Body, error) {
+		if in.Base == nil || in.List == nil {
+			return nil, missingList()
+		}
+		return api.PublishPlanList{Base: *in.Base, List: *in.List}, in.List.Validate()
+	})
 }
 
 func (h *handler) putUsageList(w http.ResponseWriter, r *http.Request) {
 	var in PutUsageList
-	if err := decode(w, r, &in); err != nil {
+	h.publish(w, r, &in, func() (api.Body, error) {
+		if in.Base == nil || in.List == nil {
+			return nil, missingList()
+		}
+		return api.PublishUsageList{Base: *in.Base, List: *in.List}, in.List.Validate()
+	})
+}
+
+func missingList() error { return api.Errorf(api.CodeInvalid, "base and list are required") }
+
+// publish decodes a request into in and proposes what build makes of it.
+func (h *handler) publish(w http.ResponseWriter, r *http.Request, in any, build func() (api.Body, error)) {
+	if err := decode(w, r, in); err != nil {
 		refuse(w, err)
 		return
 	}
-	if in.Base == nil || in.List == nil {
-		refuse(w, api.Errorf(api.CodeInvalid, "base and list are required"))
-		return
-	}
-	if err := in.List.Validate(); err != nil {
+	body, err := build()
+	if err != nil {
 		refuse(w, err)
 		return
 	}
-	h.propose(w, r, api.PublishUsageList{Base: *in.Base, List: *in.List})
+	h.propose(w, r, body)
 }
 
 func (h *handler) postMark(w http.ResponseWriter, r *http.Request) {
 	var in PostMark
-	if err := decode(w, r, &in); err != nil {
-		refuse(w, err)
-		return
-	}
-	if in.Base == nil {
-		refuse(w, api.Errorf(api.CodeInvalid, "base is required"))
-		return
-	}
-	if in.Mark != api.MarkActive && in.Mark != api.MarkDraining {
-		refuse(w, api.Errorf(api.CodeInvalid, "mark %q; allowed: active, draining", in.Mark))
-		return
-	}
-	id := api.UpstreamID(r.PathValue("id"))
-	h.propose(w, r, api.MarkUpstream{Base: *in.Base, Upstream: id, Mark: in.Mark})
+	h.publish(w, r, &in, func() (api.Body, error) {
+		switch {
+		case in.Base == nil:
+			return nil, api.Errorf(api.CodeInvalid, "base is required")
+		case in.Mark != api.MarkActive && in.Mark != api.MarkDraining:
+			return nil, api.Errorf(api.CodeInvalid, "mark %q; allowed: active, draining", in.Mark)
+		}
+		return api.MarkUpstream{Base: *in.Base, Upstream: api.UpstreamID(r.PathValue("id")), Mark: in.Mark}, nil
+	})
 }
 
 func (h *handler) postWeights(w http.ResponseWriter, r *http.Request) {
 	var in PostWeights
-	if err := decode(w, r, &in); err != nil {
-		refuse(w, err)
-		return
-	}
-	if in.Model == "" || in.Version == 0 {
-		refuse(w, api.Errorf(api.CodeInvalid, "model and a version above 0 are required"))
-		return
-	}
-	h.propose(w, r, api.AnnounceWeights{Model: in.Model, Version: in.Version})
+	h.publish(w, r, &in, func() (api.Body, error) {
+		if in.Model == "" || in.Version == 0 {
+			return nil, api.Errorf(api.CodeInvalid, "model and a version above 0 are required")
+		}
+		return api.AnnounceWeights{Model: in.Model, Version: in.Version}, nil
+	})
 }
 
 func (h *handler) postLift(w http.ResponseWriter, r *http.Request) {
