--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -202,3 +203,19 @@
 		}
 	}
 }
+
+// dump writes every request to a file of JSON lines, for looking into a run.
+func (l *load) dump(path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("requests: %w", err)
+	}
+	encoder := json.NewEncoder(f)
+	for _, a := range l.asked {
+		if err := encoder.Encode(a); err != nil {
+			_ = f.Close()
+			return fmt.Errorf("requests: %w", err)
+		}
+	}
+	return f.Close()
+}
--- a/bench/soak/play.go
+++ b/bench/soak/play.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -121,6 +122,9 @@
 			e.add(api.UpstreamID(p.name), lines)
 		}
 	}
+	if err := l.dump(filepath.Join(s.out, "requests.json")); err != nil {
+		return err
+	}
 	r := &s.result
 	r.judge(l.asked, e)
 	r.judgeDrains(j.operators.drains, e)
