--- a/lib/hostlist/hostlist.go
+++ b/lib/hostlist/hostlist.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"io"
 	"net/http"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/netcount"
 )
 
 // State says whether a host stays.
@@ -28,7 +30,8 @@
 	State   State  `json:"state"`
 }
 
-// Source reads the whole list. Errors: CodeUpstreamFailed, CodeInvalid.
+// Source reads the whole list, which callers must not change. It is used by one
+// thread at a time. Errors: CodeUpstreamFailed, CodeInvalid.
 type Source interface {
 	Hosts(ctx context.Context) ([]Host, error)
 }
@@ -36,13 +39,33 @@
 // maxBytes bounds the list's size.
 const maxBytes = 4 << 20
 
+// httpSource reads the list anew only when it has changed, where the platform
+// names the versions of its list by ETag. It belongs to one reader at a time.
 type httpSource struct {
 	url    string
 	client *http.Client
+	etag   string // of last; empty: none
+	last   []Host
 }
 
-// NewHTTP returns the adapter for the list served at an address (host:port).
+// counters of this process: bytes_in and bytes_out of the connections of
+// clients that NewHTTP makes itself.
+var counters = expvar.NewMap("host_list")
+
+var traffic = netcount.New(counters)
+
+func countedTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = traffic.Dial(t.DialContext)
+	return t
+}
+
+// NewHTTP returns the adapter for the list served at an address (host:port). A
+// nil client stands for one with its own connections, whose bytes are counted.
 func NewHTTP(address string, client *http.Client) Source {
+	if client == nil {
+		client = &http.Client{Transport: countedTransport()}
+	}
 	return &httpSource{url: "http://" + address + "/v1/hosts", client: client}
 }
 
@@ -52,11 +75,17 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeInvalid, "host list: %w", err)
 	}
+	if s.etag != "" {
+		req.Header.Set("If-None-Match", s.etag)
+	}
 	res, err := s.client.Do(req)
 	if err != nil {
 		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: %w", err)
 	}
 	defer res.Body.Close()
+	if res.StatusCode == http.StatusNotModified && s.etag != "" {
+		return s.last, nil
+	}
 	if res.StatusCode != http.StatusOK {
 		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: status %d", res.StatusCode)
 	}
@@ -64,7 +93,12 @@
 	if err != nil {
 		return nil, api.Errorf(api.CodeUpstreamFailed, "host list: %w", err)
 	}
-	return Decode(body)
+	hosts, err := Decode(body)
+	if err != nil {
+		return nil, err
+	}
+	s.etag, s.last = res.Header.Get("ETag"), hosts
+	return hosts, nil
 }
 
 // Decode reads a list's JSON form. Errors: CodeInvalid.
