Let others take over at once what a restarted daemon ran before

Cause: a step's runner was recorded by the daemon's name alone. A daemon that was killed or stopped and restarted under its name counts as alive by membership, but knows nothing of the steps it ran until a trainer asks at it; the others waited TakeOverAfter, 30 to 60 s. Ruled out: lost appends and engine faults; the engines' journals show the missing samples made by the killed run and nothing of the step after it.

--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -158,7 +158,7 @@
 }
 
 func (n *Node) startSampler() {
-	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
+	cfg := sampler.DefaultConfig(runID(api.DaemonID(n.settings.Daemon), uint64(n.started.UnixMilli())))
 	// More jobs than the queue takes of rollouts would only be shed and tried again.
 	cfg.Run.MaxOutstanding = max(1, int(rolloutShare*float64(n.settings.Dispatch.QueueLimit)))
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/front/adminapi"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/membership"
 	"dotterelmount.example/lib/recordcodec"
 	"dotterelmount.example/lib/weights"
 	"dotterelmount.example/server/logbook"
@@ -119,8 +120,13 @@
 	return out
 }
 
-// Alive implements sampler.Members.
-func (n *Node) Alive(id api.DaemonID) bool { return slices.Contains(n.live(), id) }
+// Alive implements sampler.Members: a run that was followed by another one of
+// the same daemon is not alive.
+func (n *Node) Alive(id api.DaemonID) bool {
+	return slices.ContainsFunc(n.gossip.Load().Members(), func(m membership.Member) bool {
+		return m.Status <= membership.Suspect && sameRun(id, m)
+	})
+}
 
 // catalog gives the log book the shape that the sampler asks for.
 type catalog struct{ book *logbook.Book }
