--- /dev/null
+++ b/server/dispatch/limits_test.go
@@ -0,0 +1,142 @@
+package dispatch_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
+	"dotterelmount.example/lib/upstream"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/dispatch"
+	"gotest.tools/v3/assert"
+)
+
+// limited returns a state whose plan has limits.
+func limited(rate float64, concurrency int) *ledger.State {
+	s := state(8, "a")
+	s.Usage.Usages[0].RequestsPerSecond = rate
+	s.Usage.Usages[0].Concurrency = concurrency
+	return s
+}
+
+func refusedByQuota(t *testing.T, c *collector) {
+	t.Helper()
+	a := c.wait(t)
+	assert.Equal(t, a.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, api.CodeOf(a.Err), api.CodeQuotaExceeded)
+}
+
+func TestPlanRateIsSharedByLiveDaemons(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, _ upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		return say(delta, 1, 0, 4)
+	}
+	now := time.Now()
+	d := start(t, f, limited(6, 0), func(c *dispatch.Config) {
+		c.Live = func() int { return 3 }
+		c.Now = func() time.Time { return now }
+	})
+	var all []*collector
+	for _, id := range []api.RequestID{"1", "22", "333"} {
+		c := newCollector()
+		all = append(all, c)
+		assert.NilError(t, d.Submit(job(id, c)))
+	}
+	assert.Equal(t, all[0].wait(t).Outcome, api.OutcomeComplete)
+	assert.Equal(t, all[1].wait(t).Outcome, api.OutcomeComplete)
+	refusedByQuota(t, all[2])
+	assert.Equal(t, len(f.calls), 2)
+}
+
+func TestPlanConcurrencyHoldsWorkBack(t *testing.T) {
+	entered, release := make(chan struct{}, 3), make(chan struct{})
+	f := &fake{}
+	f.generate = func(_ context.Context, _ upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		entered <- struct{}{}
+		<-release
+		return say(delta, 1, 0, 4)
+	}
+	d := start(t, f, limited(0, 1), nil)
+	running, waiting, beyond := newCollector(), newCollector(), newCollector()
+	assert.NilError(t, d.Submit(job("1", running)))
+	<-entered
+	assert.NilError(t, d.Submit(job("22", waiting)))
+	assert.NilError(t, d.Submit(job("333", beyond)))
+	refusedByQuota(t, beyond)
+	assert.Equal(t, len(entered), 0)
+	close(release)
+	assert.Equal(t, running.wait(t).Outcome, api.OutcomeComplete)
+	assert.Equal(t, waiting.wait(t).Outcome, api.OutcomeComplete)
+}
+
+// TestEngineThatAnswersByOldWeightsGetsNoRollouts until that is long ago.
+func TestEngineThatAnswersByOldWeightsGetsNoRollouts(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, _ upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		return say(delta, 5, 0, 4)
+	}
+	s := state(8, "a")
+	s.Weights = map[api.ModelName]ledger.WeightState{"m": {Version: 10}}
+	var clock atomic.Pointer[time.Time]
+	began := time.Now()
+	clock.Store(&began)
+	d := start(t, f, s, func(c *dispatch.Config) {
+		c.Now = func() time.Time { return *clock.Load() }
+		c.Truth = func(api.UpstreamID, api.ModelName) api.WeightVersion { return 10 }
+	})
+	member, rollout, probe := newCollector(), newCollector(), newCollector()
+	assert.NilError(t, d.Submit(job("1", member)))
+	assert.Equal(t, member.wait(t).Outcome, api.OutcomeComplete)
+	r := job("22", rollout)
+	r.Lane = api.LaneRollout
+	assert.NilError(t, d.Submit(r))
+	assert.NilError(t, d.Submit(job("333", probe)))
+	assert.Equal(t, probe.wait(t).Outcome, api.OutcomeComplete)
+	assert.Equal(t, len(f.calls["22"]), 0)
+	later := began.Add(3 * time.Second)
+	clock.Store(&later)
+	assert.Equal(t, rollout.wait(t).Outcome, api.OutcomeComplete)
+}
+
+// shareOf is a dispatch.Shares that gives what it is told to.
+type shareOf struct {
+	slots   atomic.Int64
+	demands chan []quota.Demand
+}
+
+func (s *shareOf) Window(api.UpstreamID) (long, short int) { return 0, int(s.slots.Load()) }
+func (s *shareOf) Concurrency(api.PlanName) int            { return 0 }
+func (s *shareOf) Generation() uint64                      { return uint64(s.slots.Load()) }
+func (s *shareOf) Demand(d []quota.Demand, _ uint64) bool {
+	select {
+	case s.demands <- d:
+		return true
+	default:
+		return false
+	}
+}
+
+func TestWorkWaitsForAShareAndAsksForIt(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, _ upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		return say(delta, 1, 0, 4)
+	}
+	shares := &shareOf{demands: make(chan []quota.Demand, 64)}
+	d := start(t, f, state(8, "a"), func(c *dispatch.Config) { c.Shares = shares })
+	c := newCollector()
+	assert.NilError(t, d.Submit(job("1", c)))
+	want := quota.Resource{Kind: quota.KindShort, Name: "a"}
+	for asked := false; !asked; {
+		for _, n := range <-shares.demands {
+			asked = asked || n.Resource == want && n.Need.Want >= 1
+		}
+	}
+	assert.Equal(t, len(f.calls), 0)
+	shares.slots.Store(1)
+	d.SharesChanged()
+	assert.Equal(t, c.wait(t).Outcome, api.OutcomeComplete)
+}
