Count short calls where they started, end floors with the grant that told of them

Causes: a short call started between the latest report and new shares was counted to the long part (the dispatcher did the same); an ask of a daemon without a grant did not tell the floor, which came into use with the answer of a new keeper; a floor stayed in use after a daemon had gone idle.

--- a/lib/quota/need.go
+++ b/lib/quota/need.go
@@ -21,16 +21,23 @@
 	RecentShort bool
 }
 
+// ShortInUse returns how many of a number of short calls in progress count
+// against short slots. before is the latest result. It must also be called
+// right before other shares take the place of shortSlots: a call stays counted
+// where it started, because slots that one part's keeper took back it may have
+// handed on before the other part's keeper hears of the call.
+func ShortInUse(calls, before, shortSlots int) int {
+	return min(calls, max(before, shortSlots))
+}
+
 // Needs returns the demand for the two parts of the upstream's window. Short
 // calls beyond the daemon's short slots count against the slots for any work.
-// shortInUse is the latest result's short.InUse: a call stays counted where it
-// was, because slots that one part's keeper took back it may have handed on
-// before the other part's keeper hears of the call.
+// shortInUse is the result of ShortInUse.
 func (l Load) Needs(shortSlots, shortInUse int) (long, short Need) {
 	if l == (Load{}) {
 		return Need{}, Need{}
 	}
-	short.InUse = min(l.Short, max(shortInUse, shortSlots))
+	short.InUse = ShortInUse(l.Short, shortInUse, shortSlots)
 	short.Spare = headroom(l.Short, l.RecentShort)
 	short.Want = l.Short + l.QueuedShort + short.Spare
 	long.InUse = l.Long + l.Short - short.InUse
--- a/lib/quota/table.go
+++ b/lib/quota/table.go
@@ -115,7 +115,7 @@
 	published int    // slots in the latest published shares
 	loose     int    // slots published before, which may be used until the user of the shares confirms
 	looseTo   uint64 // generation that ends loose
-	followUp  bool   // the latest ask told slots that were only loosely in use
+	believed  int    // slots that the latest ask told beyond those held and in use; zero: none
 }
 
 // NewTable returns a table without resources. seq must be above any number
@@ -275,25 +275,29 @@
 
 // ask makes an ask. It wants what was wanted at most since the latest one, so
 // that a need that goes up and down costs no ask each time; nothing once the
-// need is over. While the floor may be in use, that is told like calls in
-// progress.
+// need is over. Without a grant that is good the floor may come to be used, so
+// it is told like calls in progress.
 func (t *Table) ask(e *entry, now time.Time) Ask {
 	want := e.need.Want
 	if want > 0 {
 		want = max(want, e.peak)
 	}
-	floored := e.unsure || !e.waiting.IsZero()
+	lapsed := !now.Before(e.holding.until)
+	floored := e.unsure || lapsed
+	e.unsure = e.unsure && !lapsed
 	e.sent, e.asked, e.peak = now, want, e.need.Want
 	if e.waiting.IsZero() {
 		e.waiting = now
 	}
 	a := e.holding.NextAsk(want, now)
+	believed := max(e.loose, e.published)
 	if floored {
-		a.InUse = max(a.InUse, e.floor)
+		believed = max(believed, e.floor)
+	}
+	e.believed = 0
+	if believed > max(a.Held, a.InUse) {
+		e.believed, a.InUse = believed, believed
 	}
-	believed := max(e.loose, e.published)
-	e.followUp = believed > max(a.Held, a.InUse)
-	a.InUse = max(a.InUse, believed)
 	return a
 }
 
@@ -307,7 +311,7 @@
 // interval that the entry's state calls for.
 func (t *Table) isDue(e *entry, factor float64, now time.Time) bool {
 	held := e.holding.Slots(now)
-	if e.pending || (held == 0 && !e.followUp && e.need == Need{}) {
+	if e.pending || (held == 0 && e.believed == 0 && e.need == Need{}) {
 		return false
 	}
 	if e.sent.IsZero() || (e.holding.Shrunk() && e.confirmed()) {
@@ -323,7 +327,7 @@
 	switch {
 	case freed, work > held && work > e.asked:
 		return changePart
-	case e.followUp && e.confirmed():
+	case e.believed > 0 && e.confirmed():
 		return 1.0 / AsksPerLease
 	case work > held, e.need.InUse > held, e.need.Want > max(held, e.asked):
 		return 1.0 / AsksPerLease
@@ -377,6 +381,9 @@
 func (t *Table) take(e *entry, g Grant, askedAt, now time.Time) {
 	e.holding.Apply(g, askedAt, now)
 	e.unsure = g.New
+	if g.Slots >= e.believed {
+		e.believed = 0 // the keeper counts no more than it granted
+	}
 	e.waiting = time.Time{}
 }
 
@@ -386,6 +393,7 @@
 	Until   time.Time // Slots lapse then
 	Floor   int
 	FloorAt time.Time // the floor may be used from then on; zero: never
+	FloorTo time.Time // and until then; zero: for good
 }
 
 // At returns the number of slots at a moment.
@@ -394,7 +402,8 @@
 	if now.Before(s.Until) {
 		n = s.Slots
 	}
-	if !s.FloorAt.IsZero() && !now.Before(s.FloorAt) {
+	started := !s.FloorAt.IsZero() && !now.Before(s.FloorAt)
+	if started && (s.FloorTo.IsZero() || now.Before(s.FloorTo)) {
 		n = max(n, s.Floor)
 	}
 	return n
@@ -440,7 +449,10 @@
 	s := Share{Slots: e.holding.slots, Until: e.holding.until, Floor: e.floor}
 	switch {
 	case e.unsure:
-		s.FloorAt = e.sent
+		s.FloorAt = e.holding.until.Add(-t.lease)
+		if e.waiting.IsZero() {
+			s.FloorTo = e.holding.until
+		}
 	case !e.waiting.IsZero():
 		s.FloorAt = later(e.waiting.Add(t.part(floorPart)), e.holding.until)
 	}
--- a/server/dispatch/shares.go
+++ b/server/dispatch/shares.go
@@ -55,11 +55,15 @@
 		if u.share.set && long == u.share.long && short == u.share.short {
 			continue
 		}
+		u.share.shortInUse = quota.ShortInUse(u.shortCalls(), u.share.shortInUse, u.share.short)
 		u.share.set, u.share.long, u.share.short = true, long, short
 		u.window.SetShares(long, short)
 	}
 }
 
+// shortCalls returns the number of members' short calls in progress.
+func (u *upstreamState) shortCalls() int { return u.window.InFlight() - u.window.Long() }
+
 // tellDemand reports needs that changed, unless the latest look at them was
 // less than an interval ago. What finds no room is told again.
 func (h *handler) tellDemand(now time.Time, interval time.Duration) {
@@ -151,7 +155,7 @@
 func (h *handler) needWindow(u *upstreamState, queued queuedCalls, now time.Time) {
 	s := &u.share
 	load := quota.Load{
-		Long: u.window.Long(), Short: u.window.InFlight() - u.window.Long(),
+		Long: u.window.Long(), Short: u.shortCalls(),
 		RecentLong:  now.Sub(s.lastLong) < quota.RecentTime,
 		RecentShort: now.Sub(s.lastShort) < quota.RecentTime,
 	}
--- a/server/shares/measure_test.go
+++ b/server/shares/measure_test.go
@@ -184,6 +184,9 @@
 		s.need(d, m, u, shares)
 	}
 	m.table.Confirm(generation)
+	if s.scheme != leased {
+		return
+	}
 	const callers = 8
 	for _, b := range m.table.Due(callers, s.clock(d)) {
 		s.bytes += callBytes + askBytes*len(b.Asks)
