Look at all upstreams every 50 ms rather than at every tick

Cause: with calls in progress the dispatcher walked over all upstreams at each tick of 10 ms, though there is news of those with calls alone; and it sorted a picture of all every 50 ms, which only an operator's status reads.

--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -96,7 +96,8 @@
 	view := n.dispatch.View()
 	for _, u := range view.Upstreams {
 		mark := api.MarkActive
-		if state.Draining(u.ID) {
+		// The picture's calls in progress count only once the dispatcher knows the mark.
+		if u.Draining && state.Draining(u.ID) {
 			mark = api.MarkDraining
 		}
 		s.Upstreams = append(s.Upstreams, adminapi.UpstreamStatus{
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -127,12 +127,15 @@
 		h.result(m.result)
 	case stateMsg:
 		h.adopt(m.state)
+		h.publish(h.cfg.Now()) // who sees a mark there sees the calls begun before it
 	}
 	h.pump()
 }
 
-// viewTicks is the number of ticks between two pictures of the state.
-const viewTicks = 5
+const (
+	refreshTicks = 5  // ticks between two looks at all upstreams
+	viewTicks    = 20 // ticks between two pictures of the state
+)
 
 // Tick looks at deadlines, shares and hedges.
 func (h *handler) Tick(context.Context) {
@@ -143,16 +146,35 @@
 	for _, it := range h.queue.Expired(now) {
 		h.expire(it.ID)
 	}
+	h.ticks++
+	if h.ticks%refreshTicks == 0 || h.Idle() {
+		h.refresh(now)
+	} else {
+		h.refreshRunning(now)
+	}
+	if h.ticks%viewTicks == 0 || h.Idle() {
+		h.publish(now)
+	}
+	h.hedge(now)
+	h.pump()
+}
+
+// refresh looks at every upstream anew.
+func (h *handler) refresh(now time.Time) {
 	h.resize()
 	for id, u := range h.upstreams {
 		u.draining = h.d.leaves(h.state, &u.info)
 		u.slow = h.observer(u).Slow(id, now)
 	}
-	h.hedge(now)
-	h.pump()
-	h.ticks++
-	if h.ticks%viewTicks == 0 || h.Idle() {
-		h.publish(now)
+}
+
+// refreshRunning looks at the upstreams that have calls in progress, of which
+// alone there is news.
+func (h *handler) refreshRunning(now time.Time) {
+	for _, f := range h.flights {
+		for _, a := range f.running {
+			a.up.slow = h.observer(a.up).Slow(a.up.info.ID, now)
+		}
 	}
 }
 
--- a/server/dispatch/hedge.go
+++ b/server/dispatch/hedge.go
@@ -32,8 +32,8 @@
 	if h.cfg.HedgeRatio <= 0 || h.short.mean == 0 {
 		return
 	}
-	for _, u := range h.upstreams {
-		for _, a := range u.running {
+	for _, f := range h.flights {
+		for _, a := range f.running {
 			if len(h.idle) == 0 {
 				return
 			}
