--- /dev/null
+++ b/lib/ledger/memory_test.go
@@ -0,0 +1,55 @@
+package ledger_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+	"gotest.tools/v3/assert"
+)
+
+// heldClaims settles n claims with short answers, as a daemon's fold does.
+func heldClaims(tb testing.TB, n int) *ledger.Claims {
+	c := ledger.NewClaims()
+	for i := range n {
+		key := fmt.Sprintf("slip-%032d", i)
+		id := api.RecordID(fmt.Sprintf("0190aaaa-0000-7000-8000-%012d", i))
+		claim := api.Claim{Customer: "library-app", Key: key, Fingerprint: 1, Holder: "daemon-12"}
+		v := c.Apply(api.Offset(2*i+1), int64(i), api.Record{ID: id, Body: claim})
+		assert.NilError(tb, v.Err)
+		answer := fmt.Appendf(nil, `{"slip":"slip-%d","issued":true}`, i)
+		settle := api.Settle{
+			Customer: "library-app", Key: key, Claim: id, Outcome: api.OutcomeComplete, Status: 200,
+			Answer: answer, AnswerBytes: len(answer), ContentType: "application/json",
+		}
+		v = c.Apply(api.Offset(2*i+2), int64(i), api.Record{ID: id + "s", Body: settle})
+		assert.NilError(tb, v.Err)
+	}
+	return c
+}
+
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC() // empties pools
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkClaimsMemory tells the bytes that a remembered claim takes in a
+// daemon's memory and in a checkpoint.
+func BenchmarkClaimsMemory(b *testing.B) {
+	const n = 100_000
+	for b.Loop() {
+		before := heap()
+		c := heldClaims(b, n)
+		b.ReportMetric((heap()-before)/n, "B/claim")
+		data, err := json.Marshal(c.Image())
+		assert.NilError(b, err)
+		b.ReportMetric(float64(len(data))/n, "checkpoint-B/claim")
+		runtime.KeepAlive(c)
+	}
+}
