--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -25,9 +25,13 @@
 		return err
 	}
 	n.peers = peer.NewClient()
+	address := n.settings.Listen.AdvertisePeers
+	if address == "" {
+		address = listener.Addr().String()
+	}
 	cfg := gossip.Config{
 		Self: membership.Member{
-			ID: api.DaemonID(n.settings.Daemon), Peer: listener.Addr().String(), Caller: n.address,
+			ID: api.DaemonID(n.settings.Daemon), Peer: address, Caller: n.address,
 			DataCentre: api.DataCentre(n.settings.DataCentre), Incarnation: uint64(n.started.UnixMilli()),
 		},
 		Seeds: n.settings.Peers, Source: seeds{n}, Protocol: membership.DefaultConfig(),
@@ -61,8 +65,11 @@
 	return s.n.hosts.Live(func(address string) bool { return upstreams[address] })
 }
 
-// spread runs on the ledger's thread.
-func (n *Node) spread(s *ledger.State) {
+// changed runs on the ledger's thread, also before the other parts have started.
+func (n *Node) changed(s *ledger.State) {
+	if d := n.dispatch.Load(); d != nil {
+		d.Update(s)
+	}
 	if g := n.gossip.Load(); g != nil {
 		g.Advanced(s.Through)
 	}
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -6,6 +6,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/retry"
 	"dotterelmount.example/lib/routing"
@@ -189,6 +190,16 @@
 	}
 }
 
+// Dropped answers a job that was still in the ring at the stop.
+func (h *handler) Dropped(m event) {
+	switch m := m.(type) {
+	case submitMsg:
+		refuse(m.job, api.Errorf(api.CodeNotReady, "the daemon stopped"))
+	case resultMsg:
+		// Its flight was finished by Stopped.
+	}
+}
+
 // adopt takes over a configuration.
 func (h *handler) adopt(s *ledger.State) {
 	if h.state != nil && s.Through < h.state.Through {
@@ -282,9 +293,10 @@
 	h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err})
 }
 
-// giveUp returns the outcome of a flight that is not tried again.
+// giveUp returns the outcome of a flight that is not tried again. An attempt
+// still in progress may have been sent.
 func (h *handler) giveUp(f *flight) api.Outcome {
-	return retry.GiveUp(retry.Failure{Sent: f.sent, Answered: f.answered})
+	return retry.GiveUp(retry.Failure{Sent: f.sent || len(f.running) > 0, Answered: f.answered})
 }
 
 // finish ends a flight; its other attempts are cancelled.
@@ -293,6 +305,10 @@
 		return
 	}
 	delete(h.flights, f.job.ID)
+	invariant.Check(a.Outcome != api.OutcomeNotRun || !f.sent && len(f.running) == 0, "not-run-was-not-sent",
+		"request %s, tried %v", f.job.ID, f.tried)
+	invariant.Check((a.Outcome == api.OutcomeComplete) == (a.Err == nil), "complete-has-no-error",
+		"request %s: %s: %v", f.job.ID, a.Outcome, a.Err)
 	if f.queued {
 		h.queue.Remove(f.job.ID)
 	}
--- a/server/logbook/logbook_test.go
+++ b/server/logbook/logbook_test.go
@@ -164,3 +164,55 @@
 	assert.Equal(t, api.CodeOf(trail[1].Err), api.CodeConflict)
 	assert.Equal(t, trail[1].To, api.Revision(1))
 }
+
+// stalledLog holds its first answer back, as the socket of a frozen process
+// does, and answers no further read.
+type stalledLog struct {
+	eventlog.Log
+	answered time.Time // by the log, before the answer was taken in
+	reads    int
+}
+
+func (l *stalledLog) Read(ctx context.Context, p []eventlog.Position, limit int, wait time.Duration) ([]eventlog.Batch, error) {
+	if l.reads++; l.reads > 1 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	batches, err := l.Log.Read(ctx, p, limit, wait)
+	l.answered = time.Now()
+	time.Sleep(time.Millisecond)
+	return batches, err
+}
+
+func TestContactIsNoLaterThanTheLogsAnswer(t *testing.T) {
+	log := &stalledLog{Log: memlog.New(memlog.Options{})}
+	book, _ := start(t, log, 0)
+	for book.LastContact().IsZero() {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Assert(t, !book.LastContact().After(log.answered))
+}
+
+// A daemon that starts while the log is out gets the state from a peer, and
+// later reads on from there.
+func TestBookStartsFromPeerWhileLogIsOut(t *testing.T) {
+	log := memlog.New(memlog.Options{})
+	first, _ := start(t, log, 0)
+	_, err := first.Propose(t.Context(), api.StreamConfig, plans(0, "a"), "op")
+	assert.NilError(t, err)
+	cut := &cuttable{Log: log}
+	cut.off.Store(true)
+	second, changed := start(t, cut, 0)
+	image, err := first.Image(t.Context())
+	assert.NilError(t, err)
+	second.Adopt(image)
+	s := await(t, changed, func(s *ledger.State) bool { return s.Through == 1 })
+	assert.Equal(t, s.Plans.Plans[0].Name, api.PlanName("a"))
+	assert.Assert(t, second.Known())
+	_, _, err = second.Claim(t.Context(), ledger.ClaimKey{Customer: "c", Key: "k"})
+	assert.Equal(t, api.CodeOf(err), api.CodeNotReady) // claims are only in the log
+	cut.off.Store(false)
+	_, err = first.Propose(t.Context(), api.StreamConfig, plans(1, "b"), "op")
+	assert.NilError(t, err)
+	await(t, changed, func(s *ledger.State) bool { return s.Through == 2 })
+}
