Publish the dispatcher's picture once when it falls idle

Cause: an idle dispatcher sorted and published a picture of all upstreams 5 times a second; it does not change then.

--- a/lib/membership/scale_test.go
+++ b/lib/membership/scale_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,3 +98,19 @@
 	}
 	return true
 }
+
+// BenchmarkRest tells the processor time that the decisions of one daemon take
+// for each second at rest, the simulated network included.
+func BenchmarkRest(b *testing.B) {
+	for _, size := range []int{13, 92, designDaemons} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			s := cluster(7, size)
+			s.settle(5 * time.Minute)
+			b.ResetTimer()
+			for range b.N {
+				s.runFor(10 * time.Second)
+			}
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*10*size), "us/daemon-second")
+		})
+	}
+}
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -33,6 +33,7 @@
 	short     movingTime // time of short work, for hedging
 	strikes   map[api.Fingerprint]ledger.StrikeState
 	ticks     int
+	wasIdle   bool            // at the end of the last tick
 	cutCtx    context.Context // ends with the duty
 	cut       context.CancelFunc
 }
@@ -153,9 +154,10 @@
 	} else {
 		h.refreshRunning(now)
 	}
-	if h.ticks%viewTicks == 0 || h.Idle() {
+	if h.ticks%viewTicks == 0 || (h.Idle() && !h.wasIdle) {
 		h.publish(now)
 	}
+	h.wasIdle = h.Idle()
 	h.hedge(now)
 	h.pump()
 }
