--- a/front/trainerapi/trainerapi.go
+++ b/front/trainerapi/trainerapi.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/front/httpapi/errmap"
 	"dotterelmount.example/lib/samples"
 	"dotterelmount.example/lib/work"
 	"dotterelmount.example/server/sampler"
@@ -219,7 +220,7 @@
 	return api.TrainerID(name), nil
 }
 
-// decode reads one JSON object. Errors: CodeTooLarge, CodeTruncated, CodeInvalid.
+// decode reads one JSON object. Errors: CodeTooLarge, CodeInvalid.
 func (h *handlers) decode(w http.ResponseWriter, r *http.Request, v any) error {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.BodyLimit))
 	var tooLarge *http.MaxBytesError
@@ -227,7 +228,7 @@
 	case errors.As(err, &tooLarge):
 		return api.Errorf(api.CodeTooLarge, "body over %d bytes", h.cfg.BodyLimit)
 	case err != nil:
-		return api.Errorf(api.CodeTruncated, "body: %w", err)
+		return api.Errorf(api.CodeInvalid, "body truncated: %w", err)
 	}
 	if err := json.Unmarshal(raw, v); err != nil {
 		return api.Errorf(api.CodeInvalid, "body: %w", err)
@@ -241,6 +242,7 @@
 		h.writeFail(w, api.Errorf(api.CodeInternal, "answer: %w", err))
 		return
 	}
+	w.Header().Set(errmap.HeaderOutcome, api.OutcomeComplete.String())
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(raw) // a trainer that went away asks again
 }
--- a/front/trainerapi/trainerapi_test.go
+++ b/front/trainerapi/trainerapi_test.go
@@ -58,6 +58,7 @@
 func TestPullAnswersAsDocumented(t *testing.T) {
 	s := &service{}
 	w := send(s, "POST", "/v1/trainers/t1/pull", `{"cursor":4,"pull":7,"max_groups":2,"weight_version":3,"wait_ms":5000}`)
+	assert.Equal(t, w.Header().Get("X-Outcome"), "complete")
 	assert.Equal(t, w.Body.String(), `{"from":4,"next":5,"pull":7,"groups":[{"step":"s","id":"g","samples":[`+
 		`{"index":0,"text":"x","tokens":1,"versions":[3],"finish_reason":"stop"}]}],"dropped":[],"step_whole":[]}`)
 	assert.DeepEqual(t, s.pull, sampler.PullRequest{Trainer: "t1", Pull: 7, Cursor: 4, MaxGroups: 2, InForce: 3, Wait: time.Second})
