--- /dev/null
+++ b/lib/ledger/example_test.go
@@ -0,0 +1,46 @@
+package ledger_test
+
+import (
+	"fmt"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/ledger"
+)
+
+// Two operators publish a list from the same base: the first in the log wins,
+// on every daemon, and the other one is told so by a type.
+func ExampleConfig() {
+	fold := ledger.NewConfig()
+	publish := func(at api.Offset, id api.RecordID, plan api.PlanName) {
+		list := api.PlanList{Plans: []api.Plan{{Name: plan}}}
+		v := fold.Apply(at, 0, api.Record{ID: id, Body: api.PublishPlanList{Base: 0, List: list}})
+		fmt.Printf("%s %q\n", id, api.CodeOf(v.Err))
+	}
+	publish(1, "hana", "member")
+	publish(2, "ken", "trainer")
+	state := fold.Snapshot()
+	fmt.Println(state.Plans.Plans[0].Name, state.PlansRevision, state.Through)
+	// Output:
+	// hana ""
+	// ken "conflict"
+	// member 1 2
+}
+
+// The first claim of a key wins until it is settled as not run.
+func ExampleClaims() {
+	claims := ledger.NewClaims()
+	claim := func(at api.Offset, id api.RecordID) {
+		body := api.Claim{Customer: "library", Key: "slip-7", Holder: "entry-1"}
+		v := claims.Apply(at, 0, api.Record{ID: id, Body: body})
+		fmt.Printf("%s %q\n", id, api.CodeOf(v.Err))
+	}
+	claim(1, "first")
+	claim(2, "second")
+	released := api.Settle{Customer: "library", Key: "slip-7", Claim: "first", Outcome: api.OutcomeNotRun}
+	claims.Apply(3, 0, api.Record{ID: "settle", Body: released})
+	claim(4, "third")
+	// Output:
+	// first ""
+	// second "duplicate-key"
+	// third ""
+}
--- /dev/null
+++ b/lib/ring/example_test.go
@@ -0,0 +1,49 @@
+package ring_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"dotterelmount.example/lib/ring"
+)
+
+// A full ring refuses; a closed one still gives out what is left.
+func ExampleRing() {
+	r := ring.New[string](2)
+	for _, v := range []string{"a", "b", "c"} {
+		if err := r.TryPush(v); err != nil {
+			fmt.Println(v, "refused:", err)
+		}
+	}
+	r.Close()
+	for {
+		v, err := r.Pop(context.Background())
+		if err != nil {
+			fmt.Println(err)
+			return
+		}
+		fmt.Println(v)
+	}
+	// Output:
+	// c refused: ring is full at 2 entries
+	// a
+	// b
+	// ring is closed
+}
+
+// The first reply wins, and waiting ends with the context.
+func ExampleSlot() {
+	s := ring.NewSlot[int]()
+	fmt.Println(s.Put(1), s.Put(2))
+	v, err := s.Wait(context.Background())
+	fmt.Println(v, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = s.Wait(ctx)
+	fmt.Println(errors.Is(err, context.Canceled))
+	// Output:
+	// true false
+	// 1 <nil>
+	// true
+}
--- /dev/null
+++ b/server/once/example_test.go
@@ -0,0 +1,46 @@
+package once_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/eventlog/memlog"
+	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/appender"
+	"dotterelmount.example/server/logbook"
+	"dotterelmount.example/server/logbook/logbooktest"
+	"dotterelmount.example/server/once"
+)
+
+// A lending slip is issued once; the second call gets the first one's answer.
+func ExampleGuard() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	log, system := memlog.New(memlog.Options{}), duty.NewSystem(nil)
+	app := appender.Start(system, log, appender.Config{RingSize: 16, MaxBatch: 8})
+	ids := 0
+	book := logbook.Start(system, log, logbooktest.Appender{Appender: app}, logbook.Config{
+		Daemon: "entry-1", RingSize: 64, ReadWait: 20 * time.Millisecond, ReadLimit: 64,
+		RetryEvery: time.Millisecond, ProposeTimeout: time.Minute, Now: time.Now,
+		NewID: func() api.RecordID { ids++; return api.RecordID(fmt.Sprint("r", ids)) },
+	})
+	guard := once.New(book, "entry-1", time.Now)
+	request := once.Request{Key: ledger.ClaimKey{Customer: "library", Key: "slip-7"}, Fingerprint: 1}
+	for range 2 {
+		a, replayed := guard.Run(ctx, request, func() work.Answer {
+			fmt.Println("issues the slip")
+			return work.Answer{Outcome: api.OutcomeComplete, Status: 201, Body: []byte("slip 7")}
+		})
+		fmt.Println(a.Outcome, a.Status, string(a.Body), "replayed:", replayed)
+	}
+	fmt.Println(app.Stop(ctx), book.Stop(ctx))
+	// Output:
+	// issues the slip
+	// complete 201 slip 7 replayed: false
+	// complete 201 slip 7 replayed: true
+	// <nil> <nil>
+}
