Let daemons that nobody asked go on with a trainer's open steps

A step whose daemons were all replaced while its trainer was away stood still, and its records expired unkept.

Seen failing: without followNoticed TestStepGoesOnWhenAllDaemonsAreReplaced never ends.

--- a/api/record.go
+++ b/api/record.go
@@ -5,6 +5,8 @@
 const (
 	StreamConfig = "config"
 	StreamClaims = "claims"
+	// StreamTrainers names the trainers that have open steps.
+	StreamTrainers = "trainers"
 )
 
 // TrainerStream returns the name of the stream that holds a trainer's steps and samples.
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -122,6 +122,9 @@
 // Alive implements sampler.Members.
 func (n *Node) Alive(id api.DaemonID) bool { return slices.Contains(n.live(), id) }
 
+// Live implements sampler.Members.
+func (n *Node) Live() []api.DaemonID { return n.live() }
+
 // catalog gives the log book the shape that the sampler asks for.
 type catalog struct{ book *logbook.Book }
 
--- a/lib/samples/query.go
+++ b/lib/samples/query.go
@@ -14,6 +14,16 @@
 // OpenSteps returns the number of steps that are not whole.
 func (s *Stream) OpenSteps() int { return len(s.steps) }
 
+// RunBy reports whether a daemon is the runner of a step that lacks samples.
+func (s *Stream) RunBy(d api.DaemonID) bool {
+	for _, st := range s.steps {
+		if st.runner == d && st.open > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // LimitFunc returns the version in force and the staleness bound that apply to
 // a step; false leaves the step out of the hand-over.
 type LimitFunc func(*StepOpened) (api.WeightVersion, uint64, bool)
--- a/lib/samples/records.go
+++ b/lib/samples/records.go
@@ -121,6 +121,12 @@
 func (StepRunner) sampleBody()    {}
 func (StepAbandoned) sampleBody() {}
 
+// Notice tells daemons that nobody asked that a trainer has an open step. It
+// stands in a stream of its own, and is repeated while it holds.
+type Notice struct {
+	Trainer api.TrainerID `json:"trainer"`
+}
+
 // Validate checks the form of a step. Errors: CodeInvalid.
 func (s *StepOpened) Validate() error {
 	if s.Step == "" || s.Model == "" || s.Customer == "" {
--- a/lib/samples/samplecodec/samplecodec.go
+++ b/lib/samples/samplecodec/samplecodec.go
@@ -98,6 +98,27 @@
 	return samples.Record{ID: id, Body: body}, nil
 }
 
+// EncodeNotice returns the payload of a notice. Errors: CodeInvalid.
+func EncodeNotice(n samples.Notice) ([]byte, error) {
+	payload, err := json.Marshal(n)
+	if err != nil {
+		return nil, api.Errorf(api.CodeInvalid, "notice: %w", err)
+	}
+	return payload, nil
+}
+
+// DecodeNotice is the inverse of EncodeNotice. Errors: CodeInvalid.
+func DecodeNotice(payload []byte) (samples.Notice, error) {
+	var n samples.Notice
+	if err := json.Unmarshal(payload, &n); err != nil {
+		return samples.Notice{}, api.Errorf(api.CodeInvalid, "notice: %w", err)
+	}
+	if n.Trainer == "" {
+		return samples.Notice{}, api.Errorf(api.CodeInvalid, "notice without a trainer")
+	}
+	return n, nil
+}
+
 // maxImageBytes bounds an image before compression.
 const maxImageBytes = 256 << 20
 
--- a/server/sampler/calls.go
+++ b/server/sampler/calls.go
@@ -92,6 +92,7 @@
 		return
 	}
 	c.claimStep(f, w.step.Step)
+	c.notice(f)
 }
 
 // claimStep records this daemon as the runner of a step. It is a hint: a lost
@@ -259,22 +260,28 @@
 	return true
 }
 
-// append hands a record of a call to the appender; done is called on the
-// duty's thread with a typed error. Errors: CodeShed, CodeLogUnavailable.
+// append hands a record of a trainer's stream to the appender. Errors: those of
+// appendRecord, CodeInvalid.
 func (c *core) append(f *follow, r samples.Record, done func(error)) error {
-	if c.appends >= c.cfg.FrontLimit {
-		return api.Errorf(api.CodeShed, "%d appends are under way", c.appends)
-	}
 	payload, err := samplecodec.Encode(r)
 	if err != nil {
 		return err
 	}
+	return c.appendRecord(f.name, eventlog.Record{ID: r.ID, Payload: payload}, done)
+}
+
+// appendRecord hands a record to the appender; done is called on the duty's
+// thread with a typed error. Errors: CodeShed, CodeLogUnavailable.
+func (c *core) appendRecord(stream string, r eventlog.Record, done func(error)) error {
+	if c.appends >= c.cfg.FrontLimit {
+		return api.Errorf(api.CodeShed, "%d appends are under way", c.appends)
+	}
 	deadline := c.deps.Now().Add(c.cfg.AppendDeadline)
 	post := func(err error) {
 		posted := c.post(appendedMessage{done: done, err: err})
 		checkPosted(posted, "append")
 	}
-	if err := c.deps.Appender.Append(f.name, eventlog.Record{ID: r.ID, Payload: payload}, deadline, post); err != nil {
+	if err := c.deps.Appender.Append(stream, r, deadline, post); err != nil {
 		return api.Errorf(api.CodeLogUnavailable, "append: %w", err)
 	}
 	c.appends++
--- a/server/sampler/checkpoint.go
+++ b/server/sampler/checkpoint.go
@@ -63,6 +63,9 @@
 	}
 	f.clock.tried = now
 	f.clock.wait = time.Duration(c.cfg.Random() * checkpointSpread * float64(every))
+	if f.stream().OpenSteps() > 0 {
+		c.notice(f)
+	}
 	if err := c.appendCheckpoint(f); err != nil {
 		appendFailures.Add(1)
 	}
--- a/server/sampler/checkpoint_test.go
+++ b/server/sampler/checkpoint_test.go
@@ -16,6 +16,7 @@
 	cfg := sampler.DefaultConfig(id)
 	cfg.CheckpointEvery = 2 * time.Millisecond
 	cfg.Tick = time.Millisecond
+	cfg.Run.TakeOverAfter = 100 * time.Millisecond
 	deps := sampler.Deps{
 		Log: l, Appender: fakeAppender{l}, Catalog: w, Members: w, Submitter: submitter{w}, Now: time.Now,
 	}
@@ -83,3 +84,29 @@
 	assert.DeepEqual(t, report.Expired, []samples.StepID{"s"})
 	assert.Equal(t, api.CodeOf(b.OpenStep(t.Context(), "t1", step("s", 3, 2))), api.CodeConflict)
 }
+
+// A step goes on, and is checkpointed, when every daemon was replaced and the
+// trainer asks nobody.
+func TestStepGoesOnWhenAllDaemonsAreReplaced(t *testing.T) {
+	l, w := newLog(), newWorld()
+	w.stall = true
+	a := startDaemon(t, "a", l, w)
+	assert.NilError(t, a.OpenStep(t.Context(), "t1", step("s", 2, 2)))
+	awaitRuns(t, a, w, 4)
+	assert.NilError(t, a.Stop(t.Context()))
+	w.set(func() { w.stall, w.dead["a"] = false, true })
+	b := startCheckpointing(t, "b", l, w)
+	for w.started() < 8 {
+		assert.NilError(t, t.Context().Err())
+	}
+	var end api.Offset
+	l.set(func() { end = api.Offset(len(l.streams["trainer.t1"])) })
+	for !expireBehindCheckpoint(l, end) {
+		assert.NilError(t, t.Context().Err())
+	}
+	assert.NilError(t, b.Stop(t.Context()))
+	tr := newTrainer()
+	tr.drive(t, startDaemon(t, "c", l, w))
+	assert.Equal(t, len(tr.used), 4)
+	assert.Equal(t, w.started(), 8)
+}
--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -27,6 +27,7 @@
 	followed map[api.TrainerID]*follow
 	order    []*follow
 	turn     int // who is planned first
+	index    index
 
 	reader     *duty.Duty[readCommand]
 	reading    bool
@@ -56,7 +57,7 @@
 }
 
 func newCore(cfg Config, deps Deps, nonce string, release func()) *core {
-	return &core{cfg: cfg, deps: deps, nonce: nonce, release: release, followed: make(map[api.TrainerID]*follow)}
+	return &core{cfg: cfg, deps: deps, nonce: nonce, release: release, followed: make(map[api.TrainerID]*follow), index: newIndex()}
 }
 
 // stream returns the state folded so far.
@@ -78,6 +79,7 @@
 			c.unfollow(f)
 		}
 	}
+	c.followNoticed()
 	c.plan()
 	c.read()
 }
@@ -133,13 +135,14 @@
 }
 
 // idle reports whether a stream needs not be followed: nobody asked for long,
-// and it has no open step that a checkpoint has to keep.
+// this daemon runs none of its steps, and is not chosen to keep open ones.
 func (c *core) idle(f *follow) bool {
 	waiting := len(f.opening) + len(f.abandons) + len(f.states) + len(f.pulls) + len(f.jobs) + len(f.pending)
 	if waiting > 0 || c.deps.Now().Sub(f.lastUsed) <= c.cfg.FollowIdle {
 		return false
 	}
-	return f.stream().OpenSteps() == 0
+	open := f.stream().OpenSteps() > 0
+	return !f.stream().RunBy(c.cfg.Daemon) && !(open && c.chosen(f.trainer))
 }
 
 func (c *core) unfollow(f *follow) {
@@ -154,17 +157,18 @@
 
 // read starts the next read unless one is under way.
 func (c *core) read() {
-	if c.reading || len(c.order) == 0 || c.deps.Now().Before(c.readAfter) {
+	if c.reading || c.deps.Now().Before(c.readAfter) {
 		return
 	}
 	wait := c.cfg.ReadWait
-	positions := make([]eventlog.Position, len(c.order))
+	positions := make([]eventlog.Position, len(c.order), len(c.order)+1)
 	for i, f := range c.order {
 		if !f.replica.Synced() {
 			wait = 0 // calls wait to learn where the stream ends
 		}
 		positions[i] = eventlog.Position{Stream: f.name, From: f.replica.Next()}
 	}
+	positions = append(positions, eventlog.Position{Stream: api.StreamTrainers, From: c.index.next})
 	ctx, cancel := context.WithCancel(context.Background())
 	follows := append([]*follow(nil), c.order...)
 	m := readCommand{ctx: ctx, cancel: cancel, positions: positions, follows: follows, wait: wait}
@@ -178,7 +182,7 @@
 
 // readMessage is the end of a read.
 type readMessage struct {
-	follows     []*follow // of batches, in the same order
+	follows     []*follow // of batches, in the same order; the last batch is the index's
 	batches     []eventlog.Batch
 	err         error
 	interrupted bool
@@ -191,6 +195,10 @@
 		c.readAfter = c.deps.Now().Add(c.cfg.ReadBackoff)
 	}
 	for i := range m.batches {
+		if i == len(m.follows) {
+			c.index.take(&m.batches[i], c.deps.Now())
+			continue
+		}
 		f := m.follows[i]
 		if c.followed[f.trainer] != f {
 			continue // forgotten meanwhile; a new follow reads from the front
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -78,7 +78,10 @@
 }
 
 // Members tells which daemons are alive.
-type Members interface{ Alive(api.DaemonID) bool }
+type Members interface {
+	Alive(api.DaemonID) bool
+	Live() []api.DaemonID
+}
 
 // Deps are the neighbours of the sampler.
 type Deps struct {
--- a/server/sampler/sampler_test.go
+++ b/server/sampler/sampler_test.go
@@ -138,6 +138,8 @@
 	return !w.dead[id]
 }
 
+func (w *fakeWorld) Live() []api.DaemonID { return nil }
+
 func (w *fakeWorld) set(change func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
