Start no work before all parts of a daemon are there

The dispatcher's thread asked the ledger and the weight keeper while the daemon was still being put together, and now and then crashed the start: seen once in a run of real processes.

--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -78,7 +78,10 @@
 	callers  *http.Server
 	address  string
 	stopping atomic.Bool
-	started  time.Time
+	// wired is set once all fields are. The dispatcher runs before and asks
+	// for what other parts know.
+	wired   atomic.Bool
+	started time.Time
 }
 
 // Start starts a daemon; it serves as soon as it knows the configuration.
@@ -103,6 +106,7 @@
 	}
 	n.startWeights()
 	n.startSampler()
+	n.wired.Store(true)
 	n.serveCallers(callers)
 	log.Info("started", zap.String("callers", n.address), zap.String("data_centre", s.DataCentre))
 	return n, nil
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -143,8 +143,14 @@
 	return n.weights.Truth()[id]
 }
 
-// truth returns the version that an engine was last read back to run; zero is unknown.
-func (n *Node) truth(id api.UpstreamID, m api.ModelName) api.WeightVersion { return n.loaded(id)[m] }
+// truth returns the version that an engine was last read back to run; zero is
+// unknown. The dispatcher's thread calls it, also during the start.
+func (n *Node) truth(id api.UpstreamID, m api.ModelName) api.WeightVersion {
+	if !n.wired.Load() {
+		return 0
+	}
+	return n.loaded(id)[m]
+}
 
 // ordered runs on the weight planner's thread.
 func (n *Node) ordered(o weights.Order, err error) {
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -116,8 +116,8 @@
 }
 
 // current reports whether the configuration is known to be recent enough to
-// start work by it.
-func (n *Node) current() bool { return n.age() <= startBound }
+// start work by it. The dispatcher's thread calls it, also during the start.
+func (n *Node) current() bool { return n.wired.Load() && n.age() <= startBound }
 
 // ready returns why the daemon refuses requests, or nil.
 func (n *Node) ready() error {
