--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -78,9 +78,11 @@
 	shares   atomic.Pointer[shares.Shares]
 	callers  *http.Server
 	address  string
-	wired    atomic.Bool // all parts are started
 	stopping atomic.Bool
-	started  time.Time
+	// wired is set once all fields are. The dispatcher runs before and asks
+	// for what other parts know.
+	wired   atomic.Bool
+	started time.Time
 }
 
 // Start starts a daemon; it serves as soon as it knows the configuration.
