Relay all pieces of a streamed answer before telling it as complete

Cause: the relay of pieces ended at the request's deadline, which had passed while the daemon was frozen (SIGSTOP); the whole answer, already taken in, was then told as complete although pieces were still in the ring. The relay now ends with the pieces or with the caller, and an answer not relayed whole is never told as complete. TestStreamTellsCompleteOnlyWithAllPieces failed before.

--- a/front/httpapi/chat.go
+++ b/front/httpapi/chat.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/httpapi/errmap"
 	"dotterelmount.example/lib/fingerprint"
+	"dotterelmount.example/lib/ring"
 	"dotterelmount.example/lib/work"
 )
 
@@ -147,7 +149,10 @@
 // last event with the error and without the end marker.
 func (h *handler) stream(w http.ResponseWriter, q *request) {
 	out := &events{w: w, flush: http.NewResponseController(w), job: q.job}
-	a, replayed := h.run(q, func(s *sink) { out.relay(q.ctx, s) })
+	a, replayed := h.run(q, func(s *sink) { out.relay(q.caller, s) })
+	if !out.whole && a.Err == nil {
+		a = work.Answer{Outcome: api.OutcomeUnknown, Err: api.Errorf(api.CodeCancelled, "the caller went away")}
+	}
 	if !out.started {
 		setAnswerHeaders(w, a, replayed)
 		if a.Err != nil {
@@ -165,12 +170,17 @@
 	flush   *http.ResponseController
 	job     *work.Job
 	started bool
+	whole   bool // all pieces were relayed
 }
 
+// relay sends the pieces until their end, which the dispatcher brings about
+// also after the deadline, or until the caller goes away.
 func (e *events) relay(ctx context.Context, s *sink) {
 	for {
 		c, err := s.chunks.Pop(ctx)
 		if err != nil {
+			var ended *ring.ClosedError
+			e.whole = errors.As(err, &ended)
 			return
 		}
 		e.start()
--- a/front/httpapi/httpapi_test.go
+++ b/front/httpapi/httpapi_test.go
@@ -156,3 +156,20 @@
 	assert.Assert(t, strings.Contains(string(raw), `"code":"upstream-silent"`))
 	assert.Assert(t, !strings.Contains(string(raw), "[DONE]"))
 }
+
+// Pieces that come after the deadline, as when the daemon was frozen, must not
+// be left out of an answer that is then told as complete.
+func TestStreamTellsCompleteOnlyWithAllPieces(t *testing.T) {
+	s := &submitter{answer: func(j *work.Job) {
+		go func() {
+			<-time.After(time.Until(j.Deadline) + 50*time.Millisecond)
+			_ = j.Sink.Chunk(t.Context(), work.Chunk{Text: "late ", Tokens: 1, Version: 1})
+			j.Sink.Finish(work.Answer{Outcome: api.OutcomeComplete, Text: "late ", Tokens: 1, FinishReason: "stop"})
+		}()
+	}}
+	body := strings.Replace(chat, "{", `{"stream":true,`, 1)
+	res := post(t, serve(t, s, nil), body, map[string]string{httpapi.HeaderDeadline: "50"})
+	raw, err := io.ReadAll(res.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Contains(string(raw), "late "), strings.Contains(string(raw), "[DONE]"), "%s", raw)
+}
