--- a/bench/demo/operate.go
+++ b/bench/demo/operate.go
@@ -16,7 +16,7 @@
 
 // operator drives the deployment through the command-line tool.
 type operator struct {
-	fleet *fleet
+	fleet *deployment
 	calls int
 }
 
@@ -89,7 +89,7 @@
 	stepTokens    = 24 // of each sample
 )
 
-func (f *fleet) trainStep(ctx context.Context) (trainerResult, error) {
+func (f *deployment) trainStep(ctx context.Context) (trainerResult, error) {
 	args := []string{
 		"--trainer", string(trainer), "--customer", string(trainer), "--model", string(model),
 		"--steps", "1", "--verify",
--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -19,7 +19,6 @@
 	"dotterelmount.example/lib/eventlog/httplog"
 	"dotterelmount.example/lib/hostlist"
 	"dotterelmount.example/lib/invariant"
-	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/upstream/httpupstream"
 	"dotterelmount.example/server/appender"
@@ -70,7 +69,7 @@
 	book     *logbook.Book
 	hosts    *hosts.Follower
 	client   *httpupstream.Client
-	dispatch *dispatch.Dispatcher
+	dispatch atomic.Pointer[dispatch.Dispatcher]
 	weights  *weightkeeper.Keeper
 	sampler  *sampler.Sampler
 	peers    *peer.Client
@@ -79,6 +78,7 @@
 	shares   atomic.Pointer[shares.Shares]
 	callers  *http.Server
 	address  string
+	wired    atomic.Bool // all parts are started
 	stopping atomic.Bool
 	started  time.Time
 }
@@ -89,22 +89,23 @@
 	n := &Node{settings: s, log: log, started: time.Now()}
 	invariant.OnViolation(n.violated)
 	n.system = duty.NewSystem(n.panicked)
-	n.platform = httplog.New(s.Platform.Log, &http.Client{})
+	n.platform = httplog.New(s.Platform.Log, nil)
 	callers, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
 		return nil, api.Errorf(api.CodeInvalid, "listen.callers: %w", err)
 	}
 	n.address = callers.Addr().String()
 	n.startHosts()
+	n.startLog()
 	if err := n.startDispatch(); err != nil {
 		return nil, err
 	}
-	n.startLog()
 	if err := n.startGossip(); err != nil {
 		return nil, err
 	}
 	n.startWeights()
 	n.startSampler()
+	n.wired.Store(true)
 	n.serveCallers(callers)
 	log.Info("started", zap.String("callers", n.address), zap.String("data_centre", s.DataCentre))
 	return n, nil
@@ -123,22 +124,21 @@
 		ProposeTimeout: proposeTimeout, VerdictGrace: verdictGrace, CheckpointEvery: n.settings.Platform.CheckpointEvery,
 		NewID: func() api.RecordID { return api.RecordID(newID()) },
 		Now:   time.Now, Jitter: rand.Float64,
-	}, n.dispatch.Update, n.spread)
+	}, n.changed)
 }
 
 func (n *Node) startHosts() {
 	var source hostlist.Source
 	if address := n.settings.Platform.HostList; address != "" {
-		source = hostlist.NewHTTP(address, &http.Client{})
+		source = hostlist.NewHTTP(address, nil)
 	}
 	n.hosts = hosts.Start(n.system, source, hosts.Config{Every: hostListEvery, Timeout: hostListTimeout})
 }
 
 func (n *Node) startDispatch() error {
 	d := n.settings.Dispatch
-	var err error
 	n.client = httpupstream.New(httpupstream.Options{})
-	n.dispatch, err = dispatch.Start(n.system, n.client, dispatch.Config{
+	started, err := dispatch.Start(n.system, n.client, dispatch.Config{
 		DataCentre: api.DataCentre(n.settings.DataCentre), Carriers: d.Carriers, RingSize: dispatchRing,
 		QueueLimit: d.QueueLimit, Routing: d.Routing, ProgressDeadline: d.ProgressDeadline,
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
@@ -146,8 +146,13 @@
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
 		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
 		Shares: dispatchShares{n}, Live: n.liveCount,
-	}, ledger.NewConfig().Snapshot())
-	return err
+	}, n.book.State())
+	if err != nil {
+		return err
+	}
+	n.dispatch.Store(started)
+	started.Update(n.book.State()) // a change before Store was not passed on
+	return nil
 }
 
 func (n *Node) startWeights() {
@@ -157,9 +162,11 @@
 
 func (n *Node) startSampler() {
 	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
+	// More jobs than the queue takes of rollouts would only be shed and tried again.
+	cfg.Run.MaxOutstanding = max(1, int(rolloutShare*float64(n.settings.Dispatch.QueueLimit)))
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
 		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
-		Submitter: n.dispatch, Now: time.Now,
+		Submitter: n.dispatch.Load(), Now: time.Now,
 	})
 }
 
@@ -170,7 +177,7 @@
 
 func (n *Node) callerDeps() httpapi.Deps {
 	return httpapi.Deps{
-		Submitter: n.dispatch, Guard: once.New(n.book, api.DaemonID(n.settings.Daemon), time.Now),
+		Submitter: n.dispatch.Load(), Guard: once.New(n.book, api.DaemonID(n.settings.Daemon), time.Now),
 		State: n.book.State, Ready: n.ready,
 		NewID: func() api.RequestID { return api.RequestID(newID()) }, Now: time.Now,
 		BodyBytes: n.settings.Limits.BodyBytes, DefaultDeadline: n.settings.Dispatch.DefaultDeadline,
@@ -190,7 +197,7 @@
 	if err := n.gossip.Load().Leave(ctx); err != nil {
 		n.log.Warn("peers were not told", zap.Error(err))
 	}
-	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Stop(ctx), n.shares.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
+	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Load().Stop(ctx), n.shares.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -88,12 +88,12 @@
 	s := adminapi.Status{
 		Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre),
 		Ready: true, ConfigOffset: state.Through, Members: n.members(),
-		Duties: dutyStatus(n.book.Duties(), n.dispatch.Duties(), n.shares.Load().Duties()),
+		Duties: dutyStatus(n.book.Duties(), n.dispatch.Load().Duties(), n.shares.Load().Duties()),
 	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
 	}
-	view := n.dispatch.View()
+	view := n.dispatch.Load().View()
 	for _, u := range view.Upstreams {
 		mark := api.MarkActive
 		if state.Draining(u.ID) {
@@ -128,6 +128,9 @@
 // Plan implements sampler.Catalog.
 func (c catalog) Plan(id api.CustomerID) (api.Plan, error) { return c.book.State().Plan(id) }
 
+// MayUse implements sampler.Catalog.
+func (c catalog) MayUse(p api.PlanName, m api.ModelName) error { return c.book.State().MayUse(p, m) }
+
 // WeightInForce implements sampler.Catalog.
 func (c catalog) WeightInForce(m api.ModelName) api.WeightVersion {
 	return c.book.State().Weights[m].Version
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -26,9 +26,13 @@
 		return err
 	}
 	n.peers = peer.NewClient()
+	address := n.settings.Listen.AdvertisePeers
+	if address == "" {
+		address = listener.Addr().String()
+	}
 	cfg := gossip.Config{
 		Self: membership.Member{
-			ID: api.DaemonID(n.settings.Daemon), Peer: listener.Addr().String(), Caller: n.address,
+			ID: api.DaemonID(n.settings.Daemon), Peer: address, Caller: n.address,
 			DataCentre: api.DataCentre(n.settings.DataCentre), Incarnation: uint64(n.started.UnixMilli()),
 		},
 		Seeds: n.settings.Peers, Source: seeds{n}, Protocol: membership.DefaultConfig(),
@@ -39,7 +43,7 @@
 	g := gossip.Start(n.system, cfg, n.peers, n.book)
 	n.gossip.Store(g)
 	s := shares.Start(n.system, shares.Config{
-		Daemon: cfg.Self.ID, ShortReserve: n.settings.Dispatch.ShortReserve, Changed: n.dispatch.SharesChanged,
+		Daemon: cfg.Self.ID, ShortReserve: n.settings.Dispatch.ShortReserve, Changed: n.dispatch.Load().SharesChanged,
 	}, n.peers, n.book.State, n.sharers)
 	n.shares.Store(s)
 	n.server, err = peer.Start(n.system, listener, peerHandler{g, s})
@@ -116,8 +120,11 @@
 	return s.n.hosts.Live(func(address string) bool { return upstreams[address] })
 }
 
-// spread runs on the ledger's thread.
-func (n *Node) spread(s *ledger.State) {
+// changed runs on the ledger's thread, also before the other parts have started.
+func (n *Node) changed(s *ledger.State) {
+	if d := n.dispatch.Load(); d != nil {
+		d.Update(s)
+	}
 	if g := n.gossip.Load(); g != nil {
 		g.Advanced(s.Through)
 	}
@@ -171,8 +178,9 @@
 }
 
 // current reports whether the configuration is known to be recent enough to
-// start work by it.
-func (n *Node) current() bool { return n.age() <= startBound }
+// start work by it. The dispatcher asks from its first tick on, before the
+// other parts are started.
+func (n *Node) current() bool { return n.wired.Load() && n.age() <= startBound }
 
 // ready returns why the daemon refuses requests, or nil.
 func (n *Node) ready() error {
--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -105,6 +105,16 @@
 	return entriesFromProto(answer.GetEntries()), err
 }
 
+// Image fetches the state of the configuration stream. Errors: CodeNotReady.
+func (c *Client) Image(ctx context.Context, addr string) ([]byte, error) {
+	var answer *peerpb.ImageResponse
+	err := c.call(ctx, addr, func(p peerpb.DRPCPeerClient) (err error) {
+		answer, err = p.Image(ctx, &peerpb.ImageRequest{})
+		return err
+	})
+	return answer.GetState(), err
+}
+
 // Ask asks for slots of resources that the daemon at addr keeps; all asks must
 // be of one daemon. Resources that it does not keep are missing in the answer.
 // Errors: CodeNotReady.
@@ -150,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.NewWithOptions(countedConn{raw}, drpcconn.Options{Manager: managerOptions()})
+	conn := drpcconn.NewWithOptions(traffic.Conn(raw), drpcconn.Options{Manager: managerOptions()})
 	return c.callOn(addr, conn, do)
 }
 
--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"expvar"
-	"net"
 	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/netcount"
 	"dotterelmount.example/lib/quota"
 )
 
@@ -19,6 +19,8 @@
 // dropped (connections given up after a failure).
 var counters = expvar.NewMap("peer")
 
+var traffic = netcount.New(counters)
+
 // Handler is what a daemon serves to its peers. Its methods are called on the
 // server's own goroutines, many at a time, and end when ctx does.
 type Handler interface {
@@ -38,6 +40,8 @@
 	// Tail returns up to limit records of the configuration stream from an
 	// offset on; none when that offset is not held.
 	Tail(ctx context.Context, from api.Offset, limit int) ([]eventlog.Entry, error)
+	// Image returns the state of the configuration stream.
+	Image(ctx context.Context) ([]byte, error)
 }
 
 // SharesHandler is the part of Handler that shares out windows and limits.
@@ -46,32 +50,3 @@
 	// others get no answer.
 	HandleAsk(ctx context.Context, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error)
 }
-
-// countedConn counts the bytes of a connection in both directions.
-type countedConn struct{ net.Conn }
-
-// Read implements net.Conn.
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	counters.Add("bytes_in", int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	counters.Add("bytes_out", int64(n))
-	return n, err
-}
-
-// countedListener counts the bytes of the connections it accepts.
-type countedListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countedConn{c}, nil
-}
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -41,6 +41,8 @@
 	return entries, nil
 }
 
+func (echo) Image(context.Context) ([]byte, error) { return make([]byte, 2_000_000), nil }
+
 func (echo) HandleAsk(_ context.Context, asks []quota.ResourceAsk) ([]quota.ResourceGrant, error) {
 	var grants []quota.ResourceGrant
 	for _, a := range asks[1:] { // the first is for a resource kept elsewhere
@@ -102,6 +104,9 @@
 
 func TestTailFitsOneMessage(t *testing.T) {
 	server, client, ctx := start(t)
+	image, err := client.Image(ctx, server.Addr())
+	assert.NilError(t, err)
+	assert.Equal(t, len(image), 2_000_000)
 	entries, err := client.Tail(ctx, server.Addr(), 4, 50)
 	assert.NilError(t, err)
 	assert.Equal(t, len(entries), 5)
