Number asks upwards also when a resource comes back

A resource that left the lists and came back began at an old number, which its keeper answers with nothing until the earlier asks are forgotten.

--- a/lib/quota/table.go
+++ b/lib/quota/table.go
@@ -126,7 +126,11 @@
 
 // SetSizes takes over the resources that exist, with their slots.
 func (t *Table) SetSizes(sizes map[Resource]int, now time.Time) {
-	maps.DeleteFunc(t.entries, func(r Resource, _ *entry) bool { _, ok := sizes[r]; return !ok })
+	maps.DeleteFunc(t.entries, func(r Resource, e *entry) bool {
+		_, ok := sizes[r]
+		t.seq = max(t.seq, e.holding.seq) // should the resource come back
+		return !ok
+	})
 	for r, n := range sizes {
 		e, ok := t.entries[r]
 		if !ok {
