--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -172,8 +172,10 @@
 		case <-ctx.Done():
 			// Unanswered too.
 			q := fleet.Question{Method: http.MethodPost, Address: s.address, Path: "/", Header: http.Header{service.HeaderRequestID: {string(ownCall)}}}
-			_ = fleet.Ask(context.WithoutCancel(ctx), q, nil)
-			<-p.Exited()
+			calling, stop := context.WithTimeout(context.WithoutCancel(ctx), callAfter)
+			defer stop()
+			_ = fleet.Ask(calling, q, nil)
+			return p.ExitCode() >= 0 // another fault may have set its mode back
 		}
 		return true
 	}
