--- a/lib/membership/scale_test.go
+++ b/lib/membership/scale_test.go
@@ -114,3 +114,21 @@
 		})
 	}
 }
+
+// BenchmarkDataCentreDies tells what the death of a sixth of the daemons at
+// once costs each of the others.
+func BenchmarkDataCentreDies(b *testing.B) {
+	for range b.N {
+		s := cluster(7, designDaemons)
+		s.settle(5 * time.Minute)
+		for i := range s.nodes[:designDaemons/6] {
+			s.nodes[i].up = false
+		}
+		during := s.bytesPerSecond(30 * time.Second)
+		died, wrong := s.settle(5 * time.Minute)
+		assert.Equal(b, wrong, "")
+		b.ReportMetric(during.mean*designDaemons/(designDaemons-designDaemons/6), "B/daemon-second")
+		b.ReportMetric(during.most, "most-B/second")
+		b.ReportMetric(30+died.Seconds(), "s-until-all-know")
+	}
+}
