--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -28,6 +28,7 @@
 	"dotterelmount.example/server/logbook"
 	"dotterelmount.example/server/once"
 	"dotterelmount.example/server/sampler"
+	"dotterelmount.example/server/shares"
 	"dotterelmount.example/server/weightkeeper"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -74,11 +75,14 @@
 	peers    *peer.Client
 	server   *peer.Server
 	gossip   atomic.Pointer[gossip.Gossip]
+	shares   atomic.Pointer[shares.Shares]
 	callers  *http.Server
 	address  string
-	wired    atomic.Bool // all parts are started
 	stopping atomic.Bool
-	started  time.Time
+	// wired is set once all fields are. The dispatcher runs before and asks
+	// for what other parts know.
+	wired   atomic.Bool
+	started time.Time
 }
 
 // Start starts a daemon; it serves as soon as it knows the configuration.
@@ -143,6 +147,7 @@
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
 		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
+		Shares: dispatchShares{n}, Live: n.liveCount,
 	}, n.book.State())
 	if err != nil {
 		return err
@@ -158,9 +163,10 @@
 }
 
 func (n *Node) startSampler() {
-	cfg := sampler.DefaultConfig(api.DaemonID(n.settings.Daemon))
+	cfg := sampler.DefaultConfig(runID(api.DaemonID(n.settings.Daemon), uint64(n.started.UnixMilli())))
 	// More jobs than the queue takes of rollouts would only be shed and tried again.
 	cfg.Run.MaxOutstanding = max(1, int(rolloutShare*float64(n.settings.Dispatch.QueueLimit)))
+	cfg.CheckpointEvery = n.settings.Platform.CheckpointEvery
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
 		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
 		Submitter: n.dispatch.Load(), Now: time.Now,
@@ -194,11 +200,19 @@
 	if err := n.gossip.Load().Leave(ctx); err != nil {
 		n.log.Warn("peers were not told", zap.Error(err))
 	}
-	err := errors.Join(n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx))
+	err := n.stopDuties(ctx)
 	n.log.Info("stopped", zap.Error(err))
 	return err
 }
 
+// stopDuties ends the duties, those that others answer to last.
+func (n *Node) stopDuties(ctx context.Context) error {
+	return errors.Join(
+		n.server.Shutdown(ctx), n.gossip.Load().Stop(ctx), n.sampler.Stop(ctx), n.dispatch.Load().Stop(ctx),
+		n.shares.Load().Stop(ctx), n.weights.Stop(ctx), n.hosts.Stop(ctx), n.stopAppender(ctx), n.book.Stop(ctx),
+	)
+}
+
 // stopAppender gives up soon: the log may be out, and what has not been
 // appended was not promised to anybody.
 func (n *Node) stopAppender(ctx context.Context) error {
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/front/adminapi"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/membership"
 	"dotterelmount.example/lib/recordcodec"
 	"dotterelmount.example/lib/weights"
 	"dotterelmount.example/server/logbook"
@@ -88,7 +89,7 @@
 	s := adminapi.Status{
 		Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre),
 		Ready: true, ConfigOffset: state.Through, Members: n.members(),
-		Duties: dutyStatus(n.book.Duties(), n.dispatch.Load().Duties()),
+		Duties: dutyStatus(n.book.Duties(), n.dispatch.Load().Duties(), n.shares.Load().Duties()),
 	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
@@ -120,8 +121,16 @@
 	return out
 }
 
-// Alive implements sampler.Members.
-func (n *Node) Alive(id api.DaemonID) bool { return slices.Contains(n.live(), id) }
+// Alive implements sampler.Members: a run that was followed by another one of
+// the same daemon is not alive.
+func (n *Node) Alive(id api.DaemonID) bool {
+	return slices.ContainsFunc(n.gossip.Load().Members(), func(m membership.Member) bool {
+		return m.Status <= membership.Suspect && sameRun(id, m)
+	})
+}
+
+// Live implements sampler.Members.
+func (n *Node) Live() []api.DaemonID { return n.live() }
 
 // catalog gives the log book the shape that the sampler asks for.
 type catalog struct{ book *logbook.Book }
@@ -141,8 +150,14 @@
 	return n.weights.Truth()[id]
 }
 
-// truth returns the version that an engine was last read back to run; zero is unknown.
-func (n *Node) truth(id api.UpstreamID, m api.ModelName) api.WeightVersion { return n.loaded(id)[m] }
+// truth returns the version that an engine was last read back to run; zero is
+// unknown. The dispatcher's thread calls it, also during the start.
+func (n *Node) truth(id api.UpstreamID, m api.ModelName) api.WeightVersion {
+	if !n.wired.Load() {
+		return 0
+	}
+	return n.loaded(id)[m]
+}
 
 // ordered runs on the weight planner's thread.
 func (n *Node) ordered(o weights.Order, err error) {
--- a/lib/routing/rendezvous.go
+++ b/lib/routing/rendezvous.go
@@ -34,24 +34,28 @@
 	return ordered
 }
 
-// Rank returns the place of id in Rendezvous(key, ids), -1 if it is not among
-// ids, without ordering them.
+// First returns the id that Rendezvous puts first; empty when there are none.
+func First(key uint64, ids []string) string {
+	best, top := "", uint64(0)
+	for _, id := range ids {
+		score := rendezvousScore(key, id)
+		if best == "" || score > top || (score == top && id < best) {
+			best, top = id, score
+		}
+	}
+	return best
+}
+
+// Rank returns the number of ids that Rendezvous puts before id.
 func Rank(key uint64, ids []string, id string) int {
 	own := rendezvousScore(key, id)
-	rank, listed := 0, false
+	rank := 0
 	for _, other := range ids {
-		if other == id {
-			listed = true
-			continue
-		}
 		score := rendezvousScore(key, other)
 		if score > own || (score == own && other < id) {
 			rank++
 		}
 	}
-	if !listed {
-		return -1
-	}
 	return rank
 }
 
--- a/lib/samples/query.go
+++ b/lib/samples/query.go
@@ -176,12 +176,19 @@
 	Lost []SlotRef `json:"lost"`
 	// Abandoned lists the abandoned steps among the open and last ended ones.
 	Abandoned []AbandonedStep `json:"abandoned"`
+	// Gap is the last offset of the stream that expired unread; zero if none did.
+	Gap api.Offset `json:"gap"`
+	// Expired lists steps that later records name and whose opening expired:
+	// their samples are lost unless the trainer took them.
+	Expired []StepID `json:"expired"`
 }
 
 // Report returns a snapshot, except for Late, which needs a clock.
 func (s *Stream) Report() Report {
 	r := Report{Through: s.through, Pull: s.pull, Cursor: s.cursor, Counts: s.counts}
 	r.Lost = append(r.Lost, s.lost...)
+	r.Gap = s.gap
+	r.Expired = append(r.Expired, s.expired...)
 	r.Abandoned = s.abandonedSteps()
 	for _, st := range s.steps {
 		r.Steps = append(r.Steps, st.report())
--- a/lib/weights/planner.go
+++ b/lib/weights/planner.go
@@ -89,7 +89,10 @@
 		e.readAt, e.tried = time.Time{}, time.Time{}
 	}
 	e.upstream = u
-	e.rank = routing.Rank(routing.Key(string(u.ID)), members, string(p.self))
+	e.rank = -1
+	if slices.Contains(members, string(p.self)) {
+		e.rank = routing.Rank(routing.Key(string(u.ID)), members, string(p.self))
+	}
 }
 
 // ReadDone reports a read-back that was started at startedAt.
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -8,6 +8,7 @@
 	"dotterelmount.example/lib/admission"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/lib/retry"
 	"dotterelmount.example/lib/routing"
 	"dotterelmount.example/lib/work"
@@ -28,7 +29,12 @@
 	flights   map[api.RequestID]*flight
 	upstreams map[api.UpstreamID]*upstreamState
 	eligible  map[eligibleKey][]*upstreamState // of this state's lists
-	idle      []int                            // carriers without a task
+	plans     map[api.PlanName]*planState
+	demand    demand
+	resized   time.Time           // latest look at the shares
+	untried   []routing.Candidate // reused between decisions
+	tried     []routing.Candidate // reused between decisions
+	idle      []int               // carriers without a task
 	attempts  uint64
 	short     movingTime // time of short work, for hedging
 	strikes   map[api.Fingerprint]ledger.StrikeState
@@ -76,6 +82,7 @@
 	draining  bool
 	removed   bool
 	window    *admission.Window
+	observer  *routing.Observer // of its group
 	running   map[uint64]*attempt
 	suspended time.Time // no calls before then
 	refusals  int       // in a row
@@ -83,6 +90,8 @@
 	reserved  api.RequestID
 	crash     *crashCheck
 	slow      bool // as of the last tick or start
+	share     windowShare
+	seen      map[api.ModelName]seenVersion // versions that answers named
 }
 
 type eligibleKey struct {
@@ -103,6 +112,8 @@
 		flights:   make(map[api.RequestID]*flight),
 		upstreams: make(map[api.UpstreamID]*upstreamState),
 		strikes:   make(map[api.Fingerprint]ledger.StrikeState),
+		plans:     make(map[api.PlanName]*planState),
+		demand:    demand{told: make(map[quota.Resource]quota.Need)},
 		queue: admission.NewQueue(admission.Config{
 			Limit: d.cfg.QueueLimit, Weights: d.cfg.Weights, RolloutShare: d.cfg.RolloutShare,
 		}),
@@ -130,8 +141,16 @@
 	case stateMsg:
 		h.adopt(m.state)
 		h.publish(h.cfg.Now()) // who sees a mark there sees the calls begun before it
+	case sharesMsg:
+		h.resize(h.cfg.Now())
+		h.pump()
+		h.tellDemand(h.cfg.Now(), 0)
+		return
 	}
 	h.pump()
+	if h.queue.Len() > 0 {
+		h.tellDemand(h.cfg.Now(), h.demandInterval())
+	}
 }
 
 const (
@@ -160,14 +179,15 @@
 	h.wasIdle = h.Idle()
 	h.hedge(now)
 	h.pump()
+	h.tellDemand(now, h.demandInterval())
 }
 
 // refresh looks at every upstream anew.
 func (h *handler) refresh(now time.Time) {
-	h.resize()
+	h.resize(now)
 	for id, u := range h.upstreams {
 		u.draining = h.d.leaves(h.state, &u.info)
-		u.slow = h.observer(u).Slow(id, now)
+		u.slow = u.observer.Slow(id, now)
 	}
 }
 
@@ -176,7 +196,7 @@
 func (h *handler) refreshRunning(now time.Time) {
 	for _, f := range h.flights {
 		for _, a := range f.running {
-			a.up.slow = h.observer(a.up).Slow(a.up.info.ID, now)
+			a.up.slow = a.up.observer.Slow(a.up.info.ID, now)
 		}
 	}
 }
@@ -216,19 +236,24 @@
 	for _, info := range s.Usage.Upstreams {
 		u, ok := h.upstreams[info.ID]
 		if !ok {
-			u = &upstreamState{running: make(map[uint64]*attempt), window: h.newWindow(info.Window)}
+			u = &upstreamState{
+				running: make(map[uint64]*attempt), window: h.newWindow(info.Window),
+				seen: make(map[api.ModelName]seenVersion),
+			}
 			h.upstreams[info.ID] = u
 		}
 		u.info, u.removed = info, false
+		u.observer = h.observerOf(&u.info)
 		u.draining = h.d.leaves(s, &info)
 	}
 	for id, u := range h.upstreams {
 		if u.removed && len(u.running) == 0 {
 			delete(h.upstreams, id)
-			h.observer(u).Forget(id)
+			u.observer.Forget(id)
 		}
 	}
-	h.resize()
+	h.adoptPlans()
+	h.resize(h.cfg.Now())
 }
 
 // observedGroup is a set of upstreams whose times can be compared.
@@ -237,8 +262,8 @@
 	model api.ModelName
 }
 
-func (h *handler) observer(u *upstreamState) *routing.Observer {
-	g := observedGroup{kind: u.info.Kind, model: u.info.Models[0]}
+func (h *handler) observerOf(info *api.Upstream) *routing.Observer {
+	g := observedGroup{kind: info.Kind, model: info.Models[0]}
 	o, ok := h.watch[g]
 	if !ok {
 		o = routing.NewObserver()
@@ -251,19 +276,6 @@
 	return admission.NewWindow(admission.WindowConfig{Limit: limit, Floor: 1, ShortReserve: h.cfg.ShortReserve})
 }
 
-// resize gives each window this daemon's present share of the upstream's.
-func (h *handler) resize() {
-	for id, u := range h.upstreams {
-		limit := u.info.Window
-		if h.cfg.Shares != nil {
-			if share := h.cfg.Shares(id); share >= 0 {
-				limit = min(limit, share)
-			}
-		}
-		u.window.SetLimit(limit)
-	}
-}
-
 func (h *handler) cancel(id api.RequestID) {
 	f, ok := h.flights[id]
 	if !ok {
@@ -289,6 +301,9 @@
 	}
 	f.queued = false
 	err := api.Errorf(api.CodeDeadlineExceeded, "the deadline passed while queued")
+	if h.limited(f.job.Plan) {
+		err = api.Errorf(api.CodeQuotaExceeded, "the deadline passed while plan %q was at its concurrency", f.job.Plan)
+	}
 	if f.lastErr != nil {
 		err = api.Errorf(api.CodeDeadlineExceeded, "the deadline passed before another attempt after: %w", f.lastErr)
 	}
@@ -311,6 +326,7 @@
 		"request %s, tried %v", f.job.ID, f.tried)
 	invariant.Check((a.Outcome == api.OutcomeComplete) == (a.Err == nil), "complete-has-no-error",
 		"request %s: %s: %v", f.job.ID, a.Outcome, a.Err)
+	h.plans[f.job.Plan].pending--
 	if f.queued {
 		h.queue.Remove(f.job.ID)
 	}
--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -27,6 +27,7 @@
 	followed map[api.TrainerID]*follow
 	order    []*follow
 	turn     int // who is planned first
+	index    index
 
 	reader     *duty.Duty[readCommand]
 	reading    bool
@@ -42,9 +43,8 @@
 type follow struct {
 	trainer  api.TrainerID
 	name     string
-	next     api.Offset // next offset to read
-	synced   bool       // the end of the stream was seen once
-	stream   *samples.Stream
+	replica  *samples.Replica
+	clock    checkpointClock
 	runner   *samples.Runner
 	counted  samples.Counts
 	opening  []*stepWait
@@ -57,9 +57,12 @@
 }
 
 func newCore(cfg Config, deps Deps, nonce string, release func()) *core {
-	return &core{cfg: cfg, deps: deps, nonce: nonce, release: release, followed: make(map[api.TrainerID]*follow)}
+	return &core{cfg: cfg, deps: deps, nonce: nonce, release: release, followed: make(map[api.TrainerID]*follow), index: newIndex()}
 }
 
+// stream returns the state folded so far.
+func (f *follow) stream() *samples.Stream { return f.replica.Stream() }
+
 // Handle implements duty.Handler.
 func (c *core) Handle(_ context.Context, m message) {
 	m.apply(c)
@@ -71,10 +74,12 @@
 	for _, f := range append([]*follow(nil), c.order...) {
 		c.advance(f)
 		c.retryAppends(f)
+		c.checkpoint(f)
 		if c.idle(f) {
 			c.unfollow(f)
 		}
 	}
+	c.followNoticed()
 	c.plan()
 	c.read()
 }
@@ -118,8 +123,8 @@
 			return nil, api.Errorf(api.CodeShed, "%d trainers are followed already", len(c.order))
 		}
 		f = &follow{
-			trainer: t, name: api.TrainerStream(t), next: 1,
-			stream: samples.NewStream(), runner: samples.NewRunner(c.cfg.Run, c.cfg.Daemon),
+			trainer: t, name: api.TrainerStream(t),
+			replica: samples.NewReplica(samplecodec.DecodeImage), runner: samples.NewRunner(c.cfg.Run, c.cfg.Daemon),
 			jobs: make(map[samples.JobKey]api.RequestID), pending: make(map[api.RecordID]*pendingSample),
 		}
 		c.followed[t] = f
@@ -133,13 +138,14 @@
 }
 
 // idle reports whether a stream needs not be followed: nobody asked for long,
-// and this daemon runs none of its steps.
+// this daemon runs none of its steps, and is not chosen to keep open ones.
 func (c *core) idle(f *follow) bool {
 	waiting := len(f.opening) + len(f.abandons) + len(f.states) + len(f.pulls) + len(f.jobs) + len(f.pending)
 	if waiting > 0 || c.deps.Now().Sub(f.lastUsed) <= c.cfg.FollowIdle {
 		return false
 	}
-	return !f.stream.RunBy(c.cfg.Daemon)
+	open := f.stream().OpenSteps() > 0
+	return !f.stream().RunBy(c.cfg.Daemon) && !(open && c.chosen(f.trainer))
 }
 
 func (c *core) unfollow(f *follow) {
@@ -154,17 +160,18 @@
 
 // read starts the next read unless one is under way.
 func (c *core) read() {
-	if c.reading || len(c.order) == 0 || c.deps.Now().Before(c.readAfter) {
+	if c.reading || c.deps.Now().Before(c.readAfter) {
 		return
 	}
 	wait := c.cfg.ReadWait
-	positions := make([]eventlog.Position, len(c.order))
+	positions := make([]eventlog.Position, len(c.order), len(c.order)+1)
 	for i, f := range c.order {
-		if !f.synced {
+		if !f.replica.Synced() {
 			wait = 0 // calls wait to learn where the stream ends
 		}
-		positions[i] = eventlog.Position{Stream: f.name, From: f.next}
+		positions[i] = eventlog.Position{Stream: f.name, From: f.replica.Next()}
 	}
+	positions = append(positions, eventlog.Position{Stream: api.StreamTrainers, From: c.index.next})
 	ctx, cancel := context.WithCancel(context.Background())
 	follows := append([]*follow(nil), c.order...)
 	m := readCommand{ctx: ctx, cancel: cancel, positions: positions, follows: follows, wait: wait}
@@ -178,7 +185,7 @@
 
 // readMessage is the end of a read.
 type readMessage struct {
-	follows     []*follow // of batches, in the same order
+	follows     []*follow // of batches, in the same order; the last batch is the index's
 	batches     []eventlog.Batch
 	err         error
 	interrupted bool
@@ -191,6 +198,10 @@
 		c.readAfter = c.deps.Now().Add(c.cfg.ReadBackoff)
 	}
 	for i := range m.batches {
+		if i == len(m.follows) {
+			c.index.take(&m.batches[i], c.deps.Now())
+			continue
+		}
 		f := m.follows[i]
 		if c.followed[f.trainer] != f {
 			continue // forgotten meanwhile; a new follow reads from the front
@@ -203,22 +214,45 @@
 }
 
 func (c *core) fold(f *follow, b *eventlog.Batch) {
+	now := c.deps.Now()
+	before := f.replica.Gaps()
 	for i := range b.Entries {
 		e := &b.Entries[i]
-		if e.Offset < f.next {
+		if e.Offset < f.replica.Next() {
 			continue
 		}
-		f.next = e.Offset + 1
-		rec, err := samplecodec.Decode(e.ID, e.Payload)
-		if err != nil {
-			undecodable.Add(1)
-			continue
+		f.clock.entry(e, now)
+		c.feed(f, b.Oldest, b.Next, []samples.Logged{logged(e)})
+		f.clock.seen(f.replica.Complete())
+		if f.replica.Next() != e.Offset+1 {
+			break // it reads on from elsewhere
 		}
-		c.verdict(f, f.stream.Apply(e.Offset, rec))
 	}
-	f.next = max(f.next, b.Oldest)
-	f.synced = f.synced || f.next >= b.Next
-	count(&f.counted, f.stream.Counts())
+	c.feed(f, b.Oldest, b.Next, nil)
+	if f.replica.Gaps() != before {
+		gaps.Add(1)
+		f.counted = f.stream().Counts()
+	}
+	count(&f.counted, f.stream().Counts())
+}
+
+func (c *core) feed(f *follow, oldest, end api.Offset, records []samples.Logged) {
+	before := f.replica.Gaps()
+	for _, v := range f.replica.Feed(oldest, end, records) {
+		c.verdict(f, v)
+	}
+	if f.replica.Gaps() != before {
+		f.lostTrack()
+	}
+}
+
+func logged(e *eventlog.Entry) samples.Logged {
+	rec, err := samplecodec.Decode(e.ID, e.Payload)
+	if err != nil {
+		undecodable.Add(1)
+		rec = samples.Record{ID: e.ID}
+	}
+	return samples.Logged{At: e.Offset, Record: rec}
 }
 
 // verdict answers the calls that wait for a record.
