Rank a daemon for a trainer without ordering all daemons

Cause: at each tick of 20 ms the sampler ordered all live daemons for every trainer that it is not following.

--- a/server/sampler/index.go
+++ b/server/sampler/index.go
@@ -88,6 +88,5 @@
 	if !slices.Contains(names, self) {
 		names = append(names, self)
 	}
-	first := routing.Rendezvous(routing.Key(string(t)), names)
-	return slices.Contains(first[:min(followers, len(first))], self)
+	return routing.Rank(routing.Key(string(t)), names, self) < followers
 }
