Sampler: read nothing before the duties' handles are set

Since the index is read without a call the reader raced with Start; the race detector saw it in TestStepGoesOnWhenAllDaemonsAreReplaced.

--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -63,6 +63,11 @@
 // stream returns the state folded so far.
 func (f *follow) stream() *samples.Stream { return f.replica.Stream() }
 
+// startMessage is the first one: before it the duties' handles are not there.
+type startMessage struct{ post func(message) error }
+
+func (m startMessage) apply(c *core) { c.post = m.post }
+
 // Handle implements duty.Handler.
 func (c *core) Handle(_ context.Context, m message) {
 	m.apply(c)
@@ -71,6 +76,9 @@
 
 // Tick implements duty.Ticker.
 func (c *core) Tick(context.Context) {
+	if c.post == nil {
+		return
+	}
 	for _, f := range append([]*follow(nil), c.order...) {
 		c.advance(f)
 		c.retryAppends(f)
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -147,7 +147,7 @@
 	// each append of a call, and of the reader.
 	size := cfg.Run.MaxOutstanding + 2*cfg.FrontLimit + 1
 	s.duty = duty.Start(sys, duty.Config{Name: "sampler", RingSize: size, Tick: cfg.Tick}, c)
-	c.post = s.duty.Post
+	_ = s.duty.Post(startMessage{post: s.duty.Post}) // a new duty's ring is empty
 	return s
 }
 
