--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/front/adminapi"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/membership"
 	"dotterelmount.example/lib/recordcodec"
 	"dotterelmount.example/lib/weights"
 	"dotterelmount.example/server/logbook"
@@ -88,15 +89,16 @@
 	s := adminapi.Status{
 		Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre),
 		Ready: true, ConfigOffset: state.Through, Members: n.members(),
-		Duties: dutyStatus(n.book.Duties(), n.dispatch.Duties()),
+		Duties: dutyStatus(n.book.Duties(), n.dispatch.Load().Duties(), n.shares.Load().Duties()),
 	}
 	if err := n.ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
 	}
-	view := n.dispatch.View()
+	view := n.dispatch.Load().View()
 	for _, u := range view.Upstreams {
 		mark := api.MarkActive
-		if state.Draining(u.ID) {
+		// The picture's calls in progress count only once the dispatcher knows the mark.
+		if u.Draining && state.Draining(u.ID) {
 			mark = api.MarkDraining
 		}
 		s.Upstreams = append(s.Upstreams, adminapi.UpstreamStatus{
@@ -119,8 +121,13 @@
 	return out
 }
 
-// Alive implements sampler.Members.
-func (n *Node) Alive(id api.DaemonID) bool { return slices.Contains(n.live(), id) }
+// Alive implements sampler.Members: a run that was followed by another one of
+// the same daemon is not alive.
+func (n *Node) Alive(id api.DaemonID) bool {
+	return slices.ContainsFunc(n.gossip.Load().Members(), func(m membership.Member) bool {
+		return m.Status <= membership.Suspect && sameRun(id, m)
+	})
+}
 
 // Live implements sampler.Members.
 func (n *Node) Live() []api.DaemonID { return n.live() }
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"time"
 
 	"dotterelmount.example/api"
@@ -9,7 +8,9 @@
 	"dotterelmount.example/front/peer"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/membership"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/server/gossip"
+	"dotterelmount.example/server/shares"
 )
 
 // startBound is the longest time since the log or a majority of the daemons
@@ -25,9 +26,13 @@
 		return err
 	}
 	n.peers = peer.NewClient()
+	address := n.settings.Listen.AdvertisePeers
+	if address == "" {
+		address = listener.Addr().String()
+	}
 	cfg := gossip.Config{
 		Self: membership.Member{
-			ID: api.DaemonID(n.settings.Daemon), Peer: listener.Addr().String(), Caller: n.address,
+			ID: api.DaemonID(n.settings.Daemon), Peer: address, Caller: n.address,
 			DataCentre: api.DataCentre(n.settings.DataCentre), Incarnation: uint64(n.started.UnixMilli()),
 		},
 		Seeds: n.settings.Peers, Source: seeds{n}, Protocol: membership.DefaultConfig(),
@@ -37,16 +42,70 @@
 	}
 	g := gossip.Start(n.system, cfg, n.peers, n.book)
 	n.gossip.Store(g)
-	n.server, err = peer.Start(n.system, listener, peerHandler{g})
+	s := shares.Start(n.system, shares.Config{
+		Daemon: cfg.Self.ID, ShortReserve: n.settings.Dispatch.ShortReserve, Changed: n.dispatch.Load().SharesChanged,
+	}, n.peers, n.book.State, n.sharers)
+	n.shares.Store(s)
+	n.server, err = peer.Start(n.system, listener, peerHandler{g, s})
 	return err
 }
 
 // peerHandler serves peers.
-type peerHandler struct{ *gossip.Gossip }
+type peerHandler struct {
+	*gossip.Gossip
+	*shares.Shares
+}
+
+// sharers returns the daemons between which windows and limits are shared.
+func (n *Node) sharers() []shares.MemberAddr {
+	var out []shares.MemberAddr
+	for _, m := range n.gossip.Load().Members() {
+		if m.Status <= membership.Suspect {
+			out = append(out, shares.MemberAddr{ID: m.ID, Address: m.Peer})
+		}
+	}
+	return out
+}
+
+// dispatchShares gives the dispatcher, which starts first, the shares.
+type dispatchShares struct{ n *Node }
+
+// Window implements dispatch.Shares.
+func (d dispatchShares) Window(id api.UpstreamID) (long, short int) {
+	if s := d.n.shares.Load(); s != nil {
+		return s.Window(id)
+	}
+	return 0, 0
+}
+
+// Concurrency implements dispatch.Shares.
+func (d dispatchShares) Concurrency(p api.PlanName) int {
+	if s := d.n.shares.Load(); s != nil {
+		return s.Concurrency(p)
+	}
+	return 0
+}
 
-// Slots implements peer.SlotsHandler.
-func (peerHandler) Slots(context.Context, peer.SlotsRequest) (peer.SlotsLease, error) {
-	return peer.SlotsLease{}, api.Errorf(api.CodeNoUpstream, "windows are not shared out here")
+// Demand implements dispatch.Shares.
+func (d dispatchShares) Demand(list []quota.Demand, generation uint64) bool {
+	s := d.n.shares.Load()
+	return s != nil && s.Demand(list, generation)
+}
+
+// Generation implements dispatch.Shares.
+func (d dispatchShares) Generation() uint64 {
+	if s := d.n.shares.Load(); s != nil {
+		return s.Generation()
+	}
+	return 0
+}
+
+// liveCount returns the number of daemons that share the plans' rates.
+func (n *Node) liveCount() int {
+	if n.gossip.Load() == nil {
+		return 1
+	}
+	return len(n.live())
 }
 
 // seeds offers the hosts of the platform's list that are not upstreams.
@@ -61,8 +120,11 @@
 	return s.n.hosts.Live(func(address string) bool { return upstreams[address] })
 }
 
-// spread runs on the ledger's thread.
-func (n *Node) spread(s *ledger.State) {
+// changed runs on the ledger's thread, also before the other parts have started.
+func (n *Node) changed(s *ledger.State) {
+	if d := n.dispatch.Load(); d != nil {
+		d.Update(s)
+	}
 	if g := n.gossip.Load(); g != nil {
 		g.Advanced(s.Through)
 	}
@@ -116,7 +178,8 @@
 }
 
 // current reports whether the configuration is known to be recent enough to
-// start work by it. The dispatcher's thread calls it, also during the start.
+// start work by it. The dispatcher asks from its first tick on, before the
+// other parts are started.
 func (n *Node) current() bool { return n.wired.Load() && n.age() <= startBound }
 
 // ready returns why the daemon refuses requests, or nil.
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -16,8 +16,8 @@
 
 // Limits of what one message or answer may hold.
 const (
-	maxMessageBytes = 1 << 20
-	maxTailBytes    = maxMessageBytes / 2
+	maxMessageBytes = 8 << 20
+	maxTailBytes    = 1 << 19
 	maxTailEntries  = 256
 )
 
@@ -61,7 +61,7 @@
 func (a acceptor) Handle(ctx context.Context, server *drpcserver.Server) {
 	// What Serve could report is the listener's failure, which peers see as
 	// this daemon's silence.
-	_ = server.Serve(ctx, countedListener{a.listener})
+	_ = server.Serve(ctx, traffic.Listener(a.listener))
 }
 
 func managerOptions() drpcmanager.Options {
@@ -119,6 +119,15 @@
 	return &peerpb.TailResponse{Entries: entriesToProto(fitting(entries))}, nil
 }
 
+// Image implements peerpb.DRPCPeerServer.
+func (s *service) Image(ctx context.Context, _ *peerpb.ImageRequest) (*peerpb.ImageResponse, error) {
+	state, err := s.handler.Image(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.ImageResponse{State: state}, nil
+}
+
 // fitting returns as many of the first entries as fit a message, at least one.
 func fitting(entries []eventlog.Entry) []eventlog.Entry {
 	size := 0
@@ -131,21 +140,12 @@
 	return entries
 }
 
-// Slots implements peerpb.DRPCPeerServer.
-func (s *service) Slots(ctx context.Context, in *peerpb.SlotsRequest) (*peerpb.SlotsResponse, error) {
-	lease, err := s.handler.Slots(ctx, SlotsRequest{
-		Upstream: api.UpstreamID(in.GetUpstream()),
-		Daemon:   api.DaemonID(in.GetDaemon()),
-		Seq:      in.GetSeq(),
-		Held:     int(in.GetHeld()),
-		Want:     int(in.GetWant()),
-	})
+// Shares implements peerpb.DRPCPeerServer.
+func (s *service) Shares(ctx context.Context, in *peerpb.SharesRequest) (*peerpb.SharesResponse, error) {
+	asks := asksFromProto(in)
+	grants, err := s.handler.HandleAsk(ctx, asks)
 	if err != nil {
 		return nil, err
 	}
-	return &peerpb.SlotsResponse{
-		Seq:       lease.Seq,
-		Slots:     uint32(max(0, lease.Slots)),
-		TtlMillis: uint32(max(0, lease.TTL.Milliseconds())),
-	}, nil
+	return grantsToProto(grants, asks), nil
 }
--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -25,15 +25,26 @@
 // tick that comes while another waits is dropped.
 type Ticker interface{ Tick(ctx context.Context) }
 
+// Idler is implemented by tickers that have nothing to do at times. After a
+// tick at whose end Idle is true, the next comes after Config.IdleTick, or
+// Config.Tick after the first message at whose end Idle is false.
+type Idler interface{ Idle() bool }
+
 // Stopper is implemented by handlers that clean up on their own thread after
 // their last message.
 type Stopper interface{ Stopped() }
 
+// Dropper is implemented by handlers that owe an answer to every message:
+// those still queued at the stop are passed to Dropped, on the duty's thread,
+// after Stopped.
+type Dropper[M any] interface{ Dropped(m M) }
+
 // Config describes a duty.
 type Config struct {
 	Name     string
 	RingSize int           // entries; a full ring rejects posts
 	Tick     time.Duration // zero: no ticks
+	IdleTick time.Duration // between ticks of an idle Idler; zero: Tick
 	Unlocked bool          // do not lock the thread; for measurements only
 }
 
@@ -89,6 +100,12 @@
 func Start[M any](s *System, cfg Config, h Handler[M]) *Duty[M] {
 	ctx, cancel := context.WithCancel(context.Background())
 	box := newMailbox(cfg)
+	if d, ok := any(h).(Dropper[M]); ok {
+		box.dropped = func(m any) { d.Dropped(m.(M)) }
+	}
+	if idler, ok := h.(Idler); ok && cfg.IdleTick > 0 {
+		box.idle = idler.Idle
+	}
 	act := &dutyActor[M]{name: cfg.Name, handler: h, ctx: ctx, onPanic: s.onPanic}
 	props := actor.PropsFromProducer(
 		func() actor.Actor { return act },
@@ -132,7 +149,7 @@
 func (d *Duty[M]) Rejected() uint64 { return d.mailbox.rejected.Load() }
 
 // Stop ends the duty after the message in hand and waits for it. Messages
-// still queued are dropped. Errors: ctx.Err().
+// still queued go to the handler's Dropped, if it has one. Errors: ctx.Err().
 func (d *Duty[M]) Stop(ctx context.Context) error {
 	d.cancel()
 	d.system.actors.Root.Stop(d.pid)
--- a/lib/duty/duty_test.go
+++ b/lib/duty/duty_test.go
@@ -67,6 +67,35 @@
 	assert.Assert(t, errors.As(d.Post(3), &closed))
 }
 
+type keeper struct {
+	gate
+	left []int
+}
+
+func (k *keeper) Dropped(n int) { k.left = append(k.left, n) }
+
+func TestStopHandsBackWhatIsQueued(t *testing.T) {
+	k := &keeper{gate: *newGate()}
+	d := duty.Start(duty.NewSystem(nil), duty.Config{Name: "keeper", RingSize: 4}, k)
+	for n := range 3 {
+		assert.NilError(t, d.Post(n))
+	}
+	<-k.entered
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Stop(t.Context()) }()
+	for { // the stop is taken in before the next message
+		select {
+		case k.release <- struct{}{}:
+			continue
+		case err := <-stopped:
+			assert.NilError(t, err)
+		}
+		break
+	}
+	handled := len(k.entered) + 1
+	assert.Equal(t, handled+len(k.left), 3)
+}
+
 func TestPanicIsReportedAndDutyGoesOn(t *testing.T) {
 	g := newGate()
 	seen := make(chan *duty.Panic, 1)
@@ -88,6 +117,31 @@
 	assert.NilError(t, d.Stop(t.Context()))
 }
 
+// sleeper is idle until it gets a message.
+type sleeper struct {
+	busy  bool
+	ticks chan bool // whether it was busy
+}
+
+func (s *sleeper) Handle(_ context.Context, busy bool) { s.busy = busy }
+func (s *sleeper) Idle() bool                          { return !s.busy }
+func (s *sleeper) Tick(context.Context)                { s.ticks <- s.busy }
+
+func TestIdleDutyTicksRarelyUntilItHasWork(t *testing.T) {
+	s := &sleeper{ticks: make(chan bool, 1024)}
+	cfg := duty.Config{Name: "sleeper", RingSize: 1, Tick: time.Millisecond, IdleTick: time.Hour}
+	d := duty.Start(duty.NewSystem(nil), cfg, s)
+	assert.Equal(t, <-s.ticks, false) // the next one would come after an hour
+	assert.NilError(t, d.Post(true))
+	assert.Equal(t, <-s.ticks, true)
+	assert.Equal(t, <-s.ticks, true)
+	assert.NilError(t, d.PostWait(t.Context(), false))
+	for <-s.ticks {
+	}
+	assert.NilError(t, d.Stop(t.Context()))
+	assert.Equal(t, len(s.ticks), 0)
+}
+
 type counter struct{ done chan struct{} }
 
 func (c *counter) Handle(_ context.Context, last bool) {
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/lib/upstream"
 	"dotterelmount.example/lib/work"
 	"dotterelmount.example/server/carrier"
@@ -35,9 +36,11 @@
 	Rand             func(n int) int
 	// Strike reports that an upstream crashed under a fingerprint; it must only post.
 	Strike func(api.Strike)
-	// Shares bounds the calls in progress from this daemon to an upstream; nil
-	// or a negative result leaves the whole window.
-	Shares func(id api.UpstreamID) int
+	// Shares is this daemon's part of windows and limits; nil: all of them.
+	Shares Shares
+	// Live returns the number of live daemons, which share the plans' rates
+	// evenly; nil: one.
+	Live func() int
 	// Leaving reports whether the platform's host list says that the upstream
 	// at an address leaves; nil: never.
 	Leaving func(address string) bool
@@ -49,6 +52,20 @@
 	Truth func(id api.UpstreamID, m api.ModelName) api.WeightVersion
 }
 
+// Shares tells what this daemon may use of what all daemons share. Its methods
+// never block.
+type Shares interface {
+	// Window returns the slots of an upstream: for any work, and for short work only.
+	Window(id api.UpstreamID) (long, short int)
+	// Concurrency returns the requests in progress of a plan with such a limit.
+	Concurrency(p api.PlanName) int
+	// Generation numbers the present shares; it grows when they change.
+	Generation() uint64
+	// Demand tells needs that changed, found by the shares of a generation or
+	// later ones, and reports whether there was room for them.
+	Demand(d []quota.Demand, generation uint64) bool
+}
+
 // Dispatcher is the handle of the duty. It implements work.Submitter.
 type Dispatcher struct {
 	cfg      Config
@@ -67,15 +84,22 @@
 	cancelMsg struct{ id api.RequestID }
 	resultMsg struct{ result carrier.Result }
 	stateMsg  struct{ state *ledger.State }
+	sharesMsg struct{}
 )
 
 func (submitMsg) isEvent() {}
 func (cancelMsg) isEvent() {}
 func (resultMsg) isEvent() {}
 func (stateMsg) isEvent()  {}
-
-// dispatchTick is how often deadlines, hedges and shares are looked at.
-const dispatchTick = 10 * time.Millisecond
+func (sharesMsg) isEvent() {}
+
+const (
+	// dispatchTick is how often deadlines, hedges and shares are looked at.
+	dispatchTick = 10 * time.Millisecond
+	// idleTick is the same while there are no jobs. Carriers look at marks
+	// themselves right before they send.
+	idleTick = 200 * time.Millisecond
+)
 
 // Start spawns the dispatching duty and its carriers. Errors: CodeInvalid for
 // an unknown routing policy.
@@ -88,7 +112,7 @@
 		return nil, err
 	}
 	d.carriers = carrier.Start(sys, cfg.Carriers, client, cfg.Now, d.report)
-	d.duty = duty.Start(sys, duty.Config{Name: "dispatch", RingSize: cfg.RingSize, Tick: dispatchTick}, duty.Handler[event](h))
+	d.duty = duty.Start(sys, duty.Config{Name: "dispatch", RingSize: cfg.RingSize, Tick: dispatchTick, IdleTick: idleTick}, duty.Handler[event](h))
 	d.Update(state)
 	return d, nil
 }
@@ -117,6 +141,11 @@
 	_ = d.duty.Post(stateMsg{state: s}) // a full ring: the next tick compares revisions
 }
 
+// SharesChanged tells that Shares has other numbers than before. It never blocks.
+func (d *Dispatcher) SharesChanged() {
+	_ = d.duty.Post(sharesMsg{}) // a full ring: the next tick looks
+}
+
 // leaves reports whether an upstream takes no new work: it is marked for
 // cleaning, or the host list says that it leaves.
 func (d *Dispatcher) leaves(s *ledger.State, u *api.Upstream) bool {
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -6,7 +6,9 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/ledger"
+	"dotterelmount.example/lib/quota"
 	"dotterelmount.example/lib/retry"
 	"dotterelmount.example/lib/routing"
 	"dotterelmount.example/lib/work"
@@ -27,11 +29,17 @@
 	flights   map[api.RequestID]*flight
 	upstreams map[api.UpstreamID]*upstreamState
 	eligible  map[eligibleKey][]*upstreamState // of this state's lists
-	idle      []int                            // carriers without a task
+	plans     map[api.PlanName]*planState
+	demand    demand
+	resized   time.Time           // latest look at the shares
+	untried   []routing.Candidate // reused between decisions
+	tried     []routing.Candidate // reused between decisions
+	idle      []int               // carriers without a task
 	attempts  uint64
 	short     movingTime // time of short work, for hedging
 	strikes   map[api.Fingerprint]ledger.StrikeState
 	ticks     int
+	wasIdle   bool            // at the end of the last tick
 	cutCtx    context.Context // ends with the duty
 	cut       context.CancelFunc
 }
@@ -74,6 +82,7 @@
 	draining  bool
 	removed   bool
 	window    *admission.Window
+	observer  *routing.Observer // of its group
 	running   map[uint64]*attempt
 	suspended time.Time // no calls before then
 	refusals  int       // in a row
@@ -81,6 +90,8 @@
 	reserved  api.RequestID
 	crash     *crashCheck
 	slow      bool // as of the last tick or start
+	share     windowShare
+	seen      map[api.ModelName]seenVersion // versions that answers named
 }
 
 type eligibleKey struct {
@@ -101,6 +112,8 @@
 		flights:   make(map[api.RequestID]*flight),
 		upstreams: make(map[api.UpstreamID]*upstreamState),
 		strikes:   make(map[api.Fingerprint]ledger.StrikeState),
+		plans:     make(map[api.PlanName]*planState),
+		demand:    demand{told: make(map[quota.Resource]quota.Need)},
 		queue: admission.NewQueue(admission.Config{
 			Limit: d.cfg.QueueLimit, Weights: d.cfg.Weights, RolloutShare: d.cfg.RolloutShare,
 		}),
@@ -127,12 +140,23 @@
 		h.result(m.result)
 	case stateMsg:
 		h.adopt(m.state)
+		h.publish(h.cfg.Now()) // who sees a mark there sees the calls begun before it
+	case sharesMsg:
+		h.resize(h.cfg.Now())
+		h.pump()
+		h.tellDemand(h.cfg.Now(), 0)
+		return
 	}
 	h.pump()
+	if h.queue.Len() > 0 {
+		h.tellDemand(h.cfg.Now(), h.demandInterval())
+	}
 }
 
-// viewTicks is the number of ticks between two pictures of the state.
-const viewTicks = 5
+const (
+	refreshTicks = 5  // ticks between two looks at all upstreams
+	viewTicks    = 20 // ticks between two pictures of the state
+)
 
 // Tick looks at deadlines, shares and hedges.
 func (h *handler) Tick(context.Context) {
@@ -143,19 +167,43 @@
 	for _, it := range h.queue.Expired(now) {
 		h.expire(it.ID)
 	}
-	h.resize()
-	for id, u := range h.upstreams {
-		u.draining = h.d.leaves(h.state, &u.info)
-		u.slow = h.observer(u).Slow(id, now)
+	h.ticks++
+	if h.ticks%refreshTicks == 0 || h.Idle() {
+		h.refresh(now)
+	} else {
+		h.refreshRunning(now)
+	}
+	if h.ticks%viewTicks == 0 || (h.Idle() && !h.wasIdle) {
+		h.publish(now)
 	}
+	h.wasIdle = h.Idle()
 	h.hedge(now)
 	h.pump()
-	h.ticks++
-	if h.ticks%viewTicks == 0 {
-		h.publish(now)
+	h.tellDemand(now, h.demandInterval())
+}
+
+// refresh looks at every upstream anew.
+func (h *handler) refresh(now time.Time) {
+	h.resize(now)
+	for id, u := range h.upstreams {
+		u.draining = h.d.leaves(h.state, &u.info)
+		u.slow = u.observer.Slow(id, now)
+	}
+}
+
+// refreshRunning looks at the upstreams that have calls in progress, of which
+// alone there is news.
+func (h *handler) refreshRunning(now time.Time) {
+	for _, f := range h.flights {
+		for _, a := range f.running {
+			a.up.slow = a.up.observer.Slow(a.up.info.ID, now)
+		}
 	}
 }
 
+// Idle implements duty.Idler: there is no job.
+func (h *handler) Idle() bool { return len(h.flights) == 0 }
+
 // Stopped cuts what is still in progress.
 func (h *handler) Stopped() {
 	h.cut()
@@ -164,6 +212,16 @@
 	}
 }
 
+// Dropped answers a job that was still in the ring at the stop.
+func (h *handler) Dropped(m event) {
+	switch m := m.(type) {
+	case submitMsg:
+		refuse(m.job, api.Errorf(api.CodeNotReady, "the daemon stopped"))
+	case resultMsg:
+		// Its flight was finished by Stopped.
+	}
+}
+
 // adopt takes over a configuration.
 func (h *handler) adopt(s *ledger.State) {
 	if h.state != nil && s.Through < h.state.Through {
@@ -178,19 +236,24 @@
 	for _, info := range s.Usage.Upstreams {
 		u, ok := h.upstreams[info.ID]
 		if !ok {
-			u = &upstreamState{running: make(map[uint64]*attempt), window: h.newWindow(info.Window)}
+			u = &upstreamState{
+				running: make(map[uint64]*attempt), window: h.newWindow(info.Window),
+				seen: make(map[api.ModelName]seenVersion),
+			}
 			h.upstreams[info.ID] = u
 		}
 		u.info, u.removed = info, false
+		u.observer = h.observerOf(&u.info)
 		u.draining = h.d.leaves(s, &info)
 	}
 	for id, u := range h.upstreams {
 		if u.removed && len(u.running) == 0 {
 			delete(h.upstreams, id)
-			h.observer(u).Forget(id)
+			u.observer.Forget(id)
 		}
 	}
-	h.resize()
+	h.adoptPlans()
+	h.resize(h.cfg.Now())
 }
 
 // observedGroup is a set of upstreams whose times can be compared.
@@ -199,8 +262,8 @@
 	model api.ModelName
 }
 
-func (h *handler) observer(u *upstreamState) *routing.Observer {
-	g := observedGroup{kind: u.info.Kind, model: u.info.Models[0]}
+func (h *handler) observerOf(info *api.Upstream) *routing.Observer {
+	g := observedGroup{kind: info.Kind, model: info.Models[0]}
 	o, ok := h.watch[g]
 	if !ok {
 		o = routing.NewObserver()
@@ -213,19 +276,6 @@
 	return admission.NewWindow(admission.WindowConfig{Limit: limit, Floor: 1, ShortReserve: h.cfg.ShortReserve})
 }
 
-// resize gives each window this daemon's present share of the upstream's.
-func (h *handler) resize() {
-	for id, u := range h.upstreams {
-		limit := u.info.Window
-		if h.cfg.Shares != nil {
-			if share := h.cfg.Shares(id); share >= 0 {
-				limit = min(limit, share)
-			}
-		}
-		u.window.SetLimit(limit)
-	}
-}
-
 func (h *handler) cancel(id api.RequestID) {
 	f, ok := h.flights[id]
 	if !ok {
@@ -251,15 +301,19 @@
 	}
 	f.queued = false
 	err := api.Errorf(api.CodeDeadlineExceeded, "the deadline passed while queued")
+	if h.limited(f.job.Plan) {
+		err = api.Errorf(api.CodeQuotaExceeded, "the deadline passed while plan %q was at its concurrency", f.job.Plan)
+	}
 	if f.lastErr != nil {
 		err = api.Errorf(api.CodeDeadlineExceeded, "the deadline passed before another attempt after: %w", f.lastErr)
 	}
 	h.finish(f, work.Answer{Outcome: h.giveUp(f), Err: err})
 }
 
-// giveUp returns the outcome of a flight that is not tried again.
+// giveUp returns the outcome of a flight that is not tried again. An attempt
+// still in progress may have been sent.
 func (h *handler) giveUp(f *flight) api.Outcome {
-	return retry.GiveUp(retry.Failure{Sent: f.sent, Answered: f.answered})
+	return retry.GiveUp(retry.Failure{Sent: f.sent || len(f.running) > 0, Answered: f.answered})
 }
 
 // finish ends a flight; its other attempts are cancelled.
@@ -268,6 +322,11 @@
 		return
 	}
 	delete(h.flights, f.job.ID)
+	invariant.Check(a.Outcome != api.OutcomeNotRun || !f.sent && len(f.running) == 0, "not-run-was-not-sent",
+		"request %s, tried %v", f.job.ID, f.tried)
+	invariant.Check((a.Outcome == api.OutcomeComplete) == (a.Err == nil), "complete-has-no-error",
+		"request %s: %s: %v", f.job.ID, a.Outcome, a.Err)
+	h.plans[f.job.Plan].pending--
 	if f.queued {
 		h.queue.Remove(f.job.ID)
 	}
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -7,6 +7,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/admission"
+	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/routing"
 	"dotterelmount.example/lib/upstream"
@@ -19,6 +20,9 @@
 	if !h.d.current() {
 		return
 	}
+	if now.Sub(h.resized) > staleShares {
+		h.resize(now)
+	}
 	for len(h.idle) > 0 {
 		it, ok := h.queue.Next(now, func(it admission.Item) bool { return h.runnable(it.ID, now) })
 		if !ok {
@@ -35,7 +39,11 @@
 
 func (h *handler) runnable(id api.RequestID, now time.Time) bool {
 	f, ok := h.flights[id]
-	return ok && len(h.candidates(f, now)) > 0
+	if !ok || h.limited(f.job.Plan) {
+		return false
+	}
+	solo := h.verdict(f.job.Fingerprint, now) == quarantine.Solo
+	return slices.ContainsFunc(h.served(f.job), func(u *upstreamState) bool { return h.open(u, f, solo, now) })
 }
 
 // start sends a flight to the upstream that the policy picks.
@@ -46,6 +54,8 @@
 		return false
 	}
 	u := h.upstreams[id]
+	invariant.Check(!u.draining && !u.removed, "no-new-work-while-draining", "request %s to %s", f.job.ID, id)
+	invariant.Check(f.job.Repeatable || !f.sent, "once-only-is-sent-once", "request %s, tried %v", f.job.ID, f.tried)
 	h.attempts++
 	a := &attempt{id: h.attempts, flight: f, up: u, started: now}
 	a.solo = h.verdict(f.job.Fingerprint, now) == quarantine.Solo
@@ -53,11 +63,12 @@
 	if u.reserved == f.job.ID {
 		u.reserved = ""
 	}
+	h.planStarts(f)
 	f.running[a.id], u.running[a.id] = a, a
 	f.started++
 	f.tried = append(f.tried, id)
 	u.window.Start(f.job.Lane, f.short)
-	u.slow = h.observer(u).Slow(id, now) // a probe lets one request through
+	u.slow = u.observer.Slow(id, now) // a probe lets one request through
 	var ctx context.Context
 	ctx, a.cancel = context.WithDeadline(h.cutCtx, f.job.Deadline)
 	h.send(&carrier.Task{
@@ -88,34 +99,33 @@
 }
 
 // candidates returns the upstreams that may take a flight now. Those already
-// tried come back only when no other is left.
+// tried come back only when no other is left. The result is good until the
+// next call.
 func (h *handler) candidates(f *flight, now time.Time) []routing.Candidate {
-	var untried, tried []routing.Candidate
+	h.untried, h.tried = h.untried[:0], h.tried[:0]
 	solo := h.verdict(f.job.Fingerprint, now) == quarantine.Solo
 	for _, u := range h.served(f.job) {
-		if !h.open(u, f, solo, now) {
-			continue
-		}
-		c := h.candidate(u)
-		if slices.Contains(f.tried, u.info.ID) {
-			tried = append(tried, c)
-		} else {
-			untried = append(untried, c)
+		switch {
+		case !h.open(u, f, solo, now):
+		case slices.Contains(f.tried, u.info.ID):
+			h.tried = append(h.tried, h.candidate(u))
+		default:
+			h.untried = append(h.untried, h.candidate(u))
 		}
 	}
-	if len(untried) > 0 {
-		return untried
+	if len(h.untried) > 0 {
+		return h.untried
 	}
 	if len(f.running) > 0 { // a hedge needs another upstream
 		return nil
 	}
-	return tried
+	return h.tried
 }
 
 func (h *handler) candidate(u *upstreamState) routing.Candidate {
 	return routing.Candidate{
 		ID: u.info.ID, Free: u.window.Free(), InFlight: len(u.running),
-		Latency: h.observer(u).Latency(u.info.ID),
+		Latency: u.observer.Latency(u.info.ID),
 		Slow:    u.slow,
 		Local:   u.info.DataCentre == h.cfg.DataCentre,
 	}
@@ -132,7 +142,7 @@
 		return false
 	case solo && len(u.running) > 0:
 		return h.reserve(u, f, now)
-	case f.job.Lane == api.LaneRollout && !h.fresh(u, f):
+	case f.job.Lane == api.LaneRollout && !h.fresh(u, f, now):
 		return false
 	}
 	return h.windowless() || u.window.Admits(f.job.Lane, f.short)
@@ -158,11 +168,8 @@
 
 // fresh reports whether an engine is not known to run weights too old for the
 // plan's staleness bound.
-func (h *handler) fresh(u *upstreamState, f *flight) bool {
-	if h.cfg.Truth == nil {
-		return true
-	}
-	loaded := h.cfg.Truth(u.info.ID, f.job.Model)
+func (h *handler) fresh(u *upstreamState, f *flight, now time.Time) bool {
+	loaded := h.loaded(u, f.job.Model, now)
 	inForce := h.state.Weights[f.job.Model].Version
 	if loaded == 0 || loaded >= inForce {
 		return true
@@ -171,6 +178,28 @@
 	return err == nil && uint64(inForce-loaded) <= plan.StalenessBound
 }
 
+// seenLife is how long a version that an answer named counts ahead of the
+// latest read-back. After that an engine is tried again.
+const seenLife = 2 * time.Second
+
+// seenVersion is the version that made the last token of an answer.
+type seenVersion struct {
+	version api.WeightVersion
+	at      time.Time
+}
+
+// loaded returns the version that an engine runs as far as is known; zero is
+// unknown. An answer tells more surely than a read-back, until it is old.
+func (h *handler) loaded(u *upstreamState, m api.ModelName, now time.Time) api.WeightVersion {
+	if seen, ok := u.seen[m]; ok && now.Sub(seen.at) < seenLife {
+		return seen.version
+	}
+	if h.cfg.Truth == nil {
+		return 0
+	}
+	return h.cfg.Truth(u.info.ID, m)
+}
+
 // windowless reports whether the policy is a baseline that knows no windows.
 func (h *handler) windowless() bool {
 	switch h.cfg.Routing {
--- a/server/sampler/core_test.go
+++ b/server/sampler/core_test.go
@@ -1,6 +1,7 @@
 package sampler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -23,3 +24,29 @@
 	assert.Equal(t, fresh.replica.Next(), api.Offset(1))
 	assert.Assert(t, !fresh.replica.Synced())
 }
+
+type crowd struct{ live []api.DaemonID }
+
+func (m crowd) Alive(api.DaemonID) bool { return true }
+
+func (m crowd) Live() []api.DaemonID { return m.live }
+
+// Runs of daemons have ids of their own, but are chosen by their daemons' names.
+func TestAsManyDaemonsAsNeededFollowATrainer(t *testing.T) {
+	var members crowd
+	for i := range 12 {
+		members.live = append(members.live, api.DaemonID(fmt.Sprint("entry-", i)))
+	}
+	for trainer := range 50 {
+		chosen := 0
+		for _, id := range members.live {
+			cfg := DefaultConfig(id + "#1764836400000")
+			cfg.Member = id
+			c := newCore(cfg, Deps{Now: time.Now, Members: members}, "nonce", func() {})
+			if c.chosen(api.TrainerID(fmt.Sprint("t", trainer))) {
+				chosen++
+			}
+		}
+		assert.Equal(t, chosen, followers, "trainer %d", trainer)
+	}
+}
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -22,6 +22,8 @@
 // Config tunes the sampler.
 type Config struct {
 	Daemon api.DaemonID
+	// Member is the name under which Members lists this daemon.
+	Member api.DaemonID
 	Run    samples.RunConfig // MaxOutstanding counts the jobs of all trainers
 	// FrontLimit is the most calls of the front end that wait at once.
 	FrontLimit     int
@@ -45,7 +47,7 @@
 // DefaultConfig returns settings for a daemon of this name.
 func DefaultConfig(daemon api.DaemonID) Config {
 	return Config{
-		Daemon: daemon,
+		Daemon: daemon, Member: daemon,
 		Run: samples.RunConfig{
 			MaxOutstanding: 1024, MaxHedges: 64, HedgeShare: 0.8, HedgeAfter: time.Second, HedgeFactor: 3,
 			BackoffMin: 50 * time.Millisecond, BackoffMax: 5 * time.Second,
@@ -58,6 +60,9 @@
 	}
 }
 
+// idleTick is the time between ticks while no trainer is followed.
+const idleTick = time.Second
+
 // Appender appends records in the background, each at least once.
 type Appender interface {
 	// Append queues the record. done is called once, on the appender's thread:
@@ -79,7 +84,9 @@
 
 // Members tells which daemons are alive.
 type Members interface {
+	// Alive reports whether what calls itself by Config.Daemon is.
 	Alive(api.DaemonID) bool
+	// Live returns the names of the live daemons.
 	Live() []api.DaemonID
 }
 
@@ -146,7 +153,7 @@
 	// Room for one message of each job or sample under way, of each call, of
 	// each append of a call, and of the reader.
 	size := cfg.Run.MaxOutstanding + 2*cfg.FrontLimit + 1
-	s.duty = duty.Start(sys, duty.Config{Name: "sampler", RingSize: size, Tick: cfg.Tick}, c)
+	s.duty = duty.Start(sys, duty.Config{Name: "sampler", RingSize: size, Tick: cfg.Tick, IdleTick: idleTick}, c)
 	_ = s.duty.Post(startMessage{post: s.duty.Post}) // a new duty's ring is empty
 	return s
 }
