--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -166,6 +166,7 @@
 	cfg := sampler.DefaultConfig(runID(api.DaemonID(n.settings.Daemon), uint64(n.started.UnixMilli())))
 	// More jobs than the queue takes of rollouts would only be shed and tried again.
 	cfg.Run.MaxOutstanding = max(1, int(rolloutShare*float64(n.settings.Dispatch.QueueLimit)))
+	cfg.Member = api.DaemonID(n.settings.Daemon)
 	cfg.CheckpointEvery = n.settings.Platform.CheckpointEvery
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
 		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
--- a/server/sampler/index.go
+++ b/server/sampler/index.go
@@ -84,7 +84,7 @@
 	for _, id := range live {
 		names = append(names, string(id))
 	}
-	self := string(c.cfg.Daemon)
+	self := string(c.cfg.Member)
 	if !slices.Contains(names, self) {
 		names = append(names, self)
 	}
