Observe running calls, so that a slowed upstream is noticed within a few tokens

Cause: an upstream's time per token was observed only when a call ended; on an engine slowed five-fold a short answer takes over 2 s, which is as long as the burst, so the slowdown was noticed when it was over. The test of it fails without the change.

--- a/lib/routing/observer.go
+++ b/lib/routing/observer.go
@@ -62,12 +62,25 @@
 	u.observe(perToken, now)
 }
 
-// Progress records the time per token of a piece of a running call, or the
-// time for which a running call has made no progress.
+// Progress records the time per token of a piece of a running call.
 func (o *Observer) Progress(id api.UpstreamID, perToken time.Duration, now time.Time) {
 	o.upstream(id).observe(perToken, now)
 }
 
+// Stalled records that a running call has waited for its next token for at
+// least this long. Where that alone is slow it takes the place of a smaller
+// average, as it is certain; a shorter wait says nothing yet.
+func (o *Observer) Stalled(id api.UpstreamID, atLeast time.Duration, now time.Time) {
+	u := o.upstream(id)
+	median := o.medianLatency(now)
+	if median == 0 || atLeast <= u.latency || float64(atLeast) <= slowFactor*float64(median) {
+		return
+	}
+	u.saw(now)
+	u.fresh = false
+	u.latency = atLeast
+}
+
 // Latency returns the moving average of the time per token; zero is unknown.
 func (o *Observer) Latency(id api.UpstreamID) time.Duration {
 	u, ok := o.upstreams[id]
@@ -77,6 +90,10 @@
 	return u.latency
 }
 
+// Median returns the lower median of the times per token of all upstreams;
+// zero is unknown.
+func (o *Observer) Median(now time.Time) time.Duration { return o.medianLatency(now) }
+
 // Slow reports whether the upstream is to be avoided: its recent time per
 // token is several times the median of all, or its last calls failed. After a
 // probe interval in which running calls told nothing of it, Slow returns false
--- a/lib/routing/routing_test.go
+++ b/lib/routing/routing_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+func TestAStallCountsAtOnceWhereItAloneIsSlow(t *testing.T) {
+	o := routing.NewObserver()
+	for _, id := range []api.UpstreamID{"a", "b", "c"} {
+		o.Done(id, 10*time.Millisecond, true, t0)
+	}
+	o.Stalled("a", 20*time.Millisecond, t0)
+	assert.Equal(t, o.Latency("a"), 10*time.Millisecond)
+	assert.Assert(t, !o.Slow("a", t0))
+	o.Stalled("a", 30*time.Millisecond, t0)
+	assert.Equal(t, o.Latency("a"), 30*time.Millisecond)
+	assert.Assert(t, o.Slow("a", t0))
+	for range 5 {
+		o.Progress("a", 10*time.Millisecond, t0)
+	}
+	assert.Assert(t, !o.Slow("a", t0))
+}
+
 func BenchmarkAffinity650(b *testing.B) {
 	p, _ := routing.New(routing.PolicyAffinity)
 	cs := make([]routing.Candidate, 650)
--- a/server/carrier/carrier.go
+++ b/server/carrier/carrier.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelmount.example/api"
@@ -35,6 +36,8 @@
 	Silence time.Duration
 	// Admitted is asked right before the call; false sends the task back unsent.
 	Admitted func() bool
+	// Tokens counts those that have come so far, for readers on other threads.
+	Tokens atomic.Int64
 }
 
 // FirstByteFactor stretches the silence allowed before the first piece.
@@ -116,6 +119,7 @@
 		}
 		text.WriteString(d.Text)
 		r.Tokens += d.Tokens
+		t.Tokens.Add(int64(d.Tokens))
 		if d.Tokens > 0 && !slices.Contains(r.Versions, d.Version) {
 			r.Versions = append(r.Versions, d.Version)
 		}
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -74,6 +74,10 @@
 	cancel  context.CancelFunc
 	started time.Time
 	solo    bool
+	task    *carrier.Task
+	seen    int64     // tokens that had come at seenAt
+	seenAt  time.Time // when progress was last reported
+	stallAt time.Time // when a stall was last reported
 }
 
 // upstreamState is what this daemon knows of one upstream.
@@ -167,6 +171,7 @@
 	for _, it := range h.queue.Expired(now) {
 		h.expire(it.ID)
 	}
+	h.watchProgress(now)
 	h.ticks++
 	if h.ticks%refreshTicks == 0 || h.Idle() {
 		h.refresh(now)
--- /dev/null
+++ b/server/dispatch/progress.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import "time"
+
+const (
+	// progressTokens is the number of tokens whose mean time is one observation.
+	progressTokens = 4
+	// stallInterval is the least time between two reports of the same stall.
+	stallInterval = 20 * time.Millisecond
+)
+
+// watchProgress tells the observers how fast running generations come along,
+// so that an upstream that slows down is noticed within a few of its tokens
+// and not only when its calls end.
+func (h *handler) watchProgress(now time.Time) {
+	for _, f := range h.flights {
+		for _, a := range f.running {
+			a.observe(now)
+		}
+	}
+}
+
+// observe looks at one call. The time to the first token is left out: it
+// depends on the prompt and on the upstream's queue.
+func (a *attempt) observe(now time.Time) {
+	tokens := a.task.Tokens.Load()
+	if tokens == 0 {
+		return
+	}
+	if a.seen == 0 {
+		a.seen, a.seenAt, a.stallAt = tokens, now, now
+		return
+	}
+	gained := tokens - a.seen
+	waited := now.Sub(a.seenAt)
+	if gained >= progressTokens {
+		a.up.observer.Progress(a.up.info.ID, waited/time.Duration(gained), now)
+		a.seen, a.seenAt, a.stallAt = tokens, now, now
+		return
+	}
+	if now.Sub(a.stallAt) >= stallInterval {
+		a.stallAt = now
+		a.up.observer.Stalled(a.up.info.ID, waited/time.Duration(gained+1), now)
+	}
+}
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -71,12 +71,13 @@
 	u.slow = u.observer.Slow(id, now) // a probe lets one request through
 	var ctx context.Context
 	ctx, a.cancel = context.WithDeadline(h.cutCtx, f.job.Deadline)
-	h.send(&carrier.Task{
+	a.task = &carrier.Task{
 		Attempt: a.id, Job: f.job, Resume: f.text, ResumeTokens: f.tokens, Ctx: ctx,
 		Target:   upstream.Target{ID: id, Address: u.info.Address, Fresh: f.fresh},
 		Silence:  h.cfg.ProgressDeadline,
 		Admitted: h.admitted(id),
-	})
+	}
+	h.send(a.task)
 	return true
 }
 
