Hedge off a slowed upstream as soon as another should be done well before

Cause: short work under way on an engine when it slows down stayed there until three times the usual time had passed, over a second, or to the end of the burst; two engines of twelve hold a sixth of the short work, which is more than one request in a hundred for bursts of 2 s every 5 s.

--- a/server/dispatch/hedge.go
+++ b/server/dispatch/hedge.go
@@ -11,6 +11,9 @@
 	// hedgeFactor is how many times the usual time of short work an attempt
 	// takes before a second one starts.
 	hedgeFactor = 3
+	// hedgeGain is how many times as long as a whole run elsewhere the rest of
+	// an attempt must be expected to take before a second one starts.
+	hedgeGain = 1.5
 	// timeSmoothing is the weight of a new time in the usual time.
 	timeSmoothing = 0.05
 )
@@ -51,8 +54,22 @@
 	if f.hedged || f.cancelled || f.job.Stream || !f.job.Repeatable || !f.short || f.job.Lane != api.LaneInteractive {
 		return false
 	}
-	if now.Sub(a.started) < hedgeFactor*h.short.mean {
+	if now.Sub(a.started) < hedgeFactor*h.short.mean && !a.outpaced(now) {
 		return false
 	}
 	return h.verdict(f.job.Fingerprint, now) == quarantine.Free
 }
+
+// outpaced reports whether an attempt is on an upstream that has become so
+// slow that one begun elsewhere should be done well before it.
+func (a *attempt) outpaced(now time.Time) bool {
+	if !a.up.slow {
+		return false
+	}
+	o := a.up.observer
+	whole := int64(a.flight.job.CostTokens)
+	left := whole - a.task.Tokens.Load()
+	rest := time.Duration(left) * o.Latency(a.up.info.ID)
+	again := time.Duration(whole) * o.Median(now)
+	return rest > time.Duration(hedgeGain*float64(again))
+}
--- /dev/null
+++ b/server/dispatch/hedge_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/routing"
+	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/carrier"
+)
+
+// TestOnlyAnAttemptThatAnotherOvertakesIsOutpaced compares the rest of an
+// attempt at its upstream's speed with a whole run at the median speed.
+func TestOnlyAnAttemptThatAnotherOvertakesIsOutpaced(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	o := routing.NewObserver()
+	for _, id := range []api.UpstreamID{"a", "b", "c"} {
+		o.Done(id, 10*time.Millisecond, true, now)
+	}
+	o.Stalled("a", 50*time.Millisecond, now)
+	for _, c := range []struct {
+		slow   bool
+		tokens int64
+		want   bool
+	}{
+		{true, 0, true},   // 20 tokens at 50 ms against 20 at 10 ms
+		{true, 13, true},  // 7 tokens at 50 ms are 350 ms, against 200 ms
+		{true, 15, false}, // 250 ms
+		{false, 0, false},
+	} {
+		a := &attempt{
+			task:   &carrier.Task{},
+			flight: &flight{job: &work.Job{CostTokens: 20}},
+			up:     &upstreamState{info: api.Upstream{ID: "a"}, observer: o, slow: c.slow},
+		}
+		a.task.Tokens.Store(c.tokens)
+		assert.Equal(t, a.outpaced(now), c.want, "%+v", c)
+	}
+}
