Count as contact only what tells of now

What a frozen daemon reads when it thaws may be old: messages of peers count as contact only a second after a gap between two steps, answers of the log only if nothing was left to be read, and both are kept by the monotonic clock. Before: a peer's message that had lain in the socket for the whole freeze made the daemon start work by its old lists.

--- a/lib/membership/membership_test.go
+++ b/lib/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -114,3 +115,27 @@
 	cfg.ProbeEvery = 0
 	assert.Equal(t, api.CodeOf(cfg.Validate()), api.CodeInvalid)
 }
+
+// What lay unread while this process was frozen says nothing of now; the
+// answer to a probe says that of the time of the probe.
+func TestMessagesReadAfterAFreezeAreNoNewContact(t *testing.T) {
+	start := time.Unix(100, 0)
+	self := membership.Member{ID: "a", Peer: "10.1.0.1:7000", Incarnation: 1}
+	other := membership.Member{ID: "b", Peer: "10.1.0.2:7000", Incarnation: 1}
+	s := membership.New(membership.DefaultConfig(), self, nil, start)
+	r := rand.New(rand.NewPCG(1, 1))
+	hello := membership.Probed{Message: membership.Message{From: other, To: "a"}}
+	s.Step(hello, start.Add(2*time.Second), r)
+	s.Step(hello, start.Add(2100*time.Millisecond), r)
+	assert.Assert(t, s.LastContact().IsZero()) // just thawed
+	before := start.Add(3200 * time.Millisecond)
+	for at := start.Add(2200 * time.Millisecond); !at.After(before); at = at.Add(100 * time.Millisecond) {
+		s.Step(membership.Tick{}, at, r)
+	}
+	s.Step(hello, before, r)
+	assert.Equal(t, s.LastContact(), before)
+	after := start.Add(20 * time.Second)
+	s.Step(hello, after, r)
+	s.Step(membership.Tick{}, after, r)
+	assert.Equal(t, s.LastContact(), before)
+}
--- a/lib/membership/merge.go
+++ b/lib/membership/merge.go
@@ -9,7 +9,9 @@
 
 // receive takes in all records of a message.
 func (s *State) receive(m *Message) {
-	s.lastContact = s.now
+	if s.now.Sub(s.thawed) >= frozenDoubt {
+		s.lastContact = s.now
+	}
 	s.merge(m.From)
 	for _, u := range m.Updates {
 		s.merge(u)
--- a/lib/membership/probe.go
+++ b/lib/membership/probe.go
@@ -112,7 +112,12 @@
 	s.emit(SendProbe{Seq: s.seq, Addr: addr, Message: s.compose(id), Timeout: s.cfg.ProbeTimeout})
 }
 
+// answered takes in an answer, which is as old as the question may be: it can
+// have lain in a frozen process.
 func (s *State) answered(e Answered) {
+	if p, ok := s.pending[e.Seq]; ok && p.sent.After(s.lastContact) {
+		s.lastContact = p.sent
+	}
 	delete(s.pending, e.Seq)
 	s.receive(&e.Message)
 }
--- a/lib/membership/state.go
+++ b/lib/membership/state.go
@@ -56,6 +56,7 @@
 
 	lastTick    time.Time
 	lastContact time.Time
+	thawed      time.Time // when this process last went on after it was frozen
 	nextProbe   time.Time
 	page        pageCursor
 	pull        pullState
@@ -66,6 +67,15 @@
 	out  []Action  // of the step under way
 }
 
+const (
+	// frozenGap is the time between two steps, which ticks keep close, above
+	// which this process was frozen.
+	frozenGap = 500 * time.Millisecond
+	// frozenDoubt is how long after it messages may be older than they seem:
+	// they may have lain unread.
+	frozenDoubt = time.Second
+)
+
 // New returns the state of a daemon that knows only itself and the seeds.
 func New(cfg Config, self Member, seeds []string, now time.Time) *State {
 	self.Status = Alive
@@ -78,6 +88,7 @@
 		offsets:   map[api.DaemonID]int{},
 		pending:   map[uint64]*probe{},
 		lastTick:  now,
+		now:       now,
 		nextProbe: now,
 	}
 	s.count(&self, true)
@@ -87,6 +98,9 @@
 // Step handles one event and returns the actions it leads to. A random number
 // is drawn from r alone.
 func (s *State) Step(e Event, now time.Time, r Rand) []Action {
+	if now.Sub(s.now) > frozenGap {
+		s.thawed = now
+	}
 	s.now, s.rand, s.out = now, r, nil
 	switch e := e.(type) {
 	case Tick:
@@ -129,7 +143,8 @@
 // Counters returns what was done since the start.
 func (s *State) Counters() Counters { return s.counters }
 
-// LastContact returns when another daemon was last heard of; zero for never.
+// LastContact returns when another daemon last was in touch for certain; zero
+// for never.
 func (s *State) LastContact() time.Time { return s.lastContact }
 
 // Members returns all records including the own one, by name.
--- a/lib/membership/sync.go
+++ b/lib/membership/sync.go
@@ -94,7 +94,6 @@
 	for _, m := range e.Page.Members {
 		s.mergeOld(m)
 	}
-	s.lastContact = s.now
 	s.page.inFlight = false
 	s.page.after = e.Page.Next
 	s.page.due = s.now.Add(s.pageWait())
--- a/server/logbook/folder.go
+++ b/server/logbook/folder.go
@@ -115,7 +115,7 @@
 }
 
 func (f *folder) read(m readMsg) {
-	var next []eventlog.Position
+	reply := readReply{atEnd: true}
 	for _, batch := range m.batches {
 		s, ok := f.streams[batch.Stream]
 		if !ok {
@@ -124,10 +124,11 @@
 		before := s.fold.Through()
 		f.settle(s.feed(batch.Entries, batch.Oldest))
 		f.changed(batch.Stream, before, batch.Entries)
-		next = append(next, eventlog.Position{Stream: batch.Stream, From: s.next()})
+		reply.next = append(reply.next, eventlog.Position{Stream: batch.Stream, From: s.next()})
+		reply.atEnd = reply.atEnd && s.next() >= batch.Next
 	}
 	f.book.known.Store(f.streams[api.StreamConfig].known)
-	m.done.Put(next)
+	m.done.Put(reply)
 }
 
 func (f *folder) offer(entries []eventlog.Entry) {
--- a/server/logbook/logbook.go
+++ b/server/logbook/logbook.go
@@ -53,7 +53,7 @@
 	state    atomic.Pointer[ledger.State]
 	tail     atomic.Pointer[[]eventlog.Entry]
 	known    atomic.Bool
-	contact  atomic.Int64 // Unix nanoseconds of the last answer from the log
+	contact  atomic.Pointer[time.Time] // when the log was asked that last had nothing newer
 	watchers []func(*ledger.State)
 }
 
@@ -77,7 +77,11 @@
 type (
 	readMsg struct {
 		batches []eventlog.Batch
-		done    *ring.Slot[[]eventlog.Position] // where to read on
+		done    *ring.Slot[readReply]
+	}
+	readReply struct {
+		next  []eventlog.Position // where to read on
+		atEnd bool                // nothing was left to be read
 	}
 	offerMsg    struct{ entries []eventlog.Entry }
 	adoptMsg    struct{ state []byte }
@@ -130,10 +134,11 @@
 // or from a checkpoint.
 func (b *Book) Known() bool { return b.known.Load() }
 
-// LastContact returns when the log last answered; zero if it never did.
+// LastContact returns when the log was last asked whose answer left nothing to
+// be read; zero if it never was.
 func (b *Book) LastContact() time.Time {
-	if n := b.contact.Load(); n != 0 {
-		return time.Unix(0, n)
+	if t := b.contact.Load(); t != nil {
+		return *t
 	}
 	return time.Time{}
 }
--- a/server/logbook/reader.go
+++ b/server/logbook/reader.go
@@ -37,19 +37,23 @@
 	if err != nil {
 		r.pause(ctx)
 	} else {
-		r.deliver(ctx, batches)
-		r.book.contact.Store(asked.UnixNano())
+		r.deliver(ctx, batches, asked)
 	}
 	_ = r.book.reader.Post(pollMsg{}) // fails only once the duty is stopped
 }
 
-func (r *reader) deliver(ctx context.Context, batches []eventlog.Batch) {
-	done := ring.NewSlot[[]eventlog.Position]()
+func (r *reader) deliver(ctx context.Context, batches []eventlog.Batch, asked time.Time) {
+	done := ring.NewSlot[readReply]()
 	if err := r.book.folder.PostWait(ctx, readMsg{batches: batches, done: done}); err != nil {
 		return
 	}
-	if next, err := done.Wait(ctx); err == nil {
-		r.positions = next
+	reply, err := done.Wait(ctx)
+	if err != nil {
+		return
+	}
+	r.positions = reply.next
+	if reply.atEnd {
+		r.book.contact.Store(&asked)
 	}
 }
 
