Let window shares rest while nobody needs any

Cause of 2.9 to 3.2% of a core at rest with 650 upstreams listed (4 daemons, make control): the shares' duty looked at 1,300 resources every 25 ms. It now ticks every 500 ms while no share is needed, held or asked for. Ruled out before: a slower look at the members (no gain).

--- a/lib/quota/table.go
+++ b/lib/quota/table.go
@@ -241,6 +241,17 @@
 	return batches
 }
 
+// Idle reports whether this daemon needs and holds nothing and waits for no
+// answer. Due must still be called often enough for the keepers' Beat.
+func (t *Table) Idle() bool {
+	for _, e := range t.entries {
+		if e.need != (Need{}) || e.pending || e.holding.slots > 0 || e.loose > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *Table) beat(now time.Time) {
 	for _, e := range t.entries {
 		switch {
--- a/server/shares/owner.go
+++ b/server/shares/owner.go
@@ -85,6 +85,9 @@
 	o.advance()
 }
 
+// Idle implements duty.Idler: no share is needed, held or asked for.
+func (o *owner) Idle() bool { return o.table.Idle() }
+
 func (o *owner) refresh() {
 	now := o.s.cfg.Now()
 	clear(o.addresses)
--- a/server/shares/shares.go
+++ b/server/shares/shares.go
@@ -23,6 +23,9 @@
 const (
 	// ownerTick is the time between two looks at what is due.
 	ownerTick = 25 * time.Millisecond
+	// idleTick is the same while no share is needed or held. It is well below
+	// the quarter of a lease in which keepers have to be heard of.
+	idleTick = 500 * time.Millisecond
 	// callerRing is one: the owner gives calls to an idle caller only.
 	callerRing = 1
 	// Defaults of Config.
@@ -106,7 +109,7 @@
 		s.callers = append(s.callers, duty.Start(sys, duty.Config{Name: "shares-caller", RingSize: callerRing}, duty.Handler[call](c)))
 	}
 	o := newOwner(s, state, members)
-	s.owner = duty.Start(sys, duty.Config{Name: "shares", RingSize: cfg.RingSize, Tick: ownerTick}, duty.Handler[message](o))
+	s.owner = duty.Start(sys, duty.Config{Name: "shares", RingSize: cfg.RingSize, Tick: ownerTick, IdleTick: idleTick}, duty.Handler[message](o))
 	s.report(begin{})
 	return s
 }
