Let windows of batching engines stay open: congested is four times the least latency

The window took twice the least latency for congestion, so it shrank to one call a daemon under ordinary load: members waited in the queue while engines had free slots, and rollouts, which get what is left, got nearly nothing. Ruled out: lost or refused rollouts (no refusals, no retries), the lanes' weights (both weightings starved), the generator (lag p99 below 3 ms). An upstream that is slow beside its peers is avoided by observation anyway; a window that follows the peers rather than its own least latency would need no factor, and is left to do.

--- a/lib/admission/window.go
+++ b/lib/admission/window.go
@@ -11,8 +11,9 @@
 	// latencySmoothing is the weight of a new latency in the moving average.
 	latencySmoothing = 0.2
 	// congestedFactor is the multiple of the least latency at which an
-	// upstream counts as congested.
-	congestedFactor = 2.0
+	// upstream counts as congested. An engine with a full batch makes each token
+	// two to four times as slowly as one alone and is at its best then.
+	congestedFactor = 4.0
 	// decrease and decreaseOnFailure are the factors by which a window shrinks.
 	decrease          = 0.85
 	decreaseOnFailure = 0.7
