--- a/server/sampler/index.go
+++ b/server/sampler/index.go
@@ -84,10 +84,9 @@
 	for _, id := range live {
 		names = append(names, string(id))
 	}
-	self := string(c.cfg.Daemon)
+	self := string(c.cfg.Member)
 	if !slices.Contains(names, self) {
 		names = append(names, self)
 	}
-	first := routing.Rendezvous(routing.Key(string(t)), names)
-	return slices.Contains(first[:min(followers, len(first))], self)
+	return routing.Rank(routing.Key(string(t)), names, self) < followers
 }
--- a/server/sampler/sampler.go
+++ b/server/sampler/sampler.go
@@ -22,6 +22,8 @@
 // Config tunes the sampler.
 type Config struct {
 	Daemon api.DaemonID
+	// Member is the name under which Members lists this daemon.
+	Member api.DaemonID
 	Run    samples.RunConfig // MaxOutstanding counts the jobs of all trainers
 	// FrontLimit is the most calls of the front end that wait at once.
 	FrontLimit     int
@@ -45,7 +47,7 @@
 // DefaultConfig returns settings for a daemon of this name.
 func DefaultConfig(daemon api.DaemonID) Config {
 	return Config{
-		Daemon: daemon,
+		Daemon: daemon, Member: daemon,
 		Run: samples.RunConfig{
 			MaxOutstanding: 1024, MaxHedges: 64, HedgeShare: 0.8, HedgeAfter: time.Second, HedgeFactor: 3,
 			BackoffMin: 50 * time.Millisecond, BackoffMax: 5 * time.Second,
@@ -82,7 +84,9 @@
 
 // Members tells which daemons are alive.
 type Members interface {
+	// Alive reports whether what calls itself by Config.Daemon is.
 	Alive(api.DaemonID) bool
+	// Live returns the names of the live daemons.
 	Live() []api.DaemonID
 }
 
@@ -150,7 +154,7 @@
 	// each append of a call, and of the reader.
 	size := cfg.Run.MaxOutstanding + 2*cfg.FrontLimit + 1
 	s.duty = duty.Start(sys, duty.Config{Name: "sampler", RingSize: size, Tick: cfg.Tick, IdleTick: idleTick}, c)
-	c.post = s.duty.Post
+	_ = s.duty.Post(startMessage{post: s.duty.Post}) // a new duty's ring is empty
 	return s
 }
 
