Run a step's groups on all daemons that follow its trainer

The daemons that follow a trainer, now 8, divide its groups by rendezvous; the step's runner takes over groups that make no progress.

--- a/lib/samples/planner.go
+++ b/lib/samples/planner.go
@@ -94,8 +94,20 @@
 type View struct {
 	Alive  func(api.DaemonID) bool // by membership
 	Usable func(*StepOpened) bool  // the step's customer may use a served model
+	// Owns reports whether this daemon is the one of those that follow the
+	// trainer that runs a group; nil: the step's runner runs all its groups.
+	Owns func(GroupRef) bool
 }
 
+// part says which groups of a step this daemon runs.
+type part uint8
+
+const (
+	partNone part = iota
+	partOwned
+	partAll
+)
+
 // Plan decides what to start and cancel now. room is how many more jobs the
 // daemon may start. Its cost grows with the jobs under way, not with the open
 // slots.
@@ -103,34 +115,54 @@
 	var p Plan
 	r.forgetClosed(s, &p)
 	room = min(room, r.cfg.MaxOutstanding-r.outstanding)
-	mine := make(map[StepID]bool)
+	parts := make(map[StepID]part)
 	for _, st := range s.steps {
-		id := st.opened.Step
 		w := r.watch(st, now)
 		if st.open > 0 && !view.Usable(&st.opened) {
 			continue // its slots are late until the model is served again
 		}
-		if st.open > 0 && st.runner != r.self && r.takesOver(id, w, view.Alive, now) {
-			p.TakeOver = append(p.TakeOver, id)
-			mine[id] = true
-		}
-		mine[id] = mine[id] || st.runner == r.self
+		parts[st.opened.Step] = r.part(st, w, view, &p, now)
 	}
-	room = r.startAgain(s, &p, mine, room, now)
+	room = r.startAgain(s, &p, parts, room, now)
 	for _, st := range s.steps {
-		if room > 0 && mine[st.opened.Step] {
-			room = r.startNew(st, &p, room, now)
+		runs := parts[st.opened.Step]
+		if room <= 0 || runs == partNone {
+			continue
 		}
+		owns := view.Owns
+		if runs == partAll {
+			owns = nil
+		}
+		room = r.startNew(st, &p, owns, room, now)
 	}
 	return p
 }
 
+// part decides which groups of a step this daemon runs. Its runner also runs
+// those of daemons that do not get on with them.
+func (r *Runner) part(st *step, w *stepWatch, view View, p *Plan, now time.Time) part {
+	switch {
+	case st.runner == r.self:
+		if view.Owns == nil || now.Sub(w.since) >= r.cfg.TakeOverAfter/goneDivisor {
+			return partAll
+		}
+		return partOwned
+	case st.open > 0 && r.takesOver(st.opened.Step, w, view.Alive, now):
+		p.TakeOver = append(p.TakeOver, st.opened.Step)
+		return partAll
+	case view.Owns != nil:
+		return partOwned
+	default:
+		return partNone
+	}
+}
+
 // startAgain retries and hedges slots that ran before. It returns the room left.
-func (r *Runner) startAgain(s *Stream, p *Plan, mine map[StepID]bool, room int, now time.Time) int {
+func (r *Runner) startAgain(s *Stream, p *Plan, parts map[StepID]part, room int, now time.Time) int {
 	var again []SlotRef
 	delay := r.hedgeDelay()
 	for ref, run := range r.slots {
-		if st := s.byID[ref.Step]; mine[ref.Step] && r.shouldRun(run, st, delay, now) {
+		if st := s.byID[ref.Step]; parts[ref.Step] != partNone && r.shouldRun(run, st, delay, now) {
 			again = append(again, ref)
 		}
 	}
@@ -151,9 +183,10 @@
 	return cmp.Or(cmp.Compare(a.Step, b.Step), cmp.Compare(a.Group, b.Group), cmp.Compare(a.Index, b.Index))
 }
 
-// startNew starts slots that have not run here. It returns the room left.
-func (r *Runner) startNew(st *step, p *Plan, room int, now time.Time) int {
-	st.eachOpen(func(o OpenSlot) bool {
+// startNew starts slots that have not run here, of the groups that owns names
+// or, without it, of all. It returns the room left.
+func (r *Runner) startNew(st *step, p *Plan, owns func(GroupRef) bool, room int, now time.Time) int {
+	st.eachOpen(owns, func(o OpenSlot) bool {
 		if r.slots[o.SlotRef] != nil {
 			return true
 		}
@@ -334,7 +367,7 @@
 		if !old && usable(&st.opened) {
 			continue
 		}
-		st.eachOpen(func(o OpenSlot) bool {
+		st.eachOpen(nil, func(o OpenSlot) bool {
 			late = append(late, o.SlotRef)
 			return true
 		})
--- a/lib/samples/planner_test.go
+++ b/lib/samples/planner_test.go
@@ -6,6 +6,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/samples"
+	"dotterelmount.example/lib/work"
 	"gotest.tools/v3/assert"
 )
 
@@ -92,3 +93,25 @@
 	assert.Equal(t, len(r.Late(s, usable, now)), 0)
 	assert.Equal(t, len(r.Plan(s, alive, 100, now).Start), 3)
 }
+
+// Two followers run a step's groups between them, each once; the runner takes
+// over groups with which the other does not get on.
+func TestFollowersShareGroups(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := samples.NewStream()
+	step := samples.StepOpened{Step: "s0", Model: model, Customer: "c"}
+	for _, id := range []samples.GroupID{"a", "b", "c"} {
+		step.Groups = append(step.Groups, samples.GroupSpec{ID: id, N: 2, MaxTokens: 4, Messages: []work.Message{{Role: "user", Content: "x"}}})
+	}
+	assert.NilError(t, s.Apply(1, samples.Record{ID: "a", Body: step}).Err)
+	s.Apply(2, samples.Record{ID: "b", Body: samples.StepRunner{Step: "s0", Daemon: "d1"}})
+	one, two := alive, alive
+	one.Owns = func(g samples.GroupRef) bool { return g.Group == "a" }
+	two.Owns = func(g samples.GroupRef) bool { return g.Group != "a" }
+	r1, r2 := samples.NewRunner(runConfig(), "d1"), samples.NewRunner(runConfig(), "d2")
+	assert.Equal(t, len(r1.Plan(s, one, 100, now).Start), 2)
+	assert.Equal(t, len(r2.Plan(s, two, 100, now).Start), 4)
+	later := now.Add(runConfig().TakeOverAfter / 10)
+	assert.Equal(t, len(r1.Plan(s, one, 100, later.Add(-time.Millisecond)).Start), 0)
+	assert.Equal(t, len(r1.Plan(s, one, 100, later).Start), 4)
+}
--- a/lib/samples/query.go
+++ b/lib/samples/query.go
@@ -117,7 +117,7 @@
 func (s *Stream) OpenSlots() []OpenSlot {
 	var open []OpenSlot
 	for _, st := range s.steps {
-		st.eachOpen(func(o OpenSlot) bool {
+		st.eachOpen(nil, func(o OpenSlot) bool {
 			open = append(open, o)
 			return true
 		})
@@ -125,12 +125,16 @@
 	return open
 }
 
-// eachOpen calls yield for the open slots in order, until it returns false.
-func (st *step) eachOpen(yield func(OpenSlot) bool) {
+// eachOpen calls yield for the open slots in order, until it returns false;
+// groups that wanted, if not nil, refuses are passed over.
+func (st *step) eachOpen(wanted func(GroupRef) bool, yield func(OpenSlot) bool) {
 	if st.open == 0 {
 		return
 	}
 	for _, g := range st.groups {
+		if wanted != nil && !wanted(GroupRef{Step: st.opened.Step, Group: g.spec.ID}) {
+			continue
+		}
 		for i := range g.slots {
 			if g.slots[i].state != slotOpen {
 				continue
--- a/server/sampler/core.go
+++ b/server/sampler/core.go
@@ -34,6 +34,9 @@
 	cancelRead context.CancelFunc
 	readAfter  time.Time
 
+	live  []api.DaemonID             // members that teams was made of
+	teams map[api.TrainerID][]string // who follows a trainer
+
 	jobs    int // submitted and not finished
 	done    int // whole answers not yet in the log
 	appends int // other appends under way
@@ -46,6 +49,7 @@
 	replica  *samples.Replica
 	clock    checkpointClock
 	runner   *samples.Runner
+	work     teamwork
 	counted  samples.Counts
 	opening  []*stepWait
 	states   []stateMessage
@@ -80,6 +84,7 @@
 		return
 	}
 	for _, f := range append([]*follow(nil), c.order...) {
+		f.work.adopt(c.team(f.trainer))
 		c.advance(f)
 		c.retryAppends(f)
 		c.checkpoint(f)
--- a/server/sampler/index.go
+++ b/server/sampler/index.go
@@ -13,11 +13,13 @@
 
 const (
 	// followers is how many live daemons follow a trainer with open steps
-	// without being asked, so that its steps go on and outlive the log's
-	// retention whichever daemons are replaced.
-	followers = 3
+	// without being asked. They run its groups between them, and its steps go
+	// on and outlive the log's retention whichever daemons are replaced.
+	followers = 8
 	// maxNoticed bounds the trainers that notices name.
 	maxNoticed = 1024
+	// maxOwned bounds the groups of which it is remembered who runs them.
+	maxOwned = 1 << 14
 )
 
 // index follows the stream that names the trainers with open steps.
@@ -78,15 +80,58 @@
 }
 
 // chosen reports whether this daemon is one of a trainer's followers.
-func (c *core) chosen(t api.TrainerID) bool {
-	live := c.deps.Members.Live()
-	names := make([]string, 0, len(live)+1)
-	for _, id := range live {
+func (c *core) chosen(t api.TrainerID) bool { return slices.Contains(c.team(t), string(c.cfg.Member)) }
+
+// team returns the daemons that follow a trainer, by rendezvous.
+func (c *core) team(t api.TrainerID) []string {
+	if live := c.deps.Members.Live(); c.teams == nil || !slices.Equal(live, c.live) {
+		c.live, c.teams = slices.Clone(live), make(map[api.TrainerID][]string)
+	}
+	team, known := c.teams[t]
+	if !known {
+		team = c.choose(t)
+		c.teams[t] = team
+	}
+	return team
+}
+
+func (c *core) choose(t api.TrainerID) []string {
+	names := make([]string, 0, len(c.live)+1)
+	for _, id := range c.live {
 		names = append(names, string(id))
 	}
-	self := string(c.cfg.Member)
-	if !slices.Contains(names, self) {
+	if self := string(c.cfg.Member); !slices.Contains(names, self) {
 		names = append(names, self)
 	}
-	return routing.Rank(routing.Key(string(t)), names, self) < followers
+	ranked := routing.Rendezvous(routing.Key(string(t)), names)
+	return ranked[:min(followers, len(ranked))]
+}
+
+// teamwork divides a trainer's groups between its followers. Followers that
+// see other members than each other run some groups twice or, until the step's
+// runner takes them over, not at all; neither does harm.
+type teamwork struct {
+	team []string
+	owns map[samples.GroupRef]bool
+}
+
+// adopt takes over who follows the trainer now.
+func (w *teamwork) adopt(team []string) {
+	if !slices.Equal(team, w.team) {
+		w.team, w.owns = team, make(map[samples.GroupRef]bool)
+	}
+}
+
+// owned reports whether the daemon of that name runs a group.
+func (w *teamwork) owned(g samples.GroupRef, self string) bool {
+	owns, known := w.owns[g]
+	if !known {
+		if len(w.owns) >= maxOwned {
+			clear(w.owns)
+		}
+		key := routing.Key(string(g.Step) + "/" + string(g.Group))
+		owns = slices.Contains(w.team, self) && routing.Rank(key, w.team, self) == 0
+		w.owns[g] = owns
+	}
+	return owns
 }
--- a/server/sampler/running.go
+++ b/server/sampler/running.go
@@ -40,7 +40,11 @@
 
 func (c *core) planOne(f *follow, room int) {
 	now := c.deps.Now()
-	p := f.runner.Plan(f.stream(), samples.View{Alive: c.deps.Members.Alive, Usable: c.usable}, room, now)
+	view := samples.View{Alive: c.deps.Members.Alive, Usable: c.usable}
+	if len(f.work.team) > 1 {
+		view.Owns = func(g samples.GroupRef) bool { return f.work.owned(g, string(c.cfg.Member)) }
+	}
+	p := f.runner.Plan(f.stream(), view, room, now)
 	for _, id := range p.TakeOver {
 		takeOvers.Add(1)
 		c.claimStep(f, id)
