--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -50,6 +50,8 @@
 	version api.WeightVersion
 	reason  string // set in the last one
 	cut     bool   // close the connection
+	// truncated ends the stream without its end marker.
+	truncated bool
 }
 
 // sequence is one request in the queue or in the batch.
@@ -221,12 +223,26 @@
 	b.publish(now)
 }
 
+// halfway reports whether half of the tokens to make have been made.
+func (s *sequence) halfway() bool {
+	return s.entry.Tokens > 0 && 2*s.entry.Tokens >= s.entry.Tokens+s.target-s.next
+}
+
+// breakOff ends a sequence early, with its connection or without.
+func (b *batch) breakOff(now time.Time, s *sequence) {
+	how := endedCut
+	if b.mode == modeTruncate {
+		how = endedTruncated
+	}
+	_ = s.out.TryPush(output{cut: how == endedCut, truncated: how == endedTruncated})
+	s.out.Close()
+	b.ended(now, s, how)
+}
+
 // emit makes the next token, or ends the sequence and returns true.
 func (b *batch) emit(now time.Time, s *sequence) bool {
-	if b.mode == modeCut && s.entry.Tokens > 0 && 2*s.entry.Tokens >= s.entry.Tokens+s.target-s.next {
-		_ = s.out.TryPush(output{cut: true})
-		s.out.Close()
-		b.ended(now, s, endedCut)
+	if (b.mode == modeCut || b.mode == modeTruncate) && s.halfway() {
+		b.breakOff(now, s)
 		return true
 	}
 	version := b.weights.versions[s.model]
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -93,7 +93,7 @@
 		return
 	}
 	if c.Mode != nil && !c.Mode.valid() {
-		serve.Fail(w, http.StatusBadRequest, "invalid", fmt.Sprintf("mode %q; allowed: normal, slow, hang, crash, refuse, cut", *c.Mode))
+		serve.Fail(w, http.StatusBadRequest, "invalid", fmt.Sprintf("mode %q; allowed: normal, slow, hang, crash, refuse, cut, truncate", *c.Mode))
 		return
 	}
 	if c.Factor != nil && *c.Factor <= 0 {
@@ -153,6 +153,9 @@
 		if o.cut {
 			panic(http.ErrAbortHandler) // closes the connection
 		}
+		if o.truncated {
+			return
+		}
 		if o.text != "" {
 			count++
 		}
--- a/standin/engine/wire.go
+++ b/standin/engine/wire.go
@@ -83,11 +83,14 @@
 	modeCrash  mode = "crash"
 	modeRefuse mode = "refuse"
 	modeCut    mode = "cut"
+	// modeTruncate ends streams halfway without their end marker, on
+	// connections that stay whole.
+	modeTruncate mode = "truncate"
 )
 
 func (m mode) valid() bool {
 	switch m {
-	case modeNormal, modeSlow, modeHang, modeCrash, modeRefuse, modeCut:
+	case modeNormal, modeSlow, modeHang, modeCrash, modeRefuse, modeCut, modeTruncate:
 		return true
 	default:
 		return false
@@ -140,6 +143,7 @@
 	endedComplete  ending = "complete"
 	endedCancelled ending = "cancelled"
 	endedCut       ending = "cut"
+	endedTruncated ending = "truncated"
 	endedRefused   ending = "refused"
 )
 
--- a/standin/journal/journal.go
+++ b/standin/journal/journal.go
@@ -23,8 +23,12 @@
 	EventEnd    Event = "end"
 )
 
-// EndRefused is the Ended of a request that the stand-in refused to run.
-const EndRefused = "refused"
+// The Ended of requests that did not run to their end.
+const (
+	EndRefused   = "refused"   // not run at all
+	EndCut       = "cut"       // the connection was closed midway
+	EndTruncated = "truncated" // the answer stopped midway, without its end marker
+)
 
 // Line is one line of a journal.
 type Line struct {
--- a/standin/trainer/drive.go
+++ b/standin/trainer/drive.go
@@ -22,6 +22,7 @@
 	groups, samples          int
 	maxTokens, maxGroups     int
 	bound                    uint64
+	known                    api.WeightVersion // in force at the start
 	wait, timeout, train     time.Duration
 	verify                   bool
 }
@@ -69,8 +70,13 @@
 }
 
 // drive opens the steps in order and pulls until each sample was used.
-// Errors: CodeDeadlineExceeded.
+// Errors: CodeDeadlineExceeded, those of the journal.
 func (t *trainer) drive(ctx context.Context) error {
+	if t.cfg.known > 0 {
+		if err := t.journal.write(&entry{Seen: t.cfg.known}); err != nil {
+			return err
+		}
+	}
 	for ctx.Err() == nil {
 		done := t.stepsDone()
 		if done == t.cfg.steps {
--- a/standin/trainer/main.go
+++ b/standin/trainer/main.go
@@ -42,6 +42,7 @@
 			&cli.IntFlag{Name: "max-tokens", Value: 32, Usage: "longest sample"},
 			&cli.IntFlag{Name: "max-groups", Usage: "groups in one answer; 0: as the daemon likes"},
 			&cli.Uint64Flag{Name: "bound", Value: 1, Usage: "staleness bound of the customer's plan, in versions"},
+			&cli.Uint64Flag{Name: "known", Usage: "weight version that the trainer knows to be in force at its start"},
 			&cli.DurationFlag{Name: "wait", Value: 500 * time.Millisecond, Usage: "how long a pull waits for samples"},
 			&cli.DurationFlag{Name: "timeout", Value: 3 * time.Second, Usage: "a call is given up then"},
 			&cli.DurationFlag{Name: "deadline", Value: time.Minute, Usage: "the run is given up then"},
@@ -76,7 +77,7 @@
 		daemons: c.StringSlice("daemons"), trainer: c.String("trainer"), customer: c.String("customer"),
 		model: c.String("model"), steps: c.Int("steps"), ahead: max(1, c.Int("ahead")), groups: c.Int("groups"),
 		samples: c.Int("samples"), maxTokens: c.Int("max-tokens"), maxGroups: c.Int("max-groups"),
-		bound: c.Uint64("bound"), wait: c.Duration("wait"), timeout: c.Duration("timeout"),
+		bound: c.Uint64("bound"), known: api.WeightVersion(c.Uint64("known")), wait: c.Duration("wait"), timeout: c.Duration("timeout"),
 		train: c.Duration("train"), verify: c.Bool("verify"),
 	}
 }
