--- a/bench/soak/evidence.go
+++ b/bench/soak/evidence.go
@@ -31,6 +31,7 @@
 	// bySlot lists the requests made for a trainer's slot "trainer/step/group/index/".
 	bySlot       map[string][]api.RequestID
 	firstArrival map[api.RequestID]time.Time
+	broken       map[api.RequestID][]string // how engines broke it off
 }
 
 type arrival struct {
@@ -43,6 +44,7 @@
 		ran: make(map[api.RequestID]int), makings: make(map[api.RequestID][]making),
 		bodies: make(map[string]int), arrivals: make(map[api.UpstreamID][]arrival),
 		bySlot: make(map[string][]api.RequestID), firstArrival: make(map[api.RequestID]time.Time),
+		broken: make(map[api.RequestID][]string),
 	}
 }
 
@@ -66,8 +68,11 @@
 		case journal.EventTokens:
 			e.makings[id] = append(e.makings[id], making{version: api.WeightVersion(l.Version), from: l.From})
 		case journal.EventEnd:
-			if l.Ended == journal.EndRefused {
+			switch l.Ended {
+			case journal.EndRefused:
 				e.ran[id]--
+			case journal.EndCut, journal.EndTruncated:
+				e.broken[id] = append(e.broken[id], l.Ended)
 			}
 		}
 	}
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -32,10 +32,11 @@
 type injector struct {
 	d         *deployment
 	operators *operators
-	killer    func(ctx context.Context, number int)
+	killer    func(ctx context.Context, number int) bool
 	facets    map[string]*duty.Duty[func()]
 
 	mu       sync.Mutex
+	killers  int // requests so far
 	counts   map[kind]int
 	past     []happened
 	trainers []*trainee
@@ -54,8 +55,8 @@
 // play brings a schedule about and returns when all of its faults are over.
 // A fault that could not be brought about within its time isn't counted.
 func (j *injector) play(ctx context.Context, begin time.Time, faults []fault) {
-	for i, f := range faults {
-		name, do := j.fault(f, i)
+	for _, f := range faults {
+		name, do := j.fault(f)
 		_, subject, _ := strings.Cut(name, ":")
 		if j.facets[name] == nil {
 			cfg := duty.Config{Name: "fault-" + name, RingSize: faultRing}
@@ -78,6 +79,7 @@
 		// The duties are idle, so that each ends at once.
 		_ = d.Stop(context.Background())
 	}
+	clear(j.facets)
 }
 
 func (j *injector) try(ctx context.Context, f fault, subject string, do func(context.Context) bool) {
@@ -96,7 +98,7 @@
 }
 
 // fault returns the facet that a fault belongs to and what brings it about.
-func (j *injector) fault(f fault, number int) (string, func(context.Context) bool) {
+func (j *injector) fault(f fault) (string, func(context.Context) bool) {
 	engine := j.d.engines[f.Target%engineCount]
 	plain := j.d.plains[f.Target%plainCount]
 	daemon := j.d.daemons[f.Target%daemonCount]
@@ -114,8 +116,8 @@
 		return "end:" + daemon.name, j.pause(daemon, f.Lasts)
 	case daemonTerm:
 		return "end:" + daemon.name, j.terminate(daemon)
-	case engineHang, engineSlow, engineCut:
-		modes := map[kind]string{engineHang: "hang", engineSlow: "slow", engineCut: "cut"}
+	case engineHang, engineSlow, engineCut, engineTrunc:
+		modes := map[kind]string{engineHang: "hang", engineSlow: "slow", engineCut: "cut", engineTrunc: "truncate"}
 		return "mode:" + engine.name, j.mode(engine, modes[f.Kind], f.Lasts)
 	case plainHang:
 		return "mode:" + plain.name, j.mode(plain, "hang", f.Lasts)
@@ -140,15 +142,27 @@
 	case trainerKill:
 		t := j.trainers[f.Target%len(j.trainers)]
 		return "end:" + t.name, func(context.Context) bool { return t.end() }
+	case trainerStale:
+		t := j.trainers[f.Target%len(j.trainers)]
+		return "weights", func(ctx context.Context) bool { return j.outdate(ctx, t, f.Target) }
 	case weightSwap:
 		return "weights", func(ctx context.Context) bool { return j.operators.announce(ctx, f.Target) }
 	case weightPartway:
 		return "weights", j.swapPartway(f, engine)
 	default: // killerRequest
-		return "killer", func(ctx context.Context) bool { j.killer(ctx, number); return true }
+		number := j.nextKiller()
+		return "killer", func(ctx context.Context) bool { return j.killer(ctx, number) }
 	}
 }
 
+// nextKiller numbers the killer requests from 1, so that each is a new one.
+func (j *injector) nextKiller() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.killers++
+	return j.killers
+}
+
 func control(ctx context.Context, address string, body map[string]any) bool {
 	ctx, cancel := context.WithTimeout(ctx, controlLimit)
 	defer cancel()
--- a/bench/soak/interrupt.go
+++ b/bench/soak/interrupt.go
@@ -21,7 +21,7 @@
 // everything at upstreams and the way to them, and at the daemon itself.
 func (h happened) harms(daemon string) bool {
 	switch h.Kind {
-	case drainRace, drainOutage, hostLeaving, listRace, weightSwap, weightPartway, logOutage, logSlow, logLost, centreParted, trainerKill:
+	case drainRace, drainOutage, hostLeaving, listRace, weightSwap, weightPartway, logOutage, logSlow, logLost, centreParted, trainerKill, trainerStale:
 		return false
 	case daemonKill, daemonPause, daemonTerm:
 		return h.Subject == daemon
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -31,7 +31,10 @@
 	longOneIn      = 5
 	twiceOneIn     = 4 // once-only calls made through two daemons at the same moment
 	onceAttempts   = 5
-	killerAttempts = 6
+	killerAttempts = 60 // at most; a refusal for good ends them
+	killerTokens   = 5
+	killerTime     = 25 * time.Second
+	killerEvery    = 400 * time.Millisecond // engines start again meanwhile
 )
 
 // asked is one request of a caller with what came of it.
@@ -47,6 +50,7 @@
 	Plain     bool
 	Body      string // SHA-256 of a plain call's body
 	Foreign   string // why a complete answer is not the answer to the request
+	Killer    int    // number of a killer request; 0: not one
 	Error     string
 }
 
@@ -122,8 +126,13 @@
 }
 
 func (l *load) ask(daemon int, text string, length int, stream bool) asked {
-	a := asked{Daemon: daemon, Begin: time.Now()}
-	reply, err := l.caller.Ask(context.Background(), l.d.callers[daemon], check.Chat{
+	return l.askAs(asked{Daemon: daemon}, text, length, stream)
+}
+
+// askAs asks with what is already known of a request.
+func (l *load) askAs(a asked, text string, length int, stream bool) asked {
+	a.Begin = time.Now()
+	reply, err := l.caller.Ask(context.Background(), l.d.callers[a.Daemon], check.Chat{
 		Model: model, MaxTokens: longTokens + 1, Stream: stream,
 		Messages: []work.Message{{Role: "system", Content: "You coach bakers."}, {Role: "user", Content: text}},
 	})
@@ -194,14 +203,20 @@
 }
 
 // killer sends a request that crashes each engine that runs it, again and again
-// through other daemons, until it is refused for good.
-func (l *load) killer(ctx context.Context, number int) {
+// through other daemons, until it is refused for good. It reports whether it was.
+func (l *load) killer(ctx context.Context, number int) bool {
+	limit := time.Now().Add(killerTime)
+	text := fmt.Sprintf("%s %d: len=%d", killerText, number, killerTokens)
 	for i := range killerAttempts {
-		a := l.ask((number+i)%daemonCount, fmt.Sprintf("%s %d: len=5", killerText, number), 5, false)
-		if a.Status == http.StatusUnprocessableEntity || !wait(ctx, retryEvery) {
-			return
+		a := l.askAs(asked{Daemon: (number + i) % daemonCount, Killer: number}, text, killerTokens, false)
+		if a.Status == http.StatusUnprocessableEntity {
+			return true
+		}
+		if time.Now().After(limit) || !wait(ctx, killerEvery) {
+			break
 		}
 	}
+	return false
 }
 
 // dump writes every request to a file of JSON lines, for looking into a run.
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,6 +24,14 @@
 
 const failedStatus = 1
 
+// Beyond the duration of the load, the soak has so much time for the faults to
+// be tried again, the calm, the trainers' rest and the end. What still waits
+// after hardExtra more is abandoned.
+const (
+	overallExtra = 150 * time.Second
+	hardExtra    = 60 * time.Second
+)
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -72,6 +81,8 @@
 	duration time.Duration
 	kinds    []kind
 	result   Result
+	part     atomic.Value // string: what is under way
+	overdue  atomic.Value // string: the part that the time limit ended
 }
 
 // run plays the soak and prints its result, also when a part of it failed.
@@ -87,9 +98,18 @@
 		return err
 	}
 	defer runner.KillAll()
+	ctx, cancel := context.WithTimeout(ctx, s.duration+overallExtra)
+	defer cancel()
+	s.at("start")
+	watchdog := time.AfterFunc(s.duration+overallExtra+hardExtra, func() { s.abandon(runner) })
+	defer watchdog.Stop()
+	stopNote := context.AfterFunc(ctx, func() { s.overdue.Store(s.part.Load()) })
 	if err := s.play(ctx, runner); err != nil {
 		s.result.note("%v", err)
 	}
+	if part, ok := s.overdue.Load().(string); ok && !stopNote() {
+		s.result.Unfinished = part
+	}
 	line, err := json.Marshal(&s.result)
 	if err != nil {
 		return fmt.Errorf("encode the result: %w", err)
@@ -97,3 +117,14 @@
 	fmt.Println(string(line))
 	return s.result.check()
 }
+
+// at notes which part is under way.
+func (s *soak) at(part string) { s.part.Store(part) }
+
+// abandon ends the program and its children when a part does not end.
+func (s *soak) abandon(runner *proc.Runner) {
+	runner.KillAll()
+	fmt.Fprintf(os.Stderr, "soak: %s did not end in time\n", s.part.Load())
+	fmt.Printf("{\"seed\":%d,\"unfinished\":%q}\n", s.seed, s.part.Load())
+	os.Exit(failedStatus)
+}
--- a/bench/soak/operate.go
+++ b/bench/soak/operate.go
@@ -38,6 +38,7 @@
 	accepted int // changes
 	both     int // races in which both operators were told that theirs is in force
 	version  api.WeightVersion
+	inForce  api.WeightVersion // the highest that was accepted
 	turns    int
 }
 
@@ -197,11 +198,24 @@
 	}
 }
 
+// knownVersion returns the highest weight version that was accepted.
+func (o *operators) knownVersion() api.WeightVersion {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.inForce
+}
+
 // announce puts the next weight version in force. It reports whether it was accepted.
 func (o *operators) announce(ctx context.Context, daemon int) bool {
 	o.mu.Lock()
 	o.version++
 	v := o.version
 	o.mu.Unlock()
-	return o.ask(ctx, o.turn(daemon), http.MethodPost, adminapi.PathWeights, adminapi.PostWeights{Model: model, Version: v}, nil) == nil
+	if o.ask(ctx, o.turn(daemon), http.MethodPost, adminapi.PathWeights, adminapi.PostWeights{Model: model, Version: v}, nil) != nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.inForce = max(o.inForce, v)
+	return true
 }
--- a/bench/soak/play.go
+++ b/bench/soak/play.go
@@ -35,14 +35,18 @@
 	j := newInjector(d, o)
 	j.killer = l.killer
 	var training sync.WaitGroup
-	trained, stopTraining := context.WithTimeout(ctx, s.duration+trainerLimit)
+	trained, stopTraining := context.WithCancel(ctx)
 	defer stopTraining()
-	j.trainers = startTrainers(trained, d, s.duration, &training)
+	j.trainers = startTrainers(trained, d, o.knownVersion, s.duration, &training)
 	watches := s.trouble(ctx, d, l, j)
+	s.at("trainers")
+	giveUp := time.AfterFunc(trainerLimit, stopTraining)
 	training.Wait()
+	giveUp.Stop()
+	s.at("end")
 	s.recovered(ctx, d, l)
 	s.violations(ctx, d)
-	closing, stop := context.WithTimeout(ctx, closeLimit)
+	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeLimit)
 	defer stop()
 	exits, err := d.close(closing)
 	if err != nil {
@@ -55,18 +59,17 @@
 // trouble makes load and brings the faults about; it returns when both are over.
 func (s *soak) trouble(ctx context.Context, d *deployment, l *load, j *injector) []*watch {
 	begin := time.Now()
-	loaded, stopLoad := context.WithDeadline(ctx, begin.Add(s.duration))
+	loaded, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	watched, stopWatches := context.WithCancel(ctx)
 	var watching sync.WaitGroup
 	watches := startWatches(watched, d, &watching)
-	faulty, stopFaults := context.WithDeadline(ctx, begin.Add(s.duration-calm/2))
-	defer stopFaults()
 	var playing sync.WaitGroup
 	playing.Add(1)
 	startTask(d, "schedule", func() {
 		defer playing.Done()
-		j.play(faulty, begin, plan(s.seed, s.duration, s.kinds))
+		defer stopLoad()
+		s.schedule(ctx, l, j, begin)
 	})
 	l.run(loaded)
 	playing.Wait()
@@ -76,6 +79,20 @@
 	return watches
 }
 
+// schedule brings the faults about, tries again what is missing and ends with
+// the calm, with the load still on.
+func (s *soak) schedule(ctx context.Context, l *load, j *injector, begin time.Time) {
+	before, calmFaults := split(plan(s.seed, s.duration, s.kinds), faultyTime(s.duration))
+	s.at("schedule of faults")
+	j.play(ctx, begin, before)
+	s.at("faults that were not brought about yet")
+	s.again(ctx, j.d, l, j)
+	s.at("calm")
+	calmEnd := time.Now().Add(calm)
+	s.calmly(ctx, l, j, calmFaults)
+	wait(ctx, time.Until(calmEnd))
+}
+
 // recovered reports whether, without faults, every daemon serves a chat and a
 // once-only call within a bounded time.
 func (s *soak) recovered(ctx context.Context, d *deployment, l *load) {
@@ -112,21 +129,18 @@
 
 // judge fills the result in from what was seen.
 func (s *soak) judge(d *deployment, l *load, j *injector, watches []*watch, exits []exit) error {
-	e := newEvidence()
-	for _, group := range [][]*supervised{d.engines, d.plains} {
-		for _, p := range group {
-			lines, err := journal.Read(p.journal())
-			if err != nil {
-				return err
-			}
-			e.add(api.UpstreamID(p.name), lines)
-		}
+	e, err := readEvidence(d)
+	if err != nil {
+		return err
 	}
 	if err := l.dump(filepath.Join(s.out, "requests.json")); err != nil {
 		return err
 	}
 	r := &s.result
 	r.judge(l.asked, e)
+	r.judgeKillers(l.asked, e)
+	r.CutResumed = e.resumed(l.asked, journal.EndCut)
+	r.TruncatedResumed = e.resumed(l.asked, journal.EndTruncated)
 	r.judgeDrains(j.operators.drains, e)
 	r.judgeInterruptions(l.asked, e, j.operators.drains, j.past)
 	for _, t := range j.trainers {
--- a/bench/soak/result.go
+++ b/bench/soak/result.go
@@ -40,13 +40,23 @@
 	UnexpectedExits          int            `json:"unexpected_exits"` // of daemons, not otherwise listed
 	Recovered                bool           `json:"recovered"`        // in the end every daemon serves each kind of request
 	StoppedCleanly           bool           `json:"stopped_cleanly"`
+	CutResumed               int            `json:"cut_resumed"`       // complete answers that an engine had cut
+	TruncatedResumed         int            `json:"truncated_resumed"` // the same, without the end of a connection
+	KillerCrashes            int            `json:"killer_crashes"`    // the most of one killer request
+	KillersUnrefused         int            `json:"killers_unrefused"`
+	InnocentCondemned        int            `json:"innocent_condemned"`
+	Unfinished               string         `json:"unfinished,omitempty"` // part that the time limit ended
 	Errors                   []string       `json:"errors,omitempty"`
+	quiet                    bool           // keeps notes to itself
 }
 
 // maxErrors bounds the errors on the last line; the rest go to stderr only.
 const maxErrors = 8
 
 func (r *Result) note(format string, args ...any) {
+	if r.quiet {
+		return
+	}
 	text := fmt.Sprintf(format, args...)
 	fmt.Fprintln(os.Stderr, "soak:", text)
 	if len(r.Errors) < maxErrors {
@@ -144,6 +154,13 @@
 		{len(r.FaultsMissing) == 0, "faults_missing"},
 		{r.Requests[api.OutcomeComplete.String()] > 0, "requests"},
 		{r.SamplesDue > 0 && r.SamplesDelivered == r.SamplesDue, "samples_delivered"},
+		{r.SamplesDropped > 0, "samples_dropped"},
+		{r.CutResumed > 0, "cut_resumed"},
+		{r.TruncatedResumed > 0, "truncated_resumed"},
+		{r.KillerCrashes > 0 && r.KillerCrashes <= killerCrashBound, "killer_crashes"},
+		{r.KillersUnrefused == 0, "killers_unrefused"},
+		{r.InnocentCondemned == 0, "innocent_condemned"},
+		{r.Unfinished == "", "unfinished"},
 		{r.SamplesDuplicated == 0, "samples_duplicated"},
 		{r.StaleDelivered == 0, "stale_delivered"},
 		{r.WrongVersions == 0, "wrong_versions"},
--- a/bench/soak/schedule.go
+++ b/bench/soak/schedule.go
@@ -16,6 +16,7 @@
 	engineHang    kind = "engine-hang"
 	engineSlow    kind = "engine-slow"
 	engineCut     kind = "engine-cut"
+	engineTrunc   kind = "engine-truncate" // streams end without their end marker
 	plainCrash    kind = "plain-crash"
 	plainHang     kind = "plain-hang"
 	daemonKill    kind = "daemon-kill"
@@ -35,6 +36,7 @@
 	weightSwap    kind = "weight-swap"
 	weightPartway kind = "weight-swap-partway"
 	trainerKill   kind = "trainer-kill"
+	trainerStale  kind = "trainer-stale" // a trainer is away while its samples become too old
 	killerRequest kind = "killer-request"
 )
 
@@ -44,10 +46,11 @@
 // spans holds every kind with how long it lasts; zero for those of one moment.
 var spans = map[kind]span{
 	engineCrash: {}, engineKill: {}, plainCrash: {}, daemonKill: {}, daemonTerm: {}, listRace: {},
-	weightSwap: {}, weightPartway: {}, trainerKill: {}, killerRequest: {}, logLost: {},
+	weightSwap: {}, weightPartway: {}, trainerKill: {}, trainerStale: {}, killerRequest: {}, logLost: {},
 	engineHang:    {500 * time.Millisecond, 4 * time.Second},
 	engineSlow:    {time.Second, 4 * time.Second},
 	engineCut:     {500 * time.Millisecond, 2 * time.Second},
+	engineTrunc:   {500 * time.Millisecond, 2 * time.Second},
 	plainHang:     {500 * time.Millisecond, 2 * time.Second},
 	daemonPause:   {time.Second, 5 * time.Second},
 	linkCut:       {500 * time.Millisecond, 3 * time.Second},
--- a/bench/soak/trainers.go
+++ b/bench/soak/trainers.go
@@ -22,8 +22,8 @@
 	stepGroupSize = 4  // samples
 	stepTokens    = 24 // of each sample
 	groupTraining = 250 * time.Millisecond
-	stepEvery     = 1200 * time.Millisecond // one step of a trainer for so much load
-	trainerLimit  = 30 * time.Second        // for what is left when the faults are over
+	stepEvery     = stepGroups * groupTraining // steps last at least as long as the load
+	trainerLimit  = 30 * time.Second           // for what is left when the faults are over
 )
 
 // trainerReport is the last line of the trainer program.
@@ -46,15 +46,17 @@
 	mu     sync.Mutex
 	kill   context.CancelFunc // nil while it does not run
 	killed bool
+	away   bool                     // it is not started again for now
+	known  func() api.WeightVersion // in force when it starts
 	report trainerReport
 	err    error
 }
 
 // startTrainers starts them until ctx ends; done tells when all have ended.
-func startTrainers(ctx context.Context, d *deployment, duration time.Duration, done *sync.WaitGroup) []*trainee {
+func startTrainers(ctx context.Context, d *deployment, known func() api.WeightVersion, duration time.Duration, done *sync.WaitGroup) []*trainee {
 	var out []*trainee
 	for i := range trainerCount {
-		t := &trainee{d: d, name: fmt.Sprintf("trainer-%d", i+1), steps: max(1, int(duration/stepEvery)), done: done}
+		t := &trainee{d: d, known: known, name: fmt.Sprintf("trainer-%d", i+1), steps: max(1, int(duration/stepEvery)), done: done}
 		done.Add(1)
 		worker := duty.Start(d.system, duty.Config{Name: t.name, RingSize: 1}, duty.Handler[context.Context](t))
 		// An empty ring of one entry takes the only message.
@@ -68,6 +70,8 @@
 func (t *trainee) Handle(_ context.Context, ctx context.Context) {
 	defer t.done.Done()
 	for t.runOnce(ctx) && wait(ctx, restartDelay) {
+		for t.isAway() && wait(ctx, retryEvery) {
+		}
 	}
 }
 
@@ -100,6 +104,7 @@
 		"--steps", fmt.Sprint(t.steps), "--groups", fmt.Sprint(stepGroups),
 		"--samples", fmt.Sprint(stepGroupSize), "--max-tokens", fmt.Sprint(stepTokens),
 		"--bound", fmt.Sprint(stalenessBound), "--train", groupTraining.String(),
+		"--known", fmt.Sprint(t.known()),
 		"--deadline", time.Hour.String(), // the soak ends it
 	}
 	for _, address := range t.d.callers {
@@ -122,6 +127,30 @@
 	return true
 }
 
+// leave kills the trainer and keeps it away until back is called. ok is false
+// when it did not run.
+func (t *trainee) leave() (back func(), ok bool) {
+	t.mu.Lock()
+	t.away = true
+	t.mu.Unlock()
+	back = func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.away = false
+	}
+	if !t.end() {
+		back()
+		return nil, false
+	}
+	return back, true
+}
+
+func (t *trainee) isAway() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.away
+}
+
 // usedSample is one sample in a trainer's journal.
 type usedSample struct {
 	Step     string              `json:"step"`
@@ -150,6 +179,25 @@
 	return all, nil
 }
 
+// drops counts the samples that the trainer was told were too old. Errors: as samples.
+func (t *trainee) drops() (int, error) {
+	data, err := os.ReadFile(t.journal())
+	if err != nil {
+		return 0, fmt.Errorf("journal of %s: %w", t.name, err)
+	}
+	n := 0
+	for line := range strings.Lines(string(data)) {
+		var entry struct {
+			Drops []json.RawMessage `json:"drops"`
+		}
+		if json.Unmarshal([]byte(line), &entry) != nil {
+			break
+		}
+		n += len(entry.Drops)
+	}
+	return n, nil
+}
+
 // judgeTrainer compares what a trainer got with what the journals show.
 func (r *Result) judgeTrainer(t *trainee, e *evidence) error {
 	used, err := t.samples()
