--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -95,7 +95,7 @@
 	}
 	for i := range engineCount {
 		s := d.engine(i, addresses[i])
-		link, err := d.net.open(s.name, s.address)
+		link, err := d.openProcessLink(s)
 		if err != nil {
 			return err
 		}
@@ -107,7 +107,7 @@
 	}
 	for i := range plainCount {
 		s := d.plain(i, addresses[engineCount+i])
-		link, err := d.net.open(s.name, s.address)
+		link, err := d.openProcessLink(s)
 		if err != nil {
 			return err
 		}
@@ -124,6 +124,16 @@
 	return nil
 }
 
+// openProcessLink makes the link that refuses connections while s does not run.
+func (d *deployment) openProcessLink(s *supervised) (string, error) {
+	address, err := d.net.open(s.name, s.address)
+	if err != nil {
+		return "", err
+	}
+	s.link = d.net.byName[s.name]
+	return address, s.link.leadToProcess()
+}
+
 func (d *deployment) engine(i int, address string) *supervised {
 	s := &supervised{runner: d.runner, name: string(engineID(i)), program: "engine", address: address}
 	s.args = []string{
--- a/bench/soak/network.go
+++ b/bench/soak/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -101,6 +102,36 @@
 	}
 }
 
+const (
+	toxicSlowClose = "slow_close"
+	closeDelay     = 200 * time.Millisecond // until the end of a process was noticed
+)
+
+// leadToProcess makes ends of connections reach the callers only after follow
+// had the time to make the link refuse new ones, as a host without the process does.
+func (l *link) leadToProcess() error {
+	body := fmt.Sprintf(`{"name":%q,"type":%q,"stream":"downstream","attributes":{"delay":%d}}`,
+		toxicSlowClose, toxicSlowClose, closeDelay.Milliseconds())
+	if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(body)); err != nil {
+		return fmt.Errorf("toxic on %s: %w", l.name, err)
+	}
+	return nil
+}
+
+// down refuses connections until up is called, unless another fault has the link.
+func (l *link) down() (up func()) {
+	if !l.mu.TryLock() {
+		return func() {}
+	}
+	l.cut()
+	return func() {
+		defer l.mu.Unlock()
+		if err := l.restore(); err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+		}
+	}
+}
+
 // cut closes all connections and refuses new ones until restored.
 func (l *link) cut() { l.proxy.Stop() }
 
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -31,6 +31,8 @@
 	args    []string
 	address string                // ip:port of every run; empty: see current
 	started func(context.Context) // called after each start; may be nil
+	link    *link                 // refuses connections while the process does not run; may be nil
+	up      func()                // ends the refusal; nil: the link is up
 
 	mu       sync.Mutex
 	current  *proc.Process // nil while it does not run
@@ -56,6 +58,7 @@
 			wait(ctx, restartDelay)
 		}
 	}
+	s.linkUp()
 }
 
 func (s *supervised) runOnce(ctx context.Context) {
@@ -71,13 +74,25 @@
 	s.mu.Lock()
 	s.current, s.expected = p, false
 	s.mu.Unlock()
+	s.linkUp()
 	<-p.Exited()
+	if s.link != nil {
+		s.up = s.link.down()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.current = nil
 	s.exits = append(s.exits, exit{Name: s.name, Code: p.ExitCode(), Expected: s.expected})
 }
 
+// linkUp ends the refusal of connections.
+func (s *supervised) linkUp() {
+	if s.up != nil {
+		s.up()
+		s.up = nil
+	}
+}
+
 func (s *supervised) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
