--- a/bench/control/main.go
+++ b/bench/control/main.go
@@ -9,13 +9,12 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
+	"dotterelmount.example/lib/program"
 	"github.com/urfave/cli/v3"
 
 	"dotterelmount.example/api"
@@ -23,9 +22,8 @@
 )
 
 const (
-	failedStatus = 1
-	stopLimit    = 30 * time.Second // for all processes together
-	roundLimit   = 5 * time.Minute  // for one number of daemons
+	stopLimit  = 30 * time.Second // for all processes together
+	roundLimit = 5 * time.Minute  // for one number of daemons
 )
 
 // options of a run.
@@ -43,15 +41,7 @@
 	listed   int           // further upstreams on the lists, which get no work
 }
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "control:", err)
-		stop()
-		os.Exit(failedStatus)
-	}
-}
+func main() { program.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
--- a/bench/demo/main.go
+++ b/bench/demo/main.go
@@ -8,11 +8,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
+	"dotterelmount.example/lib/program"
 	"github.com/urfave/cli/v3"
 
 	"dotterelmount.example/bench/proc"
@@ -21,18 +19,9 @@
 const (
 	defaultLimit = 38 * time.Second
 	stopLimit    = 8 * time.Second // for all processes together
-	failedStatus = 1
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		stop()
-		os.Exit(failedStatus)
-	}
-}
+func main() { program.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
--- a/bench/load/main.go
+++ b/bench/load/main.go
@@ -9,23 +9,14 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
 	"time"
 
+	"dotterelmount.example/lib/program"
 	"github.com/urfave/cli/v3"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := command().Run(ctx, os.Args)
-	stop()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "load:", err)
-		os.Exit(1)
-	}
-}
+func main() { program.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -11,19 +11,16 @@
 	"fmt"
 	"maps"
 	"os"
-	"os/signal"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"dotterelmount.example/lib/program"
 	"github.com/urfave/cli/v3"
 
 	"dotterelmount.example/bench/proc"
 )
 
-const failedStatus = 1
-
 // Beyond the duration of the load, the soak has so much time for the faults to
 // be tried again, the calm, the trainers' rest and the end. What still waits
 // after hardExtra more is abandoned.
@@ -32,15 +29,7 @@
 	hardExtra    = 60 * time.Second
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "soak:", err)
-		stop()
-		os.Exit(failedStatus)
-	}
-}
+func main() { program.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
@@ -126,5 +115,5 @@
 	runner.KillAll()
 	fmt.Fprintf(os.Stderr, "soak: %s did not end in time\n", s.part.Load())
 	fmt.Printf("{\"seed\":%d,\"unfinished\":%q}\n", s.seed, s.part.Load())
-	os.Exit(failedStatus)
+	os.Exit(program.StatusFailed)
 }
--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -205,3 +205,29 @@
 func (d *Duty[M]) Stats() Stats {
 	return Stats{Name: d.name, Depth: d.Depth(), Capacity: d.mailbox.queue.Cap(), Rejected: d.Rejected()}
 }
+
+// Sum returns the rings' state of duties of one kind, added up under a name.
+func Sum[M any](name string, duties []*Duty[M]) Stats {
+	sum := Stats{Name: name}
+	for _, d := range duties {
+		s := d.Stats()
+		sum.Depth += s.Depth
+		sum.Capacity += s.Capacity
+		sum.Rejected += s.Rejected
+	}
+	return sum
+}
+
+// StopAll stops an owner and then the duties that work for it, up to the first
+// failure. Errors: ctx.Err().
+func StopAll[O, M any](ctx context.Context, owner *Duty[O], workers []*Duty[M]) error {
+	if err := owner.Stop(ctx); err != nil {
+		return err
+	}
+	for _, w := range workers {
+		if err := w.Stop(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -163,28 +163,13 @@
 
 // Duties returns the rings' state, the carriers' summed up in one entry.
 func (d *Dispatcher) Duties() []duty.Stats {
-	sum := duty.Stats{Name: "carriers"}
-	for _, c := range d.carriers {
-		s := c.Stats()
-		sum.Depth += s.Depth
-		sum.Capacity += s.Capacity
-		sum.Rejected += s.Rejected
-	}
-	return []duty.Stats{d.duty.Stats(), sum}
+	return []duty.Stats{d.duty.Stats(), duty.Sum("carriers", d.carriers)}
 }
 
 // Stop ends the duties; jobs still in progress are cut. Errors: ctx.Err().
 func (d *Dispatcher) Stop(ctx context.Context) error {
 	d.Close()
-	if err := d.duty.Stop(ctx); err != nil {
-		return err
-	}
-	for _, c := range d.carriers {
-		if err := c.Stop(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
+	return duty.StopAll(ctx, d.duty, d.carriers)
 }
 
 // report brings a carrier's result to the duty; it waits for room, as a
--- a/server/gossip/gossip.go
+++ b/server/gossip/gossip.go
@@ -82,15 +82,7 @@
 
 // Stop ends the duties without telling peers. Errors: ctx.Err().
 func (g *Gossip) Stop(ctx context.Context) error {
-	if err := g.owner.Stop(ctx); err != nil {
-		return err
-	}
-	for _, c := range g.callers {
-		if err := c.Stop(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
+	return duty.StopAll(ctx, g.owner, g.callers)
 }
 
 // Probe takes in a peer's message and returns the answer.
--- a/server/shares/shares.go
+++ b/server/shares/shares.go
@@ -153,28 +153,13 @@
 
 // Duties returns the rings' state, the callers' summed up in one entry.
 func (s *Shares) Duties() []duty.Stats {
-	sum := duty.Stats{Name: "shares-callers"}
-	for _, c := range s.callers {
-		stats := c.Stats()
-		sum.Depth += stats.Depth
-		sum.Capacity += stats.Capacity
-		sum.Rejected += stats.Rejected
-	}
-	return []duty.Stats{s.owner.Stats(), sum}
+	return []duty.Stats{s.owner.Stats(), duty.Sum("shares-callers", s.callers)}
 }
 
 // Stop ends the duties; a call in progress ends with its context.
 // Errors: ctx.Err().
 func (s *Shares) Stop(ctx context.Context) error {
-	if err := s.owner.Stop(ctx); err != nil {
-		return err
-	}
-	for _, c := range s.callers {
-		if err := c.Stop(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
+	return duty.StopAll(ctx, s.owner, s.callers)
 }
 
 func (s *Shares) post(m message) bool {
--- a/server/weightkeeper/weightkeeper.go
+++ b/server/weightkeeper/weightkeeper.go
@@ -103,15 +103,7 @@
 // Stop ends the planner and then the loaders, whose calls are cancelled.
 // Errors: ctx.Err().
 func (k *Keeper) Stop(ctx context.Context) error {
-	if err := k.planner.Stop(ctx); err != nil {
-		return err
-	}
-	for _, l := range k.loaders {
-		if err := l.Stop(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
+	return duty.StopAll(ctx, k.planner, k.loaders)
 }
 
 // report posts to the planner, which fails only after the planner has stopped.
--- a/standin/engine/main.go
+++ b/standin/engine/main.go
@@ -5,26 +5,21 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/program"
 	"dotterelmount.example/standin/journal"
 	"dotterelmount.example/standin/serve"
 	"github.com/urfave/cli/v3"
 )
 
-func main() {
-	if err := program().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { program.Main(cliCommand()) }
 
-func program() *cli.Command {
+func cliCommand() *cli.Command {
 	return &cli.Command{
 		Name:   "engine",
 		Usage:  "stand-in for a model engine",
--- a/standin/hostlist/main.go
+++ b/standin/hostlist/main.go
@@ -4,22 +4,17 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"time"
 
+	"dotterelmount.example/lib/program"
 	"dotterelmount.example/standin/serve"
 	"github.com/urfave/cli/v3"
 )
 
-func main() {
-	if err := program().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { program.Main(command()) }
 
-func program() *cli.Command {
+func command() *cli.Command {
 	return &cli.Command{
 		Name:  "hostlist",
 		Usage: "stand-in for the platform's lagging list of hosts",
--- a/standin/log/main.go
+++ b/standin/log/main.go
@@ -4,20 +4,15 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
 	"dotterelmount.example/lib/eventlog/memlog"
+	"dotterelmount.example/lib/program"
 	"dotterelmount.example/standin/serve"
 	"github.com/urfave/cli/v3"
 )
 
-func main() {
-	if err := command().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { program.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
--- a/standin/plain/main.go
+++ b/standin/plain/main.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 
+	"dotterelmount.example/lib/program"
 	"github.com/urfave/cli/v3"
 
 	"dotterelmount.example/standin/journal"
@@ -17,12 +17,7 @@
 // crashStatus is the exit status in mode crash.
 const crashStatus = 3
 
-func main() {
-	if err := command().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "plain:", err)
-		os.Exit(1)
-	}
-}
+func main() { program.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
--- a/standin/trainer/main.go
+++ b/standin/trainer/main.go
@@ -6,24 +6,14 @@
 import (
 	"context"
 	"encoding/json"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/program"
 	"github.com/urfave/cli/v3"
-	"go.uber.org/zap"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := command().Run(ctx, os.Args); err != nil {
-		zap.Must(zap.NewProduction()).Error("trainer", zap.Error(err))
-		os.Exit(1)
-	}
-}
+func main() { program.Main(command()) }
 
 func command() *cli.Command {
 	return &cli.Command{
--- a/standin/weightstore/main.go
+++ b/standin/weightstore/main.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"dotterelmount.example/lib/program"
 	"dotterelmount.example/standin/serve"
 	"github.com/urfave/cli/v3"
 	"golang.org/x/time/rate"
@@ -19,14 +20,9 @@
 // weightsBytes is the size of the body that stands for a model's weights.
 const weightsBytes = 4096
 
-func main() {
-	if err := program().Run(context.Background(), os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { program.Main(command()) }
 
-func program() *cli.Command {
+func command() *cli.Command {
 	return &cli.Command{
 		Name:  "weightstore",
 		Usage: "stand-in for the platform's rate-limited weight store",
