Keep a strike until the log has it, and record it however long the log is out

Cause: a strike was proposed once, so an outage of the log lost it, and any newer strike in the log made a daemon forget its own of that fingerprint, recorded or not. Own strikes now count beside the log's until their record is folded, and are proposed again under the same id. Ruled out: keeping the worse of the two counts (two crashes seen by two daemons stay one). TestOwnStrikeCountsUntilIt- IsInTheLog failed before (the request ran again), and passes.

--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -165,18 +165,40 @@
 		zap.Uint64("version", uint64(o.Version)), zap.Uint64("fence", uint64(o.Fence)), zap.Error(err))
 }
 
-// strikeTime is how long a strike is tried to be recorded.
-const strikeTime = 30 * time.Second
+const (
+	strikeTime  = 5 * time.Second // one try to record a strike
+	strikePause = time.Second     // between two tries
+)
 
 // strike runs on the dispatcher's thread.
 func (n *Node) strike(s api.Strike) {
 	n.log.Warn("upstream crashed under a request", zap.String("upstream", string(s.Upstream)),
 		zap.String("fingerprint", s.Fingerprint.String()), zap.Bool("alone", s.Alone))
+	n.recordStrike(s, api.RecordID(newID()))
+}
+
+// recordStrike proposes a strike under one id again and again until it is in
+// the log or this daemon stops.
+func (n *Node) recordStrike(s api.Strike, id api.RecordID) {
 	err := n.book.ProposeAsync(logbook.Proposal{
-		Stream: api.StreamConfig, Body: s, Actor: n.settings.Daemon,
-		Deadline: time.Now().Add(strikeTime), Done: func(ledger.Verdict, error) {},
+		ID: id, Stream: api.StreamConfig, Body: s, Actor: n.settings.Daemon, Deadline: time.Now().Add(strikeTime),
+		Done: func(_ ledger.Verdict, err error) {
+			if err != nil {
+				n.recordStrikeLater(s, id)
+				return
+			}
+			n.dispatch.Load().StrikeRecorded(s)
+		},
 	})
 	if err != nil {
 		n.log.Warn("strike not recorded", zap.Error(err))
 	}
 }
+
+func (n *Node) recordStrikeLater(s api.Strike, id api.RecordID) {
+	time.AfterFunc(strikePause, func() {
+		if !n.stopping.Load() {
+			n.recordStrike(s, id)
+		}
+	})
+}
--- a/server/dispatch/admit.go
+++ b/server/dispatch/admit.go
@@ -6,7 +6,6 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/admission"
-	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/work"
 )
@@ -109,19 +108,5 @@
 // verdict combines the log's strikes with this daemon's own, which it has
 // also while the log is out.
 func (h *handler) verdict(f api.Fingerprint, now time.Time) quarantine.Verdict {
-	s := worse(h.state.Strikes[f], h.strikes[f])
-	return quarantine.Decide(s, now.UnixMilli())
-}
-
-func worse(a, b ledger.StrikeState) ledger.StrikeState {
-	out := ledger.StrikeState{
-		Alone: max(a.Alone, b.Alone), Shared: max(a.Shared, b.Shared),
-		LastMillis: max(a.LastMillis, b.LastMillis), Upstreams: slices.Clone(a.Upstreams),
-	}
-	for _, u := range b.Upstreams {
-		if !slices.Contains(out.Upstreams, u) {
-			out.Upstreams = append(out.Upstreams, u)
-		}
-	}
-	return out
+	return quarantine.Decide(h.strikesOf(f), now.UnixMilli())
 }
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -107,7 +107,7 @@
 	}
 	for _, p := range prints {
 		s := api.Strike{Fingerprint: p, Upstream: u.info.ID, Alone: len(prints) == 1}
-		h.ownStrike(s, now)
+		h.keepStrike(s, now)
 		crashStrikes.Add(1)
 		if h.cfg.Strike != nil {
 			h.cfg.Strike(s)
@@ -115,29 +115,48 @@
 	}
 }
 
-func (h *handler) ownStrike(s api.Strike, now time.Time) {
+// ownStrike is a strike that is not known to be in the log.
+type ownStrike struct {
+	api.Strike
+	atMillis int64
+}
+
+// keepStrike remembers a strike until the log has it, so that it counts here
+// also while the log is out.
+func (h *handler) keepStrike(s api.Strike, now time.Time) {
 	if len(h.strikes) >= maxOwnStrikes {
-		clear(h.strikes)
+		h.strikes = h.strikes[1:]
 	}
-	own := h.strikes[s.Fingerprint]
-	if s.Alone {
-		own.Alone++
-	} else {
-		own.Shared++
-	}
-	if !slices.Contains(own.Upstreams, s.Upstream) {
-		own.Upstreams = append(own.Upstreams, s.Upstream)
+	h.strikes = append(h.strikes, ownStrike{Strike: s, atMillis: now.UnixMilli()})
+}
+
+// recorded forgets a strike that is in the log, where it is seen beside what
+// other daemons saw of the crash.
+func (h *handler) recorded(s api.Strike) {
+	for i := range h.strikes {
+		if h.strikes[i].Strike == s {
+			h.strikes = slices.Delete(h.strikes, i, i+1)
+			return
+		}
 	}
-	own.LastMillis = now.UnixMilli()
-	h.strikes[s.Fingerprint] = own
 }
 
-// dropReported forgets own strikes once the log has something newer to say of
-// their fingerprint: it knows also what other daemons saw of the crash.
-func (h *handler) dropReported(next *ledger.State) {
-	for f := range h.strikes {
-		if h.state != nil && next.Strikes[f].LastMillis != h.state.Strikes[f].LastMillis {
-			delete(h.strikes, f)
+// strikesOf adds this daemon's own strikes to those of the log.
+func (h *handler) strikesOf(f api.Fingerprint) ledger.StrikeState {
+	sum := h.state.Strikes[f]
+	for _, own := range h.strikes {
+		if own.Fingerprint != f {
+			continue
+		}
+		if own.Alone {
+			sum.Alone++
+		} else {
+			sum.Shared++
+		}
+		if !slices.Contains(sum.Upstreams, own.Upstream) {
+			sum.Upstreams = append(slices.Clone(sum.Upstreams), own.Upstream)
 		}
+		sum.LastMillis = max(sum.LastMillis, own.atMillis)
 	}
+	return sum
 }
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -34,7 +34,8 @@
 	RetryRatio       float64 // retries as a part of requests
 	Now              func() time.Time
 	Rand             func(n int) int
-	// Strike reports that an upstream crashed under a fingerprint; it must only post.
+	// Strike reports that an upstream crashed under a fingerprint; it must only
+	// post. StrikeRecorded is owed once the strike is in the log.
 	Strike func(api.Strike)
 	// Shares is this daemon's part of windows and limits; nil: all of them.
 	Shares Shares
@@ -80,18 +81,20 @@
 type event interface{ isEvent() }
 
 type (
-	submitMsg struct{ job *work.Job }
-	cancelMsg struct{ id api.RequestID }
-	resultMsg struct{ result carrier.Result }
-	stateMsg  struct{ state *ledger.State }
-	sharesMsg struct{}
+	submitMsg   struct{ job *work.Job }
+	cancelMsg   struct{ id api.RequestID }
+	resultMsg   struct{ result carrier.Result }
+	stateMsg    struct{ state *ledger.State }
+	recordedMsg struct{ strike api.Strike }
+	sharesMsg   struct{}
 )
 
-func (submitMsg) isEvent() {}
-func (cancelMsg) isEvent() {}
-func (resultMsg) isEvent() {}
-func (stateMsg) isEvent()  {}
-func (sharesMsg) isEvent() {}
+func (submitMsg) isEvent()   {}
+func (cancelMsg) isEvent()   {}
+func (resultMsg) isEvent()   {}
+func (stateMsg) isEvent()    {}
+func (recordedMsg) isEvent() {}
+func (sharesMsg) isEvent()   {}
 
 const (
 	// dispatchTick is how often deadlines, hedges and shares are looked at.
@@ -146,6 +149,11 @@
 	_ = d.duty.Post(sharesMsg{}) // a full ring: the next tick looks
 }
 
+// StrikeRecorded tells that a strike given to Config.Strike is in the log.
+func (d *Dispatcher) StrikeRecorded(s api.Strike) {
+	_ = d.duty.Post(recordedMsg{strike: s}) // a full ring: the strike counts twice until it is old
+}
+
 // leaves reports whether an upstream takes no new work: it is marked for
 // cleaning, or the host list says that it leaves.
 func (d *Dispatcher) leaves(s *ledger.State, u *api.Upstream) bool {
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -310,6 +310,40 @@
 	assert.Assert(t, down <= 2)
 }
 
+// A strike that the log does not have yet counts beside those of other daemons
+// that it has.
+func TestOwnStrikeCountsUntilItIsInTheLog(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, u upstream.Target, _ int, _ *work.Generate, _ func(work.Chunk) error) error {
+		return f.crash(u.ID)
+	}
+	s := state(8, "a")
+	var own api.Strike
+	d := start(t, f, s, func(c *dispatch.Config) {
+		c.RetryRatio = 0
+		c.Strike = func(s api.Strike) { own = s }
+	})
+	killer := func(id api.RequestID) work.Answer {
+		c := newCollector()
+		j := job(id, c)
+		j.Fingerprint = 77
+		j.Repeatable = false
+		assert.NilError(t, d.Submit(j))
+		return c.wait(t)
+	}
+	killer("first")
+	assert.Assert(t, own.Alone)
+	told := state(8, "a", "b", "c")
+	told.Through = 9
+	told.Strikes = map[api.Fingerprint]ledger.StrikeState{
+		77: {Alone: 1, Upstreams: []api.UpstreamID{"b"}, LastMillis: time.Now().UnixMilli()},
+	}
+	d.Update(told)
+	a := killer("second")
+	assert.Equal(t, a.Outcome, api.OutcomeNotRun)
+	assert.Equal(t, api.CodeOf(a.Err), api.CodeQuarantined)
+}
+
 func TestFullQueueRefusesAsNotRun(t *testing.T) {
 	release := make(chan struct{})
 	f := &fake{}
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -36,8 +36,8 @@
 	tried     []routing.Candidate // reused between decisions
 	idle      []int               // carriers without a task
 	attempts  uint64
-	short     movingTime // time of short work, for hedging
-	strikes   map[api.Fingerprint]ledger.StrikeState
+	short     movingTime  // time of short work, for hedging
+	strikes   []ownStrike // oldest first
 	ticks     int
 	wasIdle   bool            // at the end of the last tick
 	cutCtx    context.Context // ends with the duty
@@ -115,7 +115,6 @@
 		hedges:    retry.NewBudget(d.cfg.HedgeRatio, 0),
 		flights:   make(map[api.RequestID]*flight),
 		upstreams: make(map[api.UpstreamID]*upstreamState),
-		strikes:   make(map[api.Fingerprint]ledger.StrikeState),
 		plans:     make(map[api.PlanName]*planState),
 		demand:    demand{told: make(map[quota.Resource]quota.Need)},
 		queue: admission.NewQueue(admission.Config{
@@ -145,6 +144,8 @@
 	case stateMsg:
 		h.adopt(m.state)
 		h.publish(h.cfg.Now()) // who sees a mark there sees the calls begun before it
+	case recordedMsg:
+		h.recorded(m.strike)
 	case sharesMsg:
 		h.resize(h.cfg.Now())
 		h.pump()
@@ -232,7 +233,6 @@
 	if h.state != nil && s.Through < h.state.Through {
 		return
 	}
-	h.dropReported(s)
 	h.state = s
 	h.eligible = make(map[eligibleKey][]*upstreamState)
 	for _, u := range h.upstreams {
--- a/server/logbook/logbook.go
+++ b/server/logbook/logbook.go
@@ -59,6 +59,7 @@
 
 // Proposal asks for a record in the log.
 type Proposal struct {
+	ID       api.RecordID // of a proposal that is made again; empty: a new one
 	Stream   string
 	Body     api.Body
 	Actor    string
@@ -256,9 +257,12 @@
 // record builds the log's form of a proposal.
 func (b *Book) record(p Proposal) (eventlog.Record, error) {
 	r := api.Record{
-		ID: b.cfg.NewID(), Actor: p.Actor, Via: b.cfg.Daemon,
+		ID: p.ID, Actor: p.Actor, Via: b.cfg.Daemon,
 		AtMillis: api.Millis(b.cfg.Now()), Body: p.Body,
 	}
+	if r.ID == "" {
+		r.ID = b.cfg.NewID()
+	}
 	payload, err := recordcodec.Encode(r)
 	if err != nil {
 		return eventlog.Record{}, err
