--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -44,65 +44,6 @@
 	cut       context.CancelFunc
 }
 
-// flight is a job between Submit and Finish.
-type flight struct {
-	job       *work.Job
-	short     bool
-	running   map[uint64]*attempt
-	started   int // attempts made
-	sent      bool
-	answered  bool
-	cancelled bool
-	hedged    bool
-	fresh     bool // the next attempt takes a new connection
-	queued    bool
-	crashes   int
-	// aloneCrashes counts those with no other request of this daemon in flight.
-	aloneCrashes int
-	text         string // of ended attempts of this answer
-	tokens       int
-	versions     []api.WeightVersion
-	tried        []api.UpstreamID
-	lastErr      error
-}
-
-// attempt is one call in progress.
-type attempt struct {
-	id      uint64
-	flight  *flight
-	up      *upstreamState
-	cancel  context.CancelFunc
-	started time.Time
-	solo    bool
-	task    *carrier.Task
-	seen    int64     // tokens that had come at seenAt
-	seenAt  time.Time // when progress was last reported
-	stallAt time.Time // when a stall was last reported
-}
-
-// upstreamState is what this daemon knows of one upstream.
-type upstreamState struct {
-	info      api.Upstream
-	draining  bool
-	removed   bool
-	window    *admission.Window
-	observer  *routing.Observer // of its group
-	running   map[uint64]*attempt
-	suspended time.Time // no calls before then
-	refusals  int       // in a row
-	solo      bool      // a suspect runs here alone
-	reserved  api.RequestID
-	crash     *crashCheck
-	slow      bool // as of the last tick or start
-	share     windowShare
-	seen      map[api.ModelName]seenVersion // versions that answers named
-}
-
-type eligibleKey struct {
-	plan  api.PlanName
-	model api.ModelName
-}
-
 func newHandler(d *Dispatcher) (*handler, error) {
 	policy, err := routing.New(d.cfg.Routing)
 	if err != nil {
@@ -261,22 +202,6 @@
 	h.resize(h.cfg.Now())
 }
 
-// observedGroup is a set of upstreams whose times can be compared.
-type observedGroup struct {
-	kind  api.UpstreamKind
-	model api.ModelName
-}
-
-func (h *handler) observerOf(info *api.Upstream) *routing.Observer {
-	g := observedGroup{kind: info.Kind, model: info.Models[0]}
-	o, ok := h.watch[g]
-	if !ok {
-		o = routing.NewObserver()
-		h.watch[g] = o
-	}
-	return o
-}
-
 func (h *handler) newWindow(limit int) *admission.Window {
 	return admission.NewWindow(admission.WindowConfig{Limit: limit, Floor: 1, ShortReserve: h.cfg.ShortReserve})
 }
