--- a/bench/control/fleet.go
+++ b/bench/control/fleet.go
@@ -7,20 +7,21 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"path/filepath"
 	"time"
 
 	"dotterelmount.example/api"
+	deploy "dotterelmount.example/bench/fleet"
 	"dotterelmount.example/bench/proc"
 	"dotterelmount.example/front/adminapi"
 	"dotterelmount.example/lib/hostlist"
+	"dotterelmount.example/lib/settings"
 )
 
 // The fleet's names and sizes.
 const (
 	model        = api.ModelName("coach")
 	member       = api.CustomerID("member-app")
+	dataCentre   = "sapporo-a"
 	anyPort      = "127.0.0.1:0"
 	engineSlots  = 128
 	batchGrowth  = 0.005
@@ -43,6 +44,7 @@
 	hosts   *proc.Process
 	engines []*proc.Process
 	daemons []*proc.Process
+	peers   []string // addresses of the daemons for each other
 	listed  []string // addresses of services that get no work
 	mark    marker   // of the first engine
 }
@@ -51,8 +53,6 @@
 
 func listedID(i int) api.UpstreamID { return api.UpstreamID(fmt.Sprintf("listed-%d", i+1)) }
 
-func daemonName(i int) string { return fmt.Sprintf("daemon-%d", i+1) }
-
 // startFleet starts n daemons before the engines, publishes the lists and
 // waits until every daemon knows all.
 func startFleet(ctx context.Context, r *proc.Runner, n int, o options) (*fleet, error) {
@@ -109,39 +109,17 @@
 	return f.call(ctx, http.MethodPost, f.hosts.Address, "/v1/hosts", hostlist.Host{ID: id, Address: address, State: hostlist.Live}, nil)
 }
 
-const settingsFormat = `daemon: %s
-data_centre: sapporo-a
-listen:
-  callers: %s
-  peers: %s
-platform:
-  log: %s
-  host_list: %s
-peers:
-  - %s
-  - %s
-`
-
-func (f *fleet) startDaemons(ctx context.Context, n int) error {
-	addresses, err := proc.FreeAddresses(2 * n)
+func (f *fleet) startDaemons(ctx context.Context, n int) (err error) {
+	f.daemons, err = deploy.StartDaemons(ctx, f.runner, n, func(_ int, s *settings.Settings) {
+		s.DataCentre = dataCentre
+		s.Platform.Log, s.Platform.HostList = f.log.Address, f.hosts.Address
+		f.peers = append(f.peers, s.Listen.Peers)
+	})
 	if err != nil {
 		return err
 	}
-	callers, peers := addresses[:n], addresses[n:]
-	for i := range n {
-		name := daemonName(i)
-		file := filepath.Join(f.runner.OutDir(), name+".yaml")
-		content := fmt.Sprintf(settingsFormat, name, callers[i], peers[i], f.log.Address, f.hosts.Address,
-			peers[(i+1)%n], peers[(i+2)%n])
-		if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
-			return fmt.Errorf("settings of %s: %w", name, err)
-		}
-		d, err := f.runner.Start(ctx, name, "dotterelmountd", "--settings", file)
-		if err != nil {
-			return err
-		}
-		f.daemons = append(f.daemons, d)
-		if err := f.list(ctx, name, peers[i]); err != nil {
+	for i, d := range f.daemons {
+		if err := f.list(ctx, d.Name, f.peers[i]); err != nil {
 			return err
 		}
 	}
--- a/bench/demo/deployment.go
+++ b/bench/demo/deployment.go
@@ -3,15 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"dotterelmount.example/api"
 	"dotterelmount.example/bench/fleet"
 	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/settings"
 )
 
 // The demo's sizes.
@@ -27,6 +25,7 @@
 
 // The demo's names.
 const (
+	dataCentre   = "sapporo-a"
 	model        = api.ModelName("coach")
 	plainService = api.ModelName("slips")
 	plainID      = api.UpstreamID("slips-1")
@@ -91,55 +90,22 @@
 	return err
 }
 
-func (f *deployment) startDaemons(ctx context.Context) error {
-	addresses, err := proc.FreeAddresses(2 * daemonCount)
-	if err != nil {
-		return err
-	}
-	callers, peers := addresses[:daemonCount], addresses[daemonCount:]
-	for i := range daemonCount {
-		name := fmt.Sprintf("daemon-%d", i+1)
-		file := filepath.Join(f.runner.OutDir(), name+".yaml")
-		content := fmt.Sprintf(settingsFormat, name, callers[i], peers[i], f.log.Address, f.store.Address,
-			peers[(i+1)%daemonCount], peers[(i+2)%daemonCount])
-		if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
-			return fmt.Errorf("settings of %s: %w", name, err)
-		}
-		daemon, err := f.runner.Start(ctx, name, "dotterelmountd", "--settings", file)
-		if err != nil {
-			return err
-		}
-		f.daemons = append(f.daemons, daemon)
-	}
-	for _, d := range f.daemons {
-		if err := fleet.AwaitReady(ctx, d); err != nil {
-			return err
-		}
-	}
-	return nil
+func (f *deployment) startDaemons(ctx context.Context) (err error) {
+	f.daemons, err = fleet.StartDaemons(ctx, f.runner, daemonCount, func(_ int, s *settings.Settings) {
+		s.DataCentre = dataCentre
+		s.Platform.Log, s.Platform.WeightStore = f.log.Address, f.store.Address
+	})
+	return err
 }
 
-const settingsFormat = `daemon: %s
-data_centre: sapporo-a
-listen:
-  callers: %s
-  peers: %s
-platform:
-  log: %s
-  weight_store: %s
-peers:
-  - %s
-  - %s
-`
-
 // writeLists writes both lists to files and returns their paths.
 func (f *deployment) writeLists() (plans, usage string, err error) {
 	plans = filepath.Join(f.runner.OutDir(), "plan-list.yaml")
 	usage = filepath.Join(f.runner.OutDir(), "usage-list.yaml")
-	if err := writeYAML(plans, planList()); err != nil {
+	if err := fleet.WriteYAML(plans, planList()); err != nil {
 		return "", "", err
 	}
-	return plans, usage, writeYAML(usage, f.usageList())
+	return plans, usage, fleet.WriteYAML(usage, f.usageList())
 }
 
 func planList() api.PlanList {
@@ -166,14 +132,3 @@
 	})
 	return l
 }
-
-func writeYAML(path string, v any) error {
-	data, err := yaml.Marshal(v)
-	if err != nil {
-		return fmt.Errorf("encode %s: %w", path, err)
-	}
-	if err := os.WriteFile(path, data, 0o644); err != nil {
-		return fmt.Errorf("write list: %w", err)
-	}
-	return nil
-}
--- a/bench/demo/result.go
+++ b/bench/demo/result.go
@@ -3,8 +3,9 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"sync"
+
+	"dotterelmount.example/bench/fleet"
 )
 
 // Result is the demo's last line. Everything it could not see counts as failed.
@@ -66,36 +67,18 @@
 	}
 }
 
-// FailedError lists what was not right.
-type FailedError struct{ Points []string }
-
-// Error implements error.
-func (e *FailedError) Error() string { return "not right: " + strings.Join(e.Points, ", ") }
-
 func (r *Result) check() error {
-	var points []string
-	for _, c := range []struct {
-		ok   bool
-		name string
-	}{
-		{r.MembersAsked > 0 && r.MembersWhole == r.MembersAsked, "members_whole"},
-		{r.OnceAsked > 0 && r.OnceComplete == r.OnceAsked, "once_complete"},
-		{r.OnceRepeated == 0, "once_repeated"},
-		{r.SamplesDue > 0 && r.SamplesDelivered == r.SamplesDue, "samples_delivered"},
-		{r.SamplesDuplicated == 0, "samples_duplicated"},
-		{r.StaleDelivered == 0, "stale_delivered"},
-		{r.InvariantViolations == 0, "invariant_violations"},
-		{r.Drained, "drained"},
-		{r.WeightsSwapped, "weights_swapped"},
-		{r.StoppedCleanly, "stopped_cleanly"},
-		{len(r.Errors) == 0, "errors"},
-	} {
-		if !c.ok {
-			points = append(points, c.name)
-		}
-	}
-	if len(points) > 0 {
-		return &FailedError{Points: points}
-	}
-	return nil
+	var j fleet.Judge
+	j.Check(r.MembersAsked > 0 && r.MembersWhole == r.MembersAsked, "members_whole")
+	j.Check(r.OnceAsked > 0 && r.OnceComplete == r.OnceAsked, "once_complete")
+	j.Check(r.OnceRepeated == 0, "once_repeated")
+	j.Check(r.SamplesDue > 0 && r.SamplesDelivered == r.SamplesDue, "samples_delivered")
+	j.Check(r.SamplesDuplicated == 0, "samples_duplicated")
+	j.Check(r.StaleDelivered == 0, "stale_delivered")
+	j.Check(r.InvariantViolations == 0, "invariant_violations")
+	j.Check(r.Drained, "drained")
+	j.Check(r.WeightsSwapped, "weights_swapped")
+	j.Check(r.StoppedCleanly, "stopped_cleanly")
+	j.Check(len(r.Errors) == 0, "errors")
+	return j.Err()
 }
--- a/bench/demo/result_test.go
+++ b/bench/demo/result_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"testing"
 
+	"dotterelmount.example/bench/fleet"
 	"gotest.tools/v3/assert"
 
 	"dotterelmount.example/bench/proc"
@@ -34,7 +35,7 @@
 	} {
 		r := right()
 		spoil(r)
-		var failed *FailedError
+		var failed *fleet.FailedError
 		assert.Assert(t, errors.As(r.check(), &failed), name)
 		assert.DeepEqual(t, failed.Points, []string{name})
 	}
--- a/bench/load/deployment.go
+++ b/bench/load/deployment.go
@@ -5,12 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/goccy/go-yaml"
-
 	"dotterelmount.example/api"
 	"dotterelmount.example/bench/fleet"
 	"dotterelmount.example/bench/proc"
@@ -23,8 +20,6 @@
 	memberPlan   = api.PlanName("member")
 	firstVersion = api.WeightVersion(1)
 	commandLimit = 20 * time.Second // of one run of the command-line tool
-	// seedPeers is how many peers a daemon's settings name.
-	seedPeers = 3
 )
 
 // deployment is what one phase started.
@@ -91,45 +86,17 @@
 	return nil
 }
 
-func (d *deployment) startDaemons(ctx context.Context) error {
+func (d *deployment) startDaemons(ctx context.Context) (err error) {
 	if d.variant.Direct {
 		return nil
 	}
-	addresses, err := proc.FreeAddresses(2 * d.exp.Daemons)
-	if err != nil {
-		return err
-	}
-	callers, peers := addresses[:d.exp.Daemons], addresses[d.exp.Daemons:]
-	for i := range d.exp.Daemons {
-		name := fmt.Sprintf("daemon-%02d", i+1)
-		file := filepath.Join(d.runner.OutDir(), name+".yaml")
-		if err := writeYAML(file, d.settings(name, callers[i], peers[i], peers)); err != nil {
-			return err
-		}
-		daemon, err := d.runner.Start(ctx, name, "dotterelmountd", "--settings", file)
-		if err != nil {
-			return err
-		}
-		d.daemons = append(d.daemons, daemon)
-	}
-	for _, daemon := range d.daemons {
-		if err := fleet.AwaitReady(ctx, daemon); err != nil {
-			return err
-		}
-	}
-	return nil
+	d.daemons, err = fleet.StartDaemons(ctx, d.runner, d.exp.Daemons, func(_ int, s *settings.Settings) { d.set(s) })
+	return err
 }
 
-func (d *deployment) settings(name, callers, peer string, peers []string) *settings.Settings {
-	s := settings.Defaults()
-	s.Daemon, s.DataCentre = name, string(dataCentre)
-	s.Listen = settings.Listen{Callers: callers, Peers: peer}
+func (d *deployment) set(s *settings.Settings) {
+	s.DataCentre = string(dataCentre)
 	s.Platform.Log, s.Platform.WeightStore = d.log.Address, d.store.Address
-	for _, p := range peers[:min(len(peers), seedPeers)] {
-		if p != peer {
-			s.Peers = append(s.Peers, p)
-		}
-	}
 	s.Limits.Linger = 0
 	s.Dispatch.Routing = d.policy
 	s.Dispatch.ShortTokens = d.exp.Dispatch.ShortTokens
@@ -138,7 +105,6 @@
 	if w != (Weights{}) {
 		s.Dispatch.Weights = settings.Weights{Interactive: w.Interactive, Once: w.Once, Rollout: w.Rollout}
 	}
-	return s
 }
 
 func (d *deployment) plans() api.PlanList {
@@ -175,10 +141,10 @@
 func (d *deployment) publish(ctx context.Context) error {
 	plans := filepath.Join(d.runner.OutDir(), "plan-list.yaml")
 	usage := filepath.Join(d.runner.OutDir(), "usage-list.yaml")
-	if err := writeYAML(plans, d.plans()); err != nil {
+	if err := fleet.WriteYAML(plans, d.plans()); err != nil {
 		return err
 	}
-	if err := writeYAML(usage, d.usages()); err != nil {
+	if err := fleet.WriteYAML(usage, d.usages()); err != nil {
 		return err
 	}
 	if err := d.change(ctx, "plan-list", "publish", plans); err != nil {
@@ -281,17 +247,6 @@
 	return all
 }
 
-func writeYAML(path string, v any) error {
-	data, err := yaml.Marshal(v)
-	if err != nil {
-		return fmt.Errorf("encode %s: %w", path, err)
-	}
-	if err := os.WriteFile(path, data, 0o644); err != nil {
-		return fmt.Errorf("write %s: %w", path, err)
-	}
-	return nil
-}
-
 // newClient returns a client that keeps as many connections as there are workers.
 func newClient() *http.Client {
 	t := http.DefaultTransport.(*http.Transport).Clone()
--- a/bench/soak/result.go
+++ b/bench/soak/result.go
@@ -3,7 +3,8 @@
 import (
 	"fmt"
 	"os"
-	"strings"
+
+	"dotterelmount.example/bench/fleet"
 
 	"dotterelmount.example/api"
 )
@@ -139,57 +140,39 @@
 	}
 }
 
-// FailedError lists what was not right.
-type FailedError struct{ Points []string }
-
-// Error implements error.
-func (e *FailedError) Error() string { return "not right: " + strings.Join(e.Points, ", ") }
-
 func (r *Result) check() error {
-	var points []string
-	for _, c := range []struct {
-		ok   bool
-		name string
-	}{
-		{len(r.FaultsMissing) == 0, "faults_missing"},
-		{r.Requests[api.OutcomeComplete.String()] > 0, "requests"},
-		{r.SamplesDue > 0 && r.SamplesDelivered == r.SamplesDue, "samples_delivered"},
-		{r.SamplesDropped > 0, "samples_dropped"},
-		{r.CutResumed > 0, "cut_resumed"},
-		{r.TruncatedResumed > 0, "truncated_resumed"},
-		{r.KillerCrashes > 0 && r.KillerCrashes <= killerCrashBound, "killer_crashes"},
-		{r.KillersUnrefused == 0, "killers_unrefused"},
-		{r.InnocentCondemned == 0, "innocent_condemned"},
-		{r.Unfinished == "", "unfinished"},
-		{r.SamplesDuplicated == 0, "samples_duplicated"},
-		{r.StaleDelivered == 0, "stale_delivered"},
-		{r.WrongVersions == 0, "wrong_versions"},
-		{r.RepeatedNonIdempotent == 0, "repeated_nonidempotent"},
-		{r.FalseNotRun == 0, "false_not_run"},
-		{r.CutByDrain == 0, "cut_by_drain"},
-		{r.CutByStop == 0, "cut_by_stop"},
-		{r.Drains > 0, "drains"},
-		{r.DrainsJudged > 0, "in_progress_at_drains"},
-		{r.StopsJudged > 0, "in_progress_at_stops"},
-		{r.NewWorkAfterDrain == 0, "new_work_after_drain"},
-		{r.RacesBothAccepted == 0, "races_both_accepted"},
-		{r.VersionReverts == 0, "version_reverts"},
-		{r.VersionPolls > 0, "version_polls"},
-		{r.AnswersForeignOrPartial == 0, "answers_foreign_or_partial"},
-		{r.CompleteWithoutExecution == 0, "complete_without_execution"},
-		{r.InvariantViolations == 0, "invariant_violations"},
-		{r.DaemonPanics == 0, "daemon_panics"},
-		{r.UnexpectedExits == 0, "unexpected_exits"},
-		{r.Recovered, "recovered"},
-		{r.StoppedCleanly, "stopped_cleanly"},
-		{len(r.Errors) == 0, "errors"},
-	} {
-		if !c.ok {
-			points = append(points, c.name)
-		}
-	}
-	if len(points) > 0 {
-		return &FailedError{Points: points}
-	}
-	return nil
+	var j fleet.Judge
+	j.Check(len(r.FaultsMissing) == 0, "faults_missing")
+	j.Check(r.Requests[api.OutcomeComplete.String()] > 0, "requests")
+	j.Check(r.SamplesDue > 0 && r.SamplesDelivered == r.SamplesDue, "samples_delivered")
+	j.Check(r.SamplesDropped > 0, "samples_dropped")
+	j.Check(r.CutResumed > 0, "cut_resumed")
+	j.Check(r.TruncatedResumed > 0, "truncated_resumed")
+	j.Check(r.KillerCrashes > 0 && r.KillerCrashes <= killerCrashBound, "killer_crashes")
+	j.Check(r.KillersUnrefused == 0, "killers_unrefused")
+	j.Check(r.InnocentCondemned == 0, "innocent_condemned")
+	j.Check(r.Unfinished == "", "unfinished")
+	j.Check(r.SamplesDuplicated == 0, "samples_duplicated")
+	j.Check(r.StaleDelivered == 0, "stale_delivered")
+	j.Check(r.WrongVersions == 0, "wrong_versions")
+	j.Check(r.RepeatedNonIdempotent == 0, "repeated_nonidempotent")
+	j.Check(r.FalseNotRun == 0, "false_not_run")
+	j.Check(r.CutByDrain == 0, "cut_by_drain")
+	j.Check(r.CutByStop == 0, "cut_by_stop")
+	j.Check(r.Drains > 0, "drains")
+	j.Check(r.DrainsJudged > 0, "in_progress_at_drains")
+	j.Check(r.StopsJudged > 0, "in_progress_at_stops")
+	j.Check(r.NewWorkAfterDrain == 0, "new_work_after_drain")
+	j.Check(r.RacesBothAccepted == 0, "races_both_accepted")
+	j.Check(r.VersionReverts == 0, "version_reverts")
+	j.Check(r.VersionPolls > 0, "version_polls")
+	j.Check(r.AnswersForeignOrPartial == 0, "answers_foreign_or_partial")
+	j.Check(r.CompleteWithoutExecution == 0, "complete_without_execution")
+	j.Check(r.InvariantViolations == 0, "invariant_violations")
+	j.Check(r.DaemonPanics == 0, "daemon_panics")
+	j.Check(r.UnexpectedExits == 0, "unexpected_exits")
+	j.Check(r.Recovered, "recovered")
+	j.Check(r.StoppedCleanly, "stopped_cleanly")
+	j.Check(len(r.Errors) == 0, "errors")
+	return j.Err()
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/bench/fleet"
 	"dotterelmount.example/standin/journal"
 )
 
@@ -92,7 +93,7 @@
 	assert.Equal(t, r.RepeatedNonIdempotent, 1)
 	assert.Equal(t, r.WrongVersions, 0)
 	assert.Equal(t, r.Requests[noAnswer], 1)
-	var failed *FailedError
+	var failed *fleet.FailedError
 	assert.Assert(t, errors.As(r.check(), &failed))
 	assert.Assert(t, slices.Contains(failed.Points, "false_not_run"))
 }
