Condemn a request after three crashes however seen, clear one that completes

Cause, from the strikes of the four daemons in the log: nearly every crash was seen by other daemons too, whose own requests were in flight, so the fold rightly called the killer's strikes shared; shared strikes never condemned, and a daemon's own view, which did, gave way to the log's. Ruled out: the log's outage (strikes came in throughout); keeping the own views (each of four daemons would have to lose three upstreams). Three crashes on more than one upstream now condemn; a request that completes has its strikes lifted, which a guilty one never does.

--- a/bench/soak/coverage.go
+++ b/bench/soak/coverage.go
@@ -53,8 +53,8 @@
 }
 
 // missing returns the kinds that were not brought about, or that hit nothing:
-// cuts and truncations must break off answers that are then completed, and
-// outdated samples must be dropped.
+// cuts and truncations must break off answers that are then completed, killer
+// requests must run, and outdated samples must be dropped.
 func (s *soak) missing(d *deployment, l *load, j *injector) []kind {
 	var out []kind
 	e, err := readEvidence(d)
@@ -68,6 +68,8 @@
 			hit = e.resumed(l.snapshot(), journal.EndCut) > 0
 		case engineTrunc:
 			hit = e.resumed(l.snapshot(), journal.EndTruncated) > 0
+		case killerRequest:
+			hit = e.killed(l.snapshot()) > 0
 		case trainerStale:
 			hit = j.dropped() > 0
 		}
@@ -157,6 +159,17 @@
 	return slices.Clone(l.asked)
 }
 
+// killed counts the runs of killer requests.
+func (e *evidence) killed(requests []asked) int {
+	n := 0
+	for _, a := range requests {
+		if a.Killer > 0 {
+			n += e.ran[a.RequestID]
+		}
+	}
+	return n
+}
+
 // resumed counts complete answers to requests that an engine broke off so.
 func (e *evidence) resumed(requests []asked, how string) int {
 	n := 0
--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -146,7 +146,7 @@
 		ShortTokens: d.ShortTokens, RolloutShare: rolloutShare, ShortReserve: d.ShortReserve,
 		Weights:    [api.LaneCount]int{d.Weights.Interactive, d.Weights.Once, d.Weights.Rollout},
 		HedgeRatio: hedgeRatio, RetryRatio: retryRatio,
-		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
+		Now: time.Now, Rand: rand.IntN, Strike: n.strike, Clear: n.clearStrikes, Truth: n.truth, Leaving: n.hosts.Leaving, Current: n.current,
 		Shares: dispatchShares{n}, Live: n.liveCount,
 	}, n.book.State())
 	if err != nil {
--- a/cmd/dotterelmountd/internal/node/operator.go
+++ b/cmd/dotterelmountd/internal/node/operator.go
@@ -202,3 +202,12 @@
 		}
 	})
 }
+
+// clearStrikes runs on the dispatcher's thread. A record that is lost is made
+// good by the next completion.
+func (n *Node) clearStrikes(f api.Fingerprint) {
+	_ = n.book.ProposeAsync(logbook.Proposal{
+		Stream: api.StreamConfig, Body: api.LiftQuarantine{Fingerprint: f}, Actor: n.settings.Daemon,
+		Deadline: time.Now().Add(strikeTime), Done: func(ledger.Verdict, error) {},
+	})
+}
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -13,6 +13,11 @@
 	// if they hit more than one upstream: a single upstream may itself be at
 	// fault.
 	AloneStrikes = 2
+	// SharedStrikes is the number of crashes, alone or not, that condemns a
+	// fingerprint, if they hit more than one upstream. With several daemons
+	// under load hardly a crash is seen alone; an innocent request is cleared
+	// when it completes, which a guilty one never does.
+	SharedStrikes = 3
 	// CondemnedTime is how long a condemned fingerprint is refused after its
 	// last strike.
 	CondemnedTime = 10 * time.Minute
@@ -56,7 +61,8 @@
 	}
 	age := max(0, nowMillis-s.LastMillis)
 	suspectUntil := SoloTime.Milliseconds()
-	if s.Alone >= AloneStrikes && len(s.Upstreams) > 1 {
+	guilty := s.Alone >= AloneStrikes || s.Alone+s.Shared >= SharedStrikes
+	if guilty && len(s.Upstreams) > 1 {
 		if age < CondemnedTime.Milliseconds() {
 			return Condemned
 		}
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -141,6 +141,15 @@
 	}
 }
 
+// clear takes the strikes off a request that has completed: one that crashes
+// what runs it never does.
+func (h *handler) clear(f api.Fingerprint) {
+	h.strikes = slices.DeleteFunc(h.strikes, func(s ownStrike) bool { return s.Fingerprint == f })
+	if _, struck := h.state.Strikes[f]; struck && h.cfg.Clear != nil {
+		h.cfg.Clear(f)
+	}
+}
+
 // strikesOf adds this daemon's own strikes to those of the log.
 func (h *handler) strikesOf(f api.Fingerprint) ledger.StrikeState {
 	sum := h.state.Strikes[f]
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -42,6 +42,9 @@
 	// Live returns the number of live daemons, which share the plans' rates
 	// evenly; nil: one.
 	Live func() int
+	// Clear reports that a request with strikes in the log has completed; it
+	// must only post; nil: nothing is reported.
+	Clear func(api.Fingerprint)
 	// Leaving reports whether the platform's host list says that the upstream
 	// at an address leaves; nil: never.
 	Leaving func(address string) bool
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -344,6 +344,28 @@
 	assert.Equal(t, api.CodeOf(a.Err), api.CodeQuarantined)
 }
 
+// A request that was merely in flight in crashes is cleared when it completes.
+func TestCompletionClearsStrikes(t *testing.T) {
+	f := &fake{}
+	f.generate = func(_ context.Context, _ upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		return say(delta, 1, 0, 4)
+	}
+	s := state(8, "a")
+	s.Strikes = map[api.Fingerprint]ledger.StrikeState{
+		77: {Shared: 2, Upstreams: []api.UpstreamID{"a", "b"}, LastMillis: time.Now().UnixMilli()},
+	}
+	cleared := ring.NewSlot[api.Fingerprint]()
+	d := start(t, f, s, func(c *dispatch.Config) { c.Clear = func(p api.Fingerprint) { cleared.Put(p) } })
+	c := newCollector()
+	j := job("x", c)
+	j.Fingerprint = 77
+	assert.NilError(t, d.Submit(j))
+	assert.Equal(t, c.wait(t).Outcome, api.OutcomeComplete)
+	p, err := cleared.Wait(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, p, api.Fingerprint(77))
+}
+
 func TestFullQueueRefusesAsNotRun(t *testing.T) {
 	release := make(chan struct{})
 	f := &fake{}
--- a/server/dispatch/settle.go
+++ b/server/dispatch/settle.go
@@ -91,6 +91,7 @@
 // complete ends a flight with its whole answer.
 func (h *handler) complete(f *flight, r carrier.Result) {
 	h.keep(f, r)
+	h.clear(f.job.Fingerprint)
 	a := f.whole(r.Finish.Reason)
 	a.Status, a.ContentType, a.Body = r.Plain.Status, r.Plain.ContentType, r.Plain.Body
 	h.finish(f, a)
