--- a/lib/duty/duty.go
+++ b/lib/duty/duty.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"runtime/debug"
@@ -117,18 +118,23 @@
 
 // Post queues m without waiting. Errors: *FullError, *ring.ClosedError.
 func (d *Duty[M]) Post(m M) error {
-	err := d.mailbox.queue.TryPush(m)
-	if _, full := err.(*ring.FullError); full { //nolint:errorlint // the ring returns it bare
-		d.mailbox.rejected.Add(1)
-		return &FullError{Duty: d.name, Capacity: d.mailbox.queue.Cap()}
-	}
-	if err != nil {
-		return err
+	if err := d.mailbox.queue.TryPush(m); err != nil {
+		return d.refused(err)
 	}
 	d.mailbox.wake()
 	return nil
 }
 
+// refused counts a post that found the ring full and names the duty.
+func (d *Duty[M]) refused(err error) error {
+	var full *ring.FullError
+	if !errors.As(err, &full) {
+		return err
+	}
+	d.mailbox.rejected.Add(1)
+	return &FullError{Duty: d.name, Capacity: full.Capacity}
+}
+
 // PostWait queues m, waiting for room until ctx ends. It must not be called
 // from the duty itself. Errors: *ring.ClosedError, ctx.Err().
 func (d *Duty[M]) PostWait(ctx context.Context, m M) error {
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -80,8 +81,11 @@
 }
 
 func refusedConnection(err error) bool {
-	call, ok := err.(*upstream.CallError) //nolint:errorlint // the carrier returns it bare
-	return ok && !call.Sent && call.Code != api.CodeCancelled && call.Code != api.CodeDeadlineExceeded
+	var call *upstream.CallError
+	if !errors.As(err, &call) || call.Sent {
+		return false
+	}
+	return call.Code != api.CodeCancelled && call.Code != api.CodeDeadlineExceeded
 }
 
 func (h *handler) afterLoss(f *flight, now time.Time) {
