--- a/bench/load/record.go
+++ b/bench/load/record.go
@@ -86,7 +86,7 @@
 }
 
 func reason(err error) string {
-	switch e := err.(type) { //nolint:errorlint // package check returns them bare
+	switch e := err.(type) { // package check returns them bare
 	case *check.ReplyError:
 		if e.Status == 0 {
 			return "no answer"
