Adapt the appender in one place; drop what nothing uses

Found by reading the whole change: the adapter from the appender to the log book's interface stood in the daemon and in the test support; it is now appender.Adapter. Never used: a setting of the callers' front end, the count of all violations beside the one in expvar, two readers of claims, a field of an attempt. Two dispatcher tests share their set-up; their assertions are the same.

--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -120,7 +120,7 @@
 	n.appender = appender.Start(n.system, n.platform, appender.Config{
 		RingSize: appenderRing, MaxBatch: appendBatch, FlushEvery: flushEvery, CallTimeout: logCallTimeout,
 	})
-	n.book = logbook.Start(n.system, n.platform, appendAdapter{n.appender}, logbook.Config{
+	n.book = logbook.Start(n.system, n.platform, appender.Adapter{Appender: n.appender}, logbook.Config{
 		Daemon: api.DaemonID(n.settings.Daemon), RingSize: ledgerRing,
 		ReadWait: logReadWait, ReadLimit: logReadLimit, RetryEvery: logRetryEvery,
 		ProposeTimeout: proposeTimeout, VerdictGrace: verdictGrace, CheckpointEvery: n.settings.Platform.CheckpointEvery,
@@ -169,7 +169,7 @@
 	cfg.Member = api.DaemonID(n.settings.Daemon)
 	cfg.CheckpointEvery = n.settings.Platform.CheckpointEvery
 	n.sampler = sampler.Start(n.system, cfg, sampler.Deps{
-		Log: n.platform, Appender: appendAdapter{n.appender}, Catalog: catalog{n.book}, Members: n,
+		Log: n.platform, Appender: appender.Adapter{Appender: n.appender}, Catalog: catalog{n.book}, Members: n,
 		Submitter: n.dispatch.Load(), Now: time.Now,
 	})
 }
@@ -246,11 +246,3 @@
 }
 
 func newID() string { return uuid.Must(uuid.NewV7()).String() }
-
-// appendAdapter gives the appender the shape that the other duties ask for.
-type appendAdapter struct{ a *appender.Appender }
-
-// Append implements logbook.Appender.
-func (a appendAdapter) Append(stream string, r eventlog.Record, deadline time.Time, done func(error)) error {
-	return a.a.Append(appender.Request{Stream: stream, Record: r, Deadline: deadline, Done: done})
-}
--- a/front/httpapi/httpapi.go
+++ b/front/httpapi/httpapi.go
@@ -44,7 +44,6 @@
 
 	BodyBytes       int64
 	DefaultDeadline time.Duration
-	ShortTokens     int
 }
 
 // handler serves the callers' routes.
--- a/lib/invariant/invariant.go
+++ b/lib/invariant/invariant.go
@@ -20,7 +20,6 @@
 
 var (
 	violations = expvar.NewMap("invariant_violations")
-	total      atomic.Int64
 	handler    atomic.Pointer[func(*Violation)]
 )
 
@@ -34,13 +33,9 @@
 	if ok {
 		return true
 	}
-	total.Add(1)
 	violations.Add(name, 1)
 	if f := handler.Load(); f != nil {
 		(*f)(&Violation{Name: name, Detail: fmt.Sprintf(format, args...)})
 	}
 	return false
 }
-
-// Total returns the number of violations in this process.
-func Total() int64 { return total.Load() }
--- a/lib/ledger/claims.go
+++ b/lib/ledger/claims.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"maps"
 	"slices"
 
 	"dotterelmount.example/api"
@@ -58,9 +57,6 @@
 	return s, ok
 }
 
-// Len returns the number of claims remembered.
-func (c *Claims) Len() int { return len(c.held) }
-
 // Apply folds the next record in. A claim is won by the first record of its
 // key; the verdict of every other one is CodeDuplicateKey.
 func (c *Claims) Apply(offset api.Offset, timeMillis int64, r api.Record) Verdict {
@@ -155,6 +151,3 @@
 	}
 	return c
 }
-
-// All returns every claim remembered; the map is the caller's.
-func (c *Claims) All() map[ClaimKey]ClaimState { return maps.Clone(c.held) }
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -397,8 +397,10 @@
 	assert.Equal(t, len(f.calls), 3)
 }
 
-// A daemon that stops must not say not-run of a call that is under way.
-func TestStopDuringCallIsUnknown(t *testing.T) {
+// busy returns a dispatcher with one call in progress that ends only when it
+// is cut, and one job queued behind it.
+func busy(t *testing.T) (d *dispatch.Dispatcher, running, queued *collector) {
+	t.Helper()
 	entered := make(chan struct{}, 1)
 	f := &fake{}
 	f.generate = func(ctx context.Context, u upstream.Target, _ int, _ *work.Generate, _ func(work.Chunk) error) error {
@@ -406,29 +408,24 @@
 		<-ctx.Done()
 		return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeInternal, Cause: ctx.Err()}
 	}
-	d := start(t, f, state(1, "a"), nil)
-	running, queued := newCollector(), newCollector()
+	d = start(t, f, state(1, "a"), nil)
+	running, queued = newCollector(), newCollector()
 	assert.NilError(t, d.Submit(job("running", running)))
 	<-entered
 	assert.NilError(t, d.Submit(job("queued", queued)))
+	return d, running, queued
+}
+
+// A daemon that stops must not say not-run of a call that is under way.
+func TestStopDuringCallIsUnknown(t *testing.T) {
+	d, running, _ := busy(t)
 	d.Cancel("nobody") // the queued job is taken in before the stop
 	assert.NilError(t, d.Stop(t.Context()))
 	assert.Equal(t, running.wait(t).Outcome, api.OutcomeUnknown)
 }
 
 func TestCancelEndsRunningAndQueued(t *testing.T) {
-	entered := make(chan struct{}, 1)
-	f := &fake{}
-	f.generate = func(ctx context.Context, u upstream.Target, _ int, _ *work.Generate, _ func(work.Chunk) error) error {
-		entered <- struct{}{}
-		<-ctx.Done()
-		return &upstream.CallError{Upstream: u.ID, Sent: true, Code: api.CodeInternal, Cause: ctx.Err()}
-	}
-	d := start(t, f, state(1, "a"), nil)
-	running, queued := newCollector(), newCollector()
-	assert.NilError(t, d.Submit(job("running", running)))
-	<-entered
-	assert.NilError(t, d.Submit(job("queued", queued)))
+	d, running, queued := busy(t)
 	d.Cancel("queued")
 	assert.Equal(t, queued.wait(t).Outcome, api.OutcomeNotRun)
 	d.Cancel("running")
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -58,8 +58,7 @@
 	invariant.Check(f.job.Repeatable || !f.sent, "once-only-is-sent-once", "request %s, tried %v", f.job.ID, f.tried)
 	h.attempts++
 	a := &attempt{id: h.attempts, flight: f, up: u, started: now}
-	a.solo = h.verdict(f.job.Fingerprint, now) == quarantine.Solo
-	u.solo = a.solo
+	u.solo = h.verdict(f.job.Fingerprint, now) == quarantine.Solo
 	if u.reserved == f.job.ID {
 		u.reserved = ""
 	}
--- a/server/dispatch/state.go
+++ b/server/dispatch/state.go
@@ -40,7 +40,6 @@
 	up      *upstreamState
 	cancel  context.CancelFunc
 	started time.Time
-	solo    bool
 	task    *carrier.Task
 	seen    int64     // tokens that had come at seenAt
 	seenAt  time.Time // when progress was last reported
--- a/server/logbook/example_test.go
+++ b/server/logbook/example_test.go
@@ -10,7 +10,6 @@
 	"dotterelmount.example/lib/eventlog/memlog"
 	"dotterelmount.example/server/appender"
 	"dotterelmount.example/server/logbook"
-	"dotterelmount.example/server/logbook/logbooktest"
 )
 
 // Who proposes a change learns the verdict from the fold of the log.
@@ -20,7 +19,7 @@
 	log, system := memlog.New(memlog.Options{}), duty.NewSystem(nil)
 	app := appender.Start(system, log, appender.Config{RingSize: 16, MaxBatch: 8})
 	ids := 0
-	book := logbook.Start(system, log, logbooktest.Appender{Appender: app}, logbook.Config{
+	book := logbook.Start(system, log, appender.Adapter{Appender: app}, logbook.Config{
 		Daemon: "entry-1", RingSize: 64, ReadWait: 20 * time.Millisecond, ReadLimit: 64,
 		RetryEvery: time.Millisecond, ProposeTimeout: time.Minute, Now: time.Now,
 		NewID: func() api.RecordID { ids++; return api.RecordID(fmt.Sprint("r", ids)) },
--- a/server/logbook/logbooktest/logbooktest.go
+++ b/server/logbook/logbooktest/logbooktest.go
@@ -26,21 +26,13 @@
 
 var ids atomic.Int64
 
-// Appender adapts the appender to the log book's interface.
-type Appender struct{ *appender.Appender }
-
-// Append implements logbook.Appender.
-func (a Appender) Append(stream string, r eventlog.Record, deadline time.Time, done func(error)) error {
-	return a.Appender.Append(appender.Request{Stream: stream, Record: r, Deadline: deadline, Done: done})
-}
-
 // Start runs a book over a log until the test ends. A zero checkpointEvery
 // takes no checkpoints.
 func Start(t testing.TB, log eventlog.Log, daemon api.DaemonID, checkpointEvery time.Duration, watchers ...func(*ledger.State)) *logbook.Book {
 	t.Helper()
 	sys := duty.NewSystem(nil)
 	app := appender.Start(sys, log, appender.Config{RingSize: ringSize, MaxBatch: ringSize, CallTimeout: callTimeout})
-	book := logbook.Start(sys, log, Appender{app}, logbook.Config{
+	book := logbook.Start(sys, log, appender.Adapter{Appender: app}, logbook.Config{
 		Daemon: daemon, RingSize: ringSize, ReadWait: readWait, ReadLimit: ringSize / 8, RetryEvery: time.Millisecond,
 		ProposeTimeout: stopTime, CheckpointEvery: checkpointEvery,
 		NewID: func() api.RecordID { return api.RecordID(fmt.Sprint(daemon, ids.Add(1))) },
--- a/server/once/example_test.go
+++ b/server/once/example_test.go
@@ -12,7 +12,6 @@
 	"dotterelmount.example/lib/work"
 	"dotterelmount.example/server/appender"
 	"dotterelmount.example/server/logbook"
-	"dotterelmount.example/server/logbook/logbooktest"
 	"dotterelmount.example/server/once"
 )
 
@@ -23,7 +22,7 @@
 	log, system := memlog.New(memlog.Options{}), duty.NewSystem(nil)
 	app := appender.Start(system, log, appender.Config{RingSize: 16, MaxBatch: 8})
 	ids := 0
-	book := logbook.Start(system, log, logbooktest.Appender{Appender: app}, logbook.Config{
+	book := logbook.Start(system, log, appender.Adapter{Appender: app}, logbook.Config{
 		Daemon: "entry-1", RingSize: 64, ReadWait: 20 * time.Millisecond, ReadLimit: 64,
 		RetryEvery: time.Millisecond, ProposeTimeout: time.Minute, Now: time.Now,
 		NewID: func() api.RecordID { ids++; return api.RecordID(fmt.Sprint("r", ids)) },
