--- /dev/null
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -0,0 +1,246 @@
+// Package hosted wires the parts of a daemon that runs on the users' platform,
+// in one place.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/invariant"
+	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/loglines"
+	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/settings"
+	"dotterelmount.example/lib/sockets"
+	"dotterelmount.example/platform/entry"
+	"dotterelmount.example/platform/feed"
+	"dotterelmount.example/platform/servers"
+	"dotterelmount.example/platform/store"
+	"dotterelmount.example/server/book"
+	"dotterelmount.example/server/committer"
+	"dotterelmount.example/server/follow"
+	"dotterelmount.example/server/keeper"
+	"dotterelmount.example/server/relay"
+	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/upkeep"
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+)
+
+// jobsTopic is the topic of the journal; all daemons share its one partition.
+const jobsTopic = "jobs"
+
+// exitDefect is the exit status after a defect.
+const exitDefect = 70
+
+// Node is a running daemon.
+type Node struct {
+	settings  *settings.Hosted
+	log       *loglines.Log
+	system    *duty.System
+	client    *servers.Client
+	follower  *follow.Follower
+	committer *committer.Committer
+	book      atomic.Pointer[book.Book]
+	runner    *runner.Runner
+	keeper    *keeper.Keeper
+	upkeep    *upkeep.Upkeep
+	relay     *relay.Relay
+	callers   *http.Server
+	readiness *http.Server
+	metrics   *http.Server
+	leaving   atomic.Bool
+	stopping  atomic.Bool // unlike leaving, also not ready
+}
+
+// Start starts a daemon. Errors: an address that can't be listened on.
+func Start(s *settings.Hosted) (*Node, error) {
+	n := &Node{settings: s, client: servers.New()}
+	n.system = duty.NewSystem(n.panicked)
+	n.log = loglines.Start(n.system, os.Stdout)
+	n.log.Logger = n.log.With(zap.String("daemon", s.Daemon))
+	invariant.OnViolation(n.violated)
+	n.log.Info("starting", zap.String("data_centre", s.DataCentre), zap.String("callers", s.Callers), zap.String("store", s.Store))
+	if s.Retention < s.Remember {
+		n.log.Warn("the store keeps records shorter than jobs are to be readable",
+			zap.Duration("retention", s.Retention), zap.Duration("remember", s.Remember))
+	}
+	st := store.New(s.Store)
+	n.startFollower(st)
+	n.startJobs(st.Journal(jobsTopic, 0))
+	n.startRelay()
+	if err := n.serve(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// View returns what the platform says of the deployment.
+func (n *Node) View() *directory.View { return n.follower.View() }
+
+func (n *Node) startFollower(st *store.Client) {
+	n.follower = follow.Start(n.system, followConfig, n.log.Logger, []follow.Source{
+		{Name: "operator", Feed: feed.Operator(st), Pace: operatorPace},
+		{Name: "servers", Feed: feed.Servers(st), Pace: serversPace, Upstreams: true},
+	}, n.viewChanged)
+}
+
+// viewChanged lets go of connections to upstreams that are gone.
+func (n *Node) viewChanged(v *directory.View) {
+	addresses := make(map[string]bool, len(v.Upstreams))
+	for _, u := range v.Upstreams {
+		addresses[u.Address] = true
+	}
+	n.client.Forget(func(address string) bool { return addresses[address] })
+}
+
+func (n *Node) startJobs(j journal.Journal) {
+	self := api.DaemonID(n.settings.Daemon)
+	starts := time.Now().UnixMilli()
+	cfg := committerConfig
+	cfg.Producer = fmt.Sprintf("%s/%s", self, uuid.Must(uuid.NewV7()))
+	cfg.RecordBytes, cfg.CallBytes = n.settings.Record, n.settings.Call
+	n.committer = committer.Start(n.system, j, cfg, n.log.Logger)
+
+	runs := runnerConfig
+	runs.Self, runs.Carriers = self, n.settings.Carriers
+	n.runner = runner.Start(n.system, runs, runner.Deps{
+		Engine: n.client, View: n.View, Commit: n.commit, Propose: n.committer.Post, Ran: n.ran,
+	}, n.log.Logger)
+
+	books := bookConfig
+	books.Self, books.Remember = self, n.settings.Remember
+	n.book.Store(book.Start(n.system, j, books, book.Deps{Runs: n.runner.Update, Leases: func(*book.Snapshot) {}}, n.log.Logger))
+
+	keeps := keeperConfig
+	keeps.Self, keeps.Starts = self, starts
+	n.keeper = keeper.Start(n.system, keeps, keeper.Deps{
+		Propose: n.committer.Post, Snapshot: n.snapshot, View: n.View, Open: n.book.Load().Open,
+	}, n.log.Logger)
+
+	keepUp := upkeepConfig
+	keepUp.Self, keepUp.LeaseWait, keepUp.LoadShare = self, n.settings.LeaseWait, n.settings.LoadShare
+	n.upkeep = upkeep.Start(n.system, keepUp, upkeep.Deps{
+		Engine: n.client, View: n.View, Snapshot: n.snapshot, Propose: n.committer.Post,
+	}, n.log.Logger)
+}
+
+func (n *Node) snapshot() *book.Snapshot { return n.book.Load().Snapshot() }
+
+// commit appends a record of the journal and returns its offset in the fold.
+func (n *Node) commit(ctx context.Context, record []byte) (batch.Offset, error) {
+	at, err := n.committer.Commit(ctx, record)
+	return batch.Offset(at) + 1, err
+}
+
+// ran passes what a run says of its upstream on.
+func (n *Node) ran(o runner.Outcome) {
+	n.upkeep.Tell(upkeep.Ran{Upstream: o.Upstream, Failed: o.AgainstUpstream(), Silent: o.Silent})
+}
+
+func (n *Node) startRelay() {
+	cfg := relayConfig
+	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), Crowd: relayCrowd}
+	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.client, n.View)
+}
+
+// ready reports whether new connections are wanted: the configuration and the
+// upstreams are known, and the journal could be read just now.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.View().Table != nil && n.follower.Loaded() &&
+		time.Since(n.book.Load().Fresh()) < journalSilence
+}
+
+func (n *Node) serve() error {
+	h := entry.New(entry.Config{
+		Relay: n.relay, Jobs: &jobs{n}, View: n.View, Ready: n.ready, Leaving: n.leaving.Load,
+		Observer: recorder, Log: n.log.Logger, RetryAfter: retryAfter, Now: time.Now,
+	})
+	n.callers = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.readiness = &http.Server{Handler: h.Readiness(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.metrics = &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	for _, l := range []struct {
+		name, address string
+		server        *http.Server
+	}{
+		{"callers", n.settings.Callers, n.callers}, {"readiness", n.settings.Readiness, n.readiness}, {"metrics", n.settings.Metrics, n.metrics},
+	} {
+		if l.address == "" {
+			continue
+		}
+		if err := n.listen(l.name, l.address, l.server); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) listen(name, address string, server *http.Server) error {
+	cfg := net.ListenConfig{Control: sockets.FailSilent}
+	listener, err := cfg.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return api.Errorf(api.CodeInvalid, "%s: %w", name, err)
+	}
+	d := duty.Start(n.system, duty.Config{Name: "accept-" + name, RingSize: 1}, duty.Handler[net.Listener](&acceptor{server: server, log: n.log.Logger}))
+	return d.Post(listener)
+}
+
+// acceptor is the duty that accepts connections; net/http gives each its own
+// goroutine, which decodes, posts and waits.
+type acceptor struct {
+	server *http.Server
+	log    *zap.Logger
+}
+
+// Handle serves until the server is shut down.
+func (a *acceptor) Handle(_ context.Context, listener net.Listener) {
+	if err := a.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		a.log.Error("no longer serving", zap.Error(err))
+	}
+}
+
+// Reload logs that the settings changed: a daemon reads them at its start.
+func (n *Node) Reload() { n.log.Info("settings changed; they hold from the next start on") }
+
+// Shutdown stops gracefully: new connections go elsewhere, leases are given
+// up, and requests in progress end by themselves. Errors: ctx.Err().
+func (n *Node) Shutdown(ctx context.Context) error {
+	n.log.Info("stopping", zap.Duration("grace", n.settings.Grace))
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Grace-stopMargin)
+	defer cancel()
+	n.stopping.Store(true)
+	n.leaving.Store(true)
+	if err := n.runner.Stop(ctx); err != nil {
+		n.log.Warn("runs did not end", zap.Error(err))
+	}
+	if err := n.keeper.Leave(); err != nil {
+		n.log.Warn("leases not given up", zap.Error(err))
+	}
+	duty.Pause(ctx, linger)
+	err := n.callers.Shutdown(ctx)
+	n.log.Info("stopped", zap.Error(err))
+	return errors.Join(err, n.log.Stop(ctx))
+}
+
+func (n *Node) violated(v *invariant.Violation) {
+	n.log.Error("invariant violated", zap.String("invariant", v.Name), zap.String("detail", v.Detail))
+	if n.settings.FatalInvariants {
+		os.Exit(exitDefect)
+	}
+}
+
+func (n *Node) panicked(p *duty.Panic) {
+	fmt.Fprintf(os.Stderr, "%v\n%s\n", p, p.Stack)
+	os.Exit(exitDefect)
+}
--- /dev/null
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -0,0 +1,57 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/opaque"
+)
+
+// jobs keeps batch jobs in the journal.
+type jobs struct{ n *Node }
+
+// Submit implements entry.Jobs.
+func (j *jobs) Submit(ctx context.Context, job *batch.Job) error {
+	return j.keep(ctx, &batch.JobAccepted{Job: *job})
+}
+
+// End implements entry.Jobs.
+func (j *jobs) End(ctx context.Context, id batch.JobID) error {
+	if _, err := j.n.book.Load().Results(ctx, id, 0, 0); err != nil {
+		return err
+	}
+	return j.keep(ctx, &batch.JobEnded{ID: id})
+}
+
+// keep appends a record. Errors: *opaque.RefusedError when it is not in the
+// journal and never will be, *opaque.FailedError when it may be.
+func (j *jobs) keep(ctx context.Context, r batch.Record) error {
+	data, err := batchcodec.Encode(r)
+	if err != nil {
+		return err
+	}
+	_, err = j.n.commit(ctx, data)
+	var unknown *journal.UnknownError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &unknown):
+		return &opaque.FailedError{Reason: err.Error()}
+	default:
+		return &opaque.RefusedError{Reason: err.Error(), RetryAfter: retryAfter}
+	}
+}
+
+// Results implements entry.Jobs.
+func (j *jobs) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, error) {
+	return j.n.book.Load().Results(ctx, id, from, wait)
+}
+
+// Body implements entry.Jobs.
+func (j *jobs) Body(ctx context.Context, id batch.JobID, item batch.ItemID) ([]byte, error) {
+	return j.n.book.Load().Body(ctx, id, item)
+}
--- /dev/null
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -0,0 +1,70 @@
+package hosted
+
+import (
+	"time"
+
+	"dotterelmount.example/lib/latency"
+	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/server/book"
+	"dotterelmount.example/server/committer"
+	"dotterelmount.example/server/follow"
+	"dotterelmount.example/server/keeper"
+	"dotterelmount.example/server/relay"
+	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/upkeep"
+)
+
+// Times and sizes of the parts.
+const (
+	operatorPace   = 50 * time.Millisecond  // a fortieth of the bound for a configuration
+	serversPace    = 150 * time.Millisecond // an eighth of the upstreams' heartbeat
+	journalSilence = 2 * time.Second        // without a whole read the daemon asks for no new connections
+	relayCrowd     = 2                      // requests in flight at an upstream before the next one is used
+	retryAfter     = 100 * time.Millisecond // another daemon can usually serve at once
+	headerTimeout  = 10 * time.Second       // above what the platform allows its clients
+	idleTimeout    = 2 * time.Minute        // above what the platform allows its clients
+	linger         = 2500 * time.Millisecond // two readiness polls, one a second, and the delay of new connections
+	stopMargin     = 500 * time.Millisecond  // for the process's own end
+	logCallTimeout = time.Second             // a healthy store answers within some milliseconds
+)
+
+var recorder = latency.New()
+
+var followConfig = follow.Config{
+	Wait: 10 * time.Second, Timeout: logCallTimeout, RetryEvery: 100 * time.Millisecond,
+	Doubt: 2 * time.Second, // the platform's word for entries that lapsed in an outage
+	Now:   time.Now,
+}
+
+var committerConfig = committer.Config{
+	RingSize: 4096, Timeout: logCallTimeout, RetryEvery: 50 * time.Millisecond, Patience: 300 * time.Millisecond, Now: time.Now,
+}
+
+var bookConfig = book.Config{
+	RingSize: 1024, Wait: time.Second, Timeout: logCallTimeout, Pace: 15 * time.Millisecond, RetryEvery: 100 * time.Millisecond,
+	ResultBytes: 900 << 10, // the platform's clients take 1 MB
+	Now:         time.Now,
+}
+
+var keeperConfig = keeper.Config{
+	Tick: 100 * time.Millisecond, RenewEvery: 500 * time.Millisecond, Expire: 2 * time.Second,
+	Repeat: time.Second, SweepEvery: time.Second, Now: time.Now,
+}
+
+var upkeepConfig = upkeep.Config{
+	Callers: 4, RingSize: 1024, Tick: 50 * time.Millisecond, Timeout: 700 * time.Millisecond,
+	LeaseHold: 1500 * time.Millisecond, // below the expiry of a lease
+	LoadPoll:  300 * time.Millisecond,  // above the age of reports
+	Repeat:    time.Second, FailLimit: 3, Probe: time.Second, Now: time.Now,
+}
+
+var runnerConfig = runner.Config{
+	RingSize: 1024, Tick: 50 * time.Millisecond,
+	FirstEvent: 3 * time.Second, EventGap: time.Second, // an event takes some tens of milliseconds
+	FlushEvery: 1500 * time.Millisecond, Retry: 100 * time.Millisecond, BusyLimit: 20, Now: time.Now,
+}
+
+var relayConfig = relay.Config{
+	Patience: opaque.Patience{Least: 250 * time.Millisecond, Targets: 2}, Carriers: 48, RingSize: 1024,
+	Rest: 500 * time.Millisecond, MaxRest: 4 * time.Second, RetryAfter: retryAfter, Now: time.Now,
+}
--- a/cmd/dotterelmountd/main.go
+++ b/cmd/dotterelmountd/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"dotterelmount.example/cmd/dotterelmountd/internal/hosted"
 	"dotterelmount.example/cmd/dotterelmountd/internal/node"
 	"dotterelmount.example/lib/settings"
 	"github.com/urfave/cli/v3"
@@ -25,14 +26,25 @@
 // stopTime bounds a graceful stop; what is still in progress then is cut.
 const stopTime = 2 * time.Minute
 
+// signalQueue holds signals that come in quick succession.
+const signalQueue = 8
+
 func main() {
 	cmd := &cli.Command{
 		Name:  "dotterelmountd",
 		Usage: "serve callers, trainers and operators in front of upstreams",
-		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "YAML settings `FILE`"}},
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "YAML settings `FILE`"}},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return run(ctx, c.String("settings"))
 		},
+		Commands: []*cli.Command{{
+			Name:  "hosted",
+			Usage: "serve on the users' platform, which keeps all that must last",
+			Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Required: true, Usage: "YAML settings `FILE`"}},
+			Action: func(ctx context.Context, c *cli.Command) error {
+				return runHosted(ctx, c.String("settings"))
+			},
+		}},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -41,6 +53,9 @@
 }
 
 func run(ctx context.Context, path string) error {
+	if path == "" {
+		return cli.Exit("the flag --settings is missing", exitSettings)
+	}
 	s, err := settings.Load(path)
 	if err != nil {
 		return err
@@ -64,3 +79,27 @@
 	}
 	return nil
 }
+
+// runHosted serves until SIGTERM. SIGHUP tells that the settings changed.
+func runHosted(ctx context.Context, path string) error {
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+	s, err := settings.LoadHosted(path)
+	if err != nil {
+		return err
+	}
+	n, err := hosted.Start(s)
+	if err != nil {
+		return cli.Exit(err, exitStart)
+	}
+	for got := range signals {
+		if got != syscall.SIGHUP {
+			break
+		}
+		n.Reload()
+	}
+	if err := n.Shutdown(ctx); err != nil {
+		return cli.Exit(err, exitStart)
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/batch/batch.go
@@ -0,0 +1,191 @@
+// Package batch is the deterministic state of batch jobs and of the upstreams
+// that run them: who holds which upstream, which item runs where, what has
+// been generated and in which order results were listed. Every daemon applies
+// the same records in the order of the log and comes to the same state. There
+// is no clock, socket or random number in it.
+package batch
+
+import (
+	"fmt"
+
+	"dotterelmount.example/api"
+)
+
+// Offset is a record's place in the log. It serves as the fencing token of
+// the lease that the record takes.
+type Offset uint64
+
+// JobID names a batch job.
+type JobID string
+
+// ItemID names an item; an item that is submitted again keeps its name.
+type ItemID string
+
+// Field is one header line of an item's request.
+type Field struct {
+	Name  string `msgpack:"n"`
+	Value string `msgpack:"v"`
+}
+
+// Item is one request of a job.
+type Item struct {
+	ID     ItemID  `msgpack:"i"`
+	Path   string  `msgpack:"p"`
+	Fields []Field `msgpack:"h"`
+	Body   []byte  `msgpack:"b"`
+	Tokens int     `msgpack:"t"` // of its prompt and, at most, its output
+	Group  string  `msgpack:"g"` // items of a group share their prompt
+	Hint   int     `msgpack:"e"` // tokens of output that its submitter expects; 0: unknown
+}
+
+// Job is a batch job as submitted.
+type Job struct {
+	ID         JobID             `msgpack:"id"`
+	Host       string            `msgpack:"host"`
+	Service    string            `msgpack:"svc"`
+	Model      api.ModelName     `msgpack:"model"`
+	MinVersion api.WeightVersion `msgpack:"min"`
+	// SingleVersion asks that one version makes the whole text of an item.
+	SingleVersion bool   `msgpack:"single"`
+	Attempts      int    `msgpack:"att"`  // failures after which an item is given up
+	KeepMillis    int64  `msgpack:"keep"` // how long items are tried
+	AtMillis      int64  `msgpack:"at"`   // submission, in Unix milliseconds
+	Items         []Item `msgpack:"items"`
+}
+
+// State of an item in the results.
+type ItemState uint8
+
+// The states of an item.
+const (
+	ItemOpen ItemState = iota
+	ItemCompleted
+	ItemErrored
+)
+
+// Record changes the state.
+type Record interface{ record() }
+
+// JobAccepted adds a job; a job that is known already is not changed.
+type JobAccepted struct {
+	Job Job `msgpack:"job"`
+}
+
+// JobEnded stops a job: what is not listed is no longer run.
+type JobEnded struct {
+	ID JobID `msgpack:"id"`
+}
+
+// TextAdded continues an item's text by whole events.
+type TextAdded struct {
+	Job      JobID               `msgpack:"job"`
+	Item     ItemID              `msgpack:"item"`
+	From     int                 `msgpack:"from"` // events before it
+	Events   []string            `msgpack:"ev"`   // data of each event
+	Versions []api.WeightVersion `msgpack:"ver"`  // that made these events
+	Done     bool                `msgpack:"done"` // the text is whole
+}
+
+// ItemFailed reports an upstream's failure to run an item.
+type ItemFailed struct {
+	Job    JobID  `msgpack:"job"`
+	Item   ItemID `msgpack:"item"`
+	Status int    `msgpack:"st"`
+	Final  bool   `msgpack:"fin"` // it can never be done
+}
+
+// ItemExpired gives an item up whose time is over or whose route is gone.
+type ItemExpired struct {
+	Job  JobID  `msgpack:"job"`
+	Item ItemID `msgpack:"item"`
+}
+
+// ItemMoved takes an item off the upstream that it was placed on.
+type ItemMoved struct {
+	Job  JobID          `msgpack:"job"`
+	Item ItemID         `msgpack:"item"`
+	From api.UpstreamID `msgpack:"from"`
+}
+
+// DaemonAlive renews all leases of a daemon.
+type DaemonAlive struct {
+	Daemon api.DaemonID `msgpack:"d"`
+	// Starts is a start of the daemon, in Unix milliseconds.
+	Starts int64 `msgpack:"s"`
+}
+
+// DaemonLeft gives up all leases of a daemon.
+type DaemonLeft struct {
+	Daemon api.DaemonID `msgpack:"d"`
+}
+
+// LeaseTaken makes a daemon the holder of an upstream. It has no effect
+// unless the lease's last taking is Previous.
+type LeaseTaken struct {
+	Upstream api.UpstreamID                      `msgpack:"u"`
+	Service  string                              `msgpack:"svc"`
+	Daemon   api.DaemonID                        `msgpack:"d"`
+	Previous Offset                              `msgpack:"prev"` // 0: never taken
+	Slots    int                                 `msgpack:"slots"`
+	Models   []api.ModelName                     `msgpack:"models"` // of the service
+	Versions map[api.ModelName]api.WeightVersion `msgpack:"ver"`
+}
+
+// UpstreamGone forgets an upstream. It has no effect unless Daemon holds it.
+type UpstreamGone struct {
+	Upstream api.UpstreamID `msgpack:"u"`
+	Daemon   api.DaemonID   `msgpack:"d"`
+}
+
+// Condition of an upstream, as its holder sees it.
+type Condition uint8
+
+// The conditions of an upstream.
+const (
+	ConditionReady    Condition = iota
+	ConditionLoading            // takes new weights and runs nothing new
+	ConditionDraining           // is about to leave
+	ConditionSuspect            // silent or failing
+	ConditionSlow               // far slower than its peers
+)
+
+// String returns the condition as logged.
+func (c Condition) String() string {
+	return [...]string{"ready", "loading", "draining", "suspect", "slow"}[c]
+}
+
+// UpstreamChanged reports an upstream's condition and weights. It has no
+// effect unless Daemon holds it.
+type UpstreamChanged struct {
+	Upstream  api.UpstreamID                      `msgpack:"u"`
+	Daemon    api.DaemonID                        `msgpack:"d"`
+	Condition Condition                           `msgpack:"c"`
+	Versions  map[api.ModelName]api.WeightVersion `msgpack:"ver"`
+}
+
+func (*JobAccepted) record()     {}
+func (*JobEnded) record()        {}
+func (*TextAdded) record()       {}
+func (*ItemFailed) record()      {}
+func (*ItemExpired) record()     {}
+func (*ItemMoved) record()       {}
+func (*DaemonAlive) record()     {}
+func (*DaemonLeft) record()      {}
+func (*LeaseTaken) record()      {}
+func (*UpstreamGone) record()    {}
+func (*UpstreamChanged) record() {}
+
+// UnknownJobError reports a job that was never accepted.
+type UnknownJobError struct{ ID JobID }
+
+// Error implements error.
+func (e *UnknownJobError) Error() string { return fmt.Sprintf("no job %q", e.ID) }
+
+// UnknownItemError reports an item that its job doesn't have.
+type UnknownItemError struct {
+	Job  JobID
+	Item ItemID
+}
+
+// Error implements error.
+func (e *UnknownItemError) Error() string { return fmt.Sprintf("job %q has no item %q", e.Job, e.Item) }
--- /dev/null
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -0,0 +1,115 @@
+// Package batchcodec encodes the records of package batch as MessagePack, after
+// one byte that tells their kind.
+package batchcodec
+
+import (
+	"fmt"
+
+	"dotterelmount.example/lib/batch"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// FormatError reports bytes that are no record.
+type FormatError struct{ Cause error }
+
+// Error implements error.
+func (e *FormatError) Error() string { return fmt.Sprintf("batch record: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FormatError) Unwrap() error { return e.Cause }
+
+// kindError names a kind of record that this program doesn't know.
+type kindError struct{ kind byte }
+
+// Error implements error.
+func (e *kindError) Error() string { return fmt.Sprintf("unknown kind %d", e.kind) }
+
+// The kinds of records. Numbers are never used again for another kind.
+const (
+	kindJobAccepted byte = iota + 1
+	kindJobEnded
+	kindTextAdded
+	kindItemFailed
+	kindItemExpired
+	kindItemMoved
+	kindDaemonAlive
+	kindDaemonLeft
+	kindLeaseTaken
+	kindUpstreamGone
+	kindUpstreamChanged
+)
+
+func kindOf(r batch.Record) byte {
+	switch r.(type) {
+	case *batch.JobAccepted:
+		return kindJobAccepted
+	case *batch.JobEnded:
+		return kindJobEnded
+	case *batch.TextAdded:
+		return kindTextAdded
+	case *batch.ItemFailed:
+		return kindItemFailed
+	case *batch.ItemExpired:
+		return kindItemExpired
+	case *batch.ItemMoved:
+		return kindItemMoved
+	case *batch.DaemonAlive:
+		return kindDaemonAlive
+	case *batch.DaemonLeft:
+		return kindDaemonLeft
+	case *batch.LeaseTaken:
+		return kindLeaseTaken
+	case *batch.UpstreamGone:
+		return kindUpstreamGone
+	default:
+		return kindUpstreamChanged
+	}
+}
+
+var decoders = map[byte]func([]byte) (batch.Record, error){
+	kindJobAccepted:     decode[batch.JobAccepted],
+	kindJobEnded:        decode[batch.JobEnded],
+	kindTextAdded:       decode[batch.TextAdded],
+	kindItemFailed:      decode[batch.ItemFailed],
+	kindItemExpired:     decode[batch.ItemExpired],
+	kindItemMoved:       decode[batch.ItemMoved],
+	kindDaemonAlive:     decode[batch.DaemonAlive],
+	kindDaemonLeft:      decode[batch.DaemonLeft],
+	kindLeaseTaken:      decode[batch.LeaseTaken],
+	kindUpstreamGone:    decode[batch.UpstreamGone],
+	kindUpstreamChanged: decode[batch.UpstreamChanged],
+}
+
+// decode returns a *T, which is a batch.Record for every T in decoders.
+func decode[T any](data []byte) (batch.Record, error) {
+	v := new(T)
+	if err := msgpack.Unmarshal(data, v); err != nil {
+		return nil, err
+	}
+	return any(v).(batch.Record), nil
+}
+
+// Encode returns a record's bytes. Errors: *FormatError.
+func Encode(r batch.Record) ([]byte, error) {
+	data, err := msgpack.Marshal(r)
+	if err != nil {
+		return nil, &FormatError{Cause: err}
+	}
+	return append([]byte{kindOf(r)}, data...), nil
+}
+
+// Decode returns the record that Encode gave. Errors: *FormatError.
+func Decode(data []byte) (batch.Record, error) {
+	if len(data) == 0 {
+		return nil, &FormatError{Cause: &kindError{}}
+	}
+	f, ok := decoders[data[0]]
+	if !ok {
+		return nil, &FormatError{Cause: &kindError{kind: data[0]}}
+	}
+	r, err := f(data[1:])
+	if err != nil {
+		return nil, &FormatError{Cause: err}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/lib/batch/query.go
@@ -0,0 +1,161 @@
+package batch
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"dotterelmount.example/api"
+)
+
+// Result is a listed item.
+type Result struct {
+	Item     ItemID
+	State    ItemState
+	Text     string // data of all events, separated by line feeds
+	Versions []api.WeightVersion
+}
+
+// Results is a part of a job's results.
+type Results struct {
+	Total   int // items of the job
+	Next    int // position after the last result
+	Results []Result
+	Ended   bool
+}
+
+// Results returns a job's results from a position on, up to limit bytes of
+// text but at least one. Errors: *UnknownJobError.
+func (s *State) Results(id JobID, from, limit int) (Results, error) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return Results{}, &UnknownJobError{ID: id}
+	}
+	out := Results{Total: len(j.items), Next: min(max(0, from), len(j.results)), Ended: j.ended}
+	for size := 0; out.Next < len(j.results); out.Next++ {
+		i := j.results[out.Next]
+		r := Result{Item: i.item().ID, State: i.state, Versions: i.versions}
+		if i.state == ItemCompleted {
+			r.Text = strings.Join(i.events, "\n")
+		}
+		size += len(r.Text)
+		if size > limit && len(out.Results) > 0 {
+			break
+		}
+		out.Results = append(out.Results, r)
+	}
+	return out, nil
+}
+
+// Body returns the body of an item. Errors: *UnknownJobError, *UnknownItemError.
+func (s *State) Body(id JobID, item ItemID) ([]byte, error) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return nil, &UnknownJobError{ID: id}
+	}
+	i, ok := j.items[item]
+	if !ok {
+		return nil, &UnknownItemError{Job: id, Item: item}
+	}
+	return i.item().Body, nil
+}
+
+// Run is an item that its upstream's holder is to run.
+type Run struct {
+	Job      *Job
+	Item     *Item
+	Upstream api.UpstreamID
+	Lease    Offset              // of the upstream
+	Events   int                 // that the text has already
+	Versions []api.WeightVersion // that made them
+}
+
+// Key names a run's item.
+type Key struct {
+	Job  JobID
+	Item ItemID
+}
+
+// Runs returns what a daemon is to run on the upstreams it holds.
+func (s *State) Runs(d api.DaemonID) map[Key]Run {
+	out := make(map[Key]Run)
+	for id, u := range s.upstreams {
+		if u.Holder != d {
+			continue
+		}
+		for _, i := range s.placed[id] {
+			out[Key{i.job.job.ID, i.item().ID}] = Run{
+				Job: i.job.job, Item: i.item(), Upstream: id, Lease: u.Taken,
+				Events: len(i.events), Versions: i.versions,
+			}
+		}
+	}
+	return out
+}
+
+// OpenItem is an item that is neither listed nor of an ended job.
+type OpenItem struct {
+	Key
+	Host, Path string
+	Service    string
+	Upstream   api.UpstreamID // empty: none
+	DueMillis  int64          // when it may be given up, in Unix milliseconds
+}
+
+// Open returns all open items, in no particular order.
+func (s *State) Open() []OpenItem {
+	var out []OpenItem
+	for _, j := range s.jobs {
+		if j.ended {
+			continue
+		}
+		for _, i := range j.items {
+			if i.state == ItemOpen {
+				out = append(out, OpenItem{
+					Key: Key{j.job.ID, i.item().ID}, Host: j.job.Host, Path: i.item().Path, Service: j.job.Service,
+					Upstream: i.upstream, DueMillis: j.job.AtMillis + j.job.KeepMillis,
+				})
+			}
+		}
+	}
+	return out
+}
+
+// Upstreams returns a copy of every upstream, sorted by id.
+func (s *State) Upstreams() []Upstream {
+	out := make([]Upstream, 0, len(s.upstreams))
+	for _, u := range s.upstreams {
+		c := *u
+		c.Versions = maps.Clone(u.Versions)
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return cmpID(a.ID, b.ID) })
+	return out
+}
+
+// Daemons returns a copy of what is known of daemons that have not left.
+func (s *State) Daemons() map[api.DaemonID]Daemon {
+	out := make(map[api.DaemonID]Daemon, len(s.daemons))
+	for id, d := range s.daemons {
+		if !d.Left {
+			out[id] = *d
+		}
+	}
+	return out
+}
+
+// Forget drops jobs submitted before a time that are over, to bound memory.
+// Dropped jobs are unknown afterwards.
+func (s *State) Forget(beforeMillis int64) {
+	for id, j := range s.jobs {
+		if j.job.AtMillis >= beforeMillis || (!j.ended && len(j.results) < len(j.items)) {
+			continue
+		}
+		delete(s.jobs, id)
+		for item, i := range j.items {
+			if s.latest[item] == i {
+				delete(s.latest, item)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/lib/batch/state.go
@@ -0,0 +1,348 @@
+package batch
+
+import (
+	"maps"
+	"slices"
+
+	"dotterelmount.example/api"
+)
+
+// State folds records. It is not safe for concurrent use.
+type State struct {
+	jobs      map[JobID]*jobState
+	upstreams map[api.UpstreamID]*Upstream
+	daemons   map[api.DaemonID]*Daemon
+	pending   map[*itemState]struct{}  // open items of open jobs without an upstream
+	latest    map[ItemID]*itemState    // of the newest job that has the item
+	placed    map[api.UpstreamID][]*itemState
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		jobs: make(map[JobID]*jobState), upstreams: make(map[api.UpstreamID]*Upstream),
+		daemons: make(map[api.DaemonID]*Daemon), pending: make(map[*itemState]struct{}),
+		latest: make(map[ItemID]*itemState), placed: make(map[api.UpstreamID][]*itemState),
+	}
+}
+
+// Upstream is an upstream under a lease.
+type Upstream struct {
+	ID        api.UpstreamID
+	Service   string
+	Holder    api.DaemonID // empty: the holder left
+	Taken     Offset       // of the lease; its fencing token
+	Slots     int
+	Condition Condition
+	Models    []api.ModelName
+	Versions  map[api.ModelName]api.WeightVersion
+	Home      api.ModelName // the model whose new versions it takes
+}
+
+// Daemon is what the log says of a daemon.
+type Daemon struct {
+	Starts  int64  // its newest start, in Unix milliseconds
+	Renewed Offset // its newest renewal
+	Left    bool
+}
+
+type jobState struct {
+	job     *Job
+	seq     Offset // of its acceptance
+	items   map[ItemID]*itemState
+	results []*itemState // in the order in which they were listed
+	ended   bool
+}
+
+type itemState struct {
+	job      *jobState
+	index    int
+	state    ItemState
+	events   []string
+	versions []api.WeightVersion
+	failures int
+	upstream api.UpstreamID // that it is placed on; empty: none
+	avoid    api.UpstreamID // that it was moved from last
+}
+
+func (i *itemState) item() *Item { return &i.job.job.Items[i.index] }
+
+// Apply changes the state by the record at an offset. Records with no effect
+// are ignored, and Apply reports whether there was one.
+func (s *State) Apply(at Offset, r Record) bool {
+	done := s.apply(at, r)
+	if done {
+		s.place()
+	}
+	return done
+}
+
+func (s *State) apply(at Offset, r Record) bool {
+	switch r := r.(type) {
+	case *JobAccepted:
+		return s.accept(at, &r.Job)
+	case *JobEnded:
+		return s.end(r.ID)
+	case *TextAdded:
+		return s.addText(r)
+	case *ItemFailed:
+		return s.fail(r)
+	case *ItemExpired:
+		return s.expire(r)
+	case *ItemMoved:
+		return s.move(r)
+	case *DaemonAlive:
+		return s.renew(at, r)
+	case *DaemonLeft:
+		return s.leave(r.Daemon)
+	case *LeaseTaken:
+		return s.take(at, r)
+	case *UpstreamGone:
+		return s.remove(r)
+	case *UpstreamChanged:
+		return s.change(r)
+	}
+	return false
+}
+
+func (s *State) accept(at Offset, job *Job) bool {
+	if _, ok := s.jobs[job.ID]; ok {
+		return false
+	}
+	j := &jobState{job: job, seq: at, items: make(map[ItemID]*itemState, len(job.Items))}
+	s.jobs[job.ID] = j
+	for n := range job.Items {
+		id := job.Items[n].ID
+		if _, ok := j.items[id]; ok {
+			continue // a name that stands twice is one item
+		}
+		i := &itemState{job: j, index: n}
+		j.items[id] = i
+		s.reuse(i, s.latest[id])
+		s.latest[id] = i
+		if i.state == ItemOpen {
+			s.pending[i] = struct{}{}
+		}
+	}
+	return true
+}
+
+// reuse takes over the text that an earlier job's item has, where the
+// versions that made it fit the new job.
+func (s *State) reuse(i, earlier *itemState) {
+	if earlier == nil || len(earlier.events) == 0 || earlier.state == ItemErrored || earlier.job.job.Model != i.job.job.Model {
+		return
+	}
+	if slices.Min(earlier.versions) < i.job.job.MinVersion || (i.job.job.SingleVersion && len(earlier.versions) > 1) {
+		return
+	}
+	i.events, i.versions = slices.Clip(earlier.events), slices.Clip(earlier.versions)
+	if earlier.state == ItemCompleted {
+		s.list(i, ItemCompleted)
+	}
+}
+
+func (s *State) end(id JobID) bool {
+	j, ok := s.jobs[id]
+	if !ok || j.ended {
+		return false
+	}
+	j.ended = true
+	for _, i := range j.items {
+		s.unplace(i)
+		delete(s.pending, i)
+	}
+	return true
+}
+
+func (s *State) find(job JobID, item ItemID) *itemState {
+	if j, ok := s.jobs[job]; ok {
+		return j.items[item]
+	}
+	return nil
+}
+
+// addText takes events that continue the text just where it ends. Text of
+// another run than the one that went on is not taken.
+func (s *State) addText(r *TextAdded) bool {
+	i := s.find(r.Job, r.Item)
+	if i == nil || i.state != ItemOpen || r.From != len(i.events) {
+		return false
+	}
+	i.events = append(i.events, r.Events...)
+	for _, v := range r.Versions {
+		if !slices.Contains(i.versions, v) {
+			i.versions = append(i.versions, v)
+		}
+	}
+	if r.Done && !i.job.ended {
+		s.list(i, ItemCompleted)
+	}
+	return true
+}
+
+// list gives an item its place among the results.
+func (s *State) list(i *itemState, state ItemState) {
+	i.state = state
+	i.job.results = append(i.job.results, i)
+	s.unplace(i)
+	delete(s.pending, i)
+}
+
+func (s *State) fail(r *ItemFailed) bool {
+	i := s.find(r.Job, r.Item)
+	if i == nil || i.state != ItemOpen || i.job.ended {
+		return false
+	}
+	i.failures++
+	if r.Final || i.failures >= i.job.job.Attempts {
+		s.list(i, ItemErrored)
+	}
+	return true
+}
+
+func (s *State) expire(r *ItemExpired) bool {
+	i := s.find(r.Job, r.Item)
+	if i == nil || i.state != ItemOpen || i.job.ended {
+		return false
+	}
+	s.list(i, ItemErrored)
+	return true
+}
+
+func (s *State) move(r *ItemMoved) bool {
+	i := s.find(r.Job, r.Item)
+	if i == nil || i.upstream != r.From || r.From == "" {
+		return false
+	}
+	s.unplace(i)
+	i.avoid = r.From
+	s.pending[i] = struct{}{}
+	return true
+}
+
+// unplace takes an item off its upstream.
+func (s *State) unplace(i *itemState) {
+	if i.upstream == "" {
+		return
+	}
+	s.placed[i.upstream] = slices.DeleteFunc(s.placed[i.upstream], func(o *itemState) bool { return o == i })
+	i.upstream = ""
+}
+
+func (s *State) renew(at Offset, r *DaemonAlive) bool {
+	d, ok := s.daemons[r.Daemon]
+	if !ok {
+		d = &Daemon{}
+		s.daemons[r.Daemon] = d
+	}
+	if r.Starts < d.Starts {
+		return false // an earlier process of the same daemon
+	}
+	d.Starts, d.Renewed, d.Left = r.Starts, at, false
+	return true
+}
+
+func (s *State) leave(id api.DaemonID) bool {
+	d, ok := s.daemons[id]
+	if !ok || d.Left {
+		return false
+	}
+	d.Left = true
+	for _, u := range s.upstreams {
+		if u.Holder == id {
+			u.Holder = ""
+		}
+	}
+	return true
+}
+
+func (s *State) take(at Offset, r *LeaseTaken) bool {
+	u, ok := s.upstreams[r.Upstream]
+	if !ok {
+		if r.Previous != 0 {
+			return false // it was removed meanwhile
+		}
+		u = &Upstream{ID: r.Upstream}
+		s.upstreams[r.Upstream] = u
+	}
+	if u.Taken != r.Previous {
+		return false
+	}
+	u.Service, u.Holder, u.Taken, u.Slots, u.Models = r.Service, r.Daemon, at, r.Slots, r.Models
+	u.Condition = ConditionReady
+	u.Versions = maps.Clone(r.Versions)
+	if u.Versions == nil {
+		u.Versions = make(map[api.ModelName]api.WeightVersion)
+	}
+	if !ok {
+		u.Home = s.home(u)
+	}
+	return true
+}
+
+// home returns the model that fewest other upstreams of the service are home to.
+func (s *State) home(u *Upstream) api.ModelName {
+	count := make(map[api.ModelName]int)
+	for _, o := range s.upstreams {
+		if o.Service == u.Service && o != u {
+			count[o.Home]++
+		}
+	}
+	var best api.ModelName
+	for _, m := range u.Models {
+		if best == "" || count[m] < count[best] {
+			best = m
+		}
+	}
+	return best
+}
+
+func (s *State) remove(r *UpstreamGone) bool {
+	u, ok := s.upstreams[r.Upstream]
+	if !ok || u.Holder != r.Daemon {
+		return false
+	}
+	for _, i := range slices.Clone(s.placed[r.Upstream]) {
+		s.unplace(i)
+		s.pending[i] = struct{}{}
+	}
+	delete(s.placed, r.Upstream)
+	delete(s.upstreams, r.Upstream)
+	s.balanceHomes(u)
+	return true
+}
+
+// balanceHomes gives one upstream to the model that lost one, when the models
+// of its service are now two apart.
+func (s *State) balanceHomes(gone *Upstream) {
+	homes := make(map[api.ModelName][]*Upstream)
+	for _, u := range s.upstreams {
+		if u.Service == gone.Service {
+			homes[u.Home] = append(homes[u.Home], u)
+		}
+	}
+	var most api.ModelName
+	for _, m := range gone.Models {
+		if most == "" || len(homes[m]) > len(homes[most]) {
+			most = m
+		}
+	}
+	if len(homes[most]) < len(homes[gone.Home])+2 {
+		return
+	}
+	first := slices.MinFunc(homes[most], func(a, b *Upstream) int { return cmpID(a.ID, b.ID) })
+	first.Home = gone.Home
+}
+
+func (s *State) change(r *UpstreamChanged) bool {
+	u, ok := s.upstreams[r.Upstream]
+	if !ok || u.Holder != r.Daemon {
+		return false
+	}
+	u.Condition = r.Condition
+	for m, v := range r.Versions {
+		u.Versions[m] = v
+	}
+	return true
+}
--- /dev/null
+++ b/lib/latency/latency.go
@@ -0,0 +1,66 @@
+// Package latency counts how requests ended and keeps a histogram of how long
+// they took, by kind, under expvar.
+package latency
+
+import (
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	longest = 60 * time.Second // longer ones count as this long
+	digits  = 2                // significant ones of a recorded time
+)
+
+// Recorder records requests. It may be used from any thread.
+type Recorder struct {
+	mu     sync.Mutex
+	byKind map[string]*hdrhistogram.Histogram // microseconds
+	counts *expvar.Map
+}
+
+// New returns a recorder whose figures appear as "request_millis" and
+// "requests". A process has one.
+func New() *Recorder {
+	r := &Recorder{byKind: make(map[string]*hdrhistogram.Histogram), counts: expvar.NewMap("requests")}
+	expvar.Publish("request_millis", expvar.Func(r.summary))
+	return r
+}
+
+// Ended records a request.
+func (r *Recorder) Ended(kind string, status int, took time.Duration) {
+	r.counts.Add(kind+"."+strconv.Itoa(status), 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.byKind[kind]
+	if !ok {
+		h = hdrhistogram.New(1, longest.Microseconds(), digits)
+		r.byKind[kind] = h
+	}
+	// The value is within the histogram's bounds, so that this can't fail.
+	_ = h.RecordValue(min(longest, max(time.Microsecond, took)).Microseconds())
+}
+
+// quantiles of a kind, in milliseconds.
+type quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+func (r *Recorder) summary() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]quantiles, len(r.byKind))
+	for kind, h := range r.byKind {
+		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		out[kind] = quantiles{Count: h.TotalCount(), P50: at(50), P90: at(90), P99: at(99), Max: at(100)}
+	}
+	return out
+}
--- a/lib/settings/load.go
+++ b/lib/settings/load.go
@@ -65,20 +65,25 @@
 // Load reads and checks a settings file. Errors: *Error for its content, an
 // *api.Error with CodeInvalid when it cannot be read.
 func Load(path string) (*Settings, error) {
+	data, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(data)
+}
+
+func readFile(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, api.Errorf(api.CodeInvalid, "settings file: %w", err)
 	}
-	return Parse(data)
+	return data, nil
 }
 
 // Parse decodes and checks settings; unknown keys are refused. Errors: *Error.
 func Parse(data []byte) (*Settings, error) {
-	if len(data) > maxFileBytes {
-		return nil, &Error{Value: "a larger file", Allowed: "at most 1 MiB"}
-	}
 	s := Defaults()
-	if err := strictyaml.Decode(data, s); err != nil {
+	if err := decode(data, s); err != nil {
 		return nil, err
 	}
 	if err := s.Validate(); err != nil {
@@ -87,6 +92,14 @@
 	return s, nil
 }
 
+// decode fills in settings from a file's content. Errors: *Error.
+func decode(data []byte, settings any) error {
+	if len(data) > maxFileBytes {
+		return &Error{Value: "a larger file", Allowed: "at most 1 MiB"}
+	}
+	return strictyaml.Decode(data, settings)
+}
+
 // validate is safe for concurrent use after its registrations.
 var validate = newValidator()
 
@@ -104,8 +117,10 @@
 }
 
 // Validate checks every value and names the first that is not allowed. Errors: *Error.
-func (s *Settings) Validate() error {
-	err := validate.Struct(s)
+func (s *Settings) Validate() error { return check(s) }
+
+func check(settings any) error {
+	err := validate.Struct(settings)
 	if err == nil {
 		return nil
 	}
@@ -133,6 +148,8 @@
 		return "ip:port"
 	case "min":
 		return "at least " + f.Param()
+	case "gt":
+		return "more than " + f.Param()
 	case "max":
 		return "at most " + f.Param()
 	case "required":
--- /dev/null
+++ b/server/book/book.go
@@ -0,0 +1,322 @@
+// Package book follows the journal of batch jobs: one duty reads it, one folds
+// it and answers queries. All that a daemon knows of jobs and leases it knows
+// from the fold.
+package book
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/ring"
+	"go.uber.org/zap"
+)
+
+var recordsApplied = expvar.NewInt("batch_records_applied")
+
+// Config of a Book.
+type Config struct {
+	Self       api.DaemonID
+	RingSize   int
+	Wait       time.Duration // longest wait of one read
+	Timeout    time.Duration // of a read beyond its wait
+	Pace       time.Duration // shortest time between two reads
+	RetryEvery time.Duration // after a failed read
+	// Remember is how long after its submission a job that is over is known.
+	Remember time.Duration
+	// ResultBytes bounds the text in one answer.
+	ResultBytes int
+	Now         func() time.Time
+}
+
+// Deps are told what follows from the fold, on the folding duty.
+type Deps struct {
+	// Runs gets what this daemon is to run, whenever that may have changed, and
+	// the offset up to which records were applied.
+	Runs func(runs map[batch.Key]batch.Run, applied batch.Offset)
+	// Leases is told after upstreams or daemons changed.
+	Leases func(*Snapshot)
+}
+
+// Snapshot is what the fold says of daemons and upstreams. It is immutable.
+type Snapshot struct {
+	Applied   batch.Offset
+	Upstreams []batch.Upstream
+	// Seen is when this process saw a daemon's last renewal. Time in which the
+	// journal could not be read doesn't count.
+	Seen map[api.DaemonID]time.Time
+	// Starts is the newest start of each daemon, in Unix milliseconds.
+	Starts map[api.DaemonID]int64
+}
+
+// StaleError reports that the journal could not be read up to its end in time.
+type StaleError struct{ Since time.Time }
+
+// Error implements error.
+func (e *StaleError) Error() string {
+	return "the journal was last read to its end at " + e.Since.Format(time.RFC3339Nano)
+}
+
+// Book is the handle of the duties.
+type Book struct {
+	cfg      Config
+	deps     Deps
+	log      *zap.Logger
+	fold     *duty.Duty[any]
+	reader   *duty.Duty[struct{}]
+	state    *batch.State
+	joiner   journal.Joiner
+	applied  batch.Offset
+	current  time.Time // start of the last read that reached the end
+	seen     map[api.DaemonID]time.Time
+	waiting  []*query
+	freshAt  atomic.Int64 // current, in Unix nanoseconds, for other threads
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// page is what one read found.
+type page struct {
+	from  journal.Offset
+	page  journal.Page
+	began time.Time
+	// resumed is set after reads that failed.
+	resumed bool
+}
+
+// Start spawns the duties.
+func Start(sys *duty.System, j journal.Journal, cfg Config, deps Deps, log *zap.Logger) *Book {
+	b := &Book{cfg: cfg, deps: deps, log: log, state: batch.New(), seen: make(map[api.DaemonID]time.Time)}
+	b.snapshot.Store(&Snapshot{})
+	const tick = 100 * time.Millisecond // resolution of the waits of queries
+	b.fold = duty.Start(sys, duty.Config{Name: "book", RingSize: cfg.RingSize, Tick: tick}, duty.Handler[any](b))
+	r := &reader{book: b, journal: j}
+	b.reader = duty.Start(sys, duty.Config{Name: "journal-reader", RingSize: 1}, duty.Handler[struct{}](r))
+	r.again = func() { _ = b.reader.Post(struct{}{}) } // only the reader itself posts: there is room
+	r.again()
+	return b
+}
+
+// Snapshot returns the newest snapshot.
+func (b *Book) Snapshot() *Snapshot { return b.snapshot.Load() }
+
+// Fresh returns when the last read that reached the journal's end began.
+func (b *Book) Fresh() time.Time { return time.Unix(0, b.freshAt.Load()) }
+
+// Handle applies a page or takes a query.
+func (b *Book) Handle(_ context.Context, m any) {
+	switch m := m.(type) {
+	case *page:
+		b.apply(m)
+	case *query:
+		b.ask(m)
+	}
+}
+
+// Tick ends queries whose time is over and forgets old jobs.
+func (b *Book) Tick(context.Context) {
+	b.answer()
+	b.state.Forget(b.cfg.Now().Add(-b.cfg.Remember).UnixMilli())
+}
+
+// apply folds a page's records.
+func (b *Book) apply(p *page) {
+	if p.resumed {
+		for d := range b.seen {
+			b.seen[d] = p.began
+		}
+	}
+	changed := false
+	for i, part := range p.page.Records {
+		at := batch.Offset(p.from) + batch.Offset(i) + 1 // offset 0 means never
+		data, err := b.joiner.Add(part)
+		if err != nil || data == nil {
+			b.skipped(at, err)
+			continue
+		}
+		r, err := batchcodec.Decode(data)
+		if err != nil {
+			b.skipped(at, err)
+			continue
+		}
+		if alive, ok := r.(*batch.DaemonAlive); ok {
+			b.seen[alive.Daemon] = b.cfg.Now()
+		}
+		done := b.state.Apply(at, r)
+		changed = done || changed
+		b.describe(at, r, done)
+		recordsApplied.Add(1)
+	}
+	b.applied = batch.Offset(p.from) + batch.Offset(len(p.page.Records))
+	if journal.Offset(b.applied) >= p.page.End {
+		b.current = p.began
+		b.freshAt.Store(p.began.UnixNano())
+	}
+	if changed || len(p.page.Records) > 0 {
+		b.publish()
+	}
+	b.answer()
+}
+
+func (b *Book) skipped(at batch.Offset, err error) {
+	if err != nil {
+		b.log.Warn("journal record ignored", zap.Uint64("offset", uint64(at)), zap.Error(err))
+	}
+}
+
+func (b *Book) publish() {
+	s := &Snapshot{
+		Applied: b.applied, Upstreams: b.state.Upstreams(),
+		Seen: make(map[api.DaemonID]time.Time), Starts: make(map[api.DaemonID]int64),
+	}
+	for id, d := range b.state.Daemons() {
+		s.Seen[id], s.Starts[id] = b.seen[id], d.Starts
+	}
+	b.snapshot.Store(s)
+	b.deps.Leases(s)
+	b.deps.Runs(b.state.Runs(b.cfg.Self), b.applied)
+}
+
+// describe logs a record that changed what the process believes.
+func (b *Book) describe(at batch.Offset, r batch.Record, done bool) {
+	offset, effect := zap.Uint64("offset", uint64(at)), zap.Bool("effect", done)
+	switch r := r.(type) {
+	case *batch.JobAccepted:
+		b.log.Info("job accepted", zap.String("job", string(r.Job.ID)), zap.String("model", string(r.Job.Model)),
+			zap.Uint64("min_version", uint64(r.Job.MinVersion)), zap.Int("items", len(r.Job.Items)), offset, effect)
+	case *batch.JobEnded:
+		b.log.Info("job ended", zap.String("job", string(r.ID)), offset, effect)
+	case *batch.LeaseTaken:
+		b.log.Info("lease taken", zap.String("upstream", string(r.Upstream)), zap.String("daemon", string(r.Daemon)),
+			zap.Uint64("previous", uint64(r.Previous)), offset, effect)
+	case *batch.UpstreamGone:
+		b.log.Info("upstream forgotten", zap.String("upstream", string(r.Upstream)), zap.String("daemon", string(r.Daemon)), offset, effect)
+	case *batch.UpstreamChanged:
+		b.log.Info("upstream changed", zap.String("upstream", string(r.Upstream)), zap.Stringer("condition", r.Condition),
+			zap.Any("versions", r.Versions), offset, effect)
+	case *batch.DaemonLeft:
+		b.log.Info("daemon left", zap.String("daemon", string(r.Daemon)), offset, effect)
+	case *batch.ItemFailed:
+		b.log.Info("item failed", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
+			zap.Int("status", r.Status), zap.Bool("final", r.Final), offset, effect)
+	case *batch.ItemExpired:
+		b.log.Info("item given up", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)), offset, effect)
+	case *batch.TextAdded:
+		if !done {
+			b.log.Info("text not taken", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
+				zap.Int("from", r.From), zap.Int("events", len(r.Events)), offset)
+		}
+	}
+}
+
+// Stop ends the duties. Errors: ctx.Err().
+func (b *Book) Stop(ctx context.Context) error {
+	return duty.StopAll(ctx, b.fold, []*duty.Duty[struct{}]{b.reader})
+}
+
+// reader is the duty that waits for records.
+type reader struct {
+	book    *Book
+	journal journal.Journal
+	again   func()
+	from    journal.Offset
+	failing bool
+}
+
+// Handle makes one read.
+func (r *reader) Handle(ctx context.Context, _ struct{}) {
+	defer r.again()
+	cfg := r.book.cfg
+	began := cfg.Now()
+	call, cancel := context.WithTimeout(ctx, cfg.Wait+cfg.Timeout)
+	found, err := r.journal.Read(call, r.from, cfg.Wait)
+	cancel()
+	if ctx.Err() != nil {
+		return
+	}
+	var trimmed *journal.TrimmedError
+	if errors.As(err, &trimmed) {
+		r.book.log.Warn("journal records are gone", zap.Uint64("from", uint64(r.from)), zap.Uint64("first", uint64(trimmed.First)))
+		r.from = trimmed.First
+		return
+	}
+	if err != nil {
+		r.failed(ctx, err)
+		return
+	}
+	p := &page{from: r.from, page: found, began: began, resumed: r.failing}
+	if r.failing {
+		r.failing = false
+		r.book.log.Info("journal readable again", zap.Uint64("from", uint64(r.from)))
+	}
+	r.from += journal.Offset(len(found.Records))
+	if err := r.book.fold.PostWait(ctx, p); err != nil {
+		return // stopping
+	}
+	if r.from >= found.End {
+		duty.Pause(ctx, cfg.Pace-cfg.Now().Sub(began))
+	}
+}
+
+func (r *reader) failed(ctx context.Context, err error) {
+	if !r.failing {
+		r.failing = true
+		r.book.log.Warn("journal unreadable", zap.Uint64("from", uint64(r.from)), zap.Error(err))
+	}
+	duty.Pause(ctx, r.book.cfg.RetryEvery)
+}
+
+// query asks the fold; it waits until ready or its time is over.
+type query struct {
+	ctx   context.Context
+	asked time.Time
+	until time.Time
+	// ask returns whether the query is answered. final is set when it must not
+	// wait any longer.
+	ask   func(s *batch.State, fresh, final bool) bool
+	reply *ring.Slot[struct{}]
+}
+
+func (b *Book) ask(q *query) {
+	if !b.try(q) {
+		b.waiting = append(b.waiting, q)
+	}
+}
+
+func (b *Book) try(q *query) bool {
+	now := b.cfg.Now()
+	final := !now.Before(q.until) || q.ctx.Err() != nil
+	if q.ask(b.state, !b.current.Before(q.asked), final) || final {
+		q.reply.Put(struct{}{})
+		return true
+	}
+	return false
+}
+
+// answer tries what waits.
+func (b *Book) answer() {
+	left := b.waiting[:0]
+	for _, q := range b.waiting {
+		if !b.try(q) {
+			left = append(left, q)
+		}
+	}
+	clear(b.waiting[len(left):])
+	b.waiting = left
+}
+
+func (b *Book) query(ctx context.Context, wait time.Duration, ask func(s *batch.State, fresh, final bool) bool) error {
+	now := b.cfg.Now()
+	q := &query{ctx: ctx, asked: now, until: now.Add(wait), ask: ask, reply: ring.NewSlot[struct{}]()}
+	if err := b.fold.Post(q); err != nil {
+		return err
+	}
+	_, err := q.reply.Wait(ctx)
+	return err
+}
--- /dev/null
+++ b/server/book/queries.go
@@ -0,0 +1,71 @@
+package book
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dotterelmount.example/lib/batch"
+)
+
+// certainty is how long a query waits until the journal has been read to its
+// end, before it says that something doesn't exist.
+const certainty = 800 * time.Millisecond
+
+// Results returns a job's results from a position on, waiting up to wait for
+// one. Errors: *batch.UnknownJobError when there surely is no such job,
+// *StaleError when that can't be told, ctx.Err().
+func (b *Book) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, error) {
+	var out batch.Results
+	var failed error
+	began := b.cfg.Now()
+	err := b.query(ctx, max(wait, certainty), func(s *batch.State, fresh, final bool) bool {
+		out, failed = s.Results(id, from, b.cfg.ResultBytes)
+		if failed != nil {
+			return b.unknown(&failed, fresh, final)
+		}
+		over := out.Ended || out.Next >= out.Total
+		return len(out.Results) > 0 || over || b.cfg.Now().Sub(began) >= wait
+	})
+	return out, errors.Join(failed, err)
+}
+
+// unknown decides about a query for something that the fold doesn't have.
+func (b *Book) unknown(failed *error, fresh, final bool) bool {
+	if !fresh && final {
+		*failed = &StaleError{Since: b.current}
+	}
+	return fresh
+}
+
+// Body returns the body of an item. Errors: *batch.UnknownJobError or
+// *batch.UnknownItemError when there surely is none, *StaleError, ctx.Err().
+func (b *Book) Body(ctx context.Context, id batch.JobID, item batch.ItemID) ([]byte, error) {
+	var out []byte
+	var failed error
+	err := b.query(ctx, certainty, func(s *batch.State, fresh, final bool) bool {
+		out, failed = s.Body(id, item)
+		if failed != nil {
+			return b.unknown(&failed, fresh, final)
+		}
+		return true
+	})
+	return out, errors.Join(failed, err)
+}
+
+// Knows returns nil when a job is known. Errors: *batch.UnknownJobError when
+// there surely is no such job, *StaleError when that can't be told, ctx.Err().
+func (b *Book) Knows(ctx context.Context, id batch.JobID) error {
+	_, err := b.Results(ctx, id, 0, 0)
+	return err
+}
+
+// Open returns the open items of all jobs. Errors: ctx.Err().
+func (b *Book) Open(ctx context.Context) ([]batch.OpenItem, error) {
+	var out []batch.OpenItem
+	err := b.query(ctx, 0, func(s *batch.State, _, _ bool) bool {
+		out = s.Open()
+		return true
+	})
+	return out, err
+}
--- /dev/null
+++ b/server/committer/committer.go
@@ -0,0 +1,285 @@
+// Package committer appends records to a journal in the order given, each
+// once: one duty gathers what comes while an append is under way, another
+// carries the append and repeats it under its number until its fate is known.
+package committer
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/ring"
+	"go.uber.org/zap"
+)
+
+var (
+	appends       = expvar.NewInt("journal_appends")
+	appendsFailed = expvar.NewInt("journal_appends_failed")
+	recordsAdded  = expvar.NewInt("journal_records")
+)
+
+// Config of a Committer.
+type Config struct {
+	Producer    string // unique to this run of the process
+	RingSize    int
+	RecordBytes int           // most of one record in the log
+	CallBytes   int           // most of one append
+	Timeout     time.Duration // of one call
+	RetryEvery  time.Duration // between two calls of an append
+	// Patience is how long the journal may fail before new records are refused
+	// at once.
+	Patience time.Duration
+	Now      func() time.Time
+}
+
+// StoppedError reports a record that was still waiting at the stop.
+type StoppedError struct{}
+
+// Error implements error.
+func (*StoppedError) Error() string { return "stopping" }
+
+// TooLargeError reports a record that no append can hold.
+type TooLargeError struct{ Bytes int }
+
+// Error implements error.
+func (e *TooLargeError) Error() string { return "record exceeds what one append may hold" }
+
+// entry is a record on its way.
+type entry struct {
+	ctx   context.Context // ends when nobody waits any more; nil: nobody does
+	parts [][]byte
+	bytes int
+	reply *ring.Slot[outcome]
+	// sent is set before the entry's first call. Who withdraws the entry sets
+	// it too: the one who finds it unset decides.
+	sent atomic.Bool
+}
+
+type outcome struct {
+	offset journal.Offset
+	err    error
+}
+
+// Committer is the handle of the duties.
+type Committer struct {
+	cfg          Config
+	log          *zap.Logger
+	journal      journal.Journal
+	owner        *duty.Duty[any]
+	appender     *duty.Duty[*call]
+	waiting      []*entry
+	busy         bool
+	refused      bool // the last append was
+	number       uint64
+	failingSince atomic.Int64 // Unix nanoseconds; 0: the last call succeeded
+}
+
+// call is one append under its number.
+type call struct {
+	seq     journal.Sequence
+	entries []*entry
+	pause   time.Duration // before the first call
+	first   journal.Offset
+	err     error
+}
+
+// Start spawns the duties.
+func Start(sys *duty.System, j journal.Journal, cfg Config, log *zap.Logger) *Committer {
+	c := &Committer{cfg: cfg, log: log, journal: j}
+	c.owner = duty.Start(sys, duty.Config{Name: "committer", RingSize: cfg.RingSize}, duty.Handler[any](c))
+	c.appender = duty.Start(sys, duty.Config{Name: "append", RingSize: 1}, duty.Handler[*call]((*appender)(c)))
+	return c
+}
+
+// Failing reports whether the journal has failed for longer than the patience.
+func (c *Committer) Failing() bool {
+	since := c.failingSince.Load()
+	return since != 0 && c.cfg.Now().UnixNano()-since > int64(c.cfg.Patience)
+}
+
+// Commit appends a record and waits for its fate. It returns the offset of the
+// record's last part. Errors: *journal.RefusedError when the record is not in
+// the journal and never will be, *journal.UnknownError when it may be,
+// *TooLargeError.
+func (c *Committer) Commit(ctx context.Context, record []byte) (journal.Offset, error) {
+	e, err := c.entry(record)
+	if err != nil {
+		return 0, err
+	}
+	if c.Failing() {
+		return 0, &journal.RefusedError{Op: "append", Cause: &failingError{}}
+	}
+	e.ctx, e.reply = ctx, ring.NewSlot[outcome]()
+	if err := c.owner.Post(e); err != nil {
+		return 0, &journal.RefusedError{Op: "append", Cause: err}
+	}
+	o, err := e.reply.Wait(ctx)
+	if err != nil && e.sent.CompareAndSwap(false, true) {
+		return 0, &journal.RefusedError{Op: "append", Cause: err}
+	}
+	if err != nil {
+		return 0, &journal.UnknownError{Op: "append", Cause: err}
+	}
+	return o.offset, o.err
+}
+
+// failingError says why a record was not even tried.
+type failingError struct{}
+
+// Error implements error.
+func (*failingError) Error() string { return "the journal has not answered for a while" }
+
+// Post appends a record some time, without waiting. Errors: *duty.FullError,
+// *TooLargeError.
+func (c *Committer) Post(record []byte) error {
+	e, err := c.entry(record)
+	if err != nil {
+		return err
+	}
+	return c.owner.Post(e)
+}
+
+func (c *Committer) entry(record []byte) (*entry, error) {
+	const frame = 4 // bytes of length before each part
+	e := &entry{parts: journal.Split(record, c.cfg.RecordBytes)}
+	for _, p := range e.parts {
+		e.bytes += len(p) + frame
+	}
+	if e.bytes > c.cfg.CallBytes {
+		return nil, &TooLargeError{Bytes: e.bytes}
+	}
+	return e, nil
+}
+
+// Handle takes a record or an append's end.
+func (c *Committer) Handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case *entry:
+		c.waiting = append(c.waiting, m)
+	case *call:
+		c.ended(m)
+	}
+	c.next(ctx)
+}
+
+// next starts an append of what waits.
+func (c *Committer) next(ctx context.Context) {
+	if c.busy {
+		return
+	}
+	entries := c.gather()
+	if len(entries) == 0 {
+		return
+	}
+	c.number++
+	c.busy = true
+	k := &call{seq: journal.Sequence{Producer: c.cfg.Producer, Number: c.number}, entries: entries}
+	if c.refused {
+		k.pause = c.cfg.RetryEvery
+	}
+	if err := c.appender.PostWait(ctx, k); err != nil {
+		k.err = &journal.RefusedError{Op: "append", Cause: err}
+		c.ended(k)
+	}
+}
+
+// gather takes entries that fit one append and whose callers still wait.
+func (c *Committer) gather() []*entry {
+	var out []*entry
+	size, n := 0, 0
+	for ; n < len(c.waiting); n++ {
+		e := c.waiting[n]
+		if size+e.bytes > c.cfg.CallBytes {
+			break
+		}
+		if e.ctx != nil && !e.sent.CompareAndSwap(false, true) {
+			continue // withdrawn
+		}
+		size += e.bytes
+		out = append(out, e)
+	}
+	c.waiting = append(c.waiting[:0], c.waiting[n:]...)
+	return out
+}
+
+// ended tells those who wait. A refused append was not carried out: what
+// nobody waits for is tried again.
+func (c *Committer) ended(k *call) {
+	if k.err != nil {
+		c.number-- // the log carries out each number once, in order
+	}
+	c.busy, c.refused = false, k.err != nil
+	var again []*entry
+	at := k.first
+	for _, e := range k.entries {
+		at += journal.Offset(len(e.parts))
+		switch {
+		case e.reply != nil:
+			e.reply.Put(outcome{offset: at - 1, err: k.err})
+		case k.err != nil:
+			again = append(again, e)
+		}
+	}
+	c.waiting = append(again, c.waiting...)
+}
+
+// Dropped answers records that still waited at the stop.
+func (c *Committer) Dropped(m any) {
+	if e, ok := m.(*entry); ok && e.reply != nil {
+		e.reply.Put(outcome{err: &journal.RefusedError{Op: "append", Cause: &StoppedError{}}})
+	}
+}
+
+// Stop ends the duties. Errors: ctx.Err().
+func (c *Committer) Stop(ctx context.Context) error {
+	return duty.StopAll(ctx, c.owner, []*duty.Duty[*call]{c.appender})
+}
+
+// appender is the duty that carries one append at a time.
+type appender Committer
+
+// Handle repeats an append until its fate is known.
+func (a *appender) Handle(ctx context.Context, k *call) {
+	c := (*Committer)(a)
+	defer func() { _ = c.owner.PostWait(ctx, k) }() // fails at the stop only
+	var records [][]byte
+	for _, e := range k.entries {
+		records = append(records, e.parts...)
+	}
+	duty.Pause(ctx, k.pause)
+	for unknown := false; ctx.Err() == nil; duty.Pause(ctx, c.cfg.RetryEvery) {
+		k.first, k.err = a.once(ctx, k.seq, records)
+		if k.err == nil {
+			appends.Add(1)
+			recordsAdded.Add(int64(len(records)))
+			return
+		}
+		var refused *journal.RefusedError
+		if errors.As(k.err, &refused) && !unknown {
+			return
+		}
+		unknown = true
+	}
+}
+
+// once makes one call and notes whether the journal works.
+func (a *appender) once(ctx context.Context, seq journal.Sequence, records [][]byte) (journal.Offset, error) {
+	call, cancel := context.WithTimeout(ctx, a.cfg.Timeout)
+	defer cancel()
+	first, err := a.journal.Append(call, seq, records)
+	if err == nil {
+		if a.failingSince.Swap(0) != 0 {
+			a.log.Info("journal regained", zap.Uint64("append", seq.Number), zap.Uint64("offset", uint64(first)))
+		}
+		return first, nil
+	}
+	appendsFailed.Add(1)
+	if a.failingSince.CompareAndSwap(0, a.cfg.Now().UnixNano()) {
+		a.log.Warn("journal lost", zap.Uint64("append", seq.Number), zap.Int("records", len(records)), zap.Error(err))
+	}
+	return 0, err
+}
--- /dev/null
+++ b/server/relay/relay.go
@@ -0,0 +1,268 @@
+// Package relay passes opaque requests on: one duty chooses upstreams and
+// decides about retries, others carry one attempt each.
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/lib/routes"
+	"go.uber.org/zap"
+)
+
+// Config of a Relay.
+type Config struct {
+	Chooser  opaque.Chooser
+	Patience opaque.Patience
+	Carriers int
+	RingSize int
+	// Rest is how long an upstream is avoided after a failure; it doubles with
+	// each further failure in a row, up to MaxRest.
+	Rest, MaxRest time.Duration
+	// RetryAfter is told to clients whose request was not run.
+	RetryAfter time.Duration
+	Now        func() time.Time
+}
+
+// Relay is the handle of the duties.
+type Relay struct {
+	cfg      Config
+	log      *zap.Logger
+	view     func() *directory.View
+	duty     *duty.Duty[any]
+	carriers []*duty.Duty[*attempt]
+	idle     []int // indices of carriers without an attempt
+	seen     map[api.UpstreamID]*observed
+	crashes  *crashes
+}
+
+// job is a request in progress.
+type job struct {
+	request *opaque.Request
+	ctx     context.Context
+	reply   *ring.Slot[Reply]
+	tried   map[api.UpstreamID]bool
+	sent    int
+	mayHave bool // an attempt may have run
+	failure *opaque.Answer
+	last    error
+	print   uint64
+}
+
+// attempt is a job's try at one upstream.
+type attempt struct {
+	carrier  int
+	job      *job
+	upstream *directory.Upstream
+	began    time.Time
+	limit    time.Duration
+	answer   *opaque.Answer
+	err      error
+}
+
+// Reply ends a request: an answer, or a *opaque.RefusedError or
+// *opaque.FailedError.
+type Reply struct {
+	Answer   *opaque.Answer
+	Err      error
+	Upstream api.UpstreamID
+	Attempts int
+}
+
+// Start spawns the duties.
+func Start(sys *duty.System, cfg Config, log *zap.Logger, exchanger opaque.Exchanger, view func() *directory.View) *Relay {
+	r := &Relay{cfg: cfg, log: log, view: view, seen: make(map[api.UpstreamID]*observed), crashes: newCrashes()}
+	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: time.Second}, duty.Handler[any](r))
+	for i := range cfg.Carriers {
+		c := &carrier{exchanger: exchanger, now: cfg.Now, report: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }}
+		r.carriers = append(r.carriers, duty.Start(sys, duty.Config{Name: "relay-carrier", RingSize: 1}, duty.Handler[*attempt](c)))
+		r.idle = append(r.idle, i)
+	}
+	return r
+}
+
+// Pass passes a request on and waits for its end or that of ctx. Errors:
+// *opaque.RefusedError, *opaque.FailedError.
+func (r *Relay) Pass(ctx context.Context, q *opaque.Request) (*opaque.Answer, api.UpstreamID, error) {
+	reply := r.do(ctx, q)
+	return reply.Answer, reply.Upstream, reply.Err
+}
+
+func (r *Relay) do(ctx context.Context, q *opaque.Request) Reply {
+	j := &job{request: q, ctx: ctx, reply: ring.NewSlot[Reply](), tried: make(map[api.UpstreamID]bool), print: fingerprint(q)}
+	if err := r.duty.Post(j); err != nil {
+		return Reply{Err: &opaque.RefusedError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}}
+	}
+	reply, err := j.reply.Wait(ctx)
+	if err != nil {
+		return Reply{Err: &opaque.FailedError{Reason: "the client left or its time is over", Expired: true}}
+	}
+	return reply
+}
+
+// Handle takes a new job or an attempt's end.
+func (r *Relay) Handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case *job:
+		r.next(ctx, m)
+	case *attempt:
+		r.idle = append(r.idle, m.carrier)
+		r.ended(ctx, m)
+	}
+}
+
+// Tick forgets upstreams that are gone.
+func (r *Relay) Tick(context.Context) {
+	view := r.view()
+	for id, o := range r.seen {
+		if _, ok := view.Upstreams[id]; !ok && o.inFlight == 0 {
+			delete(r.seen, id)
+		}
+	}
+	r.crashes.forget(r.cfg.Now())
+}
+
+// next starts a job's next attempt or ends it.
+func (r *Relay) next(ctx context.Context, j *job) {
+	q, now := j.request, r.cfg.Now()
+	if j.ctx.Err() != nil || !now.Before(q.Deadline) {
+		r.finish(j, Reply{Err: j.giveUp("its time is over", true, r.cfg.RetryAfter)})
+		return
+	}
+	if j.sent >= q.Route.Attempts {
+		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("all attempts failed", false, r.cfg.RetryAfter)})
+		return
+	}
+	if r.crashes.banned(j.print, now) {
+		r.finish(j, Reply{Err: j.giveUp("the request crashed several upstreams", false, crashBan)})
+		return
+	}
+	u, ok := r.cfg.Chooser.Pick(r.candidates(j, now))
+	if !ok || (j.tried[u.ID] && q.Route.Kind != routes.KindIdempotent && j.mayHave) {
+		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("no upstream of service "+q.Service, false, r.cfg.RetryAfter)})
+		return
+	}
+	if len(r.idle) == 0 {
+		r.finish(j, Reply{Err: j.giveUp("all carriers are busy", false, r.cfg.RetryAfter)})
+		return
+	}
+	r.start(ctx, j, u, now)
+}
+
+func (r *Relay) start(ctx context.Context, j *job, u *directory.Upstream, now time.Time) {
+	last := len(r.idle) - 1
+	a := &attempt{
+		carrier: r.idle[last], job: j, upstream: u, began: now,
+		limit: r.cfg.Patience.AttemptTime(j.request, now, j.request.Route.Attempts-j.sent),
+	}
+	r.idle = r.idle[:last]
+	j.sent++
+	j.tried[u.ID] = true
+	r.observed(u.ID).inFlight++
+	if err := r.carriers[a.carrier].PostWait(ctx, a); err != nil {
+		r.finish(j, Reply{Err: j.giveUp("stopping", false, r.cfg.RetryAfter)})
+	}
+}
+
+// giveUp returns the error that ends a job without an answer.
+func (j *job) giveUp(reason string, expired bool, after time.Duration) error {
+	if j.failure != nil && !expired {
+		return nil // the upstream's own failure is the answer
+	}
+	if j.last != nil {
+		reason += "; last: " + j.last.Error()
+	}
+	if j.mayHave {
+		return &opaque.FailedError{Reason: reason, Expired: expired}
+	}
+	return &opaque.RefusedError{Reason: reason, RetryAfter: after}
+}
+
+// ended decides what follows an attempt.
+func (r *Relay) ended(ctx context.Context, a *attempt) {
+	now := r.cfg.Now()
+	j, o := a.job, r.observed(a.upstream.ID)
+	o.inFlight--
+	if a.err == nil && !failed(a.answer) {
+		o.succeeded(now.Sub(a.began))
+		r.finish(j, Reply{Answer: a.answer, Upstream: a.upstream.ID})
+		return
+	}
+	r.log.Info("attempt failed", zap.String("request", string(j.request.ID)), zap.String("upstream", string(a.upstream.ID)),
+		zap.Int("attempt", j.sent), zap.Duration("took", now.Sub(a.began)), zap.Duration("limit", a.limit), zap.Error(a.cause()))
+	if a.err == nil {
+		j.failure, j.mayHave = a.answer, true
+	} else {
+		r.learn(a, o, now)
+	}
+	if j.mayHave && j.request.Route.Kind != routes.KindIdempotent {
+		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("the upstream failed", false, r.cfg.RetryAfter), Upstream: a.upstream.ID})
+		return
+	}
+	r.next(ctx, j)
+}
+
+// learn notes what a failed attempt says of its upstream.
+func (r *Relay) learn(a *attempt, o *observed, now time.Time) {
+	a.job.last = a.err
+	var e *opaque.AttemptError
+	if !errors.As(a.err, &e) {
+		a.job.mayHave = true
+		return
+	}
+	if e.Fate == opaque.FateUnknown {
+		a.job.mayHave = true
+	}
+	if a.job.ctx.Err() == nil && !e.Busy {
+		o.failed(now, r.cfg.Rest, r.cfg.MaxRest)
+	}
+	if e.Broken && !errors.Is(e, context.DeadlineExceeded) && a.job.ctx.Err() == nil {
+		r.crashes.suspect(a.job.print, a.upstream.ID, now)
+	}
+}
+
+func (a *attempt) cause() error {
+	if a.err != nil {
+		return a.err
+	}
+	return &opaque.FailedError{Reason: "the upstream's own failure"}
+}
+
+// failed reports whether an answer is a failure of the upstream, after which a
+// request that may be repeated is tried elsewhere.
+func failed(a *opaque.Answer) bool {
+	const serverError = 500
+	return a.Status >= serverError
+}
+
+func (r *Relay) finish(j *job, reply Reply) {
+	reply.Attempts = j.sent
+	if reply.Answer != nil {
+		reply.Err = nil
+	}
+	j.reply.Put(reply)
+}
+
+// Stop ends the duties. Errors: ctx.Err().
+func (r *Relay) Stop(ctx context.Context) error { return duty.StopAll(ctx, r.duty, r.carriers) }
+
+// carrier is the duty that carries one attempt at a time.
+type carrier struct {
+	exchanger opaque.Exchanger
+	now       func() time.Time
+	report    func(context.Context, *attempt)
+}
+
+// Handle makes one attempt.
+func (c *carrier) Handle(ctx context.Context, a *attempt) {
+	call, cancel := context.WithTimeout(a.job.ctx, a.limit)
+	a.answer, a.err = c.exchanger.Exchange(call, a.upstream, a.job.request)
+	cancel()
+	c.report(ctx, a)
+}
--- /dev/null
+++ b/server/runner/runner.go
@@ -0,0 +1,250 @@
+// Package runner runs the items that are placed on this daemon's upstreams:
+// one duty decides which runs go on, others carry one run each.
+package runner
+
+import (
+	"context"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/generation"
+	"go.uber.org/zap"
+)
+
+// Config of a Runner.
+type Config struct {
+	Self     api.DaemonID
+	Carriers int
+	RingSize int
+	Tick     time.Duration
+	// FirstEvent is how long a run may wait for its first event, EventGap for
+	// each further one.
+	FirstEvent, EventGap time.Duration
+	// FlushEvery is how often the text of a run in progress is stored.
+	FlushEvery time.Duration
+	// Retry is how long a run waits after its upstream was busy.
+	Retry time.Duration
+	// BusyLimit is the number of times in a row that an upstream may be busy
+	// before an item is moved to another.
+	BusyLimit int
+	Now       func() time.Time
+}
+
+// Deps of a Runner.
+type Deps struct {
+	Engine generation.Engine
+	View   func() *directory.View
+	// Commit appends a record and waits for its offset.
+	Commit func(ctx context.Context, record []byte) (batch.Offset, error)
+	// Propose appends a record without waiting.
+	Propose func(record []byte) error
+	// Ran is told how runs at an upstream went.
+	Ran func(Outcome)
+}
+
+// Outcome tells how a run went, as far as it says something of its upstream.
+type Outcome struct {
+	Upstream api.UpstreamID
+	Events   int           // that came
+	Pace     time.Duration // between two events; 0: unknown
+	Cause    generation.Cause
+	Failed   bool
+	Silent   bool // no event came in time
+	Version  api.WeightVersion
+	Model    api.ModelName
+}
+
+// Runner is the handle of the duties.
+type Runner struct {
+	cfg      Config
+	deps     Deps
+	log      *zap.Logger
+	duty     *duty.Duty[any]
+	carriers []*duty.Duty[*run]
+	idle     []int
+	wanted   map[batch.Key]batch.Run
+	applied  batch.Offset
+	active   map[batch.Key]*run
+	busy     map[batch.Key]int
+	notYet   map[batch.Key]time.Time
+}
+
+// update replaces what this daemon is to run.
+type update struct {
+	runs    map[batch.Key]batch.Run
+	applied batch.Offset
+}
+
+// run is a run on a carrier.
+type run struct {
+	batch.Run
+	key      batch.Key
+	carrier  int
+	upstream *directory.Upstream
+	ctx      context.Context
+	cancel   context.CancelFunc
+	began    time.Time
+	result   result
+	ended    bool
+}
+
+// Start spawns the duties.
+func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Runner {
+	r := &Runner{
+		cfg: cfg, deps: deps, log: log, active: make(map[batch.Key]*run),
+		busy: make(map[batch.Key]int), notYet: make(map[batch.Key]time.Time),
+	}
+	r.duty = duty.Start(sys, duty.Config{Name: "runner", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](r))
+	for i := range cfg.Carriers {
+		c := &carrier{cfg: cfg, deps: deps, log: log, report: func(ctx context.Context, r2 *run) { _ = r.duty.PostWait(ctx, r2) }}
+		r.carriers = append(r.carriers, duty.Start(sys, duty.Config{Name: "run-carrier", RingSize: 1}, duty.Handler[*run](c)))
+		r.idle = append(r.idle, i)
+	}
+	return r
+}
+
+// Update replaces what this daemon is to run. A full ring drops it: the next
+// update has all that this one had.
+func (r *Runner) Update(runs map[batch.Key]batch.Run, applied batch.Offset) {
+	if err := r.duty.Post(&update{runs: runs, applied: applied}); err != nil {
+		r.log.Warn("update of runs dropped", zap.Error(err))
+	}
+}
+
+// Handle takes an update or a run's end.
+func (r *Runner) Handle(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case *update:
+		r.wanted, r.applied = m.runs, m.applied
+	case *run:
+		r.idle = append(r.idle, m.carrier)
+		r.finished(m)
+	}
+	r.reconcile(ctx)
+}
+
+// Tick starts what waited.
+func (r *Runner) Tick(ctx context.Context) { r.reconcile(ctx) }
+
+// reconcile cancels runs that are no longer wanted and starts those that are.
+func (r *Runner) reconcile(ctx context.Context) {
+	for key, a := range r.active {
+		w, ok := r.wanted[key]
+		switch {
+		case a.ended && r.applied >= a.result.offset:
+			delete(r.active, key)
+		case a.ended:
+		case !ok || w.Upstream != a.Upstream || w.Lease != a.Lease:
+			a.cancel()
+		}
+	}
+	now := r.cfg.Now()
+	for key, w := range r.wanted {
+		if len(r.idle) == 0 {
+			break
+		}
+		if r.active[key] == nil && !now.Before(r.notYet[key]) {
+			r.start(ctx, key, w, now)
+		}
+	}
+	for key := range r.notYet {
+		if _, ok := r.wanted[key]; !ok {
+			delete(r.notYet, key)
+			delete(r.busy, key)
+		}
+	}
+}
+
+func (r *Runner) start(ctx context.Context, key batch.Key, w batch.Run, now time.Time) {
+	v := r.deps.View()
+	u, ok := v.Upstreams[w.Upstream]
+	if !ok || v.Table == nil || u.Draining {
+		r.notYet[key] = now.Add(r.cfg.Retry)
+		if ok && u.Draining {
+			r.move(key, w, "the upstream is draining")
+		}
+		return
+	}
+	route, ok := v.Table.Match(w.Job.Host, w.Item.Path)
+	if !ok || !route.Serves(u.Service) {
+		r.notYet[key] = now.Add(r.cfg.Retry)
+		r.log.Info("run not allowed", zap.String("item", string(key.Item)), zap.String("upstream", string(u.ID)), zap.Uint64("config", v.Table.Version()))
+		return
+	}
+	last := len(r.idle) - 1
+	a := &run{Run: w, key: key, carrier: r.idle[last], upstream: u, began: now}
+	a.ctx, a.cancel = context.WithCancel(ctx)
+	r.idle = r.idle[:last]
+	r.active[key] = a
+	if err := r.carriers[a.carrier].PostWait(ctx, a); err != nil {
+		a.cancel() // stopping
+	}
+}
+
+// finished decides what follows a run.
+func (r *Runner) finished(a *run) {
+	a.cancel()
+	a.ended = true
+	res := a.result
+	r.log.Info("run ended", zap.String("job", string(a.key.Job)), zap.String("item", string(a.key.Item)),
+		zap.String("upstream", string(a.Upstream)), zap.Uint64("lease", uint64(a.Lease)), zap.Int("from", a.Events), zap.Int("events", res.events),
+		zap.Bool("whole", res.whole), zap.Duration("first", res.first), zap.Duration("took", r.cfg.Now().Sub(a.began)),
+		zap.Bool("cancelled", res.cancelled), zap.Error(res.err))
+	if res.cancelled {
+		delete(r.active, a.key)
+		return
+	}
+	r.deps.Ran(res.outcome(a))
+	if res.whole {
+		return
+	}
+	w := a.Run
+	switch cause := res.cause(); {
+	case cause == generation.CauseBusy && res.events == 0:
+		r.busy[a.key]++
+		r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+		if r.busy[a.key] >= r.cfg.BusyLimit {
+			r.busy[a.key] = 0
+			r.move(a.key, w, "the upstream stays busy")
+		}
+	case cause == generation.CauseFailed || cause == generation.CauseImpossible:
+		r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+		r.propose(&batch.ItemFailed{Job: a.key.Job, Item: a.key.Item, Status: res.status(), Final: cause == generation.CauseImpossible})
+	default:
+		r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+		r.move(a.key, w, "the run broke")
+	}
+	if res.offset == 0 {
+		delete(r.active, a.key)
+	}
+}
+
+// move has an item placed anew.
+func (r *Runner) move(key batch.Key, w batch.Run, reason string) {
+	r.log.Info("item moved", zap.String("job", string(key.Job)), zap.String("item", string(key.Item)),
+		zap.String("upstream", string(w.Upstream)), zap.String("reason", reason))
+	r.propose(&batch.ItemMoved{Job: key.Job, Item: key.Item, From: w.Upstream})
+}
+
+func (r *Runner) propose(rec batch.Record) {
+	data, err := batchcodec.Encode(rec)
+	if err == nil {
+		err = r.deps.Propose(data)
+	}
+	if err != nil {
+		r.log.Warn("proposal not queued", zap.Any("record", rec), zap.Error(err))
+	}
+}
+
+// Stop ends the duties; runs in progress are given up. Errors: ctx.Err().
+func (r *Runner) Stop(ctx context.Context) error { return duty.StopAll(ctx, r.duty, r.carriers) }
+
+// AgainstUpstream reports whether a run failed in a way that says something
+// of its upstream, and not of the item.
+func (o Outcome) AgainstUpstream() bool {
+	return o.Failed && (o.Silent || o.Cause == generation.CauseBroken || o.Cause == generation.CauseMisdirected)
+}
