--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -109,14 +109,15 @@
 	self := api.DaemonID(n.settings.Daemon)
 	starts := time.Now().UnixMilli()
 	cfg := committerConfig
-	cfg.Producer = fmt.Sprintf("%s/%s", self, uuid.Must(uuid.NewV7()))
+	process := fmt.Sprintf("%s/%s", self, uuid.Must(uuid.NewV7()))
+	cfg.Producer = process
 	cfg.RecordBytes, cfg.CallBytes = n.settings.Record, n.settings.Call
 	n.committer = committer.Start(n.system, j, cfg, n.log.Logger)
 
 	runs := runnerConfig
-	runs.Self, runs.Carriers = self, n.settings.Carriers
+	runs.Self, runs.Process, runs.Carriers = self, process, n.settings.Carriers
 	n.runner = runner.Start(n.system, runs, runner.Deps{
-		Engine: n.client, View: n.View, Commit: n.commit, Propose: n.committer.Post, Ran: n.ran,
+		Engine: n.client, View: n.View, Commit: n.keep, Propose: n.committer.Post, Ran: n.ran,
 	}, n.log.Logger)
 
 	books := bookConfig
@@ -138,9 +139,9 @@
 
 func (n *Node) snapshot() *book.Snapshot { return n.book.Load().Snapshot() }
 
-// commit appends a record of the journal and returns its offset in the fold.
-func (n *Node) commit(ctx context.Context, record []byte) (batch.Offset, error) {
-	at, err := n.committer.Commit(ctx, record)
+// keep appends a record of the journal and returns its offset in the fold.
+func (n *Node) keep(ctx context.Context, record []byte) (batch.Offset, error) {
+	at, err := n.committer.Keep(ctx, record)
 	return batch.Offset(at) + 1, err
 }
 
--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = j.n.commit(ctx, data)
+	_, err = j.n.committer.Commit(ctx, data)
 	var unknown *journal.UnknownError
 	switch {
 	case err == nil:
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -80,7 +80,9 @@
 type TextAdded struct {
 	Job      JobID               `msgpack:"job"`
 	Item     ItemID              `msgpack:"item"`
-	From     int                 `msgpack:"from"` // events before it
+	Run      string              `msgpack:"run"`   // unique to one request to an upstream
+	Start    int                 `msgpack:"start"` // events before that run, where it was asked to go on
+	From     int                 `msgpack:"from"`  // events before these
 	Events   []string            `msgpack:"ev"`   // data of each event
 	Versions []api.WeightVersion `msgpack:"ver"`  // that made these events
 	Done     bool                `msgpack:"done"` // the text is whole
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -60,6 +60,7 @@
 	state    ItemState
 	events   []string
 	versions []api.WeightVersion
+	run      string // that made the newest events
 	failures int
 	upstream api.UpstreamID // that it is placed on; empty: none
 	avoid    api.UpstreamID // that it was moved from last
@@ -162,13 +163,17 @@
 	return nil
 }
 
-// addText takes events that continue the text just where it ends. Text of
-// another run than the one that went on is not taken.
+// addText takes events that continue the text just where it ends: those of
+// the run that made its end, or of one that was asked to go on from there.
 func (s *State) addText(r *TextAdded) bool {
 	i := s.find(r.Job, r.Item)
 	if i == nil || i.state != ItemOpen || r.From != len(i.events) {
 		return false
 	}
+	if r.From != r.Start && r.Run != i.run {
+		return false
+	}
+	i.run = r.Run
 	i.events = append(i.events, r.Events...)
 	for _, v := range r.Versions {
 		if !slices.Contains(i.versions, v) {
--- /dev/null
+++ b/lib/batch/text_test.go
@@ -0,0 +1,105 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+
+	"dotterelmount.example/api"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// fixture is a state with a log that gives offsets.
+type fixture struct {
+	*State
+	at Offset
+}
+
+func (f *fixture) add(r Record) bool {
+	f.at++
+	return f.Apply(f.at, r)
+}
+
+func newFixture(upstreams, slots int) *fixture {
+	f := &fixture{State: New()}
+	f.add(&DaemonAlive{Daemon: "d1", Starts: 1})
+	for n := range upstreams {
+		f.add(&LeaseTaken{
+			Upstream: api.UpstreamID(fmt.Sprintf("u%d", n)), Service: "s", Daemon: "d1", Slots: slots,
+			Models: []api.ModelName{"m", "n"}, Versions: map[api.ModelName]api.WeightVersion{"m": 1, "n": 1},
+		})
+	}
+	return f
+}
+
+func job(id JobID, items ...ItemID) Job {
+	j := Job{ID: id, Service: "s", Model: "m", Attempts: 3}
+	for _, i := range items {
+		j.Items = append(j.Items, Item{ID: i, Group: "g", Body: []byte(i)})
+	}
+	return j
+}
+
+func (f *fixture) text(t *testing.T, id JobID) string {
+	t.Helper()
+	r, err := f.Results(id, 0, 1<<20)
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Results), 1)
+	return r.Results[0].Text
+}
+
+// A run whose beginning was not taken must not be joined to the beginning
+// that another run stored, however well the numbers of events match.
+func TestTextsOfTwoRunsAreNotJoined(t *testing.T) {
+	f := newFixture(1, 4)
+	f.add(&JobAccepted{Job: job("j", "i")})
+	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "a", Events: []string{"a1", "a2"}}))
+	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "b", Events: []string{"b1", "b2"}}))
+	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "b", From: 2, Events: []string{"b3"}, Done: true}))
+	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "c", Start: 2, From: 2, Events: []string{"c3"}}))
+	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "a", From: 3, Events: []string{"a4"}, Done: true}))
+	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "c", Start: 2, From: 3, Events: []string{"c4"}, Done: true}))
+	assert.Equal(t, f.text(t, "j"), "a1\na2\nc3\nc4")
+}
+
+// Whatever runs write in whatever order, a listed text is a chain of runs that
+// each were asked to go on just where the text ended.
+func TestAnyTextIsAChainOfRuns(t *testing.T) {
+	const length = 6
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture(1, 4)
+		f.add(&JobAccepted{Job: job("j", "i")})
+		type runner struct{ start, sent int }
+		runs := make([]runner, 0, 8)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			i := f.find("j", "i")
+			if i.state != ItemOpen {
+				break
+			}
+			if len(runs) == 0 || rapid.Bool().Draw(t, "begin") {
+				start := rapid.IntRange(0, len(i.events)).Draw(t, "start")
+				runs = append(runs, runner{start, start})
+			}
+			n := rapid.IntRange(0, len(runs)-1).Draw(t, "run")
+			r := &runs[n]
+			more := rapid.IntRange(0, length-r.sent).Draw(t, "events")
+			rec := &TextAdded{Job: "j", Item: "i", Run: fmt.Sprint(n), Start: r.start, From: r.sent, Done: r.sent+more == length}
+			for e := range more {
+				rec.Events = append(rec.Events, fmt.Sprintf("%d:%d:%d", n, r.start, r.sent+e+1))
+			}
+			r.sent += more
+			f.add(rec)
+		}
+		last, expect := -1, 1
+		for _, e := range f.find("j", "i").events {
+			var run, start, number int
+			_, err := fmt.Sscanf(e, "%d:%d:%d", &run, &start, &number)
+			assert.NilError(t, err)
+			assert.Equal(t, number, expect)
+			if run != last {
+				assert.Equal(t, start, number-1, "run %d went on where it was not asked to", run)
+			}
+			last, expect = run, expect+1
+		}
+	})
+}
--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -57,6 +57,8 @@
 	// sent is set before the entry's first call. Who withdraws the entry sets
 	// it too: the one who finds it unset decides.
 	sent atomic.Bool
+	// patient entries are appended however long the journal refuses them.
+	patient bool
 }
 
 type outcome struct {
@@ -113,6 +115,21 @@
 	if c.Failing() {
 		return 0, &journal.RefusedError{Op: "append", Cause: &failingError{}}
 	}
+	return c.wait(ctx, e)
+}
+
+// Keep appends a record however long the journal refuses it, and waits for
+// its offset. Errors: as for Commit, at the end of ctx or at the stop.
+func (c *Committer) Keep(ctx context.Context, record []byte) (journal.Offset, error) {
+	e, err := c.entry(record)
+	if err != nil {
+		return 0, err
+	}
+	e.patient = true
+	return c.wait(ctx, e)
+}
+
+func (c *Committer) wait(ctx context.Context, e *entry) (journal.Offset, error) {
 	e.ctx, e.reply = ctx, ring.NewSlot[outcome]()
 	if err := c.owner.Post(e); err != nil {
 		return 0, &journal.RefusedError{Op: "append", Cause: err}
@@ -133,7 +150,7 @@
 // Error implements error.
 func (*failingError) Error() string { return "the journal has not answered for a while" }
 
-// Post appends a record some time, without waiting. Errors: *duty.FullError,
+// Post appends a record however long the journal refuses it, without waiting. Errors: *duty.FullError,
 // *TooLargeError.
 func (c *Committer) Post(record []byte) error {
 	e, err := c.entry(record)
@@ -218,10 +235,11 @@
 	for _, e := range k.entries {
 		at += journal.Offset(len(e.parts))
 		switch {
+		case k.err != nil && (e.patient || e.reply == nil):
+			e.sent.Store(false)
+			again = append(again, e)
 		case e.reply != nil:
 			e.reply.Put(outcome{offset: at - 1, err: k.err})
-		case k.err != nil:
-			again = append(again, e)
 		}
 	}
 	c.waiting = append(again, c.waiting...)
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -55,6 +55,8 @@
 
 // text gathers the events of a run that are not stored yet.
 type text struct {
+	run   string
+	start int
 	from     int
 	events   []string
 	versions []api.WeightVersion
@@ -69,7 +71,9 @@
 
 // take returns the record that stores what was gathered, and begins anew.
 func (t *text) take(key batch.Key, done bool) *batch.TextAdded {
-	r := &batch.TextAdded{Job: key.Job, Item: key.Item, From: t.from, Events: t.events, Versions: t.versions, Done: done}
+	r := &batch.TextAdded{
+		Job: key.Job, Item: key.Item, Run: t.run, Start: t.start, From: t.from, Events: t.events, Versions: t.versions, Done: done,
+	}
 	t.from += len(t.events)
 	t.events, t.versions = nil, nil
 	return r
@@ -85,7 +89,7 @@
 
 // Handle runs an item to its end.
 func (c *carrier) Handle(ctx context.Context, a *run) {
-	t := &text{from: a.Events}
+	t := &text{run: a.id, start: a.Events, from: a.Events}
 	silent := &atomic.Bool{}
 	call, cancel := context.WithCancel(a.ctx)
 	watch := time.AfterFunc(c.cfg.FirstEvent, func() {
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"dotterelmount.example/api"
@@ -18,6 +19,7 @@
 // Config of a Runner.
 type Config struct {
 	Self     api.DaemonID
+	Process  string // unique to this run of the process
 	Carriers int
 	RingSize int
 	Tick     time.Duration
@@ -38,7 +40,7 @@
 type Deps struct {
 	Engine generation.Engine
 	View   func() *directory.View
-	// Commit appends a record and waits for its offset.
+	// Commit appends a record, however long that takes, and waits for its offset.
 	Commit func(ctx context.Context, record []byte) (batch.Offset, error)
 	// Propose appends a record without waiting.
 	Propose func(record []byte) error
@@ -71,6 +73,7 @@
 	active   map[batch.Key]*run
 	busy     map[batch.Key]int
 	notYet   map[batch.Key]time.Time
+	begun    int // runs
 }
 
 // update replaces what this daemon is to run.
@@ -83,6 +86,7 @@
 type run struct {
 	batch.Run
 	key      batch.Key
+	id       string
 	carrier  int
 	upstream *directory.Upstream
 	ctx      context.Context
@@ -176,7 +180,8 @@
 		return
 	}
 	last := len(r.idle) - 1
-	a := &run{Run: w, key: key, carrier: r.idle[last], upstream: u, began: now}
+	r.begun++
+	a := &run{Run: w, key: key, id: fmt.Sprintf("%s/%d", r.cfg.Process, r.begun), carrier: r.idle[last], upstream: u, began: now}
 	a.ctx, a.cancel = context.WithCancel(ctx)
 	r.idle = r.idle[:last]
 	r.active[key] = a
