--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -16,13 +16,13 @@
 
 // Times and sizes of the parts.
 const (
-	operatorPace   = 50 * time.Millisecond  // a fortieth of the bound for a configuration
-	serversPace    = 150 * time.Millisecond // an eighth of the upstreams' heartbeat
-	journalSilence = 2 * time.Second        // without a whole read the daemon asks for no new connections
-	relayCrowd     = 2                      // requests in flight at an upstream before the next one is used
-	retryAfter     = 100 * time.Millisecond // another daemon can usually serve at once
-	headerTimeout  = 10 * time.Second       // above what the platform allows its clients
-	idleTimeout    = 2 * time.Minute        // above what the platform allows its clients
+	operatorPace   = 50 * time.Millisecond   // a fortieth of the bound for a configuration
+	serversPace    = 150 * time.Millisecond  // an eighth of the upstreams' heartbeat
+	journalSilence = 2 * time.Second         // without a whole read the daemon asks for no new connections
+	relayCrowd     = 2                       // requests in flight at an upstream before the next one is used
+	retryAfter     = 100 * time.Millisecond  // another daemon can usually serve at once
+	headerTimeout  = 10 * time.Second        // above what the platform allows its clients
+	idleTimeout    = 2 * time.Minute         // above what the platform allows its clients
 	linger         = 2500 * time.Millisecond // two readiness polls, one a second, and the delay of new connections
 	stopMargin     = 500 * time.Millisecond  // for the process's own end
 	logCallTimeout = time.Second             // a healthy store answers within some milliseconds
@@ -55,6 +55,7 @@
 	Callers: 4, RingSize: 1024, Tick: 50 * time.Millisecond, Timeout: 700 * time.Millisecond,
 	LeaseHold: 1500 * time.Millisecond, // below the expiry of a lease
 	LoadPoll:  300 * time.Millisecond,  // above the age of reports
+	Settle:    250 * time.Millisecond,  // a trainer asks for its step some tens of milliseconds after
 	Repeat:    time.Second, FailLimit: 3, Probe: time.Second, Now: time.Now,
 }
 
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -83,9 +83,9 @@
 	Run      string              `msgpack:"run"`   // unique to one request to an upstream
 	Start    int                 `msgpack:"start"` // events before that run, where it was asked to go on
 	From     int                 `msgpack:"from"`  // events before these
-	Events   []string            `msgpack:"ev"`   // data of each event
-	Versions []api.WeightVersion `msgpack:"ver"`  // that made these events
-	Done     bool                `msgpack:"done"` // the text is whole
+	Events   []string            `msgpack:"ev"`    // data of each event
+	Versions []api.WeightVersion `msgpack:"ver"`   // that made these events
+	Done     bool                `msgpack:"done"`  // the text is whole
 }
 
 // ItemFailed reports an upstream's failure to run an item.
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -12,8 +12,8 @@
 	jobs      map[JobID]*jobState
 	upstreams map[api.UpstreamID]*Upstream
 	daemons   map[api.DaemonID]*Daemon
-	pending   map[*itemState]struct{}  // open items of open jobs without an upstream
-	latest    map[ItemID]*itemState    // of the newest job that has the item
+	pending   map[*itemState]struct{} // open items of open jobs without an upstream
+	latest    map[ItemID]*itemState   // of the newest job that has the item
 	placed    map[api.UpstreamID][]*itemState
 }
 
@@ -31,6 +31,7 @@
 	ID        api.UpstreamID
 	Service   string
 	Holder    api.DaemonID // empty: the holder left
+	Before    api.DaemonID // the holder before; empty: none, or it left
 	Taken     Offset       // of the lease; its fencing token
 	Slots     int
 	Condition Condition
@@ -274,6 +275,7 @@
 	if u.Taken != r.Previous {
 		return false
 	}
+	u.Before = u.Holder
 	u.Service, u.Holder, u.Taken, u.Slots, u.Models = r.Service, r.Daemon, at, r.Slots, r.Models
 	u.Condition = ConditionReady
 	u.Versions = maps.Clone(r.Versions)
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -77,7 +77,9 @@
 type GapError struct{ From Cursor }
 
 // Error implements error.
-func (e *GapError) Error() string { return fmt.Sprintf("changes after %d are no longer retained", e.From) }
+func (e *GapError) Error() string {
+	return fmt.Sprintf("changes after %d are no longer retained", e.From)
+}
 
 // View is the state that changes led to. It is immutable once published.
 type View struct {
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -154,4 +154,3 @@
 	s, ok := t.services[name]
 	return s, ok
 }
-
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -5,14 +5,14 @@
 // Hosted are the settings of a daemon on an outside platform, which keeps what
 // must last and says what the configuration is.
 type Hosted struct {
-	Daemon     string `yaml:"daemon" validate:"required"`              // unique name
-	DataCentre string `yaml:"data_centre" validate:"required"`         // where this host is
-	Callers    string `yaml:"callers" validate:"required,hostport"`    // address that callers are served on
-	Readiness  string `yaml:"readiness" validate:"required,hostport"`  // address that tells whether the daemon is ready
-	Metrics    string `yaml:"metrics" validate:"omitempty,hostport"`   // address of counters and latencies; empty: none
-	Store      string `yaml:"store" validate:"required,hostport"`      // address of the platform's store
-	Record     int    `yaml:"record_bytes" validate:"min=1024"`        // most of a record in the store
-	Call       int    `yaml:"call_bytes" validate:"min=1024"`          // most of one append
+	Daemon     string `yaml:"daemon" validate:"required"`             // unique name
+	DataCentre string `yaml:"data_centre" validate:"required"`        // where this host is
+	Callers    string `yaml:"callers" validate:"required,hostport"`   // address that callers are served on
+	Readiness  string `yaml:"readiness" validate:"required,hostport"` // address that tells whether the daemon is ready
+	Metrics    string `yaml:"metrics" validate:"omitempty,hostport"`  // address of counters and latencies; empty: none
+	Store      string `yaml:"store" validate:"required,hostport"`     // address of the platform's store
+	Record     int    `yaml:"record_bytes" validate:"min=1024"`       // most of a record in the store
+	Call       int    `yaml:"call_bytes" validate:"min=1024"`         // most of one append
 	// Retention is how long the store keeps records; a shorter one than
 	// Remember is warned of at the start.
 	Retention time.Duration `yaml:"retention" validate:"min=1s"`
--- a/server/relay/observed.go
+++ b/server/relay/observed.go
@@ -17,12 +17,12 @@
 }
 
 const (
-	latencyShare = 0.3                    // weight of the newest answer in the average
-	slowFactor   = 2.5                    // times its fastest peer's average
-	slowLeast    = 60 * time.Millisecond  // averages below this are never slow
-	crashBan     = 5 * time.Second        // how long a request that crashes upstreams is refused
-	crashMemory  = 60 * time.Second       // how long a crash is remembered
-	crashLimit   = 3                      // upstreams that a request may crash
+	latencyShare = 0.3                   // weight of the newest answer in the average
+	slowFactor   = 2.5                   // times its fastest peer's average
+	slowLeast    = 60 * time.Millisecond // averages below this are never slow
+	crashBan     = 5 * time.Second       // how long a request that crashes upstreams is refused
+	crashMemory  = 60 * time.Second      // how long a crash is remembered
+	crashLimit   = 3                     // upstreams that a request may crash
 )
 
 func (o *observed) succeeded(took time.Duration) {
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -55,8 +55,8 @@
 
 // text gathers the events of a run that are not stored yet.
 type text struct {
-	run   string
-	start int
+	run      string
+	start    int
 	from     int
 	events   []string
 	versions []api.WeightVersion
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"dotterelmount.example/api"
@@ -14,6 +15,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
+	"dotterelmount.example/lib/loads"
 	"dotterelmount.example/server/book"
 	"go.uber.org/zap"
 )
@@ -32,6 +34,8 @@
 	LeaseHold time.Duration
 	// LoadPoll is the time between two looks at a load in progress.
 	LoadPoll time.Duration
+	// Settle is how long after an announcement the first order for it is given.
+	Settle time.Duration
 	// Repeat is how long a record may take to come back from the journal.
 	Repeat time.Duration
 	// LoadShare is the part of a service's upstreams that may load at once.
@@ -67,6 +71,15 @@
 	callers []*duty.Duty[*call]
 	idle    []int
 	wards   map[api.UpstreamID]*ward
+	// announced are the newest announcements seen of each model.
+	announced map[api.ModelName]announcement
+	// loadTime is how long the last load took.
+	loadTime time.Duration
+}
+
+type announcement struct {
+	version api.WeightVersion
+	seen    time.Time
 }
 
 // ward is what this daemon knows of an upstream it holds.
@@ -76,12 +89,14 @@
 	born     int64     // of the incarnation seen
 	calling  bool
 	loading  *generation.Order // under way
-	loadFrom time.Time         // when it was sent first
+	loadFrom time.Time         // when it was decided
+	ordered  bool              // the upstream carries it out
 	nextLook time.Time
 	failures int  // failed runs in a row
 	suspect  bool // by this daemon's own runs
 	versions map[api.ModelName]api.WeightVersion
-	proposed time.Time // last record
+	proposed time.Time              // last record
+	wish     *batch.UpstreamChanged // that record
 }
 
 // call is one report, followed by an order where one is needed.
@@ -97,7 +112,7 @@
 
 // Start spawns the duties.
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Upkeep {
-	k := &Upkeep{cfg: cfg, deps: deps, log: log, wards: make(map[api.UpstreamID]*ward)}
+	k := &Upkeep{cfg: cfg, deps: deps, log: log, wards: make(map[api.UpstreamID]*ward), announced: make(map[api.ModelName]announcement)}
 	k.duty = duty.Start(sys, duty.Config{Name: "upkeep", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](k))
 	for i := range cfg.Callers {
 		c := &caller{cfg: cfg, engine: deps.Engine, report: func(ctx context.Context, c *call) { _ = k.duty.PostWait(ctx, c) }}
@@ -149,7 +164,11 @@
 func (k *Upkeep) ward(u *batch.Upstream, listed *directory.Upstream, now time.Time) *ward {
 	w, ok := k.wards[u.ID]
 	if !ok || w.lease != u.Taken {
-		w = &ward{lease: u.Taken, heldFrom: now.Add(k.cfg.LeaseWait), born: listed.BornMillis, versions: maps.Clone(u.Versions)}
+		heldFrom := now
+		if u.Before != "" && u.Before != k.cfg.Self {
+			heldFrom = now.Add(k.cfg.LeaseWait)
+		}
+		w = &ward{lease: u.Taken, heldFrom: heldFrom, born: listed.BornMillis, versions: maps.Clone(u.Versions)}
 		k.wards[u.ID] = w
 	}
 	if w.born != listed.BornMillis {
@@ -172,14 +191,15 @@
 		want = batch.ConditionLoading
 	}
 	if want == u.Condition && maps.Equal(w.versions, u.Versions) {
-		w.proposed = time.Time{}
+		w.wish = nil
 		return
 	}
-	if now.Sub(w.proposed) < k.cfg.Repeat {
+	wish := &batch.UpstreamChanged{Upstream: u.ID, Daemon: k.cfg.Self, Condition: want, Versions: maps.Clone(w.versions)}
+	if now.Sub(w.proposed) < k.cfg.Repeat && w.wish != nil && w.wish.Condition == want && maps.Equal(w.wish.Versions, wish.Versions) {
 		return
 	}
-	w.proposed = now
-	data, err := batchcodec.Encode(&batch.UpstreamChanged{Upstream: u.ID, Daemon: k.cfg.Self, Condition: want, Versions: maps.Clone(w.versions)})
+	w.proposed, w.wish = now, wish
+	data, err := batchcodec.Encode(wish)
 	if err == nil {
 		err = k.deps.Propose(data)
 	}
@@ -224,31 +244,23 @@
 // due returns the order that an upstream needs next, if it may have one now.
 func (k *Upkeep) due(s *book.Snapshot, v *directory.View, u *batch.Upstream, w *ward, now time.Time) *generation.Order {
 	version := v.Announced[u.Home]
-	if u.Home == "" || w.versions[u.Home] >= version || !k.mayOrder(s, w, now) || !k.turn(s, v, u) {
+	if u.Home == "" || w.versions[u.Home] >= version || !k.settled(u.Home, version, now) || !k.mayOrder(s, w, now) ||
+		!slices.Contains(loads.Next(s.Upstreams, u.Service, v.Announced, k.cfg.LoadShare), u.ID) {
 		return nil
 	}
 	return &generation.Order{Model: u.Home, Version: version, Mode: generation.ModeContinue, Holder: k.cfg.Self, Fence: u.Taken}
 }
 
-// turn reports whether an upstream is among the first of those that are behind,
-// as many as may load at once.
-func (k *Upkeep) turn(s *book.Snapshot, v *directory.View, u *batch.Upstream) bool {
-	total, before := 0, 0
-	for i := range s.Upstreams {
-		o := &s.Upstreams[i]
-		if o.Service != u.Service || o.Holder == "" {
-			continue
-		}
-		total++
-		if o.ID == u.ID {
-			continue
-		}
-		behind := o.Versions[o.Home] < v.Announced[o.Home] && o.Condition == batch.ConditionReady
-		if o.Condition == batch.ConditionLoading || (behind && o.Home == u.Home && o.ID < u.ID) {
-			before++
-		}
+// settled reports whether an announcement is old enough for orders. The first
+// runs that it allows come right after it, and find no room on an upstream
+// that loads.
+func (k *Upkeep) settled(m api.ModelName, version api.WeightVersion, now time.Time) bool {
+	a, ok := k.announced[m]
+	if !ok || a.version != version {
+		k.announced[m] = announcement{version: version, seen: now}
+		return false
 	}
-	return before < max(1, int(k.cfg.LoadShare*float64(total)))
+	return now.Sub(a.seen) >= k.cfg.Settle
 }
 
 // called takes the end of a call.
@@ -261,6 +273,9 @@
 	}
 	w.calling = false
 	w.nextLook = now.Add(k.cfg.LoadPoll)
+	if c.ordered {
+		w.nextLook = now.Add(max(k.cfg.LoadPoll, k.loadTime-k.cfg.LoadPoll/2))
+	}
 	k.log.Info("upstream looked at", zap.String("upstream", string(id)), zap.Uint64("lease", uint64(w.lease)), zap.Any("report", c.report),
 		zap.Any("order", c.order), zap.Bool("ordered", c.ordered), zap.Stringer("answer", c.answer), zap.Error(c.err))
 	if c.err != nil {
@@ -270,6 +285,7 @@
 		return
 	}
 	w.suspect, w.failures = false, 0
+	w.ordered = w.ordered || (c.ordered && c.answer == generation.OrderStarted)
 	for m, version := range c.report.Versions {
 		if !c.report.Busy {
 			w.versions[m] = max(w.versions[m], version)
@@ -278,7 +294,10 @@
 	if w.loading != nil && !c.report.Busy && (c.answer == generation.OrderHolds && c.ordered || w.versions[w.loading.Model] >= w.loading.Version) {
 		w.versions[w.loading.Model] = max(w.versions[w.loading.Model], w.loading.Version)
 		k.log.Info("weights loaded", zap.String("upstream", string(id)), zap.Stringer("version", w.loading.Version), zap.Duration("took", now.Sub(w.loadFrom)))
-		w.loading, w.nextLook = nil, now
+		if w.ordered {
+			k.loadTime = now.Sub(w.loadFrom)
+		}
+		w.loading, w.nextLook, w.ordered = nil, now, false
 	}
 }
 
