--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -25,13 +25,15 @@
 	idleTimeout    = 2 * time.Minute         // above what the platform allows its clients
 	linger         = 2500 * time.Millisecond // two readiness polls, one a second, and the delay of new connections
 	stopMargin     = 500 * time.Millisecond  // for the process's own end
+	feedWait       = time.Second             // with its time-out within the bound for a configuration
+	feedTimeout    = 600 * time.Millisecond  // a healthy store answers within some milliseconds
 	logCallTimeout = time.Second             // a healthy store answers within some milliseconds
 )
 
 var recorder = latency.New()
 
 var followConfig = follow.Config{
-	Wait: 10 * time.Second, Timeout: logCallTimeout, RetryEvery: 100 * time.Millisecond,
+	Wait: feedWait, Timeout: feedTimeout, RetryEvery: 100 * time.Millisecond,
 	Doubt: 2 * time.Second, // the platform's word for entries that lapsed in an outage
 	Now:   time.Now,
 }
@@ -41,7 +43,7 @@
 }
 
 var bookConfig = book.Config{
-	RingSize: 1024, Wait: time.Second, Timeout: logCallTimeout, Pace: 15 * time.Millisecond, RetryEvery: 100 * time.Millisecond,
+	RingSize: 1024, Wait: feedWait, Timeout: feedTimeout, Pace: 15 * time.Millisecond, RetryEvery: 100 * time.Millisecond,
 	ResultBytes: 900 << 10, // the platform's clients take 1 MB
 	Now:         time.Now,
 }
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -33,7 +34,7 @@
 	slices.SortFunc(behind, func(a, b *batch.Upstream) int {
 		return cmp.Or(cmp.Compare(gap(b, announced), gap(a, announced)), strings.Compare(string(a.ID), string(b.ID)))
 	})
-	room := max(1, int(share*float64(total)+rounding)) - loading
+	room := max(1, int(math.Round(share*float64(total)))) - loading
 	var out []api.UpstreamID
 	for _, u := range behind[:max(0, min(room, len(behind)))] {
 		out = append(out, u.ID)
@@ -41,10 +42,6 @@
 	return out
 }
 
-// rounding keeps a share such as a sixth of twelve from losing one to
-// floating-point error.
-const rounding = 1e-6
-
 // gap is how many versions an upstream is behind, for the model it is home to.
 func gap(u *batch.Upstream, announced map[api.ModelName]api.WeightVersion) int {
 	return int(announced[u.Home]) - int(u.Versions[u.Home])
