--- a/server/book/book.go
+++ b/server/book/book.go
@@ -76,6 +76,7 @@
 	applied  batch.Offset
 	current  time.Time // start of the last read that reached the end
 	seen     map[api.DaemonID]time.Time
+	changed  bool // since the last publication
 	waiting  []*query
 	freshAt  atomic.Int64 // current, in Unix nanoseconds, for other threads
 	snapshot atomic.Pointer[Snapshot]
@@ -150,16 +151,25 @@
 		}
 		done := b.state.Apply(at, r)
 		changed = done || changed
-		b.describe(at, r, done)
+		if !b.current.IsZero() {
+			b.describe(at, r, done)
+		}
 		recordsApplied.Add(1)
 	}
 	b.applied = batch.Offset(p.from) + batch.Offset(len(p.page.Records))
+	b.changed = b.changed || changed
 	if journal.Offset(b.applied) >= p.page.End {
+		if b.current.IsZero() {
+			b.log.Info("journal read to its end", zap.Uint64("applied", uint64(b.applied)))
+		}
 		b.current = p.began
 		b.freshAt.Store(p.began.UnixNano())
-	}
-	if changed || len(p.page.Records) > 0 {
-		b.publish()
+		// What was true at some point of a history is published only if it still
+		// is at its end.
+		if b.changed {
+			b.changed = false
+			b.publish()
+		}
 	}
 	b.answer()
 }
--- /dev/null
+++ b/server/book/book_test.go
@@ -0,0 +1,129 @@
+package book
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/journal"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// slowJournal gives out its records a few at a time, as a long history does.
+type slowJournal struct {
+	mu      sync.Mutex
+	records [][]byte
+	page    int
+}
+
+func (j *slowJournal) Append(context.Context, journal.Sequence, [][]byte) (journal.Offset, error) {
+	return 0, nil
+}
+
+func (j *slowJournal) Read(ctx context.Context, from journal.Offset, wait time.Duration) (journal.Page, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	end := journal.Offset(len(j.records))
+	to := min(end, from+journal.Offset(j.page))
+	return journal.Page{End: end, Records: j.records[from:to]}, nil
+}
+
+func (j *slowJournal) add(t *testing.T, records ...batch.Record) {
+	t.Helper()
+	for _, r := range records {
+		data, err := batchcodec.Encode(r)
+		assert.NilError(t, err)
+		j.mu.Lock()
+		j.records = append(j.records, journal.Split(data, 1<<20)...)
+		j.mu.Unlock()
+	}
+}
+
+func job(id batch.JobID, items ...batch.ItemID) *batch.JobAccepted {
+	j := batch.Job{ID: id, Service: "s", Model: "m", Attempts: 3, AtMillis: time.Now().UnixMilli()}
+	for _, i := range items {
+		j.Items = append(j.Items, batch.Item{ID: i})
+	}
+	return &batch.JobAccepted{Job: j}
+}
+
+func start(t *testing.T, j journal.Journal, runs func(map[batch.Key]batch.Run)) *Book {
+	t.Helper()
+	b := Start(duty.NewSystem(nil), j, Config{
+		Self: "d", RingSize: 64, Wait: 10 * time.Millisecond, Timeout: time.Second, Pace: time.Millisecond,
+		RetryEvery: time.Millisecond, Remember: time.Minute, ResultBytes: 1 << 20, Now: time.Now,
+	}, Deps{
+		Runs:   func(r map[batch.Key]batch.Run, _ batch.Offset) { runs(r) },
+		Leases: func(*Snapshot) {},
+	}, zap.NewNop())
+	t.Cleanup(func() { assert.NilError(t, b.Stop(context.Background())) })
+	return b
+}
+
+func held(u api.UpstreamID) *batch.LeaseTaken {
+	return &batch.LeaseTaken{Upstream: u, Service: "s", Daemon: "d", Slots: 4, Versions: map[api.ModelName]api.WeightVersion{"m": 1}}
+}
+
+// A daemon that starts reads a history in which every item once was to be run.
+// It must not run what is long over.
+func TestHistoryIsNotRunAgain(t *testing.T) {
+	j := &slowJournal{page: 1}
+	j.add(t, &batch.DaemonAlive{Daemon: "d", Starts: 1}, held("u"), job("old", "a", "b"),
+		&batch.TextAdded{Job: "old", Item: "a", Events: []string{"x"}, Done: true},
+		&batch.JobEnded{ID: "old"}, job("new", "c"))
+	var mu sync.Mutex
+	seen := make(map[batch.Key]bool)
+	start(t, j, func(runs map[batch.Key]batch.Run) {
+		mu.Lock()
+		defer mu.Unlock()
+		for k := range runs {
+			seen[k] = true
+		}
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		mu.Lock()
+		defer mu.Unlock()
+		if seen[batch.Key{Job: "new", Item: "c"}] {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}, poll.WithDelay(time.Millisecond))
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, len(seen), 1, "%v", seen)
+}
+
+func TestAbsenceIsOnlyToldWhenTheJournalWasReadToItsEnd(t *testing.T) {
+	j := &slowJournal{page: 8}
+	b := start(t, j, func(map[batch.Key]batch.Run) {})
+	_, err := b.Results(t.Context(), "none", 0, 0)
+	assert.ErrorType(t, err, &batch.UnknownJobError{})
+	j.add(t, job("late", "a"))
+	r, err := b.Results(t.Context(), "late", 0, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Total, 1)
+	_, err = b.Body(t.Context(), "late", "z")
+	assert.ErrorType(t, err, &batch.UnknownItemError{})
+}
+
+func TestWaitForAResultEndsWithIt(t *testing.T) {
+	j := &slowJournal{page: 8}
+	b := start(t, j, func(map[batch.Key]batch.Run) {})
+	j.add(t, job("j", "a"))
+	began := time.Now()
+	timer := time.AfterFunc(100*time.Millisecond, func() {
+		j.add(t, &batch.TextAdded{Job: "j", Item: "a", Events: []string{"x"}, Done: true})
+	})
+	defer timer.Stop()
+	r, err := b.Results(t.Context(), "j", 0, 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Results), 1)
+	assert.Assert(t, time.Since(began) < 3*time.Second)
+}
--- a/server/book/queries.go
+++ b/server/book/queries.go
@@ -1,8 +1,8 @@
 package book
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"time"
 
 	"dotterelmount.example/lib/batch"
@@ -27,7 +27,7 @@
 		over := out.Ended || out.Next >= out.Total
 		return len(out.Results) > 0 || over || b.cfg.Now().Sub(began) >= wait
 	})
-	return out, errors.Join(failed, err)
+	return out, cmp.Or(failed, err)
 }
 
 // unknown decides about a query for something that the fold doesn't have.
@@ -50,7 +50,7 @@
 		}
 		return true
 	})
-	return out, errors.Join(failed, err)
+	return out, cmp.Or(failed, err)
 }
 
 // Knows returns nil when a job is known. Errors: *batch.UnknownJobError when
