--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -49,14 +49,16 @@
 }
 
 var keeperConfig = keeper.Config{
-	Tick: 100 * time.Millisecond, RenewEvery: 500 * time.Millisecond, Expire: 2 * time.Second,
+	Tick: 100 * time.Millisecond, RenewEvery: 350 * time.Millisecond,
+	Expire: 1500 * time.Millisecond, // four renewals
+	Turn:   500 * time.Millisecond,  // a proposal comes back within some tens of milliseconds
 	Repeat: time.Second, SweepEvery: time.Second, Now: time.Now,
 }
 
 var upkeepConfig = upkeep.Config{
 	Callers: 4, RingSize: 1024, Tick: 50 * time.Millisecond, Timeout: 700 * time.Millisecond,
-	LeaseHold: 1500 * time.Millisecond, // below the expiry of a lease
-	LoadPoll:  300 * time.Millisecond,  // above the age of reports
+	LeaseHold: 1200 * time.Millisecond, // below the expiry of a lease
+	LoadPoll:  150 * time.Millisecond,  // above the age of reports
 	Settle:    250 * time.Millisecond,  // a trainer asks for its step some tens of milliseconds after
 	Repeat:    time.Second, FailLimit: 3, Probe: time.Second, Now: time.Now,
 }
--- a/lib/leases/leases.go
+++ b/lib/leases/leases.go
@@ -25,6 +25,8 @@
 	// Listed are the upstreams that describe themselves.
 	Listed map[api.UpstreamID]*directory.Upstream
 	Table  *routes.Table
+	// Passed is how many daemons have let their turn pass to take an upstream.
+	Passed map[api.UpstreamID]int
 }
 
 // Plan returns the records that Self is to append: leases to take, upstreams
@@ -48,7 +50,7 @@
 	}
 	daemons := slices.Sorted(maps.Keys(in.Live))
 	for _, id := range in.wanted(held) {
-		d := next(daemons, load, id)
+		d := next(daemons, load, id, in.Passed[id])
 		load[d]++
 		if d == in.Self {
 			out = append(out, in.take(id, held[id]))
@@ -57,7 +59,15 @@
 	return out
 }
 
-// wanted returns the upstreams without a live holder, by id.
+// Wanted returns the upstreams without a live holder, by id.
+func Wanted(in Input) []api.UpstreamID {
+	held := make(map[api.UpstreamID]*batch.Upstream, len(in.Held))
+	for i := range in.Held {
+		held[in.Held[i].ID] = &in.Held[i]
+	}
+	return in.wanted(held)
+}
+
 func (in *Input) wanted(held map[api.UpstreamID]*batch.Upstream) []api.UpstreamID {
 	var out []api.UpstreamID
 	for id, u := range held {
@@ -82,11 +92,13 @@
 	return s.Engine
 }
 
-// next returns the daemon with the fewest upstreams.
-func next(daemons []api.DaemonID, load map[api.DaemonID]int, id api.UpstreamID) api.DaemonID {
-	return slices.MinFunc(daemons, func(a, b api.DaemonID) int {
+// next returns the daemon with the fewest upstreams, after those that let
+// their turn pass: they may be about to be found dead.
+func next(daemons []api.DaemonID, load map[api.DaemonID]int, id api.UpstreamID, passed int) api.DaemonID {
+	order := slices.SortedFunc(slices.Values(daemons), func(a, b api.DaemonID) int {
 		return cmp.Or(cmp.Compare(load[a], load[b]), cmp.Compare(weight(a, id), weight(b, id)))
 	})
+	return order[passed%len(order)]
 }
 
 func weight(d api.DaemonID, u api.UpstreamID) uint64 {
--- /dev/null
+++ b/lib/leases/leases_test.go
@@ -0,0 +1,91 @@
+package leases
+
+import (
+	"fmt"
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/routes"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var table = routes.NewTable(routes.Config{Version: 1, Services: []routes.Service{{Name: "s", Engine: &routes.Engine{Models: []api.ModelName{"m"}}}, {Name: "plain"}}})
+
+func listed(ids ...api.UpstreamID) map[api.UpstreamID]*directory.Upstream {
+	out := make(map[api.UpstreamID]*directory.Upstream)
+	for _, id := range ids {
+		out[id] = &directory.Upstream{ID: id, Service: "s", Slots: 4}
+	}
+	return out
+}
+
+func live(ids ...api.DaemonID) map[api.DaemonID]bool {
+	out := make(map[api.DaemonID]bool)
+	for _, id := range ids {
+		out[id] = true
+	}
+	return out
+}
+
+// Daemons that see the same take every upstream once, evenly.
+func TestEveryUpstreamIsTakenOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var daemons []api.DaemonID
+		for d := range rapid.IntRange(1, 8).Draw(t, "daemons") {
+			daemons = append(daemons, api.DaemonID(fmt.Sprint("d", d)))
+		}
+		var upstreams []api.UpstreamID
+		for u := range rapid.IntRange(0, 20).Draw(t, "upstreams") {
+			upstreams = append(upstreams, api.UpstreamID(fmt.Sprint("u", u)))
+		}
+		taken := make(map[api.UpstreamID]api.DaemonID)
+		for _, d := range daemons {
+			count := 0
+			for _, r := range Plan(Input{Self: d, Live: live(daemons...), Listed: listed(upstreams...), Table: table}) {
+				take := r.(*batch.LeaseTaken)
+				assert.Equal(t, taken[take.Upstream], api.DaemonID(""))
+				taken[take.Upstream] = d
+				count++
+			}
+			assert.Assert(t, count <= (len(upstreams)+len(daemons)-1)/len(daemons))
+		}
+		assert.Equal(t, len(taken), len(upstreams))
+	})
+}
+
+func TestDeadDaemonsUpstreamIsTakenWithItsLastLease(t *testing.T) {
+	held := []batch.Upstream{{ID: "u", Service: "s", Holder: "dead", Taken: 9, Slots: 4, Versions: map[api.ModelName]api.WeightVersion{"m": 3}}}
+	got := Plan(Input{Self: "d", Live: live("d"), Held: held, Listed: listed("u"), Table: table})
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].(*batch.LeaseTaken).Previous, batch.Offset(9))
+	assert.Equal(t, got[0].(*batch.LeaseTaken).Versions["m"], api.WeightVersion(3))
+}
+
+func TestAnotherDaemonTakesWhatTheFirstLetPass(t *testing.T) {
+	takers := make(map[api.DaemonID]int)
+	for passed := range 2 {
+		for _, d := range []api.DaemonID{"d1", "d2"} {
+			takers[d] += len(Plan(Input{Self: d, Live: live("d1", "d2"), Listed: listed("u"), Table: table, Passed: map[api.UpstreamID]int{"u": passed}}))
+		}
+	}
+	assert.DeepEqual(t, takers, map[api.DaemonID]int{"d1": 1, "d2": 1})
+}
+
+func TestWhatIsNotTaken(t *testing.T) {
+	in := Input{Self: "d", Live: live("d"), Listed: listed("u"), Table: table}
+	in.Listed["u"].Draining = true
+	assert.Equal(t, len(Plan(in)), 0, "draining")
+	in.Listed = map[api.UpstreamID]*directory.Upstream{"u": {ID: "u", Service: "plain"}}
+	assert.Equal(t, len(Plan(in)), 0, "no model server")
+	in.Listed, in.Live = listed("u"), live("other")
+	assert.Equal(t, len(Plan(in)), 0, "not live itself")
+}
+
+func TestHolderForgetsAnUpstreamThatIsGone(t *testing.T) {
+	held := []batch.Upstream{{ID: "u", Service: "s", Holder: "d", Taken: 9}}
+	got := Plan(Input{Self: "d", Live: live("d"), Held: held, Table: table})
+	assert.DeepEqual(t, got, []batch.Record{&batch.UpstreamGone{Upstream: "u", Daemon: "d"}})
+}
--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -13,10 +13,12 @@
 )
 
 // Next returns the upstreams of a service that may begin to load now, at most
-// share of the service's upstreams loading at once. Those furthest behind
-// come first: they can serve nobody.
+// share of the service's upstreams loading at once. The model with the fewest
+// upstreams at its newest version comes first, as the next version may leave
+// it with none; of its upstreams the one furthest behind, which can serve nobody.
 func Next(all []batch.Upstream, service string, announced map[api.ModelName]api.WeightVersion, share float64) []api.UpstreamID {
 	total, loading := 0, 0
+	current := make(map[api.ModelName]int) // upstreams at the newest version, or loading it
 	var behind []*batch.Upstream
 	for i := range all {
 		u := &all[i]
@@ -27,16 +29,24 @@
 		switch {
 		case u.Condition == batch.ConditionLoading:
 			loading++
-		case u.Condition == batch.ConditionReady && gap(u, announced) > 0:
+			current[u.Home]++
+		case gap(u, announced) <= 0:
+			current[u.Home]++
+		case u.Condition == batch.ConditionReady:
 			behind = append(behind, u)
 		}
 	}
-	slices.SortFunc(behind, func(a, b *batch.Upstream) int {
-		return cmp.Or(cmp.Compare(gap(b, announced), gap(a, announced)), strings.Compare(string(a.ID), string(b.ID)))
-	})
-	room := max(1, int(math.Round(share*float64(total)))) - loading
 	var out []api.UpstreamID
-	for _, u := range behind[:max(0, min(room, len(behind)))] {
+	for room := max(1, int(math.Round(share*float64(total)))) - loading; room > 0 && len(behind) > 0; room-- {
+		u := slices.MinFunc(behind, func(a, b *batch.Upstream) int {
+			return cmp.Or(
+				cmp.Compare(current[a.Home], current[b.Home]),
+				cmp.Compare(gap(b, announced), gap(a, announced)),
+				strings.Compare(string(a.ID), string(b.ID)),
+			)
+		})
+		behind = slices.DeleteFunc(behind, func(o *batch.Upstream) bool { return o == u })
+		current[u.Home]++
 		out = append(out, u.ID)
 	}
 	return out
--- a/lib/loads/loads_test.go
+++ b/lib/loads/loads_test.go
@@ -40,3 +40,22 @@
 	assert.DeepEqual(t, Next(all[:1], "s", announced, 1.0/6), []api.UpstreamID{"a"})
 	assert.Equal(t, len(Next(all, "other", announced, 1)), 0)
 }
+
+// A model none of whose servers has the newest version loses all of them with
+// the next one. It goes before a model that has some, however far its others
+// are behind.
+func TestModelWithFewestCurrentServersLoadsFirst(t *testing.T) {
+	all := []batch.Upstream{
+		upstream("a", "m", 7, batch.ConditionReady),
+		upstream("b", "m", 4, batch.ConditionReady),
+		upstream("c", "m", 4, batch.ConditionReady),
+		upstream("d", "n", 3, batch.ConditionReady),
+		upstream("e", "n", 3, batch.ConditionReady),
+		upstream("f", "n", 3, batch.ConditionReady),
+	}
+	announced := map[api.ModelName]api.WeightVersion{"m": 7, "n": 4}
+	assert.DeepEqual(t, Next(all, "s", announced, 1.0/6), []api.UpstreamID{"d"})
+	all[3].Condition = batch.ConditionLoading
+	assert.DeepEqual(t, Next(all, "s", announced, 1.0/3), []api.UpstreamID{"b"})
+	assert.DeepEqual(t, Next(all, "s", announced, 0.5), []api.UpstreamID{"b", "e"})
+}
--- a/server/keeper/keeper.go
+++ b/server/keeper/keeper.go
@@ -24,6 +24,8 @@
 	Tick       time.Duration // between two decisions
 	RenewEvery time.Duration // between two renewals of the leases
 	Expire     time.Duration // without a renewal the leases of a daemon are free
+	// Turn is how long a daemon has to take an upstream before it is the next one's turn.
+	Turn time.Duration
 	// Repeat is how long a proposal may take to come back from the journal
 	// before it is made again.
 	Repeat time.Duration
@@ -49,6 +51,7 @@
 	renewed  time.Time // last renewal proposed
 	swept    time.Time
 	proposed map[api.UpstreamID]time.Time
+	wanted   map[api.UpstreamID]time.Time // since when an upstream has had no live holder
 	expired  map[batch.Key]time.Time
 	leaving  bool
 }
@@ -108,7 +111,12 @@
 		return // this process's first renewal is not in the journal yet
 	}
 	v := k.deps.View()
-	for _, r := range leases.Plan(leases.Input{Self: k.cfg.Self, Live: live, Held: s.Upstreams, Listed: v.Upstreams, Table: v.Table}) {
+	if v.Table == nil {
+		return
+	}
+	in := leases.Input{Self: k.cfg.Self, Live: live, Held: s.Upstreams, Listed: v.Upstreams, Table: v.Table}
+	in.Passed = k.passed(leases.Wanted(in), now)
+	for _, r := range leases.Plan(in) {
 		id := upstreamOf(r)
 		if now.Sub(k.proposed[id]) < k.cfg.Repeat {
 			continue
@@ -120,6 +128,21 @@
 	}
 }
 
+// passed returns how many turns to take each wanted upstream have passed.
+func (k *Keeper) passed(wanted []api.UpstreamID, now time.Time) map[api.UpstreamID]int {
+	out := make(map[api.UpstreamID]int, len(wanted))
+	since := make(map[api.UpstreamID]time.Time, len(wanted))
+	for _, id := range wanted {
+		since[id] = now
+		if at, ok := k.wanted[id]; ok {
+			since[id] = at
+		}
+		out[id] = int(now.Sub(since[id]) / k.cfg.Turn)
+	}
+	k.wanted = since
+	return out
+}
+
 func upstreamOf(r batch.Record) api.UpstreamID {
 	switch r := r.(type) {
 	case *batch.LeaseTaken:
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -62,6 +62,10 @@
 	Silent   bool
 }
 
+// mostOfALoad is the part of the last load's time after which the next one is
+// looked at.
+const mostOfALoad = 0.8
+
 // Upkeep is the handle of the duties.
 type Upkeep struct {
 	cfg     Config
@@ -274,7 +278,7 @@
 	w.calling = false
 	w.nextLook = now.Add(k.cfg.LoadPoll)
 	if c.ordered {
-		w.nextLook = now.Add(max(k.cfg.LoadPoll, k.loadTime-k.cfg.LoadPoll/2))
+		w.nextLook = now.Add(max(k.cfg.LoadPoll, time.Duration(mostOfALoad*float64(k.loadTime))))
 	}
 	k.log.Info("upstream looked at", zap.String("upstream", string(id)), zap.Uint64("lease", uint64(w.lease)), zap.Any("report", c.report),
 		zap.Any("order", c.order), zap.Bool("ordered", c.ordered), zap.Stringer("answer", c.answer), zap.Error(c.err))
