--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -127,13 +127,13 @@
 	keeps := keeperConfig
 	keeps.Self, keeps.Starts = self, starts
 	n.keeper = keeper.Start(n.system, keeps, keeper.Deps{
-		Propose: n.committer.Post, Snapshot: n.snapshot, View: n.View, Open: n.book.Load().Open,
+		Propose: n.committer.PostWithin, Snapshot: n.snapshot, Fresh: n.book.Load().Fresh, View: n.View, Open: n.book.Load().Open,
 	}, n.log.Logger)
 
 	keepUp := upkeepConfig
 	keepUp.Self, keepUp.LeaseWait, keepUp.LoadShare = self, n.settings.LeaseWait, n.settings.LoadShare
 	n.upkeep = upkeep.Start(n.system, keepUp, upkeep.Deps{
-		Engine: n.client, View: n.View, Snapshot: n.snapshot, Propose: n.committer.Post,
+		Engine: n.client, View: n.View, Snapshot: n.snapshot, Propose: n.committer.PostWithin,
 	}, n.log.Logger)
 }
 
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -52,6 +52,7 @@
 	Tick: 100 * time.Millisecond, RenewEvery: 350 * time.Millisecond,
 	Expire: 1500 * time.Millisecond, // four renewals
 	Turn:   500 * time.Millisecond,  // a proposal comes back within some tens of milliseconds
+	Stale:  700 * time.Millisecond,  // two renewals
 	Repeat: time.Second, SweepEvery: time.Second, Now: time.Now,
 }
 
--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -56,7 +56,8 @@
 	reply *ring.Slot[outcome]
 	// sent is set before the entry's first call. Who withdraws the entry sets
 	// it too: the one who finds it unset decides.
-	sent atomic.Bool
+	sent  atomic.Bool
+	until time.Time // dropped if not sent before; zero: never
 	// patient entries are appended however long the journal refuses them.
 	patient bool
 }
@@ -150,8 +151,8 @@
 // Error implements error.
 func (*failingError) Error() string { return "the journal has not answered for a while" }
 
-// Post appends a record however long the journal refuses it, without waiting. Errors: *duty.FullError,
-// *TooLargeError.
+// Post appends a record however long the journal refuses it, without waiting.
+// Errors: *duty.FullError, *TooLargeError.
 func (c *Committer) Post(record []byte) error {
 	e, err := c.entry(record)
 	if err != nil {
@@ -160,6 +161,17 @@
 	return c.owner.Post(e)
 }
 
+// PostWithin appends a record without waiting, or drops it when its append has
+// not begun in time. Errors: as for Post.
+func (c *Committer) PostWithin(record []byte, within time.Duration) error {
+	e, err := c.entry(record)
+	if err != nil {
+		return err
+	}
+	e.until = c.cfg.Now().Add(within)
+	return c.owner.Post(e)
+}
+
 func (c *Committer) entry(record []byte) (*entry, error) {
 	const frame = 4 // bytes of length before each part
 	e := &entry{parts: journal.Split(record, c.cfg.RecordBytes)}
@@ -213,6 +225,9 @@
 		if size+e.bytes > c.cfg.CallBytes {
 			break
 		}
+		if !e.until.IsZero() && c.cfg.Now().After(e.until) {
+			continue
+		}
 		if e.ctx != nil && !e.sent.CompareAndSwap(false, true) {
 			continue // withdrawn
 		}
--- a/server/keeper/keeper.go
+++ b/server/keeper/keeper.go
@@ -26,6 +26,9 @@
 	Expire     time.Duration // without a renewal the leases of a daemon are free
 	// Turn is how long a daemon has to take an upstream before it is the next one's turn.
 	Turn time.Duration
+	// Stale is how old the last whole read of the journal may be: what others
+	// do is not known beyond.
+	Stale time.Duration
 	// Repeat is how long a proposal may take to come back from the journal
 	// before it is made again.
 	Repeat time.Duration
@@ -36,7 +39,9 @@
 
 // Deps of a Keeper.
 type Deps struct {
-	Propose  func(record []byte) error // appends without waiting
+	// Propose appends without waiting; what is not appended in time is dropped.
+	Propose  func(record []byte, within time.Duration) error
+	Fresh    func() time.Time // start of the last read that reached the journal's end
 	Snapshot func() *book.Snapshot
 	View     func() *directory.View
 	Open     func(ctx context.Context) ([]batch.OpenItem, error)
@@ -58,12 +63,16 @@
 
 // Start spawns the duty.
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Keeper {
-	k := &Keeper{
+	k := newKeeper(cfg, deps, log)
+	k.duty = duty.Start(sys, duty.Config{Name: "lease-keeper", RingSize: 1, Tick: cfg.Tick}, duty.Handler[struct{}](k))
+	return k
+}
+
+func newKeeper(cfg Config, deps Deps, log *zap.Logger) *Keeper {
+	return &Keeper{
 		cfg: cfg, deps: deps, log: log,
 		proposed: make(map[api.UpstreamID]time.Time), expired: make(map[batch.Key]time.Time),
 	}
-	k.duty = duty.Start(sys, duty.Config{Name: "lease-keeper", RingSize: 1, Tick: cfg.Tick}, duty.Handler[struct{}](k))
-	return k
 }
 
 // Handle gives up all leases: this daemon is about to stop.
@@ -85,6 +94,9 @@
 		k.renewed = now
 		k.propose(&batch.DaemonAlive{Daemon: k.cfg.Self, Starts: k.cfg.Starts})
 	}
+	if now.Sub(k.deps.Fresh()) > k.cfg.Stale {
+		return
+	}
 	s := k.deps.Snapshot()
 	live := k.live(s, now)
 	k.take(s, live, now)
@@ -188,7 +200,7 @@
 func (k *Keeper) propose(r batch.Record) {
 	data, err := batchcodec.Encode(r)
 	if err == nil {
-		err = k.deps.Propose(data)
+		err = k.deps.Propose(data, k.cfg.Repeat)
 	}
 	if err != nil {
 		k.log.Warn("proposal not queued", zap.Any("record", r), zap.Error(err))
--- /dev/null
+++ b/server/keeper/keeper_test.go
@@ -0,0 +1,95 @@
+package keeper
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/routes"
+	"dotterelmount.example/server/book"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// scene is a keeper without its duty, at a time that the test sets.
+type scene struct {
+	*Keeper
+	now      time.Time
+	fresh    time.Time
+	snapshot book.Snapshot
+	proposed []batch.Record
+}
+
+func newScene(t *testing.T) *scene {
+	t.Helper()
+	s := &scene{now: time.Unix(1000, 0)}
+	view := directory.Empty().Apply([]directory.Change{
+		directory.Configured{Config: routes.Config{Version: 1, Services: []routes.Service{{Name: "s", Engine: &routes.Engine{}}}}},
+		directory.Listed{Upstream: directory.Upstream{ID: "u", Service: "s", Slots: 4}},
+	})
+	s.Keeper = newKeeper(Config{
+		Self: "d", Starts: 5, RenewEvery: 350 * time.Millisecond, Expire: 1500 * time.Millisecond, Turn: 500 * time.Millisecond,
+		Stale: 700 * time.Millisecond, Repeat: time.Second, SweepEvery: time.Hour, Now: func() time.Time { return s.now },
+	}, Deps{
+		Propose: func(record []byte, _ time.Duration) error {
+			r, err := batchcodec.Decode(record)
+			assert.NilError(t, err)
+			s.proposed = append(s.proposed, r)
+			return nil
+		},
+		Snapshot: func() *book.Snapshot { return &s.snapshot },
+		Fresh:    func() time.Time { return s.fresh },
+		View:     func() *directory.View { return view },
+		Open:     func(context.Context) ([]batch.OpenItem, error) { return nil, nil },
+	}, zap.NewNop())
+	s.snapshot = book.Snapshot{
+		Upstreams: []batch.Upstream{{ID: "u", Service: "s", Holder: "other", Taken: 3}},
+		Seen:      map[api.DaemonID]time.Time{"d": s.now, "other": s.now},
+		Starts:    map[api.DaemonID]int64{"d": 5},
+	}
+	return s
+}
+
+// takes returns the leases taken since the last call.
+func (s *scene) takes() int {
+	n := 0
+	for _, r := range s.proposed {
+		if _, ok := r.(*batch.LeaseTaken); ok {
+			n++
+		}
+	}
+	s.proposed = nil
+	return n
+}
+
+func TestLeaseOfADaemonThatStoppedRenewingIsTaken(t *testing.T) {
+	s := newScene(t)
+	for at := time.Duration(0); at <= 3*time.Second; at += 100 * time.Millisecond {
+		s.now = time.Unix(1000, 0).Add(at)
+		s.fresh, s.snapshot.Seen["d"] = s.now, s.now
+		s.Tick(t.Context())
+		if s.takes() > 0 {
+			assert.Assert(t, at >= 1500*time.Millisecond && at <= 1700*time.Millisecond, "%v", at)
+			return
+		}
+	}
+	t.Fatal("never taken")
+}
+
+// While the journal can't be read, a daemon does not see that others renew. It
+// must not propose to take their leases: the proposals would wait and take
+// effect when the journal is back.
+func TestNoLeaseIsTakenWhileTheJournalCannotBeRead(t *testing.T) {
+	s := newScene(t)
+	s.snapshot.Seen["d"] = s.now.Add(300 * time.Millisecond) // its own last renewal came a little later
+	s.fresh = s.now.Add(300 * time.Millisecond)
+	for at := time.Duration(0); at <= 5*time.Second; at += 100 * time.Millisecond {
+		s.now = time.Unix(1000, 0).Add(at)
+		s.Tick(t.Context())
+		assert.Equal(t, s.takes(), 0, "%v", at)
+	}
+}
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -52,7 +52,8 @@
 	Engine   generation.Engine
 	View     func() *directory.View
 	Snapshot func() *book.Snapshot
-	Propose  func(record []byte) error
+	// Propose appends without waiting; what is not appended in time is dropped.
+	Propose func(record []byte, within time.Duration) error
 }
 
 // Ran tells how a run at an upstream went.
@@ -205,7 +206,7 @@
 	w.proposed, w.wish = now, wish
 	data, err := batchcodec.Encode(wish)
 	if err == nil {
-		err = k.deps.Propose(data)
+		err = k.deps.Propose(data, k.cfg.Repeat)
 	}
 	if err != nil {
 		k.log.Warn("proposal not queued", zap.String("upstream", string(u.ID)), zap.Error(err))
