--- a/cmd/dotterelmount/exit.go
+++ b/cmd/dotterelmount/exit.go
@@ -63,6 +63,8 @@
 		return exitOfRefusal(refused)
 	case errors.As(err, &unreachable):
 		return exitOfUnreachable(unreachable)
+	case errors.As(err, &typed) && typed.Code == api.CodeLogUnavailable:
+		return exitUnavailable
 	case errors.As(err, &setting), errors.As(err, &typed):
 		return exitRefused
 	default:
--- /dev/null
+++ b/cmd/dotterelmount/hosted.go
@@ -0,0 +1,248 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/replay"
+	"dotterelmount.example/platform/store"
+)
+
+// The flags of the hosted commands.
+const (
+	flagStore   = "store"
+	flagMissing = "missing"
+	flagJob     = "job"
+)
+
+// jobsTopic is the journal's topic, as the daemons name it.
+const jobsTopic = "jobs"
+
+func hostedCommand() *cli.Command {
+	return &cli.Command{
+		Name: "hosted", Usage: "reads a deployment on the users' platform from the platform's store", Action: needsCommand,
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: flagStore, Usage: "`ip:port` of the platform's store", Sources: cli.EnvVars("DOTTERELMOUNT_STORE"),
+		}},
+		Commands: []*cli.Command{
+			{
+				Name: "jobs", Usage: "lists batch jobs",
+				Flags: []cli.Flag{
+					&cli.BoolFlag{Name: flagMissing, Usage: "only jobs that ended or are due with results missing, with the items by name"},
+					&cli.StringFlag{Name: flagJob, Usage: "only the job with this `id`"},
+				},
+				Action: withHistory(hostedJobs),
+			},
+			{Name: "upstreams", Usage: "lists model servers with their holders and weights", Action: withHistory(hostedUpstreams)},
+			{Name: "daemons", Usage: "lists daemons with the configuration they have in force", Action: withHistory(hostedDaemons)},
+			{
+				Name: "audit", Usage: "prints the records that changed jobs, leases and servers",
+				Flags:  []cli.Flag{&cli.StringFlag{Name: flagJob, Usage: "only records of the job with this `id`"}},
+				Action: withHistory(hostedAudit),
+			},
+		},
+	}
+}
+
+// history is a journal as read.
+type history struct {
+	state   *batch.State
+	entries []replay.Entry
+}
+
+// withHistory returns the action of a command that reads the journal.
+func withHistory(f func(c *cli.Command, h *history) report) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if err := checkArguments(c, nil); err != nil {
+			return err
+		}
+		address := c.String(flagStore)
+		if address == "" {
+			return &UsageError{Detail: "no store: give --store or DOTTERELMOUNT_STORE"}
+		}
+		ctx, cancel := context.WithTimeout(ctx, c.Duration(flagTimeout))
+		defer cancel()
+		h := &history{}
+		var err error
+		h.state, err = replay.Read(ctx, store.New(address).Journal(jobsTopic, 0), func(e replay.Entry) { h.entries = append(h.entries, e) })
+		if err != nil {
+			return api.Errorf(api.CodeLogUnavailable, "journal at %s: %w", address, err)
+		}
+		return show(c, f(c, h))
+	}
+}
+
+type jobsReport struct {
+	Jobs []batch.JobReport `json:"jobs"`
+	// items asks for the names of missing items.
+	items bool
+}
+
+func hostedJobs(c *cli.Command, h *history) report {
+	r := jobsReport{Jobs: []batch.JobReport{}, items: c.Bool(flagMissing) || c.String(flagJob) != ""}
+	for _, j := range h.state.Jobs() {
+		if c.Bool(flagMissing) && !j.Missing(time.Now().UnixMilli()) {
+			continue
+		}
+		if id := c.String(flagJob); id != "" && string(j.ID) != id {
+			continue
+		}
+		r.Jobs = append(r.Jobs, j)
+	}
+	return r
+}
+
+func (r jobsReport) text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(t, "JOB\tMODEL\tMIN VERSION\tSUBMITTED\tITEMS\tCOMPLETED\tERRORED\tOPEN\tENDED")
+	for i := range r.Jobs {
+		j := &r.Jobs[i]
+		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%t\n", j.ID, j.Model, j.MinVersion, time.UnixMilli(j.AtMillis).UTC().Format(time.RFC3339),
+			j.Items, j.Completed, len(j.Errored), len(j.Open), j.Ended)
+	}
+	_ = t.Flush() // writing to the terminal; nobody is left to tell
+	if !r.items {
+		return
+	}
+	for i := range r.Jobs {
+		j := &r.Jobs[i]
+		fmt.Fprintf(w, "%s errored: %s\n%s open: %s\n", j.ID, strings.Join(texts(j.Errored), " "), j.ID, strings.Join(texts(j.Open), " "))
+	}
+}
+
+type upstreamReport struct {
+	ID        api.UpstreamID                      `json:"id"`
+	Service   string                              `json:"service"`
+	Holder    api.DaemonID                        `json:"holder"` // empty: its holder left
+	Lease     batch.Offset                        `json:"lease"`  // fencing token of its orders
+	Condition string                              `json:"condition"`
+	Home      api.ModelName                       `json:"home"` // model whose versions it takes
+	Versions  map[api.ModelName]api.WeightVersion `json:"versions"`
+}
+
+type upstreamsReport struct {
+	Upstreams []upstreamReport `json:"upstreams"`
+}
+
+func hostedUpstreams(_ *cli.Command, h *history) report {
+	r := upstreamsReport{Upstreams: []upstreamReport{}}
+	for _, u := range h.state.Upstreams() {
+		r.Upstreams = append(r.Upstreams, upstreamReport{
+			ID: u.ID, Service: u.Service, Holder: u.Holder, Lease: u.Taken, Condition: u.Condition.String(), Home: u.Home, Versions: u.Versions,
+		})
+	}
+	return r
+}
+
+func (r upstreamsReport) text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(t, "UPSTREAM\tSERVICE\tHOLDER\tLEASE\tCONDITION\tHOME\tVERSIONS")
+	for _, u := range r.Upstreams {
+		var versions []string
+		for _, m := range slices.Sorted(maps.Keys(u.Versions)) {
+			versions = append(versions, fmt.Sprintf("%s=%d", m, u.Versions[m]))
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", u.ID, u.Service, u.Holder, u.Lease, u.Condition, u.Home, strings.Join(versions, " "))
+	}
+	_ = t.Flush() // writing to the terminal; nobody is left to tell
+}
+
+type daemonReport struct {
+	Daemon  api.DaemonID `json:"daemon"`
+	Starts  int64        `json:"started_ms"` // Unix milliseconds
+	Renewed batch.Offset `json:"renewed"`    // offset of its last renewal
+	Config  uint64       `json:"config"`     // version in force
+}
+
+type daemonsReport struct {
+	Daemons []daemonReport `json:"daemons"`
+}
+
+func hostedDaemons(_ *cli.Command, h *history) report {
+	r := daemonsReport{Daemons: []daemonReport{}}
+	known := h.state.Daemons()
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		d := known[id]
+		r.Daemons = append(r.Daemons, daemonReport{Daemon: id, Starts: d.Starts, Renewed: d.Renewed, Config: d.Config})
+	}
+	return r
+}
+
+func (r daemonsReport) text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(t, "DAEMON\tSTARTED\tLAST RENEWAL\tCONFIG")
+	for _, d := range r.Daemons {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\n", d.Daemon, time.UnixMilli(d.Starts).UTC().Format(time.RFC3339), d.Renewed, d.Config)
+	}
+	_ = t.Flush() // writing to the terminal; nobody is left to tell
+}
+
+type historyEntry struct {
+	Offset batch.Offset `json:"offset"`
+	Kind   string       `json:"kind"`
+	Effect bool         `json:"effect"` // it changed the state
+	What   string       `json:"what"`
+}
+
+type historyReport struct {
+	Entries []historyEntry `json:"entries"`
+}
+
+func hostedAudit(c *cli.Command, h *history) report {
+	r := historyReport{Entries: []historyEntry{}}
+	for _, e := range h.entries {
+		kind, job, what := describe(e.Record)
+		if id := c.String(flagJob); kind == "" || (id != "" && id != string(job)) {
+			continue
+		}
+		r.Entries = append(r.Entries, historyEntry{Offset: e.Offset, Kind: kind, Effect: e.Effect, What: what})
+	}
+	return r
+}
+
+// describe returns a record's kind, the job that it is about and what it says.
+// Renewals have no kind: they change nothing worth an audit.
+func describe(r batch.Record) (kind string, job batch.JobID, what string) {
+	switch r := r.(type) {
+	case *batch.JobAccepted:
+		return "job-accepted", r.Job.ID, fmt.Sprintf("%s: %d items for %s from version %d", r.Job.ID, len(r.Job.Items), r.Job.Model, r.Job.MinVersion)
+	case *batch.JobEnded:
+		return "job-ended", r.ID, string(r.ID)
+	case *batch.TextAdded:
+		return "text", r.Job, fmt.Sprintf("%s/%s: run %s, events %d to %d, versions %v, whole %t", r.Job, r.Item, r.Run, r.From+1, r.From+len(r.Events), r.Versions, r.Done)
+	case *batch.ItemFailed:
+		return "item-failed", r.Job, fmt.Sprintf("%s/%s: status %d, final %t", r.Job, r.Item, r.Status, r.Final)
+	case *batch.ItemExpired:
+		return "item-given-up", r.Job, fmt.Sprintf("%s/%s", r.Job, r.Item)
+	case *batch.ItemMoved:
+		return "item-moved", r.Job, fmt.Sprintf("%s/%s: off %s", r.Job, r.Item, r.From)
+	case *batch.DaemonLeft:
+		return "daemon-left", "", string(r.Daemon)
+	case *batch.LeaseTaken:
+		return "lease-taken", "", fmt.Sprintf("%s by %s after %d", r.Upstream, r.Daemon, r.Previous)
+	case *batch.UpstreamGone:
+		return "upstream-gone", "", fmt.Sprintf("%s, held by %s", r.Upstream, r.Daemon)
+	case *batch.UpstreamChanged:
+		return "upstream-changed", "", fmt.Sprintf("%s by %s: %s, versions %v", r.Upstream, r.Daemon, r.Condition, r.Versions)
+	}
+	return "", "", ""
+}
+
+func (r historyReport) text(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
+	fmt.Fprintln(t, "OFFSET\tKIND\tEFFECT\tWHAT")
+	for _, e := range r.Entries {
+		fmt.Fprintf(t, "%d\t%s\t%t\t%s\n", e.Offset, e.Kind, e.Effect, e.What)
+	}
+	_ = t.Flush() // writing to the terminal; nobody is left to tell
+}
--- /dev/null
+++ b/cmd/dotterelmount/hosted_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/platform/store"
+	platform "dotterelmount.example/standin/platform"
+	"gotest.tools/v3/assert"
+)
+
+func hosted(t *testing.T, address string, args ...string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	c := newCommand()
+	c.Writer = &out
+	err := c.Run(t.Context(), append([]string{"dotterelmount"}, append([]string{"--output", "json", "hosted", "--store", address}, args...)...))
+	return out.String(), err
+}
+
+func TestHostedReportsComeFromTheJournal(t *testing.T) {
+	s := platform.NewStore()
+	defer s.Close()
+	var parts [][]byte
+	for _, r := range []batch.Record{
+		&batch.DaemonAlive{Daemon: "d1", Starts: 5, Config: 7},
+		&batch.LeaseTaken{Upstream: "u1", Service: "s", Daemon: "d1", Slots: 2, Models: []api.ModelName{"m"}, Versions: map[api.ModelName]api.WeightVersion{"m": 3}},
+		&batch.JobAccepted{Job: batch.Job{ID: "j1", Service: "s", Model: "m", Attempts: 3, Items: []batch.Item{{ID: "a"}, {ID: "b"}, {ID: "c"}}}},
+		&batch.TextAdded{Job: "j1", Item: "a", Events: []string{"x"}, Versions: []api.WeightVersion{3}, Done: true},
+		&batch.ItemExpired{Job: "j1", Item: "b"},
+		&batch.JobEnded{ID: "j1"},
+	} {
+		data, err := batchcodec.Encode(r)
+		assert.NilError(t, err)
+		parts = append(parts, journal.Split(data, 1<<20)...)
+	}
+	_, err := store.New(s.Address()).Journal(jobsTopic, 0).Append(t.Context(), journal.Sequence{Producer: "test", Number: 1}, parts)
+	assert.NilError(t, err)
+
+	out, err := hosted(t, s.Address(), "jobs", "--missing")
+	assert.NilError(t, err)
+	var jobs jobsReport
+	assert.NilError(t, json.Unmarshal([]byte(out), &jobs))
+	assert.Equal(t, len(jobs.Jobs), 1)
+	assert.Equal(t, jobs.Jobs[0].Completed, 1)
+	assert.DeepEqual(t, jobs.Jobs[0].Errored, []batch.ItemID{"b"})
+	assert.DeepEqual(t, jobs.Jobs[0].Open, []batch.ItemID{"c"})
+
+	out, err = hosted(t, s.Address(), "upstreams")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out, `"holder":"d1"`) && strings.Contains(out, `"versions":{"m":3}`), out)
+	out, err = hosted(t, s.Address(), "daemons")
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out, `"config":7`), out)
+	out, err = hosted(t, s.Address(), "audit", "--job", "j1")
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(out, `"offset"`), 4, out)
+}
+
+func TestHostedNeedsAStoreThatAnswers(t *testing.T) {
+	_, err := hosted(t, "", "jobs")
+	assert.Equal(t, exitCode(err), exitUsage)
+	s := platform.NewStore()
+	defer s.Close()
+	s.SetMode(platform.ModeBusy)
+	_, err = hosted(t, s.Address(), "jobs")
+	assert.Equal(t, exitCode(err), exitUnavailable, "%v", err)
+}
--- a/cmd/dotterelmount/main.go
+++ b/cmd/dotterelmount/main.go
@@ -76,6 +76,7 @@
 			undrainCommand(),
 			weightsCommand(),
 			statusCommand(),
+			hostedCommand(),
 			inForceCommand(),
 			trainerCommand(),
 			auditCommand(),
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -50,6 +50,7 @@
 	Attempts      int    `msgpack:"att"`  // failures after which an item is given up
 	KeepMillis    int64  `msgpack:"keep"` // how long items are tried
 	AtMillis      int64  `msgpack:"at"`   // submission, in Unix milliseconds
+	TargetMillis  int64  `msgpack:"due"`  // how long after it results are due; 0: no target
 	Items         []Item `msgpack:"items"`
 }
 
@@ -114,6 +115,8 @@
 	Daemon api.DaemonID `msgpack:"d"`
 	// Starts is a start of the daemon, in Unix milliseconds.
 	Starts int64 `msgpack:"s"`
+	// Config is the version of the configuration that the daemon has in force.
+	Config uint64 `msgpack:"c"`
 }
 
 // DaemonLeft gives up all leases of a daemon.
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -44,6 +44,7 @@
 type Daemon struct {
 	Starts  int64  // its newest start, in Unix milliseconds
 	Renewed Offset // its newest renewal
+	Config  uint64 // version of the configuration it then had in force
 	Left    bool
 }
 
@@ -245,7 +246,7 @@
 	if r.Starts < d.Starts {
 		return false // an earlier process of the same daemon
 	}
-	d.Starts, d.Renewed, d.Left = r.Starts, at, false
+	d.Starts, d.Renewed, d.Config, d.Left = r.Starts, at, r.Config, false
 	return true
 }
 
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -47,6 +47,8 @@
 	Shares   []Share
 	// Keep is how long after its submission an item of a batch job is kept trying.
 	Keep time.Duration
+	// ResultTarget is how long after its submission the results of a job are due.
+	ResultTarget time.Duration
 	// SingleVersion asks that one weight version makes the whole text of an item.
 	SingleVersion bool
 }
--- a/server/book/book.go
+++ b/server/book/book.go
@@ -12,7 +12,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
-	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/ring"
@@ -72,7 +72,7 @@
 	fold     *duty.Duty[any]
 	reader   *duty.Duty[struct{}]
 	state    *batch.State
-	joiner   journal.Joiner
+	decoder  replay.Decoder
 	applied  batch.Offset
 	current  time.Time // start of the last read that reached the end
 	seen     map[api.DaemonID]time.Time
@@ -135,15 +135,11 @@
 	}
 	changed := false
 	for i, part := range p.page.Records {
-		at := batch.Offset(p.from) + batch.Offset(i) + 1 // offset 0 means never
-		data, err := b.joiner.Add(part)
-		if err != nil || data == nil {
-			b.skipped(at, err)
-			continue
-		}
-		r, err := batchcodec.Decode(data)
+		r, at, err := b.decoder.Add(p.from+journal.Offset(i), part)
 		if err != nil {
-			b.skipped(at, err)
+			b.log.Warn("journal record ignored", zap.Uint64("offset", uint64(at)), zap.Error(err))
+		}
+		if r == nil {
 			continue
 		}
 		if alive, ok := r.(*batch.DaemonAlive); ok {
@@ -174,12 +170,6 @@
 	b.answer()
 }
 
-func (b *Book) skipped(at batch.Offset, err error) {
-	if err != nil {
-		b.log.Warn("journal record ignored", zap.Uint64("offset", uint64(at)), zap.Error(err))
-	}
-}
-
 func (b *Book) publish() {
 	s := &Snapshot{
 		Applied: b.applied, Upstreams: b.state.Upstreams(),
--- a/server/keeper/keeper.go
+++ b/server/keeper/keeper.go
@@ -92,7 +92,7 @@
 	now := k.cfg.Now()
 	if now.Sub(k.renewed) >= k.cfg.RenewEvery {
 		k.renewed = now
-		k.propose(&batch.DaemonAlive{Daemon: k.cfg.Self, Starts: k.cfg.Starts})
+		k.propose(&batch.DaemonAlive{Daemon: k.cfg.Self, Starts: k.cfg.Starts, Config: k.config()})
 	}
 	if now.Sub(k.deps.Fresh()) > k.cfg.Stale {
 		return
@@ -106,6 +106,14 @@
 	}
 }
 
+// config returns the version of the configuration in force here; 0: none.
+func (k *Keeper) config() uint64 {
+	if t := k.deps.View().Table; t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
 // live returns the daemons whose leases hold.
 func (k *Keeper) live(s *book.Snapshot, now time.Time) map[api.DaemonID]bool {
 	out := make(map[api.DaemonID]bool, len(s.Seen))
