--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -9,15 +9,13 @@
 )
 
 const (
-	// AloneStrikes is the number of crashes alone that condemns a fingerprint,
-	// if they hit more than one upstream: a single upstream may itself be at
-	// fault.
-	AloneStrikes = 2
-	// SharedStrikes is the number of crashes, alone or not, that condemns a
-	// fingerprint, if they hit more than one upstream. With several daemons
-	// under load hardly a crash is seen alone; an innocent request is cleared
-	// when it completes, which a guilty one never does.
-	SharedStrikes = 3
+	// Strikes is the number of crashes, alone or not, that condemns a
+	// fingerprint, if they hit more than one upstream: a single upstream may
+	// itself be at fault. A crash counts the same whether its strike is the only
+	// one: the daemon of the guilty request may have died before it wrote one.
+	// An innocent request is cleared when it completes, which a guilty one
+	// never does.
+	Strikes = 3
 	// CondemnedTime is how long a condemned fingerprint is refused after its
 	// last strike.
 	CondemnedTime = 10 * time.Minute
@@ -61,8 +59,7 @@
 	}
 	age := max(0, nowMillis-s.LastMillis)
 	suspectUntil := SoloTime.Milliseconds()
-	guilty := s.Alone >= AloneStrikes || s.Alone+s.Shared >= SharedStrikes
-	if guilty && len(s.Upstreams) > 1 {
+	if s.Alone+s.Shared >= Strikes && len(s.Upstreams) > 1 {
 		if age < CondemnedTime.Milliseconds() {
 			return Condemned
 		}
