--- /dev/null
+++ b/lib/duty/pool_test.go
@@ -0,0 +1,40 @@
+package duty_test
+
+import (
+	"context"
+	"testing"
+
+	"dotterelmount.example/lib/duty"
+	"gotest.tools/v3/assert"
+)
+
+type forward struct{ out chan int }
+
+func (e forward) Handle(_ context.Context, n int) { e.out <- n }
+
+func TestPoolStartsWorkersWhenNeededUpToItsSize(t *testing.T) {
+	sys := duty.NewSystem(nil)
+	out := make(chan int, 4)
+	started := 0
+	p := duty.NewPool(sys, duty.Config{Name: "worker"}, 2, func() duty.Handler[int] {
+		started++
+		return forward{out}
+	})
+	assert.Equal(t, started, 0)
+	a, ok := p.Take()
+	assert.Assert(t, ok)
+	assert.NilError(t, p.Post(a, 1))
+	assert.Equal(t, <-out, 1)
+	p.Give(a)
+	again, ok := p.Take()
+	assert.Assert(t, ok)
+	assert.Equal(t, again, a, "an idle worker is used before a new one starts")
+	_, ok = p.Take()
+	assert.Assert(t, ok)
+	assert.Assert(t, !p.Idle())
+	_, ok = p.Take()
+	assert.Assert(t, !ok)
+	assert.Equal(t, started, 2)
+	owner := duty.Start(sys, duty.Config{Name: "owner", RingSize: 1}, duty.Handler[int](forward{out}))
+	assert.NilError(t, duty.StopPool(t.Context(), owner, p))
+}
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -36,8 +36,7 @@
 	log      *zap.Logger
 	view     func() *directory.View
 	duty     *duty.Duty[any]
-	carriers []*duty.Duty[*attempt]
-	idle     []int // indices of carriers without an attempt
+	carriers *duty.Pool[*attempt]
 	seen     map[api.UpstreamID]*observed
 	crashes  *crashes
 }
@@ -78,12 +77,9 @@
 // Start spawns the duties.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, exchanger opaque.Exchanger, view func() *directory.View) *Relay {
 	r := &Relay{cfg: cfg, log: log, view: view, seen: make(map[api.UpstreamID]*observed), crashes: newCrashes()}
+	c := &carrier{exchanger: exchanger, report: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails at the stop only
+	r.carriers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Carriers, func() duty.Handler[*attempt] { return c })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: time.Second}, duty.Handler[any](r))
-	for i := range cfg.Carriers {
-		c := &carrier{exchanger: exchanger, now: cfg.Now, report: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }}
-		r.carriers = append(r.carriers, duty.Start(sys, duty.Config{Name: "relay-carrier", RingSize: 1}, duty.Handler[*attempt](c)))
-		r.idle = append(r.idle, i)
-	}
 	return r
 }
 
@@ -107,13 +103,13 @@
 }
 
 // Handle takes a new job or an attempt's end.
-func (r *Relay) Handle(ctx context.Context, m any) {
+func (r *Relay) Handle(_ context.Context, m any) {
 	switch m := m.(type) {
 	case *job:
-		r.next(ctx, m)
+		r.next(m)
 	case *attempt:
-		r.idle = append(r.idle, m.carrier)
-		r.ended(ctx, m)
+		r.carriers.Give(m.carrier)
+		r.ended(m)
 	}
 }
 
@@ -129,7 +125,7 @@
 }
 
 // next starts a job's next attempt or ends it.
-func (r *Relay) next(ctx context.Context, j *job) {
+func (r *Relay) next(j *job) {
 	q, now := j.request, r.cfg.Now()
 	if j.ctx.Err() != nil || !now.Before(q.Deadline) {
 		r.finish(j, Reply{Err: j.giveUp("its time is over", true, r.cfg.RetryAfter)})
@@ -148,24 +144,23 @@
 		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("no upstream of service "+q.Service, false, r.cfg.RetryAfter)})
 		return
 	}
-	if len(r.idle) == 0 {
+	carrier, ok := r.carriers.Take()
+	if !ok {
 		r.finish(j, Reply{Err: j.giveUp("all carriers are busy", false, r.cfg.RetryAfter)})
 		return
 	}
-	r.start(ctx, j, u, now)
+	r.start(carrier, j, u, now)
 }
 
-func (r *Relay) start(ctx context.Context, j *job, u *directory.Upstream, now time.Time) {
-	last := len(r.idle) - 1
+func (r *Relay) start(carrier int, j *job, u *directory.Upstream, now time.Time) {
 	a := &attempt{
-		carrier: r.idle[last], job: j, upstream: u, began: now,
+		carrier: carrier, job: j, upstream: u, began: now,
 		limit: r.cfg.Patience.AttemptTime(j.request, now, j.request.Route.Attempts-j.sent),
 	}
-	r.idle = r.idle[:last]
 	j.sent++
 	j.tried[u.ID] = true
 	r.observed(u.ID).inFlight++
-	if err := r.carriers[a.carrier].PostWait(ctx, a); err != nil {
+	if err := r.carriers.Post(carrier, a); err != nil {
 		r.finish(j, Reply{Err: j.giveUp("stopping", false, r.cfg.RetryAfter)})
 	}
 }
@@ -185,7 +180,7 @@
 }
 
 // ended decides what follows an attempt.
-func (r *Relay) ended(ctx context.Context, a *attempt) {
+func (r *Relay) ended(a *attempt) {
 	now := r.cfg.Now()
 	j, o := a.job, r.observed(a.upstream.ID)
 	o.inFlight--
@@ -205,7 +200,7 @@
 		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("the upstream failed", false, r.cfg.RetryAfter), Upstream: a.upstream.ID})
 		return
 	}
-	r.next(ctx, j)
+	r.next(j)
 }
 
 // learn notes what a failed attempt says of its upstream.
@@ -250,12 +245,11 @@
 }
 
 // Stop ends the duties. Errors: ctx.Err().
-func (r *Relay) Stop(ctx context.Context) error { return duty.StopAll(ctx, r.duty, r.carriers) }
+func (r *Relay) Stop(ctx context.Context) error { return duty.StopPool(ctx, r.duty, r.carriers) }
 
 // carrier is the duty that carries one attempt at a time.
 type carrier struct {
 	exchanger opaque.Exchanger
-	now       func() time.Time
 	report    func(context.Context, *attempt)
 }
 
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -66,8 +66,7 @@
 	deps     Deps
 	log      *zap.Logger
 	duty     *duty.Duty[any]
-	carriers []*duty.Duty[*run]
-	idle     []int
+	carriers *duty.Pool[*run]
 	wanted   map[batch.Key]batch.Run
 	applied  batch.Offset
 	active   map[batch.Key]*run
@@ -102,12 +101,9 @@
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.Key]*run),
 		busy: make(map[batch.Key]int), notYet: make(map[batch.Key]time.Time),
 	}
+	c := &carrier{cfg: cfg, deps: deps, log: log, report: func(ctx context.Context, a *run) { _ = r.duty.PostWait(ctx, a) }} // fails at the stop only
+	r.carriers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Carriers, func() duty.Handler[*run] { return c })
 	r.duty = duty.Start(sys, duty.Config{Name: "runner", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](r))
-	for i := range cfg.Carriers {
-		c := &carrier{cfg: cfg, deps: deps, log: log, report: func(ctx context.Context, r2 *run) { _ = r.duty.PostWait(ctx, r2) }}
-		r.carriers = append(r.carriers, duty.Start(sys, duty.Config{Name: "run-carrier", RingSize: 1}, duty.Handler[*run](c)))
-		r.idle = append(r.idle, i)
-	}
 	return r
 }
 
@@ -125,7 +121,7 @@
 	case *update:
 		r.wanted, r.applied = m.runs, m.applied
 	case *run:
-		r.idle = append(r.idle, m.carrier)
+		r.carriers.Give(m.carrier)
 		r.finished(m)
 	}
 	r.reconcile(ctx)
@@ -148,7 +144,7 @@
 	}
 	now := r.cfg.Now()
 	for key, w := range r.wanted {
-		if len(r.idle) == 0 {
+		if !r.carriers.Idle() {
 			break
 		}
 		if r.active[key] == nil && !now.Before(r.notYet[key]) {
@@ -179,13 +175,15 @@
 		r.log.Info("run not allowed", zap.String("item", string(key.Item)), zap.String("upstream", string(u.ID)), zap.Uint64("config", v.Table.Version()))
 		return
 	}
-	last := len(r.idle) - 1
+	carrier, ok := r.carriers.Take()
+	if !ok {
+		return // reconcile asked before
+	}
 	r.begun++
-	a := &run{Run: w, key: key, id: fmt.Sprintf("%s/%d", r.cfg.Process, r.begun), carrier: r.idle[last], upstream: u, began: now}
+	a := &run{Run: w, key: key, id: fmt.Sprintf("%s/%d", r.cfg.Process, r.begun), carrier: carrier, upstream: u, began: now}
 	a.ctx, a.cancel = context.WithCancel(ctx)
-	r.idle = r.idle[:last]
 	r.active[key] = a
-	if err := r.carriers[a.carrier].PostWait(ctx, a); err != nil {
+	if err := r.carriers.Post(carrier, a); err != nil {
 		a.cancel() // stopping
 	}
 }
@@ -246,7 +244,7 @@
 }
 
 // Stop ends the duties; runs in progress are given up. Errors: ctx.Err().
-func (r *Runner) Stop(ctx context.Context) error { return duty.StopAll(ctx, r.duty, r.carriers) }
+func (r *Runner) Stop(ctx context.Context) error { return duty.StopPool(ctx, r.duty, r.carriers) }
 
 // AgainstUpstream reports whether a run failed in a way that says something
 // of its upstream, and not of the item.
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -73,8 +73,7 @@
 	deps    Deps
 	log     *zap.Logger
 	duty    *duty.Duty[any]
-	callers []*duty.Duty[*call]
-	idle    []int
+	callers *duty.Pool[*call]
 	wards   map[api.UpstreamID]*ward
 	// announced are the newest announcements seen of each model.
 	announced map[api.ModelName]announcement
@@ -118,12 +117,9 @@
 // Start spawns the duties.
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Upkeep {
 	k := &Upkeep{cfg: cfg, deps: deps, log: log, wards: make(map[api.UpstreamID]*ward), announced: make(map[api.ModelName]announcement)}
+	c := &caller{cfg: cfg, engine: deps.Engine, report: func(ctx context.Context, c *call) { _ = k.duty.PostWait(ctx, c) }} // fails at the stop only
+	k.callers = duty.NewPool(sys, duty.Config{Name: "upkeep-caller"}, cfg.Callers, func() duty.Handler[*call] { return c })
 	k.duty = duty.Start(sys, duty.Config{Name: "upkeep", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](k))
-	for i := range cfg.Callers {
-		c := &caller{cfg: cfg, engine: deps.Engine, report: func(ctx context.Context, c *call) { _ = k.duty.PostWait(ctx, c) }}
-		k.callers = append(k.callers, duty.Start(sys, duty.Config{Name: "upkeep-caller", RingSize: 1}, duty.Handler[*call](c)))
-		k.idle = append(k.idle, i)
-	}
 	return k
 }
 
@@ -140,14 +136,14 @@
 	case Ran:
 		k.ran(m)
 	case *call:
-		k.idle = append(k.idle, m.caller)
+		k.callers.Give(m.caller)
 		k.called(m)
 	}
 	k.Tick(ctx)
 }
 
 // Tick looks at every upstream held.
-func (k *Upkeep) Tick(ctx context.Context) {
+func (k *Upkeep) Tick(context.Context) {
 	now := k.cfg.Now()
 	s, v := k.deps.Snapshot(), k.deps.View()
 	held := make(map[api.UpstreamID]bool)
@@ -160,7 +156,7 @@
 		held[u.ID] = true
 		w := k.ward(u, listed, now)
 		k.condition(u, listed, w, now)
-		k.look(ctx, s, v, u, listed, w, now)
+		k.look(s, v, u, listed, w, now)
 	}
 	maps.DeleteFunc(k.wards, func(id api.UpstreamID, w *ward) bool { return !held[id] && !w.calling })
 }
@@ -214,8 +210,8 @@
 }
 
 // look starts the next call to an upstream, if one is due.
-func (k *Upkeep) look(ctx context.Context, s *book.Snapshot, v *directory.View, u *batch.Upstream, listed *directory.Upstream, w *ward, now time.Time) {
-	if w.calling || len(k.idle) == 0 || listed.Draining || now.Before(w.nextLook) {
+func (k *Upkeep) look(s *book.Snapshot, v *directory.View, u *batch.Upstream, listed *directory.Upstream, w *ward, now time.Time) {
+	if w.calling || !k.callers.Idle() || listed.Draining || now.Before(w.nextLook) {
 		return
 	}
 	c := &call{upstream: listed}
@@ -233,10 +229,11 @@
 	if c.order != nil && !k.mayOrder(s, w, now) {
 		c.order = nil
 	}
-	w.calling = true
-	c.caller = k.idle[len(k.idle)-1]
-	k.idle = k.idle[:len(k.idle)-1]
-	if err := k.callers[c.caller].PostWait(ctx, c); err != nil {
+	c.caller, w.calling = k.callers.Take()
+	if !w.calling {
+		return // asked before
+	}
+	if err := k.callers.Post(c.caller, c); err != nil {
 		w.calling = false // stopping
 	}
 }
@@ -325,7 +322,7 @@
 }
 
 // Stop ends the duties. Errors: ctx.Err().
-func (k *Upkeep) Stop(ctx context.Context) error { return duty.StopAll(ctx, k.duty, k.callers) }
+func (k *Upkeep) Stop(ctx context.Context) error { return duty.StopPool(ctx, k.duty, k.callers) }
 
 // caller is the duty that carries one call at a time.
 type caller struct {
