--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -118,16 +118,14 @@
 	runs.Self, runs.Process, runs.Carriers = self, process, n.settings.Carriers
 	n.runner = runner.Start(n.system, runs, runner.Deps{
 		Engine: n.client, View: n.View, Commit: n.keep, Propose: n.committer.Post, Ran: n.ran,
+		Upstreams: func() []batch.Upstream { return n.snapshot().Upstreams },
+		Slow:      func(id api.UpstreamID) { n.upkeep.Tell(upkeep.Ran{Upstream: id, Slow: true}) },
 	}, n.log.Logger)
 
-	books := bookConfig
-	books.Self, books.Remember = self, n.settings.Remember
-	n.book.Store(book.Start(n.system, j, books, book.Deps{Runs: n.runner.Update, Leases: func(*book.Snapshot) {}}, n.log.Logger))
-
 	keeps := keeperConfig
 	keeps.Self, keeps.Starts = self, starts
 	n.keeper = keeper.Start(n.system, keeps, keeper.Deps{
-		Propose: n.committer.PostWithin, Snapshot: n.snapshot, Fresh: n.book.Load().Fresh, View: n.View, Open: n.book.Load().Open,
+		Propose: n.committer.PostWithin, Snapshot: n.snapshot, Fresh: n.fresh, View: n.View, Open: n.open,
 	}, n.log.Logger)
 
 	keepUp := upkeepConfig
@@ -135,9 +133,30 @@
 	n.upkeep = upkeep.Start(n.system, keepUp, upkeep.Deps{
 		Engine: n.client, View: n.View, Snapshot: n.snapshot, Propose: n.committer.PostWithin,
 	}, n.log.Logger)
+
+	// The book comes last: what it tells goes to all of the above.
+	books := bookConfig
+	books.Self, books.Remember = self, n.settings.Remember
+	n.book.Store(book.Start(n.system, j, books, n.runner.Update, n.log.Logger))
+}
+
+// snapshot returns what the journal says of leases; nothing before the book runs.
+func (n *Node) snapshot() *book.Snapshot {
+	if b := n.book.Load(); b != nil {
+		return b.Snapshot()
+	}
+	return &book.Snapshot{}
+}
+
+// fresh returns when the journal was last read to its end; the zero time before.
+func (n *Node) fresh() time.Time {
+	if b := n.book.Load(); b != nil {
+		return b.Fresh()
+	}
+	return time.Time{}
 }
 
-func (n *Node) snapshot() *book.Snapshot { return n.book.Load().Snapshot() }
+func (n *Node) open(ctx context.Context) ([]batch.OpenItem, error) { return n.book.Load().Open(ctx) }
 
 // keep appends a record of the journal and returns its offset in the fold.
 func (n *Node) keep(ctx context.Context, record []byte) (batch.Offset, error) {
@@ -160,7 +179,7 @@
 // upstreams are known, and the journal could be read just now.
 func (n *Node) ready() bool {
 	return !n.stopping.Load() && n.View().Table != nil && n.follower.Loaded() &&
-		time.Since(n.book.Load().Fresh()) < journalSilence
+		time.Since(n.fresh()) < journalSilence
 }
 
 func (n *Node) serve() error {
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -5,6 +5,7 @@
 
 	"dotterelmount.example/lib/latency"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/pace"
 	"dotterelmount.example/server/book"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
@@ -61,12 +62,15 @@
 	LeaseHold: 1200 * time.Millisecond, // below the expiry of a lease
 	LoadPoll:  150 * time.Millisecond,  // above the age of reports
 	Settle:    250 * time.Millisecond,  // a trainer asks for its step some tens of milliseconds after
-	Repeat:    time.Second, FailLimit: 3, Probe: time.Second, Now: time.Now,
+	Repeat:    time.Second, FailLimit: 3, Probe: time.Second, SlowTime: 4 * time.Second, Now: time.Now,
 }
 
 var runnerConfig = runner.Config{
 	RingSize: 1024, Tick: 50 * time.Millisecond,
 	FirstEvent: 3 * time.Second, EventGap: time.Second, // an event takes some tens of milliseconds
+	// Upstreams have slow phases of some 600 ms as a matter of course.
+	Pace:      pace.Config{Window: 1800 * time.Millisecond, LeastEvents: 12, Factor: 1.8, LeastPeers: 2},
+	PaceEvery: 200 * time.Millisecond, PaceChange: 0.3,
 	FlushEvery: 1500 * time.Millisecond, Retry: 100 * time.Millisecond, BusyLimit: 20, Now: time.Now,
 }
 
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -168,7 +168,16 @@
 	Versions  map[api.ModelName]api.WeightVersion `msgpack:"ver"`
 }
 
+// PaceMeasured reports the mean time between two events of a run at an
+// upstream. It has no effect unless Daemon holds the upstream.
+type PaceMeasured struct {
+	Upstream api.UpstreamID `msgpack:"u"`
+	Daemon   api.DaemonID   `msgpack:"d"`
+	Micros   int64          `msgpack:"us"`
+}
+
 func (*JobAccepted) record()     {}
+func (*PaceMeasured) record()    {}
 func (*JobEnded) record()        {}
 func (*TextAdded) record()       {}
 func (*ItemFailed) record()      {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -37,6 +37,7 @@
 	kindLeaseTaken
 	kindUpstreamGone
 	kindUpstreamChanged
+	kindPaceMeasured
 )
 
 func kindOf(r batch.Record) byte {
@@ -61,6 +62,8 @@
 		return kindLeaseTaken
 	case *batch.UpstreamGone:
 		return kindUpstreamGone
+	case *batch.PaceMeasured:
+		return kindPaceMeasured
 	default:
 		return kindUpstreamChanged
 	}
@@ -78,6 +81,7 @@
 	kindLeaseTaken:      decode[batch.LeaseTaken],
 	kindUpstreamGone:    decode[batch.UpstreamGone],
 	kindUpstreamChanged: decode[batch.UpstreamChanged],
+	kindPaceMeasured:    decode[batch.PaceMeasured],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -38,6 +38,8 @@
 	Models    []api.ModelName
 	Versions  map[api.ModelName]api.WeightVersion
 	Home      api.ModelName // the model whose new versions it takes
+	// PaceMicros is the mean time between two events of a run; 0: not measured.
+	PaceMicros int64
 }
 
 // Daemon is what the log says of a daemon.
@@ -104,6 +106,8 @@
 		return s.remove(r)
 	case *UpstreamChanged:
 		return s.change(r)
+	case *PaceMeasured:
+		return s.measure(r)
 	}
 	return false
 }
@@ -354,3 +358,12 @@
 	}
 	return true
 }
+
+func (s *State) measure(r *PaceMeasured) bool {
+	u, ok := s.upstreams[r.Upstream]
+	if !ok || u.Holder != r.Daemon {
+		return false
+	}
+	u.PaceMicros = r.Micros
+	return true
+}
--- a/server/book/book.go
+++ b/server/book/book.go
@@ -36,14 +36,9 @@
 	Now         func() time.Time
 }
 
-// Deps are told what follows from the fold, on the folding duty.
-type Deps struct {
-	// Runs gets what this daemon is to run, whenever that may have changed, and
-	// the offset up to which records were applied.
-	Runs func(runs map[batch.Key]batch.Run, applied batch.Offset)
-	// Leases is told after upstreams or daemons changed.
-	Leases func(*Snapshot)
-}
+// Runs is told, on the folding duty, what this daemon is to run whenever that
+// may have changed, and the offset up to which records were applied.
+type Runs func(runs map[batch.Key]batch.Run, applied batch.Offset)
 
 // Snapshot is what the fold says of daemons and upstreams. It is immutable.
 type Snapshot struct {
@@ -67,7 +62,7 @@
 // Book is the handle of the duties.
 type Book struct {
 	cfg      Config
-	deps     Deps
+	runs     Runs
 	log      *zap.Logger
 	fold     *duty.Duty[any]
 	reader   *duty.Duty[struct{}]
@@ -92,8 +87,8 @@
 }
 
 // Start spawns the duties.
-func Start(sys *duty.System, j journal.Journal, cfg Config, deps Deps, log *zap.Logger) *Book {
-	b := &Book{cfg: cfg, deps: deps, log: log, state: batch.New(), seen: make(map[api.DaemonID]time.Time)}
+func Start(sys *duty.System, j journal.Journal, cfg Config, runs Runs, log *zap.Logger) *Book {
+	b := &Book{cfg: cfg, runs: runs, log: log, state: batch.New(), seen: make(map[api.DaemonID]time.Time)}
 	b.snapshot.Store(&Snapshot{})
 	const tick = 100 * time.Millisecond // resolution of the waits of queries
 	b.fold = duty.Start(sys, duty.Config{Name: "book", RingSize: cfg.RingSize, Tick: tick}, duty.Handler[any](b))
@@ -179,8 +174,7 @@
 		s.Seen[id], s.Starts[id] = b.seen[id], d.Starts
 	}
 	b.snapshot.Store(s)
-	b.deps.Leases(s)
-	b.deps.Runs(b.state.Runs(b.cfg.Self), b.applied)
+	b.runs(b.state.Runs(b.cfg.Self), b.applied)
 }
 
 // describe logs a record that changed what the process believes.
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -136,6 +136,7 @@
 		}
 		t.add(e)
 		a.result.events++
+		a.events.Add(1)
 		a.result.version = e.Version
 		if a.result.events > 1 {
 			a.result.pace = lastAt.Sub(firstAt) / time.Duration(a.result.events-1)
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"dotterelmount.example/api"
@@ -13,6 +14,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
+	"dotterelmount.example/lib/pace"
 	"go.uber.org/zap"
 )
 
@@ -33,7 +35,13 @@
 	// BusyLimit is the number of times in a row that an upstream may be busy
 	// before an item is moved to another.
 	BusyLimit int
-	Now       func() time.Time
+	// Pace decides which upstreams are slow; PaceEvery is the time between two
+	// looks at how fast runs go on.
+	Pace      pace.Config
+	PaceEvery time.Duration
+	// PaceChange is the relative change of a pace from which on it is told again.
+	PaceChange float64
+	Now        func() time.Time
 }
 
 // Deps of a Runner.
@@ -46,6 +54,10 @@
 	Propose func(record []byte) error
 	// Ran is told how runs at an upstream went.
 	Ran func(Outcome)
+	// Upstreams are those under a lease, with their paces as last told.
+	Upstreams func() []batch.Upstream
+	// Slow is told when an upstream is far slower than its peers.
+	Slow func(api.UpstreamID)
 }
 
 // Outcome tells how a run went, as far as it says something of its upstream.
@@ -73,6 +85,8 @@
 	busy     map[batch.Key]int
 	notYet   map[batch.Key]time.Time
 	begun    int // runs
+	paces    map[api.UpstreamID]*paceState
+	looked   time.Time // at the paces
 }
 
 // update replaces what this daemon is to run.
@@ -93,13 +107,16 @@
 	began    time.Time
 	result   result
 	ended    bool
+	evicted  bool         // its upstream is slow: it goes on elsewhere
+	events   atomic.Int64 // that came so far
+	counted  int64        // of them, by the pace
 }
 
 // Start spawns the duties.
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Runner {
 	r := &Runner{
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.Key]*run),
-		busy: make(map[batch.Key]int), notYet: make(map[batch.Key]time.Time),
+		paces: make(map[api.UpstreamID]*paceState), busy: make(map[batch.Key]int), notYet: make(map[batch.Key]time.Time),
 	}
 	c := &carrier{cfg: cfg, deps: deps, log: log, report: func(ctx context.Context, a *run) { _ = r.duty.PostWait(ctx, a) }} // fails at the stop only
 	r.carriers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Carriers, func() duty.Handler[*run] { return c })
@@ -127,8 +144,11 @@
 	r.reconcile(ctx)
 }
 
-// Tick starts what waited.
-func (r *Runner) Tick(ctx context.Context) { r.reconcile(ctx) }
+// Tick looks at the paces and starts what waited.
+func (r *Runner) Tick(ctx context.Context) {
+	r.measure()
+	r.reconcile(ctx)
+}
 
 // reconcile cancels runs that are no longer wanted and starts those that are.
 func (r *Runner) reconcile(ctx context.Context) {
@@ -199,6 +219,10 @@
 		zap.Bool("cancelled", res.cancelled), zap.Error(res.err))
 	if res.cancelled {
 		delete(r.active, a.key)
+		if a.evicted {
+			r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+			r.move(a.key, a.Run, "the upstream is slow")
+		}
 		return
 	}
 	r.deps.Ran(res.outcome(a))
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -44,7 +44,9 @@
 	FailLimit int
 	// Probe is the time between two looks at a suspect upstream.
 	Probe time.Duration
-	Now   func() time.Time
+	// SlowTime is how long an upstream that was found slow gets no runs.
+	SlowTime time.Duration
+	Now      func() time.Time
 }
 
 // Deps of an Upkeep.
@@ -61,6 +63,7 @@
 	Upstream api.UpstreamID
 	Failed   bool // in a way that says something of the upstream
 	Silent   bool
+	Slow     bool // far slower than its peers; nothing else is told then
 }
 
 // mostOfALoad is the part of the last load's time after which the next one is
@@ -98,6 +101,7 @@
 	nextLook time.Time
 	failures int  // failed runs in a row
 	suspect  bool // by this daemon's own runs
+	slowTill time.Time
 	versions map[api.ModelName]api.WeightVersion
 	proposed time.Time              // last record
 	wish     *batch.UpstreamChanged // that record
@@ -188,6 +192,8 @@
 		want = batch.ConditionDraining
 	case w.suspect:
 		want = batch.ConditionSuspect
+	case now.Before(w.slowTill):
+		want = batch.ConditionSlow
 	case w.loading != nil:
 		want = batch.ConditionLoading
 	}
@@ -309,6 +315,10 @@
 	if !ok {
 		return
 	}
+	if r.Slow {
+		w.slowTill = k.cfg.Now().Add(k.cfg.SlowTime)
+		return
+	}
 	if !r.Failed {
 		w.failures = 0
 		return
