--- /dev/null
+++ b/lib/batch/home_test.go
@@ -0,0 +1,63 @@
+package batch
+
+import (
+	"fmt"
+	"testing"
+
+	"dotterelmount.example/api"
+	"gotest.tools/v3/assert"
+)
+
+// homes counts the upstreams that are home to each model.
+func (f *fixture) homes() map[api.ModelName]int {
+	out := make(map[api.ModelName]int)
+	for _, u := range f.Upstreams() {
+		out[u.Home]++
+	}
+	return out
+}
+
+// runJob accepts a job of one model, completes each of its items with a number
+// of events, and ends it.
+func (f *fixture) runJob(id JobID, m api.ModelName, items, events int) {
+	j := Job{ID: id, Service: "s", Model: m, Attempts: 3}
+	for n := range items {
+		j.Items = append(j.Items, Item{ID: ItemID(fmt.Sprint(id, n)), Group: fmt.Sprint(n)})
+	}
+	f.add(&JobAccepted{Job: j})
+	for n := range items {
+		f.add(&TextAdded{Job: id, Item: ItemID(fmt.Sprint(id, n)), Run: "r", Events: make([]string, events), Versions: []api.WeightVersion{1}, Done: true})
+	}
+	f.add(&JobEnded{ID: id})
+}
+
+// Upstreams are shared between models by the work that their jobs bring, and
+// stay where they are while that is alike.
+func TestHomesFollowTheWork(t *testing.T) {
+	f := newFixture(12, 4)
+	assert.DeepEqual(t, f.homes(), map[api.ModelName]int{"m": 6, "n": 6})
+	for n := range 6 {
+		f.runJob(JobID(fmt.Sprint("m", n)), "m", 10, 20)
+		f.runJob(JobID(fmt.Sprint("n", n)), "n", 10, 10)
+	}
+	assert.DeepEqual(t, f.homes(), map[api.ModelName]int{"m": 8, "n": 4})
+	for n := 6; n < 12; n++ {
+		f.runJob(JobID(fmt.Sprint("m", n)), "m", 10, 20)
+		f.runJob(JobID(fmt.Sprint("n", n)), "n", 10, 10)
+		assert.DeepEqual(t, f.homes(), map[api.ModelName]int{"m": 8, "n": 4})
+	}
+	for n := range 3 {
+		f.add(&UpstreamGone{Upstream: api.UpstreamID(fmt.Sprintf("u%d", n)), Daemon: "d1"})
+	}
+	f.runJob("m-last", "m", 10, 20)
+	assert.DeepEqual(t, f.homes(), map[api.ModelName]int{"m": 6, "n": 3})
+}
+
+func TestEveryModelKeepsAnUpstream(t *testing.T) {
+	f := newFixture(2, 4)
+	for n := range 4 {
+		f.runJob(JobID(fmt.Sprint("m", n)), "m", 10, 100)
+		f.runJob(JobID(fmt.Sprint("n", n)), "n", 1, 1)
+	}
+	assert.DeepEqual(t, f.homes(), map[api.ModelName]int{"m": 1, "n": 1})
+}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -15,6 +15,7 @@
 	pending   map[*itemState]struct{} // open items of open jobs without an upstream
 	latest    map[ItemID]*itemState   // of the newest job that has the item
 	placed    map[api.UpstreamID][]*itemState
+	work      map[api.ModelName]float64 // events that a job of a model brings
 }
 
 // New returns an empty state.
@@ -23,6 +24,7 @@
 		jobs: make(map[JobID]*jobState), upstreams: make(map[api.UpstreamID]*Upstream),
 		daemons: make(map[api.DaemonID]*Daemon), pending: make(map[*itemState]struct{}),
 		latest: make(map[ItemID]*itemState), placed: make(map[api.UpstreamID][]*itemState),
+		work: make(map[api.ModelName]float64),
 	}
 }
 
@@ -159,6 +161,8 @@
 		s.unplace(i)
 		delete(s.pending, i)
 	}
+	s.learn(j)
+	s.balance(j.job.Service)
 	return true
 }
 
@@ -288,28 +292,11 @@
 		u.Versions = make(map[api.ModelName]api.WeightVersion)
 	}
 	if !ok {
-		u.Home = s.home(u)
+		u.Home = s.newHome(u)
 	}
 	return true
 }
 
-// home returns the model that fewest other upstreams of the service are home to.
-func (s *State) home(u *Upstream) api.ModelName {
-	count := make(map[api.ModelName]int)
-	for _, o := range s.upstreams {
-		if o.Service == u.Service && o != u {
-			count[o.Home]++
-		}
-	}
-	var best api.ModelName
-	for _, m := range u.Models {
-		if best == "" || count[m] < count[best] {
-			best = m
-		}
-	}
-	return best
-}
-
 func (s *State) remove(r *UpstreamGone) bool {
 	u, ok := s.upstreams[r.Upstream]
 	if !ok || u.Holder != r.Daemon {
@@ -321,32 +308,10 @@
 	}
 	delete(s.placed, r.Upstream)
 	delete(s.upstreams, r.Upstream)
-	s.balanceHomes(u)
+	s.balance(u.Service)
 	return true
 }
 
-// balanceHomes gives one upstream to the model that lost one, when the models
-// of its service are now two apart.
-func (s *State) balanceHomes(gone *Upstream) {
-	homes := make(map[api.ModelName][]*Upstream)
-	for _, u := range s.upstreams {
-		if u.Service == gone.Service {
-			homes[u.Home] = append(homes[u.Home], u)
-		}
-	}
-	var most api.ModelName
-	for _, m := range gone.Models {
-		if most == "" || len(homes[m]) > len(homes[most]) {
-			most = m
-		}
-	}
-	if len(homes[most]) < len(homes[gone.Home])+2 {
-		return
-	}
-	first := slices.MinFunc(homes[most], func(a, b *Upstream) int { return cmpID(a.ID, b.ID) })
-	first.Home = gone.Home
-}
-
 func (s *State) change(r *UpstreamChanged) bool {
 	u, ok := s.upstreams[r.Upstream]
 	if !ok || u.Holder != r.Daemon {
