--- a/cmd/dotterelmountd/internal/hosted/day_test.go
+++ b/cmd/dotterelmountd/internal/hosted/day_test.go
@@ -23,6 +23,7 @@
 	host       = "trainers.example"
 	batchPath  = "/rollouts/"
 	memberPath = "/members/"
+	streamPath = "/streams/"
 )
 
 // deployment is a small platform with daemons.
@@ -62,6 +63,10 @@
 			"name": "members", "host": host, "path_prefix": memberPath, "type": "safe", "timeout_ms": 2000, "full_value_ms": 150,
 			"service": "plain", "attempts": 3,
 		},
+		{
+			"name": "streams", "host": host, "path_prefix": streamPath, "type": "stream", "timeout_ms": 10000, "full_value_ms": 400,
+			"service": "engines", "attempts": 3, "resumable": true,
+		},
 	}
 	d.store.PutJSON("keyed.op", "config", map[string]any{
 		"version": version, "routes": append(routes, extra...),
@@ -359,3 +364,34 @@
 		return poll.Success()
 	}, poll.WithTimeout(15*time.Second))
 }
+
+// A stream arrives as it is made, and goes on at another server when its own
+// crashes in its middle, under the head of the first.
+func TestStreamGoesOnAfterACrash(t *testing.T) {
+	d := deploy(t, 1)
+	defer d.stopAll()
+	for _, m := range d.models {
+		m.Events, m.Gap = 20, 20*time.Millisecond
+	}
+	crash := time.AfterFunc(150*time.Millisecond, func() {
+		for _, m := range d.models {
+			if m.Runs("s1") > 0 {
+				m.Crash()
+			}
+		}
+	})
+	defer crash.Stop()
+	a := d.call(d.daemons[0], http.MethodPost, streamPath+"x", []byte("hello"), map[string]string{"X-Request-Id": "s1", "X-Deadline-Ms": "5000", "X-Model": model})
+	assert.Equal(t, a.status, http.StatusOK)
+	assert.Equal(t, a.header.Get("X-Response-Signature"), "signed-s1")
+	var want strings.Builder
+	for n := 1; n <= 20; n++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", n, platform.Event("s1", n))
+	}
+	assert.Equal(t, a.body, want.String())
+	runs := 0
+	for _, m := range d.models {
+		runs += m.Runs("s1")
+	}
+	assert.Equal(t, runs, 2)
+}
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -69,9 +69,9 @@
 	RingSize: 1024, Tick: 50 * time.Millisecond,
 	FirstEvent: 3 * time.Second, EventGap: time.Second, // an event takes some tens of milliseconds
 	// Upstreams have slow phases of some 600 ms as a matter of course.
-	Pace:      pace.Config{Window: 1800 * time.Millisecond, LeastEvents: 12, Factor: 1.8, LeastPeers: 2},
+	Pace:      pace.Config{Window: 1800 * time.Millisecond, LeastEvents: 12, Factor: 2.2, LeastPeers: 2},
 	PaceEvery: 200 * time.Millisecond, PaceChange: 0.3,
-	FlushEvery: 1500 * time.Millisecond, Retry: 100 * time.Millisecond, BusyLimit: 20, Now: time.Now,
+	FlushEvery: 1500 * time.Millisecond, Retry: 100 * time.Millisecond, BusyLimit: 3, Now: time.Now,
 }
 
 var relayConfig = relay.Config{
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -79,6 +79,24 @@
 // upstream's own, also a failure, is an Answer. Errors: *AttemptError.
 type Exchanger interface {
 	Exchange(ctx context.Context, u *directory.Upstream, q *Request) (*Answer, error)
+	// Open begins a stream after the event with number last, 0 for its start.
+	// An upstream's own failure is an Answer without a Source.
+	Open(ctx context.Context, u *directory.Upstream, q *Request, last int) (*Answer, Source, error)
+}
+
+// Piece is one event of a stream, as its bytes came.
+type Piece struct {
+	Number int
+	Data   []byte
+}
+
+// Source yields the pieces of a stream in order.
+type Source interface {
+	// Next returns the next piece. Errors: io.EOF after the last one of a whole
+	// stream, *AttemptError.
+	Next() (Piece, error)
+	// Close gives the stream up, unless it is over.
+	Close()
 }
 
 // RefusedError ends a request that has not run and will not.
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -52,6 +52,8 @@
 	failure *opaque.Answer
 	last    error
 	print   uint64
+	// flow takes a stream's pieces; nil for requests with a whole answer.
+	flow *flow
 }
 
 // attempt is a job's try at one upstream.
@@ -62,6 +64,7 @@
 	began    time.Time
 	limit    time.Duration
 	answer   *opaque.Answer
+	streamed bool // the answer went to the job's flow
 	err      error
 }
 
@@ -91,11 +94,19 @@
 }
 
 func (r *Relay) do(ctx context.Context, q *opaque.Request) Reply {
-	j := &job{request: q, ctx: ctx, reply: ring.NewSlot[Reply](), tried: make(map[api.UpstreamID]bool), print: fingerprint(q)}
+	return r.wait(newJob(ctx, q))
+}
+
+func newJob(ctx context.Context, q *opaque.Request) *job {
+	return &job{request: q, ctx: ctx, reply: ring.NewSlot[Reply](), tried: make(map[api.UpstreamID]bool), print: fingerprint(q)}
+}
+
+// wait hands a job to the duty and waits for its end.
+func (r *Relay) wait(j *job) Reply {
 	if err := r.duty.Post(j); err != nil {
 		return Reply{Err: &opaque.RefusedError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}}
 	}
-	reply, err := j.reply.Wait(ctx)
+	reply, err := j.reply.Wait(j.ctx)
 	if err != nil {
 		return Reply{Err: &opaque.FailedError{Reason: "the client left or its time is over", Expired: true}}
 	}
@@ -140,7 +151,7 @@
 		return
 	}
 	u, ok := r.cfg.Chooser.Pick(r.candidates(j, now))
-	if !ok || (j.tried[u.ID] && q.Route.Kind != routes.KindIdempotent && j.mayHave) {
+	if !ok || (j.tried[u.ID] && !j.repeatable() && j.mayHave) {
 		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("no upstream of service "+q.Service, false, r.cfg.RetryAfter)})
 		return
 	}
@@ -185,7 +196,11 @@
 	j, o := a.job, r.observed(a.upstream.ID)
 	o.inFlight--
 	if a.err == nil && !failed(a.answer) {
-		o.succeeded(now.Sub(a.began))
+		if !a.streamed {
+			o.succeeded(now.Sub(a.began)) // a stream's length says nothing of its upstream
+		} else {
+			o.failures = 0
+		}
 		r.finish(j, Reply{Answer: a.answer, Upstream: a.upstream.ID})
 		return
 	}
@@ -196,7 +211,7 @@
 	} else {
 		r.learn(a, o, now)
 	}
-	if j.mayHave && j.request.Route.Kind != routes.KindIdempotent {
+	if j.mayHave && !j.repeatable() {
 		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("the upstream failed", false, r.cfg.RetryAfter), Upstream: a.upstream.ID})
 		return
 	}
@@ -222,6 +237,15 @@
 	}
 }
 
+// repeatable reports whether the request may be sent once more. A stream may
+// as long as nothing of it has come, or where it can be resumed.
+func (j *job) repeatable() bool {
+	if j.flow != nil {
+		return j.request.Route.Resumable
+	}
+	return j.request.Route.Kind == routes.KindIdempotent
+}
+
 func (a *attempt) cause() error {
 	if a.err != nil {
 		return a.err
@@ -238,6 +262,9 @@
 
 func (r *Relay) finish(j *job, reply Reply) {
 	reply.Attempts = j.sent
+	if j.flow != nil {
+		j.flow.end()
+	}
 	if reply.Answer != nil {
 		reply.Err = nil
 	}
@@ -256,7 +283,11 @@
 // Handle makes one attempt.
 func (c *carrier) Handle(ctx context.Context, a *attempt) {
 	call, cancel := context.WithTimeout(a.job.ctx, a.limit)
-	a.answer, a.err = c.exchanger.Exchange(call, a.upstream, a.job.request)
+	if a.job.flow != nil {
+		c.stream(call, a)
+	} else {
+		a.answer, a.err = c.exchanger.Exchange(call, a.upstream, a.job.request)
+	}
 	cancel()
 	c.report(ctx, a)
 }
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -284,8 +284,11 @@
 	if c.ordered {
 		w.nextLook = now.Add(max(k.cfg.LoadPoll, time.Duration(mostOfALoad*float64(k.loadTime))))
 	}
-	k.log.Info("upstream looked at", zap.String("upstream", string(id)), zap.Uint64("lease", uint64(w.lease)), zap.Any("report", c.report),
-		zap.Any("order", c.order), zap.Bool("ordered", c.ordered), zap.Stringer("answer", c.answer), zap.Error(c.err))
+	fields := []zap.Field{zap.String("upstream", string(id)), zap.Uint64("lease", uint64(w.lease)), zap.Any("report", c.report), zap.Error(c.err)}
+	if c.ordered {
+		fields = append(fields, zap.Stringer("version", c.order.Version), zap.Uint64("orders", c.report.Orders), zap.Stringer("answer", c.answer))
+	}
+	k.log.Info("upstream looked at", fields...)
 	if c.err != nil {
 		if w.suspect {
 			w.nextLook = now.Add(k.cfg.Probe)
