--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -25,9 +25,6 @@
 	flagJob     = "job"
 )
 
-// jobsTopic is the journal's topic, as the daemons name it.
-const jobsTopic = "jobs"
-
 func hostedCommand() *cli.Command {
 	return &cli.Command{
 		Name: "hosted", Usage: "reads a deployment on the users' platform from the platform's store", Action: needsCommand,
@@ -74,7 +71,7 @@
 		defer cancel()
 		h := &history{}
 		var err error
-		h.state, err = replay.Read(ctx, store.New(address).Journal(jobsTopic, 0), func(e replay.Entry) { h.entries = append(h.entries, e) })
+		h.state, err = replay.Read(ctx, store.New(address).Journal(replay.Topic, 0), func(e replay.Entry) { h.entries = append(h.entries, e) })
 		if err != nil {
 			return api.Errorf(api.CodeLogUnavailable, "journal at %s: %w", address, err)
 		}
--- a/cmd/dotterelmount/hosted_test.go
+++ b/cmd/dotterelmount/hosted_test.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/platform/store"
 	platform "dotterelmount.example/standin/platform"
@@ -40,7 +41,7 @@
 		assert.NilError(t, err)
 		parts = append(parts, journal.Split(data, 1<<20)...)
 	}
-	_, err := store.New(s.Address()).Journal(jobsTopic, 0).Append(t.Context(), journal.Sequence{Producer: "test", Number: 1}, parts)
+	_, err := store.New(s.Address()).Journal(replay.Topic, 0).Append(t.Context(), journal.Sequence{Producer: "test", Number: 1}, parts)
 	assert.NilError(t, err)
 
 	out, err := hosted(t, s.Address(), "jobs", "--missing")
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -14,7 +14,10 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/cmd/dotterelmountd/internal/accept"
 	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/invariant"
@@ -38,9 +41,6 @@
 	"go.uber.org/zap"
 )
 
-// jobsTopic is the topic of the journal; all daemons share its one partition.
-const jobsTopic = "jobs"
-
 // exitDefect is the exit status after a defect.
 const exitDefect = 70
 
@@ -78,7 +78,7 @@
 	}
 	st := store.New(s.Store)
 	n.startFollower(st)
-	n.startJobs(st.Journal(jobsTopic, 0))
+	n.startJobs(st.Journal(replay.Topic, 0))
 	n.startRelay()
 	if err := n.serve(); err != nil {
 		return nil, err
@@ -117,7 +117,7 @@
 	runs := runnerConfig
 	runs.Self, runs.Process, runs.Carriers = self, process, n.settings.Carriers
 	n.runner = runner.Start(n.system, runs, runner.Deps{
-		Engine: n.client, View: n.View, Commit: n.keep, Propose: n.committer.Post, Ran: n.ran,
+		Engine: n.client, View: n.View, Commit: n.keep, Propose: func(r batch.Record) error { return n.propose(r, 0) }, Ran: n.ran,
 		Upstreams: func() []batch.Upstream { return n.snapshot().Upstreams },
 		Slow:      func(id api.UpstreamID) { n.upkeep.Tell(upkeep.Ran{Upstream: id, Slow: true}) },
 	}, n.log.Logger)
@@ -125,13 +125,13 @@
 	keeps := keeperConfig
 	keeps.Self, keeps.Starts = self, starts
 	n.keeper = keeper.Start(n.system, keeps, keeper.Deps{
-		Propose: n.committer.PostWithin, Snapshot: n.snapshot, Fresh: n.fresh, View: n.View, Open: n.open,
+		Propose: n.propose, Snapshot: n.snapshot, Fresh: n.fresh, View: n.View, Open: n.open,
 	}, n.log.Logger)
 
 	keepUp := upkeepConfig
 	keepUp.Self, keepUp.LeaseWait, keepUp.LoadShare = self, n.settings.LeaseWait, n.settings.LoadShare
 	n.upkeep = upkeep.Start(n.system, keepUp, upkeep.Deps{
-		Engine: n.client, View: n.View, Snapshot: n.snapshot, Propose: n.committer.PostWithin,
+		Engine: n.client, View: n.View, Snapshot: n.snapshot, Propose: n.propose,
 	}, n.log.Logger)
 
 	// The book comes last: what it tells goes to all of the above.
@@ -159,11 +159,25 @@
 func (n *Node) open(ctx context.Context) ([]batch.OpenItem, error) { return n.book.Load().Open(ctx) }
 
 // keep appends a record of the journal and returns its offset in the fold.
-func (n *Node) keep(ctx context.Context, record []byte) (batch.Offset, error) {
-	at, err := n.committer.Keep(ctx, record)
+func (n *Node) keep(ctx context.Context, r batch.Record) (batch.Offset, error) {
+	data, err := batchcodec.Encode(r)
+	if err != nil {
+		return 0, err
+	}
+	at, err := n.committer.Keep(ctx, data)
 	return batch.Offset(at) + 1, err
 }
 
+// propose appends a record without waiting, or drops it when its append has
+// not begun in time; zero: never.
+func (n *Node) propose(r batch.Record, within time.Duration) error {
+	data, err := batchcodec.Encode(r)
+	if err != nil {
+		return err
+	}
+	return n.committer.Post(data, within)
+}
+
 // ran passes what a run says of its upstream on.
 func (n *Node) ran(o runner.Outcome) {
 	n.upkeep.Tell(upkeep.Ran{Upstream: o.Upstream, Failed: o.AgainstUpstream(), Silent: o.Silent})
@@ -212,22 +226,8 @@
 	if err != nil {
 		return api.Errorf(api.CodeInvalid, "%s: %w", name, err)
 	}
-	d := duty.Start(n.system, duty.Config{Name: "accept-" + name, RingSize: 1}, duty.Handler[net.Listener](&acceptor{server: server, log: n.log.Logger}))
-	return d.Post(listener)
-}
-
-// acceptor is the duty that accepts connections; net/http gives each its own
-// goroutine, which decodes, posts and waits.
-type acceptor struct {
-	server *http.Server
-	log    *zap.Logger
-}
-
-// Handle serves until the server is shut down.
-func (a *acceptor) Handle(_ context.Context, listener net.Listener) {
-	if err := a.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		a.log.Error("no longer serving", zap.Error(err))
-	}
+	accept.Start(n.system, name, server, listener, n.log.Logger)
+	return nil
 }
 
 // Reload logs that the settings changed: a daemon reads them at its start.
--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/cmd/dotterelmountd/internal/accept"
 	"dotterelmount.example/front/httpapi"
 	"dotterelmount.example/front/peer"
 	"dotterelmount.example/lib/duty"
@@ -176,7 +177,7 @@
 
 func (n *Node) serveCallers(listener net.Listener) {
 	n.callers = &http.Server{Handler: n.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	serve(n.system, n.callers, listener, n.log)
+	accept.Start(n.system, "callers", n.callers, listener, n.log)
 }
 
 func (n *Node) callerDeps() httpapi.Deps {
@@ -225,12 +226,7 @@
 // linger answers new requests as not run for a while, so that the platform's
 // balancer takes this host out before connections are refused.
 func (n *Node) linger(ctx context.Context) {
-	t := time.NewTimer(n.settings.Limits.Linger)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	duty.Pause(ctx, n.settings.Limits.Linger)
 }
 
 func (n *Node) violated(v *invariant.Violation) {
--- a/cmd/dotterelmountd/internal/node/serve.go
+++ b/cmd/dotterelmountd/internal/node/serve.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,32 +11,11 @@
 	"dotterelmount.example/front/httpapi"
 	"dotterelmount.example/front/httpapi/errmap"
 	"dotterelmount.example/front/trainerapi"
-	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/samples"
 	"dotterelmount.example/server/sampler"
 	"go.uber.org/zap"
 )
 
-// acceptor is the duty that accepts connections; net/http gives each its own
-// goroutine, which decodes, posts and waits.
-type acceptor struct {
-	server *http.Server
-	log    *zap.Logger
-}
-
-// Handle serves until the server is shut down.
-func (a *acceptor) Handle(_ context.Context, listener net.Listener) {
-	if err := a.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		a.log.Error("no longer serving", zap.Error(err))
-	}
-}
-
-func serve(sys *duty.System, server *http.Server, listener net.Listener, log *zap.Logger) {
-	a := &acceptor{server: server, log: log}
-	d := duty.Start(sys, duty.Config{Name: "accept-callers", RingSize: 1}, duty.Handler[net.Listener](a))
-	_ = d.Post(listener) // a new duty's ring is empty
-}
-
 const (
 	// trainerTimeout bounds a trainer's call on top of the wait it asks for.
 	trainerTimeout = 15 * time.Second
--- a/lib/batch/replay/replay.go
+++ b/lib/batch/replay/replay.go
@@ -11,6 +11,9 @@
 	"dotterelmount.example/lib/journal"
 )
 
+// Topic is the journal's topic; all daemons share its one partition.
+const Topic = "jobs"
+
 // Decoder puts parts together and decodes them, in the order of the journal.
 type Decoder struct{ joiner journal.Joiner }
 
--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -151,24 +151,17 @@
 // Error implements error.
 func (*failingError) Error() string { return "the journal has not answered for a while" }
 
-// Post appends a record however long the journal refuses it, without waiting.
+// Post appends a record without waiting, however long the journal refuses it
+// or, with a limit above zero, unless its append has not begun within it.
 // Errors: *duty.FullError, *TooLargeError.
-func (c *Committer) Post(record []byte) error {
+func (c *Committer) Post(record []byte, within time.Duration) error {
 	e, err := c.entry(record)
 	if err != nil {
 		return err
 	}
-	return c.owner.Post(e)
-}
-
-// PostWithin appends a record without waiting, or drops it when its append has
-// not begun in time. Errors: as for Post.
-func (c *Committer) PostWithin(record []byte, within time.Duration) error {
-	e, err := c.entry(record)
-	if err != nil {
-		return err
+	if within > 0 {
+		e.until = c.cfg.Now().Add(within)
 	}
-	e.until = c.cfg.Now().Add(within)
 	return c.owner.Post(e)
 }
 
--- a/server/keeper/keeper.go
+++ b/server/keeper/keeper.go
@@ -9,7 +9,6 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
-	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/leases"
@@ -40,7 +39,7 @@
 // Deps of a Keeper.
 type Deps struct {
 	// Propose appends without waiting; what is not appended in time is dropped.
-	Propose  func(record []byte, within time.Duration) error
+	Propose  func(r batch.Record, within time.Duration) error
 	Fresh    func() time.Time // start of the last read that reached the journal's end
 	Snapshot func() *book.Snapshot
 	View     func() *directory.View
@@ -206,11 +205,7 @@
 }
 
 func (k *Keeper) propose(r batch.Record) {
-	data, err := batchcodec.Encode(r)
-	if err == nil {
-		err = k.deps.Propose(data, k.cfg.Repeat)
-	}
-	if err != nil {
+	if err := k.deps.Propose(r, k.cfg.Repeat); err != nil {
 		k.log.Warn("proposal not queued", zap.Any("record", r), zap.Error(err))
 	}
 }
--- a/server/keeper/keeper_test.go
+++ b/server/keeper/keeper_test.go
@@ -7,7 +7,6 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
-	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/routes"
 	"dotterelmount.example/server/book"
@@ -35,9 +34,7 @@
 		Self: "d", Starts: 5, RenewEvery: 350 * time.Millisecond, Expire: 1500 * time.Millisecond, Turn: 500 * time.Millisecond,
 		Stale: 700 * time.Millisecond, Repeat: time.Second, SweepEvery: time.Hour, Now: func() time.Time { return s.now },
 	}, Deps{
-		Propose: func(record []byte, _ time.Duration) error {
-			r, err := batchcodec.Decode(record)
-			assert.NilError(t, err)
+		Propose: func(r batch.Record, _ time.Duration) error {
 			s.proposed = append(s.proposed, r)
 			return nil
 		},
--- a/server/logbook/reader.go
+++ b/server/logbook/reader.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"dotterelmount.example/lib/duty"
+
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/ring"
@@ -59,10 +61,5 @@
 
 // pause waits before the next read, so that an outage is not a busy loop.
 func (r *reader) pause(ctx context.Context) {
-	t := time.NewTimer(r.book.cfg.RetryEvery)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	duty.Pause(ctx, r.book.cfg.RetryEvery)
 }
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -10,7 +10,6 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
-	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/generation"
 	"go.uber.org/zap"
 )
@@ -164,11 +163,7 @@
 
 // flush stores what has come of a run in progress.
 func (c *carrier) flush(a *run, t *text) {
-	data, err := batchcodec.Encode(t.take(a.key, false))
-	if err == nil {
-		err = c.deps.Propose(data)
-	}
-	if err != nil {
+	if err := c.deps.Propose(t.take(a.key, false)); err != nil {
 		c.log.Warn("text not queued", zap.String("item", string(a.key.Item)), zap.Error(err))
 	}
 }
@@ -178,11 +173,8 @@
 	if len(t.events) == 0 && !a.result.whole {
 		return
 	}
-	data, err := batchcodec.Encode(t.take(a.key, a.result.whole))
-	if err == nil {
-		a.result.offset, err = c.deps.Commit(ctx, data)
-	}
-	if err != nil {
+	var err error
+	if a.result.offset, err = c.deps.Commit(ctx, t.take(a.key, a.result.whole)); err != nil {
 		a.result.err, a.result.whole = err, false
 	}
 }
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -10,7 +10,6 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
-	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
@@ -49,9 +48,9 @@
 	Engine generation.Engine
 	View   func() *directory.View
 	// Commit appends a record, however long that takes, and waits for its offset.
-	Commit func(ctx context.Context, record []byte) (batch.Offset, error)
+	Commit func(ctx context.Context, r batch.Record) (batch.Offset, error)
 	// Propose appends a record without waiting.
-	Propose func(record []byte) error
+	Propose func(r batch.Record) error
 	// Ran is told how runs at an upstream went.
 	Ran func(Outcome)
 	// Upstreams are those under a lease, with their paces as last told.
@@ -258,11 +257,7 @@
 }
 
 func (r *Runner) propose(rec batch.Record) {
-	data, err := batchcodec.Encode(rec)
-	if err == nil {
-		err = r.deps.Propose(data)
-	}
-	if err != nil {
+	if err := r.deps.Propose(rec); err != nil {
 		r.log.Warn("proposal not queued", zap.Any("record", rec), zap.Error(err))
 	}
 }
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -11,7 +11,6 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
-	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
@@ -55,7 +54,7 @@
 	View     func() *directory.View
 	Snapshot func() *book.Snapshot
 	// Propose appends without waiting; what is not appended in time is dropped.
-	Propose func(record []byte, within time.Duration) error
+	Propose func(r batch.Record, within time.Duration) error
 }
 
 // Ran tells how a run at an upstream went.
@@ -206,11 +205,7 @@
 		return
 	}
 	w.proposed, w.wish = now, wish
-	data, err := batchcodec.Encode(wish)
-	if err == nil {
-		err = k.deps.Propose(data, k.cfg.Repeat)
-	}
-	if err != nil {
+	if err := k.deps.Propose(wish, k.cfg.Repeat); err != nil {
 		k.log.Warn("proposal not queued", zap.String("upstream", string(u.ID)), zap.Error(err))
 	}
 }
