--- /dev/null
+++ b/server/committer/committer_test.go
@@ -0,0 +1,150 @@
+package committer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/journal"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// fakeJournal keeps what is appended, each number of the producer once.
+type fakeJournal struct {
+	mu      sync.Mutex
+	records []string
+	numbers map[uint64]int // offset of each number's first record
+	last    uint64
+	fail    func(number uint64, try int) (refuse, lose bool)
+	tries   map[uint64]int
+}
+
+func (f *fakeJournal) Append(_ context.Context, seq journal.Sequence, records [][]byte) (journal.Offset, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tries[seq.Number]++
+	refuse, lose := f.fail(seq.Number, f.tries[seq.Number])
+	if refuse {
+		return 0, &journal.RefusedError{Op: "append"}
+	}
+	at, done := f.numbers[seq.Number]
+	if !done {
+		if seq.Number != f.last+1 {
+			return 0, &journal.RefusedError{Op: "append out of sequence"}
+		}
+		at, f.last = len(f.records), seq.Number
+		f.numbers[seq.Number] = at
+		for _, r := range records {
+			f.records = append(f.records, string(r[1:]))
+		}
+	}
+	if lose {
+		return 0, &journal.UnknownError{Op: "append"}
+	}
+	return journal.Offset(at), nil
+}
+
+func (f *fakeJournal) Read(context.Context, journal.Offset, time.Duration) (journal.Page, error) {
+	return journal.Page{}, nil
+}
+
+func (f *fakeJournal) content() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.records...)
+}
+
+func setup(t *testing.T, fail func(number uint64, try int) (refuse, lose bool)) (*fakeJournal, *Committer) {
+	t.Helper()
+	f := &fakeJournal{numbers: make(map[uint64]int), tries: make(map[uint64]int), fail: fail}
+	c := Start(duty.NewSystem(nil), f, Config{
+		Producer: "p", RingSize: 64, RecordBytes: 1 << 10, CallBytes: 1 << 12, Timeout: time.Second,
+		RetryEvery: 5 * time.Millisecond, Patience: 40 * time.Millisecond, Now: time.Now,
+	}, zap.NewNop())
+	t.Cleanup(func() { assert.NilError(t, c.Stop(context.Background())) })
+	return f, c
+}
+
+func TestAnAppendWithoutAnswerTakesEffectOnce(t *testing.T) {
+	f, c := setup(t, func(_ uint64, try int) (bool, bool) { return false, try < 4 })
+	at, err := c.Commit(t.Context(), []byte("a"))
+	assert.NilError(t, err)
+	assert.Equal(t, at, journal.Offset(0))
+	assert.DeepEqual(t, f.content(), []string{"a"})
+}
+
+// Once an append had no answer, a refusal of its repetition does not tell that
+// the first try was not carried out.
+func TestARefusalAfterALostAnswerIsNotBelieved(t *testing.T) {
+	f, c := setup(t, func(_ uint64, try int) (bool, bool) { return try == 2, try == 1 })
+	_, err := c.Commit(t.Context(), []byte("a"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.content(), []string{"a"})
+}
+
+func TestARefusedRecordIsNotKept(t *testing.T) {
+	refusing := true
+	f, c := setup(t, func(uint64, int) (bool, bool) { return refusing, false })
+	_, err := c.Commit(t.Context(), []byte("a"))
+	var refused *journal.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	f.mu.Lock()
+	refusing = false
+	f.mu.Unlock()
+	_, err = c.Commit(t.Context(), []byte("b"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.content(), []string{"b"})
+}
+
+// A caller that gave up before its record was sent hears that it never will be.
+func TestAWithdrawnRecordIsNeverSent(t *testing.T) {
+	losing := true
+	f, c := setup(t, func(uint64, int) (bool, bool) { return false, losing })
+	assert.NilError(t, c.Post([]byte("first"), 0)) // keeps the appender busy
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.Commit(ctx, []byte("withdrawn"))
+	var refused *journal.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	f.mu.Lock()
+	losing = false
+	f.mu.Unlock()
+	_, err = c.Keep(t.Context(), []byte("last"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.content(), []string{"first", "last"})
+}
+
+func TestPatientRecordsOutlastAnOutageAndOthersAreDropped(t *testing.T) {
+	refusing := true
+	f, c := setup(t, func(uint64, int) (bool, bool) { return refusing, false })
+	assert.NilError(t, c.Post([]byte("patient"), 0))
+	assert.NilError(t, c.Post([]byte("dropped"), 10*time.Millisecond))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.Failing() {
+			return poll.Success()
+		}
+		return poll.Continue("not failing yet")
+	}, poll.WithDelay(time.Millisecond))
+	began := time.Now()
+	_, err := c.Commit(t.Context(), []byte("impatient"))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(began) < 20*time.Millisecond, "refused at once while the journal fails")
+	f.mu.Lock()
+	refusing = false
+	f.mu.Unlock()
+	_, err = c.Keep(t.Context(), []byte("end"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.content(), []string{"patient", "end"})
+}
+
+func TestARecordThatNoAppendHoldsIsRefused(t *testing.T) {
+	_, c := setup(t, func(uint64, int) (bool, bool) { return false, false })
+	_, err := c.Commit(t.Context(), make([]byte, 1<<13))
+	var large *TooLargeError
+	assert.Assert(t, errors.As(err, &large))
+}
--- /dev/null
+++ b/server/relay/relay_test.go
@@ -0,0 +1,181 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/routes"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// script answers attempts and notes where they went.
+type script struct {
+	mu   sync.Mutex
+	sent []api.UpstreamID
+	play func(n int, ctx context.Context, u *directory.Upstream) (*opaque.Answer, error)
+}
+
+func (s *script) Exchange(ctx context.Context, u *directory.Upstream, _ *opaque.Request) (*opaque.Answer, error) {
+	s.mu.Lock()
+	s.sent = append(s.sent, u.ID)
+	n := len(s.sent)
+	s.mu.Unlock()
+	return s.play(n, ctx, u)
+}
+
+func (s *script) Open(context.Context, *directory.Upstream, *opaque.Request, int) (*opaque.Answer, opaque.Source, error) {
+	return nil, nil, &opaque.AttemptError{}
+}
+
+func (s *script) tried() []api.UpstreamID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]api.UpstreamID(nil), s.sent...)
+}
+
+func start(t *testing.T, s *script, upstreams ...directory.Upstream) *Relay {
+	t.Helper()
+	var changes []directory.Change
+	for _, u := range upstreams {
+		u.Service = "s"
+		changes = append(changes, directory.Listed{Upstream: u})
+	}
+	view := directory.Empty().Apply(changes)
+	r := Start(duty.NewSystem(nil), Config{
+		Chooser: opaque.Chooser{Daemon: "d", Crowd: 2}, Patience: opaque.Patience{Least: 50 * time.Millisecond, Targets: 1},
+		Carriers: 4, RingSize: 16, Rest: 100 * time.Millisecond, MaxRest: time.Second, RetryAfter: 100 * time.Millisecond, Now: time.Now,
+	}, zap.NewNop(), s, func() *directory.View { return view })
+	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
+	return r
+}
+
+func request(k routes.Kind) *opaque.Request {
+	return &opaque.Request{
+		ID: "r", Service: "s", Deadline: time.Now().Add(time.Second),
+		Route: &routes.Route{Kind: k, Attempts: 3, Target: 50 * time.Millisecond},
+	}
+}
+
+func failure(fate opaque.Fate) error {
+	return &opaque.AttemptError{Fate: fate, Broken: fate == opaque.FateUnknown, Cause: &opaque.FailedError{Reason: "scripted"}}
+}
+
+var three = []directory.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+
+func TestIdempotentRequestIsTriedElsewhere(t *testing.T) {
+	s := &script{play: func(n int, _ context.Context, _ *directory.Upstream) (*opaque.Answer, error) {
+		if n < 3 {
+			return nil, failure(opaque.FateUnknown)
+		}
+		return &opaque.Answer{Status: 200}, nil
+	}}
+	a, _, err := start(t, s, three...).Pass(t.Context(), request(routes.KindIdempotent))
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, 200)
+	seen := make(map[api.UpstreamID]bool)
+	for _, u := range s.tried() {
+		assert.Assert(t, !seen[u], "%s twice", u)
+		seen[u] = true
+	}
+}
+
+func TestOnceOnlyRequestEndsWithAnAttemptThatMayHaveRun(t *testing.T) {
+	s := &script{play: func(int, context.Context, *directory.Upstream) (*opaque.Answer, error) {
+		return nil, failure(opaque.FateUnknown)
+	}}
+	_, _, err := start(t, s, three...).Pass(t.Context(), request(routes.KindOnce))
+	var failed *opaque.FailedError
+	assert.Assert(t, errors.As(err, &failed), "%v", err)
+	assert.Equal(t, len(s.tried()), 1)
+}
+
+func TestOnceOnlyRequestIsTriedElsewhereWhenItSurelyDidNotRun(t *testing.T) {
+	s := &script{play: func(n int, _ context.Context, _ *directory.Upstream) (*opaque.Answer, error) {
+		if n == 1 {
+			return nil, failure(opaque.FateNotRun)
+		}
+		return &opaque.Answer{Status: 200}, nil
+	}}
+	a, _, err := start(t, s, three...).Pass(t.Context(), request(routes.KindOnce))
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, 200)
+}
+
+// "Not run" is told only when no attempt can have run.
+func TestRefusalIsTrue(t *testing.T) {
+	for name, c := range map[string]struct {
+		fates   []opaque.Fate
+		refused bool
+	}{
+		"never run":         {[]opaque.Fate{opaque.FateNotSent, opaque.FateNotRun, opaque.FateNotSent}, true},
+		"one may have run":  {[]opaque.Fate{opaque.FateNotRun, opaque.FateUnknown, opaque.FateNotRun}, false},
+		"first may have":    {[]opaque.Fate{opaque.FateUnknown, opaque.FateNotSent, opaque.FateNotSent}, false},
+		"last may have run": {[]opaque.Fate{opaque.FateNotSent, opaque.FateNotSent, opaque.FateUnknown}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &script{play: func(n int, _ context.Context, _ *directory.Upstream) (*opaque.Answer, error) {
+				return nil, failure(c.fates[n-1])
+			}}
+			_, _, err := start(t, s, three...).Pass(t.Context(), request(routes.KindIdempotent))
+			var refused *opaque.RefusedError
+			assert.Equal(t, errors.As(err, &refused), c.refused, "%v", err)
+			assert.Equal(t, len(s.tried()), 3, "the route's attempts")
+		})
+	}
+}
+
+func TestUpstreamsOwnFailureIsPassedOnAtTheEnd(t *testing.T) {
+	s := &script{play: func(int, context.Context, *directory.Upstream) (*opaque.Answer, error) {
+		return &opaque.Answer{Status: 500}, nil
+	}}
+	a, _, err := start(t, s, three...).Pass(t.Context(), request(routes.KindIdempotent))
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, 500)
+}
+
+func TestSilentUpstreamLeavesTimeForAnother(t *testing.T) {
+	s := &script{play: func(n int, ctx context.Context, _ *directory.Upstream) (*opaque.Answer, error) {
+		if n == 1 {
+			<-ctx.Done()
+			return nil, failure(opaque.FateUnknown)
+		}
+		return &opaque.Answer{Status: 200}, nil
+	}}
+	began := time.Now()
+	a, _, err := start(t, s, three...).Pass(t.Context(), request(routes.KindIdempotent))
+	assert.NilError(t, err)
+	assert.Equal(t, a.Status, 200)
+	assert.Assert(t, time.Since(began) < 500*time.Millisecond)
+}
+
+func TestDrainingUpstreamGetsNothing(t *testing.T) {
+	s := &script{play: func(int, context.Context, *directory.Upstream) (*opaque.Answer, error) {
+		return &opaque.Answer{Status: 200}, nil
+	}}
+	_, _, err := start(t, s, directory.Upstream{ID: "a", Draining: true}).Pass(t.Context(), request(routes.KindIdempotent))
+	var refused *opaque.RefusedError
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, len(s.tried()), 0)
+}
+
+func TestRequestThatCrashesItsUpstreamsIsRefusedAfterThree(t *testing.T) {
+	s := &script{play: func(int, context.Context, *directory.Upstream) (*opaque.Answer, error) {
+		return nil, failure(opaque.FateUnknown)
+	}}
+	r := start(t, s, three...)
+	_, _, err := r.Pass(t.Context(), request(routes.KindIdempotent))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(s.tried()), 3)
+	_, _, err = r.Pass(t.Context(), request(routes.KindIdempotent))
+	var refused *opaque.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, len(s.tried()), 3)
+}
