--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -96,6 +96,7 @@
 		cancel()
 	})
 	a.result.err = c.read(call, a, t, watch)
+	a.over.Store(true)
 	watch.Stop()
 	cancel()
 	a.result.silent = silent.Load()
--- a/server/runner/paces.go
+++ b/server/runner/paces.go
@@ -28,7 +28,7 @@
 	busy := make(map[api.UpstreamID]time.Duration)
 	for _, a := range r.active {
 		came := a.events.Load()
-		if a.ended || came == 0 {
+		if a.ended || a.over.Load() || came == 0 {
 			continue // in the upstream's queue, or over
 		}
 		if a.counted > 0 { // the first look counts from the first event on
--- /dev/null
+++ b/server/runner/paces_test.go
@@ -0,0 +1,74 @@
+package runner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/pace"
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+)
+
+// scene is a runner without its duty, at a time that the test sets.
+type scene struct {
+	*Runner
+	now  time.Time
+	slow []api.UpstreamID
+	run  *run
+}
+
+func newScene() *scene {
+	s := &scene{now: time.Unix(100, 0)}
+	s.Runner = &Runner{
+		cfg: Config{
+			Self: "d", PaceEvery: 200 * time.Millisecond, PaceChange: 0.3, Now: func() time.Time { return s.now },
+			Pace: pace.Config{Window: 1800 * time.Millisecond, LeastEvents: 12, Factor: 2.2, LeastPeers: 2},
+		},
+		deps: Deps{
+			Propose: func(batch.Record) error { return nil },
+			Slow:    func(id api.UpstreamID) { s.slow = append(s.slow, id) },
+			Upstreams: func() []batch.Upstream {
+				return []batch.Upstream{{ID: "u"}, {ID: "v", PaceMicros: 40000}, {ID: "w", PaceMicros: 40000}}
+			},
+		},
+		log: zap.NewNop(), active: make(map[batch.Key]*run), paces: make(map[api.UpstreamID]*paceState),
+	}
+	s.run = &run{Run: batch.Run{Upstream: "u"}, key: batch.Key{Job: "j", Item: "i"}}
+	s.run.ctx, s.run.cancel = context.WithCancel(context.Background())
+	s.active[s.run.key] = s.run
+	return s
+}
+
+// pass lets time pass in which the run gets events at a gap; 0: none.
+func (s *scene) pass(d, gap time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(200 * time.Millisecond)
+		if gap > 0 {
+			s.run.events.Add(int64(200 * time.Millisecond / gap))
+		}
+		s.measure()
+	}
+}
+
+func TestRunsLeaveASlowUpstream(t *testing.T) {
+	s := newScene()
+	s.pass(3*time.Second, 40*time.Millisecond)
+	assert.Equal(t, len(s.slow), 0)
+	s.pass(3*time.Second, 100*time.Millisecond)
+	assert.DeepEqual(t, s.slow[:1], []api.UpstreamID{"u"})
+	assert.Assert(t, s.run.evicted && s.run.ctx.Err() != nil)
+}
+
+// While the store is down, whole texts wait to be stored. That they bring no
+// more events says nothing of their upstream.
+func TestTextsThatWaitForTheJournalAreNoSignOfSlowness(t *testing.T) {
+	s := newScene()
+	s.pass(3*time.Second, 40*time.Millisecond)
+	s.run.over.Store(true)
+	s.pass(7*time.Second, 0)
+	assert.Equal(t, len(s.slow), 0)
+	assert.Assert(t, !s.run.evicted)
+}
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -108,6 +108,7 @@
 	ended    bool
 	evicted  bool         // its upstream is slow: it goes on elsewhere
 	events   atomic.Int64 // that came so far
+	over     atomic.Bool  // no more will come; the text may still wait to be stored
 	counted  int64        // of them, by the pace
 }
 
