--- a/cmd/dotterelmountd/internal/hosted/day_test.go
+++ b/cmd/dotterelmountd/internal/hosted/day_test.go
@@ -91,8 +91,8 @@
 	d.t.Helper()
 	d.names++
 	s, err := settings.ParseHosted([]byte(fmt.Sprintf(
-		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nstore: %s\nlease_wait: 100ms\n",
-		d.names, freeAddress(d.t), freeAddress(d.t), d.store.Address())))
+		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\n",
+		d.names, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address())))
 	assert.NilError(d.t, err)
 	n, err := Start(s)
 	assert.NilError(d.t, err)
@@ -222,6 +222,15 @@
 	}
 	assert.Equal(t, d.call(d.daemons[0], http.MethodDelete, "/api/lots/job2", nil, nil).status, http.StatusOK)
 	assert.Equal(t, d.call(d.daemons[1], http.MethodDelete, "/api/lots/job2", nil, nil).status, http.StatusOK, "an end again")
+
+	metrics, err := http.Get("http://" + d.daemons[0].settings.Metrics + "/debug/vars")
+	assert.NilError(t, err)
+	defer metrics.Body.Close()
+	var figures map[string]any
+	assert.NilError(t, json.NewDecoder(metrics.Body).Decode(&figures))
+	for _, name := range []string{"request_millis", "requests", "journal_appends", "batch_records_applied", "log_lines"} {
+		assert.Assert(t, figures[name] != nil, name)
+	}
 	d.stopAll()
 }
 
--- /dev/null
+++ b/cmd/dotterelmountd/internal/hosted/deploy_test.go
@@ -0,0 +1,40 @@
+package hosted
+
+import (
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelmount.example/lib/settings"
+	"gotest.tools/v3/assert"
+)
+
+// The template of the deploy file gives valid settings with the platform's
+// example values.
+func TestTemplateGivesValidSettings(t *testing.T) {
+	values := map[string]string{
+		"node": "front-sapporo-a-1", "zone": "sapporo-a", "ip": "10.1.0.10", "listen.front": "10.1.0.10:8161",
+		"listen.ready": "10.1.0.10:8167", "provider.address": "10.200.1.7:8169", "provider.record_bytes": "262144",
+		"provider.call_bytes": "2097152", "provider.max_queue_s": "300", "bounds.status_s": "120", "bounds.lease_ms": "3000", "bounds.grace_s": "8",
+	}
+	template, err := os.ReadFile("../../../../deploy/settings.yaml")
+	assert.NilError(t, err)
+	text := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(string(template), func(p string) string {
+		name, form, _ := strings.Cut(strings.Trim(p, "{}"), "|")
+		value, ok := values[name]
+		assert.Assert(t, ok, "no value for %s", p)
+		if form == "json" {
+			return strconv.Quote(value)
+		}
+		return value
+	})
+	h, err := settings.ParseHosted([]byte(text))
+	assert.NilError(t, err)
+	assert.Equal(t, h.Daemon, "front-sapporo-a-1")
+	assert.Equal(t, h.Metrics, "10.1.0.10:9464")
+	assert.Equal(t, h.Remember, 2*time.Minute)
+	assert.Equal(t, h.LeaseWait, 3*time.Second)
+}
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -82,3 +82,30 @@
 		assert.NilError(t, s.Validate())
 	})
 }
+
+const hosted = `daemon: "front-1"
+data_centre: "sapporo-a"
+callers: "10.1.0.10:8161"
+readiness: "10.1.0.10:8167"
+store: "10.200.1.7:8169"
+`
+
+func TestHostedSettings(t *testing.T) {
+	h, err := ParseHosted([]byte(hosted + "retention: 300s\ngrace: 8s\nlease_wait: 3000ms\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, h.Retention, 5*time.Minute)
+	assert.Equal(t, h.Carriers, DefaultRunCarriers)
+	for _, c := range []struct{ yaml, key string }{
+		{hosted + "load_share: 0\n", "load_share"},
+		{hosted + "load_share: 1.5\n", "load_share"},
+		{hosted + "grace: 1ms\n", "grace"},
+		{hosted + "store: somewhere\n", "store"},
+		{hosted + "colour: red\n", "colour"},
+		{"daemon: d\n", "data_centre"},
+	} {
+		_, err := ParseHosted([]byte(c.yaml))
+		var e *Error
+		assert.Assert(t, errors.As(err, &e), "%q: %v", c.yaml, err)
+		assert.Equal(t, e.Key, c.key)
+	}
+}
