--- a/cmd/dotterelmountd/internal/hosted/day_test.go
+++ b/cmd/dotterelmountd/internal/hosted/day_test.go
@@ -404,3 +404,22 @@
 	}
 	assert.Equal(t, runs, 2)
 }
+
+// A request whose body ends early is not passed on, and told so.
+func TestTruncatedBody(t *testing.T) {
+	d := deploy(t, 1)
+	defer d.stopAll()
+	c, err := net.Dial("tcp", d.daemons[0].settings.Callers)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST %sx HTTP/1.1\r\nHost: %s\r\nX-Request-Id: cut\r\nX-Deadline-Ms: 1000\r\nContent-Length: 100\r\n\r\nshort", memberPath, host)
+	assert.NilError(t, err)
+	assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+	got, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	// The connection may also be closed without a word: the client did not end its request.
+	assert.Assert(t, len(got) == 0 || strings.HasPrefix(string(got), "HTTP/1.1 4"), "%s", got)
+	for _, p := range d.plain {
+		assert.Equal(t, p.Runs("cut"), 0)
+	}
+}
