--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -180,7 +180,7 @@
 
 // ran passes what a run says of its upstream on.
 func (n *Node) ran(o runner.Outcome) {
-	n.upkeep.Tell(upkeep.Ran{Upstream: o.Upstream, Failed: o.AgainstUpstream(), Silent: o.Silent})
+	n.upkeep.Tell(upkeep.Ran{Upstream: o.Upstream, Failed: o.Failed, Silent: o.Silent})
 }
 
 func (n *Node) startRelay() {
--- a/lib/generation/generation.go
+++ b/lib/generation/generation.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
@@ -108,7 +107,7 @@
 type Engine interface {
 	// Start begins a run after the events that it has already. The stream ends
 	// with ctx. Errors: *Error.
-	Start(ctx context.Context, u *directory.Upstream, r *batch.Run, left time.Duration) (Stream, error)
+	Start(ctx context.Context, u *directory.Upstream, r *batch.Run) (Stream, error)
 	// Report asks an upstream for its state. Errors: *Error.
 	Report(ctx context.Context, u *directory.Upstream) (Report, error)
 	// Order tells an upstream to change its weights. Errors: *Error, after
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -84,23 +84,18 @@
 
 // Engine describes the model servers of a service.
 type Engine struct {
-	Slots     int // requests generated at once
-	Capacity  int // tokens of memory
-	EventSize int // tokens in one event of a stream
-	Models    []api.ModelName
+	Models []api.ModelName
 }
 
 // Service is a set of upstreams that serve the same requests.
 type Service struct {
-	Name           string
-	MaxConnections int     // of all daemons, at one upstream
-	Engine         *Engine // nil for plain services
+	Name   string
+	Engine *Engine // nil for plain services
 }
 
 // Limits bounds what callers may send.
 type Limits struct {
-	HeaderBytes int
-	BodyBytes   int64
+	BodyBytes int64
 }
 
 // Config is one version of the operator's configuration.
--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -50,7 +50,6 @@
 
 // batch is what one read found.
 type batch struct {
-	source  string
 	changes []directory.Change
 	first   bool // of its feed
 	whole   bool // the newest change of every key of a feed that lists upstreams
@@ -215,7 +214,7 @@
 
 func (r *reader) read(ctx context.Context) (batch, error) {
 	cfg := r.follower.cfg
-	b := batch{source: r.source.Name, first: !r.known, whole: !r.loaded && r.source.Upstreams, doubt: r.doubtful()}
+	b := batch{first: !r.known, whole: !r.loaded && r.source.Upstreams, doubt: r.doubtful()}
 	ctx, cancel := context.WithTimeout(ctx, cfg.Wait+cfg.Timeout)
 	defer cancel()
 	var err error
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -74,7 +74,6 @@
 	Answer   *opaque.Answer
 	Err      error
 	Upstream api.UpstreamID
-	Attempts int
 }
 
 // Start spawns the duties.
@@ -261,7 +260,6 @@
 }
 
 func (r *Relay) finish(j *job, reply Reply) {
-	reply.Attempts = j.sent
 	if j.flow != nil {
 		j.flow.end()
 	}
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -18,15 +18,13 @@
 type result struct {
 	events    int // that came
 	first     time.Duration
-	pace      time.Duration
 	whole     bool
 	silent    bool
 	cancelled bool
 	err       error
 	// offset of the last text stored; the fold must have come so far before the
 	// item may be run again.
-	offset  batch.Offset
-	version api.WeightVersion
+	offset batch.Offset
 }
 
 func (r *result) cause() generation.Cause {
@@ -46,10 +44,9 @@
 }
 
 func (r *result) outcome(a *run) Outcome {
-	return Outcome{
-		Upstream: a.Upstream, Events: r.events, Pace: r.pace, Cause: r.cause(),
-		Failed: r.err != nil, Silent: r.silent, Version: r.version, Model: a.Job.Model,
-	}
+	cause := r.cause()
+	ofUpstream := r.silent || cause == generation.CauseBroken || cause == generation.CauseMisdirected
+	return Outcome{Upstream: a.Upstream, Failed: r.err != nil && ofUpstream, Silent: r.silent}
 }
 
 // text gathers the events of a run that are not stored yet.
@@ -109,14 +106,12 @@
 // read runs the item and gathers its events. It returns nil once the text is
 // whole. Errors: *generation.Error.
 func (c *carrier) read(ctx context.Context, a *run, t *text, watch *time.Timer) error {
-	left := time.Duration(0)
-	s, err := c.deps.Engine.Start(ctx, a.upstream, &a.Run, left)
+	s, err := c.deps.Engine.Start(ctx, a.upstream, &a.Run)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
 	flushed := c.cfg.Now()
-	var firstAt, lastAt time.Time
 	for {
 		e, err := s.Next()
 		if errors.Is(err, io.EOF) {
@@ -129,20 +124,15 @@
 			return &generation.Error{Upstream: a.Upstream, Cause: generation.CauseMisdirected, Err: &VersionError{Version: e.Version, Least: a.Job.MinVersion}}
 		}
 		watch.Reset(c.cfg.EventGap)
-		lastAt = c.cfg.Now()
-		if firstAt.IsZero() {
-			firstAt = lastAt
-			a.result.first = firstAt.Sub(a.began)
+		now := c.cfg.Now()
+		if a.result.events == 0 {
+			a.result.first = now.Sub(a.began)
 		}
 		t.add(e)
 		a.result.events++
 		a.events.Add(1)
-		a.result.version = e.Version
-		if a.result.events > 1 {
-			a.result.pace = lastAt.Sub(firstAt) / time.Duration(a.result.events-1)
-		}
-		if lastAt.Sub(flushed) >= c.cfg.FlushEvery {
-			flushed = lastAt
+		if now.Sub(flushed) >= c.cfg.FlushEvery {
+			flushed = now
 			c.flush(a, t)
 		}
 	}
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -62,13 +62,10 @@
 // Outcome tells how a run went, as far as it says something of its upstream.
 type Outcome struct {
 	Upstream api.UpstreamID
-	Events   int           // that came
-	Pace     time.Duration // between two events; 0: unknown
-	Cause    generation.Cause
-	Failed   bool
-	Silent   bool // no event came in time
-	Version  api.WeightVersion
-	Model    api.ModelName
+	// Failed is set for runs that failed in a way that says something of the
+	// upstream, and not of the item.
+	Failed bool
+	Silent bool // no event came in time
 }
 
 // Runner is the handle of the duties.
@@ -265,9 +262,3 @@
 
 // Stop ends the duties; runs in progress are given up. Errors: ctx.Err().
 func (r *Runner) Stop(ctx context.Context) error { return duty.StopPool(ctx, r.duty, r.carriers) }
-
-// AgainstUpstream reports whether a run failed in a way that says something
-// of its upstream, and not of the item.
-func (o Outcome) AgainstUpstream() bool {
-	return o.Failed && (o.Silent || o.Cause == generation.CauseBroken || o.Cause == generation.CauseMisdirected)
-}
