--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -185,7 +185,7 @@
 
 func (n *Node) startRelay() {
 	cfg := relayConfig
-	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), Crowd: relayCrowd}
+	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyAt: relayBusyAt}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.client, n.View)
 }
 
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -20,7 +20,7 @@
 	operatorPace   = 50 * time.Millisecond   // a fortieth of the bound for a configuration
 	serversPace    = 150 * time.Millisecond  // an eighth of the upstreams' heartbeat
 	journalSilence = 2 * time.Second         // without a whole read the daemon asks for no new connections
-	relayCrowd     = 2                       // requests in flight at an upstream before the next one is used
+	relayBusyAt    = 2                       // requests in flight at an upstream before the next one is used
 	retryAfter     = 100 * time.Millisecond  // another daemon can usually serve at once
 	headerTimeout  = 10 * time.Second        // above what the platform allows its clients
 	idleTimeout    = 2 * time.Minute         // above what the platform allows its clients
--- a/lib/opaque/pick.go
+++ b/lib/opaque/pick.go
@@ -26,9 +26,9 @@
 type Chooser struct {
 	Daemon     api.DaemonID
 	DataCentre api.DataCentre
-	// Crowd is the number of requests in flight from which on the next
+	// BusyAt is the number of requests in flight from which on the next
 	// upstream is preferred over waiting for a free connection to this one.
-	Crowd int
+	BusyAt int
 }
 
 // rank orders candidates: lower comes first.
@@ -40,7 +40,7 @@
 		return 3
 	case a.Resting:
 		return 2
-	case a.Slow || a.InFlight >= c.Crowd:
+	case a.Slow || a.InFlight >= c.BusyAt:
 		return 1
 	default:
 		return 0
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -43,15 +43,15 @@
 
 // job is a request in progress.
 type job struct {
-	request *opaque.Request
-	ctx     context.Context
-	reply   *ring.Slot[Reply]
-	tried   map[api.UpstreamID]bool
-	sent    int
-	mayHave bool // an attempt may have run
-	failure *opaque.Answer
-	last    error
-	print   uint64
+	request    *opaque.Request
+	ctx        context.Context
+	reply      *ring.Slot[Reply]
+	tried      map[api.UpstreamID]bool
+	sent       int
+	mayHaveRun bool // an attempt may have run
+	failure    *opaque.Answer
+	last       error
+	print      uint64
 	// flow takes a stream's pieces; nil for requests with a whole answer.
 	flow *flow
 }
@@ -150,7 +150,7 @@
 		return
 	}
 	u, ok := r.cfg.Chooser.Pick(r.candidates(j, now))
-	if !ok || (j.tried[u.ID] && !j.repeatable() && j.mayHave) {
+	if !ok || (j.tried[u.ID] && !j.repeatable() && j.mayHaveRun) {
 		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("no upstream of service "+q.Service, false, r.cfg.RetryAfter)})
 		return
 	}
@@ -183,7 +183,7 @@
 	if j.last != nil {
 		reason += "; last: " + j.last.Error()
 	}
-	if j.mayHave {
+	if j.mayHaveRun {
 		return &opaque.FailedError{Reason: reason, Expired: expired}
 	}
 	return &opaque.RefusedError{Reason: reason, RetryAfter: after}
@@ -206,11 +206,11 @@
 	r.log.Info("attempt failed", zap.String("request", string(j.request.ID)), zap.String("upstream", string(a.upstream.ID)),
 		zap.Int("attempt", j.sent), zap.Duration("took", now.Sub(a.began)), zap.Duration("limit", a.limit), zap.Error(a.cause()))
 	if a.err == nil {
-		j.failure, j.mayHave = a.answer, true
+		j.failure, j.mayHaveRun = a.answer, true
 	} else {
 		r.learn(a, o, now)
 	}
-	if j.mayHave && !j.repeatable() {
+	if j.mayHaveRun && !j.repeatable() {
 		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("the upstream failed", false, r.cfg.RetryAfter), Upstream: a.upstream.ID})
 		return
 	}
@@ -222,11 +222,11 @@
 	a.job.last = a.err
 	var e *opaque.AttemptError
 	if !errors.As(a.err, &e) {
-		a.job.mayHave = true
+		a.job.mayHaveRun = true
 		return
 	}
 	if e.Fate == opaque.FateUnknown {
-		a.job.mayHave = true
+		a.job.mayHaveRun = true
 	}
 	if a.job.ctx.Err() == nil && !e.Busy {
 		o.failed(now, r.cfg.Rest, r.cfg.MaxRest)
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -50,7 +50,7 @@
 	}
 	view := directory.Empty().Apply(changes)
 	r := Start(duty.NewSystem(nil), Config{
-		Chooser: opaque.Chooser{Daemon: "d", Crowd: 2}, Patience: opaque.Patience{Least: 50 * time.Millisecond, Targets: 1},
+		Chooser: opaque.Chooser{Daemon: "d", BusyAt: 2}, Patience: opaque.Patience{Least: 50 * time.Millisecond, Targets: 1},
 		Carriers: 4, RingSize: 16, Rest: 100 * time.Millisecond, MaxRest: time.Second, RetryAfter: 100 * time.Millisecond, Now: time.Now,
 	}, zap.NewNop(), s, func() *directory.View { return view })
 	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -79,7 +79,7 @@
 	applied  batch.Offset
 	active   map[batch.Key]*run
 	busy     map[batch.Key]int
-	notYet   map[batch.Key]time.Time
+	retryAt  map[batch.Key]time.Time
 	begun    int // runs
 	paces    map[api.UpstreamID]*paceState
 	looked   time.Time // at the paces
@@ -113,7 +113,7 @@
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Runner {
 	r := &Runner{
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.Key]*run),
-		paces: make(map[api.UpstreamID]*paceState), busy: make(map[batch.Key]int), notYet: make(map[batch.Key]time.Time),
+		paces: make(map[api.UpstreamID]*paceState), busy: make(map[batch.Key]int), retryAt: make(map[batch.Key]time.Time),
 	}
 	c := &carrier{cfg: cfg, deps: deps, log: log, report: func(ctx context.Context, a *run) { _ = r.duty.PostWait(ctx, a) }} // fails at the stop only
 	r.carriers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Carriers, func() duty.Handler[*run] { return c })
@@ -164,13 +164,13 @@
 		if !r.carriers.Idle() {
 			break
 		}
-		if r.active[key] == nil && !now.Before(r.notYet[key]) {
+		if r.active[key] == nil && !now.Before(r.retryAt[key]) {
 			r.start(ctx, key, w, now)
 		}
 	}
-	for key := range r.notYet {
+	for key := range r.retryAt {
 		if _, ok := r.wanted[key]; !ok {
-			delete(r.notYet, key)
+			delete(r.retryAt, key)
 			delete(r.busy, key)
 		}
 	}
@@ -180,7 +180,7 @@
 	v := r.deps.View()
 	u, ok := v.Upstreams[w.Upstream]
 	if !ok || v.Table == nil || u.Draining {
-		r.notYet[key] = now.Add(r.cfg.Retry)
+		r.retryAt[key] = now.Add(r.cfg.Retry)
 		if ok && u.Draining {
 			r.move(key, w, "the upstream is draining")
 		}
@@ -188,7 +188,7 @@
 	}
 	route, ok := v.Table.Match(w.Job.Host, w.Item.Path)
 	if !ok || !route.Serves(u.Service) {
-		r.notYet[key] = now.Add(r.cfg.Retry)
+		r.retryAt[key] = now.Add(r.cfg.Retry)
 		r.log.Info("run not allowed", zap.String("item", string(key.Item)), zap.String("upstream", string(u.ID)), zap.Uint64("config", v.Table.Version()))
 		return
 	}
@@ -217,7 +217,7 @@
 	if res.cancelled {
 		delete(r.active, a.key)
 		if a.evicted {
-			r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+			r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
 			r.move(a.key, a.Run, "the upstream is slow")
 		}
 		return
@@ -230,16 +230,16 @@
 	switch cause := res.cause(); {
 	case cause == generation.CauseBusy && res.events == 0:
 		r.busy[a.key]++
-		r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+		r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
 		if r.busy[a.key] >= r.cfg.BusyLimit {
 			r.busy[a.key] = 0
 			r.move(a.key, w, "the upstream stays busy")
 		}
 	case cause == generation.CauseFailed || cause == generation.CauseImpossible:
-		r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+		r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
 		r.propose(&batch.ItemFailed{Job: a.key.Job, Item: a.key.Item, Status: res.status(), Final: cause == generation.CauseImpossible})
 	default:
-		r.notYet[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+		r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
 		r.move(a.key, w, "the run broke")
 	}
 	if res.offset == 0 {
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -71,12 +71,12 @@
 
 // Upkeep is the handle of the duties.
 type Upkeep struct {
-	cfg     Config
-	deps    Deps
-	log     *zap.Logger
-	duty    *duty.Duty[any]
-	callers *duty.Pool[*call]
-	wards   map[api.UpstreamID]*ward
+	cfg       Config
+	deps      Deps
+	log       *zap.Logger
+	duty      *duty.Duty[any]
+	callers   *duty.Pool[*call]
+	upstreams map[api.UpstreamID]*heldUpstream
 	// announced are the newest announcements seen of each model.
 	announced map[api.ModelName]announcement
 	// loadTime is how long the last load took.
@@ -88,8 +88,8 @@
 	seen    time.Time
 }
 
-// ward is what this daemon knows of an upstream it holds.
-type ward struct {
+// heldUpstream is what this daemon knows of an upstream it holds.
+type heldUpstream struct {
 	lease    batch.Offset
 	heldFrom time.Time // orders may be given from then on
 	born     int64     // of the incarnation seen
@@ -119,7 +119,7 @@
 
 // Start spawns the duties.
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Upkeep {
-	k := &Upkeep{cfg: cfg, deps: deps, log: log, wards: make(map[api.UpstreamID]*ward), announced: make(map[api.ModelName]announcement)}
+	k := &Upkeep{cfg: cfg, deps: deps, log: log, upstreams: make(map[api.UpstreamID]*heldUpstream), announced: make(map[api.ModelName]announcement)}
 	c := &caller{cfg: cfg, engine: deps.Engine, report: func(ctx context.Context, c *call) { _ = k.duty.PostWait(ctx, c) }} // fails at the stop only
 	k.callers = duty.NewPool(sys, duty.Config{Name: "upkeep-caller"}, cfg.Callers, func() duty.Handler[*call] { return c })
 	k.duty = duty.Start(sys, duty.Config{Name: "upkeep", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](k))
@@ -157,23 +157,23 @@
 			continue
 		}
 		held[u.ID] = true
-		w := k.ward(u, listed, now)
+		w := k.held(u, listed, now)
 		k.condition(u, listed, w, now)
 		k.look(s, v, u, listed, w, now)
 	}
-	maps.DeleteFunc(k.wards, func(id api.UpstreamID, w *ward) bool { return !held[id] && !w.calling })
+	maps.DeleteFunc(k.upstreams, func(id api.UpstreamID, w *heldUpstream) bool { return !held[id] && !w.calling })
 }
 
-// ward returns what is known of an upstream, anew after a change of its lease.
-func (k *Upkeep) ward(u *batch.Upstream, listed *directory.Upstream, now time.Time) *ward {
-	w, ok := k.wards[u.ID]
+// held returns what is known of an upstream, anew after a change of its lease.
+func (k *Upkeep) held(u *batch.Upstream, listed *directory.Upstream, now time.Time) *heldUpstream {
+	w, ok := k.upstreams[u.ID]
 	if !ok || w.lease != u.Taken {
 		heldFrom := now
 		if u.Before != "" && u.Before != k.cfg.Self {
 			heldFrom = now.Add(k.cfg.LeaseWait)
 		}
-		w = &ward{lease: u.Taken, heldFrom: heldFrom, born: listed.BornMillis, versions: maps.Clone(u.Versions)}
-		k.wards[u.ID] = w
+		w = &heldUpstream{lease: u.Taken, heldFrom: heldFrom, born: listed.BornMillis, versions: maps.Clone(u.Versions)}
+		k.upstreams[u.ID] = w
 	}
 	if w.born != listed.BornMillis {
 		k.log.Info("upstream started again", zap.String("upstream", string(u.ID)), zap.Int64("born_ms", listed.BornMillis))
@@ -184,7 +184,7 @@
 }
 
 // condition proposes a record when an upstream's condition is not what the log says.
-func (k *Upkeep) condition(u *batch.Upstream, listed *directory.Upstream, w *ward, now time.Time) {
+func (k *Upkeep) condition(u *batch.Upstream, listed *directory.Upstream, w *heldUpstream, now time.Time) {
 	want := batch.ConditionReady
 	switch {
 	case listed.Draining:
@@ -211,7 +211,7 @@
 }
 
 // look starts the next call to an upstream, if one is due.
-func (k *Upkeep) look(s *book.Snapshot, v *directory.View, u *batch.Upstream, listed *directory.Upstream, w *ward, now time.Time) {
+func (k *Upkeep) look(s *book.Snapshot, v *directory.View, u *batch.Upstream, listed *directory.Upstream, w *heldUpstream, now time.Time) {
 	if w.calling || !k.callers.Idle() || listed.Draining || now.Before(w.nextLook) {
 		return
 	}
@@ -240,12 +240,12 @@
 }
 
 // mayOrder reports whether this daemon's lease surely holds.
-func (k *Upkeep) mayOrder(s *book.Snapshot, w *ward, now time.Time) bool {
+func (k *Upkeep) mayOrder(s *book.Snapshot, w *heldUpstream, now time.Time) bool {
 	return !now.Before(w.heldFrom) && now.Sub(s.Seen[k.cfg.Self]) < k.cfg.LeaseHold
 }
 
 // due returns the order that an upstream needs next, if it may have one now.
-func (k *Upkeep) due(s *book.Snapshot, v *directory.View, u *batch.Upstream, w *ward, now time.Time) *generation.Order {
+func (k *Upkeep) due(s *book.Snapshot, v *directory.View, u *batch.Upstream, w *heldUpstream, now time.Time) *generation.Order {
 	version := v.Announced[u.Home]
 	if u.Home == "" || w.versions[u.Home] >= version || !k.settled(u.Home, version, now) || !k.mayOrder(s, w, now) ||
 		!slices.Contains(loads.Next(s.Upstreams, u.Service, v.Announced, k.cfg.LoadShare), u.ID) {
@@ -270,7 +270,7 @@
 func (k *Upkeep) called(c *call) {
 	now := k.cfg.Now()
 	id := c.upstream.ID
-	w, ok := k.wards[id]
+	w, ok := k.upstreams[id]
 	if !ok {
 		return
 	}
@@ -309,7 +309,7 @@
 
 // ran notes how a run went.
 func (k *Upkeep) ran(r Ran) {
-	w, ok := k.wards[r.Upstream]
+	w, ok := k.upstreams[r.Upstream]
 	if !ok {
 		return
 	}
