--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -19,7 +19,7 @@
 	Wait       time.Duration // longest wait of one call for a change
 	Timeout    time.Duration // of a call beyond its wait
 	RetryEvery time.Duration // after a failed call
-	// Doubt is how long after an outage of its feed a removed upstream is
+	// Doubt is how long after an outage of its feed a removed upstream may be
 	// still used: entries that lapsed meanwhile come back within that time.
 	Doubt time.Duration
 	Now   func() time.Time
@@ -53,7 +53,8 @@
 	changes []directory.Change
 	first   bool // of its feed
 	whole   bool // the newest change of every key of a feed that lists upstreams
-	doubt   bool // removals may be due to the feed's own outage
+	// doubtUntil is until when removals may be due to the feed's own outage.
+	doubtUntil time.Time
 }
 
 // ringSize is generous: a reader has one batch in hand at most.
@@ -61,8 +62,7 @@
 
 // Start spawns the duties. changed is called on the folding duty with each new view.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, sources []Source, changed func(*directory.View)) *Follower {
-	f := &Follower{cfg: cfg, log: log, changed: changed, doubted: make(map[directory.Unlisted]time.Time)}
-	f.view.Store(directory.Empty())
+	f := newFollower(cfg, log, changed)
 	f.fold = duty.Start(sys, duty.Config{Name: "directory", RingSize: ringSize, Tick: cfg.RetryEvery}, duty.Handler[batch](f))
 	for _, s := range sources {
 		r := &reader{follower: f, source: s}
@@ -74,6 +74,12 @@
 	return f
 }
 
+func newFollower(cfg Config, log *zap.Logger, changed func(*directory.View)) *Follower {
+	f := &Follower{cfg: cfg, log: log, changed: changed, doubted: make(map[directory.Unlisted]time.Time)}
+	f.view.Store(directory.Empty())
+	return f
+}
+
 // View returns the newest view.
 func (f *Follower) View() *directory.View { return f.view.Load() }
 
@@ -130,8 +136,8 @@
 	for _, c := range b.changes {
 		switch c := c.(type) {
 		case directory.Unlisted:
-			if b.doubt {
-				f.doubted[c] = f.cfg.Now().Add(f.cfg.Doubt)
+			if f.cfg.Now().Before(b.doubtUntil) {
+				f.doubted[c] = b.doubtUntil
 				continue
 			}
 		case directory.Listed:
@@ -214,7 +220,7 @@
 
 func (r *reader) read(ctx context.Context) (batch, error) {
 	cfg := r.follower.cfg
-	b := batch{first: !r.known, whole: !r.loaded && r.source.Upstreams, doubt: r.doubtful()}
+	b := batch{first: !r.known, whole: !r.loaded && r.source.Upstreams, doubtUntil: r.doubtUntil()}
 	ctx, cancel := context.WithTimeout(ctx, cfg.Wait+cfg.Timeout)
 	defer cancel()
 	var err error
@@ -237,9 +243,13 @@
 	return b, nil
 }
 
-// doubtful reports whether removals may be due to an outage just now.
-func (r *reader) doubtful() bool {
-	return !r.failedAt.IsZero() && r.follower.cfg.Now().Sub(r.failedAt) < r.follower.cfg.Doubt
+// doubtUntil returns until when removals may be due to the last outage: a
+// fixed time after it, so that a leaving upstream is not used for longer.
+func (r *reader) doubtUntil() time.Time {
+	if r.failedAt.IsZero() {
+		return time.Time{}
+	}
+	return r.failedAt.Add(r.follower.cfg.Doubt)
 }
 
 func (r *reader) failed(ctx context.Context, err error) {
