--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -20,6 +20,7 @@
 	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/loglines"
@@ -60,8 +61,8 @@
 	callers   *http.Server
 	readiness *http.Server
 	metrics   *http.Server
-	leaving   atomic.Bool
-	stopping  atomic.Bool // unlike leaving, also not ready
+	// stopping daemons are not ready and close connections after their answer.
+	stopping atomic.Bool
 }
 
 // Start starts a daemon. Errors: an address that can't be listened on.
@@ -117,9 +118,9 @@
 	runs := runnerConfig
 	runs.Self, runs.Process, runs.Carriers = self, process, n.settings.Carriers
 	n.runner = runner.Start(n.system, runs, runner.Deps{
-		Engine: n.client, View: n.View, Commit: n.keep, Propose: func(r batch.Record) error { return n.propose(r, 0) }, Ran: n.ran,
+		Engine: n.client, View: n.View, Commit: n.keep, Propose: func(r batch.Record) error { return n.propose(r, 0) },
+		Ran:       func(o generation.Outcome) { n.upkeep.Tell(o) }, // upkeep starts before there are runs
 		Upstreams: func() []batch.Upstream { return n.snapshot().Upstreams },
-		Slow:      func(id api.UpstreamID) { n.upkeep.Tell(upkeep.Ran{Upstream: id, Slow: true}) },
 	}, n.log.Logger)
 
 	keeps := keeperConfig
@@ -178,11 +179,6 @@
 	return n.committer.Post(data, within)
 }
 
-// ran passes what a run says of its upstream on.
-func (n *Node) ran(o runner.Outcome) {
-	n.upkeep.Tell(upkeep.Ran{Upstream: o.Upstream, Failed: o.Failed, Silent: o.Silent})
-}
-
 func (n *Node) startRelay() {
 	cfg := relayConfig
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyAt: relayBusyAt}
@@ -198,7 +194,7 @@
 
 func (n *Node) serve() error {
 	h := entry.New(entry.Config{
-		Relay: n.relay, Jobs: &jobs{n}, View: n.View, Ready: n.ready, Leaving: n.leaving.Load,
+		Relay: n.relay, Jobs: &jobs{n}, View: n.View, Ready: n.ready, Leaving: n.stopping.Load,
 		Observer: recorder, Log: n.log.Logger, RetryAfter: retryAfter, Now: time.Now,
 	})
 	n.callers = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -240,7 +236,6 @@
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Grace-stopMargin)
 	defer cancel()
 	n.stopping.Store(true)
-	n.leaving.Store(true)
 	if err := n.runner.Stop(ctx); err != nil {
 		n.log.Warn("runs did not end", zap.Error(err))
 	}
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -97,9 +97,7 @@
 type OpenItem struct {
 	Key
 	Host, Path string
-	Service    string
-	Upstream   api.UpstreamID // empty: none
-	DueMillis  int64          // when it may be given up, in Unix milliseconds
+	DueMillis  int64 // when it may be given up, in Unix milliseconds
 }
 
 // Open returns all open items, in no particular order.
@@ -112,8 +110,8 @@
 		for _, i := range j.items {
 			if i.state == ItemOpen {
 				out = append(out, OpenItem{
-					Key: Key{j.job.ID, i.item().ID}, Host: j.job.Host, Path: i.item().Path, Service: j.job.Service,
-					Upstream: i.upstream, DueMillis: j.job.AtMillis + j.job.KeepMillis,
+					Key: Key{j.job.ID, i.item().ID}, Host: j.job.Host, Path: i.item().Path,
+					DueMillis: j.job.AtMillis + j.job.KeepMillis,
 				})
 			}
 		}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -173,6 +173,15 @@
 	return nil
 }
 
+// open returns an item that is still to be run; nil: there is none such.
+func (s *State) open(job JobID, item ItemID) *itemState {
+	i := s.find(job, item)
+	if i == nil || i.state != ItemOpen || i.job.ended {
+		return nil
+	}
+	return i
+}
+
 // addText takes events that continue the text just where it ends: those of
 // the run that made its end, or of one that was asked to go on from there.
 func (s *State) addText(r *TextAdded) bool {
@@ -205,8 +214,8 @@
 }
 
 func (s *State) fail(r *ItemFailed) bool {
-	i := s.find(r.Job, r.Item)
-	if i == nil || i.state != ItemOpen || i.job.ended {
+	i := s.open(r.Job, r.Item)
+	if i == nil {
 		return false
 	}
 	i.failures++
@@ -217,8 +226,8 @@
 }
 
 func (s *State) expire(r *ItemExpired) bool {
-	i := s.find(r.Job, r.Item)
-	if i == nil || i.state != ItemOpen || i.job.ended {
+	i := s.open(r.Job, r.Item)
+	if i == nil {
 		return false
 	}
 	s.list(i, ItemErrored)
@@ -297,9 +306,17 @@
 	return true
 }
 
+// heldBy returns an upstream if a daemon holds it, else nil.
+func (s *State) heldBy(d api.DaemonID, id api.UpstreamID) *Upstream {
+	if u, ok := s.upstreams[id]; ok && u.Holder == d {
+		return u
+	}
+	return nil
+}
+
 func (s *State) remove(r *UpstreamGone) bool {
-	u, ok := s.upstreams[r.Upstream]
-	if !ok || u.Holder != r.Daemon {
+	u := s.heldBy(r.Daemon, r.Upstream)
+	if u == nil {
 		return false
 	}
 	for _, i := range slices.Clone(s.placed[r.Upstream]) {
@@ -313,8 +330,8 @@
 }
 
 func (s *State) change(r *UpstreamChanged) bool {
-	u, ok := s.upstreams[r.Upstream]
-	if !ok || u.Holder != r.Daemon {
+	u := s.heldBy(r.Daemon, r.Upstream)
+	if u == nil {
 		return false
 	}
 	u.Condition = r.Condition
@@ -325,8 +342,8 @@
 }
 
 func (s *State) measure(r *PaceMeasured) bool {
-	u, ok := s.upstreams[r.Upstream]
-	if !ok || u.Holder != r.Daemon {
+	u := s.heldBy(r.Daemon, r.Upstream)
+	if u == nil {
 		return false
 	}
 	u.PaceMicros = r.Micros
--- a/lib/generation/generation.go
+++ b/lib/generation/generation.go
@@ -61,6 +61,14 @@
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.Err }
 
+// Outcome tells how a run went, as far as it says something of its upstream.
+type Outcome struct {
+	Upstream api.UpstreamID
+	Failed   bool // in a way that is the upstream's, and not the item's
+	Silent   bool // no event came in time
+	Slow     bool // far slower than its peers; nothing else is told then
+}
+
 // Report is what an upstream says of itself.
 type Report struct {
 	Versions map[api.ModelName]api.WeightVersion
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -55,7 +55,7 @@
 
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == KindIdempotent || r.Kind == KindBatch || (r.Kind == KindStream && r.Resumable)
+	return r.Kind == KindIdempotent || (r.Kind == KindStream && r.Resumable)
 }
 
 // Service returns the service that draw, a random number, selects by weight.
--- a/server/book/book.go
+++ b/server/book/book.go
@@ -128,7 +128,6 @@
 			b.seen[d] = p.began
 		}
 	}
-	changed := false
 	for i, part := range p.page.Records {
 		r, at, err := b.decoder.Add(p.from+journal.Offset(i), part)
 		if err != nil {
@@ -141,14 +140,13 @@
 			b.seen[alive.Daemon] = b.cfg.Now()
 		}
 		done := b.state.Apply(at, r)
-		changed = done || changed
+		b.changed = b.changed || done
 		if !b.current.IsZero() {
 			b.describe(at, r, done)
 		}
 		recordsApplied.Add(1)
 	}
 	b.applied = batch.Offset(p.from) + batch.Offset(len(p.page.Records))
-	b.changed = b.changed || changed
 	if journal.Offset(b.applied) >= p.page.End {
 		if b.current.IsZero() {
 			b.log.Info("journal read to its end", zap.Uint64("applied", uint64(b.applied)))
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -12,7 +12,6 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/ring"
-	"dotterelmount.example/lib/routes"
 	"go.uber.org/zap"
 )
 
@@ -45,7 +44,7 @@
 type job struct {
 	request    *opaque.Request
 	ctx        context.Context
-	reply      *ring.Slot[Reply]
+	reply      *ring.Slot[reply]
 	tried      map[api.UpstreamID]bool
 	sent       int
 	mayHaveRun bool // an attempt may have run
@@ -68,9 +67,9 @@
 	err      error
 }
 
-// Reply ends a request: an answer, or a *opaque.RefusedError or
+// reply ends a request: an answer, or a *opaque.RefusedError or
 // *opaque.FailedError.
-type Reply struct {
+type reply struct {
 	Answer   *opaque.Answer
 	Err      error
 	Upstream api.UpstreamID
@@ -88,28 +87,32 @@
 // Pass passes a request on and waits for its end or that of ctx. Errors:
 // *opaque.RefusedError, *opaque.FailedError.
 func (r *Relay) Pass(ctx context.Context, q *opaque.Request) (*opaque.Answer, api.UpstreamID, error) {
-	reply := r.do(ctx, q)
-	return reply.Answer, reply.Upstream, reply.Err
-}
-
-func (r *Relay) do(ctx context.Context, q *opaque.Request) Reply {
-	return r.wait(newJob(ctx, q))
+	j := newJob(ctx, q)
+	if err := r.submit(j); err != nil {
+		return nil, "", err
+	}
+	return r.wait(j)
 }
 
 func newJob(ctx context.Context, q *opaque.Request) *job {
-	return &job{request: q, ctx: ctx, reply: ring.NewSlot[Reply](), tried: make(map[api.UpstreamID]bool), print: fingerprint(q)}
+	return &job{request: q, ctx: ctx, reply: ring.NewSlot[reply](), tried: make(map[api.UpstreamID]bool), print: fingerprint(q)}
 }
 
-// wait hands a job to the duty and waits for its end.
-func (r *Relay) wait(j *job) Reply {
+// submit hands a job to the duty. Errors: *opaque.RefusedError.
+func (r *Relay) submit(j *job) error {
 	if err := r.duty.Post(j); err != nil {
-		return Reply{Err: &opaque.RefusedError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}}
+		return &opaque.RefusedError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}
 	}
-	reply, err := j.reply.Wait(j.ctx)
+	return nil
+}
+
+// wait waits for a job's end or that of its context.
+func (r *Relay) wait(j *job) (*opaque.Answer, api.UpstreamID, error) {
+	end, err := j.reply.Wait(j.ctx)
 	if err != nil {
-		return Reply{Err: &opaque.FailedError{Reason: "the client left or its time is over", Expired: true}}
+		return nil, "", &opaque.FailedError{Reason: "the client left or its time is over", Expired: true}
 	}
-	return reply
+	return end.Answer, end.Upstream, end.Err
 }
 
 // Handle takes a new job or an attempt's end.
@@ -138,25 +141,25 @@
 func (r *Relay) next(j *job) {
 	q, now := j.request, r.cfg.Now()
 	if j.ctx.Err() != nil || !now.Before(q.Deadline) {
-		r.finish(j, Reply{Err: j.giveUp("its time is over", true, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: j.giveUp("its time is over", true, r.cfg.RetryAfter)})
 		return
 	}
 	if j.sent >= q.Route.Attempts {
-		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("all attempts failed", false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Answer: j.failure, Err: j.giveUp("all attempts failed", false, r.cfg.RetryAfter)})
 		return
 	}
 	if r.crashes.banned(j.print, now) {
-		r.finish(j, Reply{Err: j.giveUp("the request crashed several upstreams", false, crashBan)})
+		r.finish(j, reply{Err: j.giveUp("the request crashed several upstreams", false, crashBan)})
 		return
 	}
 	u, ok := r.cfg.Chooser.Pick(r.candidates(j, now))
-	if !ok || (j.tried[u.ID] && !j.repeatable() && j.mayHaveRun) {
-		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("no upstream of service "+q.Service, false, r.cfg.RetryAfter)})
+	if !ok || (j.tried[u.ID] && !j.request.Route.Repeatable() && j.mayHaveRun) {
+		r.finish(j, reply{Answer: j.failure, Err: j.giveUp("no upstream of service "+q.Service, false, r.cfg.RetryAfter)})
 		return
 	}
 	carrier, ok := r.carriers.Take()
 	if !ok {
-		r.finish(j, Reply{Err: j.giveUp("all carriers are busy", false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: j.giveUp("all carriers are busy", false, r.cfg.RetryAfter)})
 		return
 	}
 	r.start(carrier, j, u, now)
@@ -171,7 +174,7 @@
 	j.tried[u.ID] = true
 	r.observed(u.ID).inFlight++
 	if err := r.carriers.Post(carrier, a); err != nil {
-		r.finish(j, Reply{Err: j.giveUp("stopping", false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: j.giveUp("stopping", false, r.cfg.RetryAfter)})
 	}
 }
 
@@ -200,7 +203,7 @@
 		} else {
 			o.failures = 0
 		}
-		r.finish(j, Reply{Answer: a.answer, Upstream: a.upstream.ID})
+		r.finish(j, reply{Answer: a.answer, Upstream: a.upstream.ID})
 		return
 	}
 	r.log.Info("attempt failed", zap.String("request", string(j.request.ID)), zap.String("upstream", string(a.upstream.ID)),
@@ -210,8 +213,8 @@
 	} else {
 		r.learn(a, o, now)
 	}
-	if j.mayHaveRun && !j.repeatable() {
-		r.finish(j, Reply{Answer: j.failure, Err: j.giveUp("the upstream failed", false, r.cfg.RetryAfter), Upstream: a.upstream.ID})
+	if j.mayHaveRun && !j.request.Route.Repeatable() {
+		r.finish(j, reply{Answer: j.failure, Err: j.giveUp("the upstream failed", false, r.cfg.RetryAfter), Upstream: a.upstream.ID})
 		return
 	}
 	r.next(j)
@@ -236,15 +239,6 @@
 	}
 }
 
-// repeatable reports whether the request may be sent once more. A stream may
-// as long as nothing of it has come, or where it can be resumed.
-func (j *job) repeatable() bool {
-	if j.flow != nil {
-		return j.request.Route.Resumable
-	}
-	return j.request.Route.Kind == routes.KindIdempotent
-}
-
 func (a *attempt) cause() error {
 	if a.err != nil {
 		return a.err
@@ -259,14 +253,14 @@
 	return a.Status >= serverError
 }
 
-func (r *Relay) finish(j *job, reply Reply) {
+func (r *Relay) finish(j *job, end reply) {
 	if j.flow != nil {
 		j.flow.end()
 	}
-	if reply.Answer != nil {
-		reply.Err = nil
+	if end.Answer != nil {
+		end.Err = nil
 	}
-	j.reply.Put(reply)
+	j.reply.Put(end)
 }
 
 // Stop ends the duties. Errors: ctx.Err().
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -30,8 +30,8 @@
 	defer cancel()
 	j := newJob(ctx, q)
 	j.flow = &flow{head: ring.NewSlot[*opaque.Answer](), pieces: ring.New[opaque.Piece](flowRing)}
-	if err := r.duty.Post(j); err != nil {
-		return nil, "", &opaque.RefusedError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}
+	if err := r.submit(j); err != nil {
+		return nil, "", err
 	}
 	head, err := j.flow.head.Wait(ctx)
 	if err == nil && head != nil {
@@ -47,11 +47,7 @@
 	if !errors.As(err, &closed) {
 		return nil, "", &opaque.FailedError{Reason: err.Error(), Expired: ctx.Err() != nil}
 	}
-	reply, err := j.reply.Wait(ctx)
-	if err != nil {
-		return nil, "", &opaque.FailedError{Reason: err.Error(), Expired: true}
-	}
-	return reply.Answer, reply.Upstream, reply.Err
+	return r.wait(j)
 }
 
 // end tells the front end that no more pieces come.
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -43,10 +43,10 @@
 	return 0
 }
 
-func (r *result) outcome(a *run) Outcome {
+func (r *result) outcome(a *run) generation.Outcome {
 	cause := r.cause()
 	ofUpstream := r.silent || cause == generation.CauseBroken || cause == generation.CauseMisdirected
-	return Outcome{Upstream: a.Upstream, Failed: r.err != nil && ofUpstream, Silent: r.silent}
+	return generation.Outcome{Upstream: a.Upstream, Failed: r.err != nil && ofUpstream, Silent: r.silent}
 }
 
 // text gathers the events of a run that are not stored yet.
--- a/server/runner/paces.go
+++ b/server/runner/paces.go
@@ -5,6 +5,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/pace"
 	"go.uber.org/zap"
 )
@@ -75,7 +76,7 @@
 	}
 	r.log.Info("upstream slow", zap.String("upstream", string(id)), zap.Duration("gap", gap), zap.Int("peers", len(peers)))
 	p.meter.Reset()
-	r.deps.Slow(id)
+	r.deps.Ran(generation.Outcome{Upstream: id, Slow: true})
 	for _, a := range r.active {
 		if a.Upstream == id && !a.ended {
 			a.evicted = true
--- a/server/runner/paces_test.go
+++ b/server/runner/paces_test.go
@@ -7,6 +7,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/pace"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -20,7 +21,8 @@
 	run  *run
 }
 
-func newScene() *scene {
+func newScene(t *testing.T) *scene {
+	t.Helper()
 	s := &scene{now: time.Unix(100, 0)}
 	s.Runner = &Runner{
 		cfg: Config{
@@ -29,7 +31,10 @@
 		},
 		deps: Deps{
 			Propose: func(batch.Record) error { return nil },
-			Slow:    func(id api.UpstreamID) { s.slow = append(s.slow, id) },
+			Ran: func(o generation.Outcome) {
+				assert.Assert(t, o.Slow)
+				s.slow = append(s.slow, o.Upstream)
+			},
 			Upstreams: func() []batch.Upstream {
 				return []batch.Upstream{{ID: "u"}, {ID: "v", PaceMicros: 40000}, {ID: "w", PaceMicros: 40000}}
 			},
@@ -54,7 +59,7 @@
 }
 
 func TestRunsLeaveASlowUpstream(t *testing.T) {
-	s := newScene()
+	s := newScene(t)
 	s.pass(3*time.Second, 40*time.Millisecond)
 	assert.Equal(t, len(s.slow), 0)
 	s.pass(3*time.Second, 100*time.Millisecond)
@@ -65,7 +70,7 @@
 // While the store is down, whole texts wait to be stored. That they bring no
 // more events says nothing of their upstream.
 func TestTextsThatWaitForTheJournalAreNoSignOfSlowness(t *testing.T) {
-	s := newScene()
+	s := newScene(t)
 	s.pass(3*time.Second, 40*time.Millisecond)
 	s.run.over.Store(true)
 	s.pass(7*time.Second, 0)
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -51,21 +51,10 @@
 	Commit func(ctx context.Context, r batch.Record) (batch.Offset, error)
 	// Propose appends a record without waiting.
 	Propose func(r batch.Record) error
-	// Ran is told how runs at an upstream went.
-	Ran func(Outcome)
+	// Ran is told how runs at an upstream went, and that one is slow.
+	Ran func(generation.Outcome)
 	// Upstreams are those under a lease, with their paces as last told.
 	Upstreams func() []batch.Upstream
-	// Slow is told when an upstream is far slower than its peers.
-	Slow func(api.UpstreamID)
-}
-
-// Outcome tells how a run went, as far as it says something of its upstream.
-type Outcome struct {
-	Upstream api.UpstreamID
-	// Failed is set for runs that failed in a way that says something of the
-	// upstream, and not of the item.
-	Failed bool
-	Silent bool // no event came in time
 }
 
 // Runner is the handle of the duties.
@@ -214,10 +203,11 @@
 		zap.String("upstream", string(a.Upstream)), zap.Uint64("lease", uint64(a.Lease)), zap.Int("from", a.Events), zap.Int("events", res.events),
 		zap.Bool("whole", res.whole), zap.Duration("first", res.first), zap.Duration("took", r.cfg.Now().Sub(a.began)),
 		zap.Bool("cancelled", res.cancelled), zap.Error(res.err))
+	retryAt := r.cfg.Now().Add(r.cfg.Retry)
 	if res.cancelled {
 		delete(r.active, a.key)
 		if a.evicted {
-			r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
+			r.retryAt[a.key] = retryAt
 			r.move(a.key, a.Run, "the upstream is slow")
 		}
 		return
@@ -226,21 +216,18 @@
 	if res.whole {
 		return
 	}
-	w := a.Run
+	r.retryAt[a.key] = retryAt
 	switch cause := res.cause(); {
 	case cause == generation.CauseBusy && res.events == 0:
 		r.busy[a.key]++
-		r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
 		if r.busy[a.key] >= r.cfg.BusyLimit {
 			r.busy[a.key] = 0
-			r.move(a.key, w, "the upstream stays busy")
+			r.move(a.key, a.Run, "the upstream stays busy")
 		}
 	case cause == generation.CauseFailed || cause == generation.CauseImpossible:
-		r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
 		r.propose(&batch.ItemFailed{Job: a.key.Job, Item: a.key.Item, Status: res.status(), Final: cause == generation.CauseImpossible})
 	default:
-		r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.Retry)
-		r.move(a.key, w, "the run broke")
+		r.move(a.key, a.Run, "the run broke")
 	}
 	if res.offset == 0 {
 		delete(r.active, a.key)
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -57,14 +57,6 @@
 	Propose func(r batch.Record, within time.Duration) error
 }
 
-// Ran tells how a run at an upstream went.
-type Ran struct {
-	Upstream api.UpstreamID
-	Failed   bool // in a way that says something of the upstream
-	Silent   bool
-	Slow     bool // far slower than its peers; nothing else is told then
-}
-
 // mostOfALoad is the part of the last load's time after which the next one is
 // looked at.
 const mostOfALoad = 0.8
@@ -127,7 +119,7 @@
 }
 
 // Tell reports how a run went, without waiting; when the ring is full it is dropped.
-func (k *Upkeep) Tell(r Ran) {
+func (k *Upkeep) Tell(r generation.Outcome) {
 	if err := k.duty.Post(r); err != nil {
 		k.log.Warn("outcome of a run dropped", zap.Error(err))
 	}
@@ -136,7 +128,7 @@
 // Handle takes the end of a run or of a call.
 func (k *Upkeep) Handle(ctx context.Context, m any) {
 	switch m := m.(type) {
-	case Ran:
+	case generation.Outcome:
 		k.ran(m)
 	case *call:
 		k.callers.Give(m.caller)
@@ -308,7 +300,7 @@
 }
 
 // ran notes how a run went.
-func (k *Upkeep) ran(r Ran) {
+func (k *Upkeep) ran(r generation.Outcome) {
 	w, ok := k.upstreams[r.Upstream]
 	if !ok {
 		return
--- a/server/upkeep/upkeep_test.go
+++ b/server/upkeep/upkeep_test.go
@@ -163,7 +163,7 @@
 	w.down = true
 	k := w.start(t, 0)
 	time.Sleep(20 * time.Millisecond) // the upstream is known
-	k.Tell(Ran{Upstream: "u", Failed: true, Silent: true})
+	k.Tell(generation.Outcome{Upstream: "u", Failed: true, Silent: true})
 	w.until(t, "suspect", func() bool { return w.upstream.Condition == batch.ConditionSuspect })
 	time.Sleep(60 * time.Millisecond)
 	w.until(t, "still suspect", func() bool { return w.upstream.Condition == batch.ConditionSuspect })
@@ -178,7 +178,7 @@
 	w.view = directory.Empty().Apply([]directory.Change{directory.Listed{Upstream: directory.Upstream{ID: "u", Service: "s"}}})
 	k := w.start(t, 0)
 	time.Sleep(20 * time.Millisecond) // the upstream is known
-	k.Tell(Ran{Upstream: "u", Slow: true})
+	k.Tell(generation.Outcome{Upstream: "u", Slow: true})
 	w.until(t, "slow", func() bool { return w.upstream.Condition == batch.ConditionSlow })
 	w.until(t, "ready", func() bool { return w.upstream.Condition == batch.ConditionReady })
 }
