Keep a reader's position when a daemon is behind

Cause: Results gave the number of results it knew as the position to go on from, also when the reader had asked from further on.

Change: the position asked for stays where nothing is known there. TestReadingBeyondWhatIsListedKeepsThePosition failed first.

Ruled out: a position that changed its content; the soak compares every result with what was listed before and saw none.

--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -31,7 +31,7 @@
 	if !ok {
 		return Results{}, &UnknownJobError{ID: id}
 	}
-	out := Results{Total: len(j.items), Next: min(max(0, from), len(j.results)), Ended: j.ended}
+	out := Results{Total: len(j.items), Next: max(0, from), Ended: j.ended}
 	for size := 0; out.Next < len(j.results); out.Next++ {
 		i := j.results[out.Next]
 		r := Result{Item: i.item().ID, State: i.state, Versions: i.versions}
--- a/lib/batch/text_test.go
+++ b/lib/batch/text_test.go
@@ -103,3 +103,13 @@
 		}
 	})
 }
+
+// A daemon that is behind must not tell a reader to go back.
+func TestReadingBeyondWhatIsListedKeepsThePosition(t *testing.T) {
+	s := New()
+	s.Apply(1, &JobAccepted{Job: Job{ID: "j", Items: []Item{{ID: "a"}, {ID: "b"}}}})
+	r, err := s.Results("j", 1, 1<<20)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Next, 1)
+	assert.Equal(t, len(r.Results), 0)
+}
