Share between daemons what a request's crashes say

Cause: each daemon counted for itself, so that a request that crashes its upstreams could crash three at every daemon where its client came back; and it counted different upstreams, though a crashed one is back under its id.

A request that is answered after all clears its count everywhere: others were the cause.

Ruled out: a record for every attempt (one crash under load gave a dozen).

Tests that failed first: TestCrashesThatOtherDaemonsSawCount, TestCrashesOfOneUpstreamCountEachTime.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -79,11 +79,13 @@
 	}
 	st := store.New(s.Store)
 	n.startFollower(st)
-	n.startJobs(st.Journal(replay.Topic, 0))
-	n.startRelay()
+	process := fmt.Sprintf("%s/%s", s.Daemon, uuid.Must(uuid.NewV7()))
+	n.startRelay(process)
+	n.startJobs(st.Journal(replay.Topic, 0), process)
 	if err := n.serve(); err != nil {
 		return nil, err
 	}
+	n.log.Info("serving", zap.String("listening", s.Callers))
 	return n, nil
 }
 
@@ -106,11 +108,10 @@
 	n.client.Forget(func(address string) bool { return addresses[address] })
 }
 
-func (n *Node) startJobs(j journal.Journal) {
+func (n *Node) startJobs(j journal.Journal, process string) {
 	self := api.DaemonID(n.settings.Daemon)
 	starts := time.Now().UnixMilli()
 	cfg := committerConfig
-	process := fmt.Sprintf("%s/%s", self, uuid.Must(uuid.NewV7()))
 	cfg.Producer = process
 	cfg.RecordBytes, cfg.CallBytes = n.settings.Record, n.settings.Call
 	n.committer = committer.Start(n.system, j, cfg, n.log.Logger)
@@ -138,7 +139,11 @@
 	// The book comes last: what it tells goes to all of the above.
 	books := bookConfig
 	books.Self, books.Remember = self, n.settings.Remember
-	n.book.Store(book.Start(n.system, j, books, n.runner.Update, n.log.Logger))
+	n.book.Store(book.Start(n.system, j, books, book.Listeners{Runs: n.runner.Update, Crashed: func(r *batch.RequestCrashed) {
+		if r.Process != process {
+			n.relay.Suspect(r.Content, r.Lost)
+		}
+	}}, n.log.Logger))
 }
 
 // snapshot returns what the journal says of leases; nothing before the book runs.
@@ -179,8 +184,14 @@
 	return n.committer.Post(data, within)
 }
 
-func (n *Node) startRelay() {
+func (n *Node) startRelay(process string) {
 	cfg := relayConfig
+	cfg.Crashed = func(content uint64, lost int) {
+		r := &batch.RequestCrashed{Content: content, Lost: lost, Process: process}
+		if err := n.propose(r, crashNews); err != nil {
+			n.log.Warn("crashes under a request not told to other daemons", zap.Uint64("content", content), zap.Error(err))
+		}
+	}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyAt: relayBusyAt}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.client, n.View)
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -25,6 +25,7 @@
 	headerTimeout  = 10 * time.Second        // above what the platform allows its clients
 	idleTimeout    = 2 * time.Minute         // above what the platform allows its clients
 	linger         = 2500 * time.Millisecond // two readiness polls, one a second, and the delay of new connections
+	crashNews      = 3 * time.Second         // until a request that crashes upstreams is known everywhere
 	stopMargin     = 500 * time.Millisecond  // for the process's own end
 	feedWait       = time.Second             // with its time-out within the bound for a configuration
 	feedTimeout    = 600 * time.Millisecond  // a healthy store answers within some milliseconds
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -176,7 +176,17 @@
 	Micros   int64          `msgpack:"us"`
 }
 
+// RequestCrashed reports how many upstreams a process lost while a request ran
+// on them. Requests are the same when their content is; one that was answered
+// after all has lost none. It changes nothing in a State.
+type RequestCrashed struct {
+	Content uint64 `msgpack:"c"` // hash of the request's content
+	Lost    int    `msgpack:"n"` // 0: the request was answered
+	Process string `msgpack:"p"`
+}
+
 func (*JobAccepted) record()     {}
+func (*RequestCrashed) record()  {}
 func (*PaceMeasured) record()    {}
 func (*JobEnded) record()        {}
 func (*TextAdded) record()       {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -38,6 +38,7 @@
 	kindUpstreamGone
 	kindUpstreamChanged
 	kindPaceMeasured
+	kindRequestCrashed
 )
 
 func kindOf(r batch.Record) byte {
@@ -64,6 +65,8 @@
 		return kindUpstreamGone
 	case *batch.PaceMeasured:
 		return kindPaceMeasured
+	case *batch.RequestCrashed:
+		return kindRequestCrashed
 	default:
 		return kindUpstreamChanged
 	}
@@ -82,6 +85,7 @@
 	kindUpstreamGone:    decode[batch.UpstreamGone],
 	kindUpstreamChanged: decode[batch.UpstreamChanged],
 	kindPaceMeasured:    decode[batch.PaceMeasured],
+	kindRequestCrashed:  decode[batch.RequestCrashed],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/batchcodec/batchcodec_test.go
+++ b/lib/batch/batchcodec/batchcodec_test.go
@@ -22,6 +22,7 @@
 	&batch.UpstreamGone{Upstream: "u", Daemon: "d"},
 	&batch.UpstreamChanged{Upstream: "u", Daemon: "d", Condition: batch.ConditionSlow, Versions: map[api.ModelName]api.WeightVersion{"m": 2}},
 	&batch.PaceMeasured{Upstream: "u", Daemon: "d", Micros: 39000},
+	&batch.RequestCrashed{Content: 1 << 63, Lost: 3, Process: "d/1"},
 }
 
 func TestEveryRecordIsDecodedAsItWas(t *testing.T) {
--- a/server/book/book.go
+++ b/server/book/book.go
@@ -36,9 +36,14 @@
 	Now         func() time.Time
 }
 
-// Runs is told, on the folding duty, what this daemon is to run whenever that
-// may have changed, and the offset up to which records were applied.
-type Runs func(runs map[batch.Key]batch.Run, applied batch.Offset)
+// Listeners are told, on the folding duty, what the journal brings.
+type Listeners struct {
+	// Runs is told what this daemon is to run whenever that may have changed, and
+	// the offset up to which records were applied.
+	Runs func(runs map[batch.Key]batch.Run, applied batch.Offset)
+	// Crashed is told of the requests under which upstreams were lost.
+	Crashed func(*batch.RequestCrashed)
+}
 
 // Snapshot is what the fold says of daemons and upstreams. It is immutable.
 type Snapshot struct {
@@ -62,7 +67,7 @@
 // Book is the handle of the duties.
 type Book struct {
 	cfg      Config
-	runs     Runs
+	tell     Listeners
 	log      *zap.Logger
 	fold     *duty.Duty[any]
 	reader   *duty.Duty[struct{}]
@@ -87,8 +92,8 @@
 }
 
 // Start spawns the duties.
-func Start(sys *duty.System, j journal.Journal, cfg Config, runs Runs, log *zap.Logger) *Book {
-	b := &Book{cfg: cfg, runs: runs, log: log, state: batch.New(), seen: make(map[api.DaemonID]time.Time)}
+func Start(sys *duty.System, j journal.Journal, cfg Config, tell Listeners, log *zap.Logger) *Book {
+	b := &Book{cfg: cfg, tell: tell, log: log, state: batch.New(), seen: make(map[api.DaemonID]time.Time)}
 	b.snapshot.Store(&Snapshot{})
 	const tick = 100 * time.Millisecond // resolution of the waits of queries
 	b.fold = duty.Start(sys, duty.Config{Name: "book", RingSize: cfg.RingSize, Tick: tick}, duty.Handler[any](b))
@@ -136,8 +141,11 @@
 		if r == nil {
 			continue
 		}
-		if alive, ok := r.(*batch.DaemonAlive); ok {
-			b.seen[alive.Daemon] = b.cfg.Now()
+		switch r := r.(type) {
+		case *batch.DaemonAlive:
+			b.seen[r.Daemon] = b.cfg.Now()
+		case *batch.RequestCrashed:
+			b.tell.Crashed(r)
 		}
 		done := b.state.Apply(at, r)
 		b.changed = b.changed || done
@@ -172,7 +180,7 @@
 		s.Seen[id], s.Starts[id] = b.seen[id], d.Starts
 	}
 	b.snapshot.Store(s)
-	b.runs(b.state.Runs(b.cfg.Self), b.applied)
+	b.tell.Runs(b.state.Runs(b.cfg.Self), b.applied)
 }
 
 // describe logs a record that changed what the process believes.
@@ -192,6 +200,9 @@
 	case *batch.UpstreamChanged:
 		b.log.Info("upstream changed", zap.String("upstream", string(r.Upstream)), zap.Stringer("condition", r.Condition),
 			zap.Any("versions", r.Versions), offset, effect)
+	case *batch.RequestCrashed:
+		b.log.Info("upstreams lost under a request", zap.Uint64("content", r.Content), zap.Int("lost", r.Lost),
+			zap.String("process", r.Process), offset)
 	case *batch.DaemonLeft:
 		b.log.Info("daemon left", zap.String("daemon", string(r.Daemon)), offset, effect)
 	case *batch.ItemFailed:
--- a/server/book/book_test.go
+++ b/server/book/book_test.go
@@ -59,7 +59,10 @@
 	b := Start(duty.NewSystem(nil), j, Config{
 		Self: "d", RingSize: 64, Wait: 10 * time.Millisecond, Timeout: time.Second, Pace: time.Millisecond,
 		RetryEvery: time.Millisecond, Remember: time.Minute, ResultBytes: 1 << 20, Now: time.Now,
-	}, func(r map[batch.Key]batch.Run, _ batch.Offset) { runs(r) }, zap.NewNop())
+	}, Listeners{
+		Runs:    func(r map[batch.Key]batch.Run, _ batch.Offset) { runs(r) },
+		Crashed: func(*batch.RequestCrashed) {},
+	}, zap.NewNop())
 	t.Cleanup(func() { assert.NilError(t, b.Stop(context.Background())) })
 	return b
 }
--- a/server/relay/observed.go
+++ b/server/relay/observed.go
@@ -22,7 +22,7 @@
 	slowLeast    = 60 * time.Millisecond // averages below this are never slow
 	crashBan     = 5 * time.Second       // how long a request that crashes upstreams is refused
 	crashMemory  = 60 * time.Second      // how long a crash is remembered
-	crashLimit   = 3                     // upstreams that a request may crash
+	crashLimit   = 3                     // crashes of upstreams under a request
 )
 
 func (o *observed) succeeded(took time.Duration) {
@@ -68,35 +68,44 @@
 	return out
 }
 
-// crashes counts upstreams that went away while a request ran on them, by the
-// request's content, as its clients send it again under other ids.
+// crashes counts how often upstreams went away while a request ran on them, by
+// the request's content, as its clients send it again under other ids.
 type crashes struct{ seen map[uint64]*crashed }
 
 type crashed struct {
-	upstreams map[api.UpstreamID]bool
-	last      time.Time
+	count int
+	last  time.Time
 }
 
 func newCrashes() *crashes { return &crashes{seen: make(map[uint64]*crashed)} }
 
-func (c *crashes) suspect(print uint64, u api.UpstreamID, now time.Time) {
-	e, ok := c.seen[print]
+// count adds crashes under a request, or forgets them when it was answered: then
+// others were their cause.
+func (c *crashes) count(content uint64, lost int, now time.Time) {
+	if lost == 0 {
+		delete(c.seen, content)
+		return
+	}
+	e, ok := c.seen[content]
 	if !ok {
-		e = &crashed{upstreams: make(map[api.UpstreamID]bool)}
-		c.seen[print] = e
+		e = &crashed{}
+		c.seen[content] = e
 	}
-	e.upstreams[u], e.last = true, now
+	e.count += lost
+	e.last = now
 }
 
-func (c *crashes) banned(print uint64, now time.Time) bool {
-	e, ok := c.seen[print]
-	return ok && len(e.upstreams) >= crashLimit && now.Sub(e.last) < crashMemory
+func (c *crashes) suspected(content uint64) bool { return c.seen[content] != nil }
+
+func (c *crashes) banned(content uint64, now time.Time) bool {
+	e, ok := c.seen[content]
+	return ok && e.count >= crashLimit && now.Sub(e.last) < crashMemory
 }
 
 func (c *crashes) forget(now time.Time) {
-	for print, e := range c.seen {
+	for content, e := range c.seen {
 		if now.Sub(e.last) > crashMemory {
-			delete(c.seen, print)
+			delete(c.seen, content)
 		}
 	}
 }
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -26,7 +26,10 @@
 	Rest, MaxRest time.Duration
 	// RetryAfter is told to clients whose request was not run.
 	RetryAfter time.Duration
-	Now        func() time.Time
+	// Crashed tells the other daemons how many upstreams were lost while a
+	// request with this content ran on them; none, if it was answered after all.
+	Crashed func(content uint64, lost int)
+	Now     func() time.Time
 }
 
 // Relay is the handle of the duties.
@@ -48,9 +51,10 @@
 	tried      map[api.UpstreamID]bool
 	sent       int
 	mayHaveRun bool // an attempt may have run
+	lost       int  // upstreams whose connection broke under it
 	failure    *opaque.Answer
 	last       error
-	print      uint64
+	content    uint64 // hash of what the client sends again under other ids
 	// flow takes a stream's pieces; nil for requests with a whole answer.
 	flow *flow
 }
@@ -95,7 +99,7 @@
 }
 
 func newJob(ctx context.Context, q *opaque.Request) *job {
-	return &job{request: q, ctx: ctx, reply: ring.NewSlot[reply](), tried: make(map[api.UpstreamID]bool), print: fingerprint(q)}
+	return &job{request: q, ctx: ctx, reply: ring.NewSlot[reply](), tried: make(map[api.UpstreamID]bool), content: fingerprint(q)}
 }
 
 // submit hands a job to the duty. Errors: *opaque.RefusedError.
@@ -115,7 +119,20 @@
 	return end.Answer, end.Upstream, end.Err
 }
 
-// Handle takes a new job or an attempt's end.
+// Suspect counts the upstreams that another daemon lost under a request.
+func (r *Relay) Suspect(content uint64, lost int) {
+	if err := r.duty.Post(elsewhere{content, lost}); err != nil {
+		r.log.Warn("crashes that another daemon saw are not counted", zap.Uint64("content", content), zap.Error(err))
+	}
+}
+
+// elsewhere says how many upstreams another daemon lost under a request.
+type elsewhere struct {
+	content uint64
+	lost    int
+}
+
+// Handle takes a new job, an attempt's end or what another daemon saw.
 func (r *Relay) Handle(_ context.Context, m any) {
 	switch m := m.(type) {
 	case *job:
@@ -123,6 +140,8 @@
 	case *attempt:
 		r.carriers.Give(m.carrier)
 		r.ended(m)
+	case elsewhere:
+		r.crashes.count(m.content, m.lost, r.cfg.Now())
 	}
 }
 
@@ -148,7 +167,7 @@
 		r.finish(j, reply{Answer: j.failure, Err: j.giveUp("all attempts failed", false, r.cfg.RetryAfter)})
 		return
 	}
-	if r.crashes.banned(j.print, now) {
+	if r.crashes.banned(j.content, now) {
 		r.finish(j, reply{Err: j.giveUp("the request crashed several upstreams", false, crashBan)})
 		return
 	}
@@ -235,7 +254,8 @@
 		o.failed(now, r.cfg.Rest, r.cfg.MaxRest)
 	}
 	if e.Broken && !errors.Is(e, context.DeadlineExceeded) && a.job.ctx.Err() == nil {
-		r.crashes.suspect(a.job.print, a.upstream.ID, now)
+		a.job.lost++
+		r.crashes.count(a.job.content, 1, now)
 	}
 }
 
@@ -260,9 +280,23 @@
 	if end.Answer != nil {
 		end.Err = nil
 	}
+	r.tellCrashes(j, end)
 	j.reply.Put(end)
 }
 
+// tellCrashes tells the other daemons once a request what it says of upstreams
+// that were lost.
+func (r *Relay) tellCrashes(j *job, end reply) {
+	answered := end.Answer != nil
+	switch {
+	case answered && r.crashes.suspected(j.content):
+		r.crashes.count(j.content, 0, r.cfg.Now())
+		r.cfg.Crashed(j.content, 0)
+	case !answered && j.lost > 0:
+		r.cfg.Crashed(j.content, j.lost)
+	}
+}
+
 // Stop ends the duties. Errors: ctx.Err().
 func (r *Relay) Stop(ctx context.Context) error { return duty.StopPool(ctx, r.duty, r.carriers) }
 
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -51,7 +51,7 @@
 	view := directory.Empty().Apply(changes)
 	r := Start(duty.NewSystem(nil), Config{
 		Chooser: opaque.Chooser{Daemon: "d", BusyAt: 2}, Patience: opaque.Patience{Least: 50 * time.Millisecond, Targets: 1},
-		Carriers: 4, RingSize: 16, Rest: 100 * time.Millisecond, MaxRest: time.Second, RetryAfter: 100 * time.Millisecond, Now: time.Now,
+		Carriers: 4, RingSize: 16, Rest: 100 * time.Millisecond, MaxRest: time.Second, RetryAfter: 100 * time.Millisecond, Crashed: func(uint64, int) {}, Now: time.Now,
 	}, zap.NewNop(), s, func() *directory.View { return view })
 	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
 	return r
@@ -179,3 +179,37 @@
 	assert.Assert(t, errors.As(err, &refused), "%v", err)
 	assert.Equal(t, len(s.tried()), 3)
 }
+
+// A caller that was refused comes back at any daemon, so that each must count
+// what the others saw.
+func TestCrashesThatOtherDaemonsSawCount(t *testing.T) {
+	s := &script{play: func(int, context.Context, *directory.Upstream) (*opaque.Answer, error) {
+		return &opaque.Answer{Status: 200}, nil
+	}}
+	r, q := start(t, s, three...), request(routes.KindIdempotent)
+	r.Suspect(fingerprint(q), crashLimit-1)
+	_, _, err := r.Pass(t.Context(), q) // answered: others were the cause
+	assert.NilError(t, err)
+	r.Suspect(fingerprint(q), 1)
+	_, _, err = r.Pass(t.Context(), q)
+	assert.NilError(t, err)
+	r.Suspect(fingerprint(q), crashLimit-1)
+	r.Suspect(fingerprint(q), 1)
+	_, _, err = r.Pass(t.Context(), q)
+	var refused *opaque.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	assert.Equal(t, len(s.tried()), 2)
+}
+
+// An upstream that crashed is back under its id after some seconds, so that
+// counting different upstreams would let a request crash it for ever.
+func TestCrashesOfOneUpstreamCountEachTime(t *testing.T) {
+	s := &script{play: func(int, context.Context, *directory.Upstream) (*opaque.Answer, error) {
+		return nil, failure(opaque.FateUnknown)
+	}}
+	r := start(t, s, directory.Upstream{ID: "a"})
+	for range 2 * crashLimit {
+		_, _, _ = r.Pass(t.Context(), request(routes.KindIdempotent)) // fails or is refused
+	}
+	assert.Assert(t, len(s.tried()) <= crashLimit, "%d attempts", len(s.tried()))
+}
