--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CONTROL ?= --daemons 4,8,16,32 --repeats 2
 EXPERIMENT ?= slowdowns
 
-.PHONY: all build test lint fmt tidy generate demo random soak bench control clean
+.PHONY: all build test lint fmt tidy generate demo random soak hostedsoak bench control clean
 
 all: build
 
@@ -36,6 +36,9 @@
 soak: build ## runs a whole deployment under faults: make soak SEED=n DURATION=d
 	$(BIN)/soak --bin $(BIN) --out out/soak-$(SEED) --seed $(SEED) --duration $(DURATION)
 
+hostedsoak: build ## runs hosted daemons on a stand-in of the platform under faults: make hostedsoak SEED=n DURATION=d
+	$(BIN)/hostedsoak --bin $(BIN) --out out/hostedsoak-$(SEED) --seed $(SEED) --duration $(DURATION)
+
 control: build ## measures what control costs a daemon: CONTROL=flags
 	$(BIN)/control --bin $(BIN) --out out/control $(CONTROL)
 
--- /dev/null
+++ b/bench/hostedsoak/result.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/supervise"
+)
+
+// Result is the soak's last line.
+type Result struct {
+	Seed              uint64         `json:"seed"`
+	Seconds           float64        `json:"seconds"` // of load
+	Faults            map[kind]int   `json:"faults"`
+	FaultsMissing     []kind         `json:"faults_missing,omitempty"`
+	Requests          map[string]int `json:"requests"` // by path and status; 0: no whole answer
+	Steps             int            `json:"steps"`
+	StepsStuck        int            `json:"steps_stuck"`
+	Results           int            `json:"results"`
+	ResultsWrong      int            `json:"results_wrong"`   // text, versions or state
+	ResultsChanged    int            `json:"results_changed"` // positions that moved, or jobs that were lost
+	JobsDenied        int            `json:"jobs_denied"`     // accepted and then unknown to a daemon
+	AnswersWrong      int            `json:"answers_wrong"`   // foreign or partial
+	RepeatedOnce      int            `json:"repeated_once"`   // requests that may run once and ran more often
+	FalseNotRun       int            `json:"false_not_run"`   // promised not to run, and ran
+	Denied            int            `json:"denied"`          // proper requests refused for good
+	NewWorkAfterDrain int            `json:"new_work_after_drain"`
+	DrainsJudged      int            `json:"drains_judged"`
+	CutByStop         int            `json:"cut_by_stop"`
+	StopsJudged       int            `json:"in_progress_at_stops"`
+	KillerRetries     int            `json:"killer_retries"` // the most of one request, after its third crash was known
+	KillersJudged     int            `json:"killers_judged"` // killers that crashed three servers
+	TwoHolders        int            `json:"two_holders"`    // fencing tokens used by two daemons at one server
+	ConfigReverts     int            `json:"config_reverts"`
+	ConfigLate        int            `json:"config_late"`
+	Probes            int            `json:"probes"`
+	UnexpectedExits   int            `json:"unexpected_exits"` // also of a broken invariant
+	Recovered         bool           `json:"recovered"`        // in the end every daemon serves each kind of request
+	Errors            []string       `json:"errors,omitempty"`
+
+	mu    sync.Mutex
+	quiet bool // keeps notes to itself
+}
+
+func newResult(seed uint64) *Result {
+	return &Result{Seed: seed, Faults: make(map[kind]int), Requests: make(map[string]int)}
+}
+
+// maxErrors bounds the errors on the last line; the rest go to stderr only.
+const maxErrors = 12
+
+// note keeps an error for the last line.
+func (r *Result) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noteLocked(format, args...)
+}
+
+func (r *Result) noteLocked(format string, args ...any) {
+	if r.quiet {
+		return
+	}
+	text := fmt.Sprintf(format, args...)
+	fmt.Fprintf(os.Stderr, "hostedsoak: %s %s\n", time.Now().Format("15:04:05.000"), text)
+	if len(r.Errors) < maxErrors {
+		r.Errors = append(r.Errors, text)
+	}
+}
+
+// count adds one to a counter of r and notes why.
+func (r *Result) count(counter *int, format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*counter++
+	r.noteLocked(format, args...)
+}
+
+// stuck notes a step that did not end in time.
+func (r *Result) stuck(s *step) {
+	r.count(&r.StepsStuck, "%s did not end: accepted %s, %d results of %d", s.job.ID, s.accepted.Format("15:04:05.000"), len(s.listed), len(s.job.Items))
+}
+
+// unread notes a read that got no results; a daemon may not deny a job that
+// was accepted some time ago.
+func (r *Result) unread(s *step, daemon, status int) {
+	if status == http.StatusNotFound && !s.accepted.IsZero() && time.Since(s.accepted) > settle {
+		r.count(&r.JobsDenied, "%s does not know %s, accepted at %s", daemonName(daemon), s.job.ID, s.accepted.Format("15:04:05.000"))
+	}
+}
+
+// judgeExits counts ends of daemons that no fault brought about.
+func (r *Result) judgeExits(exits []supervise.Exit) {
+	for _, x := range exits {
+		if !x.Expected {
+			r.count(&r.UnexpectedExits, "%s ended with status %d", x.Name, x.Code)
+		}
+	}
+}
+
+const killerRetries = 3 // attempts after the third crash that the platform's rules allow
+
+func (r *Result) check() error {
+	var j fleet.Judge
+	j.Check(len(r.FaultsMissing) == 0, "faults_missing")
+	j.Check(r.Steps > 0 && r.Results > 0, "results")
+	j.Check(r.StepsStuck == 0, "steps_stuck")
+	j.Check(r.ResultsWrong == 0, "results_wrong")
+	j.Check(r.ResultsChanged == 0, "results_changed")
+	j.Check(r.JobsDenied == 0, "jobs_denied")
+	j.Check(r.AnswersWrong == 0, "answers_wrong")
+	j.Check(r.RepeatedOnce == 0, "repeated_once")
+	j.Check(r.FalseNotRun == 0, "false_not_run")
+	j.Check(r.Denied == 0, "denied")
+	j.Check(r.NewWorkAfterDrain == 0, "new_work_after_drain")
+	j.Check(r.DrainsJudged > 0, "drains_judged")
+	j.Check(r.CutByStop == 0, "cut_by_stop")
+	j.Check(r.StopsJudged > 0, "in_progress_at_stops")
+	j.Check(r.KillerRetries <= killerRetries, "killer_retries")
+	j.Check(r.KillersJudged > 0, "killers_judged")
+	j.Check(r.TwoHolders == 0, "two_holders")
+	j.Check(r.ConfigReverts == 0, "config_reverts")
+	j.Check(r.ConfigLate == 0, "config_late")
+	j.Check(r.Probes > 0, "probes")
+	j.Check(r.UnexpectedExits == 0, "unexpected_exits")
+	j.Check(r.Recovered, "recovered")
+	j.Check(len(r.Errors) == 0, "errors")
+	return j.Err()
+}
--- /dev/null
+++ b/bench/hostedsoak/trainers.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/standin/platform"
+)
+
+const (
+	stepGroups   = 6
+	groupItems   = 2
+	targetGroups = 5
+	submitLimit  = 3 * time.Second
+	readWait     = 500 * time.Millisecond
+	stepLimit    = 40 * time.Second // far over what any fault takes away
+	settle       = time.Second      // until an accepted job or a position read is known to every daemon
+)
+
+// step is a job of a trainer with all that it was told of it.
+type step struct {
+	job      platform.Job
+	accepted time.Time // zero: never
+	ended    bool
+	listed   []platform.Result
+	refused  bool // every attempt was promised not to run
+}
+
+// trainer asks for one step after the other and names the next version after each.
+type trainer struct {
+	d     *deployment
+	model string
+	rng   *rand.Rand
+	r     *Result
+
+	mu    sync.Mutex
+	steps []*step
+}
+
+// run trains until ctx ends; the last step is read to its end.
+func (t *trainer) run(ctx context.Context) {
+	version := 1
+	for n := 0; ctx.Err() == nil; n++ {
+		s := &step{job: platform.Job{
+			ID: fmt.Sprintf("%s-%d", t.model, n), Step: n, Model: t.model, MinVersion: max(1, version-1), TargetGroups: targetGroups,
+		}}
+		for i := range stepGroups * groupItems {
+			id := fmt.Sprintf("%s-%d", s.job.ID, i)
+			s.job.Items = append(s.job.Items, platform.NewItem(id, batchPath+"x", t.model, fmt.Sprintf("%s-g%d", s.job.ID, i/groupItems)))
+		}
+		t.mu.Lock()
+		t.steps = append(t.steps, s)
+		t.mu.Unlock()
+		if !t.submit(s) || !t.await(s) {
+			t.r.stuck(s)
+			continue
+		}
+		t.end(s)
+		version++
+		t.d.store.NameVersion(t.model, version)
+	}
+}
+
+func (t *trainer) daemon() int { return t.rng.IntN(daemonCount) }
+
+// submit hands the job in until it is accepted.
+func (t *trainer) submit(s *step) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), stepLimit)
+	defer cancel()
+	s.refused = true
+	for ctx.Err() == nil {
+		a := t.d.client.Submit(ctx, t.d.callers[t.daemon()], batchPath, submitLimit, s.job)
+		s.refused = s.refused && a.Err == nil && a.NotRun()
+		if a.Err == nil && a.Status == http.StatusAccepted {
+			s.accepted = time.Now()
+			return true
+		}
+		duty.Pause(ctx, readWait)
+	}
+	return false
+}
+
+// await reads results until enough groups are whole.
+func (t *trainer) await(s *step) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), stepLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		if _, ok := t.read(ctx, s, len(s.listed)); ok && s.wholeGroups() >= targetGroups {
+			return true
+		}
+		if t.rng.IntN(8) == 0 {
+			t.read(ctx, s, 0) // positions never change
+		}
+		duty.Pause(ctx, pollEvery)
+	}
+	return false
+}
+
+// read reads results from a position on at any daemon and compares what is
+// known. It returns the number of results there.
+func (t *trainer) read(ctx context.Context, s *step, after int) (int, bool) {
+	daemon := t.daemon()
+	known := len(s.listed)
+	got, a := t.d.client.Results(ctx, t.d.callers[daemon], s.job.ID, after, readWait, callLimit)
+	if a.Err != nil || a.Status != http.StatusOK {
+		t.r.unread(s, daemon, a.Status)
+		return 0, false
+	}
+	if got.Total != len(s.job.Items) || got.Next != after+len(got.Results) {
+		t.r.count(&t.r.ResultsChanged, "%s at %s: total %d, next %d after %d with %d results", s.job.ID, daemonName(daemon), got.Total, got.Next, after, len(got.Results))
+	}
+	for i, result := range got.Results {
+		at := after + i
+		if at < known && !same(result, s.listed[at]) {
+			t.r.count(&t.r.ResultsChanged, "%s at %s: position %d was %s and is %s", s.job.ID, daemonName(daemon), at, s.listed[at].ID, result.ID)
+		}
+		if at == len(s.listed) {
+			s.listed = append(s.listed, result)
+		}
+	}
+	return len(got.Results), true
+}
+
+func same(a, b platform.Result) bool {
+	return a.ID == b.ID && a.State == b.State && a.Text == b.Text && slices.Equal(a.Versions, b.Versions)
+}
+
+func (s *step) wholeGroups() int {
+	left := make(map[string]int)
+	for _, item := range s.job.Items {
+		left[item.Group]++
+	}
+	whole := 0
+	for _, r := range s.listed {
+		for _, item := range s.job.Items {
+			if item.ID != r.ID {
+				continue
+			}
+			if left[item.Group]--; left[item.Group] == 0 {
+				whole++
+			}
+		}
+	}
+	return whole
+}
+
+func (t *trainer) end(s *step) {
+	ctx, cancel := context.WithTimeout(context.Background(), stepLimit)
+	defer cancel()
+	for ctx.Err() == nil {
+		a := t.d.client.End(ctx, t.d.callers[t.daemon()], s.job.ID, callLimit)
+		if a.Err == nil && a.Status == http.StatusOK {
+			s.ended = true
+			return
+		}
+		duty.Pause(ctx, pollEvery)
+	}
+	t.r.note("%s could not be ended", s.job.ID)
+}
+
+// readAgain reads every accepted job of the trainer once more at some daemon.
+func (t *trainer) readAgain(ctx context.Context) {
+	for _, s := range t.steps {
+		if s.accepted.IsZero() {
+			continue
+		}
+		known := len(s.listed)
+		if n, ok := t.read(ctx, s, 0); !ok || n < known {
+			t.r.count(&t.r.ResultsChanged, "%s can't be read at the end", s.job.ID)
+		}
+	}
+}
--- a/bench/soak/network.go
+++ b/bench/links/links.go
@@ -1,4 +1,5 @@
-package main
+// Package links puts a fault-injecting proxy between two ends on loopback.
+package links
 
 import (
 	"context"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/duty"
 )
 
 // silenceOld drops all that comes on connections that were open when it was
@@ -50,38 +52,43 @@
 	}
 }
 
+// Silence says which connections carry nothing any more.
+type Silence string
+
+// The kinds of silence.
 const (
-	toxicTimeout    = "timeout"
-	toxicSilenceOld = "silence_old"
+	SilentAll Silence = "timeout"
+	SilentOld Silence = "silence_old" // connections made before; new ones work
 )
 
-func init() { toxics.Register(toxicSilenceOld, new(silenceOld)) }
+func init() { toxics.Register(string(SilentOld), new(silenceOld)) }
 
-// link is a proxied way between two ends.
-type link struct {
-	name  string
+// Link is a proxied way between two ends.
+type Link struct {
+	Name  string
 	mu    sync.Mutex // held by one fault at a time
 	proxy *toxiproxy.Proxy
 	added int
 }
 
-// network holds the links, in the order in which they were made.
-type network struct {
+// Network holds the links, in the order in which they were made.
+type Network struct {
+	Links  []*Link
+	ByName map[string]*Link
 	server *toxiproxy.ApiServer
-	links  []*link
-	byName map[string]*link
 }
 
-func newNetwork() *network {
-	return &network{
+// New returns a network without links.
+func New() *Network {
+	return &Network{
 		server: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
-		byName: make(map[string]*link),
+		ByName: make(map[string]*Link),
 	}
 }
 
-// open makes a link to an address (ip:port) and returns the address to use
+// Open makes a link to an address (ip:port) and returns the address to use
 // instead. Errors: a port that can't be listened on.
-func (n *network) open(name, to string) (string, error) {
+func (n *Network) Open(name, to string) (string, error) {
 	from, err := proc.FreeAddresses(1)
 	if err != nil {
 		return "", err
@@ -90,14 +97,15 @@
 	if err := startProxy(p); err != nil {
 		return "", err
 	}
-	l := &link{name: name, proxy: p}
-	n.links = append(n.links, l)
-	n.byName[name] = l
+	l := &Link{Name: name, proxy: p}
+	n.Links = append(n.Links, l)
+	n.ByName[name] = l
 	return p.Listen, nil
 }
 
-func (n *network) close() {
-	for _, l := range n.links {
+// Close ends all links.
+func (n *Network) Close() {
+	for _, l := range n.Links {
 		l.proxy.Stop()
 	}
 }
@@ -107,19 +115,19 @@
 	closeDelay     = 200 * time.Millisecond // until the end of a process was noticed
 )
 
-// leadToProcess makes ends of connections reach the callers only after follow
+// LeadToProcess makes ends of connections reach the callers only after follow
 // had the time to make the link refuse new ones, as a host without the process does.
-func (l *link) leadToProcess() error {
+func (l *Link) LeadToProcess() error {
 	body := fmt.Sprintf(`{"name":%q,"type":%q,"stream":"downstream","attributes":{"delay":%d}}`,
 		toxicSlowClose, toxicSlowClose, closeDelay.Milliseconds())
 	if _, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(body)); err != nil {
-		return fmt.Errorf("toxic on %s: %w", l.name, err)
+		return fmt.Errorf("toxic on %s: %w", l.Name, err)
 	}
 	return nil
 }
 
-// down refuses connections until up is called, unless another fault has the link.
-func (l *link) down() (up func()) {
+// Down refuses connections until up is called, unless another fault has the link.
+func (l *Link) Down() (up func()) {
 	if !l.mu.TryLock() {
 		return func() {}
 	}
@@ -127,16 +135,16 @@
 	return func() {
 		defer l.mu.Unlock()
 		if err := l.restore(); err != nil {
-			fmt.Fprintln(os.Stderr, "soak:", err)
+			fmt.Fprintln(os.Stderr, "links:", err)
 		}
 	}
 }
 
 // cut closes all connections and refuses new ones until restored.
-func (l *link) cut() { l.proxy.Stop() }
+func (l *Link) cut() { l.proxy.Stop() }
 
 // restore ends a cut. Errors: the port was taken meanwhile.
-func (l *link) restore() error { return startProxy(l.proxy) }
+func (l *Link) restore() error { return startProxy(l.proxy) }
 
 const (
 	listenTries = 50
@@ -151,13 +159,13 @@
 		if err = p.Start(); err == nil {
 			return nil
 		}
-		wait(context.Background(), listenEvery)
+		duty.Pause(context.Background(), listenEvery)
 	}
 	return fmt.Errorf("link %s: %w", p.Name, err)
 }
 
 // silence adds a toxic in both directions and returns what removes it.
-func (l *link) silence(kind string) (func(), error) {
+func (l *Link) silence(kind Silence) (func(), error) {
 	l.added++
 	var names []string
 	remove := func() {
@@ -168,13 +176,13 @@
 	}
 	for _, direction := range []string{"upstream", "downstream"} {
 		name := fmt.Sprintf("%s-%d-%s", kind, l.added, direction)
-		body, err := json.Marshal(map[string]any{"name": name, "type": kind, "stream": direction})
+		body, err := json.Marshal(map[string]any{"name": name, "type": string(kind), "stream": direction})
 		if err != nil {
 			return remove, fmt.Errorf("toxic: %w", err)
 		}
 		added, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(string(body)))
 		if err != nil {
-			return remove, fmt.Errorf("toxic on %s: %w", l.name, err)
+			return remove, fmt.Errorf("toxic on %s: %w", l.Name, err)
 		}
 		names = append(names, name)
 		if old, ok := added.Toxic.(*silenceOld); ok {
@@ -185,3 +193,35 @@
 	}
 	return remove, nil
 }
+
+// Cut closes all connections of links and refuses new ones for a while. It
+// reports whether all work again.
+func Cut(ctx context.Context, lasts time.Duration, links ...*Link) bool {
+	for _, l := range links {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.cut()
+	}
+	duty.Pause(ctx, lasts)
+	ok := true
+	for _, l := range links {
+		ok = l.restore() == nil && ok
+	}
+	return ok
+}
+
+// Silence keeps connections open for a while without passing anything on. It
+// reports whether that could be done.
+func (l *Link) Silence(ctx context.Context, kind Silence, lasts time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	remove, err := l.silence(kind)
+	if kind == SilentAll {
+		defer remove() // otherwise the old connections stay silent for good
+	}
+	if err != nil {
+		return false
+	}
+	duty.Pause(ctx, lasts)
+	return true
+}
--- a/bench/proc/listen.go
+++ b/bench/proc/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,23 @@
 // listenPrefix begins the line by which a program says where it serves.
 const listenPrefix = "listening "
 
+// announcement is the structured line by which a program says where it serves.
+type announcement struct {
+	Listening string `json:"listening"` // ip:port
+}
+
+// listening returns the address that a line names, or the empty string.
+func listening(line string) string {
+	if address, ok := strings.CutPrefix(line, listenPrefix); ok {
+		return strings.TrimSpace(address)
+	}
+	var a announcement
+	if strings.HasPrefix(line, "{") && json.Unmarshal([]byte(line), &a) == nil {
+		return a.Listening
+	}
+	return ""
+}
+
 // listenWriter copies a program's output and finds the address it listens on.
 type listenWriter struct {
 	to      io.Writer
@@ -43,9 +61,9 @@
 			w.line.WriteString(line) // an unfinished line waits for its rest
 			return
 		}
-		if address, ok := strings.CutPrefix(line, listenPrefix); ok {
+		if address := listening(line); address != "" {
 			w.found = true
-			w.address <- strings.TrimSpace(address)
+			w.address <- address
 		}
 	}
 }
--- a/bench/soak/coverage.go
+++ b/bench/soak/coverage.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/bench/supervise"
+	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/standin/journal"
 )
 
@@ -29,13 +31,13 @@
 // Errors: those of journal.Read.
 func readEvidence(d *deployment) (*evidence, error) {
 	e := newEvidence()
-	for _, group := range [][]*supervised{d.engines, d.plains} {
+	for _, group := range [][]*supervise.Process{d.engines, d.plains} {
 		for _, p := range group {
-			lines, err := journal.Read(p.journal())
+			lines, err := journal.Read(journalOf(p))
 			if err != nil {
 				return nil, err
 			}
-			e.add(api.UpstreamID(p.name), lines)
+			e.add(api.UpstreamID(p.Name), lines)
 		}
 	}
 	return e, nil
@@ -94,7 +96,7 @@
 			f := fault{Kind: k, Target: int(rng.Int32()), Lasts: spans[k].most}
 			j.play(ctx, time.Now(), []fault{f})
 		}
-		if !wait(ctx, againEvery) {
+		if !duty.Pause(ctx, againEvery) {
 			return
 		}
 	}
@@ -107,7 +109,7 @@
 	faults := first
 	for range calmRounds {
 		j.play(ctx, time.Now(), faults)
-		if !wait(ctx, calmSpacing) {
+		if !duty.Pause(ctx, calmSpacing) {
 			return
 		}
 		e, err := readEvidence(j.d)
--- a/bench/soak/deployment.go
+++ b/bench/soak/deployment.go
@@ -9,7 +9,9 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/links"
 	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/bench/supervise"
 	"dotterelmount.example/lib/duty"
 )
 
@@ -43,13 +45,13 @@
 type deployment struct {
 	runner  *proc.Runner
 	system  *duty.System
-	net     *network
+	net     *links.Network
 	log     *proc.Process
 	store   *proc.Process
 	hosts   *proc.Process
-	engines []*supervised
-	plains  []*supervised
-	daemons []*supervised
+	engines []*supervise.Process
+	plains  []*supervise.Process
+	daemons []*supervise.Process
 	callers []string // addresses by which callers reach the daemons, through links
 	usage   api.UsageList
 }
@@ -66,7 +68,7 @@
 func fenced(i int) bool { return i%2 == 0 }
 
 func startDeployment(ctx context.Context, r *proc.Runner) (*deployment, error) {
-	d := &deployment{runner: r, system: duty.NewSystem(nil), net: newNetwork()}
+	d := &deployment{runner: r, system: duty.NewSystem(nil), net: links.New()}
 	for _, step := range []func(context.Context) error{d.startPlatform, d.startUpstreams, d.startDaemons, d.awaitDaemons} {
 		if err := step(ctx); err != nil {
 			return d, err
@@ -99,7 +101,7 @@
 		if err != nil {
 			return err
 		}
-		d.engines = append(d.engines, supervise(d.system, s))
+		d.engines = append(d.engines, supervise.Start(d.system, s))
 		d.usage.Upstreams = append(d.usage.Upstreams, api.Upstream{
 			ID: engineID(i), Kind: api.KindEngine, Address: link, DataCentre: centre(i),
 			Models: []api.ModelName{model}, Window: engineWindow, Fenced: fenced(i),
@@ -111,7 +113,7 @@
 		if err != nil {
 			return err
 		}
-		d.plains = append(d.plains, supervise(d.system, s))
+		d.plains = append(d.plains, supervise.Start(d.system, s))
 		d.usage.Upstreams = append(d.usage.Upstreams, api.Upstream{
 			ID: plainID(i), Kind: api.KindPlain, Address: link, DataCentre: centre(i),
 			Models: []api.ModelName{plainService}, Window: plainWindow,
@@ -125,35 +127,40 @@
 }
 
 // openProcessLink makes the link that refuses connections while s does not run.
-func (d *deployment) openProcessLink(s *supervised) (string, error) {
-	address, err := d.net.open(s.name, s.address)
+func (d *deployment) openProcessLink(s *supervise.Process) (string, error) {
+	address, err := d.net.Open(s.Name, s.Address)
 	if err != nil {
 		return "", err
 	}
-	s.link = d.net.byName[s.name]
-	return address, s.link.leadToProcess()
+	s.Link = d.net.ByName[s.Name]
+	return address, s.Link.LeadToProcess()
 }
 
-func (d *deployment) engine(i int, address string) *supervised {
-	s := &supervised{runner: d.runner, name: string(engineID(i)), program: "engine", address: address}
-	s.args = []string{
+func (d *deployment) engine(i int, address string) *supervise.Process {
+	s := &supervise.Process{Runner: d.runner, Name: string(engineID(i)), Program: "engine", Address: address}
+	s.Args = []string{
 		"--listen", address, "--model", string(model) + ":1", "--slots", fmt.Sprint(engineSlots),
 		"--token-time", tokenTime.String(), "--load-time", loadTime.String(),
-		"--weight-store", "http://" + d.store.Address, "--journal", s.journal(),
+		"--weight-store", "http://" + d.store.Address, "--journal", journalOf(s),
 	}
 	if fenced(i) {
-		s.args = append(s.args, "--fenced")
+		s.Args = append(s.Args, "--fenced")
 	}
-	s.started = func(ctx context.Context) {
+	s.Started = func(ctx context.Context) {
 		// A failure shows as a killer request that kills nothing.
 		_ = fleet.PostJSON(ctx, address, "/control", map[string]any{"crash_on": killerText})
 	}
 	return s
 }
 
-func (d *deployment) plain(i int, address string) *supervised {
-	s := &supervised{runner: d.runner, name: string(plainID(i)), program: "plain", address: address}
-	s.args = []string{"--listen", address, "--service-time", serviceTime.String(), "--journal", s.journal()}
+// journalOf returns the file of a stand-in's journal.
+func journalOf(s *supervise.Process) string {
+	return filepath.Join(s.Runner.OutDir(), s.Name+".journal")
+}
+
+func (d *deployment) plain(i int, address string) *supervise.Process {
+	s := &supervise.Process{Runner: d.runner, Name: string(plainID(i)), Program: "plain", Address: address}
+	s.Args = []string{"--listen", address, "--service-time", serviceTime.String(), "--journal", journalOf(s)}
 	return s
 }
 
@@ -189,11 +196,11 @@
 		return err
 	}
 	for i := range daemonCount {
-		log, err := d.net.open(logLink(i), d.log.Address)
+		log, err := d.net.Open(logLink(i), d.log.Address)
 		if err != nil {
 			return err
 		}
-		caller, err := d.net.open(callerLink(i), callers[i])
+		caller, err := d.net.Open(callerLink(i), callers[i])
 		if err != nil {
 			return err
 		}
@@ -204,9 +211,9 @@
 			return fmt.Errorf("settings of %s: %w", daemonName(i), err)
 		}
 		d.callers = append(d.callers, caller)
-		d.daemons = append(d.daemons, supervise(d.system, &supervised{
-			runner: d.runner, name: daemonName(i), program: "dotterelmountd",
-			args: []string{"--settings", file}, address: callers[i],
+		d.daemons = append(d.daemons, supervise.Start(d.system, &supervise.Process{
+			Runner: d.runner, Name: daemonName(i), Program: "dotterelmountd",
+			Args: []string{"--settings", file}, Address: callers[i],
 		}))
 	}
 	return nil
@@ -216,7 +223,7 @@
 func (d *deployment) openPeerLinks(listens []string) ([]string, error) {
 	var peers []string
 	for i, address := range listens {
-		peer, err := d.net.open(peerLink(i), address)
+		peer, err := d.net.Open(peerLink(i), address)
 		if err != nil {
 			return nil, err
 		}
@@ -230,9 +237,9 @@
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
 	defer cancel()
 	for _, s := range d.daemons {
-		for !fleet.Ready(ctx, s.address) {
-			if !wait(ctx, pollEvery) {
-				return api.Errorf(api.CodeNotReady, "%s is not ready: %w", s.name, ctx.Err())
+		for !fleet.Ready(ctx, s.Address) {
+			if !duty.Pause(ctx, pollEvery) {
+				return api.Errorf(api.CodeNotReady, "%s is not ready: %w", s.Name, ctx.Err())
 			}
 		}
 	}
@@ -247,16 +254,16 @@
 }
 
 // close ends every process, each by its own signal, and the links.
-func (d *deployment) close(ctx context.Context) (exits []exit, first error) {
-	for _, group := range [][]*supervised{d.daemons, d.plains, d.engines} {
+func (d *deployment) close(ctx context.Context) (exits []supervise.Exit, first error) {
+	for _, group := range [][]*supervise.Process{d.daemons, d.plains, d.engines} {
 		for _, s := range group {
-			e, err := s.close(ctx)
+			e, err := s.Close(ctx)
 			exits = append(exits, e...)
 			if err != nil && first == nil {
 				first = err
 			}
 		}
 	}
-	d.net.close()
+	d.net.Close()
 	return exits, first
 }
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -7,10 +7,11 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/links"
+	"dotterelmount.example/bench/supervise"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/standin/plain/service"
 )
@@ -43,11 +44,6 @@
 	busy     sync.WaitGroup
 }
 
-type facet struct{}
-
-// Handle brings one fault about.
-func (facet) Handle(_ context.Context, f func()) { f() }
-
 func newInjector(d *deployment, o *operators) *injector {
 	return &injector{d: d, operators: o, facets: make(map[string]*duty.Duty[func()]), counts: make(map[kind]int)}
 }
@@ -60,9 +56,9 @@
 		_, subject, _ := strings.Cut(name, ":")
 		if j.facets[name] == nil {
 			cfg := duty.Config{Name: "fault-" + name, RingSize: faultRing}
-			j.facets[name] = duty.Start(j.d.system, cfg, duty.Handler[func()](facet{}))
+			j.facets[name] = duty.Start(j.d.system, cfg, duty.Handler[func()](duty.Func{}))
 		}
-		if !wait(ctx, time.Until(begin.Add(f.At))) {
+		if !duty.Pause(ctx, time.Until(begin.Add(f.At))) {
 			break
 		}
 		j.busy.Add(1)
@@ -86,7 +82,7 @@
 	begin := time.Now()
 	limit := time.Now().Add(retryLimit)
 	for !do(ctx) {
-		if time.Now().After(limit) || !wait(ctx, retryEvery) {
+		if time.Now().After(limit) || !duty.Pause(ctx, retryEvery) {
 			fmt.Fprintf(os.Stderr, "soak: fault %s of target %d was not brought about\n", f.Kind, f.Target)
 			return
 		}
@@ -102,33 +98,33 @@
 	engine := j.d.engines[f.Target%engineCount]
 	plain := j.d.plains[f.Target%plainCount]
 	daemon := j.d.daemons[f.Target%daemonCount]
-	link := j.d.net.links[f.Target%len(j.d.net.links)]
+	link := j.d.net.Links[f.Target%len(j.d.net.Links)]
 	switch f.Kind {
 	case engineCrash:
-		return "end:" + engine.name, j.crash(engine)
+		return "end:" + engine.Name, j.crash(engine)
 	case plainCrash:
-		return "end:" + plain.name, j.crash(plain)
+		return "end:" + plain.Name, j.crash(plain)
 	case engineKill:
-		return "end:" + engine.name, j.kill(engine)
+		return "end:" + engine.Name, func(context.Context) bool { return engine.Kill() }
 	case daemonKill:
-		return "end:" + daemon.name, j.kill(daemon)
+		return "end:" + daemon.Name, func(context.Context) bool { return daemon.Kill() }
 	case daemonPause:
-		return "end:" + daemon.name, j.pause(daemon, f.Lasts)
+		return "end:" + daemon.Name, func(ctx context.Context) bool { return daemon.Pause(ctx, f.Lasts) }
 	case daemonTerm:
-		return "end:" + daemon.name, j.terminate(daemon)
+		return "end:" + daemon.Name, func(ctx context.Context) bool { return daemon.Terminate(ctx, termLimit) }
 	case engineHang, engineSlow, engineCut, engineTrunc:
 		modes := map[kind]string{engineHang: "hang", engineSlow: "slow", engineCut: "cut", engineTrunc: "truncate"}
-		return "mode:" + engine.name, j.mode(engine, modes[f.Kind], f.Lasts)
+		return "mode:" + engine.Name, j.mode(engine, modes[f.Kind], f.Lasts)
 	case plainHang:
-		return "mode:" + plain.name, j.mode(plain, "hang", f.Lasts)
+		return "mode:" + plain.Name, j.mode(plain, "hang", f.Lasts)
 	case linkCut:
-		return "link:" + link.name, func(ctx context.Context) bool { return cutLinks(ctx, f.Lasts, link) }
+		return "link:" + link.Name, func(ctx context.Context) bool { return links.Cut(ctx, f.Lasts, link) }
 	case linkSilent:
-		return "link:" + link.name, silenceLink(link, toxicTimeout, f.Lasts)
+		return "link:" + link.Name, func(ctx context.Context) bool { return link.Silence(ctx, links.SilentAll, f.Lasts) }
 	case linkSilentOld:
-		return "link:" + link.name, silenceLink(link, toxicSilenceOld, f.Lasts)
+		return "link:" + link.Name, func(ctx context.Context) bool { return link.Silence(ctx, links.SilentOld, f.Lasts) }
 	case centreParted:
-		return "centre", func(ctx context.Context) bool { return cutLinks(ctx, f.Lasts, j.centreLinks(f.Target)...) }
+		return "centre", func(ctx context.Context) bool { return links.Cut(ctx, f.Lasts, j.centreLinks(f.Target)...) }
 	case logOutage, logSlow, logLost:
 		return "log", j.log(f)
 	case listRace:
@@ -170,22 +166,22 @@
 }
 
 // crash ends a stand-in from inside. A plain service crashes under its next call.
-func (j *injector) crash(s *supervised) func(context.Context) bool {
+func (j *injector) crash(s *supervise.Process) func(context.Context) bool {
 	return func(ctx context.Context) bool {
-		p := s.process()
+		p := s.Current()
 		if p == nil {
 			return false
 		}
-		s.expectEnd()
+		s.ExpectEnd()
 		// The process ends before it answers.
-		_ = control(ctx, s.address, map[string]any{"mode": "crash"})
+		_ = control(ctx, s.Address, map[string]any{"mode": "crash"})
 		ctx, cancel := context.WithTimeout(ctx, callAfter)
 		defer cancel()
 		select {
 		case <-p.Exited():
 		case <-ctx.Done():
 			// Unanswered too.
-			q := fleet.Question{Method: http.MethodPost, Address: s.address, Path: "/", Header: http.Header{service.HeaderRequestID: {string(ownCall)}}}
+			q := fleet.Question{Method: http.MethodPost, Address: s.Address, Path: "/", Header: http.Header{service.HeaderRequestID: {string(ownCall)}}}
 			calling, stop := context.WithTimeout(context.WithoutCancel(ctx), callAfter)
 			defer stop()
 			_ = fleet.Ask(calling, q, nil)
@@ -195,96 +191,31 @@
 	}
 }
 
-func (j *injector) kill(s *supervised) func(context.Context) bool {
-	return func(context.Context) bool { return s.signal(syscall.SIGKILL, true) }
-}
-
-func (j *injector) pause(s *supervised, lasts time.Duration) func(context.Context) bool {
-	return func(ctx context.Context) bool {
-		p := s.process()
-		if p == nil || p.Pause() != nil {
-			return false
-		}
-		wait(ctx, lasts)
-		return p.Resume() == nil
-	}
-}
-
-// terminate stops a daemon gracefully, under load.
-func (j *injector) terminate(s *supervised) func(context.Context) bool {
-	return func(ctx context.Context) bool {
-		p := s.process()
-		if p == nil || !s.signal(syscall.SIGTERM, true) {
-			return false
-		}
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), termLimit)
-		defer cancel()
-		select {
-		case <-p.Exited():
-		case <-ctx.Done():
-			fmt.Fprintf(os.Stderr, "soak: %s did not stop within %s\n", s.name, termLimit)
-			s.signal(syscall.SIGKILL, true)
-			<-p.Exited()
-		}
-		return true
-	}
-}
-
-func (j *injector) mode(s *supervised, mode string, lasts time.Duration) func(context.Context) bool {
+func (j *injector) mode(s *supervise.Process, mode string, lasts time.Duration) func(context.Context) bool {
 	return func(ctx context.Context) bool {
-		if !control(ctx, s.address, map[string]any{"mode": mode, "factor": slowFactor}) {
+		if !control(ctx, s.Address, map[string]any{"mode": mode, "factor": slowFactor}) {
 			return false
 		}
-		wait(ctx, lasts)
+		duty.Pause(ctx, lasts)
 		// A process that was restarted meanwhile is in its normal mode.
-		_ = control(ctx, s.address, map[string]any{"mode": "normal"})
+		_ = control(ctx, s.Address, map[string]any{"mode": "normal"})
 		return true
 	}
 }
 
 // centreLinks returns the links whose cut parts a data centre from the log and,
 // every other time, all daemons from each other too.
-func (j *injector) centreLinks(target int) []*link {
-	var links []*link
+func (j *injector) centreLinks(target int) []*links.Link {
+	var cut []*links.Link
 	for i := range daemonCount {
 		if target/centreCount%2 == 0 {
-			links = append(links, j.d.net.byName[peerLink(i)])
+			cut = append(cut, j.d.net.ByName[peerLink(i)])
 		}
 		if i%centreCount == target%centreCount {
-			links = append(links, j.d.net.byName[logLink(i)])
+			cut = append(cut, j.d.net.ByName[logLink(i)])
 		}
 	}
-	return links
-}
-
-func cutLinks(ctx context.Context, lasts time.Duration, links ...*link) bool {
-	for _, l := range links {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.cut()
-	}
-	wait(ctx, lasts)
-	ok := true
-	for _, l := range links {
-		ok = l.restore() == nil && ok
-	}
-	return ok
-}
-
-func silenceLink(l *link, toxic string, lasts time.Duration) func(context.Context) bool {
-	return func(ctx context.Context) bool {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		remove, err := l.silence(toxic)
-		if toxic == toxicTimeout {
-			defer remove() // otherwise the old connections stay silent for good
-		}
-		if err != nil {
-			return false
-		}
-		wait(ctx, lasts)
-		return true
-	}
+	return cut
 }
 
 // log misleads the platform's log. Its process serves as long as the soak runs.
@@ -296,7 +227,7 @@
 			return j.outageFor(ctx, f.Lasts)
 		case logSlow:
 			ok := control(ctx, address, map[string]any{"delay_ms": slowLog.Milliseconds()})
-			wait(ctx, f.Lasts)
+			duty.Pause(ctx, f.Lasts)
 			return control(context.WithoutCancel(ctx), address, map[string]any{"delay_ms": 0}) && ok
 		default:
 			return control(ctx, address, map[string]any{"lose_answers": lostAnswers})
@@ -306,7 +237,7 @@
 
 func (j *injector) outageFor(ctx context.Context, lasts time.Duration) bool {
 	ok := control(ctx, j.d.log.Address, map[string]any{"outage": true})
-	wait(ctx, lasts)
+	duty.Pause(ctx, lasts)
 	return control(context.WithoutCancel(ctx), j.d.log.Address, map[string]any{"outage": false}) && ok
 }
 
@@ -315,8 +246,8 @@
 
 func (j *injector) outage(ctx context.Context) { j.outageFor(ctx, outageAfterMark) }
 
-func (j *injector) swapPartway(f fault, engine *supervised) func(context.Context) bool {
+func (j *injector) swapPartway(f fault, engine *supervise.Process) func(context.Context) bool {
 	return func(ctx context.Context) bool {
-		return control(ctx, engine.address, map[string]any{"fail_loads": 1}) && j.operators.announce(ctx, f.Target)
+		return control(ctx, engine.Address, map[string]any{"fail_loads": 1}) && j.operators.announce(ctx, f.Target)
 	}
 }
--- a/bench/soak/load.go
+++ b/bench/soak/load.go
@@ -81,7 +81,7 @@
 	defer c.done.Done()
 	for n := 0; ctx.Err() == nil; n++ {
 		c.turn(ctx, c.rng, n)
-		wait(ctx, thinkTime)
+		duty.Pause(ctx, thinkTime)
 	}
 }
 
@@ -99,7 +99,7 @@
 		begin(i, func(_ context.Context, rng *rand.Rand, n int) { l.chat(rng, fmt.Sprintf("check-in %d-%d", i, n)) })
 	}
 	for i := range onceThreads {
-		twins := duty.Start(l.d.system, duty.Config{Name: fmt.Sprintf("twin-%d", i), RingSize: 1}, duty.Handler[func()](facet{}))
+		twins := duty.Start(l.d.system, duty.Config{Name: fmt.Sprintf("twin-%d", i), RingSize: 1}, duty.Handler[func()](duty.Func{}))
 		begin(memberThreads+i, func(_ context.Context, rng *rand.Rand, n int) { l.once(rng, twins, fmt.Sprintf("slip-%d-%d", i, n)) })
 	}
 	for i := range steadyThreads {
@@ -179,7 +179,7 @@
 		if a := l.callOnce(daemon+i, key); a.Outcome == api.OutcomeComplete {
 			break
 		}
-		wait(context.Background(), retryEvery)
+		duty.Pause(context.Background(), retryEvery)
 	}
 	twin.Wait()
 }
@@ -216,7 +216,7 @@
 		if refusals == daemonCount {
 			return true
 		}
-		if time.Now().After(limit) || !wait(ctx, killerEvery) {
+		if time.Now().After(limit) || !duty.Pause(ctx, killerEvery) {
 			break
 		}
 	}
--- a/bench/soak/operate.go
+++ b/bench/soak/operate.go
@@ -12,6 +12,7 @@
 	"dotterelmount.example/bench/check"
 	"dotterelmount.example/bench/fleet"
 	"dotterelmount.example/front/adminapi"
+	"dotterelmount.example/lib/duty"
 )
 
 const (
@@ -128,7 +129,7 @@
 		return false
 	}
 	accepted := time.Now().Add(hostLag) // until then the list says nothing of it
-	wait(ctx, f.Lasts)
+	duty.Pause(ctx, f.Lasts)
 	o.mu.Lock()
 	o.drains = append(o.drains, drained{Upstream: u.ID, Accepted: accepted, Until: time.Now()})
 	o.mu.Unlock()
@@ -167,7 +168,7 @@
 	at := time.Now()
 	if accepted > 0 {
 		marked(ctx)
-		wait(ctx, f.Lasts)
+		duty.Pause(ctx, f.Lasts)
 	}
 	if accepted > 0 || unknown {
 		o.undrain(ctx, target, id, at, accepted > 0)
@@ -192,7 +193,7 @@
 		if err == nil && o.mark(ctx, daemon, id, state.Mark(id).Revision, api.MarkActive) == nil {
 			return
 		}
-		if !wait(ctx, changeEvery) {
+		if !duty.Pause(ctx, changeEvery) {
 			return
 		}
 	}
--- a/bench/soak/outdate.go
+++ b/bench/soak/outdate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"dotterelmount.example/lib/duty"
 )
 
 const (
@@ -20,7 +22,7 @@
 		return false
 	}
 	defer back()
-	if !wait(ctx, samplesReady) {
+	if !duty.Pause(ctx, samplesReady) {
 		return false
 	}
 	limit := time.Now().Add(outdateLimit)
@@ -29,7 +31,7 @@
 			accepted++
 			continue
 		}
-		if time.Now().After(limit) || !wait(ctx, retryEvery) {
+		if time.Now().After(limit) || !duty.Pause(ctx, retryEvery) {
 			return false
 		}
 	}
--- a/bench/soak/play.go
+++ b/bench/soak/play.go
@@ -10,6 +10,8 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/bench/fleet"
 	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/bench/supervise"
+	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/standin/journal"
 )
 
@@ -66,7 +68,7 @@
 	watches := startWatches(watched, d, &watching)
 	var playing sync.WaitGroup
 	playing.Add(1)
-	startTask(d, "schedule", func() {
+	duty.Run(d.system, "schedule", func() {
 		defer playing.Done()
 		defer stopLoad()
 		s.schedule(ctx, l, j, begin)
@@ -90,7 +92,7 @@
 	s.at("calm")
 	calmEnd := time.Now().Add(calm)
 	s.calmly(ctx, l, j, calmFaults)
-	wait(ctx, time.Until(calmEnd))
+	duty.Pause(ctx, time.Until(calmEnd))
 }
 
 // recovered reports whether, without faults, every daemon serves a chat and a
@@ -106,9 +108,9 @@
 			chat := l.ask(i, key+": len=5", 5, n%2 == 0)
 			once := l.callOnce(i, key)
 			ok = chat.Outcome == api.OutcomeComplete && once.Outcome == api.OutcomeComplete
-			if !ok && !wait(ctx, retryEvery) {
+			if !ok && !duty.Pause(ctx, retryEvery) {
 				s.result.Recovered = false
-				s.result.note("%s does not serve again: chat %s, once-only call %s", d.daemons[i].name, chat.Error, once.Error)
+				s.result.note("%s does not serve again: chat %s, once-only call %s", d.daemons[i].Name, chat.Error, once.Error)
 				break
 			}
 		}
@@ -119,16 +121,16 @@
 // ended at a violation are known by their exit status.
 func (s *soak) violations(ctx context.Context, d *deployment) {
 	for _, daemon := range d.daemons {
-		n, err := fleet.Violations(ctx, daemon.address)
+		n, err := fleet.Violations(ctx, daemon.Address)
 		if err != nil {
-			s.result.note("invariants of %s: %v", daemon.name, err)
+			s.result.note("invariants of %s: %v", daemon.Name, err)
 		}
 		s.result.InvariantViolations += n
 	}
 }
 
 // judge fills the result in from what was seen.
-func (s *soak) judge(d *deployment, l *load, j *injector, watches []*watch, exits []exit) error {
+func (s *soak) judge(d *deployment, l *load, j *injector, watches []*watch, exits []supervise.Exit) error {
 	e, err := readEvidence(d)
 	if err != nil {
 		return err
@@ -151,7 +153,7 @@
 	r.RacesBothAccepted = j.operators.both
 	daemons := make(map[string]bool)
 	for i, w := range watches {
-		daemons[d.daemons[i].name] = true
+		daemons[d.daemons[i].Name] = true
 		r.VersionPolls += w.polls
 		r.VersionReverts += len(w.reverts)
 		for _, text := range w.reverts {
--- a/bench/soak/result.go
+++ b/bench/soak/result.go
@@ -7,6 +7,7 @@
 	"dotterelmount.example/bench/fleet"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/bench/supervise"
 )
 
 // Result is the soak's last line.
@@ -122,7 +123,7 @@
 	statusPanic     = 2
 )
 
-func (r *Result) judgeExits(exits []exit, daemons map[string]bool) {
+func (r *Result) judgeExits(exits []supervise.Exit, daemons map[string]bool) {
 	for _, x := range exits {
 		switch {
 		case !daemons[x.Name]:
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -12,6 +12,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/supervise"
 	"dotterelmount.example/standin/journal"
 )
 
@@ -107,7 +108,7 @@
 }
 
 func TestVersionsThatGoBackAreSeen(t *testing.T) {
-	w := &watch{daemon: &supervised{name: "d"}, last: make(map[string]api.Offset)}
+	w := &watch{daemon: &supervise.Process{Name: "d"}, last: make(map[string]api.Offset)}
 	w.see(map[string]api.Offset{"a": 2, "b": 1})
 	w.see(map[string]api.Offset{"a": 2, "b": 1})
 	assert.Equal(t, len(w.reverts), 0)
--- a/bench/soak/trainers.go
+++ b/bench/soak/trainers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/bench/supervise"
 	"dotterelmount.example/lib/duty"
 )
 
@@ -69,8 +70,8 @@
 // Handle runs the trainer to its end, over all kills.
 func (t *trainee) Handle(_ context.Context, ctx context.Context) {
 	defer t.done.Done()
-	for t.runOnce(ctx) && wait(ctx, restartDelay) {
-		for t.isAway() && wait(ctx, retryEvery) {
+	for t.runOnce(ctx) && duty.Pause(ctx, supervise.RestartDelay) {
+		for t.isAway() && duty.Pause(ctx, retryEvery) {
 		}
 	}
 }
--- a/bench/soak/watch.go
+++ b/bench/soak/watch.go
@@ -9,6 +9,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/bench/fleet"
+	"dotterelmount.example/bench/supervise"
 	"dotterelmount.example/front/adminapi"
 	"dotterelmount.example/lib/duty"
 )
@@ -21,7 +22,7 @@
 // watch reads a daemon's versions over time; they must never go back, also not
 // over a restart.
 type watch struct {
-	daemon *supervised
+	daemon *supervise.Process
 	done   *sync.WaitGroup
 
 	last    map[string]api.Offset
@@ -36,7 +37,7 @@
 	for _, s := range d.daemons {
 		w := &watch{daemon: s, done: done, last: make(map[string]api.Offset)}
 		done.Add(1)
-		worker := duty.Start(d.system, duty.Config{Name: "watch-" + s.name, RingSize: 1}, duty.Handler[context.Context](w))
+		worker := duty.Start(d.system, duty.Config{Name: "watch-" + s.Name, RingSize: 1}, duty.Handler[context.Context](w))
 		// An empty ring of one entry takes the only message.
 		_ = worker.Post(ctx)
 		watches = append(watches, w)
@@ -49,7 +50,7 @@
 	defer w.done.Done()
 	for {
 		w.poll(ctx)
-		if !wait(ctx, pollEvery) {
+		if !duty.Pause(ctx, pollEvery) {
 			return
 		}
 	}
@@ -60,11 +61,11 @@
 func (w *watch) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollLimit)
 	defer cancel()
-	if !fleet.Ready(ctx, w.daemon.address) {
+	if !fleet.Ready(ctx, w.daemon.Address) {
 		return
 	}
 	var v adminapi.StateView
-	err := fleet.Ask(ctx, fleet.Question{Method: http.MethodGet, Address: w.daemon.address, Path: adminapi.PathState}, &v)
+	err := fleet.Ask(ctx, fleet.Question{Method: http.MethodGet, Address: w.daemon.Address, Path: adminapi.PathState}, &v)
 	if err != nil {
 		return
 	}
@@ -83,7 +84,7 @@
 func (w *watch) see(now map[string]api.Offset) {
 	for what, before := range w.last {
 		if now[what] < before {
-			w.reverts = append(w.reverts, fmt.Sprintf("%s: %s went back from %d to %d", w.daemon.name, what, before, now[what]))
+			w.reverts = append(w.reverts, fmt.Sprintf("%s: %s went back from %d to %d", w.daemon.Name, what, before, now[what]))
 		}
 	}
 	for what, version := range now {
--- a/cmd/dotterelmountd/internal/hosted/day_test.go
+++ b/cmd/dotterelmountd/internal/hosted/day_test.go
@@ -53,29 +53,16 @@
 }
 
 // configure publishes a version of the configuration.
-func (d *deployment) configure(version int, extra ...map[string]any) {
-	routes := []map[string]any{
-		{
-			"name": "batch", "host": host, "path_prefix": batchPath, "type": "rollout", "timeout_ms": 10000, "full_value_ms": 400,
-			"service": "engines", "attempts": 3, "max_queue_s": 40.0, "result_target_ms": 7500, "resumable": true,
-		},
-		{
-			"name": "members", "host": host, "path_prefix": memberPath, "type": "safe", "timeout_ms": 2000, "full_value_ms": 150,
-			"service": "plain", "attempts": 3,
-		},
-		{
-			"name": "streams", "host": host, "path_prefix": streamPath, "type": "stream", "timeout_ms": 10000, "full_value_ms": 400,
-			"service": "engines", "attempts": 3, "resumable": true,
-		},
+func (d *deployment) configure(version int, extra ...platform.Route) {
+	routes := append([]platform.Route{
+		{Name: "batch", Prefix: batchPath, Kind: "rollout", Service: "engines", Timeout: 10000, Objective: 400, Attempts: 3, Resumable: true, MaxQueue: 40, ResultsDue: 7500},
+		{Name: "members", Prefix: memberPath, Kind: "safe", Service: "plain", Timeout: 2000, Objective: 150, Attempts: 3},
+		{Name: "streams", Prefix: streamPath, Kind: "stream", Service: "engines", Timeout: 10000, Objective: 400, Attempts: 3, Resumable: true},
+	}, extra...)
+	for i := range routes {
+		routes[i].Host = host
 	}
-	d.store.PutJSON("keyed.op", "config", map[string]any{
-		"version": version, "routes": append(routes, extra...),
-		"services": []map[string]any{
-			{"name": "engines", "max_conns": 100, "engine": map[string]any{"slots": 4, "models": []map[string]any{{"name": model}}}},
-			{"name": "plain", "max_conns": 100},
-		},
-		"limits": map[string]any{"max_body_bytes": 1 << 20},
-	})
+	d.store.Configure(version, routes, []platform.Service{{Name: "engines", Models: []string{model}}, {Name: "plain"}})
 }
 
 func freeAddress(t *testing.T) string {
@@ -131,38 +118,29 @@
 
 // submit sends a job of groups of two items and returns its answer.
 func (d *deployment) submit(n *Node, id string, groups, minVersion int) answer {
-	items := []map[string]any{}
+	j := platform.Job{ID: id, Model: model, MinVersion: minVersion, TargetGroups: groups}
 	for g := range groups {
 		for i := range 2 {
-			items = append(items, map[string]any{
-				"id": fmt.Sprintf("%s-%d-%d", id, g, i), "path": batchPath + "x", "headers": map[string]string{"X-Model": model},
-				"body": []byte(fmt.Sprintf("body-%d-%d", g, i)), "tokens": 10, "group": fmt.Sprint(g),
-			})
+			item := platform.NewItem(fmt.Sprintf("%s-%d-%d", id, g, i), batchPath+"x", model, fmt.Sprint(g))
+			item.Body = []byte(fmt.Sprintf("body-%d-%d", g, i))
+			j.Items = append(j.Items, item)
 		}
 	}
-	data, err := json.Marshal(map[string]any{"step": 0, "model": model, "min_version": minVersion, "target_groups": groups, "items": items})
+	data, err := json.Marshal(j)
 	assert.NilError(d.t, err)
 	return d.call(n, http.MethodPost, batchPath+id, data, map[string]string{"X-Request-Id": id, "X-Deadline-Ms": "5000"})
 }
 
-type results struct {
-	Total, Next int
-	Results     []struct {
-		ID, State, Text string
-		Versions        []int
-	}
-}
-
 // results waits until a job has count results and returns them.
-func (d *deployment) results(n *Node, id string, count int) results {
+func (d *deployment) results(n *Node, id string, count int) platform.Results {
 	d.t.Helper()
-	var got results
+	var got platform.Results
 	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
 		a := d.call(n, http.MethodGet, "/api/lots/"+id+"?after=0", nil, nil)
 		if a.status != http.StatusOK {
 			return poll.Continue("status %d", a.status)
 		}
-		got = results{}
+		got = platform.Results{}
 		if err := json.Unmarshal([]byte(a.body), &got); err != nil {
 			return poll.Error(err)
 		}
@@ -174,18 +152,14 @@
 	return got
 }
 
-func (d *deployment) checkTexts(got results) {
+func (d *deployment) checkTexts(got platform.Results) {
 	d.t.Helper()
 	seen := make(map[string]bool)
 	for _, r := range got.Results {
 		assert.Assert(d.t, !seen[r.ID], "%s stands twice", r.ID)
 		seen[r.ID] = true
-		assert.Equal(d.t, r.State, "completed")
-		var want []string
-		for n := 1; n <= d.models[0].Events; n++ {
-			want = append(want, platform.Event(r.ID, n))
-		}
-		assert.Equal(d.t, r.Text, strings.Join(want, "\n"))
+		assert.Assert(d.t, r.Done(), "%s is %s", r.ID, r.State)
+		assert.Equal(d.t, r.Text, platform.Text(r.ID, d.models[0].Events))
 	}
 }
 
@@ -213,7 +187,7 @@
 	body := d.call(d.daemons[1], http.MethodGet, "/api/items/job1?id=job1-2-1", nil, nil)
 	assert.Equal(t, body.body, "body-2-1")
 
-	d.store.PutJSON("keyed.op", "version/"+model, map[string]any{"model": model, "version": 2})
+	d.store.NameVersion(model, 2)
 	assert.Equal(t, d.submit(d.daemons[1], "job2", 4, 2).status, http.StatusAccepted)
 	second := d.results(d.daemons[0], "job2", 8)
 	d.checkTexts(second)
@@ -251,7 +225,7 @@
 	d.store.PutJSON("keyed.servers", "odd", map[string]any{
 		"service": "plain", "address": "127.0.0.1:1", "zone": "z", "slots": 1, "state": "resting", "seq": 1,
 	})
-	d.configure(2, map[string]any{"name": "new", "host": host, "path_prefix": "/new/", "type": "safe", "timeout_ms": 1000, "service": "plain", "attempts": 2})
+	d.configure(2, platform.Route{Name: "new", Prefix: "/new/", Kind: "safe", Service: "plain", Timeout: 1000, Attempts: 2})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if d.call(n, http.MethodPost, "/new/x", nil, id).status == http.StatusOK {
 			return poll.Success()
@@ -345,12 +319,12 @@
 // Orders to a server carry fencing tokens that never fall.
 func TestFencingTokensNeverFall(t *testing.T) {
 	d := deploy(t, 2)
-	d.store.PutJSON("keyed.op", "version/"+model, map[string]any{"model": model, "version": 2})
+	d.store.NameVersion(model, 2)
 	d.loaded(2)
 	d.kill(d.daemons[0])
 	d.daemons = d.daemons[1:]
 	defer d.stopAll()
-	d.store.PutJSON("keyed.op", "version/"+model, map[string]any{"model": model, "version": 3})
+	d.store.NameVersion(model, 3)
 	d.loaded(3)
 	for _, m := range d.models {
 		last := 0
--- a/lib/duty/pause.go
+++ b/lib/duty/pause.go
@@ -5,15 +5,18 @@
 	"time"
 )
 
-// Pause waits for d or until ctx ends, without spinning.
-func Pause(ctx context.Context, d time.Duration) {
+// Pause waits for d or until ctx ends, without spinning. It returns false when
+// ctx ended first.
+func Pause(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
-		return
+		return ctx.Err() == nil
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
--- /dev/null
+++ b/standin/platform/operator.go
@@ -0,0 +1,61 @@
+package platform
+
+// Route is a route of the operator's configuration.
+type Route struct {
+	Name, Host, Prefix, Kind, Service string
+	Timeout                           int // ms
+	Objective                         int // ms
+	Attempts                          int
+	Resumable                         bool
+	MaxQueue                          float64 // s; for jobs
+	ResultsDue                        int     // ms; for jobs
+}
+
+// Service is a service of the operator's configuration; with models it has
+// model servers.
+type Service struct {
+	Name   string
+	Models []string
+}
+
+const (
+	maxConnections = 100
+	maxBody        = 1 << 20 // bytes
+	modelSlots     = 4
+	operatorTopic  = "keyed.op"
+)
+
+// Configure publishes a version of the configuration, as the operator does.
+func (s *Store) Configure(version int, routes []Route, services []Service) {
+	rows := []map[string]any{}
+	for _, r := range routes {
+		row := map[string]any{
+			"name": r.Name, "host": r.Host, "path_prefix": r.Prefix, "type": r.Kind, "service": r.Service,
+			"timeout_ms": r.Timeout, "full_value_ms": r.Objective, "attempts": r.Attempts, "resumable": r.Resumable,
+		}
+		if r.MaxQueue > 0 {
+			row["max_queue_s"], row["result_target_ms"] = r.MaxQueue, r.ResultsDue
+		}
+		rows = append(rows, row)
+	}
+	list := []map[string]any{}
+	for _, v := range services {
+		row := map[string]any{"name": v.Name, "max_conns": maxConnections}
+		if len(v.Models) > 0 {
+			models := []map[string]any{}
+			for _, m := range v.Models {
+				models = append(models, map[string]any{"name": m})
+			}
+			row["engine"] = map[string]any{"slots": modelSlots, "models": models}
+		}
+		list = append(list, row)
+	}
+	s.PutJSON(operatorTopic, "config", map[string]any{
+		"version": version, "routes": rows, "services": list, "limits": map[string]any{"max_body_bytes": maxBody},
+	})
+}
+
+// NameVersion names a model's next weights, as its trainer does.
+func (s *Store) NameVersion(model string, version int) {
+	s.PutJSON(operatorTopic, "version/"+model, map[string]any{"model": model, "version": version})
+}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -4,6 +4,8 @@
 package platform
 
 import (
+	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -13,6 +15,13 @@
 	"strings"
 	"sync"
 	"time"
+
+	"dotterelmount.example/lib/duty"
+)
+
+const (
+	lateBy     = 2 * time.Second        // within the 1 to 6 s that the platform names
+	slowAnswer = 150 * time.Millisecond // some forty times a healthy answer
 )
 
 // Mode is how the store treats calls.
@@ -24,6 +33,8 @@
 	ModeBusy        // answers 503 and does nothing
 	ModeSilent      // answers nothing
 	ModeLossy       // carries appends out and loses their answers
+	ModeLate        // carries appends out only after a while and answers nothing
+	ModeSlow        // answers after a pause
 )
 
 // Store is the metadata store. It may be used from any thread.
@@ -102,12 +113,32 @@
 				panic(http.ErrAbortHandler)
 			}
 			next.ServeHTTP(w, r)
+		case ModeLate:
+			if r.Method == http.MethodPost {
+				s.later(next, r)
+				panic(http.ErrAbortHandler)
+			}
+			next.ServeHTTP(w, r)
+		case ModeSlow:
+			duty.Pause(r.Context(), slowAnswer)
+			next.ServeHTTP(w, r)
 		default:
 			next.ServeHTTP(w, r)
 		}
 	})
 }
 
+// later carries a call out after its caller has given it up.
+func (s *Store) later(next http.Handler, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller left
+	}
+	again := r.Clone(context.WithoutCancel(r.Context()))
+	again.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(lateBy, func() { next.ServeHTTP(httptest.NewRecorder(), again) })
+}
+
 func (s *Store) hang(r *http.Request) {
 	select {
 	case <-r.Context().Done():
@@ -153,6 +184,13 @@
 	s.Put(topic, key, data)
 }
 
+// Forget deletes the history of what the operator and the servers wrote; the
+// newest record of each key stays.
+func (s *Store) Forget() {
+	s.Trim(operatorTopic)
+	s.Trim(serversName)
+}
+
 // Trim deletes the records of a topic, but for the newest of each key.
 func (s *Store) Trim(topic string) {
 	s.mu.Lock()
