--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -139,6 +139,7 @@
 	// The book comes last: what it tells goes to all of the above.
 	books := bookConfig
 	books.Self, books.Remember = self, n.settings.Remember
+	books.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReads))
 	n.book.Store(book.Start(n.system, j, books, book.Listeners{Runs: n.runner.Update, Crashed: func(r *batch.RequestCrashed) {
 		if r.Process != process {
 			n.relay.Suspect(r.Content, r.Lost)
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -26,6 +26,7 @@
 	idleTimeout    = 2 * time.Minute         // above what the platform allows its clients
 	linger         = 2500 * time.Millisecond // two readiness polls, one a second, and the delay of new connections
 	crashNews      = 3 * time.Second         // until a request that crashes upstreams is known everywhere
+	journalShare   = 0.4                     // of the store's reads; the rest is for the feeds, restarts and bursts
 	stopMargin     = 500 * time.Millisecond  // for the process's own end
 	feedWait       = time.Second             // with its time-out within the bound for a configuration
 	feedTimeout    = 600 * time.Millisecond  // a healthy store answers within some milliseconds
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -13,6 +13,8 @@
 	Store      string `yaml:"store" validate:"required,hostport"`     // address of the platform's store
 	Record     int    `yaml:"record_bytes" validate:"min=1024"`       // most of a record in the store
 	Call       int    `yaml:"call_bytes" validate:"min=1024"`         // most of one append
+	// StoreReads is how many reading calls a second the store takes from all daemons together.
+	StoreReads int `yaml:"store_reads" validate:"min=10"`
 	// Retention is how long the store keeps records; a shorter one than
 	// Remember is warned of at the start.
 	Retention time.Duration `yaml:"retention" validate:"min=1s"`
@@ -33,6 +35,7 @@
 const (
 	DefaultRecordBytes = 256 << 10       // bytes
 	DefaultCallBytes   = 2 << 20         // bytes
+	DefaultStoreReads  = 2000            // calls a second, the users' smaller stores
 	DefaultRetention   = 5 * time.Minute // of the platform's own topics
 	DefaultRemember    = 2 * time.Minute // within the store's retention
 	DefaultLeaseWait   = 3 * time.Second // longer than the longest pause of a holder between its checks
@@ -53,7 +56,7 @@
 // ParseHosted decodes and checks settings; unknown keys are refused. Errors: *Error.
 func ParseHosted(data []byte) (*Hosted, error) {
 	h := &Hosted{
-		Record: DefaultRecordBytes, Call: DefaultCallBytes, Retention: DefaultRetention, Remember: DefaultRemember,
+		Record: DefaultRecordBytes, Call: DefaultCallBytes, StoreReads: DefaultStoreReads, Retention: DefaultRetention, Remember: DefaultRemember,
 		LeaseWait: DefaultLeaseWait, Grace: DefaultGrace, LoadShare: DefaultLoadShare, Carriers: DefaultRunCarriers,
 	}
 	if err := decode(data, h); err != nil {
--- a/server/book/book.go
+++ b/server/book/book.go
@@ -23,12 +23,15 @@
 
 // Config of a Book.
 type Config struct {
-	Self       api.DaemonID
-	RingSize   int
-	Wait       time.Duration // longest wait of one read
-	Timeout    time.Duration // of a read beyond its wait
-	Pace       time.Duration // shortest time between two reads
-	RetryEvery time.Duration // after a failed read
+	Self     api.DaemonID
+	RingSize int
+	Wait     time.Duration // longest wait of one read
+	Timeout  time.Duration // of a read beyond its wait
+	Pace     time.Duration // shortest time between two reads
+	// ReadsPerSecond is what all daemons together may read the journal; the more
+	// of them there are, the longer each waits between two reads.
+	ReadsPerSecond int
+	RetryEvery     time.Duration // after a failed read
 	// Remember is how long after its submission a job that is over is known.
 	Remember time.Duration
 	// ResultBytes bounds the text in one answer.
@@ -76,12 +79,20 @@
 	applied  batch.Offset
 	current  time.Time // start of the last read that reached the end
 	seen     map[api.DaemonID]time.Time
-	changed  bool // since the last publication
+	changed  changes // since the last publication
+	daemons  atomic.Int64
 	waiting  []*query
 	freshAt  atomic.Int64 // current, in Unix nanoseconds, for other threads
 	snapshot atomic.Pointer[Snapshot]
 }
 
+// changes says what records changed.
+type changes struct {
+	any       bool
+	runs      bool // records other than renewals came
+	upstreams bool
+}
+
 // page is what one read found.
 type page struct {
 	from  journal.Offset
@@ -148,7 +159,7 @@
 			b.tell.Crashed(r)
 		}
 		done := b.state.Apply(at, r)
-		b.changed = b.changed || done
+		b.note(r, done)
 		if !b.current.IsZero() {
 			b.describe(at, r, done)
 		}
@@ -163,26 +174,50 @@
 		b.freshAt.Store(p.began.UnixNano())
 		// What was true at some point of a history is published only if it still
 		// is at its end.
-		if b.changed {
-			b.changed = false
+		if b.changed.any {
 			b.publish()
+			b.changed = changes{}
 		}
 	}
 	b.answer()
 }
 
+// note keeps what a record changed for the next publication. Also a record
+// without effect is news to the runner that waits for it.
+func (b *Book) note(r batch.Record, done bool) {
+	_, renewal := r.(*batch.DaemonAlive)
+	b.changed.any = b.changed.any || done || !renewal
+	b.changed.runs = b.changed.runs || !renewal
+	b.changed.upstreams = b.changed.upstreams || done && batch.ChangesUpstreams(r)
+}
+
+// publish makes a snapshot and tells what is to be run, as far as it may have changed.
 func (b *Book) publish() {
+	daemons := b.state.Daemons()
 	s := &Snapshot{
-		Applied: b.applied, Upstreams: b.state.Upstreams(),
-		Seen: make(map[api.DaemonID]time.Time), Starts: make(map[api.DaemonID]int64),
+		Applied: b.applied, Upstreams: b.snapshot.Load().Upstreams,
+		Seen: make(map[api.DaemonID]time.Time, len(daemons)), Starts: make(map[api.DaemonID]int64, len(daemons)),
+	}
+	if b.changed.upstreams {
+		s.Upstreams = b.state.Upstreams()
 	}
-	for id, d := range b.state.Daemons() {
+	for id, d := range daemons {
 		s.Seen[id], s.Starts[id] = b.seen[id], d.Starts
 	}
+	b.daemons.Store(int64(len(daemons)))
 	b.snapshot.Store(s)
+	if !b.changed.runs {
+		return
+	}
 	b.tell.Runs(b.state.Runs(b.cfg.Self), b.applied)
 }
 
+// pace returns the shortest time between two reads.
+func (b *Book) pace() time.Duration {
+	share := time.Duration(b.daemons.Load()) * time.Second / time.Duration(b.cfg.ReadsPerSecond)
+	return max(b.cfg.Pace, share)
+}
+
 // describe logs a record that changed what the process believes.
 func (b *Book) describe(at batch.Offset, r batch.Record, done bool) {
 	offset, effect := zap.Uint64("offset", uint64(at)), zap.Bool("effect", done)
@@ -263,7 +298,7 @@
 		return // stopping
 	}
 	if r.from >= found.End {
-		duty.Pause(ctx, cfg.Pace-cfg.Now().Sub(began))
+		duty.Pause(ctx, r.book.pace()-cfg.Now().Sub(began))
 	}
 }
 
--- a/server/book/book_test.go
+++ b/server/book/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -57,7 +58,7 @@
 func start(t *testing.T, j journal.Journal, runs func(map[batch.Key]batch.Run)) *Book {
 	t.Helper()
 	b := Start(duty.NewSystem(nil), j, Config{
-		Self: "d", RingSize: 64, Wait: 10 * time.Millisecond, Timeout: time.Second, Pace: time.Millisecond,
+		Self: "d", RingSize: 64, Wait: 10 * time.Millisecond, Timeout: time.Second, Pace: time.Millisecond, ReadsPerSecond: 1 << 20,
 		RetryEvery: time.Millisecond, Remember: time.Minute, ResultBytes: 1 << 20, Now: time.Now,
 	}, Listeners{
 		Runs:    func(r map[batch.Key]batch.Run, _ batch.Offset) { runs(r) },
@@ -127,3 +128,37 @@
 	assert.Equal(t, len(r.Results), 1)
 	assert.Assert(t, time.Since(began) < 3*time.Second)
 }
+
+// Renewals are most of the records where there are many daemons; they cost the
+// runner nothing. A record without effect may be the one that it waits for.
+func TestOnlyRecordsOtherThanRenewalsAreNewsToTheRunner(t *testing.T) {
+	j := &slowJournal{page: 1}
+	j.add(t, &batch.DaemonAlive{Daemon: "d", Starts: 1}, held("u"))
+	var told atomic.Int64
+	b := start(t, j, func(map[batch.Key]batch.Run) { told.Add(1) })
+	wait := func(applied batch.Offset) {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if b.Snapshot().Applied >= applied {
+				return poll.Success()
+			}
+			return poll.Continue("applied %d", b.Snapshot().Applied)
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	}
+	wait(2)
+	before := told.Load()
+	j.add(t, &batch.DaemonAlive{Daemon: "d", Starts: 1})
+	wait(3)
+	assert.Equal(t, told.Load(), before)
+	assert.Equal(t, len(b.Snapshot().Upstreams), 1)
+	j.add(t, &batch.ItemFailed{Job: "none", Item: "none"})
+	wait(4)
+	assert.Equal(t, told.Load(), before+1)
+}
+
+func TestPaceGrowsWithTheDaemonsSoThatTheStoreIsNotOverrun(t *testing.T) {
+	b := &Book{cfg: Config{Pace: 15 * time.Millisecond, ReadsPerSecond: 800}}
+	for daemons, want := range map[int64]time.Duration{0: 15, 12: 15, 80: 100, 370: 462} {
+		b.daemons.Store(daemons)
+		assert.Equal(t, b.pace().Truncate(time.Millisecond), want*time.Millisecond, "%d daemons", daemons)
+	}
+}
