--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -216,7 +216,7 @@
 	case *batch.JobEnded:
 		return "job-ended", r.ID, string(r.ID)
 	case *batch.TextAdded:
-		return "text", r.Job, fmt.Sprintf("%s/%s: run %s, events %d to %d, versions %v, whole %t", r.Job, r.Item, r.Run, r.From+1, r.From+len(r.Events), r.Versions, r.Done)
+		return "text", r.Job, fmt.Sprintf("%s/%s: run %s, events %d to %d, versions %v, whole %t", r.Job, r.Item, r.Run, r.From+1, r.From+r.Events, r.Versions, r.Done)
 	case *batch.ItemFailed:
 		return "item-failed", r.Job, fmt.Sprintf("%s/%s: status %d, final %t", r.Job, r.Item, r.Status, r.Final)
 	case *batch.ItemExpired:
--- a/cmd/dotterelmount/hosted_test.go
+++ b/cmd/dotterelmount/hosted_test.go
@@ -33,7 +33,7 @@
 		&batch.DaemonAlive{Daemon: "d1", Starts: 5, Config: 7},
 		&batch.LeaseTaken{Upstream: "u1", Service: "s", Daemon: "d1", Slots: 2, Models: []api.ModelName{"m"}, Versions: map[api.ModelName]api.WeightVersion{"m": 3}},
 		&batch.JobAccepted{Job: batch.Job{ID: "j1", Service: "s", Model: "m", Attempts: 3, Items: []batch.Item{{ID: "a"}, {ID: "b"}, {ID: "c"}}}},
-		&batch.TextAdded{Job: "j1", Item: "a", Events: []string{"x"}, Versions: []api.WeightVersion{3}, Done: true},
+		&batch.TextAdded{Job: "j1", Item: "a", Events: 1, Versions: []api.WeightVersion{3}, Done: true},
 		&batch.ItemExpired{Job: "j1", Item: "b"},
 		&batch.JobEnded{ID: "j1"},
 	} {
--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/opaque"
+	"go.uber.org/zap"
 )
 
 // jobs keeps batch jobs in the journal.
@@ -47,8 +48,16 @@
 }
 
 // Results implements entry.Jobs.
-func (j *jobs) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, error) {
-	return j.n.book.Load().Results(ctx, id, from, wait)
+func (j *jobs) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, []string, error) {
+	found, err := j.n.book.Load().Results(ctx, id, from, wait)
+	if err != nil {
+		return found, nil, err
+	}
+	data, err := j.n.texts.Read(ctx, found.Results)
+	if err != nil {
+		j.n.log.Info("texts not read", zap.String("job", string(id)), zap.Int("from", from), zap.Int("results", len(found.Results)), zap.Error(err))
+	}
+	return found, data, err
 }
 
 // Body implements entry.Jobs.
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -12,6 +12,7 @@
 	"dotterelmount.example/server/keeper"
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/texts"
 	"dotterelmount.example/server/upkeep"
 )
 
@@ -45,6 +46,11 @@
 	RingSize: 4096, Timeout: logCallTimeout, RetryEvery: 50 * time.Millisecond, Patience: 300 * time.Millisecond, Now: time.Now,
 }
 
+var textsConfig = texts.Config{
+	Readers:  8, // some seven milliseconds each, so that a hundred pieces take a tenth of a second
+	RingSize: 256, Timeout: logCallTimeout,
+}
+
 var bookConfig = book.Config{
 	RingSize: 1024, Wait: feedWait, Timeout: feedTimeout, Pace: 15 * time.Millisecond, RetryEvery: 100 * time.Millisecond,
 	ResultBytes: 900 << 10, // the platform's clients take 1 MB
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -77,6 +77,15 @@
 	ID JobID `msgpack:"id"`
 }
 
+// Chunk names a piece of a text that is kept apart from the journal, so that
+// only those read it who need it.
+type Chunk struct {
+	Part  int    `msgpack:"p"` // partition of the texts
+	First uint64 `msgpack:"f"` // offset of its first record
+	Count int    `msgpack:"n"` // records that it was split into; 0: an empty piece
+	Bytes int    `msgpack:"b"`
+}
+
 // TextAdded continues an item's text by whole events.
 type TextAdded struct {
 	Job      JobID               `msgpack:"job"`
@@ -84,7 +93,8 @@
 	Run      string              `msgpack:"run"`   // unique to one request to an upstream
 	Start    int                 `msgpack:"start"` // events before that run, where it was asked to go on
 	From     int                 `msgpack:"from"`  // events before these
-	Events   []string            `msgpack:"ev"`    // data of each event
+	Events   int                 `msgpack:"n"`     // how many these are
+	Chunk    Chunk               `msgpack:"chunk"` // their data, separated by line feeds
 	Versions []api.WeightVersion `msgpack:"ver"`   // that made these events
 	Done     bool                `msgpack:"done"`  // the text is whole
 }
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -28,7 +28,7 @@
 const (
 	kindJobAccepted byte = iota + 1
 	kindJobEnded
-	kindTextAdded
+	_ // texts within the journal, until December 2026
 	kindItemFailed
 	kindItemExpired
 	kindItemMoved
@@ -39,6 +39,7 @@
 	kindUpstreamChanged
 	kindPaceMeasured
 	kindRequestCrashed
+	kindTextAdded
 )
 
 func kindOf(r batch.Record) byte {
--- a/lib/batch/bench_test.go
+++ b/lib/batch/bench_test.go
@@ -71,6 +71,6 @@
 		s := crowded()
 		i := s.placed["u0"][0]
 		b.StartTimer()
-		s.Apply(1000, &TextAdded{Job: i.job.job.ID, Item: i.item().ID, Run: "r", Events: []string{"x"}, Versions: []api.WeightVersion{1}, Done: true})
+		s.Apply(1000, &TextAdded{Job: i.job.job.ID, Item: i.item().ID, Run: "r", Events: 1, Versions: []api.WeightVersion{1}, Done: true})
 	}
 }
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -29,7 +29,7 @@
 	case 1:
 		return &JobEnded{ID: job}
 	case 2, 3:
-		return &TextAdded{Job: job, Item: item, Run: fmt.Sprint(n), Events: []string{"e"}, Versions: []api.WeightVersion{1}, Done: pick("done", 1) == 1}
+		return &TextAdded{Job: job, Item: item, Run: fmt.Sprint(n), Events: 1, Versions: []api.WeightVersion{1}, Done: pick("done", 1) == 1}
 	case 4:
 		return &ItemFailed{Job: job, Item: item, Status: 500}
 	case 5:
--- a/lib/batch/home.go
+++ b/lib/batch/home.go
@@ -18,7 +18,7 @@
 func (s *State) learn(j *jobState) {
 	events := 0
 	for _, i := range j.items {
-		events += len(i.events)
+		events += i.events
 	}
 	if old, ok := s.work[j.job.Model]; ok {
 		s.work[j.job.Model] = old + newest*(float64(events)-old)
--- a/lib/batch/home_test.go
+++ b/lib/batch/home_test.go
@@ -26,7 +26,7 @@
 	}
 	f.add(&JobAccepted{Job: j})
 	for n := range items {
-		f.add(&TextAdded{Job: id, Item: ItemID(fmt.Sprint(id, n)), Run: "r", Events: make([]string, events), Versions: []api.WeightVersion{1}, Done: true})
+		f.add(&TextAdded{Job: id, Item: ItemID(fmt.Sprint(id, n)), Run: "r", Events: events, Versions: []api.WeightVersion{1}, Done: true})
 	}
 	f.add(&JobEnded{ID: id})
 }
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"dotterelmount.example/api"
 )
@@ -12,7 +11,7 @@
 type Result struct {
 	Item     ItemID
 	State    ItemState
-	Text     string // data of all events, separated by line feeds
+	Chunks   []Chunk // of its text, in order
 	Versions []api.WeightVersion
 }
 
@@ -36,9 +35,11 @@
 		i := j.results[out.Next]
 		r := Result{Item: i.item().ID, State: i.state, Versions: i.versions}
 		if i.state == ItemCompleted {
-			r.Text = strings.Join(i.events, "\n")
+			r.Chunks = i.chunks
+		}
+		for _, c := range r.Chunks {
+			size += c.Bytes
 		}
-		size += len(r.Text)
 		if size > limit && len(out.Results) > 0 {
 			break
 		}
@@ -86,7 +87,7 @@
 		for _, i := range s.placed[id] {
 			out[Key{i.job.job.ID, i.item().ID}] = Run{
 				Job: i.job.job, Item: i.item(), Upstream: id, Lease: u.Taken,
-				Events: len(i.events), Versions: i.versions,
+				Events: i.events, Versions: i.versions,
 			}
 		}
 	}
--- a/lib/batch/replay/replay.go
+++ b/lib/batch/replay/replay.go
@@ -14,6 +14,12 @@
 // Topic is the journal's topic; all daemons share its one partition.
 const Topic = "jobs"
 
+// TextTopic has the texts of items, in partitions that daemons share.
+const (
+	TextTopic      = "texts"
+	TextPartitions = 8
+)
+
 // Decoder puts parts together and decodes them, in the order of the journal.
 type Decoder struct{ joiner journal.Joiner }
 
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -67,7 +67,8 @@
 	job      *jobState
 	index    int
 	state    ItemState
-	events   []string
+	events   int
+	chunks   []Chunk // of the events' data, in order
 	versions []api.WeightVersion
 	run      string // that made the newest events
 	failures int
@@ -150,13 +151,13 @@
 // reuse takes over the text that an earlier job's item has, where the
 // versions that made it fit the new job.
 func (s *State) reuse(i, earlier *itemState) {
-	if earlier == nil || len(earlier.events) == 0 || earlier.state == ItemErrored || earlier.job.job.Model != i.job.job.Model {
+	if earlier == nil || earlier.events == 0 || earlier.state == ItemErrored || earlier.job.job.Model != i.job.job.Model {
 		return
 	}
 	if slices.Min(earlier.versions) < i.job.job.MinVersion || (i.job.job.SingleVersion && len(earlier.versions) > 1) {
 		return
 	}
-	i.events, i.versions = slices.Clip(earlier.events), slices.Clip(earlier.versions)
+	i.events, i.chunks, i.versions = earlier.events, slices.Clip(earlier.chunks), slices.Clip(earlier.versions)
 	if earlier.state == ItemCompleted {
 		s.list(i, ItemCompleted)
 	}
@@ -197,14 +198,17 @@
 // the run that made its end, or of one that was asked to go on from there.
 func (s *State) addText(r *TextAdded) bool {
 	i := s.find(r.Job, r.Item)
-	if i == nil || i.state != ItemOpen || r.From != len(i.events) {
+	if i == nil || i.state != ItemOpen || r.From != i.events {
 		return false
 	}
 	if r.From != r.Start && r.Run != i.run {
 		return false
 	}
 	i.run = r.Run
-	i.events = append(i.events, r.Events...)
+	i.events += r.Events
+	if r.Chunk.Count > 0 {
+		i.chunks = append(i.chunks, r.Chunk)
+	}
 	for _, v := range r.Versions {
 		if !slices.Contains(i.versions, v) {
 			i.versions = append(i.versions, v)
--- a/lib/batch/text_test.go
+++ b/lib/batch/text_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"dotterelmount.example/api"
@@ -45,7 +46,19 @@
 	r, err := f.Results(id, 0, 1<<20)
 	assert.NilError(t, err)
 	assert.Equal(t, len(r.Results), 1)
-	return r.Results[0].Text
+	var out []string
+	for _, c := range r.Results[0].Chunks {
+		out = append(out, pieces[c.First])
+	}
+	return strings.Join(out, "\n")
+}
+
+// pieces are the texts of chunks, by offset.
+var pieces []string
+
+func piece(events ...string) Chunk {
+	pieces = append(pieces, strings.Join(events, "\n"))
+	return Chunk{First: uint64(len(pieces) - 1), Count: 1, Bytes: len(pieces[len(pieces)-1])}
 }
 
 // A run whose beginning was not taken must not be joined to the beginning
@@ -53,12 +66,12 @@
 func TestTextsOfTwoRunsAreNotJoined(t *testing.T) {
 	f := newFixture(1, 4)
 	f.add(&JobAccepted{Job: job("j", "i")})
-	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "a", Events: []string{"a1", "a2"}}))
-	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "b", Events: []string{"b1", "b2"}}))
-	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "b", From: 2, Events: []string{"b3"}, Done: true}))
-	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "c", Start: 2, From: 2, Events: []string{"c3"}}))
-	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "a", From: 3, Events: []string{"a4"}, Done: true}))
-	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "c", Start: 2, From: 3, Events: []string{"c4"}, Done: true}))
+	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "a", Events: 2, Chunk: piece("a1", "a2")}))
+	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "b", Events: 2, Chunk: piece("b1", "b2")}))
+	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "b", From: 2, Events: 1, Chunk: piece("b3"), Done: true}))
+	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "c", Start: 2, From: 2, Events: 1, Chunk: piece("c3")}))
+	assert.Assert(t, !f.add(&TextAdded{Job: "j", Item: "i", Run: "a", From: 3, Events: 1, Chunk: piece("a4"), Done: true}))
+	assert.Assert(t, f.add(&TextAdded{Job: "j", Item: "i", Run: "c", Start: 2, From: 3, Events: 1, Chunk: piece("c4"), Done: true}))
 	assert.Equal(t, f.text(t, "j"), "a1\na2\nc3\nc4")
 }
 
@@ -77,21 +90,30 @@
 				break
 			}
 			if len(runs) == 0 || rapid.Bool().Draw(t, "begin") {
-				start := rapid.IntRange(0, len(i.events)).Draw(t, "start")
+				start := rapid.IntRange(0, i.events).Draw(t, "start")
 				runs = append(runs, runner{start, start})
 			}
 			n := rapid.IntRange(0, len(runs)-1).Draw(t, "run")
 			r := &runs[n]
 			more := rapid.IntRange(0, length-r.sent).Draw(t, "events")
 			rec := &TextAdded{Job: "j", Item: "i", Run: fmt.Sprint(n), Start: r.start, From: r.sent, Done: r.sent+more == length}
+			var events []string
 			for e := range more {
-				rec.Events = append(rec.Events, fmt.Sprintf("%d:%d:%d", n, r.start, r.sent+e+1))
+				events = append(events, fmt.Sprintf("%d:%d:%d", n, r.start, r.sent+e+1))
+			}
+			if rec.Events = more; more > 0 {
+				rec.Chunk = piece(events...)
 			}
 			r.sent += more
 			f.add(rec)
 		}
 		last, expect := -1, 1
-		for _, e := range f.find("j", "i").events {
+		var events []string
+		for _, c := range f.find("j", "i").chunks {
+			events = append(events, strings.Split(pieces[c.First], "\n")...)
+		}
+		assert.Equal(t, len(events), f.find("j", "i").events)
+		for _, e := range events {
 			var run, start, number int
 			_, err := fmt.Sscanf(e, "%d:%d:%d", &run, &start, &number)
 			assert.NilError(t, err)
--- a/server/book/book.go
+++ b/server/book/book.go
@@ -248,7 +248,7 @@
 	case *batch.TextAdded:
 		if !done {
 			b.log.Info("text not taken", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
-				zap.Int("from", r.From), zap.Int("events", len(r.Events)), offset)
+				zap.Int("from", r.From), zap.Int("events", r.Events), offset)
 		}
 	}
 }
--- a/server/book/book_test.go
+++ b/server/book/book_test.go
@@ -77,7 +77,7 @@
 func TestHistoryIsNotRunAgain(t *testing.T) {
 	j := &slowJournal{page: 1}
 	j.add(t, &batch.DaemonAlive{Daemon: "d", Starts: 1}, held("u"), job("old", "a", "b"),
-		&batch.TextAdded{Job: "old", Item: "a", Events: []string{"x"}, Done: true},
+		&batch.TextAdded{Job: "old", Item: "a", Events: 1, Done: true},
 		&batch.JobEnded{ID: "old"}, job("new", "c"))
 	var mu sync.Mutex
 	seen := make(map[batch.Key]bool)
@@ -120,7 +120,7 @@
 	j.add(t, job("j", "a"))
 	began := time.Now()
 	timer := time.AfterFunc(100*time.Millisecond, func() {
-		j.add(t, &batch.TextAdded{Job: "j", Item: "a", Events: []string{"x"}, Done: true})
+		j.add(t, &batch.TextAdded{Job: "j", Item: "a", Events: 1, Done: true})
 	})
 	defer timer.Stop()
 	r, err := b.Results(t.Context(), "j", 0, 5*time.Second)
--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -24,6 +24,7 @@
 
 // Config of a Committer.
 type Config struct {
+	Name        string // of the journal, for the duties
 	Producer    string // unique to this run of the process
 	RingSize    int
 	RecordBytes int           // most of one record in the log
@@ -60,11 +61,22 @@
 	until time.Time // dropped if not sent before; zero: never
 	// patient entries are appended however long the journal refuses them.
 	patient bool
+	// then is told the place on the committer's duty; may be nil.
+	then func(Place)
 }
 
+// Place says where a record is.
+type Place struct {
+	First journal.Offset // of its parts
+	Parts int
+}
+
+// Last returns the offset of the last part.
+func (p Place) Last() journal.Offset { return p.First + journal.Offset(p.Parts) - 1 }
+
 type outcome struct {
-	offset journal.Offset
-	err    error
+	place Place
+	err   error
 }
 
 // Committer is the handle of the duties.
@@ -93,8 +105,8 @@
 // Start spawns the duties.
 func Start(sys *duty.System, j journal.Journal, cfg Config, log *zap.Logger) *Committer {
 	c := &Committer{cfg: cfg, log: log, journal: j}
-	c.owner = duty.Start(sys, duty.Config{Name: "committer", RingSize: cfg.RingSize}, duty.Handler[any](c))
-	c.appender = duty.Start(sys, duty.Config{Name: "append", RingSize: 1}, duty.Handler[*call]((*appender)(c)))
+	c.owner = duty.Start(sys, duty.Config{Name: "committer-" + cfg.Name, RingSize: cfg.RingSize}, duty.Handler[any](c))
+	c.appender = duty.Start(sys, duty.Config{Name: "append-" + cfg.Name, RingSize: 1}, duty.Handler[*call]((*appender)(c)))
 	return c
 }
 
@@ -104,45 +116,45 @@
 	return since != 0 && c.cfg.Now().UnixNano()-since > int64(c.cfg.Patience)
 }
 
-// Commit appends a record and waits for its fate. It returns the offset of the
-// record's last part. Errors: *journal.RefusedError when the record is not in
+// Commit appends a record and waits for its fate. It returns the record's
+// place. Errors: *journal.RefusedError when the record is not in
 // the journal and never will be, *journal.UnknownError when it may be,
 // *TooLargeError.
-func (c *Committer) Commit(ctx context.Context, record []byte) (journal.Offset, error) {
+func (c *Committer) Commit(ctx context.Context, record []byte) (Place, error) {
 	e, err := c.entry(record)
 	if err != nil {
-		return 0, err
+		return Place{}, err
 	}
 	if c.Failing() {
-		return 0, &journal.RefusedError{Op: "append", Cause: &failingError{}}
+		return Place{}, &journal.RefusedError{Op: "append", Cause: &failingError{}}
 	}
 	return c.wait(ctx, e)
 }
 
 // Keep appends a record however long the journal refuses it, and waits for
-// its offset. Errors: as for Commit, at the end of ctx or at the stop.
-func (c *Committer) Keep(ctx context.Context, record []byte) (journal.Offset, error) {
+// its place. Errors: as for Commit, at the end of ctx or at the stop.
+func (c *Committer) Keep(ctx context.Context, record []byte) (Place, error) {
 	e, err := c.entry(record)
 	if err != nil {
-		return 0, err
+		return Place{}, err
 	}
 	e.patient = true
 	return c.wait(ctx, e)
 }
 
-func (c *Committer) wait(ctx context.Context, e *entry) (journal.Offset, error) {
+func (c *Committer) wait(ctx context.Context, e *entry) (Place, error) {
 	e.ctx, e.reply = ctx, ring.NewSlot[outcome]()
 	if err := c.owner.Post(e); err != nil {
-		return 0, &journal.RefusedError{Op: "append", Cause: err}
+		return Place{}, &journal.RefusedError{Op: "append", Cause: err}
 	}
 	o, err := e.reply.Wait(ctx)
 	if err != nil && e.sent.CompareAndSwap(false, true) {
-		return 0, &journal.RefusedError{Op: "append", Cause: err}
+		return Place{}, &journal.RefusedError{Op: "append", Cause: err}
 	}
 	if err != nil {
-		return 0, &journal.UnknownError{Op: "append", Cause: err}
+		return Place{}, &journal.UnknownError{Op: "append", Cause: err}
 	}
-	return o.offset, o.err
+	return o.place, o.err
 }
 
 // failingError says why a record was not even tried.
@@ -151,6 +163,17 @@
 // Error implements error.
 func (*failingError) Error() string { return "the journal has not answered for a while" }
 
+// PostThen appends a record without waiting, however long the journal refuses
+// it, and tells its place on the committer's duty. Errors: as for Post.
+func (c *Committer) PostThen(record []byte, then func(Place)) error {
+	e, err := c.entry(record)
+	if err != nil {
+		return err
+	}
+	e.then = then
+	return c.owner.Post(e)
+}
+
 // Post appends a record without waiting, however long the journal refuses it
 // or, with a limit above zero, unless its append has not begun within it.
 // Errors: *duty.FullError, *TooLargeError.
@@ -241,13 +264,17 @@
 	var again []*entry
 	at := k.first
 	for _, e := range k.entries {
+		place := Place{First: at, Parts: len(e.parts)}
 		at += journal.Offset(len(e.parts))
+		if k.err == nil && e.then != nil {
+			e.then(place)
+		}
 		switch {
 		case k.err != nil && (e.patient || e.reply == nil):
 			e.sent.Store(false)
 			again = append(again, e)
 		case e.reply != nil:
-			e.reply.Put(outcome{offset: at - 1, err: k.err})
+			e.reply.Put(outcome{place: place, err: k.err})
 		}
 	}
 	c.waiting = append(again, c.waiting...)
--- a/server/committer/committer_test.go
+++ b/server/committer/committer_test.go
@@ -74,7 +74,7 @@
 	f, c := setup(t, func(_ uint64, try int) (bool, bool) { return false, try < 4 })
 	at, err := c.Commit(t.Context(), []byte("a"))
 	assert.NilError(t, err)
-	assert.Equal(t, at, journal.Offset(0))
+	assert.Equal(t, at, Place{First: 0, Parts: 1})
 	assert.DeepEqual(t, f.content(), []string{"a"})
 }
 
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -65,14 +66,16 @@
 	}
 }
 
-// take returns the record that stores what was gathered, and begins anew.
-func (t *text) take(key batch.Key, done bool) *batch.TextAdded {
+// take returns the record that stores what was gathered, and its data, and
+// begins anew.
+func (t *text) take(key batch.Key, done bool) (*batch.TextAdded, string) {
 	r := &batch.TextAdded{
-		Job: key.Job, Item: key.Item, Run: t.run, Start: t.start, From: t.from, Events: t.events, Versions: t.versions, Done: done,
+		Job: key.Job, Item: key.Item, Run: t.run, Start: t.start, From: t.from, Events: len(t.events), Versions: t.versions, Done: done,
 	}
+	data := strings.Join(t.events, "\n")
 	t.from += len(t.events)
 	t.events, t.versions = nil, nil
-	return r
+	return r, data
 }
 
 // carrier is the duty that carries one run at a time.
@@ -154,7 +157,7 @@
 
 // flush stores what has come of a run in progress.
 func (c *carrier) flush(a *run, t *text) {
-	if err := c.deps.Propose(t.take(a.key, false)); err != nil {
+	if err := c.deps.PostText(t.take(a.key, false)); err != nil {
 		c.log.Warn("text not queued", zap.String("item", string(a.key.Item)), zap.Error(err))
 	}
 }
@@ -164,8 +167,9 @@
 	if len(t.events) == 0 && !a.result.whole {
 		return
 	}
+	r, data := t.take(a.key, a.result.whole)
 	var err error
-	if a.result.offset, err = c.deps.Commit(ctx, t.take(a.key, a.result.whole)); err != nil {
+	if a.result.offset, err = c.deps.StoreText(ctx, r, data); err != nil {
 		a.result.err, a.result.whole = err, false
 	}
 }
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -47,8 +47,11 @@
 type Deps struct {
 	Engine generation.Engine
 	View   func() *directory.View
-	// Commit appends a record, however long that takes, and waits for its offset.
-	Commit func(ctx context.Context, r batch.Record) (batch.Offset, error)
+	// StoreText stores events and appends the record that names them, however
+	// long that takes, and waits for the record's offset.
+	StoreText func(ctx context.Context, r *batch.TextAdded, data string) (batch.Offset, error)
+	// PostText does the same without waiting.
+	PostText func(r *batch.TextAdded, data string) error
 	// Propose appends a record without waiting.
 	Propose func(r batch.Record) error
 	// Ran is told how runs at an upstream went, and that one is slow.
