--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -22,7 +22,7 @@
 
 // End implements entry.Jobs.
 func (j *jobs) End(ctx context.Context, id batch.JobID) error {
-	if _, err := j.n.book.Load().Results(ctx, id, 0, 0); err != nil {
+	if err := j.n.book.Load().Knows(ctx, id); err != nil {
 		return err
 	}
 	return j.keep(ctx, &batch.JobEnded{ID: id})
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -23,6 +23,14 @@
 	Ended   bool
 }
 
+// Knows returns nil when there is a job. Errors: *UnknownJobError.
+func (s *State) Knows(id JobID) error {
+	if _, ok := s.jobs[id]; !ok {
+		return &UnknownJobError{ID: id}
+	}
+	return nil
+}
+
 // Results returns a job's results from a position on, up to limit bytes of
 // text but at least one. Errors: *UnknownJobError.
 func (s *State) Results(id JobID, from, limit int) (Results, error) {
--- a/server/book/book_test.go
+++ b/server/book/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,6 +23,14 @@
 	mu      sync.Mutex
 	records [][]byte
 	page    int
+	stop    int // records that are given out; 0: all
+}
+
+// proceed gives the rest out.
+func (j *slowJournal) proceed() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.stop = 0
 }
 
 func (j *slowJournal) Append(context.Context, journal.Sequence, [][]byte) (journal.Offset, error) {
@@ -33,6 +42,9 @@
 	defer j.mu.Unlock()
 	end := journal.Offset(len(j.records))
 	to := min(end, from+journal.Offset(j.page))
+	if j.stop > 0 {
+		to = min(to, journal.Offset(j.stop))
+	}
 	return journal.Page{End: end, Records: j.records[from:to]}, nil
 }
 
@@ -162,3 +174,18 @@
 		assert.Equal(t, b.pace().Truncate(time.Millisecond), want*time.Millisecond, "%d daemons", daemons)
 	}
 }
+
+// A daemon that starts again knows a job long before it knows all that was
+// listed of it; another one may have told a client more.
+func TestNothingAtAPositionIsOnlySaidWhenTheJournalWasReadToItsEnd(t *testing.T) {
+	j := &slowJournal{page: 1, stop: 2}
+	j.add(t, job("j", "a", "b"), &batch.ItemExpired{Job: "j", Item: "a"}, &batch.ItemExpired{Job: "j", Item: "b"})
+	b := start(t, j, func(map[batch.Key]batch.Run) {})
+	var stale *StaleError
+	_, err := b.Results(t.Context(), "j", 1, 0)
+	assert.Assert(t, errors.As(err, &stale), "%v", err)
+	j.proceed()
+	r, err := b.Results(t.Context(), "j", 1, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(r.Results), 1)
+}
--- a/server/book/queries.go
+++ b/server/book/queries.go
@@ -14,7 +14,7 @@
 
 // Results returns a job's results from a position on, waiting up to wait for
 // one. Errors: *batch.UnknownJobError when there surely is no such job,
-// *StaleError when that can't be told, ctx.Err().
+// *StaleError when that can't be told, or whether there is a result, ctx.Err().
 func (b *Book) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, error) {
 	var out batch.Results
 	var failed error
@@ -24,8 +24,13 @@
 		if failed != nil {
 			return b.unknown(&failed, fresh, final)
 		}
-		over := out.Ended || out.Next >= out.Total
-		return len(out.Results) > 0 || over || b.cfg.Now().Sub(began) >= wait
+		if len(out.Results) > 0 || out.Ended || out.Next >= out.Total {
+			return true
+		}
+		if !fresh && final {
+			failed = &StaleError{Since: b.current}
+		}
+		return fresh && b.cfg.Now().Sub(began) >= wait
 	})
 	return out, cmp.Or(failed, err)
 }
@@ -56,8 +61,14 @@
 // Knows returns nil when a job is known. Errors: *batch.UnknownJobError when
 // there surely is no such job, *StaleError when that can't be told, ctx.Err().
 func (b *Book) Knows(ctx context.Context, id batch.JobID) error {
-	_, err := b.Results(ctx, id, 0, 0)
-	return err
+	var failed error
+	err := b.query(ctx, certainty, func(s *batch.State, fresh, final bool) bool {
+		if failed = s.Knows(id); failed != nil {
+			return b.unknown(&failed, fresh, final)
+		}
+		return true
+	})
+	return cmp.Or(failed, err)
 }
 
 // Open returns the open items of all jobs. Errors: ctx.Err().
