--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -141,7 +141,7 @@
 	runs := runnerConfig
 	runs.Self, runs.Process, runs.Carriers = self, process, n.settings.Carriers
 	n.runner = runner.Start(n.system, runs, runner.Deps{
-		Engine: n.client, View: n.View, StoreText: n.storeText, PostText: n.postText, Propose: func(r batch.Record) error { return n.propose(r, 0) },
+		Engine: n.client, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.texts.Piece, Propose: func(r batch.Record) error { return n.propose(r, 0) },
 		Ran:       func(o generation.Outcome) { n.upkeep.Tell(o) }, // upkeep starts before there are runs
 		Upstreams: func() []batch.Upstream { return n.snapshot().Upstreams },
 	}, n.log.Logger)
@@ -197,9 +197,9 @@
 	return batch.Offset(at.Last()) + 1, err
 }
 
-// chunk names a piece of text at a place in this daemon's partition.
-func (n *Node) chunk(at committer.Place, data string) batch.Chunk {
-	return batch.Chunk{Part: n.textPart, First: uint64(at.First), Count: at.Parts, Bytes: len(data)}
+// chunk names a piece at a place in this daemon's partition.
+func (n *Node) chunk(at committer.Place, bytes int) batch.Chunk {
+	return batch.Chunk{Part: n.textPart, First: uint64(at.First), Count: at.Parts, Bytes: bytes}
 }
 
 // storeText keeps a piece of text, then the record that names it.
@@ -209,7 +209,7 @@
 		if err != nil {
 			return 0, err
 		}
-		r.Chunk = n.chunk(at, data)
+		r.Chunk = n.chunk(at, len(data))
 	}
 	return n.keep(ctx, r)
 }
@@ -218,7 +218,7 @@
 // a gap, after which the rest of its run is not taken.
 func (n *Node) postText(r *batch.TextAdded, data string) error {
 	return n.textCommitter.PostThen([]byte(data), func(at committer.Place) {
-		r.Chunk = n.chunk(at, data)
+		r.Chunk = n.chunk(at, len(data))
 		if err := n.propose(r, 0); err != nil {
 			n.log.Warn("text not queued", zap.String("item", string(r.Item)), zap.Error(err))
 		}
--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -15,8 +15,16 @@
 // jobs keeps batch jobs in the journal.
 type jobs struct{ n *Node }
 
-// Submit implements entry.Jobs.
-func (j *jobs) Submit(ctx context.Context, job *batch.Job) error {
+// Submit implements entry.Jobs. A job whose bodies may not all be kept is not
+// accepted, and never will be.
+func (j *jobs) Submit(ctx context.Context, job *batch.Job, bodies [][]byte) error {
+	places, err := j.n.textCommitter.CommitAll(ctx, bodies)
+	if err != nil {
+		return &opaque.RefusedError{Reason: err.Error(), RetryAfter: retryAfter}
+	}
+	for i, at := range places {
+		job.Items[i].Body = j.n.chunk(at, len(bodies[i]))
+	}
 	return j.keep(ctx, &batch.JobAccepted{Job: *job})
 }
 
@@ -53,7 +61,11 @@
 	if err != nil {
 		return found, nil, err
 	}
-	data, err := j.n.texts.Read(ctx, found.Results)
+	var lists [][]batch.Chunk
+	for _, r := range found.Results {
+		lists = append(lists, r.Chunks)
+	}
+	data, err := j.n.texts.Read(ctx, lists)
 	if err != nil {
 		j.n.log.Info("texts not read", zap.String("job", string(id)), zap.Int("from", from), zap.Int("results", len(found.Results)), zap.Error(err))
 	}
@@ -62,5 +74,9 @@
 
 // Body implements entry.Jobs.
 func (j *jobs) Body(ctx context.Context, id batch.JobID, item batch.ItemID) ([]byte, error) {
-	return j.n.book.Load().Body(ctx, id, item)
+	at, err := j.n.book.Load().Body(ctx, id, item)
+	if err != nil {
+		return nil, err
+	}
+	return j.n.texts.Piece(ctx, at)
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -79,7 +79,9 @@
 	// Upstreams have slow phases of some 600 ms as a matter of course.
 	Pace:      pace.Config{Window: 1800 * time.Millisecond, LeastEvents: 12, Factor: 2.2, LeastPeers: 2},
 	PaceEvery: 200 * time.Millisecond, PaceChange: 0.3,
-	FlushEvery: 1500 * time.Millisecond, Retry: 100 * time.Millisecond, BusyLimit: 3, Now: time.Now,
+	FlushEvery: 1500 * time.Millisecond, Retry: 100 * time.Millisecond, BusyLimit: 3,
+	PromptRetry: 400 * time.Millisecond, // the store is away then, and its calls are limited
+	Now:         time.Now,
 }
 
 var relayConfig = relay.Config{
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -32,7 +32,7 @@
 	ID     ItemID  `msgpack:"i"`
 	Path   string  `msgpack:"p"`
 	Fields []Field `msgpack:"h"`
-	Body   []byte  `msgpack:"b"`
+	Body   Chunk   `msgpack:"b"` // of the request to the upstream
 	Tokens int     `msgpack:"t"` // of its prompt and, at most, its output
 	Group  string  `msgpack:"g"` // items of a group share their prompt
 	Hint   int     `msgpack:"e"` // tokens of output that its submitter expects; 0: unknown
@@ -77,10 +77,10 @@
 	ID JobID `msgpack:"id"`
 }
 
-// Chunk names a piece of a text that is kept apart from the journal, so that
-// only those read it who need it.
+// Chunk names a piece of data that is kept apart from the journal, so that only
+// those read it who need it.
 type Chunk struct {
-	Part  int    `msgpack:"p"` // partition of the texts
+	Part  int    `msgpack:"p"` // partition of the pieces
 	First uint64 `msgpack:"f"` // offset of its first record
 	Count int    `msgpack:"n"` // records that it was split into; 0: an empty piece
 	Bytes int    `msgpack:"b"`
--- a/lib/batch/batchcodec/batchcodec_test.go
+++ b/lib/batch/batchcodec/batchcodec_test.go
@@ -10,7 +10,7 @@
 )
 
 var records = []batch.Record{
-	&batch.JobAccepted{Job: batch.Job{ID: "j", Host: "h", Model: "m", MinVersion: 3, Items: []batch.Item{{ID: "i", Body: []byte{0, 1}, Fields: []batch.Field{{Name: "n", Value: "v"}}}}}},
+	&batch.JobAccepted{Job: batch.Job{ID: "j", Host: "h", Model: "m", MinVersion: 3, Items: []batch.Item{{ID: "i", Body: batch.Chunk{Part: 2, First: 1 << 40, Count: 1, Bytes: 2}, Fields: []batch.Field{{Name: "n", Value: "v"}}}}}},
 	&batch.JobEnded{ID: "j"},
 	&batch.TextAdded{Job: "j", Item: "i", Run: "r", Start: 2, From: 4, Events: 2, Chunk: batch.Chunk{Part: 3, First: 7, Count: 1, Bytes: 9}, Versions: []api.WeightVersion{3}, Done: true},
 	&batch.ItemFailed{Job: "j", Item: "i", Status: 500},
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -56,15 +56,16 @@
 	return out, nil
 }
 
-// Body returns the body of an item. Errors: *UnknownJobError, *UnknownItemError.
-func (s *State) Body(id JobID, item ItemID) ([]byte, error) {
+// Body returns where the body of an item is. Errors: *UnknownJobError,
+// *UnknownItemError.
+func (s *State) Body(id JobID, item ItemID) (Chunk, error) {
 	j, ok := s.jobs[id]
 	if !ok {
-		return nil, &UnknownJobError{ID: id}
+		return Chunk{}, &UnknownJobError{ID: id}
 	}
 	i, ok := j.items[item]
 	if !ok {
-		return nil, &UnknownItemError{Job: id, Item: item}
+		return Chunk{}, &UnknownItemError{Job: id, Item: item}
 	}
 	return i.item().Body, nil
 }
--- a/lib/batch/text_test.go
+++ b/lib/batch/text_test.go
@@ -36,7 +36,7 @@
 func job(id JobID, items ...ItemID) Job {
 	j := Job{ID: id, Service: "s", Model: "m", Attempts: 3}
 	for _, i := range items {
-		j.Items = append(j.Items, Item{ID: i, Group: "g", Body: []byte(i)})
+		j.Items = append(j.Items, Item{ID: i, Group: "g"})
 	}
 	return j
 }
--- a/lib/generation/generation.go
+++ b/lib/generation/generation.go
@@ -113,9 +113,9 @@
 
 // Engine talks to model servers. All methods may be called from any thread.
 type Engine interface {
-	// Start begins a run after the events that it has already. The stream ends
-	// with ctx. Errors: *Error.
-	Start(ctx context.Context, u *directory.Upstream, r *batch.Run) (Stream, error)
+	// Start begins a run after the events that it has already, with the body of
+	// its item. The stream ends with ctx. Errors: *Error.
+	Start(ctx context.Context, u *directory.Upstream, r *batch.Run, body []byte) (Stream, error)
 	// Report asks an upstream for its state. Errors: *Error.
 	Report(ctx context.Context, u *directory.Upstream) (Report, error)
 	// Order tells an upstream to change its weights. Errors: *Error, after
--- a/server/book/queries.go
+++ b/server/book/queries.go
@@ -43,10 +43,10 @@
 	return fresh
 }
 
-// Body returns the body of an item. Errors: *batch.UnknownJobError or
+// Body returns where the body of an item is. Errors: *batch.UnknownJobError or
 // *batch.UnknownItemError when there surely is none, *StaleError, ctx.Err().
-func (b *Book) Body(ctx context.Context, id batch.JobID, item batch.ItemID) ([]byte, error) {
-	var out []byte
+func (b *Book) Body(ctx context.Context, id batch.JobID, item batch.ItemID) (batch.Chunk, error) {
+	var out batch.Chunk
 	var failed error
 	err := b.query(ctx, certainty, func(s *batch.State, fresh, final bool) bool {
 		out, failed = s.Body(id, item)
--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -142,11 +142,54 @@
 	return c.wait(ctx, e)
 }
 
+// CommitAll appends records and waits for the fate of all. When it fails some
+// of them may be in the journal. Errors: as for Commit, of the first that failed.
+func (c *Committer) CommitAll(ctx context.Context, records [][]byte) ([]Place, error) {
+	if c.Failing() {
+		return nil, &journal.RefusedError{Op: "append", Cause: &failingError{}}
+	}
+	entries := make([]*entry, len(records))
+	for i, r := range records {
+		e, err := c.entry(r)
+		if err != nil {
+			return nil, err
+		}
+		entries[i] = e
+	}
+	for _, e := range entries {
+		if err := c.post(ctx, e); err != nil {
+			return nil, err
+		}
+	}
+	places := make([]Place, len(entries))
+	for i, e := range entries {
+		var err error
+		if places[i], err = c.fate(ctx, e); err != nil {
+			return nil, err
+		}
+	}
+	return places, nil
+}
+
 func (c *Committer) wait(ctx context.Context, e *entry) (Place, error) {
+	if err := c.post(ctx, e); err != nil {
+		return Place{}, err
+	}
+	return c.fate(ctx, e)
+}
+
+// post hands an entry over whose fate the caller waits for. Errors:
+// *journal.RefusedError.
+func (c *Committer) post(ctx context.Context, e *entry) error {
 	e.ctx, e.reply = ctx, ring.NewSlot[outcome]()
 	if err := c.owner.Post(e); err != nil {
-		return Place{}, &journal.RefusedError{Op: "append", Cause: err}
+		return &journal.RefusedError{Op: "append", Cause: err}
 	}
+	return nil
+}
+
+// fate waits until it is known what became of an entry.
+func (c *Committer) fate(ctx context.Context, e *entry) (Place, error) {
 	o, err := e.reply.Wait(ctx)
 	if err != nil && e.sent.CompareAndSwap(false, true) {
 		return Place{}, &journal.RefusedError{Op: "append", Cause: err}
--- a/server/runner/carrier.go
+++ b/server/runner/carrier.go
@@ -107,9 +107,13 @@
 }
 
 // read runs the item and gathers its events. It returns nil once the text is
-// whole. Errors: *generation.Error.
+// whole. Errors: *generation.Error, *PromptError.
 func (c *carrier) read(ctx context.Context, a *run, t *text, watch *time.Timer) error {
-	s, err := c.deps.Engine.Start(ctx, a.upstream, &a.Run)
+	prompt, err := c.deps.Prompt(ctx, a.Item.Body)
+	if err != nil {
+		return &PromptError{Cause: err}
+	}
+	s, err := c.deps.Engine.Start(ctx, a.upstream, &a.Run, prompt)
 	if err != nil {
 		return err
 	}
@@ -141,6 +145,15 @@
 	}
 }
 
+// PromptError reports an item whose body can't be had now.
+type PromptError struct{ Cause error }
+
+// Error implements error.
+func (e *PromptError) Error() string { return "no prompt: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PromptError) Unwrap() error { return e.Cause }
+
 // mixes reports whether an event's version differs from that of the text before.
 func (c *carrier) mixes(a *run, t *text, e generation.Event) bool {
 	return slices.ContainsFunc(a.Versions, func(v api.WeightVersion) bool { return v != e.Version }) ||
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,8 @@
 	FlushEvery time.Duration
 	// Retry is how long a run waits after its upstream was busy.
 	Retry time.Duration
+	// PromptRetry is how long a run waits after its item's body could not be read.
+	PromptRetry time.Duration
 	// BusyLimit is the number of times in a row that an upstream may be busy
 	// before an item is moved to another.
 	BusyLimit int
@@ -50,6 +53,8 @@
 	// StoreText stores events and appends the record that names them, however
 	// long that takes, and waits for the record's offset.
 	StoreText func(ctx context.Context, r *batch.TextAdded, data string) (batch.Offset, error)
+	// Prompt returns the body of an item.
+	Prompt func(ctx context.Context, at batch.Chunk) ([]byte, error)
 	// PostText does the same without waiting.
 	PostText func(r *batch.TextAdded, data string) error
 	// Propose appends a record without waiting.
@@ -215,6 +220,12 @@
 		}
 		return
 	}
+	var unread *PromptError
+	if errors.As(res.err, &unread) {
+		delete(r.active, a.key)
+		r.retryAt[a.key] = r.cfg.Now().Add(r.cfg.PromptRetry)
+		return
+	}
 	r.deps.Ran(res.outcome(a))
 	if res.whole {
 		return
--- a/server/texts/texts.go
+++ b/server/texts/texts.go
@@ -1,5 +1,6 @@
-// Package texts reads the pieces of texts that are kept apart from the journal:
-// one duty hands them out to others that each carry one read.
+// Package texts reads the pieces of data that are kept apart from the journal,
+// texts and the bodies of items: one duty hands them out to others that each
+// carry one read.
 package texts
 
 import (
@@ -23,11 +24,11 @@
 	Timeout  time.Duration // of one read
 }
 
-// MissingError reports a piece that the journal of texts does not have.
+// MissingError reports a piece that no partition has.
 type MissingError struct{ Chunk batch.Chunk }
 
 // Error implements error.
-func (e *MissingError) Error() string { return "a piece of a text is not where the journal says" }
+func (e *MissingError) Error() string { return "a piece is not where the journal says" }
 
 // Texts is the handle of the duties.
 type Texts struct {
@@ -64,13 +65,13 @@
 	return t
 }
 
-// Read returns the text of each result. Errors: *MissingError, those of
-// journal.Pieces, ctx.Err(), *duty.FullError.
-func (t *Texts) Read(ctx context.Context, results []batch.Result) ([]string, error) {
+// Read returns the text of each list of pieces, joined by line feeds. Errors:
+// *MissingError, those of journal.Pieces, ctx.Err(), *duty.FullError.
+func (t *Texts) Read(ctx context.Context, lists [][]batch.Chunk) ([]string, error) {
 	q := &query{ctx: ctx, reply: ring.NewSlot[error]()}
 	var pieces []*piece
-	for _, r := range results {
-		for _, c := range r.Chunks {
+	for _, chunks := range lists {
+		for _, c := range chunks {
 			pieces = append(pieces, &piece{query: q, chunk: c})
 		}
 	}
@@ -82,10 +83,10 @@
 			return nil, firstOf(err, waiting)
 		}
 	}
-	out := make([]string, len(results))
-	for i, r := range results {
+	out := make([]string, len(lists))
+	for i, chunks := range lists {
 		var data []string
-		for range r.Chunks {
+		for range chunks {
 			data = append(data, pieces[0].data)
 			pieces = pieces[1:]
 		}
@@ -94,6 +95,15 @@
 	return out, nil
 }
 
+// Piece returns one piece. Errors: as for Read.
+func (t *Texts) Piece(ctx context.Context, c batch.Chunk) ([]byte, error) {
+	got, err := t.Read(ctx, [][]batch.Chunk{{c}})
+	if err != nil {
+		return nil, err
+	}
+	return []byte(got[0]), nil
+}
+
 func firstOf(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/server/texts/texts_test.go
+++ b/server/texts/texts_test.go
@@ -56,10 +56,10 @@
 func TestTextsArePutTogetherInOrder(t *testing.T) {
 	a, b := &shelf{}, &shelf{}
 	r := start(t, a, b)
-	var results []batch.Result
-	results = append(results, batch.Result{Chunks: []batch.Chunk{a.put(0, "one\ntwo", 100), b.put(1, "three", 100), a.put(0, "", 100)}})
-	results = append(results, batch.Result{}, batch.Result{Chunks: []batch.Chunk{b.put(1, "a long text in parts", 4)}})
-	got, err := r.Read(t.Context(), results)
+	var lists [][]batch.Chunk
+	lists = append(lists, []batch.Chunk{a.put(0, "one\ntwo", 100), b.put(1, "three", 100), a.put(0, "", 100)})
+	lists = append(lists, nil, []batch.Chunk{b.put(1, "a long text in parts", 4)})
+	got, err := r.Read(t.Context(), lists)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, []string{"one\ntwo\nthree\n", "", "a long text in parts"})
 	none, err := r.Read(t.Context(), nil)
@@ -76,7 +76,7 @@
 		"offset":    {First: 7, Count: 1, Bytes: 4},
 		"length":    {First: c.First, Count: 1, Bytes: 5},
 	} {
-		_, err := r.Read(t.Context(), []batch.Result{{Chunks: []batch.Chunk{bad}}})
+		_, err := r.Piece(t.Context(), bad)
 		var missing *MissingError
 		assert.Assert(t, errors.As(err, &missing), name)
 	}
@@ -91,7 +91,7 @@
 	for range 100 {
 		chunks = append(chunks, c)
 	}
-	_, err := r.Read(t.Context(), []batch.Result{{Chunks: chunks}})
+	_, err := r.Read(t.Context(), [][]batch.Chunk{chunks})
 	var refused *journal.RefusedError
 	assert.Assert(t, errors.As(err, &refused), "%v", err)
 	assert.Assert(t, a.reads.Load() < 100, "%d reads", a.reads.Load())
--- a/server/upkeep/upkeep_test.go
+++ b/server/upkeep/upkeep_test.go
@@ -30,7 +30,7 @@
 	changes  []batch.Condition
 }
 
-func (w *world) Start(context.Context, *directory.Upstream, *batch.Run) (generation.Stream, error) {
+func (w *world) Start(context.Context, *directory.Upstream, *batch.Run, []byte) (generation.Stream, error) {
 	return nil, &generation.Error{}
 }
 
