--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -16,7 +16,6 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/cmd/dotterelmountd/internal/accept"
 	"dotterelmount.example/lib/batch"
-	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
@@ -32,14 +31,13 @@
 	"dotterelmount.example/platform/servers"
 	"dotterelmount.example/platform/store"
 	"dotterelmount.example/server/book"
+	"dotterelmount.example/server/chunks"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
 	"dotterelmount.example/server/keeper"
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/runner"
-	"dotterelmount.example/server/texts"
 	"dotterelmount.example/server/upkeep"
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 )
@@ -55,18 +53,18 @@
 	client    *servers.Client
 	follower  *follow.Follower
 	committer *committer.Committer
-	// textCommitter appends texts to this daemon's partition of them.
-	textCommitter *committer.Committer
-	textPart      int
-	texts         *texts.Texts
-	book          atomic.Pointer[book.Book]
-	runner        *runner.Runner
-	keeper        *keeper.Keeper
-	upkeep        *upkeep.Upkeep
-	relay         *relay.Relay
-	callers       *http.Server
-	readiness     *http.Server
-	metrics       *http.Server
+	// chunkCommitter appends chunks to this daemon's partition of them.
+	chunkCommitter *committer.Committer
+	chunkPart      int
+	chunks         *chunks.Chunks
+	book           atomic.Pointer[book.Book]
+	runner         *runner.Runner
+	keeper         *keeper.Keeper
+	upkeep         *upkeep.Upkeep
+	relay          *relay.Relay
+	callers        *http.Server
+	readiness      *http.Server
+	metrics        *http.Server
 	// stopping daemons are not ready and close connections after their answer.
 	stopping atomic.Bool
 }
@@ -87,7 +85,7 @@
 	n.startFollower(st)
 	process := fmt.Sprintf("%s/%s", s.Daemon, uuid.Must(uuid.NewV7()))
 	n.startRelay(process)
-	n.startTexts(st, process)
+	n.startChunks(st, process)
 	n.startJobs(st.Journal(replay.Topic, 0), process)
 	if err := n.serve(); err != nil {
 		return nil, err
@@ -115,24 +113,6 @@
 	n.client.Forget(func(address string) bool { return addresses[address] })
 }
 
-func (n *Node) startCommitter(j journal.Journal, name, process string) *committer.Committer {
-	cfg := committerConfig
-	cfg.Name, cfg.Producer = name, process
-	cfg.RecordBytes, cfg.CallBytes = n.settings.Record, n.settings.Call
-	return committer.Start(n.system, j, cfg, n.log.Logger)
-}
-
-// startTexts starts what keeps texts apart from the journal.
-func (n *Node) startTexts(st *store.Client, process string) {
-	var parts []journal.Pieces
-	for i := range replay.TextPartitions {
-		parts = append(parts, st.Journal(replay.TextTopic, i))
-	}
-	n.texts = texts.Start(n.system, parts, textsConfig)
-	n.textPart = int(xxhash.Sum64String(n.settings.Daemon) % replay.TextPartitions)
-	n.textCommitter = n.startCommitter(st.Journal(replay.TextTopic, n.textPart), replay.TextTopic, process)
-}
-
 func (n *Node) startJobs(j journal.Journal, process string) {
 	self := api.DaemonID(n.settings.Daemon)
 	starts := time.Now().UnixMilli()
@@ -141,7 +121,7 @@
 	runs := runnerConfig
 	runs.Self, runs.Process, runs.Carriers = self, process, n.settings.Carriers
 	n.runner = runner.Start(n.system, runs, runner.Deps{
-		Engine: n.client, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.texts.Piece, Propose: func(r batch.Record) error { return n.propose(r, 0) },
+		Engine: n.client, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunks.One, Propose: func(r batch.Record) error { return n.propose(r, 0) },
 		Ran:       func(o generation.Outcome) { n.upkeep.Tell(o) }, // upkeep starts before there are runs
 		Upstreams: func() []batch.Upstream { return n.snapshot().Upstreams },
 	}, n.log.Logger)
@@ -187,54 +167,6 @@
 
 func (n *Node) open(ctx context.Context) ([]batch.OpenItem, error) { return n.book.Load().Open(ctx) }
 
-// keep appends a record of the journal and returns its offset in the fold.
-func (n *Node) keep(ctx context.Context, r batch.Record) (batch.Offset, error) {
-	data, err := batchcodec.Encode(r)
-	if err != nil {
-		return 0, err
-	}
-	at, err := n.committer.Keep(ctx, data)
-	return batch.Offset(at.Last()) + 1, err
-}
-
-// chunk names a piece at a place in this daemon's partition.
-func (n *Node) chunk(at committer.Place, bytes int) batch.Chunk {
-	return batch.Chunk{Part: n.textPart, First: uint64(at.First), Count: at.Parts, Bytes: bytes}
-}
-
-// storeText keeps a piece of text, then the record that names it.
-func (n *Node) storeText(ctx context.Context, r *batch.TextAdded, data string) (batch.Offset, error) {
-	if r.Events > 0 {
-		at, err := n.textCommitter.Keep(ctx, []byte(data))
-		if err != nil {
-			return 0, err
-		}
-		r.Chunk = n.chunk(at, len(data))
-	}
-	return n.keep(ctx, r)
-}
-
-// postText does the same without waiting. A record that can't be queued leaves
-// a gap, after which the rest of its run is not taken.
-func (n *Node) postText(r *batch.TextAdded, data string) error {
-	return n.textCommitter.PostThen([]byte(data), func(at committer.Place) {
-		r.Chunk = n.chunk(at, len(data))
-		if err := n.propose(r, 0); err != nil {
-			n.log.Warn("text not queued", zap.String("item", string(r.Item)), zap.Error(err))
-		}
-	})
-}
-
-// propose appends a record without waiting, or drops it when its append has
-// not begun in time; zero: never.
-func (n *Node) propose(r batch.Record, within time.Duration) error {
-	data, err := batchcodec.Encode(r)
-	if err != nil {
-		return err
-	}
-	return n.committer.Post(data, within)
-}
-
 func (n *Node) startRelay(process string) {
 	cfg := relayConfig
 	cfg.Crashed = func(content uint64, lost int) {
--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -18,7 +18,7 @@
 // Submit implements entry.Jobs. A job whose bodies may not all be kept is not
 // accepted, and never will be.
 func (j *jobs) Submit(ctx context.Context, job *batch.Job, bodies [][]byte) error {
-	places, err := j.n.textCommitter.CommitAll(ctx, bodies)
+	places, err := j.n.chunkCommitter.CommitAll(ctx, bodies)
 	if err != nil {
 		return &opaque.RefusedError{Reason: err.Error(), RetryAfter: retryAfter}
 	}
@@ -65,9 +65,9 @@
 	for _, r := range found.Results {
 		lists = append(lists, r.Chunks)
 	}
-	data, err := j.n.texts.Read(ctx, lists)
+	data, err := j.n.chunks.Read(ctx, lists)
 	if err != nil {
-		j.n.log.Info("texts not read", zap.String("job", string(id)), zap.Int("from", from), zap.Int("results", len(found.Results)), zap.Error(err))
+		j.n.log.Info("chunks not read", zap.String("job", string(id)), zap.Int("from", from), zap.Int("results", len(found.Results)), zap.Error(err))
 	}
 	return found, data, err
 }
@@ -78,5 +78,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return j.n.texts.Piece(ctx, at)
+	return j.n.chunks.One(ctx, at)
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -7,12 +7,12 @@
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/pace"
 	"dotterelmount.example/server/book"
+	"dotterelmount.example/server/chunks"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
 	"dotterelmount.example/server/keeper"
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/runner"
-	"dotterelmount.example/server/texts"
 	"dotterelmount.example/server/upkeep"
 )
 
@@ -46,7 +46,7 @@
 	RingSize: 4096, Timeout: logCallTimeout, RetryEvery: 50 * time.Millisecond, Patience: 300 * time.Millisecond, Now: time.Now,
 }
 
-var textsConfig = texts.Config{
+var chunksConfig = chunks.Config{
 	Readers:  8, // some seven milliseconds each, so that a hundred pieces take a tenth of a second
 	RingSize: 256, Timeout: logCallTimeout,
 }
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -77,12 +77,12 @@
 	ID JobID `msgpack:"id"`
 }
 
-// Chunk names a piece of data that is kept apart from the journal, so that only
+// Chunk names data that is kept apart from the journal, so that only
 // those read it who need it.
 type Chunk struct {
-	Part  int    `msgpack:"p"` // partition of the pieces
+	Part  int    `msgpack:"p"` // partition of the chunks
 	First uint64 `msgpack:"f"` // offset of its first record
-	Count int    `msgpack:"n"` // records that it was split into; 0: an empty piece
+	Count int    `msgpack:"n"` // records that it was split into; 0: there is none
 	Bytes int    `msgpack:"b"`
 }
 
--- a/lib/batch/replay/replay.go
+++ b/lib/batch/replay/replay.go
@@ -14,10 +14,10 @@
 // Topic is the journal's topic; all daemons share its one partition.
 const Topic = "jobs"
 
-// TextTopic has the texts of items, in partitions that daemons share.
+// ChunkTopic has the chunks that records name, in partitions that daemons share.
 const (
-	TextTopic      = "texts"
-	TextPartitions = 8
+	ChunkTopic      = "chunks"
+	ChunkPartitions = 8
 )
 
 // Decoder puts parts together and decodes them, in the order of the journal.
--- a/lib/journal/journal.go
+++ b/lib/journal/journal.go
@@ -36,12 +36,12 @@
 	Read(ctx context.Context, from Offset, wait time.Duration) (Page, error)
 }
 
-// Pieces reads single records where others are not wanted. All methods may be
+// Fetcher reads single records where others are not wanted. All methods may be
 // called from any thread.
-type Pieces interface {
-	// ReadSome returns the record at an offset and those after it, up to some
+type Fetcher interface {
+	// Fetch returns the record at an offset and those after it, up to some
 	// bytes. Errors: as for Journal.Read.
-	ReadSome(ctx context.Context, from Offset, bytes int) (Page, error)
+	Fetch(ctx context.Context, from Offset, bytes int) (Page, error)
 }
 
 // RefusedError reports a call that had no effect and will have none.
--- a/server/texts/texts_test.go
+++ b/server/chunks/chunks_test.go
@@ -1,4 +1,4 @@
-package texts
+package chunks
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// shelf is a partition of texts.
+// shelf is a partition of chunks.
 type shelf struct {
 	records [][]byte
 	fail    error
 	reads   atomic.Int64
 }
 
-func (s *shelf) ReadSome(_ context.Context, from journal.Offset, bytes int) (journal.Page, error) {
+func (s *shelf) Fetch(_ context.Context, from journal.Offset, bytes int) (journal.Page, error) {
 	s.reads.Add(1)
 	if s.fail != nil {
 		return journal.Page{}, s.fail
@@ -42,9 +42,9 @@
 	return c
 }
 
-func start(t *testing.T, shelves ...*shelf) *Texts {
+func start(t *testing.T, shelves ...*shelf) *Chunks {
 	t.Helper()
-	var parts []journal.Pieces
+	var parts []journal.Fetcher
 	for _, s := range shelves {
 		parts = append(parts, s)
 	}
@@ -53,7 +53,7 @@
 	return r
 }
 
-func TestTextsArePutTogetherInOrder(t *testing.T) {
+func TestChunksArePutTogetherInOrder(t *testing.T) {
 	a, b := &shelf{}, &shelf{}
 	r := start(t, a, b)
 	var lists [][]batch.Chunk
@@ -67,7 +67,7 @@
 	assert.Equal(t, len(none), 0)
 }
 
-func TestAPieceThatIsNotThereIsAnError(t *testing.T) {
+func TestAChunkThatIsNotThereIsAnError(t *testing.T) {
 	a := &shelf{}
 	r := start(t, a)
 	c := a.put(0, "text", 100)
@@ -76,7 +76,7 @@
 		"offset":    {First: 7, Count: 1, Bytes: 4},
 		"length":    {First: c.First, Count: 1, Bytes: 5},
 	} {
-		_, err := r.Piece(t.Context(), bad)
+		_, err := r.One(t.Context(), bad)
 		var missing *MissingError
 		assert.Assert(t, errors.As(err, &missing), name)
 	}
