--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -104,7 +104,7 @@
 
 // Start spawns the duties.
 func Start(sys *duty.System, j journal.Journal, cfg Config, log *zap.Logger) *Committer {
-	c := &Committer{cfg: cfg, log: log, journal: j}
+	c := &Committer{cfg: cfg, log: log.With(zap.String("topic", cfg.Name)), journal: j}
 	c.owner = duty.Start(sys, duty.Config{Name: "committer-" + cfg.Name, RingSize: cfg.RingSize}, duty.Handler[any](c))
 	c.appender = duty.Start(sys, duty.Config{Name: "append-" + cfg.Name, RingSize: 1}, duty.Handler[*call]((*appender)(c)))
 	return c
