Share between the two soaks what is the same in them

Kinds, spans and faults of schedules (bench/schedule) and the notes of what is wrong (bench/fleet) stood in both. The tables of the hosted soak's faults leave the function that reads them.

--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -85,31 +85,45 @@
 	}
 }
 
-// fault returns the subject of a fault and what brings it about.
-func (j *injector) fault(f fault) (string, func(context.Context) bool) {
-	number := f.Target % daemonCount
-	daemon := j.d.daemons[number]
-	all := j.d.servers()
-	server := all[f.Target%len(all)]
-	modes := map[kind]platform.Mode{
+// How the kinds mislead the store, the servers and the links.
+var (
+	modes = map[kind]platform.Mode{
 		storeBusy: platform.ModeBusy, storeDown: platform.ModeSilent, storeLossy: platform.ModeLossy,
 		storeLate: platform.ModeLate, storeSlow: platform.ModeSlow,
 	}
-	troubles := map[kind]platform.Trouble{
+	troubles = map[kind]platform.Trouble{
 		serverSlow: platform.TroubleSlow, serverBusy: platform.TroubleBusy, serverCuts: platform.TroubleCut, serverLoses: platform.TroubleLose,
 		serverGarbles: platform.TroubleGarble, serverHangs: platform.TroubleHang, serverFails: platform.TroubleFail,
 	}
-	silences := map[kind]links.Silence{callerSilent: links.SilentAll, storeSilent: links.SilentAll, storeSilentOld: links.SilentOld, serverDark: links.SilentAll}
-	name := map[kind]string{
-		callerCut: callerLink(number), callerSilent: callerLink(number),
-		storeCut: storeLink(number), storeSilent: storeLink(number), storeSilentOld: storeLink(number),
-		serverDark: j.d.net.Links[f.Target%len(all)].Name, // servers' links come first
-	}[f.Kind]
+	silences = map[kind]links.Silence{
+		callerSilent: links.SilentAll, storeSilent: links.SilentAll, storeSilentOld: links.SilentOld, serverDark: links.SilentAll,
+	}
+)
+
+// link returns the link that a fault hits.
+func (j *injector) link(f fault) *links.Link {
+	number := f.Target % daemonCount
+	switch f.Kind {
+	case callerCut, callerSilent:
+		return j.d.net.ByName[callerLink(number)]
+	case serverDark:
+		return j.d.net.Links[f.Target%len(j.d.servers())] // servers' links come first
+	default:
+		return j.d.net.ByName[storeLink(number)]
+	}
+}
+
+// fault returns the subject of a fault and what brings it about.
+func (j *injector) fault(f fault) (string, func(context.Context) bool) {
+	all := j.d.servers()
+	server := all[f.Target%len(all)]
 	switch f.Kind {
 	case callerCut, storeCut:
-		return name, func(ctx context.Context) bool { return links.Cut(ctx, f.Lasts, j.d.net.ByName[name]) }
+		link := j.link(f)
+		return link.Name, func(ctx context.Context) bool { return links.Cut(ctx, f.Lasts, link) }
 	case callerSilent, storeSilent, storeSilentOld, serverDark:
-		return name, func(ctx context.Context) bool { return j.d.net.ByName[name].Silence(ctx, silences[f.Kind], f.Lasts) }
+		link := j.link(f)
+		return link.Name, func(ctx context.Context) bool { return link.Silence(ctx, silences[f.Kind], f.Lasts) }
 	case storeBusy, storeDown, storeLossy, storeLate, storeSlow:
 		return "store", func(ctx context.Context) bool { return j.mode(ctx, modes[f.Kind], f.Lasts) }
 	case storeForgets:
@@ -127,6 +141,7 @@
 	case daemonsKill:
 		return "daemons", func(context.Context) bool { return killAll(j.d.daemons) }
 	default:
+		daemon := j.d.daemons[f.Target%daemonCount]
 		return daemon.Name, end(f, daemon)
 	}
 }
--- a/bench/hostedsoak/judge.go
+++ b/bench/hostedsoak/judge.go
@@ -81,13 +81,13 @@
 		own := a.Err == nil && a.Signature == ""
 		switch {
 		case a.Wrong != "":
-			r.count(&r.AnswersWrong, "%s at %s: %s", a.Request, daemonName(a.Daemon), a.Wrong)
+			r.Count(&r.AnswersWrong, "%s at %s: %s", a.Request, daemonName(a.Daemon), a.Wrong)
 		case a.Path == oncePath && ran > 1:
-			r.count(&r.RepeatedOnce, "%s at %s ran %d times", a.Request, daemonName(a.Daemon), ran)
+			r.Count(&r.RepeatedOnce, "%s at %s ran %d times", a.Request, daemonName(a.Daemon), ran)
 		case a.Path == oncePath && own && a.NotRun() && ran > 0:
-			r.count(&r.FalseNotRun, "%s at %s was answered %d and ran", a.Request, daemonName(a.Daemon), a.Status)
+			r.Count(&r.FalseNotRun, "%s at %s was answered %d and ran", a.Request, daemonName(a.Daemon), a.Status)
 		case a.Killer == "" && own && a.Status < http.StatusInternalServerError && a.Status >= http.StatusMultipleChoices && !a.NotRun():
-			r.count(&r.Denied, "%s at %s was answered %d", a.Request, daemonName(a.Daemon), a.Status)
+			r.Count(&r.Denied, "%s at %s was answered %d", a.Request, daemonName(a.Daemon), a.Status)
 		}
 	}
 }
@@ -101,13 +101,13 @@
 			for _, result := range s.listed {
 				r.Results++
 				if why := wrongResult(s, result, e); why != "" || seen[result.ID] {
-					r.count(&r.ResultsWrong, "%s of %s: %s, listed before: %t", result.ID, s.job.ID, why, seen[result.ID])
+					r.Count(&r.ResultsWrong, "%s of %s: %s, listed before: %t", result.ID, s.job.ID, why, seen[result.ID])
 				}
 				seen[result.ID] = true
 			}
 			for _, item := range s.job.Items {
 				if s.refused && len(e.arrivals[item.ID]) > 0 {
-					r.count(&r.FalseNotRun, "%s was refused and %s ran", s.job.ID, item.ID)
+					r.Count(&r.FalseNotRun, "%s was refused and %s ran", s.job.ID, item.ID)
 				}
 			}
 		}
@@ -172,7 +172,7 @@
 		}
 		r.KillerRetries = max(r.KillerRetries, late)
 		if late > killerRetries {
-			r.note("%s ran %d times, %d of them when it was known", killer, len(of), late)
+			r.Note("%s ran %d times, %d of them when it was known", killer, len(of), late)
 		}
 	}
 }
@@ -197,7 +197,7 @@
 		for id, arrivals := range e.arrivals {
 			for _, a := range arrivals {
 				if a.Server == d.server && a.At.After(d.begin.Add(drainBound)) && a.At.Before(d.end) && j.sentInTouch(daemons, id, a.At) {
-					r.count(&r.NewWorkAfterDrain, "%s got %s %s after it said that it was leaving", d.server, id, a.At.Sub(d.begin))
+					r.Count(&r.NewWorkAfterDrain, "%s got %s %s after it said that it was leaving", d.server, id, a.At.Sub(d.begin))
 				}
 			}
 		}
@@ -227,7 +227,7 @@
 			}
 			r.StopsJudged++
 			if a.Err != nil {
-				r.count(&r.CutByStop, "%s at %s: %v", a.Request, h.Subject, a.Err)
+				r.Count(&r.CutByStop, "%s at %s: %v", a.Request, h.Subject, a.Err)
 			}
 		}
 	}
@@ -244,7 +244,7 @@
 		for _, o := range s.Orders() {
 			key := used{o.Server, o.Fence}
 			if before := owners[key]; before != "" && before != o.Owner {
-				r.count(&r.TwoHolders, "%s got orders with token %d of %s and %s", o.Server, o.Fence, before, o.Owner)
+				r.Count(&r.TwoHolders, "%s got orders with token %d of %s and %s", o.Server, o.Fence, before, o.Owner)
 			}
 			owners[key] = o.Owner
 		}
--- a/bench/hostedsoak/main.go
+++ b/bench/hostedsoak/main.go
@@ -55,7 +55,7 @@
 	defer runner.KillAll()
 	r := newResult(seed)
 	if err := play(ctx, runner, r, faults); err != nil {
-		r.note("%v", err)
+		r.Note("%v", err)
 	}
 	line, err := json.Marshal(r)
 	if err != nil {
--- a/bench/hostedsoak/play.go
+++ b/bench/hostedsoak/play.go
@@ -44,7 +44,7 @@
 	defer stop()
 	exits, err := d.close(closing)
 	if err != nil {
-		r.note("end of a daemon: %v", err)
+		r.Note("end of a daemon: %v", err)
 	}
 	e := readEvidence(d)
 	r.judgeRequests(l.asked, e)
@@ -55,6 +55,7 @@
 	r.judgeOrders(d)
 	r.judgeExits(exits)
 	r.judgeFaults(j)
+	r.Probes = int(r.probes.Load())
 	return nil
 }
 
@@ -116,7 +117,7 @@
 				}
 				if !duty.Pause(ctx, retryEvery) {
 					r.Recovered = false
-					r.note("%s does not serve %s again: status %d, %v", daemonName(i), path, a.Status, a.Err)
+					r.Note("%s does not serve %s again: status %d, %v", daemonName(i), path, a.Status, a.Err)
 					break
 				}
 			}
--- a/bench/hostedsoak/result.go
+++ b/bench/hostedsoak/result.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
-	"os"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelmount.example/bench/fleet"
@@ -40,55 +38,25 @@
 	Probes            int            `json:"probes"`
 	UnexpectedExits   int            `json:"unexpected_exits"` // also of a broken invariant
 	Recovered         bool           `json:"recovered"`        // in the end every daemon serves each kind of request
-	Errors            []string       `json:"errors,omitempty"`
 
-	mu    sync.Mutex
-	quiet bool // keeps notes to itself
+	fleet.Notes
+	probes atomic.Int64
 }
 
 func newResult(seed uint64) *Result {
 	return &Result{Seed: seed, Faults: make(map[kind]int), Requests: make(map[string]int)}
 }
 
-// maxErrors bounds the errors on the last line; the rest go to stderr only.
-const maxErrors = 12
-
-// note keeps an error for the last line.
-func (r *Result) note(format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.noteLocked(format, args...)
-}
-
-func (r *Result) noteLocked(format string, args ...any) {
-	if r.quiet {
-		return
-	}
-	text := fmt.Sprintf(format, args...)
-	fmt.Fprintf(os.Stderr, "hostedsoak: %s %s\n", time.Now().Format("15:04:05.000"), text)
-	if len(r.Errors) < maxErrors {
-		r.Errors = append(r.Errors, text)
-	}
-}
-
-// count adds one to a counter of r and notes why.
-func (r *Result) count(counter *int, format string, args ...any) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	*counter++
-	r.noteLocked(format, args...)
-}
-
 // stuck notes a step that did not end in time.
 func (r *Result) stuck(s *step) {
-	r.count(&r.StepsStuck, "%s did not end: accepted %s, %d results of %d", s.job.ID, s.accepted.Format("15:04:05.000"), len(s.listed), len(s.job.Items))
+	r.Count(&r.StepsStuck, "%s did not end: accepted %s, %d results of %d", s.job.ID, s.accepted.Format("15:04:05.000"), len(s.listed), len(s.job.Items))
 }
 
 // unread notes a read that got no results; a daemon may not deny a job that
 // was accepted some time ago.
 func (r *Result) unread(s *step, daemon, status int) {
 	if status == http.StatusNotFound && !s.accepted.IsZero() && time.Since(s.accepted) > settle {
-		r.count(&r.JobsDenied, "%s does not know %s, accepted at %s", daemonName(daemon), s.job.ID, s.accepted.Format("15:04:05.000"))
+		r.Count(&r.JobsDenied, "%s does not know %s, accepted at %s", daemonName(daemon), s.job.ID, s.accepted.Format("15:04:05.000"))
 	}
 }
 
@@ -96,7 +64,7 @@
 func (r *Result) judgeExits(exits []supervise.Exit) {
 	for _, x := range exits {
 		if !x.Expected {
-			r.count(&r.UnexpectedExits, "%s ended with status %d", x.Name, x.Code)
+			r.Count(&r.UnexpectedExits, "%s ended with status %d", x.Name, x.Code)
 		}
 	}
 }
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -1,14 +1,18 @@
 package main
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"dotterelmount.example/bench/schedule"
 )
 
-// kind is a kind of fault.
-type kind string
+type (
+	kind  = schedule.Kind
+	fault = schedule.Fault
+	span  = schedule.Span
+)
 
 // The kinds of faults.
 const (
@@ -42,34 +46,31 @@
 	configStorm    kind = "config-storm"
 )
 
-// span bounds how long a fault lasts.
-type span struct{ least, most time.Duration }
-
 // spans holds every kind with how long it lasts; zero for those of one moment.
 var spans = map[kind]span{
 	daemonKill: {}, daemonsKill: {}, daemonTerm: {}, daemonHup: {}, storeForgets: {}, configChange: {},
-	daemonPause:    {500 * time.Millisecond, 5 * time.Second},
-	callerCut:      {500 * time.Millisecond, 3 * time.Second},
-	callerSilent:   {500 * time.Millisecond, 3 * time.Second},
-	storeCut:       {500 * time.Millisecond, 5 * time.Second},
-	storeSilent:    {500 * time.Millisecond, 5 * time.Second},
-	storeSilentOld: {time.Second, 4 * time.Second},
-	storeBusy:      {500 * time.Millisecond, 4 * time.Second},
-	storeDown:      {500 * time.Millisecond, 5 * time.Second},
-	storeLossy:     {500 * time.Millisecond, 3 * time.Second},
-	storeLate:      {500 * time.Millisecond, 3 * time.Second},
-	storeSlow:      {time.Second, 4 * time.Second},
-	serverRestart:  {500 * time.Millisecond, 3 * time.Second},
-	serverSlow:     {time.Second, 4 * time.Second},
-	serverBusy:     {500 * time.Millisecond, 3 * time.Second},
-	serverCuts:     {500 * time.Millisecond, 2 * time.Second},
-	serverLoses:    {500 * time.Millisecond, 2 * time.Second},
-	serverGarbles:  {500 * time.Millisecond, 2 * time.Second},
-	serverHangs:    {500 * time.Millisecond, 3 * time.Second},
-	serverFails:    {200 * time.Millisecond, 500 * time.Millisecond},
-	serverDark:     {time.Second, 4 * time.Second},
-	serverDrain:    {3 * time.Second, 6 * time.Second},
-	configStorm:    {500 * time.Millisecond, 2 * time.Second},
+	daemonPause:    {Least: 500 * time.Millisecond, Most: 5 * time.Second},
+	callerCut:      {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	callerSilent:   {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	storeCut:       {Least: 500 * time.Millisecond, Most: 5 * time.Second},
+	storeSilent:    {Least: 500 * time.Millisecond, Most: 5 * time.Second},
+	storeSilentOld: {Least: time.Second, Most: 4 * time.Second},
+	storeBusy:      {Least: 500 * time.Millisecond, Most: 4 * time.Second},
+	storeDown:      {Least: 500 * time.Millisecond, Most: 5 * time.Second},
+	storeLossy:     {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	storeLate:      {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	storeSlow:      {Least: time.Second, Most: 4 * time.Second},
+	serverRestart:  {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	serverSlow:     {Least: time.Second, Most: 4 * time.Second},
+	serverBusy:     {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	serverCuts:     {Least: 500 * time.Millisecond, Most: 2 * time.Second},
+	serverLoses:    {Least: 500 * time.Millisecond, Most: 2 * time.Second},
+	serverGarbles:  {Least: 500 * time.Millisecond, Most: 2 * time.Second},
+	serverHangs:    {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	serverFails:    {Least: 200 * time.Millisecond, Most: 500 * time.Millisecond},
+	serverDark:     {Least: time.Second, Most: 4 * time.Second},
+	serverDrain:    {Least: 3 * time.Second, Most: 6 * time.Second},
+	configStorm:    {Least: 500 * time.Millisecond, Most: 2 * time.Second},
 }
 
 // kinds lists every kind in a fixed order.
@@ -82,19 +83,6 @@
 	return out
 }
 
-// fault is one entry of the schedule.
-type fault struct {
-	At     time.Duration // since the start of the load
-	Kind   kind
-	Target int // picks among what the kind can hit, modulo their number
-	Lasts  time.Duration
-}
-
-// String describes the fault in a line.
-func (f fault) String() string {
-	return fmt.Sprintf("%7.3fs %-16s target %10d lasts %.3fs", f.At.Seconds(), f.Kind, f.Target, f.Lasts.Seconds())
-}
-
 const (
 	warmUp     = time.Second            // load without faults
 	extraEvery = 900 * time.Millisecond // a further fault of any kind
@@ -109,8 +97,7 @@
 	rng := rand.New(rand.NewPCG(seed, uint64(len(all))))
 	var faults []fault
 	add := func(k kind, at time.Duration) {
-		s := spans[k]
-		lasts := s.least + time.Duration(rng.Int64N(int64(s.most-s.least)+1))
+		lasts := spans[k].Draw(rng)
 		faults = append(faults, fault{At: at, Kind: k, Target: int(rng.Int32()), Lasts: lasts})
 	}
 	order := slices.Clone(all)
--- a/bench/hostedsoak/soak_test.go
+++ b/bench/hostedsoak/soak_test.go
@@ -11,7 +11,7 @@
 
 func quiet() *Result {
 	r := newResult(1)
-	r.quiet = true
+	r.Quiet = true
 	return r
 }
 
--- a/bench/hostedsoak/trainers.go
+++ b/bench/hostedsoak/trainers.go
@@ -112,12 +112,12 @@
 		return 0, false
 	}
 	if got.Total != len(s.job.Items) || got.Next != after+len(got.Results) {
-		t.r.count(&t.r.ResultsChanged, "%s at %s: total %d, next %d after %d with %d results", s.job.ID, daemonName(daemon), got.Total, got.Next, after, len(got.Results))
+		t.r.Count(&t.r.ResultsChanged, "%s at %s: total %d, next %d after %d with %d results", s.job.ID, daemonName(daemon), got.Total, got.Next, after, len(got.Results))
 	}
 	for i, result := range got.Results {
 		at := after + i
 		if at < known && !same(result, s.listed[at]) {
-			t.r.count(&t.r.ResultsChanged, "%s at %s: position %d was %s and is %s", s.job.ID, daemonName(daemon), at, s.listed[at].ID, result.ID)
+			t.r.Count(&t.r.ResultsChanged, "%s at %s: position %d was %s and is %s", s.job.ID, daemonName(daemon), at, s.listed[at].ID, result.ID)
 		}
 		if at == len(s.listed) {
 			s.listed = append(s.listed, result)
@@ -159,7 +159,7 @@
 		}
 		duty.Pause(ctx, pollEvery)
 	}
-	t.r.note("%s could not be ended", s.job.ID)
+	t.r.Note("%s could not be ended", s.job.ID)
 }
 
 // readAgain reads every accepted job of the trainer once more at some daemon.
@@ -170,7 +170,7 @@
 		}
 		known := len(s.listed)
 		if n, ok := t.read(ctx, s, 0); !ok || n < known {
-			t.r.count(&t.r.ResultsChanged, "%s can't be read at the end", s.job.ID)
+			t.r.Count(&t.r.ResultsChanged, "%s can't be read at the end", s.job.ID)
 		}
 	}
 }
--- a/bench/hostedsoak/watch.go
+++ b/bench/hostedsoak/watch.go
@@ -68,9 +68,7 @@
 // judgeProbe compares an answer with what the same process said before, and
 // with when the version was published.
 func (r *Result) judgeProbe(p probe, seen map[[2]int]time.Time, o *operator, j *injector) {
-	r.mu.Lock()
-	r.Probes++
-	r.mu.Unlock()
+	r.probes.Add(1)
 	key := [2]int{p.version, p.process}
 	if p.found {
 		if seen[key].IsZero() {
@@ -79,9 +77,9 @@
 		return
 	}
 	if first := seen[key]; !first.IsZero() && p.sent.Sub(first) > rollbackSlack {
-		r.count(&r.ConfigReverts, "%s had version %d at %s and not at %s", daemonName(p.daemon), p.version, first.Format("15:04:05.000"), p.sent.Format("15:04:05.000"))
+		r.Count(&r.ConfigReverts, "%s had version %d at %s and not at %s", daemonName(p.daemon), p.version, first.Format("15:04:05.000"), p.sent.Format("15:04:05.000"))
 	}
 	if late := p.sent.Sub(o.when(p.version)); late > applyBound && j.inTouch(p.daemon, p.sent) {
-		r.count(&r.ConfigLate, "%s does not have version %d after %s", daemonName(p.daemon), p.version, late)
+		r.Count(&r.ConfigLate, "%s does not have version %d after %s", daemonName(p.daemon), p.version, late)
 	}
 }
--- a/bench/soak/coverage.go
+++ b/bench/soak/coverage.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/bench/fleet"
 	"dotterelmount.example/bench/supervise"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/standin/journal"
@@ -93,7 +94,7 @@
 			return
 		}
 		for _, k := range missing {
-			f := fault{Kind: k, Target: int(rng.Int32()), Lasts: spans[k].most}
+			f := fault{Kind: k, Target: int(rng.Int32()), Lasts: spans[k].Most}
 			j.play(ctx, time.Now(), []fault{f})
 		}
 		if !duty.Pause(ctx, againEvery) {
@@ -117,7 +118,7 @@
 			return // the verdict reads again and tells
 		}
 		drains, stops := j.operators.pastDrains(), j.snapshot()
-		trial := &Result{quiet: true}
+		trial := &Result{Notes: fleet.Notes{Quiet: true}}
 		trial.judgeInterruptions(l.snapshot(), e, drains, stops)
 		if trial.DrainsJudged > 0 && trial.StopsJudged > 0 {
 			return
--- a/bench/soak/interrupt.go
+++ b/bench/soak/interrupt.go
@@ -53,7 +53,7 @@
 				r.DrainsJudged++
 				if a.Outcome != api.OutcomeComplete {
 					r.CutByDrain++
-					r.note("request %s in progress at %s when it was marked: %s %s", a.RequestID, d.Upstream, a.Outcome, a.Error)
+					r.Note("request %s in progress at %s when it was marked: %s %s", a.RequestID, d.Upstream, a.Outcome, a.Error)
 				}
 			}
 		}
@@ -64,7 +64,7 @@
 			r.StopsJudged++
 			if a.Outcome != api.OutcomeComplete {
 				r.CutByStop++
-				r.note("request %s in progress at the stop of %s: %s %s", a.RequestID, h.Subject, a.Outcome, a.Error)
+				r.Note("request %s in progress at the stop of %s: %s %s", a.RequestID, h.Subject, a.Outcome, a.Error)
 			}
 		}
 	}
--- a/bench/soak/killers.go
+++ b/bench/soak/killers.go
@@ -18,7 +18,7 @@
 		if a.Killer == 0 {
 			if condemned {
 				r.InnocentCondemned++
-				r.note("request %s at daemon %d was condemned: %s", a.RequestID, a.Daemon+1, a.Error)
+				r.Note("request %s at daemon %d was condemned: %s", a.RequestID, a.Daemon+1, a.Error)
 			}
 			continue
 		}
@@ -32,7 +32,7 @@
 		r.KillerCrashes = max(r.KillerCrashes, n)
 		if refusals[killer] < daemonCount {
 			r.KillersUnrefused++
-			r.note("killer request %d ran %d times and was not refused by each daemon in the end", killer, n)
+			r.Note("killer request %d ran %d times and was not refused by each daemon in the end", killer, n)
 		}
 	}
 }
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -59,7 +59,7 @@
 
 func printSchedule(faults []fault) {
 	for _, f := range faults {
-		fmt.Printf("%8.3fs %-20s target %10d lasts %.3fs\n", f.At.Seconds(), f.Kind, f.Target, f.Lasts.Seconds())
+		fmt.Println(f)
 	}
 }
 
@@ -94,7 +94,7 @@
 	defer watchdog.Stop()
 	stopNote := context.AfterFunc(ctx, func() { s.overdue.Store(s.part.Load()) })
 	if err := s.play(ctx, runner); err != nil {
-		s.result.note("%v", err)
+		s.result.Note("%v", err)
 	}
 	if part, ok := s.overdue.Load().(string); ok && !stopNote() {
 		s.result.Unfinished = part
--- a/bench/soak/play.go
+++ b/bench/soak/play.go
@@ -52,7 +52,7 @@
 	defer stop()
 	exits, err := d.close(closing)
 	if err != nil {
-		s.result.note("end of a process: %v", err)
+		s.result.Note("end of a process: %v", err)
 	}
 	s.result.StoppedCleanly = err == nil
 	return s.judge(d, l, j, watches, exits)
@@ -110,7 +110,7 @@
 			ok = chat.Outcome == api.OutcomeComplete && once.Outcome == api.OutcomeComplete
 			if !ok && !duty.Pause(ctx, retryEvery) {
 				s.result.Recovered = false
-				s.result.note("%s does not serve again: chat %s, once-only call %s", d.daemons[i].Name, chat.Error, once.Error)
+				s.result.Note("%s does not serve again: chat %s, once-only call %s", d.daemons[i].Name, chat.Error, once.Error)
 				break
 			}
 		}
@@ -123,7 +123,7 @@
 	for _, daemon := range d.daemons {
 		n, err := fleet.Violations(ctx, daemon.Address)
 		if err != nil {
-			s.result.note("invariants of %s: %v", daemon.Name, err)
+			s.result.Note("invariants of %s: %v", daemon.Name, err)
 		}
 		s.result.InvariantViolations += n
 	}
@@ -157,7 +157,7 @@
 		r.VersionPolls += w.polls
 		r.VersionReverts += len(w.reverts)
 		for _, text := range w.reverts {
-			r.note("%s", text)
+			r.Note("%s", text)
 		}
 	}
 	r.judgeExits(exits, daemons)
--- a/bench/soak/result.go
+++ b/bench/soak/result.go
@@ -1,9 +1,6 @@
 package main
 
 import (
-	"fmt"
-	"os"
-
 	"dotterelmount.example/bench/fleet"
 
 	"dotterelmount.example/api"
@@ -48,22 +45,7 @@
 	KillersUnrefused         int            `json:"killers_unrefused"`
 	InnocentCondemned        int            `json:"innocent_condemned"`
 	Unfinished               string         `json:"unfinished,omitempty"` // part that the time limit ended
-	Errors                   []string       `json:"errors,omitempty"`
-	quiet                    bool           // keeps notes to itself
-}
-
-// maxErrors bounds the errors on the last line; the rest go to stderr only.
-const maxErrors = 8
-
-func (r *Result) note(format string, args ...any) {
-	if r.quiet {
-		return
-	}
-	text := fmt.Sprintf(format, args...)
-	fmt.Fprintln(os.Stderr, "soak:", text)
-	if len(r.Errors) < maxErrors {
-		r.Errors = append(r.Errors, text)
-	}
+	fleet.Notes
 }
 
 // noAnswer is the outcome of requests that got none.
@@ -83,7 +65,7 @@
 	for body, n := range e.bodies {
 		if n > 1 {
 			r.RepeatedNonIdempotent++
-			r.note("the call with body %s ran %d times", body, n)
+			r.Note("the call with body %s ran %d times", body, n)
 		}
 	}
 }
@@ -93,17 +75,17 @@
 	switch {
 	case a.Foreign != "":
 		r.AnswersForeignOrPartial++
-		r.note("request %s at daemon %d: %s", a.RequestID, a.Daemon+1, a.Foreign)
+		r.Note("request %s at daemon %d: %s", a.RequestID, a.Daemon+1, a.Foreign)
 	case a.Outcome == api.OutcomeNotRun && a.RequestID != "" && ran:
 		r.FalseNotRun++
-		r.note("request %s at daemon %d was told not-run and ran: %s", a.RequestID, a.Daemon+1, a.Error)
+		r.Note("request %s at daemon %d was told not-run and ran: %s", a.RequestID, a.Daemon+1, a.Error)
 	case a.Outcome != api.OutcomeComplete:
 	case a.Plain && e.bodies[a.Body] == 0, !a.Plain && !ran:
 		r.CompleteWithoutExecution++
-		r.note("request %s at daemon %d is complete and never ran", a.RequestID, a.Daemon+1)
+		r.Note("request %s at daemon %d is complete and never ran", a.RequestID, a.Daemon+1)
 	case !a.Plain && e.wrongVersions(a.RequestID, a.Versions, a.Tokens):
 		r.WrongVersions++
-		r.note("request %s at daemon %d names versions %v, the journals %v", a.RequestID, a.Daemon+1, a.Versions, e.makings[a.RequestID])
+		r.Note("request %s at daemon %d names versions %v, the journals %v", a.RequestID, a.Daemon+1, a.Versions, e.makings[a.RequestID])
 	}
 }
 
@@ -112,7 +94,7 @@
 	for _, d := range drains {
 		for _, id := range e.afterMark(d) {
 			r.NewWorkAfterDrain++
-			r.note("%s got request %s after its mark of %s", d.Upstream, id, d.Accepted.Format("15:04:05.000"))
+			r.Note("%s got request %s after its mark of %s", d.Upstream, id, d.Accepted.Format("15:04:05.000"))
 		}
 	}
 }
@@ -137,7 +119,7 @@
 		default:
 			continue
 		}
-		r.note("%s ended with status %d", x.Name, x.Code)
+		r.Note("%s ended with status %d", x.Name, x.Code)
 	}
 }
 
--- a/bench/soak/schedule.go
+++ b/bench/soak/schedule.go
@@ -4,10 +4,15 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"dotterelmount.example/bench/schedule"
 )
 
-// kind is a kind of fault.
-type kind string
+type (
+	kind  = schedule.Kind
+	fault = schedule.Fault
+	span  = schedule.Span
+)
 
 // The kinds of faults.
 const (
@@ -40,36 +45,25 @@
 	killerRequest kind = "killer-request"
 )
 
-// span bounds how long a fault lasts.
-type span struct{ least, most time.Duration }
-
 // spans holds every kind with how long it lasts; zero for those of one moment.
 var spans = map[kind]span{
 	engineCrash: {}, engineKill: {}, plainCrash: {}, daemonKill: {}, daemonTerm: {}, listRace: {},
 	weightSwap: {}, weightPartway: {}, trainerKill: {}, trainerStale: {}, killerRequest: {}, logLost: {},
-	engineHang:    {500 * time.Millisecond, 4 * time.Second},
-	engineSlow:    {time.Second, 4 * time.Second},
-	engineCut:     {500 * time.Millisecond, 2 * time.Second},
-	engineTrunc:   {500 * time.Millisecond, 2 * time.Second},
-	plainHang:     {500 * time.Millisecond, 2 * time.Second},
-	daemonPause:   {time.Second, 5 * time.Second},
-	linkCut:       {500 * time.Millisecond, 3 * time.Second},
-	linkSilent:    {500 * time.Millisecond, 3 * time.Second},
-	linkSilentOld: {3 * time.Second, 6 * time.Second},
-	centreParted:  {time.Second, 6 * time.Second},
-	logOutage:     {500 * time.Millisecond, 4 * time.Second},
-	logSlow:       {time.Second, 3 * time.Second},
-	drainRace:     {4 * time.Second, 6 * time.Second},
-	hostLeaving:   {5 * time.Second, 6 * time.Second},
-	drainOutage:   {5 * time.Second, 6 * time.Second},
-}
-
-// fault is one entry of the schedule.
-type fault struct {
-	At     time.Duration // since the start of the load
-	Kind   kind
-	Target int // picks among what the kind can hit, modulo their number
-	Lasts  time.Duration
+	engineHang:    {Least: 500 * time.Millisecond, Most: 4 * time.Second},
+	engineSlow:    {Least: time.Second, Most: 4 * time.Second},
+	engineCut:     {Least: 500 * time.Millisecond, Most: 2 * time.Second},
+	engineTrunc:   {Least: 500 * time.Millisecond, Most: 2 * time.Second},
+	plainHang:     {Least: 500 * time.Millisecond, Most: 2 * time.Second},
+	daemonPause:   {Least: time.Second, Most: 5 * time.Second},
+	linkCut:       {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	linkSilent:    {Least: 500 * time.Millisecond, Most: 3 * time.Second},
+	linkSilentOld: {Least: 3 * time.Second, Most: 6 * time.Second},
+	centreParted:  {Least: time.Second, Most: 6 * time.Second},
+	logOutage:     {Least: 500 * time.Millisecond, Most: 4 * time.Second},
+	logSlow:       {Least: time.Second, Most: 3 * time.Second},
+	drainRace:     {Least: 4 * time.Second, Most: 6 * time.Second},
+	hostLeaving:   {Least: 5 * time.Second, Most: 6 * time.Second},
+	drainOutage:   {Least: 5 * time.Second, Most: 6 * time.Second},
 }
 
 const (
@@ -97,8 +91,7 @@
 	var faults []fault
 	add := func(k kind, from, slot time.Duration) {
 		f := fault{Kind: k, Target: int(rng.Int32()), At: from + time.Duration(rng.Int64N(int64(slot)))}
-		s := spans[k]
-		f.Lasts = s.least + time.Duration(rng.Int64N(int64(s.most-s.least)+1))
+		f.Lasts = spans[k].Draw(rng)
 		f.At = max(warmUp, min(f.At, end-f.Lasts))
 		faults = append(faults, f)
 	}
--- a/bench/soak/trainers.go
+++ b/bench/soak/trainers.go
@@ -212,11 +212,11 @@
 		seen[slot]++
 		if seen[slot] > 1 {
 			r.SamplesDuplicated++
-			r.note("sample %s came %d times", slot, seen[slot])
+			r.Note("sample %s came %d times", slot, seen[slot])
 		}
 		if !e.made(slot+"/", s.Versions) {
 			r.WrongVersions++
-			r.note("sample %s names versions %v; no request of its slot was made by them", slot, s.Versions)
+			r.Note("sample %s names versions %v; no request of its slot was made by them", slot, s.Versions)
 		}
 	}
 	r.SamplesDue += due
@@ -225,7 +225,7 @@
 	r.StaleDelivered += t.report.Stale
 	r.AnswersForeignOrPartial += t.report.Wrong
 	if t.err != nil {
-		r.note("%s: %d of %d samples: %v", t.name, len(seen), due, t.err)
+		r.Note("%s: %d of %d samples: %v", t.name, len(seen), due, t.err)
 	}
 	return nil
 }
