Count a pause that a kill ends

Traced: both pauses of the schedule (6.9 and 7.7 s) were ended by the kill of all daemons at 9.4 s; continuing a process that is gone failed, the pause counted as not brought about and was tried again until its time was over.

Change: a process that was frozen was paused, whatever ended it. TestAPauseThatAKillEndsCounts failed first.

--- a/bench/supervise/supervise.go
+++ b/bench/supervise/supervise.go
@@ -150,14 +150,17 @@
 // Kill ends the process at once. It reports whether one was running.
 func (s *Process) Kill() bool { return s.Signal(syscall.SIGKILL, true) }
 
-// Pause freezes the process for a while. It reports whether it runs again.
+// Pause freezes the process for a while. It reports whether one was frozen; it
+// may have been killed meanwhile.
 func (s *Process) Pause(ctx context.Context, lasts time.Duration) bool {
 	p := s.Current()
 	if p == nil || p.Pause() != nil {
 		return false
 	}
 	duty.Pause(ctx, lasts)
-	return p.Resume() == nil
+	// The signal fails when the process has ended already.
+	_ = p.Resume()
+	return true
 }
 
 // Terminate asks the process to stop and kills it after limit. It reports
--- /dev/null
+++ b/bench/supervise/supervise_test.go
@@ -0,0 +1,48 @@
+package supervise
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"dotterelmount.example/bench/proc"
+	"dotterelmount.example/lib/duty"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+func started(t *testing.T) *Process {
+	t.Helper()
+	bin := t.TempDir()
+	script := "#!/bin/sh\necho 'listening 127.0.0.1:1'\nwhile :; do sleep 0.01; done\n"
+	assert.NilError(t, os.WriteFile(filepath.Join(bin, "prog"), []byte(script), 0o755))
+	r, err := proc.NewRunner(bin, t.TempDir())
+	assert.NilError(t, err)
+	t.Cleanup(r.KillAll)
+	s := Start(duty.NewSystem(nil), &Process{Runner: r, Name: "p", Program: "prog"})
+	running(t, s)
+	return s
+}
+
+func running(t *testing.T, s *Process) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.Current() != nil {
+			return poll.Success()
+		}
+		return poll.Continue("not running")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// A seed of the hosted soak had every pause ended by a kill, and counted none.
+func TestAPauseThatAKillEndsCounts(t *testing.T) {
+	s := started(t)
+	time.AfterFunc(50*time.Millisecond, func() { s.Kill() })
+	assert.Assert(t, s.Pause(context.Background(), 300*time.Millisecond))
+	running(t, s)
+	exits, _ := s.Close(context.Background()) // the script ends by the signal
+	assert.Equal(t, len(exits), 2)
+	assert.Assert(t, exits[0].Expected)
+}
