Hand the bodies of a job over as one message

Cause, found by reading: a submission posted each body to the committer's ring of 4,096 by itself, so that a step of 4,096 samples could never be handed over whole.

Change: records whose fate one caller waits for are one message.

--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -116,10 +116,9 @@
 	return since != 0 && c.cfg.Now().UnixNano()-since > int64(c.cfg.Patience)
 }
 
-// Commit appends a record and waits for its fate. It returns the record's
-// place. Errors: *journal.RefusedError when the record is not in
-// the journal and never will be, *journal.UnknownError when it may be,
-// *TooLargeError.
+// Commit appends a record and waits for its fate. It returns the record's place.
+// Errors: *journal.RefusedError when the record is not in the journal and never
+// will be, *journal.UnknownError when it may be, *TooLargeError.
 func (c *Committer) Commit(ctx context.Context, record []byte) (Place, error) {
 	e, err := c.entry(record)
 	if err != nil {
@@ -156,10 +155,8 @@
 		}
 		entries[i] = e
 	}
-	for _, e := range entries {
-		if err := c.post(ctx, e); err != nil {
-			return nil, err
-		}
+	if err := c.post(ctx, entries...); err != nil {
+		return nil, err
 	}
 	places := make([]Place, len(entries))
 	for i, e := range entries {
@@ -178,11 +175,14 @@
 	return c.fate(ctx, e)
 }
 
-// post hands an entry over whose fate the caller waits for. Errors:
+// post hands entries over whose fate the caller waits for, in one message, so
+// that a large job needs no more room in the ring than a small one. Errors:
 // *journal.RefusedError.
-func (c *Committer) post(ctx context.Context, e *entry) error {
-	e.ctx, e.reply = ctx, ring.NewSlot[outcome]()
-	if err := c.owner.Post(e); err != nil {
+func (c *Committer) post(ctx context.Context, entries ...*entry) error {
+	for _, e := range entries {
+		e.ctx, e.reply = ctx, ring.NewSlot[outcome]()
+	}
+	if err := c.owner.Post(entries); err != nil {
 		return &journal.RefusedError{Op: "append", Cause: err}
 	}
 	return nil
@@ -248,6 +248,8 @@
 	switch m := m.(type) {
 	case *entry:
 		c.waiting = append(c.waiting, m)
+	case []*entry:
+		c.waiting = append(c.waiting, m...)
 	case *call:
 		c.ended(m)
 	}
@@ -325,7 +327,11 @@
 
 // Dropped answers records that still waited at the stop.
 func (c *Committer) Dropped(m any) {
-	if e, ok := m.(*entry); ok && e.reply != nil {
+	entries, ok := m.([]*entry)
+	if !ok {
+		return // nobody waits for it
+	}
+	for _, e := range entries {
 		e.reply.Put(outcome{err: &journal.RefusedError{Op: "append", Cause: &StoppedError{}}})
 	}
 }
--- a/server/committer/committer_test.go
+++ b/server/committer/committer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -148,3 +149,19 @@
 	var large *TooLargeError
 	assert.Assert(t, errors.As(err, &large))
 }
+
+// A step of 4,096 samples has as many bodies; the ring holds fewer messages.
+func TestManyRecordsAreOneMessage(t *testing.T) {
+	f, c := setup(t, func(uint64, int) (bool, bool) { return false, false })
+	records := make([][]byte, 5000)
+	for i := range records {
+		records[i] = []byte(fmt.Sprint(i))
+	}
+	places, err := c.CommitAll(t.Context(), records)
+	assert.NilError(t, err)
+	assert.Equal(t, len(places), len(records))
+	content := f.content()
+	for i, p := range places {
+		assert.Equal(t, content[p.First], string(records[i]))
+	}
+}
