--- a/bench/hostedsoak/play.go
+++ b/bench/hostedsoak/play.go
@@ -75,7 +75,7 @@
 	for _, t := range trainers {
 		duty.Run(d.system, "trainer-"+t.model, func() {
 			defer users.Done()
-			t.run(loaded)
+			t.run(ctx, loaded)
 		})
 	}
 	j.play(ctx, faults)
--- a/bench/hostedsoak/trainers.go
+++ b/bench/hostedsoak/trainers.go
@@ -44,10 +44,10 @@
 	steps []*step
 }
 
-// run trains until ctx ends; the last step is read to its end.
-func (t *trainer) run(ctx context.Context) {
+// run trains until loaded ends; the last step is read to its end, unless ctx ends.
+func (t *trainer) run(ctx, loaded context.Context) {
 	version := 1
-	for n := 0; ctx.Err() == nil; n++ {
+	for n := 0; loaded.Err() == nil; n++ {
 		s := &step{job: platform.Job{
 			ID: fmt.Sprintf("%s-%d", t.model, n), Step: n, Model: t.model, MinVersion: max(1, version-1), TargetGroups: targetGroups,
 		}}
@@ -58,11 +58,11 @@
 		t.mu.Lock()
 		t.steps = append(t.steps, s)
 		t.mu.Unlock()
-		if !t.submit(s) || !t.await(s) {
+		if !t.submit(ctx, s) || !t.await(ctx, s) {
 			t.r.stuck(s)
 			continue
 		}
-		t.end(s)
+		t.end(ctx, s)
 		version++
 		t.d.store.NameVersion(t.model, version)
 	}
@@ -71,10 +71,10 @@
 func (t *trainer) daemon() int { return t.rng.IntN(daemonCount) }
 
 // submit hands the job in until it is accepted.
-func (t *trainer) submit(s *step) bool {
-	ctx, begin := context.Background(), time.Now()
+func (t *trainer) submit(ctx context.Context, s *step) bool {
+	begin := time.Now()
 	s.refused = true
-	for t.j.served(begin) < stepLimit {
+	for ctx.Err() == nil && t.j.served(begin) < stepLimit {
 		a := t.d.client.Submit(ctx, t.d.callers[t.daemon()], batchPath, submitLimit, s.job)
 		s.refused = s.refused && a.Err == nil && a.NotRun()
 		if a.Err == nil && a.Status == http.StatusAccepted {
@@ -87,9 +87,9 @@
 }
 
 // await reads results until enough groups are whole.
-func (t *trainer) await(s *step) bool {
-	ctx, begin := context.Background(), time.Now()
-	for t.j.served(begin) < stepLimit {
+func (t *trainer) await(ctx context.Context, s *step) bool {
+	begin := time.Now()
+	for ctx.Err() == nil && t.j.served(begin) < stepLimit {
 		if _, ok := t.read(ctx, s, len(s.listed)); ok && s.wholeGroups() >= targetGroups {
 			return true
 		}
@@ -149,9 +149,9 @@
 	return whole
 }
 
-func (t *trainer) end(s *step) {
-	ctx, begin := context.Background(), time.Now()
-	for t.j.served(begin) < stepLimit {
+func (t *trainer) end(ctx context.Context, s *step) {
+	begin := time.Now()
+	for ctx.Err() == nil && t.j.served(begin) < stepLimit {
 		a := t.d.client.End(ctx, t.d.callers[t.daemon()], s.job.ID, callLimit)
 		if a.Err == nil && a.Status == http.StatusOK {
 			s.ended = true
