--- a/bench/hostedsoak/trainers.go
+++ b/bench/hostedsoak/trainers.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"dotterelmount.example/lib/duty"
@@ -39,8 +38,6 @@
 	rng   *rand.Rand
 	r     *Result
 	j     *injector
-
-	mu    sync.Mutex
 	steps []*step
 }
 
@@ -55,9 +52,7 @@
 			id := fmt.Sprintf("%s-%d", s.job.ID, i)
 			s.job.Items = append(s.job.Items, platform.NewItem(id, batchPath+"x", t.model, fmt.Sprintf("%s-g%d", s.job.ID, i/groupItems)))
 		}
-		t.mu.Lock()
 		t.steps = append(t.steps, s)
-		t.mu.Unlock()
 		if !t.submit(ctx, s) || !t.await(ctx, s) {
 			t.r.stuck(s)
 			continue
@@ -72,33 +67,41 @@
 
 // submit hands the job in until it is accepted.
 func (t *trainer) submit(ctx context.Context, s *step) bool {
-	begin := time.Now()
 	s.refused = true
-	for ctx.Err() == nil && t.j.served(begin) < stepLimit {
+	return t.try(ctx, readWait, func() bool {
 		a := t.d.client.Submit(ctx, t.d.callers[t.daemon()], batchPath, submitLimit, s.job)
 		s.refused = s.refused && a.Err == nil && a.NotRun()
-		if a.Err == nil && a.Status == http.StatusAccepted {
-			s.accepted = time.Now()
+		if a.Err != nil || a.Status != http.StatusAccepted {
+			return false
+		}
+		s.accepted = time.Now()
+		return true
+	})
+}
+
+// try calls f until it succeeds or the time of a step is over.
+func (t *trainer) try(ctx context.Context, every time.Duration, f func() bool) bool {
+	begin := time.Now()
+	for ctx.Err() == nil && t.j.served(begin) < stepLimit {
+		if f() {
 			return true
 		}
-		duty.Pause(ctx, readWait)
+		duty.Pause(ctx, every)
 	}
 	return false
 }
 
 // await reads results until enough groups are whole.
 func (t *trainer) await(ctx context.Context, s *step) bool {
-	begin := time.Now()
-	for ctx.Err() == nil && t.j.served(begin) < stepLimit {
+	return t.try(ctx, pollEvery, func() bool {
 		if _, ok := t.read(ctx, s, len(s.listed)); ok && s.wholeGroups() >= targetGroups {
 			return true
 		}
 		if t.rng.IntN(8) == 0 {
 			t.read(ctx, s, 0) // positions never change
 		}
-		duty.Pause(ctx, pollEvery)
-	}
-	return false
+		return false
+	})
 }
 
 // read reads results from a position on at any daemon and compares what is
@@ -150,16 +153,13 @@
 }
 
 func (t *trainer) end(ctx context.Context, s *step) {
-	begin := time.Now()
-	for ctx.Err() == nil && t.j.served(begin) < stepLimit {
+	s.ended = t.try(ctx, pollEvery, func() bool {
 		a := t.d.client.End(ctx, t.d.callers[t.daemon()], s.job.ID, callLimit)
-		if a.Err == nil && a.Status == http.StatusOK {
-			s.ended = true
-			return
-		}
-		duty.Pause(ctx, pollEvery)
+		return a.Err == nil && a.Status == http.StatusOK
+	})
+	if !s.ended {
+		t.r.Note("%s could not be ended", s.job.ID)
 	}
-	t.r.Note("%s could not be ended", s.job.ID)
 }
 
 // readAgain reads every accepted job of the trainer once more at some daemon.
--- a/bench/proc/proc.go
+++ b/bench/proc/proc.go
@@ -125,20 +125,13 @@
 	}
 }
 
-// exitWatcher waits for one process on a thread of its own.
-type exitWatcher struct{ file *os.File }
-
-// Handle reaps the process.
-func (w *exitWatcher) Handle(_ context.Context, p *Process) {
-	p.err = p.cmd.Wait()
-	_ = w.file.Close()
-	close(p.exited)
-}
-
+// watchExit reaps a process on a duty of its own.
 func (r *Runner) watchExit(p *Process, file *os.File) {
-	d := duty.Start(r.duties, duty.Config{Name: "exit-" + p.Name, RingSize: 1}, &exitWatcher{file: file})
-	// An empty ring of one entry takes the only message.
-	_ = d.Post(p)
+	duty.Run(r.duties, "exit-"+p.Name, func() {
+		p.err = p.cmd.Wait()
+		_ = file.Close()
+		close(p.exited)
+	})
 }
 
 // Run runs a program to its end and returns what it wrote to stdout; its
--- a/cmd/dotterelmountd/internal/accept/accept.go
+++ b/cmd/dotterelmountd/internal/accept/accept.go
@@ -2,7 +2,6 @@
 package accept
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -11,23 +10,13 @@
 	"go.uber.org/zap"
 )
 
-// acceptor is the duty that accepts connections; net/http gives each its own
-// goroutine, which decodes, posts and waits.
-type acceptor struct {
-	server *http.Server
-	log    *zap.Logger
-}
-
-// Handle serves until the server is shut down.
-func (a *acceptor) Handle(_ context.Context, listener net.Listener) {
-	if err := a.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		a.log.Error("no longer serving", zap.Error(err))
-	}
-}
-
-// Start has a server serve on a listener until it is shut down.
+// Start has a server serve on a listener, on a duty of its own, until it is
+// shut down. net/http gives each connection its own goroutine, which decodes,
+// posts and waits.
 func Start(sys *duty.System, name string, server *http.Server, listener net.Listener, log *zap.Logger) {
-	a := &acceptor{server: server, log: log}
-	d := duty.Start(sys, duty.Config{Name: "accept-" + name, RingSize: 1}, duty.Handler[net.Listener](a))
-	_ = d.Post(listener) // a new duty's ring is empty
+	duty.Run(sys, "accept-"+name, func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("no longer serving", zap.Error(err))
+		}
+	})
 }
--- a/cmd/dotterelmountd/internal/hosted/day_test.go
+++ b/cmd/dotterelmountd/internal/hosted/day_test.go
@@ -135,14 +135,15 @@
 func (d *deployment) results(n *Node, id string, count int) platform.Results {
 	d.t.Helper()
 	var got platform.Results
+	client := platform.Client{HTTP: http.DefaultClient, Host: host}
 	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
-		a := d.call(n, http.MethodGet, "/api/lots/"+id+"?after=0", nil, nil)
-		if a.status != http.StatusOK {
-			return poll.Continue("status %d", a.status)
+		var a platform.Answer
+		got, a = client.Results(d.t.Context(), n.settings.Callers, id, 0, 0, 5*time.Second)
+		if a.Err != nil {
+			return poll.Error(a.Err)
 		}
-		got = platform.Results{}
-		if err := json.Unmarshal([]byte(a.body), &got); err != nil {
-			return poll.Error(err)
+		if a.Status != http.StatusOK {
+			return poll.Continue("status %d", a.Status)
 		}
 		if len(got.Results) >= count {
 			return poll.Success()
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -55,8 +55,12 @@
 		listed := make(map[JobID][]Result)
 		for n := range rapid.IntRange(1, 60).Draw(t, "records") {
 			r := draw(t, n)
+			upstreams := a.Upstreams()
 			assert.Equal(t, a.Apply(Offset(n+1), r), b.Apply(Offset(n+1), r))
 			assert.DeepEqual(t, a.Upstreams(), b.Upstreams())
+			if !ChangesUpstreams(r) {
+				assert.DeepEqual(t, a.Upstreams(), upstreams)
+			}
 			assert.DeepEqual(t, a.Jobs(), b.Jobs())
 			for _, d := range []api.DaemonID{"d0", "d1", "d2"} {
 				assert.DeepEqual(t, a.Runs(d), b.Runs(d))
--- a/server/book/queries.go
+++ b/server/book/queries.go
@@ -22,53 +22,51 @@
 	err := b.query(ctx, max(wait, certainty), func(s *batch.State, fresh, final bool) bool {
 		out, failed = s.Results(id, from, b.cfg.ResultBytes)
 		if failed != nil {
-			return b.unknown(&failed, fresh, final)
+			return b.certain(&failed, fresh, final)
 		}
 		if len(out.Results) > 0 || out.Ended || out.Next >= out.Total {
 			return true
 		}
-		if !fresh && final {
-			failed = &StaleError{Since: b.current}
-		}
-		return fresh && b.cfg.Now().Sub(began) >= wait
+		return b.certain(&failed, fresh, final) && b.cfg.Now().Sub(began) >= wait
 	})
 	return out, cmp.Or(failed, err)
 }
 
-// unknown decides about a query for something that the fold doesn't have.
-func (b *Book) unknown(failed *error, fresh, final bool) bool {
+// certain reports whether what the fold doesn't have surely isn't in the
+// journal. A query that can't wait for that fails.
+func (b *Book) certain(failed *error, fresh, final bool) bool {
 	if !fresh && final {
 		*failed = &StaleError{Since: b.current}
 	}
 	return fresh
 }
 
+// find asks the fold for something that it may not have. Errors: those of get
+// when they are certain, *StaleError, ctx.Err().
+func (b *Book) find(ctx context.Context, get func(*batch.State) error) error {
+	var failed error
+	err := b.query(ctx, certainty, func(s *batch.State, fresh, final bool) bool {
+		failed = get(s)
+		return failed == nil || b.certain(&failed, fresh, final)
+	})
+	return cmp.Or(failed, err)
+}
+
 // Body returns where the body of an item is. Errors: *batch.UnknownJobError or
 // *batch.UnknownItemError when there surely is none, *StaleError, ctx.Err().
 func (b *Book) Body(ctx context.Context, id batch.JobID, item batch.ItemID) (batch.Chunk, error) {
 	var out batch.Chunk
-	var failed error
-	err := b.query(ctx, certainty, func(s *batch.State, fresh, final bool) bool {
-		out, failed = s.Body(id, item)
-		if failed != nil {
-			return b.unknown(&failed, fresh, final)
-		}
-		return true
+	err := b.find(ctx, func(s *batch.State) (err error) {
+		out, err = s.Body(id, item)
+		return err
 	})
-	return out, cmp.Or(failed, err)
+	return out, err
 }
 
 // Knows returns nil when a job is known. Errors: *batch.UnknownJobError when
 // there surely is no such job, *StaleError when that can't be told, ctx.Err().
 func (b *Book) Knows(ctx context.Context, id batch.JobID) error {
-	var failed error
-	err := b.query(ctx, certainty, func(s *batch.State, fresh, final bool) bool {
-		if failed = s.Knows(id); failed != nil {
-			return b.unknown(&failed, fresh, final)
-		}
-		return true
-	})
-	return cmp.Or(failed, err)
+	return b.find(ctx, func(s *batch.State) error { return s.Knows(id) })
 }
 
 // Open returns the open items of all jobs. Errors: ctx.Err().
--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -120,14 +120,11 @@
 // Errors: *journal.RefusedError when the record is not in the journal and never
 // will be, *journal.UnknownError when it may be, *TooLargeError.
 func (c *Committer) Commit(ctx context.Context, record []byte) (Place, error) {
-	e, err := c.entry(record)
+	places, err := c.CommitAll(ctx, [][]byte{record})
 	if err != nil {
 		return Place{}, err
 	}
-	if c.Failing() {
-		return Place{}, &journal.RefusedError{Op: "append", Cause: &failingError{}}
-	}
-	return c.wait(ctx, e)
+	return places[0], nil
 }
 
 // Keep appends a record however long the journal refuses it, and waits for
@@ -138,15 +135,15 @@
 		return Place{}, err
 	}
 	e.patient = true
-	return c.wait(ctx, e)
+	if err := c.post(ctx, e); err != nil {
+		return Place{}, err
+	}
+	return c.fate(ctx, e)
 }
 
 // CommitAll appends records and waits for the fate of all. When it fails some
 // of them may be in the journal. Errors: as for Commit, of the first that failed.
 func (c *Committer) CommitAll(ctx context.Context, records [][]byte) ([]Place, error) {
-	if c.Failing() {
-		return nil, &journal.RefusedError{Op: "append", Cause: &failingError{}}
-	}
 	entries := make([]*entry, len(records))
 	for i, r := range records {
 		e, err := c.entry(r)
@@ -155,6 +152,9 @@
 		}
 		entries[i] = e
 	}
+	if c.Failing() {
+		return nil, &journal.RefusedError{Op: "append", Cause: &failingError{}}
+	}
 	if err := c.post(ctx, entries...); err != nil {
 		return nil, err
 	}
@@ -168,13 +168,6 @@
 	return places, nil
 }
 
-func (c *Committer) wait(ctx context.Context, e *entry) (Place, error) {
-	if err := c.post(ctx, e); err != nil {
-		return Place{}, err
-	}
-	return c.fate(ctx, e)
-}
-
 // post hands entries over whose fate the caller waits for, in one message, so
 // that a large job needs no more room in the ring than a small one. Errors:
 // *journal.RefusedError.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -269,7 +269,7 @@
 		_, _ = io.WriteString(w, answer) // the caller may have left
 		return
 	}
-	s.stream(w, r, id, a, trouble)
+	s.stream(w, r, id, a, after, trouble)
 }
 
 // Event returns the data of an event of an item's text.
@@ -283,14 +283,14 @@
 	return s.versions[model]
 }
 
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, run int, trouble Trouble) {
+// stream makes the events of a run after those that its caller has.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, id string, run, after int, trouble Trouble) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	incarnation, named := s.Current(), 0
 	gap := s.Gap
 	if trouble == TroubleSlow {
 		gap *= slowFactor
 	}
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for n := after + 1; n <= s.Events; n++ {
 		version := s.made(run, r.Header.Get("X-Model"))
 		switch {
