Attribute crashes by the strikes of all daemons, also while the log is out

Cause: a daemon sees only its own requests. While the log is out each daemon counted only its own strikes. Change: a request whose last crash was alone is held for one second and refused only if a crash is still attributed to it alone by the logged and unlogged strikes of all daemons. A strike that is not in the log after 200 ms is reported to the live daemons, which count it until the log has it. A shared crash no longer turns an earlier alone strike of the same fingerprint into a shared one.

--- a/cmd/dotterelmountd/internal/node/admin.go
+++ b/cmd/dotterelmountd/internal/node/admin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"dotterelmount.example/api"
@@ -170,26 +171,50 @@
 const (
 	strikeTimeout    = 5 * time.Second // of one attempt to record a strike
 	strikeRetryDelay = time.Second     // before the next attempt
+	// strikeShareDelay is the time within which a strike is in the log, unless the
+	// log is slow or unavailable.
+	strikeShareDelay = 200 * time.Millisecond
 )
 
-// onStrike logs and records a strike. The dispatcher's duty calls it.
+// strikeReport is a strike on its way into the log.
+type strikeReport struct {
+	api.Strike
+	id     api.RecordID
+	logged atomic.Bool
+}
+
+// onStrike logs and records a strike. If it is not in the log soon, it is also
+// reported to the other daemons. The dispatcher's duty calls it.
 func (n *Node) onStrike(s api.Strike) {
 	n.log.Warn("upstream crashed during a request", zap.String("upstream", string(s.Upstream)),
 		zap.String("fingerprint", s.Fingerprint.String()), zap.Bool("alone", s.Alone))
-	n.recordStrike(s, api.RecordID(newID()))
+	r := &strikeReport{Strike: s, id: api.RecordID(newID())}
+	n.recordStrike(r)
+	time.AfterFunc(strikeShareDelay, func() { n.shareStrike(r) })
+}
+
+// shareStrike reports a strike to the other daemons unless the log has it.
+func (n *Node) shareStrike(r *strikeReport) {
+	if r.logged.Load() || n.stopping.Load() {
+		return
+	}
+	err := n.gossip.Load().ShareStrike(r.Strike)
+	n.log.Info("strike is not logged yet; reported to the other daemons", zap.String("upstream", string(r.Upstream)),
+		zap.String("fingerprint", r.Fingerprint.String()), zap.Error(err))
 }
 
 // recordStrike proposes a strike and retries with the same record id until it is
 // in the log or this daemon stops.
-func (n *Node) recordStrike(s api.Strike, id api.RecordID) {
+func (n *Node) recordStrike(r *strikeReport) {
 	err := n.replica.ProposeAsync(statereplica.Proposal{
-		ID: id, Stream: api.StreamConfig, Body: s, Actor: n.settings.Daemon, Deadline: time.Now().Add(strikeTimeout),
+		ID: r.id, Stream: api.StreamConfig, Body: r.Strike, Actor: n.settings.Daemon, Deadline: time.Now().Add(strikeTimeout),
 		Done: func(_ ledger.Verdict, err error) {
 			if err != nil {
-				n.recordStrikeLater(s, id)
+				n.recordStrikeLater(r)
 				return
 			}
-			n.dispatch.Load().StrikeRecorded(s)
+			r.logged.Store(true)
+			n.dispatch.Load().StrikeRecorded(r.Strike)
 		},
 	})
 	if err != nil {
@@ -197,10 +222,10 @@
 	}
 }
 
-func (n *Node) recordStrikeLater(s api.Strike, id api.RecordID) {
+func (n *Node) recordStrikeLater(r *strikeReport) {
 	time.AfterFunc(strikeRetryDelay, func() {
 		if !n.stopping.Load() {
-			n.recordStrike(s, id)
+			n.recordStrike(r)
 		}
 	})
 }
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -37,6 +37,7 @@
 			DataCentre: api.DataCentre(n.settings.DataCentre), Incarnation: uint64(n.started.UnixMilli()),
 		},
 		Seeds: n.settings.Peers, SeedSource: seedSource{n}, Protocol: membership.DefaultConfig(),
+		OnPeerStrike: n.dispatch.Load().AddPeerStrike,
 	}
 	if err := cfg.Validate(); err != nil {
 		return err
--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -118,6 +118,15 @@
 	return resp.GetState(), err
 }
 
+// ReportStrike reports a strike to the daemon at addr. Errors: CodeNotReady.
+func (c *Client) ReportStrike(ctx context.Context, addr string, s api.Strike) error {
+	req := &peerpb.Strike{Fingerprint: uint64(s.Fingerprint), Upstream: string(s.Upstream), Alone: s.Alone}
+	return c.call(ctx, addr, func(p peerpb.DRPCPeerClient) error {
+		_, err := p.ReportStrike(ctx, req)
+		return err
+	})
+}
+
 // RequestLeases requests slots of resources that the daemon at addr allocates. All
 // requests must be from one daemon. There are no grants for resources that the
 // callee does not allocate. Errors: CodeNotReady.
--- a/front/peer/peer.go
+++ b/front/peer/peer.go
@@ -42,6 +42,9 @@
 	Tail(ctx context.Context, from api.Offset, limit int) ([]eventlog.Entry, error)
 	// Image returns the encoded state of the configuration stream.
 	Image(ctx context.Context) ([]byte, error)
+	// ReportStrike takes a strike that is not in the log yet. It may be called
+	// several times for one strike.
+	ReportStrike(ctx context.Context, s api.Strike) error
 }
 
 // SharesHandler handles lease requests for shares of windows and limits.
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -128,6 +128,12 @@
 	return &peerpb.ImageResponse{State: state}, nil
 }
 
+// ReportStrike implements peerpb.DRPCPeerServer.
+func (s *service) ReportStrike(ctx context.Context, req *peerpb.Strike) (*peerpb.StrikeResponse, error) {
+	strike := api.Strike{Fingerprint: api.Fingerprint(req.GetFingerprint()), Upstream: api.UpstreamID(req.GetUpstream()), Alone: req.GetAlone()}
+	return &peerpb.StrikeResponse{}, s.handler.ReportStrike(ctx, strike)
+}
+
 // truncateEntries returns the first entries up to maxTailBytes, at least one.
 func truncateEntries(entries []eventlog.Entry) []eventlog.Entry {
 	size := 0
--- a/lib/ledger/config.go
+++ b/lib/ledger/config.go
@@ -200,14 +200,13 @@
 	if slices.Contains(crash.Fingerprints, b.Fingerprint) {
 		return
 	}
-	switch len(crash.Fingerprints) {
-	case 0:
-	case 1:
-		c.shareLastStrike(crash.Fingerprints[0])
-		fallthrough
-	default:
+	if len(crash.Fingerprints) > 0 {
+		if crash.Alone {
+			c.shareLastStrike(crash.Fingerprints[0])
+		}
 		b.Alone = false
 	}
+	crash.Alone = b.Alone
 	crash.Fingerprints = append(slices.Clone(crash.Fingerprints), b.Fingerprint)
 	c.crashes[b.Upstream] = crash
 	s := c.state.Strikes[b.Fingerprint]
@@ -223,7 +222,8 @@
 	c.state.Strikes[b.Fingerprint] = s
 }
 
-// shareLastStrike changes one strike of a fingerprint from alone to shared.
+// shareLastStrike changes one strike of a fingerprint from alone to shared, unless its
+// strikes were cleared.
 func (c *ConfigFSM) shareLastStrike(f api.Fingerprint) {
 	s, ok := c.state.Strikes[f]
 	if !ok || s.Alone == 0 {
--- a/lib/ledger/ledger_test.go
+++ b/lib/ledger/ledger_test.go
@@ -99,6 +99,20 @@
 	assert.Equal(t, len(c.Snapshot().Marks), 0)
 }
 
+// A crash that was shared from the start must not turn an earlier crash, in which the
+// request was alone, into a shared one.
+func TestSharedCrashKeepsEarlierAloneStrike(t *testing.T) {
+	c := ledger.NewConfigFSM()
+	strike := func(offset api.Offset, millis int64, f api.Fingerprint, u api.UpstreamID, alone bool) {
+		body := api.Strike{Fingerprint: f, Upstream: u, Alone: alone}
+		c.Apply(offset, millis, api.Record{ID: api.RecordID(fmt.Sprint(offset)), Body: body})
+	}
+	strike(1, 1000, 7, "a", true)
+	strike(2, 60_000, 7, "b", false)
+	strike(3, 60_100, 8, "b", false)
+	assert.DeepEqual(t, c.Snapshot().Strikes[7], ledger.StrikeState{Alone: 1, Shared: 1, Upstreams: []api.UpstreamID{"a", "b"}, LastMillis: 60_000})
+}
+
 func TestClaimHasOneWinnerUntilReleased(t *testing.T) {
 	c := ledger.NewClaimsFSM()
 	claim := func(offset api.Offset, id api.RecordID) error {
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -21,10 +21,14 @@
 	// maxUnloggedStrikes bounds the strikes kept in memory during a log outage.
 	maxUnloggedStrikes = 1024
 	// maxCrashes is the number of crashes after which a request is not retried
-	// if it was alone on the upstream in at least one of them; maxSharedCrashes
-	// is the number if it was alone in none.
+	// if one is attributed to it alone, with the strikes of all daemons;
+	// maxSharedCrashes is the number if none is.
 	maxCrashes       = 2
 	maxSharedCrashes = 4
+	// attributionWait is how long a request whose last crash was alone is held
+	// before it is refused. Within it, the other daemons' strikes for the same crash
+	// arrive: a probe, and the way through the log or from peer to peer.
+	attributionWait = probeTimeout + 500*time.Millisecond
 )
 
 // crashCheck collects the flights that lost their connections to one upstream
@@ -75,9 +79,6 @@
 			if crashed {
 				f.crashes++
 			}
-			if crashed && len(check.flights) == 1 {
-				f.aloneCrashes++
-			}
 			h.retryAfterLoss(f, now)
 		}
 	}
@@ -92,16 +93,35 @@
 }
 
 func (h *handler) retryAfterLoss(f *flight, now time.Time) {
-	if f.tooManyCrashes() || h.quarantineDecision(f.job.Fingerprint, now) == quarantine.Refused {
-		err := api.Errorf(api.CodeQuarantined, "the request was part of %d crashes: %w", f.crashes, f.lastErr)
-		h.finish(f, work.Result{Outcome: h.failureOutcome(f), Err: err, Text: f.text, Tokens: f.tokens, Versions: f.versions})
-		return
+	switch {
+	case f.crashes >= maxSharedCrashes || h.quarantineDecision(f.job.Fingerprint, now) == quarantine.Refused:
+		h.refuseAfterCrashes(f)
+	case f.crashes >= maxCrashes && h.strikesOf(f.job.Fingerprint).Alone > 0:
+		f.attributedAt = now.Add(attributionWait)
+	default:
+		h.retryOrFinish(f, now)
 	}
-	h.retryOrFinish(f, now)
 }
 
-func (f *flight) tooManyCrashes() bool {
-	return f.crashes >= maxSharedCrashes || f.crashes >= maxCrashes && f.aloneCrashes > 0
+func (h *handler) refuseAfterCrashes(f *flight) {
+	err := api.Errorf(api.CodeQuarantined, "the request was part of %d crashes: %w", f.crashes, f.lastErr)
+	h.finish(f, work.Result{Outcome: h.failureOutcome(f), Err: err, Text: f.text, Tokens: f.tokens, Versions: f.versions})
+}
+
+// resolveAttributions ends the hold of requests after their crashes. A request is
+// refused if a crash is still attributed to it alone.
+func (h *handler) resolveAttributions(now time.Time) {
+	for _, f := range h.flights {
+		if f.attributedAt.IsZero() || now.Before(f.attributedAt) {
+			continue
+		}
+		f.attributedAt = time.Time{}
+		if h.strikesOf(f.job.Fingerprint).Alone > 0 {
+			h.refuseAfterCrashes(f)
+		} else {
+			h.retryOrFinish(f, now)
+		}
+	}
 }
 
 // recordStrikes records a strike for each fingerprint that was running on the
@@ -115,7 +135,7 @@
 	}
 	for _, fp := range fingerprints {
 		s := api.Strike{Fingerprint: fp, Upstream: u.info.ID, Alone: len(fingerprints) == 1}
-		h.addUnloggedStrike(s, now)
+		h.addUnloggedStrike(unloggedStrike{Strike: s, unixMillis: now.UnixMilli()})
 		crashStrikes.Add(1)
 		if h.cfg.ReportStrike != nil {
 			h.cfg.ReportStrike(s)
@@ -127,23 +147,46 @@
 type unloggedStrike struct {
 	api.Strike
 	unixMillis int64
+	fromPeer   bool // another daemon's
 }
 
 // addUnloggedStrike keeps a strike until the log has it, so that it counts on
 // this daemon during a log outage. The oldest strike is dropped when there are
 // too many.
-func (h *handler) addUnloggedStrike(s api.Strike, now time.Time) {
+func (h *handler) addUnloggedStrike(s unloggedStrike) {
 	if len(h.unloggedStrikes) >= maxUnloggedStrikes {
 		h.unloggedStrikes = h.unloggedStrikes[1:]
 	}
-	h.unloggedStrikes = append(h.unloggedStrikes, unloggedStrike{Strike: s, unixMillis: now.UnixMilli()})
+	h.unloggedStrikes = append(h.unloggedStrikes, s)
+}
+
+// addPeerStrike keeps another daemon's strike, unless it is a repeat or in the log.
+func (h *handler) addPeerStrike(s api.Strike, now time.Time) {
+	known := slices.ContainsFunc(h.unloggedStrikes, func(o unloggedStrike) bool {
+		return o.fromPeer && o.Fingerprint == s.Fingerprint && o.Upstream == s.Upstream
+	})
+	if !known && !h.isLogged(s) {
+		h.addUnloggedStrike(unloggedStrike{Strike: s, unixMillis: now.UnixMilli(), fromPeer: true})
+	}
+}
+
+// isLogged reports whether the log has a strike of the fingerprint at the upstream.
+func (h *handler) isLogged(s api.Strike) bool {
+	return slices.Contains(h.state.Strikes[s.Fingerprint].Upstreams, s.Upstream)
+}
+
+// removeLoggedPeerStrikes drops other daemons' strikes that are now in the log.
+func (h *handler) removeLoggedPeerStrikes() {
+	h.unloggedStrikes = slices.DeleteFunc(h.unloggedStrikes, func(s unloggedStrike) bool {
+		return s.fromPeer && h.isLogged(s.Strike)
+	})
 }
 
 // removeUnloggedStrike drops a strike that is now in the log, where it is
 // combined with other daemons' strikes for the same crash.
 func (h *handler) removeUnloggedStrike(s api.Strike) {
-	for i := range h.unloggedStrikes {
-		if h.unloggedStrikes[i].Strike == s {
+	for i, o := range h.unloggedStrikes {
+		if !o.fromPeer && o.Strike == s {
 			h.unloggedStrikes = slices.Delete(h.unloggedStrikes, i, i+1)
 			return
 		}
@@ -159,23 +202,31 @@
 	}
 }
 
-// strikesOf returns the logged strikes of a fingerprint plus this daemon's
-// unlogged ones.
+// strikesOf returns the logged strikes of a fingerprint plus the unlogged ones.
 func (h *handler) strikesOf(f api.Fingerprint) ledger.StrikeState {
 	sum := h.state.Strikes[f]
-	for _, own := range h.unloggedStrikes {
-		if own.Fingerprint != f {
+	for _, s := range h.unloggedStrikes {
+		if s.Fingerprint != f {
 			continue
 		}
-		if own.Alone {
+		if s.Alone && !h.hasOtherStrike(s) {
 			sum.Alone++
 		} else {
 			sum.Shared++
 		}
-		if !slices.Contains(sum.Upstreams, own.Upstream) {
-			sum.Upstreams = append(slices.Clone(sum.Upstreams), own.Upstream)
+		if !slices.Contains(sum.Upstreams, s.Upstream) {
+			sum.Upstreams = append(slices.Clone(sum.Upstreams), s.Upstream)
 		}
-		sum.LastMillis = max(sum.LastMillis, own.unixMillis)
+		sum.LastMillis = max(sum.LastMillis, s.unixMillis)
 	}
 	return sum
 }
+
+// hasOtherStrike reports whether a request with another fingerprint was part of the
+// same crash, according to the unlogged strikes.
+func (h *handler) hasOtherStrike(s unloggedStrike) bool {
+	return slices.ContainsFunc(h.unloggedStrikes, func(o unloggedStrike) bool {
+		apart := max(s.unixMillis-o.unixMillis, o.unixMillis-s.unixMillis)
+		return o.Upstream == s.Upstream && o.Fingerprint != s.Fingerprint && apart < ledger.CrashGroupingMillis
+	})
+}
--- a/server/dispatch/dispatch.go
+++ b/server/dispatch/dispatch.go
@@ -96,6 +96,7 @@
 	resultMsg         struct{ result worker.Result }
 	stateMsg          struct{ state *ledger.State }
 	strikeRecordedMsg struct{ strike api.Strike }
+	peerStrikeMsg     struct{ strike api.Strike }
 	sharesMsg         struct{}
 )
 
@@ -104,6 +105,7 @@
 func (resultMsg) isEvent()         {}
 func (stateMsg) isEvent()          {}
 func (strikeRecordedMsg) isEvent() {}
+func (peerStrikeMsg) isEvent()     {}
 func (sharesMsg) isEvent()         {}
 
 const (
@@ -167,6 +169,13 @@
 	_ = d.duty.Post(strikeRecordedMsg{strike: s}) // if the ring is full, the strike counts both as logged and as unlogged until it expires
 }
 
+// AddPeerStrike adds a strike that another daemon could not log yet. It may be called
+// several times for one strike. It never blocks. Errors: *duty.FullError,
+// *ring.ClosedError.
+func (d *Dispatcher) AddPeerStrike(s api.Strike) error {
+	return d.duty.Post(peerStrikeMsg{strike: s})
+}
+
 // isDraining reports whether an upstream gets no new work because it is marked as
 // draining or the host list marks its host as leaving.
 func (d *Dispatcher) isDraining(s *ledger.State, u *api.Upstream) bool {
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -348,6 +348,100 @@
 	assert.Equal(t, api.CodeOf(res.Err), api.CodeQuarantined)
 }
 
+// Guards against the quarantine of an innocent request: each daemon sees only its own
+// requests, so a request seems alone on an upstream that another daemon's request
+// crashed. The strikes of the others, which arrive after the crash through the log or
+// from peers, decide.
+func TestCrashesSharedWithOtherDaemonsDoNotQuarantine(t *testing.T) {
+	const innocent, killer = api.Fingerprint(1), api.Fingerprint(99)
+	run := func(t *testing.T, onStrike func(*dispatch.Dispatcher, api.Strike)) {
+		f := &fakeClient{}
+		f.generate = func(_ context.Context, u upstream.Target, n int, _ *work.Generate, delta func(work.Chunk) error) error {
+			if n <= 2 {
+				return f.crash(u.ID)
+			}
+			return sendTokens(delta, 1, 0, 4)
+		}
+		var d *dispatch.Dispatcher
+		started := make(chan struct{})
+		d = start(t, f, state(8, "a", "b", "c", "d"), func(c *dispatch.Config) {
+			c.ReportStrike = func(s api.Strike) {
+				<-started
+				assert.Check(t, s.Alone)
+				onStrike(d, s)
+			}
+		})
+		close(started)
+		c := newCollector()
+		assert.NilError(t, d.Submit(job("x", c)))
+		res := c.wait(t)
+		assert.NilError(t, res.Err)
+		assert.Equal(t, len(f.calls["x"]), 3)
+	}
+	t.Run("known from peers", func(t *testing.T) {
+		run(t, func(d *dispatch.Dispatcher, s api.Strike) {
+			assert.Check(t, d.AddPeerStrike(api.Strike{Fingerprint: killer, Upstream: s.Upstream, Alone: true}))
+		})
+	})
+	t.Run("known from the log", func(t *testing.T) {
+		logged := state(8, "a", "b", "c", "d")
+		fsm := ledger.NewConfigFSM()
+		run(t, func(d *dispatch.Dispatcher, s api.Strike) {
+			for _, fp := range []api.Fingerprint{innocent, killer} {
+				s.Fingerprint = fp
+				offset := fsm.Snapshot().AppliedOffset + 1
+				fsm.Apply(offset, time.Now().UnixMilli(), api.Record{ID: api.RecordID(fmt.Sprint(offset)), Body: s})
+			}
+			next := *logged
+			next.AppliedOffset, next.Strikes = logged.AppliedOffset+fsm.Snapshot().AppliedOffset, fsm.Snapshot().Strikes
+			d.Update(&next)
+			s.Fingerprint = innocent
+			d.StrikeRecorded(s)
+		})
+	})
+}
+
+// While the log is out, a request that crashed upstreams through other daemons is
+// refused by the strikes that they report, also if one is reported twice.
+func TestStrikesOfPeersCountWithoutTheLog(t *testing.T) {
+	f := &fakeClient{}
+	f.generate = func(_ context.Context, u upstream.Target, _ int, _ *work.Generate, _ func(work.Chunk) error) error {
+		return f.crash(u.ID)
+	}
+	d := start(t, f, state(8, "a", "b", "c", "d", "e"), nil)
+	for _, u := range []api.UpstreamID{"d", "e", "e"} {
+		assert.NilError(t, d.AddPeerStrike(api.Strike{Fingerprint: 1, Upstream: u, Alone: true}))
+	}
+	c := newCollector()
+	assert.NilError(t, d.Submit(job("x", c)))
+	assert.Equal(t, api.CodeOf(c.wait(t).Err), api.CodeQuarantined)
+	assert.Equal(t, len(f.calls["x"]), 1)
+	again := newCollector()
+	assert.NilError(t, d.Submit(job("y", again)))
+	assert.Equal(t, again.wait(t).Outcome, api.OutcomeNotRun)
+}
+
+// A strike that a peer reported counts once when the log has it too.
+func TestPeerStrikeInTheLogCountsOnce(t *testing.T) {
+	f := &fakeClient{}
+	f.generate = func(_ context.Context, _ upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		return sendTokens(delta, 1, 0, 4)
+	}
+	d := start(t, f, state(8, "a", "b"), nil)
+	for _, u := range []api.UpstreamID{"d", "e"} {
+		assert.NilError(t, d.AddPeerStrike(api.Strike{Fingerprint: 1, Upstream: u, Alone: true}))
+	}
+	logged := state(8, "a", "b")
+	logged.AppliedOffset = 9
+	logged.Strikes = map[api.Fingerprint]ledger.StrikeState{
+		1: {Alone: 2, Upstreams: []api.UpstreamID{"d", "e"}, LastMillis: time.Now().UnixMilli()},
+	}
+	d.Update(logged)
+	c := newCollector()
+	assert.NilError(t, d.Submit(job("x", c)))
+	assert.NilError(t, c.wait(t).Err)
+}
+
 // A request that was on crashed upstreams together with others must lose its
 // strikes when it completes.
 func TestCompletionClearsStrikes(t *testing.T) {
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -87,6 +87,8 @@
 		h.publishView(h.cfg.Now()) // a view that shows a drain mark includes the calls started before it
 	case strikeRecordedMsg:
 		h.removeUnloggedStrike(m.strike)
+	case peerStrikeMsg:
+		h.addPeerStrike(m.strike, h.cfg.Now())
 	case sharesMsg:
 		h.updateWindows(h.cfg.Now())
 		h.startQueued()
@@ -115,6 +117,7 @@
 		h.expire(it.ID)
 	}
 	h.watchProgress(now)
+	h.resolveAttributions(now)
 	h.ticks++
 	if h.ticks%refreshTicks == 0 || h.Idle() {
 		h.refreshUpstreams(now)
@@ -177,6 +180,7 @@
 		return
 	}
 	h.state = s
+	h.removeLoggedPeerStrikes()
 	h.eligible = make(map[eligibleKey][]*upstreamState)
 	for _, u := range h.upstreams {
 		u.removed = true
--- a/server/dispatch/state.go
+++ b/server/dispatch/state.go
@@ -24,9 +24,9 @@
 	newConnection bool // the next attempt must not reuse a connection
 	queued        bool
 	crashes       int // upstreams that crashed while they ran it
-	// aloneCrashes counts the crashes in which no other request of this daemon
-	// was on the upstream.
-	aloneCrashes int
+	// attributedAt is when a request held after a crash is refused or retried; zero:
+	// not held.
+	attributedAt time.Time
 	text         string // output of ended attempts
 	tokens       int
 	versions     []api.WeightVersion
--- a/server/gossip/config.go
+++ b/server/gossip/config.go
@@ -16,8 +16,8 @@
 )
 
 // counters of this process: probes, indirect_probes, suspicions, deaths,
-// refutations, pauses, pulls, records_pulled, images_pulled, calls_unsent,
-// events_dropped.
+// refutations, pauses, pulls, records_pulled, images_pulled, strikes_shared,
+// strikes_unshared, calls_unsent, events_dropped.
 var counters = expvar.NewMap("gossip")
 
 const (
@@ -26,7 +26,9 @@
 	callRingSize        = 8
 	seedRefreshInterval = 5 * time.Second // between two reads of the seed source
 	callTimeout         = time.Second     // of a page, a tail or an image
-	maxTailRecords      = 128             // in one pull
+	strikeRingSize      = 64
+	strikeCallTimeout   = 250 * time.Millisecond // an unreachable daemon must not delay the report to the others for long
+	maxTailRecords      = 128                    // in one pull
 )
 
 // ConfigReplica is the daemon's replica of the configuration stream. It is safe for
@@ -64,6 +66,8 @@
 	Tail(ctx context.Context, addr string, from api.Offset, limit int) ([]eventlog.Entry, error)
 	// Image fetches the state of the configuration stream.
 	Image(ctx context.Context, addr string) ([]byte, error)
+	// ReportStrike reports a strike that is not in the log.
+	ReportStrike(ctx context.Context, addr string, s api.Strike) error
 }
 
 // Config configures the gossip of a daemon.
@@ -74,6 +78,9 @@
 	SeedSource SeedSource // provides further seeds; may be nil
 	CallDuties int        // number of duties that call peers; 0 means DefaultCallDuties
 	Protocol   membership.Config
+	// OnPeerStrike takes a strike that another daemon could not log yet. It must not
+	// block; its error is returned to that daemon.
+	OnPeerStrike func(api.Strike) error
 	// Rand is the source of all random choices; nil means a randomly seeded one.
 	Rand membership.Rand
 }
@@ -90,6 +97,8 @@
 		return api.Errorf(api.CodeInvalid, "peer address of this daemon is empty")
 	case c.Self.Incarnation == 0:
 		return api.Errorf(api.CodeInvalid, "incarnation of this daemon is 0; it must be the start time")
+	case c.OnPeerStrike == nil:
+		return api.Errorf(api.CodeInvalid, "no function takes the strikes of other daemons")
 	case c.CallDuties < 0:
 		return api.Errorf(api.CodeInvalid, "number of call duties is %d; it must not be negative", c.CallDuties)
 	}
--- a/server/gossip/config_test.go
+++ b/server/gossip/config_test.go
@@ -12,7 +12,7 @@
 func TestConfigValidate(t *testing.T) {
 	good := gossip.Config{
 		Self:     membership.Member{ID: "entry-0", PeerAddress: "10.1.0.1:7000", Incarnation: 1},
-		Protocol: membership.DefaultConfig(),
+		Protocol: membership.DefaultConfig(), OnPeerStrike: func(api.Strike) error { return nil },
 	}
 	assert.NilError(t, good.Validate())
 	bad := good
--- a/server/gossip/gossip.go
+++ b/server/gossip/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +18,11 @@
 type Gossip struct {
 	owner      *duty.Duty[input]
 	callDuties []*duty.Duty[peerCall]
+	strikes    *duty.Duty[api.Strike]
 	replica    ConfigReplica
 	snapshot   atomic.Pointer[snapshot]
+
+	onPeerStrike func(api.Strike) error
 }
 
 // snapshot is an immutable view of the members for other threads.
@@ -32,7 +36,7 @@
 func Start(sys *duty.System, cfg Config, peers PeerClient, replica ConfigReplica) *Gossip {
 	cfg = cfg.withDefaults()
 	cfg.Self.AppliedOffset = replica.AppliedOffset()
-	g := &Gossip{replica: replica}
+	g := &Gossip{replica: replica, onPeerStrike: cfg.OnPeerStrike}
 	o := &owner{
 		cfg:    cfg,
 		gossip: g,
@@ -44,6 +48,7 @@
 		g.callDuties = append(g.callDuties, duty.Start(sys, duty.Config{Name: "peer-caller", RingSize: callRingSize}, h))
 	}
 	o.callDuties = g.callDuties
+	g.strikes = duty.Start(sys, duty.Config{Name: "strike-caller", RingSize: strikeRingSize}, duty.Handler[api.Strike](&strikeHandler{self: cfg.Self.ID, gossip: g, peers: peers}))
 	g.owner = duty.Start(sys, duty.Config{Name: "gossip", RingSize: stateRingSize, Tick: tickInterval}, o)
 	o.started.Store(true)
 	return g
@@ -81,7 +86,7 @@
 
 // Stop ends the duties without notifying peers. Errors: ctx.Err().
 func (g *Gossip) Stop(ctx context.Context) error {
-	return duty.StopAll(ctx, g.owner, g.callDuties)
+	return errors.Join(g.strikes.Stop(ctx), duty.StopAll(ctx, g.owner, g.callDuties))
 }
 
 // Probe handles a peer's message and returns the response.
@@ -125,6 +130,13 @@
 // ConfigReplica.Image.
 func (g *Gossip) Image(ctx context.Context) ([]byte, error) { return g.replica.Image(ctx) }
 
+// ShareStrike reports a strike that is not in the log to the live daemons. It never
+// blocks. Errors: *duty.FullError, *ring.ClosedError.
+func (g *Gossip) ShareStrike(s api.Strike) error { return g.strikes.Post(s) }
+
+// ReportStrike handles a peer's strike. Errors: those of Config.OnPeerStrike.
+func (g *Gossip) ReportStrike(_ context.Context, s api.Strike) error { return g.onPeerStrike(s) }
+
 // post posts an event that may be lost: the protocol tolerates that.
 func (g *Gossip) post(in input) {
 	if g.owner.Post(in) != nil {
--- a/server/gossip/gossip_test.go
+++ b/server/gossip/gossip_test.go
@@ -75,6 +75,7 @@
 	gossip  *gossip.Gossip
 	server  *peer.Server
 	client  *peer.Client
+	strikes chan api.Strike // of other daemons
 }
 
 func fastProtocol() membership.Config {
@@ -87,7 +88,7 @@
 
 func start(t testing.TB, id, addr string, protocol membership.Config, seeds ...string) *daemon {
 	t.Helper()
-	d := &daemon{id: api.DaemonID(id), replica: &fakeReplica{}, client: peer.NewClient()}
+	d := &daemon{id: api.DaemonID(id), replica: &fakeReplica{}, client: peer.NewClient(), strikes: make(chan api.Strike, 8)}
 	listener, err := peer.Listen(addr)
 	assert.NilError(t, err)
 	d.addr = listener.Addr().String()
@@ -98,6 +99,10 @@
 		},
 		Seeds:    seeds,
 		Protocol: protocol,
+		OnPeerStrike: func(s api.Strike) error {
+			d.strikes <- s
+			return nil
+		},
 	}
 	assert.NilError(t, cfg.Validate())
 	d.gossip = gossip.Start(duty.NewSystem(nil), cfg, d.client, d.replica)
@@ -251,3 +256,24 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+func TestStrikesReachTheLiveDaemons(t *testing.T) {
+	a := start(t, "entry-a", "127.0.0.1:0", fastProtocol())
+	defer a.shutdown(t)
+	b := start(t, "entry-b", "127.0.0.1:0", fastProtocol(), a.addr)
+	defer b.shutdown(t)
+	c := start(t, "entry-c", "127.0.0.1:0", fastProtocol(), a.addr)
+	defer c.shutdown(t)
+	waitFor(t, "a knows b and c", func() bool { return len(a.gossip.Live()) == 3 })
+	strike := api.Strike{Fingerprint: 1 << 63, Upstream: "u", Alone: true}
+	assert.NilError(t, a.gossip.ShareStrike(strike))
+	for _, d := range []*daemon{b, c} {
+		select {
+		case got := <-d.strikes:
+			assert.Equal(t, got, strike)
+		case <-time.After(10 * time.Second):
+			t.Fatalf("%s got no strike", d.id)
+		}
+	}
+	assert.Equal(t, len(a.strikes), 0, "a daemon does not report to itself")
+}
