Score texts by reward calls

Change: once the text of an item with a scorer is stored, its slot is free and a reward call is outstanding in the replicated state. The daemon that ran the item makes the call through the routes, others if that daemon dies. The soak of hosted daemons scores every third item.

--- a/bench/hostedsoak/evaluate.go
+++ b/bench/hostedsoak/evaluate.go
@@ -117,6 +117,21 @@
 	}
 }
 
+// scoreMismatch returns why the score of a completed result is invalid, or "".
+func scoreMismatch(s *step, result platform.Result, index *arrivalIndex) string {
+	n := slices.IndexFunc(s.job.Items, func(i platform.Item) bool { return i.ID == result.ID })
+	scorer := s.job.Items[n].Scorer
+	switch {
+	case scorer == nil && result.Score != "":
+		return "score without a scorer"
+	case scorer != nil && result.Score != "signed-"+scorer.ID:
+		return fmt.Sprintf("score %q", result.Score)
+	case scorer != nil && len(index.arrivals[scorer.ID]) == 0:
+		return "score without a reward call"
+	}
+	return ""
+}
+
 // maxFailedAttempts is the number of failed attempts after which an item or a
 // killer request is given up.
 const maxFailedAttempts = 3
@@ -127,7 +142,7 @@
 		return "not an item of the job"
 	}
 	if !result.Completed() {
-		if !s.ended && len(index.arrivals[result.ID]) < maxFailedAttempts {
+		if !s.ended && len(index.arrivals[result.ID]) < maxFailedAttempts && len(index.arrivals[scorePrefix+result.ID]) < maxFailedAttempts {
 			return "given up after too few attempts"
 		}
 		return ""
@@ -141,6 +156,9 @@
 			return fmt.Sprintf("versions %v, but event %d was generated under %v", result.Versions, n, versions)
 		}
 	}
+	if mismatch := scoreMismatch(s, result, index); mismatch != "" {
+		return mismatch
+	}
 	if slices.Min(result.Versions) < s.job.MinVersion {
 		return fmt.Sprintf("versions %v, but the minimum is %d", result.Versions, s.job.MinVersion)
 	}
--- a/bench/hostedsoak/trainers.go
+++ b/bench/hostedsoak/trainers.go
@@ -15,6 +15,8 @@
 const (
 	groupsPerStep   = 6
 	itemsPerGroup   = 2
+	scoredEvery     = 3                      // every third item has a scorer
+	scorePrefix     = "score-"               // of the ids of reward calls
 	targetGroups    = 5                      // complete groups after which a step ends
 	submitTimeout   = 3 * time.Second        // per submission
 	readWait        = 500 * time.Millisecond // for new results in a read; also the interval between submissions
@@ -52,7 +54,11 @@
 		}}
 		for i := range groupsPerStep * itemsPerGroup {
 			id := fmt.Sprintf("%s-%d", s.job.ID, i)
-			s.job.Items = append(s.job.Items, platform.NewItem(id, batchPath+"x", t.model, fmt.Sprintf("%s-g%d", s.job.ID, i/itemsPerGroup)))
+			item := platform.NewItem(id, batchPath+"x", t.model, fmt.Sprintf("%s-g%d", s.job.ID, i/itemsPerGroup))
+			if i%scoredEvery == 0 {
+				item.Scorer = &platform.Scorer{ID: scorePrefix + id, Host: host, Path: safePath + "score", Body: []byte(id)}
+			}
+			s.job.Items = append(s.job.Items, item)
 		}
 		t.steps = append(t.steps, s)
 		if !t.submitJob(ctx, s) || !t.awaitGroups(ctx, s) {
@@ -134,7 +140,7 @@
 }
 
 func sameResult(a, b platform.Result) bool {
-	return a.ID == b.ID && a.State == b.State && a.Text == b.Text && slices.Equal(a.Versions, b.Versions)
+	return a.ID == b.ID && a.State == b.State && a.Text == b.Text && a.Score == b.Score && slices.Equal(a.Versions, b.Versions)
 }
 
 // completeGroups returns the number of groups whose results are all known.
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -36,6 +36,7 @@
 	"dotterelmount.example/server/jobreplica"
 	"dotterelmount.example/server/leasing"
 	"dotterelmount.example/server/relay"
+	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
 	"dotterelmount.example/server/upkeep"
 	"github.com/google/uuid"
@@ -63,6 +64,7 @@
 	leaseManager   *leasing.Manager
 	upkeep         *upkeep.Upkeep
 	relay          *relay.Relay
+	rewards        *rewards.Caller
 	callers        *http.Server
 	readiness      *http.Server
 	metrics        *http.Server
@@ -141,11 +143,18 @@
 		Engine: n.serverClient, View: n.View, Snapshot: n.leaseSnapshot, Propose: n.propose,
 	}, n.log.Logger)
 
+	rewardsCfg := rewardsConfig
+	rewardsCfg.Self = self
+	n.rewards = rewards.Start(n.system, rewardsCfg, rewards.Deps{
+		Forward: n.relay.Forward, Body: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
+		View: n.View, LastRenewals: func() map[api.DaemonID]time.Time { return n.leaseSnapshot().LastRenewals },
+	}, n.log.Logger)
+
 	// The replica starts last, because its callbacks use all of the above.
 	replicaCfg := replicaConfig
 	replicaCfg.Daemon, replicaCfg.JobRetention = self, n.settings.JobRetention
 	replicaCfg.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReadsPerSecond))
-	n.replica.Store(jobreplica.Start(n.system, j, replicaCfg, jobreplica.Callbacks{RunsChanged: n.runner.Update, RequestCrashed: func(r *batch.RequestCrashed) {
+	n.replica.Store(jobreplica.Start(n.system, j, replicaCfg, jobreplica.Callbacks{RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update, RequestCrashed: func(r *batch.RequestCrashed) {
 		if r.Process != process {
 			n.relay.AddCrashes(r.ContentHash, r.UpstreamsLost)
 		}
@@ -241,6 +250,9 @@
 	if err := n.runner.Stop(ctx); err != nil {
 		n.log.Warn("stopping runs failed", zap.Error(err))
 	}
+	if err := n.rewards.Stop(ctx); err != nil {
+		n.log.Warn("stopping reward calls failed", zap.Error(err))
+	}
 	if err := n.leaseManager.Leave(); err != nil {
 		n.log.Warn("releasing leases failed", zap.Error(err))
 	}
--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/platform/entry"
 	"go.uber.org/zap"
 )
 
@@ -17,13 +18,21 @@
 
 // Submit implements entry.JobStore. A job is not accepted, and never will be, if
 // storing one of its bodies may have failed.
-func (j *jobStore) Submit(ctx context.Context, job *batch.Job, bodies [][]byte) error {
-	ranges, err := j.n.chunkCommitter.CommitAll(ctx, bodies)
+func (j *jobStore) Submit(ctx context.Context, job *batch.Job, bodies []entry.ItemBodies) error {
+	var data [][]byte
+	var refs []*batch.ChunkRef // where the reference to each is kept
+	for i := range job.Items {
+		data, refs = append(data, bodies[i].Request), append(refs, &job.Items[i].Body)
+		if len(bodies[i].Scorer) > 0 {
+			data, refs = append(data, bodies[i].Scorer), append(refs, &job.Items[i].Scorer.Body)
+		}
+	}
+	ranges, err := j.n.chunkCommitter.CommitAll(ctx, data)
 	if err != nil {
 		return &opaque.NotRunError{Reason: err.Error(), RetryAfter: retryAfter}
 	}
 	for i, loc := range ranges {
-		job.Items[i].Body = j.n.chunkRef(loc, len(bodies[i]))
+		*refs[i] = j.n.chunkRef(loc, len(data[i]))
 	}
 	return j.commit(ctx, &batch.JobAccepted{Job: *job})
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -6,12 +6,14 @@
 	"dotterelmount.example/lib/latency"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/pace"
+	scoring "dotterelmount.example/lib/rewards"
 	"dotterelmount.example/server/chunks"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
 	"dotterelmount.example/server/jobreplica"
 	"dotterelmount.example/server/leasing"
 	"dotterelmount.example/server/relay"
+	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
 	"dotterelmount.example/server/upkeep"
 )
@@ -84,7 +86,18 @@
 	Now:              time.Now,
 }
 
+var attemptTimeouts = opaque.AttemptTimeouts{MinTimeout: 250 * time.Millisecond, TargetMultiple: 2}
+
+var rewardsConfig = rewards.Config{
+	Limits: scoring.Config{
+		SlotShare: 0.75, MinConcurrent: 2, // a quarter of the slots suffices for callers' requests, which are short
+		RetryDelay: 100 * time.Millisecond, MaxRetryDelay: time.Second,
+	},
+	Timeouts: attemptTimeouts, DefaultTimeout: 2 * time.Second, Callers: 8, RingSize: 256, Tick: 50 * time.Millisecond,
+	LeaseTTL: leaseManagerConfig.LeaseTTL, Now: time.Now,
+}
+
 var relayConfig = relay.Config{
-	AttemptTimeouts: opaque.AttemptTimeouts{MinTimeout: 250 * time.Millisecond, TargetMultiple: 2}, Workers: 48, RingSize: 1024,
+	AttemptTimeouts: attemptTimeouts, Workers: 48, RingSize: 1024,
 	Backoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second, RetryAfter: retryAfter, Now: time.Now,
 }
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -36,6 +36,19 @@
 	MaxTokens  int           `msgpack:"t" json:"Tokens"` // prompt tokens plus the output limit
 	Group      string        `msgpack:"g"`               // items of a group share a prompt
 	OutputHint int           `msgpack:"e" json:"Hint"`   // expected output tokens; 0: unknown
+	Scorer     *Scorer       `msgpack:"s,omitempty" json:",omitempty"`
+}
+
+// Scorer is the request whose response is the reward of an item's text. It is sent
+// when the text is complete and may be repeated.
+type Scorer struct {
+	ID   string   `msgpack:"i"` // request ID
+	Host string   `msgpack:"h"`
+	Path string   `msgpack:"p"` // request URI
+	Body ChunkRef `msgpack:"b"`
+	// MaxAttempts is the number of failure responses after which the item is listed
+	// as errored, if above that of the job.
+	MaxAttempts int `msgpack:"a"`
 }
 
 // Job is a batch job as submitted.
@@ -109,6 +122,20 @@
 	Final  bool   `msgpack:"fin"` // retrying cannot succeed
 }
 
+// ItemScored lists an item with a complete text as completed with its score.
+type ItemScored struct {
+	Job   JobID  `msgpack:"job"`
+	Item  ItemID `msgpack:"item"`
+	Score string `msgpack:"score"`
+}
+
+// RewardFailed reports that an upstream failed an item's reward call.
+type RewardFailed struct {
+	Job    JobID  `msgpack:"job"`
+	Item   ItemID `msgpack:"item"`
+	Status int    `msgpack:"st"` // HTTP status
+}
+
 // ItemExpired lists an item as errored because its deadline passed or its
 // route was removed.
 type ItemExpired struct {
@@ -208,6 +235,8 @@
 func (*TextAdded) record()             {}
 func (*ItemFailed) record()            {}
 func (*ItemExpired) record()           {}
+func (*ItemScored) record()            {}
+func (*RewardFailed) record()          {}
 func (*ItemMoved) record()             {}
 func (*DaemonAlive) record()           {}
 func (*DaemonLeft) record()            {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -40,6 +40,8 @@
 	kindEventIntervalMeasured
 	kindRequestCrashed
 	kindTextAdded
+	kindItemScored
+	kindRewardFailed
 )
 
 func kindOf(r batch.Record) byte {
@@ -68,6 +70,10 @@
 		return kindEventIntervalMeasured
 	case *batch.RequestCrashed:
 		return kindRequestCrashed
+	case *batch.ItemScored:
+		return kindItemScored
+	case *batch.RewardFailed:
+		return kindRewardFailed
 	default:
 		return kindUpstreamChanged
 	}
@@ -87,6 +93,8 @@
 	kindUpstreamChanged:       decode[batch.UpstreamChanged],
 	kindEventIntervalMeasured: decode[batch.EventIntervalMeasured],
 	kindRequestCrashed:        decode[batch.RequestCrashed],
+	kindItemScored:            decode[batch.ItemScored],
+	kindRewardFailed:          decode[batch.RewardFailed],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/batchcodec/batchcodec_test.go
+++ b/lib/batch/batchcodec/batchcodec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"dotterelmount.example/api"
@@ -11,6 +12,7 @@
 
 var records = []batch.Record{
 	&batch.JobAccepted{Job: batch.Job{ID: "j", Host: "h", Model: "m", MinVersion: 3, Items: []batch.Item{{ID: "i", Body: batch.ChunkRef{Partition: 2, FirstOffset: 1 << 40, Records: 1, Bytes: 2}, Headers: []batch.HeaderField{{Name: "n", Value: "v"}}}}}},
+	&batch.JobAccepted{Job: batch.Job{ID: "s", Items: []batch.Item{{ID: "i", Scorer: &batch.Scorer{ID: "r", Host: "h", Path: "/p?q", Body: batch.ChunkRef{Records: 1, Bytes: 4}, MaxAttempts: 4}}}}},
 	&batch.JobEnded{ID: "j"},
 	&batch.TextAdded{Job: "j", Item: "i", RunID: "r", RunStart: 2, FirstEvent: 4, EventCount: 2, Chunk: batch.ChunkRef{Partition: 3, FirstOffset: 7, Records: 1, Bytes: 9}, Versions: []api.WeightVersion{3}, Done: true},
 	&batch.ItemFailed{Job: "j", Item: "i", Status: 500},
@@ -22,16 +24,19 @@
 	&batch.UpstreamRemoved{Upstream: "u", Daemon: "d"},
 	&batch.UpstreamChanged{Upstream: "u", Daemon: "d", Condition: batch.ConditionSlow, Versions: map[api.ModelName]api.WeightVersion{"m": 2}},
 	&batch.EventIntervalMeasured{Upstream: "u", Daemon: "d", Micros: 39000},
+	&batch.ItemScored{Job: "j", Item: "i", Score: "3e1b.07"},
+	&batch.RewardFailed{Job: "j", Item: "i", Status: 500},
 	&batch.RequestCrashed{ContentHash: 1 << 63, UpstreamsLost: 3, Process: "d/1"},
 }
 
 func TestEncodeDecodeRoundTrip(t *testing.T) {
-	kinds := make(map[byte]bool)
+	kinds := make(map[byte]string)
 	for _, r := range records {
 		data, err := Encode(r)
 		assert.NilError(t, err)
-		assert.Assert(t, !kinds[data[0]], "kind %d is used twice", data[0])
-		kinds[data[0]] = true
+		name, taken := kinds[data[0]]
+		assert.Assert(t, !taken || name == fmt.Sprintf("%T", r), "kind %d is used twice", data[0])
+		kinds[data[0]] = fmt.Sprintf("%T", r)
 		got, err := Decode(data)
 		assert.NilError(t, err)
 		assert.DeepEqual(t, got, r)
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -20,11 +20,14 @@
 	daemon := api.DaemonID(fmt.Sprint("d", pick("daemon", 2)))
 	model := api.ModelName([]string{"m", "n"}[pick("model", 1)])
 	versions := map[api.ModelName]api.WeightVersion{"m": api.WeightVersion(pick("vm", 3)), "n": api.WeightVersion(pick("vn", 3))}
-	switch pick("kind", 10) {
+	switch pick("kind", 12) {
 	case 0:
 		j := Job{ID: job, Service: "s", Model: model, MinVersion: api.WeightVersion(pick("min", 2)), MaxAttempts: 2}
 		for i := range pick("items", 5) + 1 {
 			j.Items = append(j.Items, Item{ID: ItemID(fmt.Sprint("i", i)), Group: fmt.Sprint(i / 2), OutputHint: pick("hint", 3)})
+			if pick("scorer", 1) == 1 {
+				j.Items[i].Scorer = &Scorer{ID: fmt.Sprint("r", i), Host: "h", Path: "/p"}
+			}
 		}
 		return &JobAccepted{Job: j}
 	case 1:
@@ -41,6 +44,10 @@
 		return &DaemonLeft{Daemon: daemon}
 	case 8:
 		return &UpstreamRemoved{Upstream: upstream, Daemon: daemon}
+	case 10:
+		return &ItemScored{Job: job, Item: item, Score: "s"}
+	case 11:
+		return &RewardFailed{Job: job, Item: item, Status: 500}
 	case 9:
 		return &UpstreamChanged{Upstream: upstream, Daemon: daemon, Condition: Condition(pick("condition", 4)), Versions: versions}
 	default:
@@ -63,6 +70,7 @@
 				assert.DeepEqual(t, a.Upstreams(), upstreams)
 			}
 			assert.DeepEqual(t, a.JobReports(), b.JobReports())
+			assert.DeepEqual(t, a.Rewards(), b.Rewards())
 			for _, d := range []api.DaemonID{"d0", "d1", "d2"} {
 				assert.DeepEqual(t, a.Runs(d), b.Runs(d))
 			}
@@ -88,8 +96,14 @@
 		for _, x := range r.Results {
 			assert.Assert(t, !seen[x.Item], "%s is listed twice", x.Item)
 			seen[x.Item] = true
+			scored := j.items[x.Item].item().Scorer != nil && x.State == ItemCompleted
+			assert.Equal(t, x.Score != "", scored, "%s: score %q", x.Item, x.Score)
 		}
 	}
+	for _, i := range s.unscored {
+		assert.Assert(t, i.state == ItemOpen && !i.job.ended && i.textDone && i.upstream == "", "item without an outstanding reward call")
+		assert.Assert(t, !slices.Contains(s.pending, i), "item with a complete text is pending")
+	}
 	for id, items := range s.placed {
 		u := s.upstreams[id]
 		assert.Assert(t, len(items) == 0 || u != nil, "items placed on removed upstream %s", id)
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -13,6 +13,7 @@
 	State    ItemState
 	Chunks   []ChunkRef          // chunks of the text, in order
 	Versions []api.WeightVersion // weight versions that generated the text
+	Score    string              // empty: the item has no scorer
 }
 
 // Results is a page of the results of a job.
@@ -44,7 +45,7 @@
 		i := j.results[out.Next]
 		r := Result{Item: i.item().ID, State: i.state, Versions: i.versions}
 		if i.state == ItemCompleted {
-			r.Chunks = i.chunks
+			r.Chunks, r.Score = i.chunks, i.score
 		}
 		for _, c := range r.Chunks {
 			size += c.Bytes
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -16,6 +16,8 @@
 	pending      []*itemState          // open items without an upstream, in the order of comparePending
 	latestItems  map[ItemID]*itemState // from the newest job that has the item
 	placed       map[api.UpstreamID][]*itemState
+	unscored     []*itemState              // open items with a complete text, in the order of compareUnscored
+	rewards      []Reward                  // of unscored; nil: to be rebuilt
 	eventsPerJob map[api.ModelName]float64 // moving average
 	// placementDue is set when a change may allow a pending item to be placed.
 	placementDue bool
@@ -76,6 +78,12 @@
 	groupOutput int            // longest expected output in the item's group, in tokens
 	upstream    api.UpstreamID // where the item is placed; empty: nowhere
 	movedFrom   api.UpstreamID // upstream of the newest ItemMoved record
+	textDone    bool           // the text is complete
+	score       string         // empty: none
+	// rewardFailures counts the failure responses to the reward call. rewardDaemon is
+	// the daemon that ran the item to its end; empty: unknown.
+	rewardFailures int
+	rewardDaemon   api.DaemonID
 }
 
 func (i *itemState) item() *Item { return &i.job.job.Items[i.index] }
@@ -100,6 +108,10 @@
 		return s.addText(r)
 	case *ItemFailed:
 		return s.failItem(r)
+	case *ItemScored:
+		return s.scoreItem(r)
+	case *RewardFailed:
+		return s.failReward(r)
 	case *ItemExpired:
 		return s.expireItem(r)
 	case *ItemMoved:
@@ -142,7 +154,7 @@
 		}
 		s.reuseText(i, s.latestItems[id])
 		s.latestItems[id] = i
-		if i.state == ItemOpen {
+		if i.state == ItemOpen && !i.textDone {
 			s.addPending(i)
 		}
 	}
@@ -150,7 +162,8 @@
 }
 
 // reuseText copies the text of the same item in an earlier job if the weight
-// versions that generated it are acceptable to the new job.
+// versions that generated it are acceptable to the new job, and the score if the item
+// has the same reward call.
 func (s *State) reuseText(i, earlier *itemState) {
 	if earlier == nil || earlier.eventCount == 0 || earlier.state == ItemErrored || earlier.job.job.Model != i.job.job.Model {
 		return
@@ -159,9 +172,13 @@
 		return
 	}
 	i.eventCount, i.chunks, i.versions = earlier.eventCount, slices.Clip(earlier.chunks), slices.Clip(earlier.versions)
-	if earlier.state == ItemCompleted {
-		s.listResult(i, ItemCompleted)
+	if !earlier.textDone {
+		return
+	}
+	if from, to := earlier.item().Scorer, i.item().Scorer; from != nil && to != nil && from.ID == to.ID {
+		i.score = earlier.score
 	}
+	s.completeText(i)
 }
 
 func (s *State) endJob(id JobID) bool {
@@ -173,6 +190,7 @@
 	for _, i := range j.items {
 		s.unplace(i)
 		s.removePending(i)
+		s.removeUnscored(i)
 	}
 	s.recordWork(j)
 	s.rebalance(j.job.Service)
@@ -199,7 +217,7 @@
 // come from the run that generated the end, or from one that resumed there.
 func (s *State) addText(r *TextAdded) bool {
 	i := s.findItem(r.Job, r.Item)
-	if i == nil || i.state != ItemOpen || r.FirstEvent != i.eventCount {
+	if i == nil || i.state != ItemOpen || i.textDone || r.FirstEvent != i.eventCount {
 		return false
 	}
 	if r.FirstEvent != r.RunStart && r.RunID != i.lastRun {
@@ -215,23 +233,41 @@
 			i.versions = append(i.versions, v)
 		}
 	}
-	if r.Done && !i.job.ended {
-		s.listResult(i, ItemCompleted)
+	if r.Done {
+		if u, ok := s.upstreams[i.upstream]; ok {
+			i.rewardDaemon = u.Holder
+		}
+		s.completeText(i)
 	}
 	return true
 }
 
+// completeText lists an item whose text is complete, or requests its score first.
+func (s *State) completeText(i *itemState) {
+	i.textDone = true
+	switch {
+	case i.job.ended:
+	case i.item().Scorer == nil || i.score != "":
+		s.listResult(i, ItemCompleted)
+	default:
+		s.unplace(i)
+		s.removePending(i)
+		s.addUnscored(i)
+	}
+}
+
 // listResult appends an item to the results of its job.
 func (s *State) listResult(i *itemState, state ItemState) {
 	i.state = state
 	i.job.results = append(i.job.results, i)
 	s.unplace(i)
 	s.removePending(i)
+	s.removeUnscored(i)
 }
 
 func (s *State) failItem(r *ItemFailed) bool {
 	i := s.findOpenItem(r.Job, r.Item)
-	if i == nil {
+	if i == nil || i.textDone {
 		return false
 	}
 	i.failures++
--- a/lib/leases/leases.go
+++ b/lib/leases/leases.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
@@ -132,6 +133,17 @@
 	return r
 }
 
+// Live returns the daemons whose last renewal is younger than ttl.
+func Live(lastRenewals map[api.DaemonID]time.Time, now time.Time, ttl time.Duration) map[api.DaemonID]bool {
+	out := make(map[api.DaemonID]bool, len(lastRenewals))
+	for id, at := range lastRenewals {
+		if now.Sub(at) < ttl {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // Responsible reports whether rendezvous hashing assigns a task to self among the
 // live daemons.
 func Responsible(self api.DaemonID, live map[api.DaemonID]bool, task string) bool {
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -36,6 +36,9 @@
 	Status  int
 	Headers []HeaderField
 	Body    []byte
+	// Signature is the upstream's proof that it made the response; empty for the head
+	// of a stream.
+	Signature string
 }
 
 // Execution says whether a failed request was executed by the upstream.
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -44,6 +44,8 @@
 	// RunsChanged is called whenever the items that this daemon should run may have
 	// changed. applied is the offset after the last applied record.
 	RunsChanged func(runs map[batch.ItemKey]batch.Run, applied batch.Offset)
+	// RewardsChanged is called whenever the outstanding reward calls may have changed.
+	RewardsChanged func(outstanding []batch.Reward)
 	// RequestCrashed is called for requests during which upstreams were lost.
 	RequestCrashed func(*batch.RequestCrashed)
 }
@@ -81,6 +83,7 @@
 	lastFullRead      time.Time // start of the last read that reached the end
 	lastRenewals      map[api.DaemonID]time.Time
 	unpublished       changes // since the last snapshot
+	rewardsPublished  bool    // the last published list of reward calls was not empty
 	daemonCount       atomic.Int64
 	pending           []*query
 	lastFullReadNanos atomic.Int64 // lastFullRead in Unix nanoseconds, for other threads
@@ -211,6 +214,10 @@
 		return
 	}
 	j.callbacks.RunsChanged(j.state.Runs(j.cfg.Daemon), j.appliedOffset)
+	if rewards := j.state.Rewards(); len(rewards) > 0 || j.rewardsPublished {
+		j.rewardsPublished = len(rewards) > 0
+		j.callbacks.RewardsChanged(rewards)
+	}
 }
 
 // readInterval returns the minimum time between the starts of two reads.
@@ -244,6 +251,9 @@
 	case *batch.ItemFailed:
 		j.log.Info("item failed", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
 			zap.Int("status", r.Status), zap.Bool("final", r.Final), offset, effect)
+	case *batch.RewardFailed:
+		j.log.Info("reward failed", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
+			zap.Int("status", r.Status), offset, effect)
 	case *batch.ItemExpired:
 		j.log.Info("item expired", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)), offset, effect)
 	case *batch.TextAdded:
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -100,7 +100,7 @@
 		return
 	}
 	s := m.deps.Snapshot()
-	live := m.liveDaemons(s, now)
+	live := leases.Live(s.LastRenewals, now, m.cfg.LeaseTTL)
 	m.acquireLeases(s, live, now)
 	if now.Sub(m.sweptAt) >= m.cfg.SweepInterval {
 		m.sweptAt = now
@@ -117,17 +117,6 @@
 	return 0
 }
 
-// liveDaemons returns the daemons whose leases are valid.
-func (m *Manager) liveDaemons(s *jobreplica.Snapshot, now time.Time) map[api.DaemonID]bool {
-	out := make(map[api.DaemonID]bool, len(s.LastRenewals))
-	for id, at := range s.LastRenewals {
-		if now.Sub(at) < m.cfg.LeaseTTL {
-			out[id] = true
-		}
-	}
-	return out
-}
-
 // acquireLeases proposes the lease changes for which it is this daemon's turn.
 func (m *Manager) acquireLeases(s *jobreplica.Snapshot, live map[api.DaemonID]bool, now time.Time) {
 	if s.StartMillis[m.cfg.Self] != m.cfg.StartMillis {
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -95,6 +95,15 @@
 	Body    []byte            `json:"body"`
 	Tokens  int               `json:"tokens"`
 	Group   string            `json:"group"`
+	Scorer  *Scorer           `json:"scorer_url,omitempty"`
+}
+
+// Scorer is the request that scores an item's text.
+type Scorer struct {
+	ID   string `json:"id"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	Body []byte `json:"body"`
 }
 
 // NewItem returns an item for a model, with a body derived from its id.
@@ -117,6 +126,7 @@
 	State    string `json:"state"`
 	Text     string `json:"text"`
 	Versions []int  `json:"versions"`
+	Score    string `json:"score"`
 }
 
 // Completed reports whether the result has a complete text.
