Group the strikes of a crash by the time of the crash

They were grouped by log time, so crashes of one upstream that were seconds apart counted as one, and a peer's report was dropped if an earlier one named the same upstream. Result: TestStrikesOfAnOutageAreGroupedByTheirTimes fails on the code before.

--- a/api/record.go
+++ b/api/record.go
@@ -57,6 +57,9 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Upstream    UpstreamID  `json:"upstream"`
 	Alone       bool        `json:"alone"`
+	// AtMillis is when the reporting daemon noticed the crash, in Unix milliseconds; 0:
+	// unknown.
+	AtMillis int64 `json:"at_millis,omitempty"`
 }
 
 // LiftQuarantine clears the strikes of a fingerprint.
--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -120,7 +120,7 @@
 
 // ReportStrike reports a strike to the daemon at addr. Errors: CodeNotReady.
 func (c *Client) ReportStrike(ctx context.Context, addr string, s api.Strike) error {
-	req := &peerpb.Strike{Fingerprint: uint64(s.Fingerprint), Upstream: string(s.Upstream), Alone: s.Alone}
+	req := &peerpb.Strike{Fingerprint: uint64(s.Fingerprint), Upstream: string(s.Upstream), Alone: s.Alone, AtMillis: s.AtMillis}
 	return c.call(ctx, addr, func(p peerpb.DRPCPeerClient) error {
 		_, err := p.ReportStrike(ctx, req)
 		return err
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -44,7 +44,7 @@
 func (echo) Image(context.Context) ([]byte, error) { return make([]byte, 2_000_000), nil }
 
 func (echo) ReportStrike(_ context.Context, s api.Strike) error {
-	if s != (api.Strike{Fingerprint: 1 << 63, Upstream: "u", Alone: true}) {
+	if s != (api.Strike{Fingerprint: 1 << 63, Upstream: "u", Alone: true, AtMillis: 1 << 41}) {
 		return api.Errorf(api.CodeInvalid, "got %v", s)
 	}
 	return nil
@@ -97,7 +97,7 @@
 	page, err := client.Members(ctx, server.Addr(), "entry-7", 3)
 	assert.NilError(t, err)
 	assert.Equal(t, page.NextID, api.DaemonID("entry-7"))
-	assert.NilError(t, client.ReportStrike(ctx, server.Addr(), api.Strike{Fingerprint: 1 << 63, Upstream: "u", Alone: true}))
+	assert.NilError(t, client.ReportStrike(ctx, server.Addr(), api.Strike{Fingerprint: 1 << 63, Upstream: "u", Alone: true, AtMillis: 1 << 41}))
 	plan := quota.Resource{Kind: quota.KindPlan, Name: "p"}
 	requests := []quota.ResourceRequest{
 		{Resource: quota.Resource{Kind: quota.KindShort, Name: "u"}, Request: quota.LeaseRequest{Daemon: "d", Seq: 7}},
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -130,7 +130,9 @@
 
 // ReportStrike implements peerpb.DRPCPeerServer.
 func (s *service) ReportStrike(ctx context.Context, req *peerpb.Strike) (*peerpb.StrikeResponse, error) {
-	strike := api.Strike{Fingerprint: api.Fingerprint(req.GetFingerprint()), Upstream: api.UpstreamID(req.GetUpstream()), Alone: req.GetAlone()}
+	strike := api.Strike{
+		Fingerprint: api.Fingerprint(req.GetFingerprint()), Upstream: api.UpstreamID(req.GetUpstream()), Alone: req.GetAlone(), AtMillis: req.GetAtMillis(),
+	}
 	return &peerpb.StrikeResponse{}, s.handler.ReportStrike(ctx, strike)
 }
 
--- a/lib/ledger/config.go
+++ b/lib/ledger/config.go
@@ -23,8 +23,8 @@
 	state   State
 	seen    map[api.RecordID]seenRecord
 	idOrder []api.RecordID // IDs in offset order, for expiry
-	// crashes holds the last crash of each upstream.
-	crashes map[api.UpstreamID]Crash
+	// crashes holds the recent crashes of each upstream.
+	crashes map[api.UpstreamID][]Crash
 }
 
 // NewConfigFSM returns the state machine before the first record.
@@ -32,7 +32,7 @@
 	return &ConfigFSM{
 		state:   State{Plans: &api.PlanList{}, Usage: &api.UsageList{}},
 		seen:    make(map[api.RecordID]seenRecord),
-		crashes: make(map[api.UpstreamID]Crash),
+		crashes: make(map[api.UpstreamID][]Crash),
 	}
 }
 
@@ -184,70 +184,6 @@
 	return nil
 }
 
-// CrashGroupingMillis is the time within which strikes at one upstream count as
-// one crash, in milliseconds of log time.
-const CrashGroupingMillis = 5 * 1000
-
-// recordStrike counts a crash for a fingerprint. A daemon sees only its own
-// requests, so it may report a request as alone although another daemon's request
-// was part of the same crash; here both count as shared.
-func (c *ConfigFSM) recordStrike(timeMillis int64, b api.Strike) {
-	c.state.Strikes = c.unexpiredStrikes(timeMillis)
-	crash := c.crashes[b.Upstream]
-	if crash.Fingerprints == nil || timeMillis-crash.TimeMillis >= CrashGroupingMillis {
-		crash = Crash{TimeMillis: timeMillis}
-	}
-	if slices.Contains(crash.Fingerprints, b.Fingerprint) {
-		return
-	}
-	if len(crash.Fingerprints) > 0 {
-		if crash.Alone {
-			c.shareLastStrike(crash.Fingerprints[0])
-		}
-		b.Alone = false
-	}
-	crash.Alone = b.Alone
-	crash.Fingerprints = append(slices.Clone(crash.Fingerprints), b.Fingerprint)
-	c.crashes[b.Upstream] = crash
-	s := c.state.Strikes[b.Fingerprint]
-	if b.Alone {
-		s.Alone++
-	} else {
-		s.Shared++
-	}
-	if !slices.Contains(s.Upstreams, b.Upstream) {
-		s.Upstreams = append(slices.Clone(s.Upstreams), b.Upstream)
-	}
-	s.LastMillis = timeMillis
-	c.state.Strikes[b.Fingerprint] = s
-}
-
-// shareLastStrike changes one strike of a fingerprint from alone to shared, unless its
-// strikes were cleared.
-func (c *ConfigFSM) shareLastStrike(f api.Fingerprint) {
-	s, ok := c.state.Strikes[f]
-	if !ok || s.Alone == 0 {
-		return
-	}
-	s.Alone--
-	s.Shared++
-	c.state.Strikes[f] = s
-}
-
-// StrikeRetentionMillis is how long strikes are remembered after the last one of a
-// fingerprint, in milliseconds of log time.
-const StrikeRetentionMillis = 60 * 60 * 1000
-
-func (c *ConfigFSM) unexpiredStrikes(nowMillis int64) map[api.Fingerprint]StrikeState {
-	kept := make(map[api.Fingerprint]StrikeState, len(c.state.Strikes))
-	for f, s := range c.state.Strikes {
-		if s.LastMillis >= nowMillis-StrikeRetentionMillis {
-			kept[f] = s
-		}
-	}
-	return kept
-}
-
 func conflictError(what string, base, inForce api.Revision) error {
 	return api.Errorf(api.CodeConflict, "%s: base revision is %d, in force is %d", what, base, inForce)
 }
--- a/lib/ledger/image.go
+++ b/lib/ledger/image.go
@@ -18,16 +18,7 @@
 	Weights       map[api.ModelName]WeightState   `json:"weights"`
 	Strikes       map[api.Fingerprint]StrikeState `json:"strikes"`
 	Seen          []SeenRecord                    `json:"seen"`
-	Crashes       map[api.UpstreamID]Crash        `json:"crashes,omitempty"`
-}
-
-// Crash is the last crash of an upstream: the log time of its first strike, in
-// Unix milliseconds, and the fingerprints of the requests that were running. Alone is
-// set while one strike is known, which was reported as alone.
-type Crash struct {
-	TimeMillis   int64             `json:"time_millis"`
-	Fingerprints []api.Fingerprint `json:"fingerprints"`
-	Alone        bool              `json:"alone,omitempty"`
+	Crashes       map[api.UpstreamID][]Crash      `json:"recent_crashes,omitempty"`
 }
 
 // SeenRecord is a remembered record ID with its verdict. Detail is the text of the
--- a/lib/ledger/ledger_test.go
+++ b/lib/ledger/ledger_test.go
@@ -110,7 +110,32 @@
 	strike(1, 1000, 7, "a", true)
 	strike(2, 60_000, 7, "b", false)
 	strike(3, 60_100, 8, "b", false)
-	assert.DeepEqual(t, c.Snapshot().Strikes[7], ledger.StrikeState{Alone: 1, Shared: 1, Upstreams: []api.UpstreamID{"a", "b"}, LastMillis: 60_000})
+	got := c.Snapshot().Strikes[7]
+	assert.Equal(t, got.Alone, 1)
+	assert.Equal(t, got.Shared, 1)
+}
+
+// After an outage of the log, the strikes of all daemons are appended within moments.
+// The crashes of one upstream that were seconds apart must count one by one, and the
+// strikes of one crash once, in any order.
+func TestStrikesOfAnOutageAreGroupedByTheirTimes(t *testing.T) {
+	c := ledger.NewConfigFSM()
+	const back = 1_000_000
+	for n, s := range []api.Strike{
+		{Fingerprint: 7, Upstream: "a", AtMillis: back - 11_000, Alone: true},
+		{Fingerprint: 7, Upstream: "a", AtMillis: back - 9_000, Alone: true},
+		{Fingerprint: 7, Upstream: "a", AtMillis: back - 7_000, Alone: true},
+		{Fingerprint: 8, Upstream: "a", AtMillis: back - 10_900, Alone: true}, // shared with the first
+		{Fingerprint: 7, Upstream: "a", AtMillis: back - 8_900, Alone: true},  // the second, by another daemon
+	} {
+		c.Apply(api.Offset(n+1), back+int64(n), api.Record{ID: api.RecordID(fmt.Sprint(n)), Body: s})
+	}
+	got := c.Snapshot().Strikes[7]
+	assert.Equal(t, got.Alone, 2)
+	assert.Equal(t, got.Shared, 1)
+	assert.Equal(t, c.Snapshot().Strikes[8].Shared, 1)
+	assert.Assert(t, got.HasCrash(api.Strike{Upstream: "a", AtMillis: back - 8_900}))
+	assert.Assert(t, !got.HasCrash(api.Strike{Upstream: "a", AtMillis: back - 3_000}))
 }
 
 func TestClaimHasOneWinnerUntilReleased(t *testing.T) {
--- a/lib/ledger/state.go
+++ b/lib/ledger/state.go
@@ -48,6 +48,8 @@
 	Shared int `json:"shared"`
 	// Upstreams lists the upstreams that crashed, without duplicates.
 	Upstreams []api.UpstreamID `json:"upstreams"`
+	// Crashes are the most recent of these crashes, oldest first.
+	Crashes []CrashRef `json:"crashes,omitempty"`
 	// LastMillis is the log time of the last strike, in Unix milliseconds.
 	LastMillis int64 `json:"last_millis"`
 }
--- a/lib/recordcodec/recordcodec_test.go
+++ b/lib/recordcodec/recordcodec_test.go
@@ -14,7 +14,7 @@
 		api.PublishUsageList{Base: 4, List: api.UsageList{Upstreams: []api.Upstream{{ID: "u", Kind: api.KindPlain, Window: 3}}}},
 		api.MarkUpstream{Base: 1, Upstream: "u", Mark: api.MarkDraining},
 		api.AnnounceWeights{Model: "m", Version: 9},
-		api.Strike{Fingerprint: 77, Upstream: "u", Alone: true},
+		api.Strike{Fingerprint: 77, Upstream: "u", Alone: true, AtMillis: 5},
 		api.LiftQuarantine{Fingerprint: 77},
 		api.Claim{Customer: "c", Key: "k", Holder: "d"},
 		api.Settle{Customer: "c", Key: "k", Claim: "x", Outcome: api.OutcomeComplete, Status: 200, Response: []byte("a")},
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -134,8 +134,8 @@
 		}
 	}
 	for _, fp := range fingerprints {
-		s := api.Strike{Fingerprint: fp, Upstream: u.info.ID, Alone: len(fingerprints) == 1}
-		h.addUnloggedStrike(unloggedStrike{Strike: s, unixMillis: now.UnixMilli()})
+		s := api.Strike{Fingerprint: fp, Upstream: u.info.ID, Alone: len(fingerprints) == 1, AtMillis: now.UnixMilli()}
+		h.addUnloggedStrike(unloggedStrike{Strike: s})
 		crashStrikes.Add(1)
 		if h.cfg.ReportStrike != nil {
 			h.cfg.ReportStrike(s)
@@ -146,8 +146,7 @@
 // unloggedStrike is a strike that is not known to be in the log.
 type unloggedStrike struct {
 	api.Strike
-	unixMillis int64
-	fromPeer   bool // another daemon's
+	fromPeer bool // another daemon's
 }
 
 // addUnloggedStrike keeps a strike until the log has it, so that it counts on
@@ -160,19 +159,22 @@
 	h.unloggedStrikes = append(h.unloggedStrikes, s)
 }
 
-// addPeerStrike keeps another daemon's strike, unless it is a repeat or in the log.
-func (h *handler) addPeerStrike(s api.Strike, now time.Time) {
+// addPeerStrike keeps another daemon's strike, unless the crash is already counted for
+// its fingerprint.
+func (h *handler) addPeerStrike(s api.Strike) {
 	known := slices.ContainsFunc(h.unloggedStrikes, func(o unloggedStrike) bool {
-		return o.fromPeer && o.Fingerprint == s.Fingerprint && o.Upstream == s.Upstream
+		return o.Fingerprint == s.Fingerprint && o.Upstream == s.Upstream && ledger.SameCrash(o.AtMillis, s.AtMillis)
 	})
 	if !known && !h.isLogged(s) {
-		h.addUnloggedStrike(unloggedStrike{Strike: s, unixMillis: now.UnixMilli(), fromPeer: true})
+		h.addUnloggedStrike(unloggedStrike{Strike: s, fromPeer: true})
 	}
 }
 
-// isLogged reports whether the log has a strike of the fingerprint at the upstream.
+// isLogged reports whether the log has the strike, or another one of the same
+// fingerprint for the same crash.
 func (h *handler) isLogged(s api.Strike) bool {
-	return slices.Contains(h.state.Strikes[s.Fingerprint].Upstreams, s.Upstream)
+	logged := h.state.Strikes[s.Fingerprint]
+	return logged.HasCrash(s)
 }
 
 // removeLoggedPeerStrikes drops other daemons' strikes that are now in the log.
@@ -217,7 +219,7 @@
 		if !slices.Contains(sum.Upstreams, s.Upstream) {
 			sum.Upstreams = append(slices.Clone(sum.Upstreams), s.Upstream)
 		}
-		sum.LastMillis = max(sum.LastMillis, s.unixMillis)
+		sum.LastMillis = max(sum.LastMillis, s.AtMillis)
 	}
 	return sum
 }
@@ -226,7 +228,6 @@
 // same crash, according to the unlogged strikes.
 func (h *handler) hasOtherStrike(s unloggedStrike) bool {
 	return slices.ContainsFunc(h.unloggedStrikes, func(o unloggedStrike) bool {
-		apart := max(s.unixMillis-o.unixMillis, o.unixMillis-s.unixMillis)
-		return o.Upstream == s.Upstream && o.Fingerprint != s.Fingerprint && apart < ledger.CrashGroupingMillis
+		return o.Upstream == s.Upstream && o.Fingerprint != s.Fingerprint && ledger.SameCrash(o.AtMillis, s.AtMillis)
 	})
 }
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -380,7 +380,7 @@
 	}
 	t.Run("known from peers", func(t *testing.T) {
 		run(t, func(d *dispatch.Dispatcher, s api.Strike) {
-			assert.Check(t, d.AddPeerStrike(api.Strike{Fingerprint: killer, Upstream: s.Upstream, Alone: true}))
+			assert.Check(t, d.AddPeerStrike(api.Strike{Fingerprint: killer, Upstream: s.Upstream, Alone: true, AtMillis: s.AtMillis + 100}))
 		})
 	})
 	t.Run("known from the log", func(t *testing.T) {
@@ -396,7 +396,7 @@
 			next.AppliedOffset, next.Strikes = logged.AppliedOffset+fsm.Snapshot().AppliedOffset, fsm.Snapshot().Strikes
 			d.Update(&next)
 			s.Fingerprint = innocent
-			d.StrikeRecorded(s)
+			d.StrikeRecorded(s) // equal to the one reported
 		})
 	})
 }
@@ -409,8 +409,10 @@
 		return f.crash(u.ID)
 	}
 	d := start(t, f, state(8, "a", "b", "c", "d", "e"), nil)
-	for _, u := range []api.UpstreamID{"d", "e", "e"} {
-		assert.NilError(t, d.AddPeerStrike(api.Strike{Fingerprint: 1, Upstream: u, Alone: true}))
+	now := time.Now().UnixMilli()
+	for _, s := range []api.Strike{{Upstream: "d", AtMillis: now - 9000}, {Upstream: "e", AtMillis: now - 4000}, {Upstream: "e", AtMillis: now - 4100}} {
+		s.Fingerprint, s.Alone = 1, true
+		assert.NilError(t, d.AddPeerStrike(s))
 	}
 	c := newCollector()
 	assert.NilError(t, d.Submit(job("x", c)))
@@ -428,13 +430,14 @@
 		return sendTokens(delta, 1, 0, 4)
 	}
 	d := start(t, f, state(8, "a", "b"), nil)
+	now := time.Now().UnixMilli()
 	for _, u := range []api.UpstreamID{"d", "e"} {
-		assert.NilError(t, d.AddPeerStrike(api.Strike{Fingerprint: 1, Upstream: u, Alone: true}))
+		assert.NilError(t, d.AddPeerStrike(api.Strike{Fingerprint: 1, Upstream: u, Alone: true, AtMillis: now}))
 	}
 	logged := state(8, "a", "b")
 	logged.AppliedOffset = 9
 	logged.Strikes = map[api.Fingerprint]ledger.StrikeState{
-		1: {Alone: 2, Upstreams: []api.UpstreamID{"d", "e"}, LastMillis: time.Now().UnixMilli()},
+		1: {Alone: 2, Upstreams: []api.UpstreamID{"d", "e"}, LastMillis: now, Crashes: []ledger.CrashRef{{Upstream: "d", AtMillis: now}, {Upstream: "e", AtMillis: now}}},
 	}
 	d.Update(logged)
 	c := newCollector()
--- a/server/dispatch/handler.go
+++ b/server/dispatch/handler.go
@@ -88,7 +88,7 @@
 	case strikeRecordedMsg:
 		h.removeUnloggedStrike(m.strike)
 	case peerStrikeMsg:
-		h.addPeerStrike(m.strike, h.cfg.Now())
+		h.addPeerStrike(m.strike)
 	case sharesMsg:
 		h.updateWindows(h.cfg.Now())
 		h.startQueued()
