Hold leases on the daemons with the most capacity only

Change: at most 48 daemons are active, those with the highest capacity (setting processor_share); they acquire the leases. Daemons without leases renew every 30 s and replace lost active ones at once. Small deployments are as before.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -22,6 +22,7 @@
 	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/settings"
@@ -132,7 +133,7 @@
 	}, n.log.Logger)
 
 	leaseCfg := leaseManagerConfig
-	leaseCfg.Self, leaseCfg.StartMillis = self, startMillis
+	leaseCfg.Self, leaseCfg.StartMillis, leaseCfg.Capacity = self, startMillis, n.settings.Capacity()
 	n.leaseManager = leasing.Start(n.system, leaseCfg, leasing.Deps{
 		Propose: n.propose, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, View: n.View, OpenItems: n.openItems,
 	}, n.log.Logger)
@@ -147,7 +148,7 @@
 	rewardsCfg.Self = self
 	n.rewards = rewards.Start(n.system, rewardsCfg, rewards.Deps{
 		Forward: n.relay.Forward, Body: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
-		View: n.View, LastRenewals: func() map[api.DaemonID]time.Time { return n.leaseSnapshot().LastRenewals },
+		View: n.View, Members: func() leases.Members { return n.leaseSnapshot().Members() },
 	}, n.log.Logger)
 
 	// The replica starts last, because its callbacks use all of the above.
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelmount.example/lib/latency"
+	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/pace"
 	scoring "dotterelmount.example/lib/rewards"
@@ -59,17 +60,22 @@
 	Now:            time.Now,
 }
 
+var roster = leases.Roster{
+	MaxActive:     48, // 137 renewals a second, about a quarter of the appends that the journal's partition takes
+	RenewInterval: 350 * time.Millisecond, IdleInterval: 30 * time.Second,
+	TTL: 1500 * time.Millisecond, // four renewal intervals
+}
+
 var leaseManagerConfig = leasing.Config{
-	Tick: 100 * time.Millisecond, RenewInterval: 350 * time.Millisecond,
-	LeaseTTL:        1500 * time.Millisecond, // four renewal intervals
-	TurnTimeout:     500 * time.Millisecond,  // a proposal is read back within some tens of milliseconds
-	MaxReadAge:      700 * time.Millisecond,  // two renewal intervals
+	Tick: 100 * time.Millisecond, Roster: roster,
+	TurnTimeout:     500 * time.Millisecond, // a proposal is read back within some tens of milliseconds
+	MaxReadAge:      700 * time.Millisecond, // two renewal intervals
 	ProposalTimeout: time.Second, SweepInterval: time.Second, Now: time.Now,
 }
 
 var upkeepConfig = upkeep.Config{
 	CallDuties: 4, RingSize: 1024, Tick: 50 * time.Millisecond, CallTimeout: 700 * time.Millisecond,
-	OrderLeaseAge:     1200 * time.Millisecond, // below LeaseTTL
+	OrderLeaseAge:     1200 * time.Millisecond, // below the roster's TTL
 	LoadPollInterval:  150 * time.Millisecond,  // above the age of reports
 	AnnouncementDelay: 250 * time.Millisecond,  // trainers submit their step some tens of milliseconds after the announcement
 	ProposalTimeout:   time.Second, FailLimit: 3, ProbeInterval: time.Second, SlowDuration: 4 * time.Second, Now: time.Now,
@@ -94,7 +100,7 @@
 		RetryDelay: 100 * time.Millisecond, MaxRetryDelay: time.Second,
 	},
 	Timeouts: attemptTimeouts, DefaultTimeout: 2 * time.Second, Callers: 8, RingSize: 256, Tick: 50 * time.Millisecond,
-	LeaseTTL: leaseManagerConfig.LeaseTTL, Now: time.Now,
+	Roster: roster, Now: time.Now,
 }
 
 var relayConfig = relay.Config{
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -158,6 +158,9 @@
 	StartMillis int64 `msgpack:"s" json:"Starts"`
 	// ConfigVersion is the configuration version that the daemon uses.
 	ConfigVersion uint64 `msgpack:"c" json:"Config"`
+	// Capacity is the processor capacity of the daemon's host, in thousandths of a core;
+	// 0: not reported.
+	Capacity int `msgpack:"p,omitempty" json:",omitempty"`
 }
 
 // DaemonLeft releases all leases of a daemon.
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -55,6 +55,7 @@
 	StartMillis   int64  // newest start, in Unix milliseconds
 	RenewalOffset Offset // offset of the newest renewal
 	ConfigVersion uint64 // configuration version at that renewal
+	Capacity      int    // in thousandths of a core; 0: not reported
 	Left          bool
 }
 
@@ -316,7 +317,7 @@
 	if r.StartMillis < d.StartMillis {
 		return false // late record from an earlier process of the daemon
 	}
-	d.StartMillis, d.RenewalOffset, d.ConfigVersion, d.Left = r.StartMillis, at, r.ConfigVersion, false
+	d.StartMillis, d.RenewalOffset, d.ConfigVersion, d.Capacity, d.Left = r.StartMillis, at, r.ConfigVersion, r.Capacity, false
 	return true
 }
 
--- a/lib/leases/leases.go
+++ b/lib/leases/leases.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
@@ -20,8 +19,11 @@
 // Input is the state on which a decision is based.
 type Input struct {
 	Self api.DaemonID
-	// Live are the daemons that have renewed their leases in time.
+	// Live are the daemons that may hold leases.
 	Live map[api.DaemonID]bool
+	// Capacity is the processor capacity of each daemon, in thousandths of a core. A
+	// daemon without an entry has defaultCapacity.
+	Capacity map[api.DaemonID]int
 	// Held are the upstreams with a lease, valid or not.
 	Held []batch.Upstream
 	// Listed are the upstreams of the directory.
@@ -53,7 +55,7 @@
 	}
 	daemons := slices.Sorted(maps.Keys(in.Live))
 	for _, id := range in.unheld(held) {
-		d := nextDaemon(daemons, load, id, in.SkippedTurns[id])
+		d := in.nextDaemon(daemons, load, id)
 		load[d]++
 		if d == in.Self {
 			out = append(out, in.leaseRecord(id, held[id]))
@@ -96,13 +98,16 @@
 }
 
 // nextDaemon returns the daemon whose turn it is to lease an upstream: the one with
-// the fewest upstreams, without the skipped daemons at the head of this order, which
-// may have died without being detected yet.
-func nextDaemon(daemons []api.DaemonID, load map[api.DaemonID]int, id api.UpstreamID, skipped int) api.DaemonID {
+// the fewest upstreams for its capacity, without the skipped daemons at the head of
+// this order, which may have died without being detected yet.
+func (in *Input) nextDaemon(daemons []api.DaemonID, load map[api.DaemonID]int, id api.UpstreamID) api.DaemonID {
 	order := slices.SortedFunc(slices.Values(daemons), func(a, b api.DaemonID) int {
-		return cmp.Or(cmp.Compare(load[a], load[b]), cmp.Compare(rendezvousHash(a, id), rendezvousHash(b, id)))
+		return cmp.Or(
+			cmp.Compare((load[a]+1)*capacity(in.Capacity, b), (load[b]+1)*capacity(in.Capacity, a)),
+			cmp.Compare(rendezvousHash(a, id), rendezvousHash(b, id)),
+		)
 	})
-	return order[skipped%len(order)]
+	return order[in.SkippedTurns[id]%len(order)]
 }
 
 func rendezvousHash(d api.DaemonID, u api.UpstreamID) uint64 {
@@ -133,17 +138,6 @@
 	return r
 }
 
-// Live returns the daemons whose last renewal is younger than ttl.
-func Live(lastRenewals map[api.DaemonID]time.Time, now time.Time, ttl time.Duration) map[api.DaemonID]bool {
-	out := make(map[api.DaemonID]bool, len(lastRenewals))
-	for id, at := range lastRenewals {
-		if now.Sub(at) < ttl {
-			out[id] = true
-		}
-	}
-	return out
-}
-
 // Responsible reports whether rendezvous hashing assigns a task to self among the
 // live daemons.
 func Responsible(self api.DaemonID, live map[api.DaemonID]bool, task string) bool {
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -29,6 +29,9 @@
 	// the same time.
 	LoadShare float64 `yaml:"load_share" validate:"gt=0,max=1"`
 	Workers   int     `yaml:"carriers" validate:"min=1,max=4096"` // maximum number of concurrent runs of this daemon
+	// ProcessorShare is the processor capacity of this host, in cores. Hosts with more
+	// run more of the batch jobs.
+	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
@@ -44,6 +47,7 @@
 	DefaultShutdownTimeout     = 8 * time.Second
 	DefaultLoadShare           = 1.0 / 6 // that many engines can load without slowing each other down
 	DefaultRunWorkers          = 96      // eight engines with twelve slots each
+	DefaultProcessorShare      = 1.0     // cores
 )
 
 // LoadHosted reads and validates a hosted daemon's settings file. Errors: as Load.
@@ -60,7 +64,7 @@
 func ParseHosted(data []byte) (*Hosted, error) {
 	h := &Hosted{
 		MaxRecordBytes: DefaultMaxRecordBytes, MaxAppendBytes: DefaultMaxAppendBytes, StoreReadsPerSecond: DefaultStoreReadsPerSecond, Retention: DefaultRetention, JobRetention: DefaultJobRetention,
-		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, Workers: DefaultRunWorkers,
+		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, Workers: DefaultRunWorkers, ProcessorShare: DefaultProcessorShare,
 	}
 	if err := decode(data, h); err != nil {
 		return nil, err
@@ -73,3 +77,6 @@
 
 // Validate checks all values. Errors: *Error for the first invalid one.
 func (h *Hosted) Validate() error { return check(h) }
+
+// Capacity returns the processor capacity of this host, in thousandths of a core.
+func (h *Hosted) Capacity() int { return int(h.ProcessorShare * 1000) }
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -15,6 +15,7 @@
 	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/ring"
 	"go.uber.org/zap"
 )
@@ -59,6 +60,14 @@
 	LastRenewals map[api.DaemonID]time.Time
 	// StartMillis is the last start of each daemon, in Unix milliseconds.
 	StartMillis map[api.DaemonID]int64
+	// Capacity is the processor capacity of each daemon's host, in thousandths of a
+	// core; 0: not reported.
+	Capacity map[api.DaemonID]int
+}
+
+// Members returns the daemons and upstreams as input for leases.Roster.
+func (s *Snapshot) Members() leases.Members {
+	return leases.Members{LastRenewals: s.LastRenewals, Capacity: s.Capacity, Upstreams: s.Upstreams}
 }
 
 // StaleError reports that the journal could not be read to its end in time. Since is
@@ -201,12 +210,13 @@
 	s := &Snapshot{
 		NextOffset: j.appliedOffset, Upstreams: j.snapshot.Load().Upstreams,
 		LastRenewals: make(map[api.DaemonID]time.Time, len(daemons)), StartMillis: make(map[api.DaemonID]int64, len(daemons)),
+		Capacity: make(map[api.DaemonID]int, len(daemons)),
 	}
 	if j.unpublished.upstreams {
 		s.Upstreams = j.state.Upstreams()
 	}
 	for id, d := range daemons {
-		s.LastRenewals[id], s.StartMillis[id] = j.lastRenewals[id], d.StartMillis
+		s.LastRenewals[id], s.StartMillis[id], s.Capacity[id] = j.lastRenewals[id], d.StartMillis, d.Capacity
 	}
 	j.daemonCount.Store(int64(len(daemons)))
 	j.snapshot.Store(s)
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -18,11 +18,11 @@
 
 // Config configures a Manager.
 type Config struct {
-	Self          api.DaemonID
-	StartMillis   int64         // start of this process in Unix milliseconds
-	Tick          time.Duration // interval of decisions
-	RenewInterval time.Duration // interval of lease renewals
-	LeaseTTL      time.Duration // validity of a daemon's leases after its last renewal
+	Self        api.DaemonID
+	StartMillis int64         // start of this process in Unix milliseconds
+	Tick        time.Duration // interval of decisions
+	Capacity    int           // of this host, in thousandths of a core
+	Roster      leases.Roster
 	// TurnTimeout is how long each daemon in turn may take to acquire an upstream
 	// before the next daemon may.
 	TurnTimeout time.Duration
@@ -92,15 +92,15 @@
 		return
 	}
 	now := m.cfg.Now()
-	if now.Sub(m.renewedAt) >= m.cfg.RenewInterval {
+	s := m.deps.Snapshot()
+	if since := now.Sub(m.renewedAt); since >= m.cfg.Roster.RenewInterval && since >= m.renewInterval(s, now) {
 		m.renewedAt = now
-		m.propose(&batch.DaemonAlive{Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion()})
+		m.propose(&batch.DaemonAlive{Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion(), Capacity: m.cfg.Capacity})
 	}
 	if now.Sub(m.deps.LastFullRead()) > m.cfg.MaxReadAge {
 		return
 	}
-	s := m.deps.Snapshot()
-	live := leases.Live(s.LastRenewals, now, m.cfg.LeaseTTL)
+	live := m.cfg.Roster.Live(s.Members(), now)
 	m.acquireLeases(s, live, now)
 	if now.Sub(m.sweptAt) >= m.cfg.SweepInterval {
 		m.sweptAt = now
@@ -108,6 +108,15 @@
 	}
 }
 
+// renewInterval returns the time between two renewals of this daemon. Until its first
+// renewal is in the journal, it renews as an active daemon.
+func (m *Manager) renewInterval(s *jobreplica.Snapshot, now time.Time) time.Duration {
+	if s.StartMillis[m.cfg.Self] != m.cfg.StartMillis {
+		return m.cfg.Roster.RenewInterval
+	}
+	return m.cfg.Roster.Interval(m.cfg.Self, s.Members(), now)
+}
+
 // configVersion returns the version of this daemon's configuration, or 0 if it has
 // none.
 func (m *Manager) configVersion() uint64 {
@@ -126,7 +135,7 @@
 	if v.Table == nil {
 		return
 	}
-	in := leases.Input{Self: m.cfg.Self, Live: live, Held: s.Upstreams, Listed: v.Upstreams, Table: v.Table}
+	in := leases.Input{Self: m.cfg.Self, Live: live, Capacity: s.Capacity, Held: s.Upstreams, Listed: v.Upstreams, Table: v.Table}
 	in.SkippedTurns = m.skippedTurns(leases.Unheld(in), now)
 	for _, r := range leases.Plan(in) {
 		id := upstreamOf(r)
--- a/server/leasing/leasing_test.go
+++ b/server/leasing/leasing_test.go
@@ -8,6 +8,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/routes"
 	"dotterelmount.example/server/jobreplica"
 	"go.uber.org/zap"
@@ -31,7 +32,7 @@
 		directory.UpstreamListed{Upstream: directory.Upstream{ID: "u", Service: "s", Slots: 4}},
 	})
 	m.Manager = newManager(Config{
-		Self: "d", StartMillis: 5, RenewInterval: 350 * time.Millisecond, LeaseTTL: 1500 * time.Millisecond, TurnTimeout: 500 * time.Millisecond,
+		Self: "d", StartMillis: 5, Roster: leases.Roster{MaxActive: 48, RenewInterval: 350 * time.Millisecond, IdleInterval: 30 * time.Second, TTL: 1500 * time.Millisecond}, TurnTimeout: 500 * time.Millisecond,
 		MaxReadAge: 700 * time.Millisecond, ProposalTimeout: time.Second, SweepInterval: time.Hour, Now: func() time.Time { return m.now },
 	}, Deps{
 		Propose: func(r batch.Record, _ time.Duration) error {
--- a/server/rewards/rewards.go
+++ b/server/rewards/rewards.go
@@ -30,7 +30,7 @@
 	Callers        int // maximum concurrent calls
 	RingSize       int // capacity in messages
 	Tick           time.Duration
-	LeaseTTL       time.Duration // after its last renewal, a daemon's calls are made by others
+	Roster         leases.Roster
 	Now            func() time.Time
 }
 
@@ -42,9 +42,9 @@
 	// Body returns the body of a reward call.
 	Body func(ctx context.Context, at batch.ChunkRef) ([]byte, error)
 	// Propose appends a record without waiting.
-	Propose      func(r batch.Record) error
-	View         func() *directory.View
-	LastRenewals func() map[api.DaemonID]time.Time
+	Propose func(r batch.Record) error
+	View    func() *directory.View
+	Members func() leases.Members
 }
 
 // Caller controls the duties. The fields from outstanding on are accessed only on the
@@ -141,7 +141,7 @@
 		return
 	}
 	now := c.cfg.Now()
-	live := leases.Live(c.deps.LastRenewals(), now, c.cfg.LeaseTTL)
+	live := c.cfg.Roster.Live(c.deps.Members(), now)
 	in := rewards.Input{Self: c.cfg.Self, Live: live, Free: make(map[string]int)}
 	routeOf := make(map[batch.ItemKey]*routes.Route)
 	for _, r := range c.outstanding {
