Bound what a server can send without end

Cause: lines and events of a stream, the body of a report and of the store's responses were read without a bound, or cut at one without saying so; a server that sends bytes without a newline filled the memory until its close. The response that a load order is not needed no longer counts as a loaded version: it may be a late copy of another response; a report decides.

--- /dev/null
+++ b/lib/bounded/bounded_test.go
@@ -0,0 +1,83 @@
+package bounded
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"gotest.tools/v3/assert"
+)
+
+// endless yields the same byte without end and counts the bytes read.
+type endless struct {
+	b    byte
+	read int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = e.b
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+func isTooLong(err error) bool {
+	var e *TooLongError
+	return errors.As(err, &e)
+}
+
+func TestReadAllStopsAtItsLimit(t *testing.T) {
+	data, err := ReadAll(strings.NewReader("abc"), 3, "body")
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "abc")
+	e := &endless{}
+	_, err = ReadAll(e, 1000, "body")
+	assert.Assert(t, isTooLong(err))
+	assert.Assert(t, e.read <= 2000, "%d bytes read", e.read)
+	_, err = ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 3, "body")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+func TestBudgetBoundsAllReadersTogether(t *testing.T) {
+	b := NewBudget(1000)
+	inner := func(p []byte) (int, error) {
+		_, err := b.ReadAll(strings.NewReader(strings.Repeat("x", 600)), 800, "body")
+		assert.Assert(t, isTooLong(err), "600 bytes are buffered already")
+		return 0, io.EOF
+	}
+	_, err := b.ReadAll(io.MultiReader(strings.NewReader(strings.Repeat("x", 600)), readerFunc(inner)), 800, "body")
+	assert.NilError(t, err)
+	_, err = b.ReadAll(strings.NewReader(strings.Repeat("x", 700)), 800, "body")
+	assert.NilError(t, err, "the budget is free again")
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+func TestLinesOfAMessageAreBounded(t *testing.T) {
+	l := NewLineReader(strings.NewReader("ab\r\nc\n\nlast"), 8, "event")
+	for _, want := range []string{"ab", "c", ""} {
+		line, err := l.Line()
+		assert.NilError(t, err)
+		assert.Equal(t, string(TrimLineEnding(line)), want)
+	}
+	l.StartMessage()
+	_, err := l.Line()
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	_, err = l.Line()
+	assert.ErrorIs(t, err, io.EOF)
+	for _, b := range []byte{'x', '\n'} {
+		e := &endless{b: b}
+		l := NewLineReader(e, 10_000, "event")
+		var err error
+		for err == nil {
+			_, err = l.Line()
+		}
+		assert.Assert(t, isTooLong(err))
+		assert.Assert(t, e.read <= 20_000, "%d bytes read", e.read)
+	}
+}
--- a/server/upkeep/upkeep_test.go
+++ b/server/upkeep/upkeep_test.go
@@ -183,3 +183,19 @@
 	f.waitUntil(t, "slow", func() bool { return f.upstream.Condition == batch.ConditionSlow })
 	f.waitUntil(t, "ready", func() bool { return f.upstream.Condition == batch.ConditionReady })
 }
+
+// A late copy of a report's response may be taken for the response to an order, which
+// then seems not to be needed. The version must not count as loaded before a report
+// shows it.
+func TestVersionIsLoadedOnlyOnceReported(t *testing.T) {
+	f := newFakeUpstream()
+	f.respond = func(o generation.LoadOrder) (generation.OrderResult, error) {
+		if len(f.orders) < 3 {
+			return generation.OrderUnneeded, nil
+		}
+		return f.acceptOrder(o)
+	}
+	f.start(t, 0)
+	f.waitUntil(t, "loaded", func() bool { return f.upstream.Versions["m"] == 2 && f.upstream.Condition == batch.ConditionReady })
+	assert.Equal(t, len(f.orders), 3)
+}
