Use a slow upstream if no other can run a job

Change: items are placed on a slow upstream while no ready one has their weight version. Placement ends when the last free slot is taken. Result: TestOnlyUpstreamOfAVersionIsUsedThoughSlow fails on the code before.

--- a/lib/batch/place.go
+++ b/lib/batch/place.go
@@ -18,16 +18,17 @@
 		return
 	}
 	s.placementDue = false
-	free := s.freeUpstreams()
-	if len(free) == 0 {
-		return
-	}
+	free, slots := s.freeUpstreams()
 	candidatesByJob := make(map[*jobState][]*Upstream)
 	stillPending := make([]*itemState, 0, len(s.pending))
-	for _, i := range s.pending {
+	for n, i := range s.pending {
+		if slots == 0 {
+			stillPending = append(stillPending, s.pending[n:]...)
+			break
+		}
 		candidates, ok := candidatesByJob[i.job]
 		if !ok {
-			candidates = slices.DeleteFunc(slices.Clone(free), func(u *Upstream) bool { return !u.canRun(i.job.job) })
+			candidates = s.candidates(free, i.job.job)
 			candidatesByJob[i.job] = candidates
 		}
 		u := s.chooseUpstream(candidates, i)
@@ -37,6 +38,7 @@
 		}
 		i.upstream = u.ID
 		s.placed[u.ID] = append(s.placed[u.ID], i)
+		slots--
 	}
 	s.pending = stillPending
 }
@@ -79,16 +81,48 @@
 	}
 }
 
-// freeUpstreams returns the upstreams that take new items, sorted by ID.
-func (s *State) freeUpstreams() []*Upstream {
-	var out []*Upstream
+// freeUpstreams returns the upstreams that may take new items, sorted by ID, and the
+// number of their free slots.
+func (s *State) freeUpstreams() (out []*Upstream, slots int) {
 	for _, u := range s.upstreams {
-		if u.Condition == ConditionReady && u.Holder != "" && len(s.placed[u.ID]) < u.Slots {
+		usable := u.Holder != "" && (u.Condition == ConditionReady || u.Condition == ConditionSlow)
+		if n := u.Slots - len(s.placed[u.ID]); usable && n > 0 {
 			out = append(out, u)
+			slots += n
 		}
 	}
 	slices.SortFunc(out, func(a, b *Upstream) int { return compareIDs(a.ID, b.ID) })
-	return out
+	return out, slots
+}
+
+// candidates returns the free upstreams that a job's items are placed on. Slow ones are
+// among them only while no other can run the job: if a single upstream has loaded its
+// weight version, the job must not wait until that upstream is fast again.
+func (s *State) candidates(free []*Upstream, j *Job) []*Upstream {
+	var ready, slow []*Upstream
+	for _, u := range free {
+		switch {
+		case !u.canRun(j):
+		case u.Condition == ConditionSlow:
+			slow = append(slow, u)
+		default:
+			ready = append(ready, u)
+		}
+	}
+	if len(ready) > 0 || len(slow) == 0 || s.runsReady(j) {
+		return ready
+	}
+	return slow
+}
+
+// runsReady reports whether an upstream that is ready can run a job.
+func (s *State) runsReady(j *Job) bool {
+	for _, u := range s.upstreams {
+		if u.Condition == ConditionReady && u.Holder != "" && u.canRun(j) {
+			return true
+		}
+	}
+	return false
 }
 
 // remaining returns the expected output of an item, in tokens.
