--- a/cmd/dotterelmountd/internal/hosted/deploy_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deploy_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"time"
 
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/loads"
 	"dotterelmount.example/lib/settings"
 	"gotest.tools/v3/assert"
 )
@@ -39,3 +42,16 @@
 	assert.Equal(t, h.LeaseWait, 3*time.Second)
 	assert.Equal(t, h.Capacity(), 192)
 }
+
+// The deployments' sheets say how many engines can load weights at the same time
+// without slowing each other down. All of them are used, and no more.
+func TestLoadShareMatchesDeployments(t *testing.T) {
+	for engines, want := range map[int]int{9: 2, 11: 2, 12: 2, 38: 8, 44: 9, 104: 21} {
+		all := make([]batch.Upstream, engines)
+		for i := range all {
+			all[i] = batch.Upstream{ID: api.UpstreamID(strconv.Itoa(i)), Service: "s", Holder: "d", AssignedModel: "m"}
+		}
+		got := loads.Next(all, "s", map[api.ModelName]api.WeightVersion{"m": 2}, settings.DefaultLoadShare)
+		assert.Equal(t, len(got), want, "%d engines", engines)
+	}
+}
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -45,7 +45,7 @@
 	DefaultJobRetention        = 2 * time.Minute // must be within the store's retention
 	DefaultLeaseWait           = 3 * time.Second // exceeds the longest pause between a holder's lease checks
 	DefaultShutdownTimeout     = 8 * time.Second
-	DefaultLoadShare           = 1.0 / 6 // that many engines can load without slowing each other down
+	DefaultLoadShare           = 1.0 / 5 // that many engines can load without slowing each other down
 	DefaultRunWorkers          = 96      // eight engines with twelve slots each
 	DefaultProcessorShare      = 1.0     // cores
 )
