--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -56,6 +56,7 @@
 
 var replicaConfig = jobreplica.Config{
 	RingSize: 1024, ReadWait: feedWait, ReadTimeout: feedTimeout, MinReadInterval: 15 * time.Millisecond, RetryInterval: 100 * time.Millisecond,
+	Roster: roster, IdleReadInterval: 200 * time.Millisecond, // trainers read results about every 500 ms
 	MaxResultBytes: 900 << 10, // the platform's clients accept 1 MB
 	Now:            time.Now,
 }
@@ -67,14 +68,14 @@
 }
 
 var leaseManagerConfig = leasing.Config{
-	Tick: 100 * time.Millisecond, Roster: roster,
+	Tick: 100 * time.Millisecond, IdleTick: 500 * time.Millisecond, Roster: roster,
 	TurnTimeout:     500 * time.Millisecond, // a proposal is read back within some tens of milliseconds
 	MaxReadAge:      700 * time.Millisecond, // two renewal intervals
 	ProposalTimeout: time.Second, SweepInterval: time.Second, Now: time.Now,
 }
 
 var upkeepConfig = upkeep.Config{
-	CallDuties: 4, RingSize: 1024, Tick: 50 * time.Millisecond, CallTimeout: 700 * time.Millisecond,
+	CallDuties: 4, RingSize: 1024, Tick: 50 * time.Millisecond, IdleTick: 250 * time.Millisecond, CallTimeout: 700 * time.Millisecond,
 	OrderLeaseAge:     1200 * time.Millisecond, // below the roster's TTL
 	LoadPollInterval:  150 * time.Millisecond,  // above the age of reports
 	AnnouncementDelay: 250 * time.Millisecond,  // trainers submit their step some tens of milliseconds after the announcement
@@ -82,7 +83,7 @@
 }
 
 var runnerConfig = runner.Config{
-	RingSize: 1024, Tick: 50 * time.Millisecond,
+	RingSize: 1024, Tick: 50 * time.Millisecond, IdleTick: time.Second,
 	FirstEventTimeout: 3 * time.Second, EventTimeout: time.Second, // an event normally takes some tens of milliseconds
 	// The window spans the slow phases of some 600 ms that all upstreams have.
 	Pace:            pace.Config{Window: 1800 * time.Millisecond, MinEvents: 12, Factor: 2.2, MinPeers: 2},
@@ -99,7 +100,7 @@
 		SlotShare: 0.75, MinConcurrent: 2, // a quarter of the slots suffices for callers' requests, which are short
 		RetryDelay: 100 * time.Millisecond, MaxRetryDelay: time.Second,
 	},
-	Timeouts: attemptTimeouts, DefaultTimeout: 2 * time.Second, Callers: 8, RingSize: 256, Tick: 50 * time.Millisecond,
+	Timeouts: attemptTimeouts, DefaultTimeout: 2 * time.Second, Callers: 8, RingSize: 256, Tick: 50 * time.Millisecond, IdleTick: time.Second,
 	Roster: roster, Now: time.Now,
 }
 
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -32,7 +32,11 @@
 	// ReadsPerSecond bounds the reads of all daemons together: with more daemons,
 	// each waits longer between two reads.
 	ReadsPerSecond int
-	RetryInterval  time.Duration // after a failed read
+	// Roster tells whether this daemon may hold leases. While it may not, it reads at
+	// IdleReadInterval: it only serves callers, who wait longer for results than that.
+	Roster           leases.Roster
+	IdleReadInterval time.Duration
+	RetryInterval    time.Duration // after a failed read
 	// JobRetention is how long after its submission a finished job is kept.
 	JobRetention time.Duration
 	// MaxResultBytes bounds the text returned by one call of Results.
@@ -94,6 +98,7 @@
 	unpublished       changes // since the last snapshot
 	rewardsPublished  bool    // the last published list of reward calls was not empty
 	daemonCount       atomic.Int64
+	idle              atomic.Bool // this daemon may not hold leases
 	pending           []*query
 	lastFullReadNanos atomic.Int64 // lastFullRead in Unix nanoseconds, for other threads
 	snapshot          atomic.Pointer[Snapshot]
@@ -119,8 +124,11 @@
 func Start(sys *duty.System, j journal.Journal, cfg Config, callbacks Callbacks, log *zap.Logger) *JobReplica {
 	jr := &JobReplica{cfg: cfg, callbacks: callbacks, log: log, state: batch.New(), lastRenewals: make(map[api.DaemonID]time.Time)}
 	jr.snapshot.Store(&Snapshot{})
-	const tick = 100 * time.Millisecond // resolution of query deadlines
-	jr.applier = duty.Start(sys, duty.Config{Name: "book", RingSize: cfg.RingSize, Tick: tick}, duty.Handler[any](jr))
+	const (
+		tick     = 100 * time.Millisecond // resolution of query deadlines
+		idleTick = time.Second            // between searches for old jobs
+	)
+	jr.applier = duty.Start(sys, duty.Config{Name: "book", RingSize: cfg.RingSize, Tick: tick, IdleTick: idleTick}, duty.Handler[any](jr))
 	r := &reader{replica: jr, journal: j}
 	jr.reader = duty.Start(sys, duty.Config{Name: "journal-reader", RingSize: 1}, duty.Handler[struct{}](r))
 	r.scheduleNext = func() { _ = jr.reader.Post(struct{}{}) } // never full: only the reader posts
@@ -150,6 +158,9 @@
 	j.state.ForgetFinished(j.cfg.Now().Add(-j.cfg.JobRetention).UnixMilli())
 }
 
+// Idle implements duty.Idler.
+func (j *JobReplica) Idle() bool { return len(j.pending) == 0 }
+
 // apply applies the records of a read.
 func (j *JobReplica) apply(res *readResult) {
 	if res.resumed {
@@ -219,6 +230,7 @@
 		s.LastRenewals[id], s.StartMillis[id], s.Capacity[id] = j.lastRenewals[id], d.StartMillis, d.Capacity
 	}
 	j.daemonCount.Store(int64(len(daemons)))
+	j.idle.Store(!j.cfg.Roster.Live(s.Members(), j.cfg.Now())[j.cfg.Daemon])
 	j.snapshot.Store(s)
 	if !j.unpublished.runs {
 		return
@@ -233,6 +245,9 @@
 // readInterval returns the minimum time between the starts of two reads.
 func (j *JobReplica) readInterval() time.Duration {
 	interval := time.Duration(j.daemonCount.Load()) * time.Second / time.Duration(j.cfg.ReadsPerSecond)
+	if j.idle.Load() {
+		interval = max(interval, j.cfg.IdleReadInterval)
+	}
 	return max(j.cfg.MinReadInterval, interval)
 }
 
--- a/server/jobreplica/jobreplica_test.go
+++ b/server/jobreplica/jobreplica_test.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/leases"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -175,6 +176,30 @@
 	}
 }
 
+// A daemon that may not hold leases reads less often; it reads as the others from the
+// moment at which it may.
+func TestIdleDaemonReadsLessOften(t *testing.T) {
+	roster := leases.Roster{MaxActive: 1, RenewInterval: time.Second, IdleInterval: time.Second, TTL: time.Hour}
+	replica := &JobReplica{
+		cfg:       Config{Daemon: "small", MinReadInterval: 15 * time.Millisecond, ReadsPerSecond: 800, Roster: roster, IdleReadInterval: 200 * time.Millisecond, Now: time.Now},
+		callbacks: Callbacks{RunsChanged: func(map[batch.ItemKey]batch.Run, batch.Offset) {}}, log: zap.NewNop(), state: batch.New(), lastRenewals: make(map[api.DaemonID]time.Time),
+	}
+	replica.snapshot.Store(&Snapshot{})
+	publish := func(at batch.Offset, r batch.Record) {
+		if alive, ok := r.(*batch.DaemonAlive); ok {
+			replica.lastRenewals[alive.Daemon] = time.Now()
+		}
+		replica.state.Apply(at, r)
+		replica.publish()
+	}
+	publish(1, &batch.DaemonAlive{Daemon: "small", StartMillis: 1, Capacity: 192})
+	assert.Equal(t, replica.readInterval(), 15*time.Millisecond)
+	publish(2, &batch.DaemonAlive{Daemon: "large", StartMillis: 1, Capacity: 800})
+	assert.Equal(t, replica.readInterval(), 200*time.Millisecond)
+	publish(3, &batch.DaemonLeft{Daemon: "large"})
+	assert.Equal(t, replica.readInterval(), 15*time.Millisecond)
+}
+
 // A restarted daemon knows a job before it has read all of its results; another one
 // may have returned more of them.
 func TestNoResultIsReportedOnlyAtEndOfJournal(t *testing.T) {
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -21,6 +21,7 @@
 	Self        api.DaemonID
 	StartMillis int64         // start of this process in Unix milliseconds
 	Tick        time.Duration // interval of decisions
+	IdleTick    time.Duration // the same while this daemon may not hold leases
 	Capacity    int           // of this host, in thousandths of a core
 	Roster      leases.Roster
 	// TurnTimeout is how long each daemon in turn may take to acquire an upstream
@@ -60,12 +61,13 @@
 	unheldSince map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
 	expiredAt   map[batch.ItemKey]time.Time
 	leaving     bool
+	idle        bool // this daemon may not hold leases
 }
 
 // Start starts the duty.
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Manager {
 	m := newManager(cfg, deps, log)
-	m.duty = duty.Start(sys, duty.Config{Name: "lease-keeper", RingSize: 1, Tick: cfg.Tick}, duty.Handler[struct{}](m))
+	m.duty = duty.Start(sys, duty.Config{Name: "lease-keeper", RingSize: 1, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[struct{}](m))
 	return m
 }
 
@@ -101,6 +103,7 @@
 		return
 	}
 	live := m.cfg.Roster.Live(s.Members(), now)
+	m.idle = s.StartMillis[m.cfg.Self] == m.cfg.StartMillis && m.renewInterval(s, now) > m.cfg.Roster.RenewInterval
 	m.acquireLeases(s, live, now)
 	if now.Sub(m.sweptAt) >= m.cfg.SweepInterval {
 		m.sweptAt = now
@@ -108,6 +111,9 @@
 	}
 }
 
+// Idle implements duty.Idler.
+func (m *Manager) Idle() bool { return m.idle }
+
 // renewInterval returns the time between two renewals of this daemon. Until its first
 // renewal is in the journal, it renews as an active daemon.
 func (m *Manager) renewInterval(s *jobreplica.Snapshot, now time.Time) time.Duration {
--- a/server/rewards/rewards.go
+++ b/server/rewards/rewards.go
@@ -27,9 +27,9 @@
 	Timeouts opaque.AttemptTimeouts
 	// DefaultTimeout bounds a call on a route without a timeout.
 	DefaultTimeout time.Duration
-	Callers        int // maximum concurrent calls
-	RingSize       int // capacity in messages
-	Tick           time.Duration
+	Callers        int           // maximum concurrent calls
+	RingSize       int           // capacity in messages
+	Tick, IdleTick time.Duration // IdleTick while there is nothing to call
 	Roster         leases.Roster
 	Now            func() time.Time
 }
@@ -89,7 +89,7 @@
 	c := &Caller{cfg: cfg, deps: deps, log: log, items: make(map[batch.ItemKey]*item), running: make(map[string]int)}
 	w := &worker{deps: deps, postEnd: func(ctx context.Context, k *call) { _ = c.duty.PostWait(ctx, k) }} // fails only while stopping
 	c.callers = duty.NewPool(sys, duty.Config{Name: "reward-caller"}, cfg.Callers, func() duty.Handler[*call] { return w })
-	c.duty = duty.Start(sys, duty.Config{Name: "rewards", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](c))
+	c.duty = duty.Start(sys, duty.Config{Name: "rewards", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[any](c))
 	return c
 }
 
@@ -117,6 +117,9 @@
 // Tick starts calls that are due for a retry or were another daemon's.
 func (c *Caller) Tick(ctx context.Context) { c.startDue(ctx) }
 
+// Idle implements duty.Idler.
+func (c *Caller) Idle() bool { return len(c.outstanding) == 0 }
+
 // dropOthers cancels the calls of items that need none any more.
 func (c *Caller) dropOthers() {
 	wanted := make(map[batch.ItemKey]bool, len(c.outstanding))
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -25,6 +25,7 @@
 	Workers  int    // maximum concurrent runs
 	RingSize int    // capacity in messages
 	Tick     time.Duration
+	IdleTick time.Duration // while there are no runs
 	// FirstEventTimeout bounds the time until a run's first event, EventTimeout
 	// the time between events.
 	FirstEventTimeout, EventTimeout time.Duration
@@ -119,7 +120,7 @@
 	}
 	w := &worker{cfg: cfg, deps: deps, log: log, postEnd: func(ctx context.Context, active *run) { _ = r.duty.PostWait(ctx, active) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Workers, func() duty.Handler[*run] { return w })
-	r.duty = duty.Start(sys, duty.Config{Name: "runner", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](r))
+	r.duty = duty.Start(sys, duty.Config{Name: "runner", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[any](r))
 	return r
 }
 
@@ -150,6 +151,9 @@
 	r.reconcile(ctx)
 }
 
+// Idle implements duty.Idler.
+func (r *Runner) Idle() bool { return len(r.wanted) == 0 && len(r.active) == 0 }
+
 // reconcile cancels runs that are no longer wanted and starts those that are.
 func (r *Runner) reconcile(ctx context.Context) {
 	for key, active := range r.active {
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -26,6 +26,7 @@
 	CallDuties  int // maximum concurrent calls
 	RingSize    int // capacity in messages
 	Tick        time.Duration
+	IdleTick    time.Duration // while this daemon holds no upstream; bounds the delay until it notices its first one
 	CallTimeout time.Duration // timeout of one call
 	// LeaseWait is how long a new holder sends an upstream no orders, so that the
 	// previous holder has stopped sending.
@@ -119,7 +120,7 @@
 	k := &Upkeep{cfg: cfg, deps: deps, log: log, upstreams: make(map[api.UpstreamID]*heldUpstream), announced: make(map[api.ModelName]announcement)}
 	c := &caller{cfg: cfg, engine: deps.Engine, postEnd: func(ctx context.Context, c *call) { _ = k.duty.PostWait(ctx, c) }} // fails only while stopping
 	k.callers = duty.NewPool(sys, duty.Config{Name: "upkeep-caller"}, cfg.CallDuties, func() duty.Handler[*call] { return c })
-	k.duty = duty.Start(sys, duty.Config{Name: "upkeep", RingSize: cfg.RingSize, Tick: cfg.Tick}, duty.Handler[any](k))
+	k.duty = duty.Start(sys, duty.Config{Name: "upkeep", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[any](k))
 	return k
 }
 
@@ -162,6 +163,9 @@
 	maps.DeleteFunc(k.upstreams, func(id api.UpstreamID, state *heldUpstream) bool { return !held[id] && !state.calling })
 }
 
+// Idle implements duty.Idler.
+func (k *Upkeep) Idle() bool { return len(k.upstreams) == 0 }
+
 // heldState returns the state of an upstream. It resets the state after a change of
 // lease and, in part, after a restart of the upstream.
 func (k *Upkeep) heldState(u *batch.Upstream, listed *directory.Upstream, now time.Time) *heldUpstream {
