Give the tests' daemons ports that no other test is given

Cause: freeAddress closed a port of the system's dynamic range, which another test running in parallel was given before the daemon listened (seen once: TestScoresSurviveFaultsOfUpstreams/lost, "address already in use"). Change: ports below that range, counted up.

--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,12 +68,24 @@
 	d.store.PublishConfig(version, routes, []platform.Service{{Name: "engines", Models: []string{model}}, {Name: "plain"}})
 }
 
+// nextPort is the next port that freeAddress tries. The ports are below those that the
+// operating system gives to the listeners and connections of tests that run in parallel.
+var nextPort atomic.Int32
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	const first, count = 20000, 10000
+	for range count {
+		port := first + (os.Getpid()*97+int(nextPort.Add(1)))%count
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return l.Addr().String()
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // start adds a daemon and waits until it is ready.
