--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -21,7 +21,6 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/invariant"
-	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
@@ -119,7 +118,7 @@
 	n.serverClient.PruneConnections(func(address string) bool { return addresses[address] })
 }
 
-func (n *Node) startJobs(j journal.Journal, process string) {
+func (n *Node) startJobs(j jobreplica.Journal, process string) {
 	self := api.DaemonID(n.settings.Daemon)
 	startMillis := time.Now().UnixMilli()
 	n.committer = n.startCommitter(j, replay.Topic, process)
@@ -154,6 +153,7 @@
 	// The replica starts last, because its callbacks use all of the above.
 	replicaCfg := replicaConfig
 	replicaCfg.Daemon, replicaCfg.JobRetention = self, n.settings.JobRetention
+	replicaCfg.MinPageBytes = n.settings.MaxRecordBytes + recordFraming
 	replicaCfg.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReadsPerSecond))
 	n.replica.Store(jobreplica.Start(n.system, j, replicaCfg, jobreplica.Callbacks{RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update, RequestCrashed: func(r *batch.RequestCrashed) {
 		if r.Process != process {
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -35,6 +35,7 @@
 	feedWait             = time.Second             // plus feedTimeout, below the 2 s in which a configuration must be in force
 	feedTimeout          = 600 * time.Millisecond  // a healthy store responds within some milliseconds
 	logCallTimeout       = time.Second             // a healthy store responds within some milliseconds
+	recordFraming        = 4 << 10                 // bytes; more than what a page holds besides its records
 )
 
 var latencyRecorder = latency.New()
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -37,6 +37,8 @@
 	Roster           leases.Roster
 	IdleReadInterval time.Duration
 	RetryInterval    time.Duration // after a failed read
+	// MinPageBytes is the minimum size of a page, at least that of the largest record.
+	MinPageBytes int
 	// JobRetention is how long after its submission a finished job is kept.
 	JobRetention time.Duration
 	// MaxResultBytes bounds the text returned by one call of Results.
@@ -120,8 +122,18 @@
 	resumed bool
 }
 
+// Journal is the journal of batch jobs.
+type Journal interface {
+	journal.Journal
+	journal.Fetcher
+}
+
+// maxPageBytes is the maximum size of the pages in which a reader that is behind reads
+// the journal.
+const maxPageBytes = 1 << 20
+
 // Start starts the duties.
-func Start(sys *duty.System, j journal.Journal, cfg Config, callbacks Callbacks, log *zap.Logger) *JobReplica {
+func Start(sys *duty.System, j Journal, cfg Config, callbacks Callbacks, log *zap.Logger) *JobReplica {
 	jr := &JobReplica{cfg: cfg, callbacks: callbacks, log: log, state: batch.New(), lastRenewals: make(map[api.DaemonID]time.Time)}
 	jr.snapshot.Store(&Snapshot{})
 	const (
@@ -129,7 +141,7 @@
 		idleTick = time.Second            // between searches for old jobs
 	)
 	jr.applier = duty.Start(sys, duty.Config{Name: "book", RingSize: cfg.RingSize, Tick: tick, IdleTick: idleTick}, duty.Handler[any](jr))
-	r := &reader{replica: jr, journal: j}
+	r := &reader{replica: jr, journal: j, behind: true, pageSize: journal.NewPageSize(cfg.MinPageBytes, maxPageBytes, cfg.ReadTimeout)}
 	jr.reader = duty.Start(sys, duty.Config{Name: "journal-reader", RingSize: 1}, duty.Handler[struct{}](r))
 	r.scheduleNext = func() { _ = jr.reader.Post(struct{}{}) } // never full: only the reader posts
 	r.scheduleNext()
@@ -297,10 +309,12 @@
 // reader is the handler of the duty that reads the journal.
 type reader struct {
 	replica      *JobReplica
-	journal      journal.Journal
+	journal      Journal
 	scheduleNext func()
 	nextOffset   journal.Offset
 	failing      bool
+	behind       bool // not at the journal's end as of the last read
+	pageSize     *journal.PageSize
 }
 
 // Handle makes one read.
@@ -309,7 +323,7 @@
 	cfg := r.replica.cfg
 	startedAt := cfg.Now()
 	callCtx, cancel := context.WithTimeout(ctx, cfg.ReadWait+cfg.ReadTimeout)
-	page, err := r.journal.Read(callCtx, r.nextOffset, cfg.ReadWait)
+	page, err := r.read(callCtx)
 	cancel()
 	if ctx.Err() != nil {
 		return
@@ -320,6 +334,7 @@
 		r.nextOffset = trimmed.Oldest
 		return
 	}
+	r.adaptPage(page, err, cfg.Now().Sub(startedAt))
 	if err != nil {
 		r.handleFailure(ctx, err)
 		return
@@ -338,6 +353,35 @@
 	}
 }
 
+// read reads the next page: one of limited size while the reader is behind, otherwise
+// what arrives next.
+func (r *reader) read(ctx context.Context) (journal.Page, error) {
+	if r.behind {
+		return r.journal.Fetch(ctx, r.nextOffset, r.pageSize.Bytes())
+	}
+	return r.journal.Read(ctx, r.nextOffset, r.replica.cfg.ReadWait)
+}
+
+// adaptPage notes the result of a read for the size of the next one.
+func (r *reader) adaptPage(page journal.Page, err error, took time.Duration) {
+	if err != nil {
+		r.pageSize.Failed()
+		r.behind = true
+		return
+	}
+	bytes := 0
+	for _, record := range page.Records {
+		bytes += len(record)
+	}
+	switch {
+	case r.behind && bytes == 0:
+		r.pageSize.Succeeded(bytes, 0) // the next record may be larger than the page
+	case r.behind:
+		r.pageSize.Succeeded(bytes, took)
+	}
+	r.behind = r.nextOffset+journal.Offset(len(page.Records)) < page.End
+}
+
 func (r *reader) handleFailure(ctx context.Context, err error) {
 	if !r.failing {
 		r.failing = true
--- a/server/jobreplica/jobreplica_test.go
+++ b/server/jobreplica/jobreplica_test.go
@@ -49,6 +49,10 @@
 	return journal.Page{End: end, Records: j.records[from:to]}, nil
 }
 
+func (j *pagedJournal) Fetch(ctx context.Context, from journal.Offset, _ int) (journal.Page, error) {
+	return j.Read(ctx, from, 0)
+}
+
 func (j *pagedJournal) add(t *testing.T, records ...batch.Record) {
 	t.Helper()
 	for _, r := range records {
@@ -68,7 +72,7 @@
 	return &batch.JobAccepted{Job: j}
 }
 
-func start(t *testing.T, j journal.Journal, runs func(map[batch.ItemKey]batch.Run)) *JobReplica {
+func start(t *testing.T, j Journal, runs func(map[batch.ItemKey]batch.Run)) *JobReplica {
 	t.Helper()
 	replica := Start(duty.NewSystem(nil), j, Config{
 		Daemon: "d", RingSize: 64, ReadWait: 10 * time.Millisecond, ReadTimeout: time.Second, MinReadInterval: time.Millisecond, ReadsPerSecond: 1 << 20,
@@ -214,3 +218,36 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(r.Results), 1)
 }
+
+// slowJournal delivers pages up to a size in time and fails for larger ones, as a store
+// whose bandwidth many readers share.
+type slowJournal struct {
+	pagedJournal
+	maxBytes int
+	failed   atomic.Int32
+}
+
+func (j *slowJournal) Fetch(ctx context.Context, from journal.Offset, bytes int) (journal.Page, error) {
+	if bytes > j.maxBytes {
+		j.failed.Add(1)
+		return journal.Page{}, &journal.AmbiguousError{Op: "read", Cause: context.DeadlineExceeded}
+	}
+	return j.Read(ctx, from, 0)
+}
+
+// A daemon that starts with all the others gets pages of half the size in time only. It
+// must read the history all the same.
+func TestHistoryIsReadInSmallerPagesAfterFailures(t *testing.T) {
+	j := &slowJournal{pagedJournal: pagedJournal{pageSize: 1}, maxBytes: maxPageBytes / 2}
+	for n := range 40 {
+		j.add(t, &batch.DaemonAlive{Daemon: "d", StartMillis: int64(n + 1)})
+	}
+	replica := start(t, j, func(map[batch.ItemKey]batch.Run) {})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if replica.Snapshot().StartMillis["d"] == 40 {
+			return poll.Success()
+		}
+		return poll.Continue("at %d, %d reads failed", replica.Snapshot().StartMillis["d"], j.failed.Load())
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
+	assert.Assert(t, j.failed.Load() < 20, "%d reads failed", j.failed.Load())
+}
