--- a/cmd/dotterelmountd/internal/hosted/reward_test.go
+++ b/cmd/dotterelmountd/internal/hosted/reward_test.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// An item whose reward call always fails is errored after the route's attempts, and
-// reaches the upstreams no more often than that.
+// An item whose reward call always fails is errored after the route's attempts. One more
+// call may be made before the record of the last failure is read back.
 func TestItemIsErroredWhenItsRewardFails(t *testing.T) {
 	d := newDeployment(t, 2)
 	defer d.stopAll()
