Log the request limits that upstreams name

Change: the client of the servers reports what each response names to a duty, which logs changes and counts limited upstreams.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -38,6 +38,7 @@
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/throttle"
 	"dotterelmount.example/server/upkeep"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
@@ -53,6 +54,7 @@
 	log          *loglines.Log
 	system       *duty.System
 	serverClient *servers.Client
+	throttle     *throttle.Throttle
 	watcher      *follow.Watcher
 	committer    *committer.Committer
 	// chunkCommitter appends chunks to this daemon's partition of the chunk topic.
@@ -86,6 +88,8 @@
 		n.log.Warn("store retention is shorter than job retention",
 			zap.Duration("retention", s.Retention), zap.Duration("remember", s.JobRetention))
 	}
+	n.throttle = throttle.Start(n.system, throttleConfig, n.log.Logger)
+	n.serverClient.ObserveLimits(n.throttle)
 	storeClient := store.New(s.StoreAddress)
 	n.startWatcher(storeClient)
 	process := fmt.Sprintf("%s/%s", s.Daemon, uuid.Must(uuid.NewV7()))
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -16,6 +16,7 @@
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/throttle"
 	"dotterelmount.example/server/upkeep"
 )
 
@@ -94,6 +95,8 @@
 	Now:              time.Now,
 }
 
+var throttleConfig = throttle.Config{RingSize: 1024, Now: time.Now}
+
 var attemptTimeouts = opaque.AttemptTimeouts{MinTimeout: 250 * time.Millisecond, TargetMultiple: 2}
 
 var rewardsConfig = rewards.Config{
