--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -53,6 +53,8 @@
 	draining          bool
 	downUntil         time.Time
 	fault             Fault
+	requestLimit      float64        // named in each response, in requests a second; 0: none
+	received          []time.Time    // arrivals of all requests while there is a limit
 	runCounts         map[string]int // by request id
 	arrivals          []Arrival
 	receivedOrders    []LoadOrder
@@ -211,6 +213,32 @@
 	return s.ID
 }
 
+// SetRequestLimit sets the limit that the server names in its responses, in requests a
+// second; 0 removes it. The server doesn't enforce it.
+func (s *Server) SetRequestLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requestLimit = perSecond
+}
+
+// ReceivedWhileLimited returns when requests of all kinds arrived while the server named
+// a limit, oldest first.
+func (s *Server) ReceivedWhileLimited() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.received)
+}
+
+// nameLimit names the request limit in a response, if there is one.
+func (s *Server) nameLimit(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.requestLimit > 0 {
+		s.received = append(s.received, time.Now())
+		w.Header().Set("Server-Limit", strconv.FormatFloat(s.requestLimit, 'f', -1, 64))
+	}
+}
+
 func (s *Server) down() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,6 +249,7 @@
 	if s.down() {
 		panic(http.ErrAbortHandler)
 	}
+	s.nameLimit(w)
 	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != s.InstanceID() {
 		w.Header().Set("X-Instance-Id", s.InstanceID())
 		w.WriteHeader(http.StatusMisdirectedRequest)
