Keep the request limits that upstreams name, by all daemons together

Callers saw servers in need get up to four times the requests that they take, and more after each refusal, as runs are tried again. Cause: daemons control how many requests an upstream has at once, not how many start; nothing read the limit, and no daemon knew what the others send. The class: a bound on a rate that several daemons use together, enforced by none. Items are placed by the limit, the long ones where slots are free but starts are few; callers' requests wait or are refused at once with the time after which there is room.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/ratelimit"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/sockets"
 	"dotterelmount.example/platform/entry"
@@ -88,7 +89,9 @@
 		n.log.Warn("store retention is shorter than job retention",
 			zap.Duration("retention", s.Retention), zap.Duration("remember", s.JobRetention))
 	}
-	n.throttle = throttle.Start(n.system, throttleConfig, n.log.Logger)
+	throttleCfg := throttleConfig
+	throttleCfg.Self = api.DaemonID(s.Daemon)
+	n.throttle = throttle.New(throttleCfg, n.log.Logger)
 	n.serverClient.ObserveLimits(n.throttle)
 	storeClient := store.New(s.StoreAddress)
 	n.startWatcher(storeClient)
@@ -126,6 +129,7 @@
 	self := api.DaemonID(n.settings.Daemon)
 	startMillis := time.Now().UnixMilli()
 	n.committer = n.startCommitter(j, replay.Topic, process)
+	n.throttle.Start(n.system, throttle.Deps{View: n.View, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, Propose: n.propose})
 
 	runnerCfg := runnerConfig
 	runnerCfg.Self, runnerCfg.Process, runnerCfg.Workers = self, process, n.settings.Workers
@@ -133,6 +137,7 @@
 		Engine: n.serverClient, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
 		OnOutcome:       func(o generation.RunOutcome) { n.upkeep.ReportOutcome(o) }, // n.upkeep is set before the first run
 		LeasedUpstreams: func() []batch.Upstream { return n.leaseSnapshot().Upstreams },
+		Limits:          n.throttle.Buckets(),
 	}, n.log.Logger)
 
 	leaseCfg := leaseManagerConfig
@@ -144,7 +149,7 @@
 	upkeepCfg := upkeepConfig
 	upkeepCfg.Self, upkeepCfg.LeaseWait, upkeepCfg.LoadShare = self, n.settings.LeaseWait, n.settings.LoadShare
 	n.upkeep = upkeep.Start(n.system, upkeepCfg, upkeep.Deps{
-		Engine: n.serverClient, View: n.View, Snapshot: n.leaseSnapshot, Propose: n.propose,
+		Engine: &chargedClient{n.serverClient, n.throttle.Buckets()}, View: n.View, Snapshot: n.leaseSnapshot, Propose: n.propose,
 	}, n.log.Logger)
 
 	rewardsCfg := rewardsConfig
@@ -159,11 +164,35 @@
 	replicaCfg.Daemon, replicaCfg.JobRetention = self, n.settings.JobRetention
 	replicaCfg.MinPageBytes = n.settings.MaxRecordBytes + recordFraming
 	replicaCfg.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReadsPerSecond))
-	n.replica.Store(jobreplica.Start(n.system, j, replicaCfg, jobreplica.Callbacks{RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update, RequestCrashed: func(r *batch.RequestCrashed) {
-		if r.Process != process {
-			n.relay.AddCrashes(r.ContentHash, r.UpstreamsLost)
-		}
-	}}, n.log.Logger))
+	n.replica.Store(jobreplica.Start(n.system, j, replicaCfg, jobreplica.Callbacks{
+		RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update,
+		RequestCrashed: func(r *batch.RequestCrashed) {
+			if r.Process != process {
+				n.relay.AddCrashes(r.ContentHash, r.UpstreamsLost)
+			}
+		},
+		RequestLimitNamed: func(r *batch.RequestLimitNamed) { n.throttle.Record(r) },
+		DemandReported:    func(r *batch.DemandReported) { n.throttle.Record(r) },
+	}, n.log.Logger))
+}
+
+// chargedClient charges the calls that are not delayed by an upstream's request limit to
+// it.
+type chargedClient struct {
+	generation.Client
+	limits *ratelimit.Buckets
+}
+
+// Report implements generation.Client.
+func (c *chargedClient) Report(ctx context.Context, u *directory.Upstream) (generation.Report, error) {
+	c.limits.Charge(u.ID, time.Now())
+	return c.Client.Report(ctx, u)
+}
+
+// LoadWeights implements generation.Client.
+func (c *chargedClient) LoadWeights(ctx context.Context, u *directory.Upstream, o generation.LoadOrder) (generation.OrderResult, error) {
+	c.limits.Charge(u.ID, time.Now())
+	return c.Client.LoadWeights(ctx, u, o)
 }
 
 // leaseSnapshot returns the leases according to the journal. It is empty before the
@@ -196,6 +225,7 @@
 			n.log.Warn("reporting crashes during a request to other daemons failed", zap.Uint64("content", contentHash), zap.Error(err))
 		}
 	}
+	cfg.Limits = n.throttle.Buckets()
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -90,12 +90,16 @@
 	// The window spans the slow phases of some 600 ms that all upstreams have.
 	Pace:            pace.Config{Window: 1800 * time.Millisecond, MinEvents: 12, Factor: 2.2, MinPeers: 2},
 	MeasureInterval: 200 * time.Millisecond, MinIntervalChange: 0.3,
-	FlushInterval: 1500 * time.Millisecond, RetryDelay: 100 * time.Millisecond, BusyLimit: 3,
+	FlushInterval: 1500 * time.Millisecond, RetryDelay: 100 * time.Millisecond, BusyLimit: 3, MaxLimitWait: 2 * time.Second,
 	PromptRetryDelay: 400 * time.Millisecond, // the store is unavailable then, and its call rate is limited
 	Now:              time.Now,
 }
 
-var throttleConfig = throttle.Config{RingSize: 1024, Now: time.Now}
+var throttleConfig = throttle.Config{
+	RingSize: 1024, Tick: 100 * time.Millisecond, IdleTick: time.Second,
+	ReportInterval:  time.Second, // a third of the time that a reported demand counts
+	ProposalTimeout: time.Second, MaxReadAge: 2 * time.Second, Now: time.Now,
+}
 
 var attemptTimeouts = opaque.AttemptTimeouts{MinTimeout: 250 * time.Millisecond, TargetMultiple: 2}
 
@@ -111,4 +115,5 @@
 var relayConfig = relay.Config{
 	AttemptTimeouts: attemptTimeouts, Workers: 48, RingSize: 1024,
 	Backoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second, RetryAfter: retryAfter, Now: time.Now,
+	MaxWaiting: 512, WaitTick: 20 * time.Millisecond, // a seventh of the shortest latency target
 }
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -231,6 +231,23 @@
 	Process       string `msgpack:"p"`                // reporting process
 }
 
+// RequestLimitNamed reports the limit that an upstream names in its responses: the
+// requests that it takes from all daemons together.
+type RequestLimitNamed struct {
+	Upstream  api.UpstreamID `msgpack:"u"`
+	PerSecond float64        `msgpack:"r"` // 0: no limit any more
+}
+
+// DemandReported replaces the rates at which a daemon wants to send requests to upstreams
+// with a limit, by which the daemons share the limits. The record does not change a
+// State.
+type DemandReported struct {
+	Daemon    api.DaemonID               `msgpack:"d"`
+	PerSecond map[api.UpstreamID]float64 `msgpack:"r"` // requests a second
+}
+
+func (*RequestLimitNamed) record()     {}
+func (*DemandReported) record()        {}
 func (*JobAccepted) record()           {}
 func (*RequestCrashed) record()        {}
 func (*EventIntervalMeasured) record() {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -42,6 +42,8 @@
 	kindTextAdded
 	kindItemScored
 	kindRewardFailed
+	kindRequestLimitNamed
+	kindDemandReported
 )
 
 func kindOf(r batch.Record) byte {
@@ -74,6 +76,10 @@
 		return kindItemScored
 	case *batch.RewardFailed:
 		return kindRewardFailed
+	case *batch.RequestLimitNamed:
+		return kindRequestLimitNamed
+	case *batch.DemandReported:
+		return kindDemandReported
 	default:
 		return kindUpstreamChanged
 	}
@@ -95,6 +101,8 @@
 	kindRequestCrashed:        decode[batch.RequestCrashed],
 	kindItemScored:            decode[batch.ItemScored],
 	kindRewardFailed:          decode[batch.RewardFailed],
+	kindRequestLimitNamed:     decode[batch.RequestLimitNamed],
+	kindDemandReported:        decode[batch.DemandReported],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -20,7 +20,7 @@
 	daemon := api.DaemonID(fmt.Sprint("d", pick("daemon", 2)))
 	model := api.ModelName([]string{"m", "n"}[pick("model", 1)])
 	versions := map[api.ModelName]api.WeightVersion{"m": api.WeightVersion(pick("vm", 3)), "n": api.WeightVersion(pick("vn", 3))}
-	switch pick("kind", 12) {
+	switch pick("kind", 13) {
 	case 0:
 		j := Job{ID: job, Service: "s", Model: model, MinVersion: api.WeightVersion(pick("min", 2)), MaxAttempts: 2}
 		for i := range pick("items", 5) + 1 {
@@ -48,6 +48,8 @@
 		return &ItemScored{Job: job, Item: item, Score: "s"}
 	case 11:
 		return &RewardFailed{Job: job, Item: item, Status: 500}
+	case 13:
+		return &RequestLimitNamed{Upstream: upstream, PerSecond: float64(pick("limit", 2))}
 	case 9:
 		return &UpstreamChanged{Upstream: upstream, Daemon: daemon, Condition: Condition(pick("condition", 4)), Versions: versions}
 	default:
--- a/lib/batch/place.go
+++ b/lib/batch/place.go
@@ -82,7 +82,7 @@
 }
 
 // freeUpstreams returns the upstreams that may take new items, sorted by ID, and the
-// number of their free slots.
+// number of their free slots, those included that a request limit leaves unused.
 func (s *State) freeUpstreams() (out []*Upstream, slots int) {
 	for _, u := range s.upstreams {
 		usable := u.Holder != "" && (u.Condition == ConditionReady || u.Condition == ConditionSlow)
@@ -157,10 +157,11 @@
 }
 
 // hasRoomFor reports whether an upstream that can run the item's job has a free
-// slot and, for SingleVersion jobs, the version that generated the text so far.
+// slot within its request limit and, for SingleVersion jobs, the version that generated
+// the text so far.
 func (s *State) hasRoomFor(u *Upstream, i *itemState) bool {
 	j := i.job.job
-	return len(s.placed[u.ID]) < u.Slots &&
+	return len(s.placed[u.ID]) < s.slotsOf(u, i) &&
 		(!j.SingleVersion || len(i.versions) == 0 || u.Versions[j.Model] == i.versions[0])
 }
 
@@ -169,7 +170,7 @@
 // was last moved from comes after the others.
 func (s *State) score(u *Upstream, i *itemState) int {
 	const sharedPrompt = 2 // bonus, in slots
-	score := u.Slots - len(s.placed[u.ID])
+	score := s.slotsOf(u, i) - len(s.placed[u.ID])
 	if i.movedFrom == u.ID {
 		score -= u.Slots
 	}
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -134,7 +134,7 @@
 // ChangesUpstreams reports whether a record can change the result of Upstreams.
 func ChangesUpstreams(r Record) bool {
 	switch r.(type) {
-	case *LeaseAcquired, *UpstreamRemoved, *UpstreamChanged, *EventIntervalMeasured, *DaemonLeft, *JobEnded:
+	case *LeaseAcquired, *UpstreamRemoved, *UpstreamChanged, *EventIntervalMeasured, *RequestLimitNamed, *DaemonLeft, *JobEnded:
 		return true
 	default:
 		return false
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -10,15 +10,16 @@
 // State is the state after the records applied so far. It is not safe for
 // concurrent use.
 type State struct {
-	jobs         map[JobID]*jobState
-	upstreams    map[api.UpstreamID]*Upstream
-	daemons      map[api.DaemonID]*Daemon
-	pending      []*itemState          // open items without an upstream, in the order of comparePending
-	latestItems  map[ItemID]*itemState // from the newest job that has the item
-	placed       map[api.UpstreamID][]*itemState
-	unscored     []*itemState              // open items with a complete text, in the order of compareUnscored
-	rewards      []Reward                  // of unscored; nil: to be rebuilt
-	eventsPerJob map[api.ModelName]float64 // moving average
+	jobs          map[JobID]*jobState
+	upstreams     map[api.UpstreamID]*Upstream
+	daemons       map[api.DaemonID]*Daemon
+	pending       []*itemState          // open items without an upstream, in the order of comparePending
+	latestItems   map[ItemID]*itemState // from the newest job that has the item
+	placed        map[api.UpstreamID][]*itemState
+	unscored      []*itemState              // open items with a complete text, in the order of compareUnscored
+	rewards       []Reward                  // of unscored; nil: to be rebuilt
+	eventsPerJob  map[api.ModelName]float64 // moving average
+	eventsPerItem map[api.ModelName]float64 // moving average over completed texts
 	// placementDue is set when a change may allow a pending item to be placed.
 	placementDue bool
 }
@@ -29,7 +30,7 @@
 		jobs: make(map[JobID]*jobState), upstreams: make(map[api.UpstreamID]*Upstream),
 		daemons:     make(map[api.DaemonID]*Daemon),
 		latestItems: make(map[ItemID]*itemState), placed: make(map[api.UpstreamID][]*itemState),
-		eventsPerJob: make(map[api.ModelName]float64),
+		eventsPerJob: make(map[api.ModelName]float64), eventsPerItem: make(map[api.ModelName]float64),
 	}
 }
 
@@ -48,6 +49,9 @@
 	// EventIntervalMicros is the mean time between two events of a run, in
 	// microseconds; 0: not measured.
 	EventIntervalMicros int64
+	// RequestLimit is the number of requests a second that the upstream takes from all
+	// daemons together; 0: no limit.
+	RequestLimit float64
 }
 
 // Daemon is the state of a daemon according to the journal.
@@ -65,6 +69,7 @@
 	items      map[ItemID]*itemState
 	results    []*itemState // in listing order
 	ended      bool
+	meanOutput float64 // mean expected output of the items, in tokens
 }
 
 type itemState struct {
@@ -129,6 +134,8 @@
 		return s.change(r)
 	case *EventIntervalMeasured:
 		return s.setEventInterval(r)
+	case *RequestLimitNamed:
+		return s.setRequestLimit(r)
 	}
 	return false
 }
@@ -147,6 +154,7 @@
 		j.items[id] = &itemState{job: j, index: n}
 	}
 	j.setGroupOutput()
+	j.setMeanOutput()
 	for n := range job.Items {
 		id := job.Items[n].ID
 		i := j.items[id]
@@ -194,6 +202,7 @@
 		s.removeUnscored(i)
 	}
 	s.recordWork(j)
+	s.recordItemLength(j)
 	s.rebalance(j.job.Service)
 	return true
 }
--- a/lib/opaque/pick.go
+++ b/lib/opaque/pick.go
@@ -20,6 +20,8 @@
 	// Slow is true while responses take much longer than those of its peers.
 	Slow  bool
 	Tried bool // by the current request
+	// Wait is the time until the upstream's request limit allows a request.
+	Wait time.Duration
 }
 
 // Chooser selects upstreams for a daemon.
@@ -35,10 +37,12 @@
 func (c Chooser) rank(a Candidate) int {
 	switch {
 	case a.Upstream.Draining:
-		return 4
+		return 5
 	case a.Tried:
-		return 3
+		return 4
 	case a.BackingOff:
+		return 3
+	case a.Wait > 0:
 		return 2
 	case a.Slow || a.InFlight >= c.BusyThreshold:
 		return 1
@@ -51,15 +55,21 @@
 // Healthy upstreams are used in a fixed order that differs between daemons, local
 // data centre first, so that a daemon keeps few connections. Draining upstreams are
 // never picked, and those already tried only if no others are left.
-func (c Chooser) Pick(candidates []Candidate) (*directory.Upstream, bool) {
+//
+// If the request limits of all others leave no room, the upstream that allows a request
+// first is picked; its Wait says when.
+func (c Chooser) Pick(candidates []Candidate) (Candidate, bool) {
 	if len(candidates) == 0 {
-		return nil, false
+		return Candidate{}, false
 	}
 	best := slices.MinFunc(candidates, func(a, b Candidate) int {
 		if d := cmp.Compare(c.rank(a), c.rank(b)); d != 0 {
 			return d
 		}
 		if c.rank(a) > 0 {
+			if d := cmp.Compare(a.Wait, b.Wait); d != 0 {
+				return d
+			}
 			if d := cmp.Compare(a.InFlight, b.InFlight); d != 0 {
 				return d
 			}
@@ -67,9 +77,31 @@
 		return cmp.Compare(c.affinity(a.Upstream), c.affinity(b.Upstream))
 	})
 	if best.Upstream.Draining {
-		return nil, false
+		return Candidate{}, false
+	}
+	return best, true
+}
+
+// PickUnlimited is as Pick if no upstream had a request limit.
+func (c Chooser) PickUnlimited(candidates []Candidate) (Candidate, bool) {
+	unlimited := slices.Clone(candidates)
+	for i := range unlimited {
+		unlimited[i].Wait = 0
+	}
+	return c.Pick(unlimited)
+}
+
+// StartDelay returns the expected time until a request can be sent that waits for request
+// limits behind others, and false if it is too late then to be answered within its
+// deadline. next is the time until the first of the limits allows a request, perSecond
+// the rate that they allow together.
+func StartDelay(q *Request, now time.Time, next time.Duration, ahead int, perSecond float64) (time.Duration, bool) {
+	left := q.Deadline.Sub(now) - q.Route.LatencyTarget
+	if perSecond <= 0 || next > left {
+		return next, false
 	}
-	return best.Upstream, true
+	delay := next + time.Duration(float64(ahead)/perSecond*float64(time.Second))
+	return delay, delay <= left
 }
 
 func (c Chooser) affinity(u *directory.Upstream) uint64 {
--- a/lib/ratelimit/named.go
+++ b/lib/ratelimit/named.go
@@ -4,6 +4,7 @@
 package ratelimit
 
 import (
+	"maps"
 	"time"
 
 	"dotterelmount.example/api"
@@ -30,18 +31,37 @@
 	return l.perSecond, ok
 }
 
-// Set sets the limit of an upstream and reports whether it changed.
+// Set sets the limit of an upstream and reports whether it changed. A limit below the
+// least one that is used counts as that one.
 func (n *Named) Set(id api.UpstreamID, perSecond float64, now time.Time) bool {
+	perSecond = max(minLimit, perSecond)
 	old, ok := n.limits[id]
 	n.limits[id] = namedLimit{perSecond: perSecond, at: now}
 	return !ok || old.perSecond != perSecond
 }
 
+// Learn sets a limit that another daemon reports.
+func (n *Named) Learn(id api.UpstreamID, perSecond float64) {
+	l := n.limits[id]
+	n.limits[id] = namedLimit{perSecond: perSecond, at: l.at}
+}
+
+// NamedRecently reports whether a response named the limit of an upstream within
+// clearDelay.
+func (n *Named) NamedRecently(id api.UpstreamID, now time.Time) bool {
+	l, ok := n.limits[id]
+	return ok && now.Sub(l.at) < clearDelay
+}
+
+// Retain removes the limits of all upstreams for which keep returns false.
+func (n *Named) Retain(keep func(api.UpstreamID) bool) {
+	maps.DeleteFunc(n.limits, func(id api.UpstreamID, _ namedLimit) bool { return !keep(id) })
+}
+
 // Lift removes an upstream's limit, unless a response named it within clearDelay. It
 // reports whether the upstream had one.
 func (n *Named) Lift(id api.UpstreamID, now time.Time) bool {
-	l, ok := n.limits[id]
-	if !ok || now.Sub(l.at) < clearDelay {
+	if _, ok := n.limits[id]; !ok || n.NamedRecently(id, now) {
 		return false
 	}
 	delete(n.limits, id)
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -55,6 +55,10 @@
 	RewardsChanged func(outstanding []batch.Reward)
 	// RequestCrashed is called for requests during which upstreams were lost.
 	RequestCrashed func(*batch.RequestCrashed)
+	// RequestLimitNamed is called for limits that upstreams name, DemandReported for the
+	// demands of daemons that share them.
+	RequestLimitNamed func(*batch.RequestLimitNamed)
+	DemandReported    func(*batch.DemandReported)
 }
 
 // Snapshot is an immutable view of the daemons and upstreams.
@@ -109,7 +113,7 @@
 // changes records what the applied records may have changed.
 type changes struct {
 	any       bool
-	runs      bool // any record other than a renewal was applied
+	runs      bool // a record other than those that concern only daemons was applied
 	upstreams bool
 }
 
@@ -193,6 +197,10 @@
 			j.lastRenewals[r.Daemon] = j.cfg.Now()
 		case *batch.RequestCrashed:
 			j.callbacks.RequestCrashed(r)
+		case *batch.RequestLimitNamed:
+			j.callbacks.RequestLimitNamed(r)
+		case *batch.DemandReported:
+			j.callbacks.DemandReported(r)
 		}
 		changed := j.state.Apply(at, r)
 		j.noteChanges(r, changed)
@@ -221,9 +229,13 @@
 // noteChanges records what may have changed. Records without effect count too, as the
 // runner may wait for them.
 func (j *JobReplica) noteChanges(r batch.Record, changed bool) {
-	_, renewal := r.(*batch.DaemonAlive)
-	j.unpublished.any = j.unpublished.any || changed || !renewal
-	j.unpublished.runs = j.unpublished.runs || !renewal
+	onlyDaemons := false
+	switch r.(type) {
+	case *batch.DaemonAlive, *batch.DemandReported:
+		onlyDaemons = true
+	}
+	j.unpublished.any = j.unpublished.any || changed || !onlyDaemons
+	j.unpublished.runs = j.unpublished.runs || !onlyDaemons
 	j.unpublished.upstreams = j.unpublished.upstreams || changed && batch.ChangesUpstreams(r)
 }
 
@@ -283,6 +295,8 @@
 	case *batch.RequestCrashed:
 		j.log.Info("upstreams lost during a request", zap.Uint64("content", r.ContentHash), zap.Int("lost", r.UpstreamsLost),
 			zap.String("process", r.Process), offset)
+	case *batch.RequestLimitNamed:
+		j.log.Info("request limit in force", zap.String("upstream", string(r.Upstream)), zap.Float64("per_second", r.PerSecond), offset, effect)
 	case *batch.DaemonLeft:
 		j.log.Info("daemon left", zap.String("daemon", string(r.Daemon)), offset, effect)
 	case *batch.ItemFailed:
--- /dev/null
+++ b/server/relay/limits.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/ratelimit"
+	"go.uber.org/zap"
+)
+
+// Idle implements duty.Idler.
+func (r *Relay) Idle() bool { return len(r.waiting) == 0 }
+
+// countDemand counts a job once as demand: for the upstream that it would be sent to if
+// there were no request limits or, if it has to wait, for all of them.
+func (r *Relay) countDemand(j *job, candidates []opaque.Candidate, waits bool) {
+	if j.demanded {
+		return
+	}
+	j.demanded = true
+	if waits {
+		for _, c := range candidates {
+			r.cfg.Limits.Want(c.Upstream.ID)
+		}
+	} else if preferred, ok := r.cfg.Chooser.PickUnlimited(candidates); ok {
+		r.cfg.Limits.Want(preferred.Upstream.ID)
+	}
+}
+
+// mustWait reports whether a job has to wait for a request limit: that of its upstream
+// leaves no room, or others that arrived before it wait for the same service.
+func (r *Relay) mustWait(j *job, chosen opaque.Candidate) bool {
+	if chosen.Wait > 0 {
+		return true
+	}
+	_, limited := r.cfg.Limits.Rate(chosen.Upstream.ID)
+	return limited && j.waitingSince.IsZero() && r.waitingFor(j.request.Service) > 0
+}
+
+func (r *Relay) waitingFor(service string) int {
+	n := 0
+	for _, j := range r.waiting {
+		if j.request.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// waitForLimit queues a job until a request limit allows it, or refuses it at once if it
+// would be too late then.
+func (r *Relay) waitForLimit(j *job, chosen opaque.Candidate, candidates []opaque.Candidate, now time.Time) {
+	if !j.waitingSince.IsZero() {
+		r.waiting = append(r.waiting, j)
+		return
+	}
+	perSecond := 0.0
+	for _, c := range candidates {
+		rate, _ := r.cfg.Limits.Rate(c.Upstream.ID)
+		perSecond += rate
+	}
+	delay, ok := opaque.StartDelay(j.request, now, chosen.Wait, r.waitingFor(j.request.Service), perSecond)
+	if !ok || len(r.waiting) >= r.cfg.MaxWaiting {
+		retryAfter := r.cfg.RetryAfter
+		if delay != ratelimit.Never {
+			retryAfter = max(retryAfter, delay)
+		}
+		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("the request limits of service "+j.request.Service+" leave no room", false, retryAfter)})
+		return
+	}
+	r.log.Info("request waits for a request limit", zap.String("request", string(j.request.ID)), zap.String("service", j.request.Service),
+		zap.String("upstream", string(chosen.Upstream.ID)), zap.Duration("expected", delay), zap.Float64("per_second", perSecond))
+	j.waitingSince = now
+	r.waiting = append(r.waiting, j)
+}
+
+// startWaiting starts the waiting jobs that a request limit allows, in order of arrival.
+// The others go on waiting.
+func (r *Relay) startWaiting() {
+	waiting := slices.Clone(r.waiting)
+	r.waiting = r.waiting[:0]
+	for _, j := range waiting {
+		r.startNext(j)
+	}
+}
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/ratelimit"
 	"dotterelmount.example/lib/ring"
 	"go.uber.org/zap"
 )
@@ -26,6 +27,12 @@
 	Backoff, MaxBackoff time.Duration
 	// RetryAfter is the retry delay sent to callers whose request was not run.
 	RetryAfter time.Duration
+	// Limits are the request limits of upstreams.
+	Limits *ratelimit.Buckets
+	// MaxWaiting is the number of requests that may wait for a request limit, and WaitTick
+	// the interval at which it is checked.
+	MaxWaiting int
+	WaitTick   time.Duration
 	// OnCrashes reports to the other daemons how many connections to upstreams were
 	// lost while a request with this content hash ran, or 0 if it got a response
 	// after all.
@@ -43,6 +50,7 @@
 	workers *duty.Pool[*attempt]
 	stats   map[api.UpstreamID]*upstreamStats
 	crashes *crashes
+	waiting []*job // for a request limit, in order of arrival
 }
 
 // job is a request in progress.
@@ -59,6 +67,9 @@
 	content         uint64 // fingerprint of the request
 	// stream receives the events; nil for a request without streaming.
 	stream *stream
+	// waitingSince is when the job began to wait for a request limit; zero if it doesn't.
+	waitingSince time.Time
+	demanded     bool // counted as demand for an upstream with a limit
 }
 
 // attempt is one attempt at a job on one upstream.
@@ -85,7 +96,7 @@
 	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), crashes: newCrashes()}
 	w := &worker{exchanger: exchanger, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
-	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: time.Second}, duty.Handler[any](r))
+	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
 	return r
 }
 
@@ -148,8 +159,10 @@
 	}
 }
 
-// Tick drops the statistics of removed upstreams and expired crashes.
+// Tick starts requests that a request limit allows now, and drops the statistics of
+// removed upstreams and expired crashes.
 func (r *Relay) Tick(context.Context) {
+	r.startWaiting()
 	view := r.view()
 	for id, s := range r.stats {
 		if _, ok := view.Upstreams[id]; !ok && s.inFlight == 0 {
@@ -174,11 +187,18 @@
 		r.finish(j, reply{Err: j.failure("the request crashed several upstreams", false, crashRetryAfter)})
 		return
 	}
-	u, ok := r.cfg.Chooser.Pick(r.candidates(j, now))
-	if !ok || (j.tried[u.ID] && !j.request.Route.Repeatable() && j.mayHaveRun) {
+	candidates := r.candidates(j, now)
+	chosen, ok := r.cfg.Chooser.Pick(candidates)
+	if !ok || (chosen.Tried && !j.request.Route.Repeatable() && j.mayHaveRun) {
 		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("no upstream available for service "+q.Service, false, r.cfg.RetryAfter)})
 		return
 	}
+	u, waits := chosen.Upstream, r.mustWait(j, chosen)
+	r.countDemand(j, candidates, waits)
+	if waits {
+		r.waitForLimit(j, chosen, candidates, now)
+		return
+	}
 	index, ok := r.workers.Acquire()
 	if !ok {
 		r.finish(j, reply{Err: j.failure("all workers are busy", false, r.cfg.RetryAfter)})
@@ -192,6 +212,8 @@
 		worker: index, job: j, upstream: u, startedAt: now,
 		timeout: r.cfg.AttemptTimeouts.AttemptTimeout(j.request, now, j.request.Route.MaxAttempts-j.attempts),
 	}
+	r.cfg.Limits.Take(u.ID, now)
+	j.waitingSince = time.Time{}
 	j.attempts++
 	j.tried[u.ID] = true
 	r.statsOf(u.ID).inFlight++
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/ratelimit"
 	"dotterelmount.example/lib/routes"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -53,6 +54,7 @@
 	r := Start(duty.NewSystem(nil), Config{
 		Chooser: opaque.Chooser{Daemon: "d", BusyThreshold: 2}, AttemptTimeouts: opaque.AttemptTimeouts{MinTimeout: 50 * time.Millisecond, TargetMultiple: 1},
 		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: func(uint64, int) {}, Now: time.Now,
+		Limits: ratelimit.NewBuckets(), MaxWaiting: 8, WaitTick: 10 * time.Millisecond,
 	}, zap.NewNop(), s, func() *directory.View { return view })
 	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
 	return r
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -3,9 +3,11 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +17,7 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/pace"
+	"dotterelmount.example/lib/ratelimit"
 	"go.uber.org/zap"
 )
 
@@ -39,6 +42,9 @@
 	// BusyLimit is the number of consecutive busy responses after which an item is
 	// moved to another upstream.
 	BusyLimit int
+	// MaxLimitWait is how long an item waits for its upstream's request limit before it is
+	// moved to another upstream.
+	MaxLimitWait time.Duration
 	// Pace decides which upstreams are slow. MeasureInterval is the time between
 	// measurements of the event intervals.
 	Pace            pace.Config
@@ -68,24 +74,27 @@
 	// LeasedUpstreams returns the upstreams under a lease with the event intervals
 	// from the journal.
 	LeasedUpstreams func() []batch.Upstream
+	// Limits are the request limits of upstreams.
+	Limits *ratelimit.Buckets
 }
 
 // Runner controls the duties. The fields from wanted on are accessed only on the
 // duty that starts and cancels runs.
 type Runner struct {
-	cfg         Config
-	deps        Deps
-	log         *zap.Logger
-	duty        *duty.Duty[any]
-	workers     *duty.Pool[*run]
-	wanted      map[batch.ItemKey]batch.Run
-	applied     batch.Offset
-	active      map[batch.ItemKey]*run
-	busyCounts  map[batch.ItemKey]int
-	retryAt     map[batch.ItemKey]time.Time
-	startedRuns int
-	intervals   map[api.UpstreamID]*intervalState
-	measuredAt  time.Time // when event intervals were last measured
+	cfg          Config
+	deps         Deps
+	log          *zap.Logger
+	duty         *duty.Duty[any]
+	workers      *duty.Pool[*run]
+	wanted       map[batch.ItemKey]batch.Run
+	applied      batch.Offset
+	active       map[batch.ItemKey]*run
+	busyCounts   map[batch.ItemKey]int
+	retryAt      map[batch.ItemKey]time.Time
+	limitedSince map[batch.ItemKey]time.Time // when an item began to wait for a request limit
+	startedRuns  int
+	intervals    map[api.UpstreamID]*intervalState
+	measuredAt   time.Time // when event intervals were last measured
 }
 
 // update replaces the set of wanted runs.
@@ -117,6 +126,7 @@
 	r := &Runner{
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.ItemKey]*run),
 		intervals: make(map[api.UpstreamID]*intervalState), busyCounts: make(map[batch.ItemKey]int), retryAt: make(map[batch.ItemKey]time.Time),
+		limitedSince: make(map[batch.ItemKey]time.Time),
 	}
 	w := &worker{cfg: cfg, deps: deps, log: log, postEnd: func(ctx context.Context, active *run) { _ = r.duty.PostWait(ctx, active) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Workers, func() duty.Handler[*run] { return w })
@@ -167,13 +177,11 @@
 		}
 	}
 	now := r.cfg.Now()
-	for key, wanted := range r.wanted {
+	for _, key := range r.dueRuns(now) {
 		if !r.workers.Idle() {
 			break
 		}
-		if r.active[key] == nil && !now.Before(r.retryAt[key]) {
-			r.start(ctx, key, wanted, now)
-		}
+		r.start(ctx, key, r.wanted[key], now)
 	}
 	for key := range r.retryAt {
 		if _, ok := r.wanted[key]; !ok {
@@ -181,6 +189,31 @@
 			delete(r.busyCounts, key)
 		}
 	}
+	for key := range r.limitedSince {
+		if _, ok := r.wanted[key]; !ok {
+			delete(r.limitedSince, key)
+		}
+	}
+}
+
+// dueRuns returns the items to be started, those of the oldest job first and, within a
+// job, the longest first.
+func (r *Runner) dueRuns(now time.Time) []batch.ItemKey {
+	var due []batch.ItemKey
+	for key := range r.wanted {
+		if r.active[key] == nil && !now.Before(r.retryAt[key]) {
+			due = append(due, key)
+		}
+	}
+	slices.SortFunc(due, func(a, b batch.ItemKey) int {
+		runA, runB := r.wanted[a], r.wanted[b]
+		return cmp.Or(
+			cmp.Compare(runA.Job.SubmittedMillis, runB.Job.SubmittedMillis),
+			cmp.Compare(runB.Item.OutputHint, runA.Item.OutputHint),
+			cmp.Compare(a.Item, b.Item),
+		)
+	})
+	return due
 }
 
 func (r *Runner) start(ctx context.Context, key batch.ItemKey, wanted batch.Run, now time.Time) {
@@ -199,6 +232,9 @@
 		r.log.Info("run refused by the route table", zap.String("item", string(key.Item)), zap.String("upstream", string(u.ID)), zap.Uint64("config", v.Table.Version()))
 		return
 	}
+	if !r.admit(key, wanted, now) {
+		return
+	}
 	index, ok := r.workers.Acquire()
 	if !ok {
 		return // cannot happen: reconcile checked for an idle worker
@@ -212,6 +248,30 @@
 	}
 }
 
+// admit reports whether the request limit of an item's upstream allows a run now. An item
+// that has to wait long is moved to another upstream.
+func (r *Runner) admit(key batch.ItemKey, wanted batch.Run, now time.Time) bool {
+	since, waiting := r.limitedSince[key]
+	if !waiting {
+		r.deps.Limits.Want(wanted.Upstream)
+	}
+	wait := r.deps.Limits.Take(wanted.Upstream, now)
+	if wait == 0 {
+		delete(r.limitedSince, key)
+		return true
+	}
+	r.retryAt[key] = now.Add(min(wait, r.cfg.RetryDelay))
+	switch {
+	case !waiting:
+		r.limitedSince[key] = now
+		r.log.Info("run waits for a request limit", zap.String("job", string(key.Job)), zap.String("item", string(key.Item)), zap.String("upstream", string(wanted.Upstream)))
+	case now.Sub(since) >= r.cfg.MaxLimitWait:
+		r.limitedSince[key] = now
+		r.proposeMove(key, wanted, "the upstream's request limit leaves no room")
+	}
+	return false
+}
+
 // handleEnd decides after a run whether its item is retried, moved or failed.
 func (r *Runner) handleEnd(active *run) {
 	active.cancel()
