Soak: let servers name request limits

Servers name limits under the scheduled faults, and all of them in the phase without faults, where each must get at most one and a half times its limit and five requests more within 4 s.

--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -134,6 +134,8 @@
 		return "store", func(context.Context) bool { j.deployment.store.Compact(); return true }
 	case serverSlow, serverBusy, serverCuts, serverLoses, serverGarbles, serverHangs, serverFails:
 		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return setServerFault(ctx, server, serverFaults[f.Kind], f.Duration) }
+	case serverLimits:
+		return "limit:" + server.URL, func(ctx context.Context) bool { return setServerLimit(ctx, server, f.Duration) }
 	case serverRestart:
 		return "end:" + server.URL, func(context.Context) bool { return j.restartServer(server, f.Duration) }
 	case serverDrain:
--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -37,7 +37,7 @@
 	for i, model := range models {
 		trainers = append(trainers, &trainer{deployment: d, model: model, result: r, injector: j, rng: rand.New(rand.NewPCG(r.Seed, uint64(memberThreads+i)))})
 	}
-	stops := r.runLoadAndFaults(ctx, d, j, l, trainers, faults)
+	stops, limits := r.runLoadAndFaults(ctx, d, j, l, trainers, faults)
 	r.checkRecovery(ctx, d, l)
 	for _, t := range trainers {
 		t.rereadResults(ctx)
@@ -55,6 +55,7 @@
 	r.evaluateDrains(j.drains, l.requests, index, j)
 	r.evaluateStops(stops, l.requests, index)
 	r.evaluateLoadOrders(d)
+	r.evaluateLimits(d, limits)
 	r.evaluateExits(exits)
 	r.evaluateFaults(j)
 	r.Probes = int(r.probes.Load())
@@ -62,8 +63,9 @@
 }
 
 // runLoadAndFaults runs the load, first while the scheduled faults are injected and
-// then during the calm phase. It returns the graceful stops of the calm phase.
-func (r *Result) runLoadAndFaults(ctx context.Context, d *deployment, j *injector, l *load, trainers []*trainer, faults []fault) []injectedFault {
+// then during the calm phase. It returns the graceful stops and the period of request
+// limits of the calm phase.
+func (r *Result) runLoadAndFaults(ctx context.Context, d *deployment, j *injector, l *load, trainers []*trainer, faults []fault) ([]injectedFault, limitPeriod) {
 	begin := time.Now()
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
@@ -81,12 +83,14 @@
 		})
 	}
 	j.run(ctx, faults)
+	duty.Sleep(ctx, calmTime)
+	limits := limitServers(ctx, d)
 	stops := runCalm(ctx, d, j)
 	stopLoad()
 	senders.Wait()
 	probes.Wait()
 	r.Seconds = time.Since(begin).Seconds()
-	return stops
+	return stops, limits
 }
 
 // runCalm runs the calm phase, the last part of the load, without scheduled faults:
--- a/bench/hostedsoak/result.go
+++ b/bench/hostedsoak/result.go
@@ -32,6 +32,8 @@
 	InProgressAtStops int            `json:"in_progress_at_stops"` // requests, over all graceful stops of the calm phase
 	KillerRetries     int            `json:"killer_retries"`       // maximum per killer request, after its third crash was known
 	EvaluatedKillers  int            `json:"killers_judged"`       // killer requests that crashed three servers
+	LimitsExceeded    int            `json:"limits_exceeded"`      // servers that got more requests than the limit that they named allows
+	LimitedRequests   int            `json:"limited_requests"`     // most requests within limitWindow at a server that named a limit
 	TwoHolders        int            `json:"two_holders"`          // fencing tokens that two daemons used at the same server
 	ConfigReverts     int            `json:"config_reverts"`       // probes that missed a version found earlier in the same process
 	ConfigLate        int            `json:"config_late"`          // probes that missed a version later than maxApplyDelay after its publication
@@ -92,6 +94,8 @@
 	c.Check(r.InProgressAtStops > 0, "in_progress_at_stops")
 	c.Check(r.KillerRetries <= maxKillerRetries, "killer_retries")
 	c.Check(r.EvaluatedKillers > 0, "killers_judged")
+	c.Check(r.LimitsExceeded == 0, "limits_exceeded")
+	c.Check(r.LimitedRequests > 0, "limited_requests")
 	c.Check(r.TwoHolders == 0, "two_holders")
 	c.Check(r.ConfigReverts == 0, "config_reverts")
 	c.Check(r.ConfigLate == 0, "config_late")
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -41,6 +41,7 @@
 	serverHangs    kind = "server-hangs"     // a server doesn't respond until the caller disconnects
 	serverFails    kind = "server-fails"     // a server responds 500
 	serverDark     kind = "server-dark"      // connections to a server carry no data
+	serverLimits   kind = "server-limits"    // a server names a request limit
 	serverDrain    kind = "server-drain"     // a server is marked as draining
 	configChange   kind = "config-change"    // the operator publishes a configuration
 	configStorm    kind = "config-storm"     // the operator publishes configurations at short intervals
@@ -70,6 +71,7 @@
 	serverHangs:    {Min: 500 * time.Millisecond, Max: 3 * time.Second},
 	serverFails:    {Min: 200 * time.Millisecond, Max: 500 * time.Millisecond},
 	serverDark:     {Min: time.Second, Max: 4 * time.Second},
+	serverLimits:   {Min: 2 * time.Second, Max: 6 * time.Second},
 	serverDrain:    {Min: 3 * time.Second, Max: 6 * time.Second},
 	configStorm:    {Min: 500 * time.Millisecond, Max: 2 * time.Second},
 }
