Log the version of the upstreams' software

Servers of several software versions may serve one service; what two of them write doesn't fit together. No log line named the version, so that a text joined from two looked like any other. Change: the directory has the version of an upstream's software; lists and runs are logged with it.

--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -22,6 +22,9 @@
 	DataCentre api.DataCentre
 	Slots      int
 	Draining   bool
+	// Software is the version of the upstream's software. What two versions generate does
+	// not fit together.
+	Software string
 	// StartMillis is the start of this incarnation in Unix milliseconds; zero:
 	// unknown.
 	StartMillis int64
--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -174,10 +174,10 @@
 			w.log.Info("upstream unlisted", zap.String("upstream", string(c.ID)))
 		case directory.UpstreamListed:
 			before, known := previous.Upstreams[c.Upstream.ID]
-			if !known || before.Draining != c.Upstream.Draining || before.StartMillis != c.Upstream.StartMillis {
+			if !known || before.Draining != c.Upstream.Draining || before.StartMillis != c.Upstream.StartMillis || before.Software != c.Upstream.Software {
 				w.log.Info("upstream listed", zap.String("upstream", string(c.Upstream.ID)),
 					zap.String("address", c.Upstream.Address), zap.Bool("draining", c.Upstream.Draining),
-					zap.Uint64("revision", c.Upstream.Revision))
+					zap.Uint64("revision", c.Upstream.Revision), zap.String("software", c.Upstream.Software))
 			}
 		}
 	}
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -278,7 +278,7 @@
 	active.finished = true
 	res := active.result
 	r.log.Info("run ended", zap.String("job", string(active.key.Job)), zap.String("item", string(active.key.Item)),
-		zap.String("upstream", string(active.Upstream)), zap.Uint64("lease", uint64(active.LeaseOffset)), zap.Int("from", active.EventCount), zap.Int("events", res.events),
+		zap.String("upstream", string(active.Upstream)), zap.String("software", active.upstream.Software), zap.Uint64("lease", uint64(active.LeaseOffset)), zap.Int("from", active.EventCount), zap.Int("events", res.events),
 		zap.Bool("whole", res.complete), zap.Duration("first", res.firstEventAfter), zap.Duration("took", r.cfg.Now().Sub(active.startedAt)),
 		zap.Bool("cancelled", res.cancelled), zap.Error(res.err))
 	retryAt := r.cfg.Now().Add(r.cfg.RetryDelay)
