Continue texts of batch jobs only at the software that began them

Trainers got texts whose first part one software version had generated and whose rest another, without a sign of it. Cause: a text was a chain of events and weight versions; neither its records nor the placement of items knew the software. The class: state handed from one server to another without the condition under which it is valid. Events of other software are not added to a text, whoever sends them; an item is placed where its text can go on and otherwise starts anew; a run whose server turns out to have restarted with other software ends. Evidence: TestTextsAreNotJoinedAcrossSoftwareVersions failed before (both cases) and passes.

--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -111,6 +111,7 @@
 	EventCount int                 `msgpack:"n" json:"Events"`    // number of appended events
 	Chunk      ChunkRef            `msgpack:"chunk"`              // data of the events, separated by line feeds
 	Versions   []api.WeightVersion `msgpack:"ver"`                // weight versions that generated the events
+	Software   string              `msgpack:"sw"`                 // version of the software that generated the events
 	Done       bool                `msgpack:"done"`               // the text is complete
 }
 
@@ -177,6 +178,7 @@
 	PreviousLease Offset                              `msgpack:"prev" json:"Previous"` // 0: the upstream is new
 	Slots         int                                 `msgpack:"slots"`
 	Models        []api.ModelName                     `msgpack:"models"` // models of the service
+	Software      string                              `msgpack:"sw"`     // version of the upstream's software
 	Versions      map[api.ModelName]api.WeightVersion `msgpack:"ver"`
 }
 
@@ -204,12 +206,13 @@
 	return [...]string{"ready", "loading", "draining", "suspect", "slow"}[c]
 }
 
-// UpstreamChanged reports the condition and the loaded weight versions of an
-// upstream. It has no effect unless Daemon holds its lease.
+// UpstreamChanged reports the condition, the software and the loaded weight versions of
+// an upstream. It has no effect unless Daemon holds its lease.
 type UpstreamChanged struct {
 	Upstream  api.UpstreamID                      `msgpack:"u"`
 	Daemon    api.DaemonID                        `msgpack:"d"`
 	Condition Condition                           `msgpack:"c"`
+	Software  string                              `msgpack:"sw"`
 	Versions  map[api.ModelName]api.WeightVersion `msgpack:"ver"`
 }
 
--- a/lib/batch/place.go
+++ b/lib/batch/place.go
@@ -36,6 +36,9 @@
 			stillPending = append(stillPending, i)
 			continue
 		}
+		if !u.continues(i) {
+			i.dropText()
+		}
 		i.upstream = u.ID
 		s.placed[u.ID] = append(s.placed[u.ID], i)
 		slots--
@@ -133,17 +136,18 @@
 	return i.item().MaxTokens
 }
 
-// chooseUpstream returns the candidate with the highest score for an item; nil if
-// none has room.
+// chooseUpstream returns the candidate with the highest score for an item; nil if none
+// has room. Those that can continue the item's text come before all others, which start it
+// anew: to wait for the former would take longer than to generate the text again.
 func (s *State) chooseUpstream(candidates []*Upstream, i *itemState) *Upstream {
 	var best *Upstream
 	bestScore := 0
 	for _, u := range candidates {
-		if !s.hasRoomFor(u, i) {
+		if !s.hasRoomFor(u, i) || (best != nil && best.continues(i) && !u.continues(i)) {
 			continue
 		}
 		score := s.score(u, i)
-		if best == nil || score > bestScore || (score == bestScore && tieBreak(u, i) > tieBreak(best, i)) {
+		if best == nil || (u.continues(i) && !best.continues(i)) || score > bestScore || (score == bestScore && tieBreak(u, i) > tieBreak(best, i)) {
 			best, bestScore = u, score
 		}
 	}
@@ -162,7 +166,7 @@
 func (s *State) hasRoomFor(u *Upstream, i *itemState) bool {
 	j := i.job.job
 	return len(s.placed[u.ID]) < s.slotsOf(u, i) &&
-		(!j.SingleVersion || len(i.versions) == 0 || u.Versions[j.Model] == i.versions[0])
+		(!j.SingleVersion || len(i.versions) == 0 || u.Software != i.software || u.Versions[j.Model] == i.versions[0])
 }
 
 // score is the number of free slots of an upstream, plus a bonus if it runs an
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -80,6 +80,7 @@
 	LeaseOffset Offset              // fencing token of the upstream's lease
 	EventCount  int                 // number of events of the text so far
 	Versions    []api.WeightVersion // weight versions that generated them
+	Software    string              // version of the software that generated them
 }
 
 // ItemKey identifies an item of a job.
@@ -98,7 +99,7 @@
 		for _, i := range s.placed[id] {
 			out[ItemKey{i.job.job.ID, i.item().ID}] = Run{
 				Job: i.job.job, Item: i.item(), Upstream: id, LeaseOffset: u.LeaseOffset,
-				EventCount: i.eventCount, Versions: i.versions,
+				EventCount: i.eventCount, Versions: i.versions, Software: i.software,
 			}
 		}
 	}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -44,6 +44,7 @@
 	Slots          int
 	Condition      Condition
 	Models         []api.ModelName
+	Software       string // version of the software
 	Versions       map[api.ModelName]api.WeightVersion
 	AssignedModel  api.ModelName // model whose new weight versions the upstream loads
 	// EventIntervalMicros is the mean time between two events of a run, in
@@ -79,6 +80,7 @@
 	eventCount  int
 	chunks      []ChunkRef // data of the events, in order
 	versions    []api.WeightVersion
+	software    string // version of the software that generated the events
 	lastRun     string // ID of the run that generated the newest events
 	failures    int
 	groupOutput int            // longest expected output in the item's group, in tokens
@@ -181,6 +183,7 @@
 		return
 	}
 	i.eventCount, i.chunks, i.versions = earlier.eventCount, slices.Clip(earlier.chunks), slices.Clip(earlier.versions)
+	i.software = earlier.software
 	if !earlier.textDone {
 		return
 	}
@@ -224,7 +227,8 @@
 }
 
 // addText appends events that start exactly at the end of the text. They must
-// come from the run that generated the end, or from one that resumed there.
+// come from the run that generated the end, or from one that resumed there with the same
+// software.
 func (s *State) addText(r *TextAdded) bool {
 	i := s.findItem(r.Job, r.Item)
 	if i == nil || i.state != ItemOpen || i.textDone || r.FirstEvent != i.eventCount {
@@ -233,7 +237,10 @@
 	if r.FirstEvent != r.RunStart && r.RunID != i.lastRun {
 		return false
 	}
-	i.lastRun = r.RunID
+	if i.eventCount > 0 && r.Software != i.software {
+		return false
+	}
+	i.lastRun, i.software = r.RunID, r.Software
 	i.eventCount += r.EventCount
 	if r.Chunk.Records > 0 {
 		i.chunks = append(i.chunks, r.Chunk)
@@ -248,6 +255,11 @@
 			i.rewardDaemon = u.Holder
 		}
 		s.completeText(i)
+		return true
+	}
+	if u := s.upstreams[i.upstream]; u != nil && !u.continues(i) {
+		s.unplace(i) // the late end of a run before the item was placed here
+		s.addPending(i)
 	}
 	return true
 }
@@ -359,6 +371,7 @@
 	u.PreviousHolder = u.Holder
 	u.Service, u.Holder, u.LeaseOffset, u.Slots, u.Models = r.Service, r.Daemon, at, r.Slots, r.Models
 	s.placementDue = true
+	s.setSoftware(u, r.Software)
 	u.Condition = ConditionReady
 	u.Versions = maps.Clone(r.Versions)
 	if u.Versions == nil {
@@ -400,6 +413,7 @@
 	}
 	s.placementDue = true
 	u.Condition = r.Condition
+	s.setSoftware(u, r.Software)
 	for m, v := range r.Versions {
 		u.Versions[m] = v
 	}
--- a/lib/leases/leases.go
+++ b/lib/leases/leases.go
@@ -119,13 +119,13 @@
 	r := &batch.LeaseAcquired{Upstream: id, Daemon: in.Self}
 	if old != nil {
 		r.PreviousLease, r.Service, r.Slots = old.LeaseOffset, old.Service, old.Slots
-		r.Models, r.Versions = old.Models, maps.Clone(old.Versions)
+		r.Models, r.Software, r.Versions = old.Models, old.Software, maps.Clone(old.Versions)
 	}
 	u := in.Listed[id]
 	if u == nil {
 		return r
 	}
-	r.Service, r.Slots = u.Service, u.Slots
+	r.Service, r.Slots, r.Software = u.Service, u.Slots, u.Software
 	if e := in.engine(u); e != nil {
 		r.Models = e.Models
 	}
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -226,6 +226,11 @@
 		}
 		return
 	}
+	if wanted.EventCount > 0 && u.Software != wanted.Software {
+		r.retryAt[key] = now.Add(r.cfg.RetryDelay)
+		r.proposeMove(key, wanted, "the upstream's software can't continue the text")
+		return
+	}
 	route, ok := v.Table.Match(wanted.Job.Host, wanted.Item.Path)
 	if !ok || !route.RoutesTo(u.Service) {
 		r.retryAt[key] = now.Add(r.cfg.RetryDelay)
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -53,6 +53,7 @@
 // textBuffer holds the events of a run that are not stored yet.
 type textBuffer struct {
 	runID      string
+	software   string
 	runStart   int
 	firstEvent int
 	events     []string
@@ -70,7 +71,7 @@
 // the buffer.
 func (t *textBuffer) takeRecord(key batch.ItemKey, done bool) (*batch.TextAdded, string) {
 	r := &batch.TextAdded{
-		Job: key.Job, Item: key.Item, RunID: t.runID, RunStart: t.runStart, FirstEvent: t.firstEvent, EventCount: len(t.events), Versions: t.versions, Done: done,
+		Job: key.Job, Item: key.Item, RunID: t.runID, RunStart: t.runStart, FirstEvent: t.firstEvent, EventCount: len(t.events), Versions: t.versions, Software: t.software, Done: done,
 	}
 	data := strings.Join(t.events, "\n")
 	t.firstEvent += len(t.events)
@@ -88,7 +89,7 @@
 
 // Handle runs an item, stores its text and reports the result.
 func (w *worker) Handle(ctx context.Context, r *run) {
-	t := &textBuffer{runID: r.id, runStart: r.EventCount, firstEvent: r.EventCount}
+	t := &textBuffer{runID: r.id, software: r.upstream.Software, runStart: r.EventCount, firstEvent: r.EventCount}
 	stalled := &atomic.Bool{}
 	runCtx, cancel := context.WithCancel(r.ctx)
 	watchdog := time.AfterFunc(w.cfg.FirstEventTimeout, func() {
@@ -131,6 +132,9 @@
 		if e.Version < r.Job.MinVersion || (r.Job.SingleVersion && w.mixesVersions(r, t, e)) {
 			return &generation.Error{Upstream: r.Upstream, Cause: generation.CauseWrongUpstream, Err: &VersionError{Version: e.Version, Min: r.Job.MinVersion}}
 		}
+		if err := w.checkSoftware(r); err != nil {
+			return err
+		}
 		watchdog.Reset(w.cfg.EventTimeout)
 		now := w.cfg.Now()
 		if r.result.events == 0 {
@@ -146,6 +150,25 @@
 	}
 }
 
+// checkSoftware returns an error if the upstream is listed with other software than at
+// the run's start: it may have restarted under its ID before the run began.
+func (w *worker) checkSoftware(r *run) error {
+	u := w.deps.View().Upstreams[r.Upstream]
+	if u == nil || u.Software == r.upstream.Software {
+		return nil
+	}
+	return &generation.Error{Upstream: r.Upstream, Cause: generation.CauseWrongUpstream, Err: &SoftwareError{Listed: u.Software, Started: r.upstream.Software}}
+}
+
+// SoftwareError reports that an upstream's software is not the one that a run was started
+// with.
+type SoftwareError struct{ Listed, Started string }
+
+// Error implements error.
+func (e *SoftwareError) Error() string {
+	return "software version " + e.Listed + " is listed, the run was started with " + e.Started
+}
+
 // PromptError reports that an item's body could not be read.
 type PromptError struct{ Cause error }
 
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -200,12 +200,13 @@
 	case state.loading != nil:
 		condition = batch.ConditionLoading
 	}
-	if condition == u.Condition && maps.Equal(state.versions, u.Versions) {
+	if condition == u.Condition && listed.Software == u.Software && maps.Equal(state.versions, u.Versions) {
 		state.lastProposal = nil
 		return
 	}
-	proposal := &batch.UpstreamChanged{Upstream: u.ID, Daemon: k.cfg.Self, Condition: condition, Versions: maps.Clone(state.versions)}
-	if now.Sub(state.proposedAt) < k.cfg.ProposalTimeout && state.lastProposal != nil && state.lastProposal.Condition == condition && maps.Equal(state.lastProposal.Versions, proposal.Versions) {
+	proposal := &batch.UpstreamChanged{Upstream: u.ID, Daemon: k.cfg.Self, Condition: condition, Software: listed.Software, Versions: maps.Clone(state.versions)}
+	if now.Sub(state.proposedAt) < k.cfg.ProposalTimeout && state.lastProposal != nil && state.lastProposal.Condition == condition &&
+		state.lastProposal.Software == proposal.Software && maps.Equal(state.lastProposal.Versions, proposal.Versions) {
 		return
 	}
 	state.proposedAt, state.lastProposal = now, proposal
