Continue a stream only at upstreams with the software that began it

A caller's stream that broke off at one server was resumed within the same response at a server of another software version. Cause: relay resumes at any upstream of the service; an attempt knew the number of the last event, not who had generated it. Change: a stream keeps the software of its first event, and only upstreams of that version are candidates for it. If none is left, the response is cut, as before without any upstream.

--- a/cmd/dotterelmountd/internal/hosted/software_test.go
+++ b/cmd/dotterelmountd/internal/hosted/software_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +51,43 @@
 		})
 	}
 }
+
+// Guards against streams continued at other software within one response.
+func TestStreamIsNotContinuedAtOtherSoftware(t *testing.T) {
+	d := newDeployment(t, 1)
+	defer d.stopAll()
+	for _, m := range d.models {
+		m.EventsPerItem, m.EventInterval = 40, 20*time.Millisecond
+	}
+	d.release(2)
+	for n := range 6 {
+		id := fmt.Sprint("s", n)
+		body := d.cutStream(id)
+		assert.Assert(t, !strings.Contains(body, "@v1") || !strings.Contains(body, "@v2"), "%s", body)
+	}
+}
+
+// cutStream reads a stream while the server that began it restarts, and returns what
+// arrived.
+func (d *deployment) cutStream(id string) string {
+	crash := time.AfterFunc(200*time.Millisecond, func() {
+		for _, m := range d.models {
+			if m.RunCount(id) > 0 {
+				m.Restart(time.Second, m.InstanceID())
+				return
+			}
+		}
+	})
+	defer crash.Stop()
+	r, err := http.NewRequest(http.MethodPost, "http://"+d.daemons[0].settings.CallerAddress+streamPath+"x", strings.NewReader("hello"))
+	assert.NilError(d.t, err)
+	r.Host = host
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Model", model)
+	r.Header.Set("X-Deadline-Ms", "5000")
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(d.t, err)
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body) // a stream that can't go on is cut
+	return string(data)
+}
--- a/server/relay/stats.go
+++ b/server/relay/stats.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/opaque"
 	"github.com/cespare/xxhash/v2"
 )
@@ -48,11 +49,21 @@
 	return s
 }
 
-// candidates returns the upstreams of a job's service with their current state.
+// mayRunOn reports whether an upstream can continue a job's stream, if it has begun: what
+// two versions of the software generate doesn't fit together.
+func (j *job) mayRunOn(u *directory.Upstream) bool {
+	return j.stream == nil || j.stream.software == "" || j.stream.software == u.Software
+}
+
+// candidates returns the upstreams of a job's service that may run it, with their current
+// state.
 func (r *Relay) candidates(j *job, now time.Time) []opaque.Candidate {
 	var out []opaque.Candidate
 	var fastest time.Duration
 	for _, u := range r.view().UpstreamsOf(j.request.Service) {
+		if !j.mayRunOn(u) {
+			continue
+		}
 		s := r.statsOf(u.ID)
 		out = append(out, opaque.Candidate{
 			Upstream: u, InFlight: s.inFlight, BackingOff: now.Before(s.backoffUntil), Tried: j.tried[u.ID],
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -20,6 +20,9 @@
 	head      *ring.Slot[*opaque.Response]
 	events    *ring.Ring[opaque.Event]
 	lastEvent atomic.Int64 // number of the last event forwarded
+	// software is the version of the upstream that generated the first event; empty: none
+	// was forwarded. One attempt at a time accesses it.
+	software string
 }
 
 // Stream forwards a request with a streamed response. It calls onHead with the
@@ -76,6 +79,7 @@
 			return
 		}
 		if err == nil {
+			s.software = a.upstream.Software
 			err = s.events.Push(ctx, event)
 		}
 		if err != nil {
