Take streams up again only at the software that began them, also after the loss of all daemons

Clients whose streams had broken off got 200 and a text joined from two software versions when they took them up again. Cause: a take-up was a new request to us; no daemon knew which software had begun the stream, and what one knew was lost with it. Evidence: TestStreamIsTakenUpOnlyAtItsSoftwareVersion failed before in three of its four cases (events @v2 after @v1, 200 where no server of the version was left; the fourth passed by the order of the servers) and passes.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -225,7 +225,7 @@
 			n.log.Warn("reporting crashes during a request to other daemons failed", zap.Uint64("content", contentHash), zap.Error(err))
 		}
 	}
-	cfg.Limits = n.throttle.Buckets()
+	cfg.Limits, cfg.Streams = n.throttle.Buckets(), &streamIndex{n}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -30,6 +30,7 @@
 	headerTimeout        = 10 * time.Second        // above the limit that the platform sets its clients
 	idleTimeout          = 2 * time.Minute         // above the limit that the platform sets its clients
 	lingerTime           = 2500 * time.Millisecond // two readiness polls, one per second, plus the delay of new connections
+	streamRecordWait     = 80 * time.Millisecond   // two thirds of the time within which an event must reach the caller
 	crashReportTimeout   = 3 * time.Second         // within it, all daemons must know a request that crashes upstreams
 	journalShare         = 0.4                     // of the store's reads per second; the rest is for the feeds, restarts and bursts
 	stopMargin           = 500 * time.Millisecond  // part of the shutdown timeout left for the exit of the process
--- a/cmd/dotterelmountd/internal/hosted/software_test.go
+++ b/cmd/dotterelmountd/internal/hosted/software_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"dotterelmount.example/standin/platform"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
@@ -52,6 +54,77 @@
 	}
 }
 
+// stream reads a stream up to its end or the given number of events, and closes it.
+func (d *deployment) stream(n *Node, events int, header map[string]string) (status int, body string) {
+	d.t.Helper()
+	ctx, cancel := context.WithCancel(d.t.Context())
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.settings.CallerAddress+streamPath+"x", strings.NewReader("hello"))
+	assert.NilError(d.t, err)
+	r.Host = host
+	r.Header.Set("X-Model", model)
+	r.Header.Set("X-Deadline-Ms", "5000")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(d.t, err)
+	defer resp.Body.Close()
+	var got strings.Builder
+	buf := make([]byte, 256)
+	for strings.Count(got.String(), "\n\n") < events {
+		k, err := resp.Body.Read(buf)
+		got.Write(buf[:k])
+		if err == io.EOF {
+			break
+		}
+		assert.NilError(d.t, err)
+	}
+	return resp.StatusCode, got.String()
+}
+
+// Guards against streams that a client takes up again at other software than began them,
+// also after all daemons were lost.
+func TestStreamIsTakenUpOnlyAtItsSoftwareVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		newer     int // first server with newer software
+		allKilled bool
+		want      int // status of the take-up
+	}{
+		"old version serves, daemons lost":  {newer: 1, allKilled: true, want: http.StatusOK},
+		"old version serves":                {newer: 1, want: http.StatusOK},
+		"old version is gone, daemons lost": {newer: 0, allKilled: true, want: http.StatusServiceUnavailable},
+		"old version is gone":               {newer: 0, want: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 1)
+			defer d.stopAll()
+			for _, m := range d.models {
+				m.EventsPerItem, m.EventInterval = 20, 20*time.Millisecond
+			}
+			status, first := d.stream(d.daemons[0], 3, map[string]string{"X-Request-Id": "s1"})
+			assert.Equal(t, status, http.StatusOK)
+			last := strings.Count(first, "\n\n")
+			d.release(c.newer)
+			n := d.daemons[0]
+			if c.allKilled {
+				n = d.start() // knows of the stream only what the store has
+			}
+			for range 3 {
+				status, rest := d.stream(n, 20, map[string]string{"X-Request-Id": "s2", "Resumes": "s1", "Last-Event-Id": fmt.Sprint(last)})
+				assert.Equal(t, status, c.want)
+				if c.want != http.StatusOK {
+					continue
+				}
+				for e := last + 1; e <= 20; e++ {
+					want := fmt.Sprintf("id: %d\ndata: %s\n\n", e, platform.EventData(platform.FirstSoftware, "s1", e))
+					assert.Assert(t, strings.Contains(strings.ReplaceAll(rest, "s2-", "s1-"), want), "%q lacks %q", rest, want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against streams continued at other software within one response.
 func TestStreamIsNotContinuedAtOtherSoftware(t *testing.T) {
 	d := newDeployment(t, 1)
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -249,6 +249,16 @@
 	PerSecond map[api.UpstreamID]float64 `msgpack:"r"` // requests a second
 }
 
+// StreamBegan reports which software generates a stream that may be resumed, before its
+// first event reaches the caller.
+type StreamBegan struct {
+	Request  api.RequestID `msgpack:"i"`
+	Service  string        `msgpack:"svc"`
+	Software string        `msgpack:"sw"`
+	AtMillis int64         `msgpack:"at"` // in Unix milliseconds
+}
+
+func (*StreamBegan) record()           {}
 func (*RequestLimitNamed) record()     {}
 func (*DemandReported) record()        {}
 func (*JobAccepted) record()           {}
@@ -267,6 +277,14 @@
 func (*UpstreamRemoved) record()       {}
 func (*UpstreamChanged) record()       {}
 
+// UnknownStreamError reports a stream whose software the state does not have.
+type UnknownStreamError struct{ Request api.RequestID }
+
+// Error implements error.
+func (e *UnknownStreamError) Error() string {
+	return fmt.Sprintf("the software that began stream %q is unknown", e.Request)
+}
+
 // UnknownJobError reports a job that the state does not have.
 type UnknownJobError struct{ ID JobID }
 
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -44,6 +44,7 @@
 	kindRewardFailed
 	kindRequestLimitNamed
 	kindDemandReported
+	kindStreamBegan
 )
 
 func kindOf(r batch.Record) byte {
@@ -80,6 +81,8 @@
 		return kindRequestLimitNamed
 	case *batch.DemandReported:
 		return kindDemandReported
+	case *batch.StreamBegan:
+		return kindStreamBegan
 	default:
 		return kindUpstreamChanged
 	}
@@ -103,6 +106,7 @@
 	kindRewardFailed:          decode[batch.RewardFailed],
 	kindRequestLimitNamed:     decode[batch.RequestLimitNamed],
 	kindDemandReported:        decode[batch.DemandReported],
+	kindStreamBegan:           decode[batch.StreamBegan],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -166,9 +166,10 @@
 }
 
 // ForgetFinished removes jobs that were submitted before beforeMillis and have
-// ended or have all items listed, to bound memory. Removed jobs are unknown
-// afterwards.
+// ended or have all items listed, and streams that began before, to bound memory. Removed
+// ones are unknown afterwards.
 func (s *State) ForgetFinished(beforeMillis int64) {
+	maps.DeleteFunc(s.streams, func(_ api.RequestID, stream streamState) bool { return stream.atMillis < beforeMillis })
 	for id, j := range s.jobs {
 		if j.job.SubmittedMillis >= beforeMillis || (!j.ended && len(j.results) < len(j.items)) {
 			continue
--- a/lib/batch/software.go
+++ b/lib/batch/software.go
@@ -1,6 +1,50 @@
 package batch
 
-import "slices"
+import (
+	"slices"
+
+	"dotterelmount.example/api"
+)
+
+// streamState is a stream that may be taken up again.
+type streamState struct {
+	service, software string
+	atMillis          int64 // its beginning, in Unix milliseconds
+}
+
+// addStream adds a stream. Its software never changes.
+func (s *State) addStream(r *StreamBegan) bool {
+	if _, ok := s.streams[r.Request]; ok {
+		return false
+	}
+	s.streams[r.Request] = streamState{service: r.Service, software: r.Software, atMillis: r.AtMillis}
+	return true
+}
+
+// StreamOrigin returns the service and the version of the software that began a stream. If
+// id is empty, they are known only if all streams of the service that may be taken up
+// began at one version. Errors: *UnknownStreamError.
+func (s *State) StreamOrigin(service string, id api.RequestID) (originService, software string, err error) {
+	if id != "" {
+		if stream, ok := s.streams[id]; ok {
+			return stream.service, stream.software, nil
+		}
+		return "", "", &UnknownStreamError{Request: id}
+	}
+	for _, stream := range s.streams {
+		switch {
+		case stream.service != service:
+		case software == "":
+			software = stream.software
+		case software != stream.software:
+			return "", "", &UnknownStreamError{}
+		}
+	}
+	if software == "" {
+		return "", "", &UnknownStreamError{}
+	}
+	return service, software, nil
+}
 
 // continues reports whether an upstream can continue the text of an item: what two
 // versions of the software generate doesn't fit together.
--- a/lib/batch/software_test.go
+++ b/lib/batch/software_test.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"errors"
 	"testing"
 
 	"dotterelmount.example/api"
@@ -77,3 +78,22 @@
 	run := f.Runs("d1")[ItemKey{"j", "a"}]
 	assert.Equal(t, run.EventCount, 0)
 }
+
+func TestOriginOfStream(t *testing.T) {
+	f := newFixture(0, 0)
+	f.add(&StreamBegan{Request: "r1", Service: "s", Software: "v1", AtMillis: 5})
+	assert.Assert(t, !f.add(&StreamBegan{Request: "r1", Service: "s", Software: "v2", AtMillis: 6}), "it began once")
+	service, software, err := f.StreamOrigin("other", "r1")
+	assert.NilError(t, err)
+	assert.Equal(t, service+" "+software, "s v1")
+	_, software, err = f.StreamOrigin("s", "")
+	assert.NilError(t, err)
+	assert.Equal(t, software, "v1", "all streams of the service")
+	f.add(&StreamBegan{Request: "r2", Service: "s", Software: "v2", AtMillis: 6})
+	_, _, err = f.StreamOrigin("s", "")
+	var unknown *UnknownStreamError
+	assert.Assert(t, errors.As(err, &unknown), "two versions began streams")
+	f.ForgetFinished(6)
+	_, _, err = f.StreamOrigin("s", "r1")
+	assert.Assert(t, errors.As(err, &unknown))
+}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -16,6 +16,7 @@
 	pending       []*itemState          // open items without an upstream, in the order of comparePending
 	latestItems   map[ItemID]*itemState // from the newest job that has the item
 	placed        map[api.UpstreamID][]*itemState
+	streams       map[api.RequestID]streamState
 	unscored      []*itemState              // open items with a complete text, in the order of compareUnscored
 	rewards       []Reward                  // of unscored; nil: to be rebuilt
 	eventsPerJob  map[api.ModelName]float64 // moving average
@@ -29,6 +30,7 @@
 	return &State{
 		jobs: make(map[JobID]*jobState), upstreams: make(map[api.UpstreamID]*Upstream),
 		daemons:     make(map[api.DaemonID]*Daemon),
+		streams:     make(map[api.RequestID]streamState),
 		latestItems: make(map[ItemID]*itemState), placed: make(map[api.UpstreamID][]*itemState),
 		eventsPerJob: make(map[api.ModelName]float64), eventsPerItem: make(map[api.ModelName]float64),
 	}
@@ -138,6 +140,8 @@
 		return s.setEventInterval(r)
 	case *RequestLimitNamed:
 		return s.setRequestLimit(r)
+	case *StreamBegan:
+		return s.addStream(r)
 	}
 	return false
 }
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -27,10 +27,19 @@
 	Service    string
 	Arrived    time.Time
 	Deadline   time.Time // of the client, limited by the route's timeout
+	// LastEvent is the number of the event after which the client takes a stream up again;
+	// 0: it requests the whole stream. Resumes is the request that brought the stream's
+	// first event; empty: the client names none.
+	LastEvent int
+	Resumes   api.RequestID
 	// ConfigVersion is the version of the configuration that selected the route.
 	ConfigVersion uint64
 }
 
+// StreamOrigin is where a stream began. Only upstreams of the same service with the same
+// software can continue it.
+type StreamOrigin struct{ Service, Software string }
+
 // Response is a complete response of an upstream as received.
 type Response struct {
 	Status  int
@@ -82,8 +91,8 @@
 	// Exchange returns the complete response of the upstream, which may be an
 	// error response. Errors: *AttemptError.
 	Exchange(ctx context.Context, u *directory.Upstream, q *Request) (*Response, error)
-	// OpenStream opens a stream after the event with number last; 0 starts at the
-	// beginning. The EventStream is nil if the upstream returns an error response.
+	// OpenStream opens a stream after the event with number last; 0 starts where the
+	// request asks for. The EventStream is nil if the upstream returns an error response.
 	// Errors: *AttemptError.
 	OpenStream(ctx context.Context, u *directory.Upstream, q *Request, last int) (*Response, EventStream, error)
 }
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -113,7 +113,7 @@
 // changes records what the applied records may have changed.
 type changes struct {
 	any       bool
-	runs      bool // a record other than those that concern only daemons was applied
+	runs      bool // a record that may concern runs was applied
 	upstreams bool
 }
 
@@ -229,13 +229,13 @@
 // noteChanges records what may have changed. Records without effect count too, as the
 // runner may wait for them.
 func (j *JobReplica) noteChanges(r batch.Record, changed bool) {
-	onlyDaemons := false
+	noRuns := false
 	switch r.(type) {
-	case *batch.DaemonAlive, *batch.DemandReported:
-		onlyDaemons = true
+	case *batch.DaemonAlive, *batch.DemandReported, *batch.StreamBegan:
+		noRuns = true
 	}
-	j.unpublished.any = j.unpublished.any || changed || !onlyDaemons
-	j.unpublished.runs = j.unpublished.runs || !onlyDaemons
+	j.unpublished.any = j.unpublished.any || changed || !noRuns
+	j.unpublished.runs = j.unpublished.runs || !noRuns
 	j.unpublished.upstreams = j.unpublished.upstreams || changed && batch.ChangesUpstreams(r)
 }
 
--- a/server/jobreplica/queries.go
+++ b/server/jobreplica/queries.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
 )
 
@@ -69,6 +70,17 @@
 	return j.find(ctx, func(s *batch.State) error { return s.CheckJob(id) })
 }
 
+// StreamOrigin returns the service and the version of the software that began a stream;
+// id is empty if the caller names no stream. Errors: *batch.UnknownStreamError, *StaleError
+// when that is not known in time, ctx.Err().
+func (j *JobReplica) StreamOrigin(ctx context.Context, service string, id api.RequestID) (originService, software string, err error) {
+	err = j.find(ctx, func(s *batch.State) (err error) {
+		originService, software, err = s.StreamOrigin(service, id)
+		return err
+	})
+	return originService, software, err
+}
+
 // OpenItems returns the open items of all jobs. Errors: ctx.Err().
 func (j *JobReplica) OpenItems(ctx context.Context) ([]batch.OpenItem, error) {
 	var out []batch.OpenItem
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -33,6 +33,8 @@
 	// the interval at which it is checked.
 	MaxWaiting int
 	WaitTick   time.Duration
+	// Streams knows which software began a stream.
+	Streams StreamIndex
 	// OnCrashes reports to the other daemons how many connections to upstreams were
 	// lost while a request with this content hash ran, or 0 if it got a response
 	// after all.
@@ -94,7 +96,7 @@
 // Start starts the duties. view returns the current directory.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, exchanger opaque.Exchanger, view func() *directory.View) *Relay {
 	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), crashes: newCrashes()}
-	w := &worker{exchanger: exchanger, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
+	w := &worker{exchanger: exchanger, streams: cfg.Streams, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
 	return r
@@ -330,6 +332,7 @@
 // worker handles one attempt at a time.
 type worker struct {
 	exchanger  opaque.Exchanger
+	streams    StreamIndex
 	postResult func(context.Context, *attempt)
 }
 
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/ring"
+	"go.uber.org/zap"
 )
 
 // streamRingSize is the maximum number of events buffered for a slow caller.
@@ -20,11 +21,23 @@
 	head      *ring.Slot[*opaque.Response]
 	events    *ring.Ring[opaque.Event]
 	lastEvent atomic.Int64 // number of the last event forwarded
-	// software is the version of the upstream that generated the first event; empty: none
-	// was forwarded. One attempt at a time accesses it.
+	// software is the version of the upstream that generated the first event, or that of
+	// the stream that the request takes up again; empty: no event was forwarded. One attempt
+	// at a time accesses it.
 	software string
 }
 
+// StreamIndex knows which software began the streams of all daemons. It is safe for
+// concurrent use.
+type StreamIndex interface {
+	// Began records the software of a stream. It returns when that is stored or takes too
+	// long; it is then stored later.
+	Began(ctx context.Context, q *opaque.Request, software string)
+	// Origin returns where the stream began that a request takes up again. It fails if
+	// that is unknown.
+	Origin(ctx context.Context, q *opaque.Request) (opaque.StreamOrigin, error)
+}
+
 // Stream forwards a request with a streamed response. It calls onHead with the
 // response's head and onEvent with the data of each event until the stream is
 // complete. If there was no head, the returned response is an upstream's failure,
@@ -35,6 +48,11 @@
 	defer cancel()
 	j := newJob(ctx, q)
 	j.stream = &stream{head: ring.NewSlot[*opaque.Response](), events: ring.New[opaque.Event](streamRingSize)}
+	if q.LastEvent > 0 && q.Route.Resumable {
+		if err := r.takeUp(ctx, j); err != nil {
+			return nil, "", err
+		}
+	}
 	if err := r.submit(j); err != nil {
 		return nil, "", err
 	}
@@ -55,6 +73,24 @@
 	return r.wait(j)
 }
 
+// takeUp binds a job to the service and software that began the stream that its caller
+// takes up again. Errors: *opaque.NotRunError if they are unknown or the route leads to
+// other services now.
+func (r *Relay) takeUp(ctx context.Context, j *job) error {
+	q := j.request
+	origin, err := r.cfg.Streams.Origin(ctx, q)
+	if err == nil && !q.Route.RoutesTo(origin.Service) {
+		err = &opaque.FailedError{Reason: "the route doesn't lead to service " + origin.Service}
+	}
+	r.log.Info("stream taken up", zap.String("request", string(q.ID)), zap.String("resumes", string(q.Resumes)), zap.Int("after", q.LastEvent),
+		zap.String("service", origin.Service), zap.String("software", origin.Software), zap.Error(err))
+	if err != nil {
+		return &opaque.NotRunError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}
+	}
+	q.Service, j.stream.software = origin.Service, origin.Software
+	return nil
+}
+
 // close marks the end of the events.
 func (s *stream) close() {
 	s.head.Put(nil) // has no effect if there is a head
@@ -79,7 +115,7 @@
 			return
 		}
 		if err == nil {
-			s.software = a.upstream.Software
+			w.fixSoftware(ctx, a)
 			err = s.events.Push(ctx, event)
 		}
 		if err != nil {
@@ -89,3 +125,15 @@
 		s.lastEvent.Store(int64(event.Number))
 	}
 }
+
+// fixSoftware records the software of a stream before its first event is forwarded.
+func (w *worker) fixSoftware(ctx context.Context, a *attempt) {
+	s, q := a.job.stream, a.job.request
+	if s.software != "" {
+		return
+	}
+	s.software = a.upstream.Software
+	if q.Route.Resumable {
+		w.streams.Began(ctx, q, s.software)
+	}
+}
