Try an upstream that failed before a request is refused for a request limit

Callers were refused at once while other upstreams were only backing off: one limited server without room came before them. Cause: an upstream whose limit leaves room too late, or never, ranked as one where the request only has to wait. Change: such upstreams come after those that back off, and a request is refused only if one of them is the best left.

--- a/lib/opaque/pick.go
+++ b/lib/opaque/pick.go
@@ -20,8 +20,10 @@
 	// Slow is true while responses take much longer than those of its peers.
 	Slow  bool
 	Tried bool // by the current request
-	// Wait is the time until the upstream's request limit allows a request.
-	Wait time.Duration
+	// Wait is the expected time until the upstream's request limit allows the request.
+	// TooLate is set if it can't be answered in time then.
+	Wait    time.Duration
+	TooLate bool
 }
 
 // Chooser selects upstreams for a daemon.
@@ -37,8 +39,10 @@
 func (c Chooser) rank(a Candidate) int {
 	switch {
 	case a.Upstream.Draining:
-		return 5
+		return 6
 	case a.Tried:
+		return 5
+	case a.TooLate:
 		return 4
 	case a.BackingOff:
 		return 3
@@ -86,7 +90,7 @@
 func (c Chooser) PickUnlimited(candidates []Candidate) (Candidate, bool) {
 	unlimited := slices.Clone(candidates)
 	for i := range unlimited {
-		unlimited[i].Wait = 0
+		unlimited[i].Wait, unlimited[i].TooLate = 0, false
 	}
 	return c.Pick(unlimited)
 }
--- a/lib/opaque/pick_test.go
+++ b/lib/opaque/pick_test.go
@@ -15,7 +15,9 @@
 	late := Candidate{Upstream: &directory.Upstream{ID: "late"}, Wait: time.Second}
 	busy := Candidate{Upstream: &directory.Upstream{ID: "busy"}, InFlight: 9}
 	failing := Candidate{Upstream: &directory.Upstream{ID: "failing"}, BackingOff: true}
-	for _, want := range [][]Candidate{{busy, soon, late, failing}, {soon, late, failing}, {late, failing}} {
+	never := Candidate{Upstream: &directory.Upstream{ID: "never"}, Wait: time.Minute, TooLate: true}
+	tried := Candidate{Upstream: &directory.Upstream{ID: "tried"}, Tried: true}
+	for _, want := range [][]Candidate{{busy, soon, late, failing}, {soon, late, failing}, {late, failing}, {failing, never, tried}, {never, tried}} {
 		got, ok := c.Pick(want)
 		assert.Assert(t, ok)
 		assert.Equal(t, got.Upstream.ID, want[0].Upstream.ID)
--- a/server/relay/limits.go
+++ b/server/relay/limits.go
@@ -48,31 +48,45 @@
 	return n
 }
 
-// waitForLimit queues a job until a request limit allows it, or refuses it at once if it
-// would be too late then.
-func (r *Relay) waitForLimit(j *job, chosen opaque.Candidate, candidates []opaque.Candidate, now time.Time) {
-	if !j.waitingSince.IsZero() {
-		r.waiting = append(r.waiting, j)
-		return
+// setWaits sets how long a job would wait for the request limit of each candidate. Jobs
+// that arrived before it for the same service are ahead of it.
+func (r *Relay) setWaits(j *job, candidates []opaque.Candidate, now time.Time) {
+	ahead := 0
+	if j.waitingSince.IsZero() {
+		ahead = r.waitingFor(j.request.Service)
 	}
 	perSecond := 0.0
 	for _, c := range candidates {
 		rate, _ := r.cfg.Limits.Rate(c.Upstream.ID)
 		perSecond += rate
 	}
-	delay, ok := opaque.StartDelay(j.request, now, chosen.Wait, r.waitingFor(j.request.Service), perSecond)
-	if !ok || len(r.waiting) >= r.cfg.MaxWaiting {
+	for i := range candidates {
+		c := &candidates[i]
+		if wait := r.cfg.Limits.Wait(c.Upstream.ID, now); wait > 0 {
+			delay, ok := opaque.StartDelay(j.request, now, wait, ahead, perSecond)
+			c.Wait, c.TooLate = delay, !ok
+		}
+	}
+}
+
+// waitForLimit queues a job until a request limit allows it, or refuses it at once if it
+// would be too late then.
+func (r *Relay) waitForLimit(j *job, chosen opaque.Candidate, now time.Time) {
+	isNew := j.waitingSince.IsZero()
+	if chosen.TooLate || isNew && len(r.waiting) >= r.cfg.MaxWaiting {
 		retryAfter := r.cfg.RetryAfter
-		if delay != ratelimit.Never {
-			retryAfter = max(retryAfter, delay)
+		if chosen.Wait != ratelimit.Never {
+			retryAfter = max(retryAfter, chosen.Wait)
 		}
 		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("the request limits of service "+j.request.Service+" leave no room", false, retryAfter)})
 		return
 	}
-	r.log.Info("request waits for a request limit", zap.String("request", string(j.request.ID)), zap.String("service", j.request.Service),
-		zap.String("upstream", string(chosen.Upstream.ID)), zap.Duration("expected", delay), zap.Float64("per_second", perSecond))
-	j.waitingSince = now
 	r.waiting = append(r.waiting, j)
+	if isNew {
+		j.waitingSince = now
+		r.log.Info("request waits for a request limit", zap.String("request", string(j.request.ID)), zap.String("service", j.request.Service),
+			zap.String("upstream", string(chosen.Upstream.ID)), zap.Duration("expected", chosen.Wait))
+	}
 }
 
 // startWaiting starts the waiting jobs that a request limit allows, in order of arrival.
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -190,6 +190,7 @@
 		return
 	}
 	candidates := r.candidates(j, now)
+	r.setWaits(j, candidates, now)
 	chosen, ok := r.cfg.Chooser.Pick(candidates)
 	if !ok || (chosen.Tried && !j.request.Route.Repeatable() && j.mayHaveRun) {
 		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("no upstream available for service "+q.Service, false, r.cfg.RetryAfter)})
@@ -198,7 +199,7 @@
 	u, waits := chosen.Upstream, r.mustWait(j, chosen)
 	r.countDemand(j, candidates, waits)
 	if waits {
-		r.waitForLimit(j, chosen, candidates, now)
+		r.waitForLimit(j, chosen, now)
 		return
 	}
 	index, ok := r.workers.Acquire()
--- a/server/relay/stats.go
+++ b/server/relay/stats.go
@@ -67,7 +67,6 @@
 		s := r.statsOf(u.ID)
 		out = append(out, opaque.Candidate{
 			Upstream: u, InFlight: s.inFlight, BackingOff: now.Before(s.backoffUntil), Tried: j.tried[u.ID],
-			Wait: r.cfg.Limits.Wait(u.ID, now),
 		})
 		if s.latency > 0 && (fastest == 0 || s.latency < fastest) {
 			fastest = s.latency
