Soak: servers change their software, callers take streams up again

Servers restart with other software by turns; callers leave every fourth stream midway and take it up again at other daemons, and also streams that faults broke off.

--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	faultRingSize = 64 // queued faults per subject
-	retryInterval = 100 * time.Millisecond
-	retryTimeout  = 6 * time.Second       // for a fault that can't be injected at once
-	stormInterval = 60 * time.Millisecond // between two configurations of a storm
-	stopTimeout   = shutdownGrace + 3*time.Second
+	faultRingSize    = 64 // queued faults per subject
+	retryInterval    = 100 * time.Millisecond
+	retryTimeout     = 6 * time.Second       // for a fault that can't be injected at once
+	stormInterval    = 60 * time.Millisecond // between two configurations of a storm
+	softwareVersions = 2                     // of the servers, which change at a restart
+	stopTimeout      = shutdownGrace + 3*time.Second
 )
 
 // injectedFault is a fault that has been injected or is being injected.
@@ -193,14 +194,16 @@
 	return true
 }
 
-// restartServer stops a server, which starts again with a new ID after the
-// given downtime.
+// restartServer stops a server, which starts again with a new ID and, by turns, newer or
+// older software after the given downtime.
 func (j *injector) restartServer(s *platform.Server, down time.Duration) bool {
 	j.mu.Lock()
 	j.restartCount++
 	id := fmt.Sprintf("%s-again-%d", s.Service, j.restartCount)
+	software := fmt.Sprintf("v%d", 1+j.restartCount%softwareVersions)
 	j.mu.Unlock()
 	s.Restart(down, id)
+	s.SetSoftware(software)
 	return true
 }
 
--- a/bench/hostedsoak/load.go
+++ b/bench/hostedsoak/load.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelmount.example/lib/duty"
@@ -41,9 +42,12 @@
 	deployment *deployment
 	seed       uint64
 
-	mu          sync.Mutex
-	requests    []requestRecord
-	killerCount int
+	mu           sync.Mutex
+	requests     []requestRecord
+	killerCount  int
+	sent         atomic.Int64 // streams
+	notContinued []time.Time  // ends of streams that were taken up again and not completed
+	takeUps      map[int]int  // attempts to take a stream up again, by status; 0: no complete response
 }
 
 // run sends requests until ctx ends and returns when the last one has ended.
@@ -80,10 +84,16 @@
 	}
 	if path == streamPath {
 		call.Model, call.Deadline = models[0], streamDeadline
+		if l.sent.Add(1)%leaveEvery == 0 {
+			call.LeaveAfter = eventsPerItem / 2
+		}
 	}
 	record := requestRecord{SentID: id, Path: path, Daemon: daemon, Begin: time.Now(), Killer: killer}
 	record.Response = l.deployment.client.Send(context.WithoutCancel(ctx), l.deployment.callerAddresses[daemon], call)
 	record.End = time.Now()
+	if path == streamPath && record.Err != nil {
+		l.takeUp(ctx, &record, call)
+	}
 	record.Mismatch = responseMismatch(record, call)
 	record.Body = nil // already checked; keeping the bodies of a long soak would use too much memory
 	l.mu.Lock()
@@ -92,6 +102,47 @@
 	return record
 }
 
+const (
+	leaveEvery     = 4                      // callers leave every fourth stream midway and take it up again
+	maxTakeUps     = 6                      // of one stream
+	takeUpInterval = 200 * time.Millisecond // after one that failed
+)
+
+// takeUp takes up a stream that broke off after some events, at the daemons in turn. If it
+// ends complete, the record has the whole stream.
+func (l *load) takeUp(ctx context.Context, record *requestRecord, call platform.Call) {
+	for n := range maxTakeUps {
+		whole := record.Body[:strings.LastIndex("\n\n"+string(record.Body), "\n\n")]
+		call.LastEventID = strings.Count(string(whole), "\n\n")
+		if record.Err == nil || call.LastEventID == 0 {
+			return
+		}
+		if n > 0 && !duty.Sleep(ctx, takeUpInterval) {
+			return
+		}
+		call.LeaveAfter = 0
+		call.RequestID, call.Resumes = fmt.Sprintf("%s-again-%d", record.SentID, n), record.SentID
+		resp := l.deployment.client.Send(context.WithoutCancel(ctx), l.deployment.callerAddresses[(record.Daemon+1+n)%daemonCount], call)
+		l.mu.Lock()
+		status := resp.Status
+		if resp.Err != nil {
+			status = 0
+		}
+		l.takeUps[status]++
+		l.mu.Unlock()
+		if resp.Status != http.StatusOK {
+			continue
+		}
+		rest := strings.ReplaceAll(string(resp.Body), call.RequestID+"-", record.SentID+"-")
+		record.Body, record.Err = append(whole, rest...), resp.Err
+	}
+	if record.Err != nil {
+		l.mu.Lock()
+		l.notContinued = append(l.notContinued, record.End)
+		l.mu.Unlock()
+	}
+}
+
 // responseMismatch returns why a successful response doesn't belong to its
 // request, or "" if it does.
 func responseMismatch(record requestRecord, call platform.Call) string {
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -32,7 +32,7 @@
 	storeLate      kind = "store-late"       // the store carries out appends after a delay and doesn't respond
 	storeSlow      kind = "store-slow"       // the store responds after a delay
 	storeForgets   kind = "store-forgets"    // the history of the operator's and the servers' records is compacted
-	serverRestart  kind = "server-restart"   // a server stops and starts again with a new ID
+	serverRestart  kind = "server-restart"   // a server stops and starts again with a new ID and other software
 	serverSlow     kind = "server-slow"      // a server sends events at longer intervals
 	serverBusy     kind = "server-busy"      // a server rejects all requests
 	serverCuts     kind = "server-cuts"      // a server cuts responses off in the middle
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,6 +27,9 @@
 	Model        string // empty for a plain service
 	Body         []byte
 	Deadline     time.Duration // timeout of the attempt, also sent to the daemon
+	Resumes      string        // attempt that brought the first event of a stream that is taken up again
+	LeaveAfter   int           // the caller disconnects after this many events; zero: it stays
+	LastEventID  int           // number of the last event of that stream; zero: no header is sent
 	Wait         time.Duration // how long the daemon may wait for new results; zero: no header is sent
 }
 
@@ -59,11 +63,14 @@
 	}
 	request.Host = c.Host
 	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(call.Deadline.Milliseconds(), 10))
-	for name, value := range map[string]string{"X-Request-Id": call.RequestID, "X-Model": call.Model} {
+	for name, value := range map[string]string{"X-Request-Id": call.RequestID, "X-Model": call.Model, "Resumes": call.Resumes} {
 		if value != "" {
 			request.Header.Set(name, value)
 		}
 	}
+	if call.LastEventID > 0 {
+		request.Header.Set("Last-Event-Id", strconv.Itoa(call.LastEventID))
+	}
 	if call.Wait > 0 {
 		request.Header.Set("X-Wait-Ms", strconv.FormatInt(call.Wait.Milliseconds(), 10))
 	}
@@ -73,10 +80,37 @@
 	}
 	defer httpResponse.Body.Close()
 	response := Response{Status: httpResponse.StatusCode, RequestID: httpResponse.Header.Get("X-Request-Id"), Signature: httpResponse.Header.Get("X-Response-Signature")}
-	response.Body, response.Err = io.ReadAll(httpResponse.Body)
+	response.Body, response.Err = readBody(httpResponse.Body, call.LeaveAfter)
 	return response
 }
 
+// LeftError reports that the caller disconnected as the call asked for.
+type LeftError struct{ Events int }
+
+// Error implements error.
+func (e *LeftError) Error() string { return fmt.Sprintf("left after %d events", e.Events) }
+
+// readBody reads a body to its end or until it has the given number of events; zero: to its
+// end. Errors: *LeftError, those of body.
+func readBody(body io.Reader, events int) ([]byte, error) {
+	if events == 0 {
+		return io.ReadAll(body)
+	}
+	var got []byte
+	part := make([]byte, 256)
+	for bytes.Count(got, []byte("\n\n")) < events {
+		n, err := body.Read(part)
+		got = append(got, part[:n]...)
+		if errors.Is(err, io.EOF) {
+			return got, nil
+		}
+		if err != nil {
+			return got, err
+		}
+	}
+	return got, &LeftError{Events: events}
+}
+
 // Job is a job that a trainer submits for one of its steps.
 type Job struct {
 	ID           string `json:"-"`
