Run parts of steps again whatever upstreams crashed under them

A sound sample of a step was never placed again within ten minutes after several upstreams had crashed under it. Cause: the quarantine counts crashes by a request's content and does not distinguish callers' requests, which nobody owes later, from parts of an accepted step, which the sampler submits again and again. Change: the sampler marks its jobs as owed; dispatch records no strikes for them and does not isolate or refuse them. Evidence: TestOwedRequestRunsAfterCrashesInSeries fails on the code before (quarantined at the first try) and passes.

--- a/lib/work/work.go
+++ b/lib/work/work.go
@@ -19,7 +19,10 @@
 	Lane     api.Lane
 	// Repeatable is false for a request that may run at most once: it is not
 	// retried after a byte of it may have reached an upstream.
-	Repeatable  bool
+	Repeatable bool
+	// Owed is set for a part of a trainer's step: it is run again until it is done, and
+	// crashes of upstreams are not attributed to it.
+	Owed        bool
 	Fingerprint api.Fingerprint
 	Prefix      uint64    // hash of the prompt's prefix, for cache affinity; zero: none
 	CostTokens  int       // maximum tokens of the response; 1 for a plain call
--- a/server/dispatch/admit.go
+++ b/server/dispatch/admit.go
@@ -54,7 +54,7 @@
 	if len(h.upstreamsFor(j)) == 0 {
 		return api.Errorf(api.CodeUnknownModel, "no upstream of plan %q serves %q", j.Plan, j.Model)
 	}
-	if h.quarantineDecision(j.Fingerprint, now) == quarantine.Refused {
+	if h.quarantineDecision(j, now) == quarantine.Refused {
 		return api.Errorf(api.CodeQuarantined, "requests with fingerprint %s crashed upstreams", j.Fingerprint)
 	}
 	return h.admitPlan(usage, now)
@@ -110,6 +110,9 @@
 
 // quarantineDecision decides by the strikes in the log and by this daemon's own
 // strikes that are not logged yet, so that it works during a log outage too.
-func (h *handler) quarantineDecision(f api.Fingerprint, now time.Time) quarantine.Decision {
-	return quarantine.Decide(h.strikesOf(f), now.UnixMilli())
+func (h *handler) quarantineDecision(j *work.Job, now time.Time) quarantine.Decision {
+	if j.Owed {
+		return quarantine.Unrestricted
+	}
+	return quarantine.Decide(h.strikesOf(j.Fingerprint), now.UnixMilli())
 }
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -94,7 +94,9 @@
 
 func (h *handler) retryAfterLoss(f *flight, now time.Time) {
 	switch {
-	case f.crashes >= maxSharedCrashes || h.quarantineDecision(f.job.Fingerprint, now) == quarantine.Refused:
+	case f.job.Owed:
+		h.retryOrFinish(f, now)
+	case f.crashes >= maxSharedCrashes || h.quarantineDecision(f.job, now) == quarantine.Refused:
 		h.refuseAfterCrashes(f)
 	case f.crashes >= maxCrashes && h.strikesOf(f.job.Fingerprint).Alone > 0:
 		f.attributedAt = now.Add(attributionWait)
@@ -125,16 +127,17 @@
 }
 
 // recordStrikes records a strike for each fingerprint that was running on the
-// crashed upstream.
+// crashed upstream, except those of owed requests only.
 func (h *handler) recordStrikes(check *crashCheck, u *upstreamState, now time.Time) {
-	var fingerprints []api.Fingerprint
+	struck := make(map[api.Fingerprint]bool)
 	for _, f := range check.flights {
-		if !slices.Contains(fingerprints, f.job.Fingerprint) {
-			fingerprints = append(fingerprints, f.job.Fingerprint)
-		}
+		struck[f.job.Fingerprint] = struck[f.job.Fingerprint] || !f.job.Owed
 	}
-	for _, fp := range fingerprints {
-		s := api.Strike{Fingerprint: fp, Upstream: u.info.ID, Alone: len(fingerprints) == 1, AtMillis: now.UnixMilli()}
+	for fp, counts := range struck {
+		if !counts {
+			continue
+		}
+		s := api.Strike{Fingerprint: fp, Upstream: u.info.ID, Alone: len(struck) == 1, AtMillis: now.UnixMilli()}
 		h.addUnloggedStrike(unloggedStrike{Strike: s})
 		crashStrikes.Add(1)
 		if h.cfg.ReportStrike != nil {
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -550,3 +551,30 @@
 	assert.Equal(t, res.FinishReason, "length")
 	assert.Equal(t, len(f.calls["x"]), 1)
 }
+
+// Guards against a sound part of a step that is never placed again after upstreams
+// crashed in series under it.
+func TestOwedRequestRunsAfterCrashesInSeries(t *testing.T) {
+	var crashes atomic.Int32
+	f := &fakeClient{}
+	f.generate = func(_ context.Context, u upstream.Target, _ int, _ *work.Generate, delta func(work.Chunk) error) error {
+		if crashes.Add(1) <= 5 {
+			return f.crash(u.ID)
+		}
+		return sendTokens(delta, 1, 0, 4)
+	}
+	d := start(t, f, state(8, "a", "b", "c", "d", "e", "f", "g"), nil)
+	for try := 1; ; try++ {
+		c := newCollector()
+		j := job(api.RequestID(fmt.Sprint("try", try)), c)
+		j.Lane, j.Owed = api.LaneRollout, true
+		assert.NilError(t, d.Submit(j))
+		res := c.wait(t)
+		assert.Assert(t, api.CodeOf(res.Err) != api.CodeQuarantined, "try %d", try)
+		if res.Outcome == api.OutcomeComplete {
+			break
+		}
+		assert.Assert(t, try < 6, "%v", res.Err)
+	}
+	assert.Equal(t, crashes.Load(), int32(6))
+}
--- a/server/dispatch/hedge.go
+++ b/server/dispatch/hedge.go
@@ -57,7 +57,7 @@
 	if now.Sub(a.started) < hedgeFactor*h.shortLatency.mean && !a.fasterElsewhere(now) {
 		return false
 	}
-	return h.quarantineDecision(f.job.Fingerprint, now) == quarantine.Unrestricted
+	return h.quarantineDecision(f.job, now) == quarantine.Unrestricted
 }
 
 // fasterElsewhere reports whether an attempt's upstream has become so slow that a
--- a/server/dispatch/start.go
+++ b/server/dispatch/start.go
@@ -42,7 +42,7 @@
 	if !ok || h.atConcurrencyLimit(f.job.Plan) {
 		return false
 	}
-	isolated := h.quarantineDecision(f.job.Fingerprint, now) == quarantine.Isolated
+	isolated := h.quarantineDecision(f.job, now) == quarantine.Isolated
 	return slices.ContainsFunc(h.upstreamsFor(f.job), func(u *upstreamState) bool { return h.canTake(u, f, isolated, now) })
 }
 
@@ -59,7 +59,7 @@
 	invariant.Check(f.job.Repeatable || !f.maybeSent, "once-only-is-sent-once", "request %s, tried %v", f.job.ID, f.tried)
 	h.lastAttemptID++
 	a := &attempt{id: h.lastAttemptID, flight: f, upstream: u, started: now}
-	u.runsIsolated = h.quarantineDecision(f.job.Fingerprint, now) == quarantine.Isolated
+	u.runsIsolated = h.quarantineDecision(f.job, now) == quarantine.Isolated
 	if u.reservedFor == f.job.ID {
 		u.reservedFor = ""
 	}
@@ -103,7 +103,7 @@
 // not yet tried. The result is valid until the next call.
 func (h *handler) candidates(f *flight, now time.Time) []routing.Candidate {
 	h.untried, h.tried = h.untried[:0], h.tried[:0]
-	isolated := h.quarantineDecision(f.job.Fingerprint, now) == quarantine.Isolated
+	isolated := h.quarantineDecision(f.job, now) == quarantine.Isolated
 	for _, u := range h.upstreamsFor(f.job) {
 		switch {
 		case !h.canTake(u, f, isolated, now):
--- a/server/sampler/running.go
+++ b/server/sampler/running.go
@@ -82,7 +82,7 @@
 	id := c.jobID(ts, &s.JobKey)
 	job := &work.Job{
 		ID: id, Customer: s.Step.Customer, Plan: plan, Model: s.Step.Model, Lane: api.LaneRollout,
-		Repeatable: true, Fingerprint: fp, Prefix: prefix, CostTokens: s.Spec.MaxTokens,
+		Repeatable: true, Owed: true, Fingerprint: fp, Prefix: prefix, CostTokens: s.Spec.MaxTokens,
 		Deadline: now.Add(c.cfg.JobTimeout), Call: work.Call{Generate: g},
 		Sink: &jobSink{post: c.post, trainer: ts.trainer, model: s.Step.Model, key: s.JobKey, id: id},
 	}
