Soaks: crashes in series

Half of the servers crash five times in a row (hosted soak), engines crash one after another at 300 ms (soak).

--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -18,6 +18,7 @@
 	retryInterval    = 100 * time.Millisecond
 	retryTimeout     = 6 * time.Second       // for a fault that can't be injected at once
 	stormInterval    = 60 * time.Millisecond // between two configurations of a storm
+	crashSeries      = 5                     // crashes of a series
 	softwareVersions = 2                     // of the servers, which change at a restart
 	stopTimeout      = shutdownGrace + 3*time.Second
 )
@@ -139,6 +140,8 @@
 		return "limit:" + server.URL, func(ctx context.Context) bool { return setServerLimit(ctx, server, f.Duration) }
 	case serverRestart:
 		return "end:" + server.URL, func(context.Context) bool { return j.restartServer(server, f.Duration) }
+	case serversCrash:
+		return "crashes", func(ctx context.Context) bool { return j.crashServers(ctx, f.Target, f.Duration) }
 	case serverDrain:
 		return "drain", func(ctx context.Context) bool { return j.drainServer(ctx, server, f.Duration) }
 	case configChange:
@@ -207,6 +210,20 @@
 	return true
 }
 
+// crashServers stops every second server crashSeries times at intervals of twice the given
+// downtime, each time the others than before. They start again with the same IDs.
+func (j *injector) crashServers(ctx context.Context, first int, down time.Duration) bool {
+	for n := range crashSeries {
+		for i, s := range j.deployment.servers() {
+			if (first+n+i)%2 == 0 {
+				s.Restart(down, s.InstanceID())
+			}
+		}
+		duty.Sleep(ctx, 2*down)
+	}
+	return true
+}
+
 // drainServer marks a server as draining for the given duration and records the
 // period.
 func (j *injector) drainServer(ctx context.Context, s *platform.Server, duration time.Duration) bool {
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -33,6 +33,7 @@
 	storeSlow      kind = "store-slow"       // the store responds after a delay
 	storeForgets   kind = "store-forgets"    // the history of the operator's and the servers' records is compacted
 	serverRestart  kind = "server-restart"   // a server stops and starts again with a new ID and other software
+	serversCrash   kind = "servers-crash"    // half of the servers stop and start again with the same IDs, several times in a row
 	serverSlow     kind = "server-slow"      // a server sends events at longer intervals
 	serverBusy     kind = "server-busy"      // a server rejects all requests
 	serverCuts     kind = "server-cuts"      // a server cuts responses off in the middle
@@ -63,6 +64,7 @@
 	storeLate:      {Min: 500 * time.Millisecond, Max: 3 * time.Second},
 	storeSlow:      {Min: time.Second, Max: 4 * time.Second},
 	serverRestart:  {Min: 500 * time.Millisecond, Max: 3 * time.Second},
+	serversCrash:   {Min: 200 * time.Millisecond, Max: 500 * time.Millisecond},
 	serverSlow:     {Min: time.Second, Max: 4 * time.Second},
 	serverBusy:     {Min: 500 * time.Millisecond, Max: 3 * time.Second},
 	serverCuts:     {Min: 500 * time.Millisecond, Max: 2 * time.Second},
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -24,6 +24,8 @@
 	lostResponses  = 3                      // of the log, per fault
 	logDelay       = 300 * time.Millisecond // of each response of the log
 	slowFactor     = 10                     // of an engine in mode "slow"
+	crashSeries    = 5                      // crashes of a series
+	crashInterval  = 300 * time.Millisecond // between two of them
 	faultRingSize  = 64                     // waiting faults of one queue
 	controlTimeout = time.Second
 )
@@ -106,6 +108,8 @@
 	switch f.Kind {
 	case engineCrash:
 		return "end:" + engine.Name, j.crash(engine)
+	case engineCrashes:
+		return "crashes", func(ctx context.Context) bool { return j.crashEngines(ctx, f.Target) }
 	case plainCrash:
 		return "end:" + plain.Name, j.crash(plain)
 	case engineKill:
@@ -196,6 +200,17 @@
 	}
 }
 
+// crashEngines crashes crashSeries engines, one after another. It reports whether one of
+// them was running.
+func (j *injector) crashEngines(ctx context.Context, first int) bool {
+	crashed := false
+	for n := range crashSeries {
+		crashed = j.crash(j.deployment.engines[(first+n)%engineCount])(ctx) || crashed
+		duty.Sleep(ctx, crashInterval)
+	}
+	return crashed
+}
+
 // setMode sets the mode of a stand-in for a duration.
 func (j *injector) setMode(s *supervise.Process, mode string, duration time.Duration) func(context.Context) bool {
 	return func(ctx context.Context) bool {
--- a/bench/soak/schedule.go
+++ b/bench/soak/schedule.go
@@ -17,6 +17,7 @@
 // The kinds of faults.
 const (
 	engineCrash       kind = "engine-crash"
+	engineCrashes     kind = "engine-crashes" // engines crash one after another, several times
 	engineKill        kind = "engine-kill"
 	engineHang        kind = "engine-hang"
 	engineSlow        kind = "engine-slow"
@@ -47,7 +48,7 @@
 
 // faultDurations has the durations of every kind; zero for instantaneous faults.
 var faultDurations = map[kind]durationRange{
-	engineCrash: {}, engineKill: {}, plainCrash: {}, daemonKill: {}, daemonTerm: {}, listRace: {},
+	engineCrash: {}, engineCrashes: {}, engineKill: {}, plainCrash: {}, daemonKill: {}, daemonTerm: {}, listRace: {},
 	weightSwap: {}, weightSwapPartway: {}, trainerKill: {}, trainerStale: {}, killerRequest: {}, logLostResponses: {},
 	engineHang:     {Min: 500 * time.Millisecond, Max: 4 * time.Second},
 	engineSlow:     {Min: time.Second, Max: 4 * time.Second},
