--- a/bench/load/arrivals.go
+++ b/bench/load/arrivals.go
@@ -116,14 +116,24 @@
 	engines    []int         // indexes
 }
 
-// drawBursts draws the slowdowns of a phase, which are the same for each policy.
-func drawBursts(e *Experiment, repeat int) []burst {
+// drawSlowdowns draws the slowdowns of a phase, which are the same for each policy.
+func drawSlowdowns(e *Experiment, repeat int) []burst {
 	s := e.Slowdowns
+	return drawBursts(e, repeat, s.EngineFraction, s.BurstDuration, s.BurstGap)
+}
+
+// drawCrashes draws the crashes of a phase, which are the same for each policy.
+func drawCrashes(e *Experiment, repeat int) []burst {
+	return drawBursts(e, repeat, e.Crashes.EngineFraction, e.Crashes.DownTime, e.Crashes.Gap)
+}
+
+// drawBursts draws a fraction of the engines for each burst of a phase.
+func drawBursts(e *Experiment, repeat int, fraction float64, duration, gap time.Duration) []burst {
 	rnd := rand.New(rand.NewPCG(e.Seed+uint64(repeat), math.MaxUint32))
-	count := max(1, int(math.Round(s.EngineFraction*float64(e.Engines.Count))))
+	count := max(1, int(math.Round(fraction*float64(e.Engines.Count))))
 	var all []burst
-	for start := s.BurstGap / 2; start < e.Warmup+e.Duration; start += s.BurstDuration + s.BurstGap {
-		all = append(all, burst{start: start, end: start + s.BurstDuration, engines: rnd.Perm(e.Engines.Count)[:count]})
+	for start := gap / 2; start < e.Warmup+e.Duration; start += duration + gap {
+		all = append(all, burst{start: start, end: start + duration, engines: rnd.Perm(e.Engines.Count)[:count]})
 	}
 	return all
 }
--- a/bench/load/deployment.go
+++ b/bench/load/deployment.go
@@ -193,17 +193,15 @@
 	return out, nil
 }
 
-// setSlowFactor slows an engine down by a factor; factor 1 ends the slowdown.
-func (d *deployment) setSlowFactor(ctx context.Context, engineIndex int, factor float64) error {
-	mode := "normal"
-	if factor != 1 {
-		mode = "slow"
-	}
-	body := struct {
-		Mode   string  `json:"mode"`
-		Factor float64 `json:"factor"`
-	}{mode, factor}
-	return fleet.PostJSON(ctx, d.engines[engineIndex].Address, "/control", body)
+// engineMode is a mode of the stand-in engines.
+type engineMode struct {
+	Mode   string  `json:"mode"`
+	Factor float64 `json:"factor,omitempty"` // by which a slow engine takes longer
+}
+
+// setMode sets the mode of an engine.
+func (d *deployment) setMode(ctx context.Context, engineIndex int, mode engineMode) error {
+	return fleet.PostJSON(ctx, d.engines[engineIndex].Address, "/control", mode)
 }
 
 // counters are sums of the daemons' counters.
--- a/bench/load/disturb.go
+++ b/bench/load/disturb.go
@@ -40,27 +40,37 @@
 
 // runSlowdowns runs the bursts of slowdowns until the last one or the end of ctx.
 func (p *phase) runSlowdowns(ctx context.Context) error {
+	return p.runBursts(ctx, drawSlowdowns(p.experiment, p.repeat), engineMode{Mode: "slow", Factor: p.experiment.Slowdowns.Factor})
+}
+
+// runCrashes runs the crashes until the last one or the end of ctx.
+func (p *phase) runCrashes(ctx context.Context) error {
+	return p.runBursts(ctx, drawCrashes(p.experiment, p.repeat), engineMode{Mode: "cut"})
+}
+
+// runBursts sets the mode of the engines of each burst for its duration.
+func (p *phase) runBursts(ctx context.Context, bursts []burst, mode engineMode) error {
 	start := time.Now()
-	for _, b := range drawBursts(p.experiment, p.repeat) {
+	for _, b := range bursts {
 		if !waitUntil(ctx, start.Add(b.start)) {
 			return nil
 		}
-		if err := p.setSlowFactors(ctx, b.engines, p.experiment.Slowdowns.Factor); err != nil {
+		if err := p.setModes(ctx, b.engines, mode); err != nil {
 			return ignoreAfterEnd(ctx, err)
 		}
 		if !waitUntil(ctx, start.Add(b.end)) {
 			return nil
 		}
-		if err := p.setSlowFactors(ctx, b.engines, 1); err != nil {
+		if err := p.setModes(ctx, b.engines, engineMode{Mode: "normal", Factor: 1}); err != nil {
 			return ignoreAfterEnd(ctx, err)
 		}
 	}
 	return nil
 }
 
-func (p *phase) setSlowFactors(ctx context.Context, engines []int, factor float64) error {
+func (p *phase) setModes(ctx context.Context, engines []int, mode engineMode) error {
 	for _, i := range engines {
-		if err := p.deployment.setSlowFactor(ctx, i, factor); err != nil {
+		if err := p.deployment.setMode(ctx, i, mode); err != nil {
 			return err
 		}
 	}
--- a/bench/load/experiment.go
+++ b/bench/load/experiment.go
@@ -33,6 +33,7 @@
 	Classes     []Class     `yaml:"classes"`
 	Trainers    []Trainer   `yaml:"trainers"`
 	Slowdowns   Slowdowns   `yaml:"slowdowns"`
+	Crashes     Crashes     `yaml:"crashes"`
 	WeightSwaps WeightSwaps `yaml:"swaps"`
 	// Variants are run for each policy. The others are compared with the first.
 	Variants []Variant `yaml:"variants"`
@@ -97,6 +98,14 @@
 	BurstGap       time.Duration `yaml:"gap"`    // between two bursts
 }
 
+// Crashes configures crashes in series: short bursts in which some engines cut all
+// connections.
+type Crashes struct {
+	EngineFraction float64       `yaml:"part"` // fraction of the engines, drawn anew for each burst
+	DownTime       time.Duration `yaml:"down"` // of each burst
+	Gap            time.Duration `yaml:"gap"`  // between two bursts
+}
+
 // WeightSwaps configures the periodic announcement of new weight versions.
 type WeightSwaps struct {
 	Interval time.Duration `yaml:"every"` // zero: no swaps
@@ -108,9 +117,10 @@
 	// Classes are the classes that run; empty: all. The arrivals of a class are
 	// the same in each variant.
 	Classes []string `yaml:"classes"`
-	Slowed  bool     `yaml:"slowed"` // runs the experiment's slowdowns
-	Direct  bool     `yaml:"direct"` // sends requests to the engines, without daemons
-	Rate    float64  `yaml:"rate"`   // requests per second over all classes; overrides Load
+	Slowed  bool     `yaml:"slowed"`  // runs the experiment's slowdowns
+	Crashed bool     `yaml:"crashed"` // runs the experiment's crashes
+	Direct  bool     `yaml:"direct"`  // sends requests to the engines, without daemons
+	Rate    float64  `yaml:"rate"`    // requests per second over all classes; overrides Load
 	// Weights overrides the experiment's weights of the lanes.
 	Weights *Weights `yaml:"weights"`
 	// NoTrainers runs the variant without the trainers.
@@ -164,7 +174,7 @@
 			return api.Errorf(api.CodeInvalid, "class %q: share, customers, min_tokens and prefixes must be above 0, max_tokens at least min_tokens", c.Name)
 		}
 	}
-	s := e.Slowdowns
+	s, c := e.Slowdowns, e.Crashes
 	for _, v := range e.Variants {
 		if v.Rate <= 0 && e.Load <= 0 {
 			return api.Errorf(api.CodeInvalid, "variant %q: rate or the experiment's load is required", v.Name)
@@ -172,6 +182,9 @@
 		if v.Slowed && (s.EngineFraction <= 0 || s.Factor <= 0 || s.BurstDuration <= 0 || s.BurstGap <= 0) {
 			return api.Errorf(api.CodeInvalid, "variant %q: slowdowns require part, factor, burst and gap above 0", v.Name)
 		}
+		if v.Crashed && (c.EngineFraction <= 0 || c.DownTime <= 0 || c.Gap <= 0) {
+			return api.Errorf(api.CodeInvalid, "variant %q: crashes require part, down and gap above 0", v.Name)
+		}
 		for _, name := range v.Classes {
 			if !slices.ContainsFunc(e.Classes, func(c Class) bool { return c.Name == name }) {
 				return api.Errorf(api.CodeInvalid, "variant %q: unknown class %q", v.Name, name)
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -94,14 +94,14 @@
 
 func TestBurstsDoNotOverlap(t *testing.T) {
 	e := loadExperiment(t, "slowdowns")
-	all := drawBursts(e, 1)
+	all := drawSlowdowns(e, 1)
 	assert.Assert(t, len(all) > 2)
 	for i, b := range all {
 		assert.Equal(t, len(b.engines), 2)
 		assert.Assert(t, b.engines[0] != b.engines[1])
 		assert.Assert(t, i == 0 || b.start >= all[i-1].end+e.Slowdowns.BurstGap)
 	}
-	assert.DeepEqual(t, all[0].engines, drawBursts(e, 1)[0].engines)
+	assert.DeepEqual(t, all[0].engines, drawSlowdowns(e, 1)[0].engines)
 }
 
 func newPhaseResult(e *Experiment, policy, variant string, latency time.Duration, failed int) *PhaseResult {
--- a/bench/load/phase.go
+++ b/bench/load/phase.go
@@ -110,13 +110,16 @@
 	return nil
 }
 
-// startDisturbances starts the variant's slowdowns and weight swaps. The channels
+// startDisturbances starts the variant's slowdowns, crashes and weight swaps. The channels
 // receive their results.
 func (p *phase) startDisturbances(ctx context.Context, system *duty.System) []<-chan error {
 	var disturbances []<-chan error
 	if p.variant.Slowed {
 		disturbances = append(disturbances, startTask(ctx, system, "slowdowns", p.runSlowdowns))
 	}
+	if p.variant.Crashed {
+		disturbances = append(disturbances, startTask(ctx, system, "crashes", p.runCrashes))
+	}
 	if p.experiment.WeightSwaps.Interval > 0 && !p.variant.Direct {
 		disturbances = append(disturbances, startTask(ctx, system, "swaps", p.swapWeights))
 	}
