Leave request limits to runs; poll limited upstreams less often

Cause: polls of a load, 150 ms apart, were charged to the limit like requests, though they need no slot. Change: reports and orders take no tokens; polls of a load are at least as far apart as the limit's requests.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -24,7 +24,6 @@
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
-	"dotterelmount.example/lib/ratelimit"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/sockets"
 	"dotterelmount.example/platform/entry"
@@ -149,7 +148,7 @@
 	upkeepCfg := upkeepConfig
 	upkeepCfg.Self, upkeepCfg.LeaseWait, upkeepCfg.LoadShare = self, n.settings.LeaseWait, n.settings.LoadShare
 	n.upkeep = upkeep.Start(n.system, upkeepCfg, upkeep.Deps{
-		Engine: &chargedClient{n.serverClient, n.throttle.Buckets()}, View: n.View, Snapshot: n.leaseSnapshot, Propose: n.propose,
+		Engine: n.serverClient, View: n.View, Snapshot: n.leaseSnapshot, Propose: n.propose,
 	}, n.log.Logger)
 
 	rewardsCfg := rewardsConfig
@@ -176,25 +175,6 @@
 	}, n.log.Logger))
 }
 
-// chargedClient charges the calls that are not delayed by an upstream's request limit to
-// it.
-type chargedClient struct {
-	generation.Client
-	limits *ratelimit.Buckets
-}
-
-// Report implements generation.Client.
-func (c *chargedClient) Report(ctx context.Context, u *directory.Upstream) (generation.Report, error) {
-	c.limits.Charge(u.ID, time.Now())
-	return c.Client.Report(ctx, u)
-}
-
-// LoadWeights implements generation.Client.
-func (c *chargedClient) LoadWeights(ctx context.Context, u *directory.Upstream, o generation.LoadOrder) (generation.OrderResult, error) {
-	c.limits.Charge(u.ID, time.Now())
-	return c.Client.LoadWeights(ctx, u, o)
-}
-
 // leaseSnapshot returns the leases according to the journal. It is empty before the
 // replica has started.
 func (n *Node) leaseSnapshot() *jobreplica.Snapshot {
--- a/lib/ratelimit/buckets.go
+++ b/lib/ratelimit/buckets.go
@@ -9,12 +9,8 @@
 	"dotterelmount.example/api"
 )
 
-const (
-	// depthTime is the time whose tokens a bucket holds, at least one token.
-	depthTime = time.Second
-	// maxDebt is the number of tokens that charges may overdraw a bucket by.
-	maxDebt = 4
-)
+// depthTime is the time whose tokens a bucket holds, at least one token.
+const depthTime = time.Second
 
 // Never is the wait of a request to an upstream that this daemon has no share of.
 const Never time.Duration = math.MaxInt64
@@ -102,16 +98,6 @@
 	return wait
 }
 
-// Charge takes a token for a call that is not delayed.
-func (b *Buckets) Charge(id api.UpstreamID, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if k, ok := b.buckets[id]; ok {
-		k.refill(now)
-		k.tokens = max(-maxDebt, k.tokens-1)
-	}
-}
-
 // Rate returns the rate at which this daemon may send requests to an upstream, in
 // requests a second; false if it has no limit.
 func (b *Buckets) Rate(id api.UpstreamID) (float64, bool) {
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -100,6 +100,7 @@
 	suspect             bool // as found by this daemon's runs
 	slowUntil           time.Time
 	versions            map[api.ModelName]api.WeightVersion
+	requestLimit        float64                // of the upstream, in requests a second; 0: none
 	proposedAt          time.Time              // time of lastProposal
 	lastProposal        *batch.UpstreamChanged // nil: the log is up to date
 }
@@ -178,6 +179,7 @@
 		state = &heldUpstream{lease: u.LeaseOffset, ordersFrom: ordersFrom, startMillis: listed.StartMillis, versions: maps.Clone(u.Versions)}
 		k.upstreams[u.ID] = state
 	}
+	state.requestLimit = u.RequestLimit
 	if state.startMillis != listed.StartMillis {
 		k.log.Info("upstream restarted", zap.String("upstream", string(u.ID)), zap.Int64("born_ms", listed.StartMillis))
 		state.startMillis, state.loading, state.consecutiveFailures, state.suspect = listed.StartMillis, nil, 0, false
@@ -272,6 +274,15 @@
 	return now.Sub(a.seenAt) >= k.cfg.AnnouncementDelay
 }
 
+// pollInterval returns the time between two polls of a load in progress. Polls need no
+// slot, but an upstream that takes few requests gets few of them too.
+func (k *Upkeep) pollInterval(state *heldUpstream) time.Duration {
+	if state.requestLimit <= 0 {
+		return k.cfg.LoadPollInterval
+	}
+	return max(k.cfg.LoadPollInterval, time.Duration(float64(time.Second)/state.requestLimit))
+}
+
 // handleCallEnd applies the result of a call to the upstream's state.
 func (k *Upkeep) handleCallEnd(c *call) {
 	now := k.cfg.Now()
@@ -281,9 +292,10 @@
 		return
 	}
 	state.calling = false
-	state.nextCall = now.Add(k.cfg.LoadPollInterval)
+	interval := k.pollInterval(state)
+	state.nextCall = now.Add(interval)
 	if c.ordered {
-		state.nextCall = now.Add(max(k.cfg.LoadPollInterval, time.Duration(loadPollFraction*float64(k.lastLoadTime))))
+		state.nextCall = now.Add(max(interval, time.Duration(loadPollFraction*float64(k.lastLoadTime))))
 	}
 	fields := []zap.Field{zap.String("upstream", string(id)), zap.Uint64("lease", uint64(state.lease)), zap.Any("report", c.report), zap.Error(c.err)}
 	if c.ordered {
