Retry a tried upstream before a request is refused for a request limit

A request whose only other upstreams had limits without room was refused though one that it had tried could take it again, as without limits. The order of the candidates is now: waits, backs off, tried, limited too long, draining. TestUpstreamWithRoomInItsLimitIsPickedFirst covers it (changed with it: tried before limited too long).

--- a/lib/opaque/pick.go
+++ b/lib/opaque/pick.go
@@ -40,9 +40,9 @@
 	switch {
 	case a.Upstream.Draining:
 		return 6
-	case a.Tried:
-		return 5
 	case a.TooLate:
+		return 5
+	case a.Tried:
 		return 4
 	case a.BackingOff:
 		return 3
--- a/lib/opaque/pick_test.go
+++ b/lib/opaque/pick_test.go
@@ -17,7 +17,7 @@
 	failing := Candidate{Upstream: &directory.Upstream{ID: "failing"}, BackingOff: true}
 	never := Candidate{Upstream: &directory.Upstream{ID: "never"}, Wait: time.Minute, TooLate: true}
 	tried := Candidate{Upstream: &directory.Upstream{ID: "tried"}, Tried: true}
-	for _, want := range [][]Candidate{{busy, soon, late, failing}, {soon, late, failing}, {late, failing}, {failing, never, tried}, {never, tried}} {
+	for _, want := range [][]Candidate{{busy, soon, late, failing}, {soon, late, failing}, {late, failing}, {failing, tried, never}, {tried, never}} {
 		got, ok := c.Pick(want)
 		assert.Assert(t, ok)
 		assert.Equal(t, got.Upstream.ID, want[0].Upstream.ID)
