--- a/bench/hostedsoak/load.go
+++ b/bench/hostedsoak/load.go
@@ -46,8 +46,8 @@
 	requests     []requestRecord
 	killerCount  int
 	sent         atomic.Int64 // streams
-	notContinued []time.Time  // ends of streams that were taken up again and not completed
-	takeUps      map[int]int  // attempts to take a stream up again, by status; 0: no complete response
+	notContinued []time.Time  // ends of streams that were resumed and not completed
+	resumptions  map[int]int  // attempts to resume a stream, by status; 0: no complete response
 }
 
 // run sends requests until ctx ends and returns when the last one has ended.
@@ -92,7 +92,7 @@
 	record.Response = l.deployment.client.Send(context.WithoutCancel(ctx), l.deployment.callerAddresses[daemon], call)
 	record.End = time.Now()
 	if path == streamPath && record.Err != nil {
-		l.takeUp(ctx, &record, call)
+		l.resume(ctx, &record, call)
 	}
 	record.Mismatch = responseMismatch(record, call)
 	record.Body = nil // already checked; keeping the bodies of a long soak would use too much memory
@@ -103,21 +103,21 @@
 }
 
 const (
-	leaveEvery     = 4                      // callers leave every fourth stream midway and take it up again
-	maxTakeUps     = 6                      // of one stream
-	takeUpInterval = 200 * time.Millisecond // after one that failed
+	leaveEvery     = 4                      // callers leave every fourth stream midway and resume it
+	maxResumptions = 6                      // of one stream
+	resumeInterval = 200 * time.Millisecond // after one that failed
 )
 
-// takeUp takes up a stream that broke off after some events, at the daemons in turn. If it
+// resume resumes a stream that broke off after some events, at the daemons in turn. If it
 // ends complete, the record has the whole stream.
-func (l *load) takeUp(ctx context.Context, record *requestRecord, call platform.Call) {
-	for n := range maxTakeUps {
+func (l *load) resume(ctx context.Context, record *requestRecord, call platform.Call) {
+	for n := range maxResumptions {
 		whole := record.Body[:strings.LastIndex("\n\n"+string(record.Body), "\n\n")]
 		call.LastEventID = strings.Count(string(whole), "\n\n")
 		if record.Err == nil || call.LastEventID == 0 {
 			return
 		}
-		if n > 0 && !duty.Sleep(ctx, takeUpInterval) {
+		if n > 0 && !duty.Sleep(ctx, resumeInterval) {
 			return
 		}
 		call.LeaveAfter = 0
@@ -128,7 +128,7 @@
 		if resp.Err != nil {
 			status = 0
 		}
-		l.takeUps[status]++
+		l.resumptions[status]++
 		l.mu.Unlock()
 		if resp.Status != http.StatusOK {
 			continue
--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -32,7 +32,7 @@
 		return err
 	}
 	j := newInjector(d)
-	l := &load{deployment: d, seed: r.Seed, takeUps: make(map[int]int)}
+	l := &load{deployment: d, seed: r.Seed, resumptions: make(map[int]int)}
 	var trainers []*trainer
 	for i, model := range models {
 		trainers = append(trainers, &trainer{deployment: d, model: model, result: r, injector: j, rng: rand.New(rand.NewPCG(r.Seed, uint64(memberThreads+i)))})
@@ -59,7 +59,7 @@
 	r.evaluateExits(exits)
 	r.evaluateFaults(j)
 	r.Probes = int(r.probes.Load())
-	r.TakeUps = l.takeUps
+	r.Resumptions = l.resumptions
 	for _, end := range l.notContinued {
 		if end.After(limits.begin) && end.Before(limits.end) {
 			r.Countf(&r.NotContinued, "a stream broken off at %s was not completed", end.Format("15:04:05.000"))
--- a/bench/hostedsoak/result.go
+++ b/bench/hostedsoak/result.go
@@ -34,8 +34,8 @@
 	EvaluatedKillers  int            `json:"killers_judged"`       // killer requests that crashed three servers
 	LimitsExceeded    int            `json:"limits_exceeded"`      // servers that got more requests than the limit that they named allows
 	LimitedRequests   int            `json:"limited_requests"`     // most requests within limitWindow at a server that named a limit
-	NotContinued      int            `json:"not_continued"`        // streams of the calm phase that were taken up again and not completed
-	TakeUps           map[int]int    `json:"take_ups"`             // attempts to take up a stream again, by status; 0: no complete response
+	NotContinued      int            `json:"not_continued"`        // streams of the calm phase that were resumed and not completed
+	Resumptions       map[int]int    `json:"resumptions"`          // attempts to resume a stream, by status; 0: no complete response
 	TwoHolders        int            `json:"two_holders"`          // fencing tokens that two daemons used at the same server
 	ConfigReverts     int            `json:"config_reverts"`       // probes that missed a version found earlier in the same process
 	ConfigLate        int            `json:"config_late"`          // probes that missed a version later than maxApplyDelay after its publication
@@ -97,7 +97,7 @@
 	c.Check(r.KillerRetries <= maxKillerRetries, "killer_retries")
 	c.Check(r.EvaluatedKillers > 0, "killers_judged")
 	c.Check(r.NotContinued == 0, "not_continued")
-	c.Check(r.TakeUps[http.StatusOK] > 0, "take_ups")
+	c.Check(r.Resumptions[http.StatusOK] > 0, "resumptions")
 	c.Check(r.LimitsExceeded == 0, "limits_exceeded")
 	c.Check(r.LimitedRequests > 0, "limited_requests")
 	c.Check(r.TwoHolders == 0, "two_holders")
--- a/cmd/dotterelmountd/internal/hosted/software_test.go
+++ b/cmd/dotterelmountd/internal/hosted/software_test.go
@@ -83,13 +83,13 @@
 	return resp.StatusCode, got.String()
 }
 
-// Guards against streams that a client takes up again at other software than began them,
+// Guards against streams that a client resumes at other software than began them,
 // also after all daemons were lost.
-func TestStreamIsTakenUpOnlyAtItsSoftwareVersion(t *testing.T) {
+func TestStreamIsResumedOnlyAtItsSoftwareVersion(t *testing.T) {
 	for name, c := range map[string]struct {
 		newer     int // first server with newer software
 		allKilled bool
-		want      int // status of the take-up
+		want      int // status of the resumed stream
 	}{
 		"old version serves, daemons lost":  {newer: 1, allKilled: true, want: http.StatusOK},
 		"old version serves":                {newer: 1, want: http.StatusOK},
--- a/lib/batch/software.go
+++ b/lib/batch/software.go
@@ -6,7 +6,7 @@
 	"dotterelmount.example/api"
 )
 
-// streamState is a stream that may be taken up again.
+// streamState is a stream that may be resumed.
 type streamState struct {
 	service, software string
 	atMillis          int64 // its beginning, in Unix milliseconds
@@ -22,8 +22,8 @@
 }
 
 // StreamOrigin returns the service and the version of the software that began a stream. If
-// id is empty, they are known only if all streams of the service that may be taken up
-// began at one version. Errors: *UnknownStreamError.
+// id is empty, they are known only if all streams of the service that may be
+// resumed began at one version. Errors: *UnknownStreamError.
 func (s *State) StreamOrigin(service string, id api.RequestID) (originService, software string, err error) {
 	if id != "" {
 		if stream, ok := s.streams[id]; ok {
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -30,7 +30,7 @@
 	// Owed is set if the request belongs to an accepted job: it is repeated until it is
 	// done, and crashes of upstreams are not attributed to it.
 	Owed bool
-	// LastEvent is the number of the event after which the client takes a stream up again;
+	// LastEvent is the number of the event after which the client resumes a stream;
 	// 0: it requests the whole stream. Resumes is the request that brought the stream's
 	// first event; empty: the client names none.
 	LastEvent int
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -22,7 +22,7 @@
 	events    *ring.Ring[opaque.Event]
 	lastEvent atomic.Int64 // number of the last event forwarded
 	// software is the version of the upstream that generated the first event, or that of
-	// the stream that the request takes up again; empty: no event was forwarded. One attempt
+	// the stream that the request resumes; empty: no event was forwarded. One attempt
 	// at a time accesses it.
 	software string
 }
@@ -33,7 +33,7 @@
 	// Began records the software of a stream. It returns when that is stored or takes too
 	// long; it is then stored later.
 	Began(ctx context.Context, q *opaque.Request, software string)
-	// Origin returns where the stream began that a request takes up again. It fails if
+	// Origin returns where the stream began that a request resumes. It fails if
 	// that is unknown.
 	Origin(ctx context.Context, q *opaque.Request) (opaque.StreamOrigin, error)
 }
@@ -49,7 +49,7 @@
 	j := newJob(ctx, q)
 	j.stream = &stream{head: ring.NewSlot[*opaque.Response](), events: ring.New[opaque.Event](streamRingSize)}
 	if q.LastEvent > 0 && q.Route.Resumable {
-		if err := r.takeUp(ctx, j); err != nil {
+		if err := r.bindToOrigin(ctx, j); err != nil {
 			return nil, "", err
 		}
 	}
@@ -73,16 +73,16 @@
 	return r.wait(j)
 }
 
-// takeUp binds a job to the service and software that began the stream that its caller
-// takes up again. Errors: *opaque.NotRunError if they are unknown or the route leads to
+// bindToOrigin binds a job to the service and software that began the stream that its caller
+// resumes. Errors: *opaque.NotRunError if they are unknown or the route leads to
 // other services now.
-func (r *Relay) takeUp(ctx context.Context, j *job) error {
+func (r *Relay) bindToOrigin(ctx context.Context, j *job) error {
 	q := j.request
 	origin, err := r.cfg.Streams.Origin(ctx, q)
 	if err == nil && !q.Route.RoutesTo(origin.Service) {
 		err = &opaque.FailedError{Reason: "the route doesn't lead to service " + origin.Service}
 	}
-	r.log.Info("stream taken up", zap.String("request", string(q.ID)), zap.String("resumes", string(q.Resumes)), zap.Int("after", q.LastEvent),
+	r.log.Info("stream resumed by its caller", zap.String("request", string(q.ID)), zap.String("resumes", string(q.Resumes)), zap.Int("after", q.LastEvent),
 		zap.String("service", origin.Service), zap.String("software", origin.Software), zap.Error(err))
 	if err != nil {
 		return &opaque.NotRunError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}
--- a/server/relay/stream_test.go
+++ b/server/relay/stream_test.go
@@ -95,7 +95,7 @@
 	}
 }
 
-func TestUnknownStreamIsNotTakenUp(t *testing.T) {
+func TestUnknownStreamIsNotResumed(t *testing.T) {
 	s := &streamingExchanger{attempts: 1}
 	r := start(t, s, directory.Upstream{ID: "a", Software: "v1"}, directory.Upstream{ID: "b", Software: "v2"})
 	for origin, want := range map[opaque.StreamOrigin]int{
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -27,7 +27,7 @@
 	Model        string // empty for a plain service
 	Body         []byte
 	Deadline     time.Duration // timeout of the attempt, also sent to the daemon
-	Resumes      string        // attempt that brought the first event of a stream that is taken up again
+	Resumes      string        // attempt that brought the first event of a stream that is resumed
 	LeaveAfter   int           // the caller disconnects after this many events; zero: it stays
 	LastEventID  int           // number of the last event of that stream; zero: no header is sent
 	Wait         time.Duration // how long the daemon may wait for new results; zero: no header is sent
