Record crashes under owed requests as evidence for others

A sound member's request was quarantined as alone on two upstreams that had crashed in series, though parts of steps of other daemons ran beside it. Cause: owed requests recorded no strikes any more, and the strikes of other daemons are what shows that a request was not alone. Change: strikes are recorded for all requests, as before; owed requests are only exempt from being refused and isolated. TestOwedRequestRunsAfterCrashesInSeries checks the strikes and failed before.

--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -127,17 +127,17 @@
 }
 
 // recordStrikes records a strike for each fingerprint that was running on the
-// crashed upstream, except those of owed requests only.
+// crashed upstream. Those of owed requests are not held against them, but show that
+// others were not alone there.
 func (h *handler) recordStrikes(check *crashCheck, u *upstreamState, now time.Time) {
-	struck := make(map[api.Fingerprint]bool)
+	var fingerprints []api.Fingerprint
 	for _, f := range check.flights {
-		struck[f.job.Fingerprint] = struck[f.job.Fingerprint] || !f.job.Owed
-	}
-	for fp, counts := range struck {
-		if !counts {
-			continue
+		if !slices.Contains(fingerprints, f.job.Fingerprint) {
+			fingerprints = append(fingerprints, f.job.Fingerprint)
 		}
-		s := api.Strike{Fingerprint: fp, Upstream: u.info.ID, Alone: len(struck) == 1, AtMillis: now.UnixMilli()}
+	}
+	for _, fp := range fingerprints {
+		s := api.Strike{Fingerprint: fp, Upstream: u.info.ID, Alone: len(fingerprints) == 1, AtMillis: now.UnixMilli()}
 		h.addUnloggedStrike(unloggedStrike{Strike: s})
 		crashStrikes.Add(1)
 		if h.cfg.ReportStrike != nil {
--- a/server/dispatch/dispatch_test.go
+++ b/server/dispatch/dispatch_test.go
@@ -563,7 +563,10 @@
 		}
 		return sendTokens(delta, 1, 0, 4)
 	}
-	d := start(t, f, state(8, "a", "b", "c", "d", "e", "f", "g"), nil)
+	var strikes atomic.Int32
+	d := start(t, f, state(8, "a", "b", "c", "d", "e", "f", "g"), func(c *dispatch.Config) {
+		c.ReportStrike = func(api.Strike) { strikes.Add(1) }
+	})
 	for try := 1; ; try++ {
 		c := newCollector()
 		j := job(api.RequestID(fmt.Sprint("try", try)), c)
@@ -577,4 +580,5 @@
 		assert.Assert(t, try < 6, "%v", res.Err)
 	}
 	assert.Equal(t, crashes.Load(), int32(6))
+	assert.Equal(t, strikes.Load(), int32(5), "other daemons must learn that their requests were not alone")
 }
