Count an item that waits for a request limit as demand after each move

An item that was moved from one limited upstream to another of the same daemon was counted as demand only for the first: if others wanted the second, the daemon had no share of it until another item came, and the item was moved on every 2 s. Cause: the wait was kept by item only. Change: by item and upstream, and anew after each move. The count of requests within a window is one function of the stand-in now.

--- a/bench/hostedsoak/limits.go
+++ b/bench/hostedsoak/limits.go
@@ -43,23 +43,7 @@
 // named it.
 func (r *Result) evaluateLimits(d *deployment, p limitPeriod) {
 	for _, s := range d.servers() {
-		var at []time.Time
-		for _, t := range s.ReceivedWhileLimited() {
-			if t.After(p.begin) && t.Before(p.end) {
-				at = append(at, t)
-			}
-		}
-		most, first := 0, 0
-		for i, t := range at {
-			if t.Sub(at[0]) < reconnectTime {
-				first = i + 1
-				continue
-			}
-			for t.Sub(at[first]) >= limitWindow {
-				first++
-			}
-			most = max(most, i-first+1)
-		}
+		most := s.MostReceived(p.begin, p.end, reconnectTime, limitWindow)
 		r.LimitedRequests = max(r.LimitedRequests, most)
 		if float64(most) > 1.5*calmLimit*limitWindow.Seconds()+5 {
 			r.Countf(&r.LimitsExceeded, "%s got %d requests in %s at a limit of %d a second", s.InstanceID(), most, limitWindow, calmLimit)
--- a/cmd/dotterelmountd/internal/hosted/throttle_test.go
+++ b/cmd/dotterelmountd/internal/hosted/throttle_test.go
@@ -21,29 +21,12 @@
 	limitGrace  = 3 * time.Second
 )
 
-// mostReceived returns the most requests that a server got within limitWindow, from
-// limitGrace after the first request to which it named its limit.
-func mostReceived(s *platform.Server) int {
-	at := s.ReceivedWhileLimited()
-	most, first := 0, 0
-	for i, t := range at {
-		if t.Sub(at[0]) < limitGrace {
-			first = i + 1
-			continue
-		}
-		for t.Sub(at[first]) >= limitWindow {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // Guards against servers that get more requests from all daemons than they name.
 func TestAllDaemonsTogetherKeepRequestLimit(t *testing.T) {
 	d := newDeployment(t, 3)
 	defer d.stopAll()
 	const engineLimit, plainLimit, duration = 3, 6, 9 * time.Second
+	begin := time.Now()
 	for i := range d.models {
 		d.models[i].SetRequestLimit(engineLimit)
 		d.plain[i].SetRequestLimit(plainLimit)
@@ -56,8 +39,10 @@
 		<-time.After(time.Second)
 	}
 	for i := range d.models {
-		assert.Check(t, float64(mostReceived(d.models[i])) <= limitBound(engineLimit), "engine %d: %d requests", i, mostReceived(d.models[i]))
-		assert.Check(t, float64(mostReceived(d.plain[i])) <= limitBound(plainLimit), "plain server %d: %d requests", i, mostReceived(d.plain[i]))
+		ofEngine := d.models[i].MostReceived(begin, time.Now(), limitGrace, limitWindow)
+		ofPlain := d.plain[i].MostReceived(begin, time.Now(), limitGrace, limitWindow)
+		assert.Check(t, float64(ofEngine) <= limitBound(engineLimit), "engine %d: %d requests", i, ofEngine)
+		assert.Check(t, float64(ofPlain) <= limitBound(plainLimit), "plain server %d: %d requests", i, ofPlain)
 	}
 	// Half of what the servers take shows that callers are still served.
 	assert.Check(t, float64(served()) >= duration.Seconds()*plainLimit*3/2, "%d served", served())
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -81,20 +81,20 @@
 // Runner controls the duties. The fields from wanted on are accessed only on the
 // duty that starts and cancels runs.
 type Runner struct {
-	cfg          Config
-	deps         Deps
-	log          *zap.Logger
-	duty         *duty.Duty[any]
-	workers      *duty.Pool[*run]
-	wanted       map[batch.ItemKey]batch.Run
-	applied      batch.Offset
-	active       map[batch.ItemKey]*run
-	busyCounts   map[batch.ItemKey]int
-	retryAt      map[batch.ItemKey]time.Time
-	limitedSince map[batch.ItemKey]time.Time // when an item began to wait for a request limit
-	startedRuns  int
-	intervals    map[api.UpstreamID]*intervalState
-	measuredAt   time.Time // when event intervals were last measured
+	cfg         Config
+	deps        Deps
+	log         *zap.Logger
+	duty        *duty.Duty[any]
+	workers     *duty.Pool[*run]
+	wanted      map[batch.ItemKey]batch.Run
+	applied     batch.Offset
+	active      map[batch.ItemKey]*run
+	busyCounts  map[batch.ItemKey]int
+	retryAt     map[batch.ItemKey]time.Time
+	limited     map[batch.ItemKey]limitWait // items that wait for a request limit
+	startedRuns int
+	intervals   map[api.UpstreamID]*intervalState
+	measuredAt  time.Time // when event intervals were last measured
 }
 
 // update replaces the set of wanted runs.
@@ -126,7 +126,7 @@
 	r := &Runner{
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.ItemKey]*run),
 		intervals: make(map[api.UpstreamID]*intervalState), busyCounts: make(map[batch.ItemKey]int), retryAt: make(map[batch.ItemKey]time.Time),
-		limitedSince: make(map[batch.ItemKey]time.Time),
+		limited: make(map[batch.ItemKey]limitWait),
 	}
 	w := &worker{cfg: cfg, deps: deps, log: log, postEnd: func(ctx context.Context, active *run) { _ = r.duty.PostWait(ctx, active) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Workers, func() duty.Handler[*run] { return w })
@@ -189,9 +189,9 @@
 			delete(r.busyCounts, key)
 		}
 	}
-	for key := range r.limitedSince {
+	for key := range r.limited {
 		if _, ok := r.wanted[key]; !ok {
-			delete(r.limitedSince, key)
+			delete(r.limited, key)
 		}
 	}
 }
@@ -253,30 +253,6 @@
 	}
 }
 
-// admit reports whether the request limit of an item's upstream allows a run now. An item
-// that has to wait long is moved to another upstream.
-func (r *Runner) admit(key batch.ItemKey, wanted batch.Run, now time.Time) bool {
-	since, waiting := r.limitedSince[key]
-	if !waiting {
-		r.deps.Limits.Want(wanted.Upstream)
-	}
-	wait := r.deps.Limits.Take(wanted.Upstream, now)
-	if wait == 0 {
-		delete(r.limitedSince, key)
-		return true
-	}
-	r.retryAt[key] = now.Add(min(wait, r.cfg.RetryDelay))
-	switch {
-	case !waiting:
-		r.limitedSince[key] = now
-		r.log.Info("run waits for a request limit", zap.String("job", string(key.Job)), zap.String("item", string(key.Item)), zap.String("upstream", string(wanted.Upstream)))
-	case now.Sub(since) >= r.cfg.MaxLimitWait:
-		r.limitedSince[key] = now
-		r.proposeMove(key, wanted, "the upstream's request limit leaves no room")
-	}
-	return false
-}
-
 // handleEnd decides after a run whether its item is retried, moved or failed.
 func (r *Runner) handleEnd(active *run) {
 	active.cancel()
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -238,12 +238,29 @@
 	s.requestLimit = perSecond
 }
 
-// ReceivedWhileLimited returns when requests of all kinds arrived while the server named
-// a limit, oldest first.
-func (s *Server) ReceivedWhileLimited() []time.Time {
+// MostReceived returns the most requests of all kinds that arrived within a window between
+// two times while the server named a limit, from grace after the first of them.
+func (s *Server) MostReceived(begin, end time.Time, grace, window time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.received)
+	var at []time.Time
+	for _, t := range s.received {
+		if t.After(begin) && t.Before(end) {
+			at = append(at, t)
+		}
+	}
+	most, first := 0, 0
+	for i, t := range at {
+		if t.Sub(at[0]) < grace {
+			first = i + 1
+			continue
+		}
+		for t.Sub(at[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
 }
 
 // nameLimit names the request limit in a response, if there is one.
