--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -146,6 +146,13 @@
 	s.writeEntry()
 }
 
+// Draining reports whether the server's entry has the state draining.
+func (s *Server) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // Restart aborts all requests and takes the server down for the given duration. It
 // then starts again with the given instance id; of its state, only the weights are
 // kept.
