--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -229,13 +229,13 @@
 // noteChanges records what may have changed. Records without effect count too, as the
 // runner may wait for them.
 func (j *JobReplica) noteChanges(r batch.Record, changed bool) {
-	noRuns := false
+	mayConcernRuns := true
 	switch r.(type) {
 	case *batch.DaemonAlive, *batch.DemandReported, *batch.StreamBegan:
-		noRuns = true
+		mayConcernRuns = false
 	}
-	j.unpublished.any = j.unpublished.any || changed || !noRuns
-	j.unpublished.runs = j.unpublished.runs || !noRuns
+	j.unpublished.any = j.unpublished.any || changed || mayConcernRuns
+	j.unpublished.runs = j.unpublished.runs || mayConcernRuns
 	j.unpublished.upstreams = j.unpublished.upstreams || changed && batch.ChangesUpstreams(r)
 }
 
