Publish the state before the verdicts of proposals

An operator could read an older list at a daemon right after that daemon had accepted a newer one. Cause: the applier ended proposals before it published the state with their records. Change: the state is published first. TestStateHasProposalOnceItsVerdictIsKnown reads the state from the verdict's callback: it failed three of three times before.

--- a/server/statereplica/applier.go
+++ b/server/statereplica/applier.go
@@ -126,8 +126,9 @@
 			continue
 		}
 		before := s.fsm.AppliedOffset()
-		a.resolveVerdicts(s.applyRead(batch.Entries, batch.Oldest))
+		verdicts := s.applyRead(batch.Entries, batch.Oldest)
 		a.publishState(batch.Stream, before, batch.Entries)
+		a.resolveVerdicts(verdicts)
 		reply.positions = append(reply.positions, eventlog.Position{Stream: batch.Stream, Offset: s.nextOffset()})
 		reply.atEnd = reply.atEnd && s.nextOffset() >= batch.Next
 	}
@@ -138,8 +139,9 @@
 func (a *applier) handleOffer(entries []eventlog.Entry) {
 	s := a.streams[api.StreamConfig]
 	before := s.fsm.AppliedOffset()
-	a.resolveVerdicts(s.applyOffered(entries))
+	verdicts := s.applyOffered(entries)
 	a.publishState(api.StreamConfig, before, entries)
+	a.resolveVerdicts(verdicts)
 }
 
 // installImage installs a peer's image. It may skip records of open proposals, whose
--- a/server/statereplica/statereplica_test.go
+++ b/server/statereplica/statereplica_test.go
@@ -52,6 +52,19 @@
 	assert.Equal(t, replica.State().PlansRevision, v.Offset)
 }
 
+// Guards against an operator who reads an older list than the one just accepted.
+func TestStateHasProposalOnceItsVerdictIsKnown(t *testing.T) {
+	replica, _ := start(t, memlog.New(memlog.Options{}), 0)
+	revision := ring.NewSlot[api.Offset]()
+	assert.NilError(t, replica.ProposeAsync(statereplica.Proposal{
+		Stream: api.StreamConfig, Body: plans(0, "a"), Actor: "op", Deadline: time.Now().Add(5 * time.Second),
+		Done: func(ledger.Verdict, error) { revision.Put(replica.State().PlansRevision) },
+	}))
+	got, err := revision.Wait(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, got, api.Offset(1))
+}
+
 func TestProposalFailsDuringLogOutage(t *testing.T) {
 	log := memlog.New(memlog.Options{})
 	log.SetOutage(true)
