--- a/lib/batch/limit.go
+++ b/lib/batch/limit.go
@@ -1,8 +1,6 @@
 package batch
 
-import (
-	"math"
-)
+import "math"
 
 const (
 	minRunSeconds   = 1 // the least duration of a run that slotsOf assumes
