Compute the shares of request limits at ticks, and only of wanted upstreams

Cause: every report of another daemon's demand made each daemon compute its shares of all limited upstreams: reports x daemons x upstreams. Change: the next tick, at most 100 ms later, computes them; a daemon without demand for an upstream has no share of it without a look at the others.

--- a/lib/ratelimit/shares.go
+++ b/lib/ratelimit/shares.go
@@ -117,6 +117,9 @@
 	if len(in.Demands) == 0 {
 		return equal
 	}
+	if _, ok := in.Demands[in.Self]; !ok {
+		return 0
+	}
 	var own, sum float64
 	for _, d := range in.users(limit) {
 		sum += in.Demands[d].PerSecond
--- a/server/throttle/throttle.go
+++ b/server/throttle/throttle.go
@@ -135,8 +135,7 @@
 	case *batch.RequestLimitNamed:
 		t.applyLimit(m, now)
 	case *batch.DemandReported:
-		t.demands.Set(m.Daemon, m.PerSecond, now)
-		t.updateRates(now)
+		t.demands.Set(m.Daemon, m.PerSecond, now) // the next tick updates the shares
 	}
 }
 
