--- a/lib/batch/place.go
+++ b/lib/batch/place.go
@@ -138,7 +138,7 @@
 
 // chooseUpstream returns the candidate with the highest score for an item; nil if none
 // has room. Those that can continue the item's text come before all others, which start it
-// anew: to wait for the former would take longer than to generate the text again.
+// anew: an item does not wait while another upstream has room for it.
 func (s *State) chooseUpstream(candidates []*Upstream, i *itemState) *Upstream {
 	var best *Upstream
 	bestScore := 0
