Observe whether a daemon is cut off from all upstreams; show what that costs

Logs named failures of single upstreams only, so that a daemon that reaches none looked like one that met several bad ones. The outcomes of connections now go to a duty of its own (reachability), which probes other upstreams after two failures and logs when the daemon is cut off and when it reaches upstreams again; nothing acts on it yet. The stand-in's servers can be partitioned from one daemon, told apart by its source address (setting upstream_source): connections hang, are reset, or only new ones are.

--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -93,8 +93,8 @@
 	d.t.Helper()
 	d.started++
 	s, err := settings.ParseHosted([]byte(fmt.Sprintf(
-		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\n",
-		d.started, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address())))
+		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\nupstream_source: 127.0.0.%d\n",
+		d.started, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address(), 10+d.started)))
 	assert.NilError(d.t, err)
 	n, err := Start(s)
 	assert.NilError(d.t, err)
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/reach"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/sockets"
 	"dotterelmount.example/platform/entry"
@@ -35,6 +36,7 @@
 	"dotterelmount.example/server/follow"
 	"dotterelmount.example/server/jobreplica"
 	"dotterelmount.example/server/leasing"
+	"dotterelmount.example/server/reachability"
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
@@ -55,6 +57,8 @@
 	system       *duty.System
 	serverClient *servers.Client
 	throttle     *throttle.Throttle
+	// reachability knows whether this daemon reaches the upstreams.
+	reachability *reachability.Monitor
 	watcher      *follow.Watcher
 	committer    *committer.Committer
 	// chunkCommitter appends chunks to this daemon's partition of the chunk topic.
@@ -78,7 +82,7 @@
 // Start starts a daemon. Errors: CodeInvalid for an address that can't be listened
 // on.
 func Start(s *settings.Hosted) (*Node, error) {
-	n := &Node{settings: s, serverClient: servers.New()}
+	n := &Node{settings: s, serverClient: servers.New(s.UpstreamSource)}
 	n.system = duty.NewSystem(n.onPanic)
 	n.log = loglines.Start(n.system, os.Stdout)
 	n.log.Logger = n.log.With(zap.String("daemon", s.Daemon))
@@ -92,8 +96,11 @@
 	throttleCfg.Self = api.DaemonID(s.Daemon)
 	n.throttle = throttle.New(throttleCfg, n.log.Logger)
 	n.serverClient.ObserveLimits(n.throttle)
+	n.reachability = reachability.New(reachabilityConfig, n.log.Logger)
+	n.serverClient.ObserveLinks(n.reachability)
 	storeClient := store.New(s.StoreAddress)
 	n.startWatcher(storeClient)
+	n.reachability.Start(n.system, n.serverClient, n.View, func() {})
 	process := fmt.Sprintf("%s/%s", s.Daemon, uuid.Must(uuid.NewV7()))
 	n.startRelay(process)
 	n.startChunks(storeClient, process)
@@ -134,7 +141,7 @@
 	runnerCfg.Self, runnerCfg.Process, runnerCfg.Workers = self, process, n.settings.Workers
 	n.runner = runner.Start(n.system, runnerCfg, runner.Deps{
 		Engine: n.serverClient, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
-		OnOutcome:       func(o generation.RunOutcome) { n.upkeep.ReportOutcome(o) }, // n.upkeep is set before the first run
+		OnOutcome:       n.handleRunOutcome,
 		LeasedUpstreams: func() []batch.Upstream { return n.leaseSnapshot().Upstreams },
 		Limits:          n.throttle.Buckets(),
 	}, n.log.Logger)
@@ -175,6 +182,14 @@
 	}, n.log.Logger))
 }
 
+// handleRunOutcome passes on the outcome of a run. n.upkeep is set before the first run.
+func (n *Node) handleRunOutcome(o generation.RunOutcome) {
+	if o.Stalled {
+		n.reachability.Observe(reach.Unresponsive)
+	}
+	n.upkeep.ReportOutcome(o)
+}
+
 // leaseSnapshot returns the leases according to the journal. It is empty before the
 // replica has started.
 func (n *Node) leaseSnapshot() *jobreplica.Snapshot {
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -7,12 +7,14 @@
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/pace"
+	"dotterelmount.example/lib/reach"
 	scoring "dotterelmount.example/lib/rewards"
 	"dotterelmount.example/server/chunks"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
 	"dotterelmount.example/server/jobreplica"
 	"dotterelmount.example/server/leasing"
+	"dotterelmount.example/server/reachability"
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
@@ -102,6 +104,19 @@
 	ProposalTimeout: time.Second, MaxReadAge: 2 * time.Second, Now: time.Now,
 }
 
+var reachabilityConfig = reachability.Config{
+	Reach: reach.Config{
+		FailureLimit: 2,               // one failure is often that of one upstream
+		Probes:       4, MinProbes: 2, // with a third of the upstreams down, all of four are with 1 in 100
+		Stagger:        50 * time.Millisecond, // several round trips between data centres
+		RoundInterval:  time.Second,           // a third of the time in which callers must not notice a cut-off any more
+		CutOffInterval: 500 * time.Millisecond,
+	},
+	RingSize: 1024, Tick: 25 * time.Millisecond, IdleTick: time.Second,
+	ProbeTimeout: 250 * time.Millisecond, // a healthy upstream responds within some milliseconds
+	Now:          time.Now,
+}
+
 var attemptTimeouts = opaque.AttemptTimeouts{MinTimeout: 250 * time.Millisecond, TargetMultiple: 2}
 
 var rewardsConfig = rewards.Config{
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -11,8 +11,11 @@
 	ReadinessAddress string `yaml:"readiness" validate:"required,hostport"` // listen address of the readiness check
 	MetricsAddress   string `yaml:"metrics" validate:"omitempty,hostport"`  // listen address of the metrics; empty: none
 	StoreAddress     string `yaml:"store" validate:"required,hostport"`     // address of the platform's store
-	MaxRecordBytes   int    `yaml:"record_bytes" validate:"min=1024"`       // maximum size of a record in the store
-	MaxAppendBytes   int    `yaml:"call_bytes" validate:"min=1024"`         // maximum size of an append
+	// UpstreamSource is the local IP address of connections to upstreams; empty: the
+	// system chooses it.
+	UpstreamSource string `yaml:"upstream_source" validate:"omitempty,ip"`
+	MaxRecordBytes int    `yaml:"record_bytes" validate:"min=1024"` // maximum size of a record in the store
+	MaxAppendBytes int    `yaml:"call_bytes" validate:"min=1024"`   // maximum size of an append
 	// StoreReadsPerSecond is the store's limit on read calls over all daemons.
 	StoreReadsPerSecond int `yaml:"store_reads" validate:"min=10"`
 	// Retention is how long the store retains records. The daemon logs a warning
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -59,6 +59,7 @@
 	runCounts         map[string]int // by request id
 	arrivals          []Arrival
 	receivedOrders    []LoadOrder
+	cuts              map[string]*cut // by the caller's IP address
 	duty              *duty.Duty[struct{}]
 }
 
@@ -83,12 +84,14 @@
 func NewServer(store *Store, id, service string, models ...string) *Server {
 	s := &Server{
 		ID: id, Service: service, EventsPerItem: 5, EventInterval: time.Millisecond, store: store,
-		versions: make(map[string]int), runCounts: make(map[string]int), incarnation: 1, software: FirstSoftware,
+		versions: make(map[string]int), runCounts: make(map[string]int), cuts: make(map[string]*cut), incarnation: 1, software: FirstSoftware,
 	}
 	for _, m := range models {
 		s.versions[m] = 1
 	}
-	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
+	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(s.serve))
+	s.Config.ConnContext = withConnStart
+	s.Server.Start()
 	s.advertisedAddress = strings.TrimPrefix(s.URL, "http://")
 	s.writeEntry()
 	s.duty = duty.Start(duty.NewSystem(nil), duty.Config{Name: "heartbeat", RingSize: 1, Tick: heartbeatInterval}, duty.Handler[struct{}](s))
@@ -290,6 +293,7 @@
 	if s.down() {
 		panic(http.ErrAbortHandler)
 	}
+	s.suffer(r)
 	s.nameLimit(w)
 	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != s.InstanceID() {
 		w.Header().Set("X-Instance-Id", s.InstanceID())
@@ -398,6 +402,7 @@
 			return
 		case <-timer.C:
 		}
+		s.suffer(r)
 		if s.down() || s.InstanceID() != instance {
 			panic(http.ErrAbortHandler)
 		}
