Forward requests of a daemon that reaches no server through others

Callers of a daemon without links to the servers were refused or timed out, one request after the other, although daemons that it could reach would have served them: a daemon had one way to a server, its own connection. The daemon that took the request keeps deciding: route, service, attempts and deadline are its own, so that no older configuration is used; the peer chooses the upstream. While a cut is only suspected, a request whose first attempt failed is forwarded. Requests that a peer refuses as not run go to the next one, up to three; one that may have run is repeated only if its route allows it. The pool of drpc connections is shared with front/peer (drpcpool).

--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -93,8 +93,8 @@
 	d.t.Helper()
 	d.started++
 	s, err := settings.ParseHosted([]byte(fmt.Sprintf(
-		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\nupstream_source: 127.0.0.%d\n",
-		d.started, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address(), 10+d.started)))
+		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\nupstream_source: 127.0.0.%d\npeers: %s\n",
+		d.started, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address(), 10+d.started, freeAddress(d.t))))
 	assert.NilError(d.t, err)
 	n, err := Start(s)
 	assert.NilError(d.t, err)
@@ -312,6 +312,7 @@
 	cancel()
 	_ = n.callers.Close()
 	_ = n.readiness.Close()
+	_ = n.forwardServer.Shutdown(ctx)
 	_ = n.leaseManager.Stop(ctx)
 	_ = n.committer.Stop(ctx)
 	_ = n.runner.Stop(ctx)
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -15,6 +15,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/cmd/dotterelmountd/internal/accept"
+	"dotterelmount.example/front/forward"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/directory"
@@ -71,6 +72,8 @@
 	upkeep         *upkeep.Upkeep
 	relay          *relay.Relay
 	rewards        *rewards.Caller
+	forwardClient  *forward.Client
+	forwardServer  *forward.Server // nil: this daemon takes no requests of others
 	callers        *http.Server
 	readiness      *http.Server
 	metrics        *http.Server
@@ -82,7 +85,7 @@
 // Start starts a daemon. Errors: CodeInvalid for an address that can't be listened
 // on.
 func Start(s *settings.Hosted) (*Node, error) {
-	n := &Node{settings: s, serverClient: servers.New(s.UpstreamSource)}
+	n := &Node{settings: s, serverClient: servers.New(s.UpstreamSource), forwardClient: forward.NewClient()}
 	n.system = duty.NewSystem(n.onPanic)
 	n.log = loglines.Start(n.system, os.Stdout)
 	n.log.Logger = n.log.With(zap.String("daemon", s.Daemon))
@@ -105,7 +108,7 @@
 	n.startRelay(process)
 	n.startChunks(storeClient, process)
 	n.startJobs(storeClient.Partition(replay.Topic, 0), process)
-	if err := n.serve(); err != nil {
+	if err := errors.Join(n.servePeers(), n.serve()); err != nil {
 		return nil, err
 	}
 	n.log.Info("serving", zap.String("listening", s.CallerAddress))
@@ -148,8 +151,9 @@
 
 	leaseCfg := leaseManagerConfig
 	leaseCfg.Self, leaseCfg.StartMillis, leaseCfg.Capacity = self, startMillis, n.settings.Capacity()
+	leaseCfg.Address, leaseCfg.DataCentre = n.settings.PeerAddress, api.DataCentre(n.settings.DataCentre)
 	n.leaseManager = leasing.Start(n.system, leaseCfg, leasing.Deps{
-		Propose: n.propose, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, View: n.View, OpenItems: n.openItems,
+		Propose: n.propose, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, View: n.View, OpenItems: n.openItems, CutOff: n.reachability.CutOff,
 	}, n.log.Logger)
 
 	upkeepCfg := upkeepConfig
@@ -221,6 +225,7 @@
 		}
 	}
 	cfg.Limits, cfg.Streams = n.throttle.Buckets(), &streamIndex{n}
+	cfg.Peers = relay.Peers{Links: n.reachability.State, List: n.reachingPeers, Forwarder: n.forwardClient, MaxTries: maxPeerTries}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
 }
@@ -257,6 +262,36 @@
 	return nil
 }
 
+// servePeers takes requests of daemons that can't reach the upstreams.
+func (n *Node) servePeers() error {
+	if n.settings.PeerAddress == "" {
+		return nil
+	}
+	cfg := net.ListenConfig{Control: sockets.SetUserTimeout}
+	listener, err := cfg.Listen(context.Background(), "tcp", n.settings.PeerAddress)
+	if err != nil {
+		return api.Errorf(api.CodeInvalid, "peers: %w", err)
+	}
+	n.forwardServer, err = forward.Start(n.system, listener, n.relay)
+	return err
+}
+
+// reachingPeers returns the other live daemons that reach the upstreams. While the journal
+// can't be read, they are those of the last read.
+func (n *Node) reachingPeers() []opaque.Peer {
+	s, asOf := n.leaseSnapshot(), time.Now()
+	if last := n.lastFullRead(); asOf.Sub(last) > roster.TTL {
+		asOf = last
+	}
+	var out []opaque.Peer
+	for id, d := range s.Daemons {
+		if string(id) != n.settings.Daemon && d.Address != "" && !d.CutOff && asOf.Sub(s.LastRenewals[id]) < roster.TTL {
+			out = append(out, opaque.Peer{ID: id, Address: d.Address, DataCentre: d.DataCentre})
+		}
+	}
+	return out
+}
+
 func (n *Node) listen(name, address string, server *http.Server) error {
 	cfg := net.ListenConfig{Control: sockets.SetUserTimeout}
 	listener, err := cfg.Listen(context.Background(), "tcp", address)
@@ -288,6 +323,9 @@
 	}
 	duty.Sleep(ctx, lingerTime)
 	err := n.callers.Shutdown(ctx)
+	if n.forwardServer != nil {
+		err = errors.Join(err, n.forwardServer.Shutdown(ctx))
+	}
 	n.log.Info("stopped", zap.Error(err))
 	return errors.Join(err, n.log.Stop(ctx))
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -39,6 +39,7 @@
 	feedWait             = time.Second             // plus feedTimeout, below the 2 s in which a configuration must be in force
 	feedTimeout          = 600 * time.Millisecond  // a healthy store responds within some milliseconds
 	logCallTimeout       = time.Second             // a healthy store responds within some milliseconds
+	maxPeerTries         = 3                       // of a request, if this daemon is cut off; a fifth of the daemons may just have died
 	recordFraming        = 4 << 10                 // bytes; more than what a page holds besides its records
 )
 
--- a/front/peer/client.go
+++ b/front/peer/client.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"net"
-	"sync"
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/front/drpcpool"
 	"dotterelmount.example/front/peer/peerpb"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
@@ -25,33 +24,17 @@
 // one past its deadline, the connection is closed and the next call opens a new
 // one. Client is safe for concurrent use. Its methods block until the response
 // or until ctx, which must have a deadline, is done.
-type Client struct {
-	mu     sync.Mutex
-	idle   []idleConn // oldest first
-	closed bool
-}
-
-// idleConn is an open connection without a call in progress.
-type idleConn struct {
-	addr      string
-	conn      *drpcconn.Conn
-	idleSince time.Time
-}
+type Client struct{ pool *drpcpool.Pool }
 
 // NewClient returns a Client without connections.
-func NewClient() *Client { return &Client{} }
+func NewClient() *Client {
+	return &Client{drpcpool.New(drpcpool.Config{
+		MaxIdlePerAddr: maxIdlePerAddr, MaxIdle: maxIdleConns, MaxIdleTime: maxIdleTime, Manager: managerOptions(), Counters: counters, Traffic: traffic,
+	})}
+}
 
 // Close closes the idle connections. It does not cancel calls in progress.
-func (c *Client) Close() {
-	c.mu.Lock()
-	c.closed = true
-	idle := c.idle
-	c.idle = nil
-	c.mu.Unlock()
-	for _, i := range idle {
-		_ = i.conn.Close()
-	}
-}
+func (c *Client) Close() { c.pool.Close() }
 
 // Probe sends a gossip message and returns the reply. Errors: CodeNotReady if
 // there was none, CodeInvalid for a malformed one.
@@ -145,7 +128,7 @@
 // ctx is done.
 func (c *Client) call(ctx context.Context, addr string, fn func(peerpb.DRPCPeerClient) error) error {
 	counters.Add("calls", 1)
-	conn, err := c.takeIdle(addr), error(nil)
+	conn, err := c.pool.TakeIdle(addr), error(nil)
 	if conn != nil {
 		err = c.callOn(addr, conn, fn)
 	}
@@ -161,91 +144,14 @@
 
 func (c *Client) callOn(addr string, conn *drpcconn.Conn, fn func(peerpb.DRPCPeerClient) error) error {
 	err := fn(peerpb.NewDRPCPeerClient(conn))
-	c.release(addr, conn, err)
+	c.pool.Release(addr, conn, err)
 	return err
 }
 
 func (c *Client) callNew(ctx context.Context, addr string, fn func(peerpb.DRPCPeerClient) error) error {
-	counters.Add("dials", 1)
-	var dialer net.Dialer
-	netConn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := c.pool.Dial(ctx, addr)
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.NewWithOptions(traffic.Conn(netConn), drpcconn.Options{Manager: managerOptions()})
 	return c.callOn(addr, conn, fn)
 }
-
-// takeIdle removes an open connection to addr from the pool and returns it; nil if
-// there is none.
-func (c *Client) takeIdle(addr string) *drpcconn.Conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := len(c.idle) - 1; i >= 0; i-- {
-		pooled := c.idle[i]
-		if pooled.addr != addr {
-			continue
-		}
-		c.idle = append(c.idle[:i], c.idle[i+1:]...)
-		if !isClosed(pooled.conn) && time.Since(pooled.idleSince) < maxIdleTime {
-			return pooled.conn
-		}
-		discard(pooled.conn)
-	}
-	return nil
-}
-
-// release returns a connection to the pool. It discards one whose call failed in
-// any way: the peer may have stopped, or a firewall may have dropped the
-// connection's state.
-func (c *Client) release(addr string, conn *drpcconn.Conn, err error) {
-	if err != nil || isClosed(conn) {
-		discard(conn)
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		discard(conn)
-		return
-	}
-	c.idle = append(c.idle, idleConn{addr: addr, conn: conn, idleSince: time.Now()})
-	c.trim(addr)
-}
-
-// trim closes idle connections that are too old, and the oldest beyond the limits.
-func (c *Client) trim(addr string) {
-	sameAddr := 0
-	for _, i := range c.idle {
-		if i.addr == addr {
-			sameAddr++
-		}
-	}
-	for i := 0; i < len(c.idle); i++ {
-		expired := time.Since(c.idle[i].idleSince) >= maxIdleTime
-		tooMany := sameAddr > maxIdlePerAddr && c.idle[i].addr == addr
-		if !expired && !tooMany && len(c.idle) <= maxIdleConns {
-			continue
-		}
-		if c.idle[i].addr == addr {
-			sameAddr--
-		}
-		discard(c.idle[i].conn)
-		c.idle = append(c.idle[:i], c.idle[i+1:]...)
-		i--
-	}
-}
-
-func isClosed(conn *drpcconn.Conn) bool {
-	select {
-	case <-conn.Closed():
-		return true
-	default:
-		return false
-	}
-}
-
-func discard(conn *drpcconn.Conn) {
-	counters.Add("dropped", 1)
-	_ = conn.Close()
-}
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -162,6 +162,11 @@
 	// Capacity is the processor capacity of the daemon's host, in thousandths of a core;
 	// 0: not reported.
 	Capacity int `msgpack:"p,omitempty" json:",omitempty"`
+	// Address is where the daemon takes requests of other daemons, ip:port; empty: nowhere.
+	Address    string         `msgpack:"a,omitempty" json:",omitempty"`
+	DataCentre api.DataCentre `msgpack:"z,omitempty" json:",omitempty"`
+	// CutOff is true if the daemon reaches no upstream.
+	CutOff bool `msgpack:"x,omitempty" json:",omitempty"`
 }
 
 // DaemonLeft releases all leases of a daemon.
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -63,6 +63,9 @@
 	RenewalOffset Offset // offset of the newest renewal
 	ConfigVersion uint64 // configuration version at that renewal
 	Capacity      int    // in thousandths of a core; 0: not reported
+	Address       string // where it takes requests of other daemons; empty: nowhere
+	DataCentre    api.DataCentre
+	CutOff        bool // it reaches no upstream
 	Left          bool
 }
 
@@ -343,6 +346,7 @@
 		return false // late record from an earlier process of the daemon
 	}
 	d.StartMillis, d.RenewalOffset, d.ConfigVersion, d.Capacity, d.Left = r.StartMillis, at, r.ConfigVersion, r.Capacity, false
+	d.Address, d.DataCentre, d.CutOff = r.Address, r.DataCentre, r.CutOff
 	return true
 }
 
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -37,6 +37,12 @@
 	Resumes   api.RequestID
 	// ConfigVersion is the version of the configuration that selected the route.
 	ConfigVersion uint64
+	// Forwarded is set if another daemon sent the request because it can't reach the
+	// upstreams. It is not forwarded again.
+	Forwarded bool
+	// Software restricts a stream to upstreams with this version of the software; empty:
+	// any.
+	Software string
 }
 
 // StreamOrigin is where a stream began. Only upstreams of the same service with the same
@@ -119,6 +125,8 @@
 type NotRunError struct {
 	Reason     string
 	RetryAfter time.Duration // delay after which the client may retry
+	// Elsewhere is set if another daemon may be able to run the request now.
+	Elsewhere bool
 }
 
 // Error implements error.
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -10,7 +10,10 @@
 	CallerAddress    string `yaml:"callers" validate:"required,hostport"`   // listen address for callers
 	ReadinessAddress string `yaml:"readiness" validate:"required,hostport"` // listen address of the readiness check
 	MetricsAddress   string `yaml:"metrics" validate:"omitempty,hostport"`  // listen address of the metrics; empty: none
-	StoreAddress     string `yaml:"store" validate:"required,hostport"`     // address of the platform's store
+	// PeerAddress is the listen address for other daemons, which send requests there while
+	// they can't reach the upstreams; empty: none.
+	PeerAddress  string `yaml:"peers" validate:"omitempty,hostport"`
+	StoreAddress string `yaml:"store" validate:"required,hostport"` // address of the platform's store
 	// UpstreamSource is the local IP address of connections to upstreams; empty: the
 	// system chooses it.
 	UpstreamSource string `yaml:"upstream_source" validate:"omitempty,ip"`
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -73,6 +73,8 @@
 	// Capacity is the processor capacity of each daemon's host, in thousandths of a
 	// core; 0: not reported.
 	Capacity map[api.DaemonID]int
+	// Daemons are the daemons that have not left, as of their last renewals.
+	Daemons map[api.DaemonID]batch.Daemon
 }
 
 // Members returns the daemons and upstreams as input for leases.Roster.
@@ -245,7 +247,7 @@
 	s := &Snapshot{
 		NextOffset: j.appliedOffset, Upstreams: j.snapshot.Load().Upstreams,
 		LastRenewals: make(map[api.DaemonID]time.Time, len(daemons)), StartMillis: make(map[api.DaemonID]int64, len(daemons)),
-		Capacity: make(map[api.DaemonID]int, len(daemons)),
+		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons,
 	}
 	if j.unpublished.upstreams {
 		s.Upstreams = j.state.Upstreams()
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -24,6 +24,9 @@
 	IdleTick    time.Duration // the same while this daemon may not hold leases
 	Capacity    int           // of this host, in thousandths of a core
 	Roster      leases.Roster
+	// Address is where this daemon takes requests of others, ip:port; empty: nowhere.
+	Address    string
+	DataCentre api.DataCentre
 	// TurnTimeout is how long each daemon in turn may take to acquire an upstream
 	// before the next daemon may.
 	TurnTimeout time.Duration
@@ -47,6 +50,8 @@
 	Snapshot     func() *jobreplica.Snapshot
 	View         func() *directory.View
 	OpenItems    func(ctx context.Context) ([]batch.OpenItem, error)
+	// CutOff reports whether this daemon reaches no upstream.
+	CutOff func() bool
 }
 
 // Manager manages this daemon's leases.
@@ -56,6 +61,7 @@
 	log         *zap.Logger
 	duty        *duty.Duty[struct{}]
 	renewedAt   time.Time // when the last renewal was proposed
+	cutOff      bool      // as of the last renewal
 	sweptAt     time.Time
 	proposedAt  map[api.UpstreamID]time.Time
 	unheldSince map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
@@ -95,9 +101,13 @@
 	}
 	now := m.cfg.Now()
 	s := m.deps.Snapshot()
-	if since := now.Sub(m.renewedAt); since >= m.cfg.Roster.RenewInterval && since >= m.renewInterval(s, now) {
-		m.renewedAt = now
-		m.propose(&batch.DaemonAlive{Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion(), Capacity: m.cfg.Capacity})
+	since, cutOff := now.Sub(m.renewedAt), m.deps.CutOff()
+	if cutOff != m.cutOff || since >= m.cfg.Roster.RenewInterval && since >= m.renewInterval(s, now) {
+		m.renewedAt, m.cutOff = now, cutOff
+		m.propose(&batch.DaemonAlive{
+			Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion(), Capacity: m.cfg.Capacity,
+			Address: m.cfg.Address, DataCentre: m.cfg.DataCentre, CutOff: cutOff,
+		})
 	}
 	if now.Sub(m.deps.LastFullRead()) > m.cfg.MaxReadAge {
 		return
--- a/server/leasing/leasing_test.go
+++ b/server/leasing/leasing_test.go
@@ -42,7 +42,7 @@
 		Snapshot:     func() *jobreplica.Snapshot { return &m.snapshot },
 		LastFullRead: func() time.Time { return m.lastFullRead },
 		View:         func() *directory.View { return view },
-		OpenItems:    func(context.Context) ([]batch.OpenItem, error) { return nil, nil },
+		CutOff:       func() bool { return false }, OpenItems: func(context.Context) ([]batch.OpenItem, error) { return nil, nil },
 	}, zap.NewNop())
 	m.snapshot = jobreplica.Snapshot{
 		Upstreams:    []batch.Upstream{{ID: "u", Service: "s", Holder: "other", LeaseOffset: 3}},
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -35,6 +35,7 @@
 	WaitTick   time.Duration
 	// Streams knows which software began a stream.
 	Streams StreamIndex
+	Peers   Peers
 	// OnCrashes reports to the other daemons how many connections to upstreams were
 	// lost while a request with this content hash ran, or 0 if it got a response
 	// after all.
@@ -51,8 +52,10 @@
 	duty    *duty.Duty[any]
 	workers *duty.Pool[*attempt]
 	stats   map[api.UpstreamID]*upstreamStats
-	crashes *crashes
-	waiting []*job // for a request limit, in order of arrival
+	// peerStats is what this daemon has observed of others that run requests for it.
+	peerStats map[api.DaemonID]*upstreamStats
+	crashes   *crashes
+	waiting   []*job // for a request limit, in order of arrival
 }
 
 // job is a request in progress.
@@ -61,9 +64,12 @@
 	ctx             context.Context
 	reply           *ring.Slot[reply]
 	tried           map[api.UpstreamID]bool
-	attempts        int
-	mayHaveRun      bool // an attempt may have run
-	crashes         int  // connections lost while it ran
+	triedPeers      map[api.DaemonID]bool
+	attempts        int           // at upstreams, by this daemon
+	runs            int           // attempts that may have run, also by peers
+	mayHaveRun      bool          // an attempt may have run
+	retryAfter      time.Duration // named by the last peer that did not run it
+	crashes         int           // connections lost while it ran
 	failureResponse *opaque.Response
 	lastErr         error
 	content         uint64 // fingerprint of the request
@@ -78,12 +84,17 @@
 type attempt struct {
 	worker    int
 	job       *job
-	upstream  *directory.Upstream
+	upstream  *directory.Upstream // nil: through a peer
+	peer      *opaque.Peer
 	startedAt time.Time
 	timeout   time.Duration
 	response  *opaque.Response
 	streamed  bool // the response went to the job's stream
 	err       error
+	// upstreamID and head are what a peer returned: the upstream that responded, and the
+	// head of a streamed response.
+	upstreamID api.UpstreamID
+	head       *opaque.Response
 }
 
 // reply ends a request. Err is nil, *opaque.NotRunError or *opaque.FailedError.
@@ -95,8 +106,8 @@
 
 // Start starts the duties. view returns the current directory.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, exchanger opaque.Exchanger, view func() *directory.View) *Relay {
-	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), crashes: newCrashes()}
-	w := &worker{exchanger: exchanger, streams: cfg.Streams, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
+	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), crashes: newCrashes()}
+	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
 	return r
@@ -113,7 +124,7 @@
 }
 
 func newJob(ctx context.Context, q *opaque.Request) *job {
-	return &job{request: q, ctx: ctx, reply: ring.NewSlot[reply](), tried: make(map[api.UpstreamID]bool), content: fingerprint(q)}
+	return &job{request: q, ctx: ctx, reply: ring.NewSlot[reply](), tried: make(map[api.UpstreamID]bool), triedPeers: make(map[api.DaemonID]bool), content: fingerprint(q)}
 }
 
 // submit posts a job to the duty. Errors: *opaque.NotRunError.
@@ -155,7 +166,11 @@
 		r.startNext(m)
 	case *attempt:
 		r.workers.Release(m.worker)
-		r.handleEnd(m)
+		if m.peer != nil {
+			r.handlePeerEnd(m)
+		} else {
+			r.handleEnd(m)
+		}
 	case peerCrashes:
 		r.crashes.add(m.content, m.lost, r.cfg.Now())
 	}
@@ -165,13 +180,18 @@
 // removed upstreams and expired crashes.
 func (r *Relay) Tick(context.Context) {
 	r.startWaiting()
-	view := r.view()
+	view, now := r.view(), r.cfg.Now()
 	for id, s := range r.stats {
 		if _, ok := view.Upstreams[id]; !ok && s.inFlight == 0 {
 			delete(r.stats, id)
 		}
 	}
-	r.crashes.expire(r.cfg.Now())
+	for id, s := range r.peerStats {
+		if s.inFlight == 0 && now.After(s.backoffUntil) {
+			delete(r.peerStats, id)
+		}
+	}
+	r.crashes.expire(now)
 }
 
 // startNext starts a job's next attempt or finishes the job.
@@ -181,14 +201,17 @@
 		r.finish(j, reply{Err: j.failure("the deadline passed", true, r.cfg.RetryAfter)})
 		return
 	}
-	if j.attempts >= q.Route.MaxAttempts {
-		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("all attempts failed", false, r.cfg.RetryAfter)})
-		return
-	}
 	if !q.Owed && r.crashes.refused(j.content, now) {
 		r.finish(j, reply{Err: j.failure("the request crashed several upstreams", false, crashRetryAfter)})
 		return
 	}
+	if r.startForwarded(j, now) {
+		return
+	}
+	if j.attempts >= q.Route.MaxAttempts || j.runs >= q.Route.MaxAttempts {
+		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("all attempts failed", false, r.cfg.RetryAfter)})
+		return
+	}
 	candidates := r.candidates(j, now)
 	r.setWaits(j, candidates, now)
 	chosen, ok := r.cfg.Chooser.Pick(candidates)
@@ -258,6 +281,7 @@
 		zap.Int("attempt", j.attempts), zap.Duration("took", now.Sub(a.startedAt)), zap.Duration("limit", a.timeout), zap.Error(a.cause()))
 	if a.err == nil {
 		j.failureResponse, j.mayHaveRun = a.response, true
+		j.runs++
 	} else {
 		r.recordFailure(a, stats, now)
 	}
@@ -275,10 +299,12 @@
 	var e *opaque.AttemptError
 	if !errors.As(a.err, &e) {
 		a.job.mayHaveRun = true
+		a.job.runs++
 		return
 	}
 	if e.Execution == opaque.ExecutionUnknown {
 		a.job.mayHaveRun = true
+		a.job.runs++
 	}
 	if a.job.ctx.Err() == nil && !e.Busy {
 		stats.failed(now, r.cfg.Backoff, r.cfg.MaxBackoff)
@@ -333,6 +359,7 @@
 // worker handles one attempt at a time.
 type worker struct {
 	exchanger  opaque.Exchanger
+	forwarder  opaque.Forwarder
 	streams    StreamIndex
 	postResult func(context.Context, *attempt)
 }
@@ -340,9 +367,12 @@
 // Handle makes one attempt.
 func (w *worker) Handle(ctx context.Context, a *attempt) {
 	attemptCtx, cancel := context.WithTimeout(a.job.ctx, a.timeout)
-	if a.job.stream != nil {
+	switch {
+	case a.peer != nil:
+		w.forward(attemptCtx, a)
+	case a.job.stream != nil:
 		w.stream(attemptCtx, a)
-	} else {
+	default:
 		a.response, a.err = w.exchanger.Exchange(attemptCtx, a.upstream, a.job.request)
 	}
 	cancel()
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -44,6 +44,11 @@
 }
 
 func start(t *testing.T, s opaque.Exchanger, upstreams ...directory.Upstream) *Relay {
+	t.Helper()
+	return startWith(t, s, Peers{}, upstreams...)
+}
+
+func startWith(t *testing.T, s opaque.Exchanger, peers Peers, upstreams ...directory.Upstream) *Relay {
 	t.Helper()
 	var changes []directory.Change
 	for _, u := range upstreams {
@@ -54,7 +59,7 @@
 	r := Start(duty.NewSystem(nil), Config{
 		Chooser: opaque.Chooser{Daemon: "d", BusyThreshold: 2}, AttemptTimeouts: opaque.AttemptTimeouts{MinTimeout: 50 * time.Millisecond, TargetMultiple: 1},
 		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: func(uint64, int) {}, Now: time.Now,
-		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond,
+		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond, Peers: peers,
 	}, zap.NewNop(), s, func() *directory.View { return view })
 	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
 	return r
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -44,11 +44,28 @@
 // or nil. Errors: those of Forward; an error of onHead or onEvent ends the stream
 // and is returned as *opaque.FailedError.
 func (r *Relay) Stream(ctx context.Context, q *opaque.Request, onHead func(*opaque.Response) error, onEvent func([]byte) error) (*opaque.Response, api.UpstreamID, error) {
+	return r.streamTo(ctx, q, funcSink{onHead, onEvent})
+}
+
+// funcSink implements opaque.StreamSink on functions.
+type funcSink struct {
+	onHead  func(*opaque.Response) error
+	onEvent func([]byte) error
+}
+
+// Head implements opaque.StreamSink.
+func (s funcSink) Head(head *opaque.Response) error { return s.onHead(head) }
+
+// Event implements opaque.StreamSink.
+func (s funcSink) Event(e opaque.Event, _ string) error { return s.onEvent(e.Data) }
+
+// streamTo is as Stream, with a sink.
+func (r *Relay) streamTo(ctx context.Context, q *opaque.Request, sink opaque.StreamSink) (*opaque.Response, api.UpstreamID, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	j := newJob(ctx, q)
-	j.stream = &stream{head: ring.NewSlot[*opaque.Response](), events: ring.New[opaque.Event](streamRingSize)}
-	if q.LastEvent > 0 && q.Route.Resumable {
+	j.stream = &stream{head: ring.NewSlot[*opaque.Response](), events: ring.New[opaque.Event](streamRingSize), software: q.Software}
+	if q.LastEvent > 0 && q.Route.Resumable && q.Software == "" {
 		if err := r.bindToOrigin(ctx, j); err != nil {
 			return nil, "", err
 		}
@@ -58,12 +75,12 @@
 	}
 	head, err := j.stream.head.Wait(ctx)
 	if err == nil && head != nil {
-		err = onHead(head)
+		err = sink.Head(head)
 	}
 	for err == nil {
 		var event opaque.Event
 		if event, err = j.stream.events.Pop(ctx); err == nil {
-			err = onEvent(event.Data)
+			err = sink.Event(event, j.stream.software)
 		}
 	}
 	var closed *ring.ClosedError
--- a/tools/protogen/generate.sh
+++ b/tools/protogen/generate.sh
@@ -8,5 +8,6 @@
   github.com/bufbuild/buf/cmd/buf \
   google.golang.org/protobuf/cmd/protoc-gen-go \
   storj.io/drpc/cmd/protoc-gen-go-drpc)
-cd front/peer
-PATH="$bin:$PATH" "$bin/buf" generate --template buf.gen.yaml
+for module in front/peer front/forward; do
+  (cd "$module" && PATH="$bin:$PATH" "$bin/buf" generate --template buf.gen.yaml)
+done
