Count no crashes for connections that a cut-off ends

A cut that resets connections made innocent requests look like ones that crash servers: three lost connections within milliseconds, and every daemon refused the content for 60 s. A lost connection says that the server or the link failed. Lost connections are now reported to the other daemons only after 0.7 s, within which the daemon finds out whether it is cut off; if it is, they are withdrawn.

--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -132,5 +132,6 @@
 var relayConfig = relay.Config{
 	AttemptTimeouts: attemptTimeouts, Workers: 48, RingSize: 1024,
 	Backoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second, RetryAfter: retryAfter, Now: time.Now,
-	MaxWaiting: 512, WaitTick: 20 * time.Millisecond, // a seventh of the shortest latency target
+	CrashConfirmation: 700 * time.Millisecond,               // a round of probes that all time out takes 400 ms
+	MaxWaiting:        512, WaitTick: 20 * time.Millisecond, // a seventh of the shortest latency target
 }
--- a/server/relay/limits.go
+++ b/server/relay/limits.go
@@ -10,7 +10,7 @@
 )
 
 // Idle implements duty.Idler.
-func (r *Relay) Idle() bool { return len(r.waiting) == 0 }
+func (r *Relay) Idle() bool { return len(r.waiting) == 0 && r.unconfirmed.empty() }
 
 // countDemand counts a job once as demand: for the upstream that it would be sent to if
 // there were no request limits or, if it has to wait, for all of them.
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -40,7 +40,10 @@
 	// lost while a request with this content hash ran, or 0 if it got a response
 	// after all.
 	OnCrashes func(content uint64, lost int)
-	Now       func() time.Time
+	// CrashConfirmation is the time within which a cut-off of this daemon is found out.
+	// Crashes are reported after it.
+	CrashConfirmation time.Duration
+	Now               func() time.Time
 }
 
 // Relay controls the duties. Its statistics and crash counts are accessed only on the
@@ -55,7 +58,9 @@
 	// peerStats is what this daemon has observed of others that run requests for it.
 	peerStats map[api.DaemonID]*upstreamStats
 	crashes   *crashes
-	waiting   []*job // for a request limit, in order of arrival
+	// unconfirmed are crashes that a cut-off of this daemon may explain.
+	unconfirmed unconfirmedCrashes
+	waiting     []*job // for a request limit, in order of arrival
 }
 
 // job is a request in progress.
@@ -192,6 +197,7 @@
 		}
 	}
 	r.crashes.expire(now)
+	r.confirmCrashes(now)
 }
 
 // startNext starts a job's next attempt or finishes the job.
@@ -310,8 +316,7 @@
 		stats.failed(now, r.cfg.Backoff, r.cfg.MaxBackoff)
 	}
 	if !a.job.request.Owed && e.ConnectionLost && !errors.Is(e, context.DeadlineExceeded) && a.job.ctx.Err() == nil {
-		a.job.crashes++
-		r.crashes.add(a.job.content, 1, now)
+		r.addCrash(a.job, now)
 	}
 }
 
@@ -340,19 +345,6 @@
 	j.reply.Put(rep)
 }
 
-// reportCrashes reports to the other daemons how many connections were lost while a
-// job ran, or that its request got a response after earlier crashes.
-func (r *Relay) reportCrashes(j *job, rep reply) {
-	responded := rep.Response != nil
-	switch {
-	case responded && r.crashes.known(j.content):
-		r.crashes.add(j.content, 0, r.cfg.Now())
-		r.cfg.OnCrashes(j.content, 0)
-	case !responded && j.crashes > 0:
-		r.cfg.OnCrashes(j.content, j.crashes)
-	}
-}
-
 // Stop stops the duties. Errors: ctx.Err().
 func (r *Relay) Stop(ctx context.Context) error { return duty.StopPool(ctx, r.duty, r.workers) }
 
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -49,6 +49,11 @@
 }
 
 func startWith(t *testing.T, s opaque.Exchanger, peers Peers, upstreams ...directory.Upstream) *Relay {
+	t.Helper()
+	return startWithCrashes(t, s, peers, func(uint64, int) {}, upstreams...)
+}
+
+func startWithCrashes(t *testing.T, s opaque.Exchanger, peers Peers, onCrashes func(uint64, int), upstreams ...directory.Upstream) *Relay {
 	t.Helper()
 	var changes []directory.Change
 	for _, u := range upstreams {
@@ -58,8 +63,8 @@
 	view := directory.NewView().Apply(changes)
 	r := Start(duty.NewSystem(nil), Config{
 		Chooser: opaque.Chooser{Daemon: "d", BusyThreshold: 2}, AttemptTimeouts: opaque.AttemptTimeouts{MinTimeout: 50 * time.Millisecond, TargetMultiple: 1},
-		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: func(uint64, int) {}, Now: time.Now,
-		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond, Peers: peers,
+		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: onCrashes, Now: time.Now,
+		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond, Peers: peers, CrashConfirmation: 30 * time.Millisecond,
 	}, zap.NewNop(), s, func() *directory.View { return view })
 	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
 	return r
--- a/server/relay/stats.go
+++ b/server/relay/stats.go
@@ -79,49 +79,6 @@
 	return out
 }
 
-// crashes counts the connections to upstreams that were lost while a request ran.
-// It identifies a request by a hash of its content because callers retry it under
-// new ids.
-type crashes struct{ byContent map[uint64]*crashCount }
-
-type crashCount struct {
-	count int
-	last  time.Time
-}
-
-func newCrashes() *crashes { return &crashes{byContent: make(map[uint64]*crashCount)} }
-
-// add adds lost connections to a request's count. If lost is 0, it deletes the count:
-// the request got a response, so it was not the cause.
-func (c *crashes) add(content uint64, lost int, now time.Time) {
-	if lost == 0 {
-		delete(c.byContent, content)
-		return
-	}
-	e, ok := c.byContent[content]
-	if !ok {
-		e = &crashCount{}
-		c.byContent[content] = e
-	}
-	e.count += lost
-	e.last = now
-}
-
-func (c *crashes) known(content uint64) bool { return c.byContent[content] != nil }
-
-func (c *crashes) refused(content uint64, now time.Time) bool {
-	e, ok := c.byContent[content]
-	return ok && e.count >= crashLimit && now.Sub(e.last) < crashTTL
-}
-
-func (c *crashes) expire(now time.Time) {
-	for content, e := range c.byContent {
-		if now.Sub(e.last) > crashTTL {
-			delete(c.byContent, content)
-		}
-	}
-}
-
 // fingerprint returns a hash of a request's content, which is the same for all
 // retries by a caller.
 func fingerprint(q *opaque.Request) uint64 {
