Give up the shares of request limits of a cut-off daemon

A daemon that is cut off kept its share of each server's request limit until its demand had decayed, a halving a second, so that the daemons that send its requests meanwhile waited for room that nobody used. It now reports no demand as soon as it knows of the cut.

TestCutOffDaemonGivesUpItsShareAtOnce failed before: the report named the old demand.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -138,7 +138,7 @@
 	self := api.DaemonID(n.settings.Daemon)
 	startMillis := time.Now().UnixMilli()
 	n.committer = n.startCommitter(j, replay.Topic, process)
-	n.throttle.Start(n.system, throttle.Deps{View: n.View, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, Propose: n.propose})
+	n.throttle.Start(n.system, throttle.Deps{View: n.View, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, Propose: n.propose, CutOff: n.reachability.CutOff})
 
 	runnerCfg := runnerConfig
 	runnerCfg.Self, runnerCfg.Process, runnerCfg.Workers = self, process, n.settings.Workers
--- a/server/throttle/throttle.go
+++ b/server/throttle/throttle.go
@@ -46,6 +46,9 @@
 	// Propose appends a record without waiting. The record is dropped if it is not
 	// appended within the given time.
 	Propose func(r batch.Record, within time.Duration) error
+	// CutOff reports whether this daemon reaches no upstream. It then has no demand: others
+	// send its requests.
+	CutOff func() bool
 }
 
 // Throttle controls the duty. The fields from named on are accessed only on the duty.
@@ -187,10 +190,14 @@
 		t.counted[id] += n
 		isNew = isNew || n > 0 && t.wanted[id] == 0
 	}
+	cutOff := t.deps.CutOff()
 	elapsed := now.Sub(t.reportedAt)
-	if elapsed < t.cfg.ReportInterval && !isNew {
+	if elapsed < t.cfg.ReportInterval && !isNew && !(cutOff && t.reported > 0) {
 		return
 	}
+	if cutOff {
+		t.wanted, t.counted = nil, nil
+	}
 	t.wanted = ratelimit.AverageDemand(t.wanted, t.counted, min(elapsed, t.cfg.ReportInterval))
 	t.counted = make(map[api.UpstreamID]int)
 	t.reportedAt = now
--- a/server/throttle/throttle_test.go
+++ b/server/throttle/throttle_test.go
@@ -19,6 +19,7 @@
 	now      time.Time
 	lastRead time.Time
 	proposed []batch.Record
+	cutOff   bool
 }
 
 func newFixture() *fixture {
@@ -33,7 +34,7 @@
 		Snapshot: func() *jobreplica.Snapshot {
 			return &jobreplica.Snapshot{LastRenewals: map[api.DaemonID]time.Time{"d1": {}, "d2": {}}}
 		},
-		LastFullRead: func() time.Time { return f.lastRead },
+		LastFullRead: func() time.Time { return f.lastRead }, CutOff: func() bool { return f.cutOff },
 		Propose:      func(r batch.Record, _ time.Duration) error { f.proposed = append(f.proposed, r); return nil },
 	}
 	return f
@@ -124,3 +125,24 @@
 	f.advance(5*time.Second, true)
 	assert.Equal(t, len(f.takeProposed()), 0)
 }
+
+// Guards against a share of a request limit that stands idle while its daemon is cut off.
+func TestCutOffDaemonGivesUpItsShareAtOnce(t *testing.T) {
+	f := newFixture()
+	f.handle(limitNamed{"u", 8})
+	for range 30 {
+		f.Buckets().Want("u")
+		f.advance(100*time.Millisecond, true)
+	}
+	assert.Assert(t, f.wanted["u"] > 5, "%v", f.wanted)
+	f.takeProposed()
+	f.cutOff = true
+	f.advance(100*time.Millisecond, true)
+	assert.DeepEqual(t, f.takeProposed(), []batch.Record{&batch.DemandReported{Daemon: "d1", PerSecond: map[api.UpstreamID]float64{}}})
+	f.advance(2*time.Second, true)
+	assert.Equal(t, len(f.takeProposed()), 0, "nothing is left to report")
+	f.cutOff = false
+	f.Buckets().Want("u")
+	f.advance(100*time.Millisecond, true)
+	assert.Assert(t, f.takeProposed()[0].(*batch.DemandReported).PerSecond["u"] > 0)
+}
