--- a/server/throttle/throttle_test.go
+++ b/server/throttle/throttle_test.go
@@ -35,7 +35,7 @@
 			return &jobreplica.Snapshot{LastRenewals: map[api.DaemonID]time.Time{"d1": {}, "d2": {}}}
 		},
 		LastFullRead: func() time.Time { return f.lastRead }, CutOff: func() bool { return f.cutOff },
-		Propose:      func(r batch.Record, _ time.Duration) error { f.proposed = append(f.proposed, r); return nil },
+		Propose: func(r batch.Record, _ time.Duration) error { f.proposed = append(f.proposed, r); return nil },
 	}
 	return f
 }
