Check the process of a server before a stream or text goes on there

The software is known from the list only. A stream whose client names none is refused while several versions serve.

TestStreamIsNotResumedAtReleaseThatDaemonMissed and TestDaemonThatMissedReleaseDoesNotMislabelWhatServersGenerate failed before (events of v2 after v1; texts of v2 listed). No site has stream routes: shown by own tests only.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -146,7 +146,7 @@
 		Engine: n.serverClient, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
 		OnOutcome:       n.handleRunOutcome,
 		LeasedUpstreams: func() []batch.Upstream { return n.leaseSnapshot().Upstreams },
-		Limits:          n.throttle.Buckets(),
+		Limits:          n.throttle.Buckets(), UpstreamsCurrent: n.watcher.UpstreamsCurrent,
 	}, n.log.Logger)
 
 	leaseCfg := leaseManagerConfig
@@ -224,7 +224,7 @@
 			n.log.Warn("reporting crashes during a request to other daemons failed", zap.Uint64("content", contentHash), zap.Error(err))
 		}
 	}
-	cfg.Limits, cfg.Streams = n.throttle.Buckets(), &streamIndex{n}
+	cfg.Limits, cfg.Streams, cfg.UpstreamsCurrent = n.throttle.Buckets(), &streamIndex{n}, n.watcher.UpstreamsCurrent
 	cfg.Peers = relay.Peers{Links: n.reachability.State, List: n.reachingPeers, Forwarder: n.forwardClient, MaxTries: maxPeerTries}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
--- /dev/null
+++ b/cmd/dotterelmountd/internal/hosted/outofstep_test.go
@@ -0,0 +1,63 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelmount.example/standin/platform"
+	"gotest.tools/v3/assert"
+)
+
+// freezeView makes a daemon keep the upstreams as it knows them.
+func (n *Node) freezeView(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, n.watcher.Stop(context.Background()))
+}
+
+// releaseInPlace makes all engines run newer software under the IDs that they had.
+func (d *deployment) releaseInPlace() {
+	for _, m := range d.models {
+		m.Restart(0, m.InstanceID())
+		m.SetSoftware("v2")
+	}
+}
+
+// Guards against streams that go on at other software at a daemon that missed a release.
+func TestStreamIsNotResumedAtReleaseThatDaemonMissed(t *testing.T) {
+	d := newDeployment(t, 2)
+	defer d.stopAll()
+	for _, m := range d.models {
+		m.EventsPerItem, m.EventInterval = 20, 20*time.Millisecond
+	}
+	status, first := d.stream(d.daemons[1], 3, map[string]string{"X-Request-Id": "s1"})
+	assert.Equal(t, status, http.StatusOK)
+	last := strings.Count(first, "\n\n")
+	d.daemons[0].freezeView(t)
+	d.releaseInPlace()
+	status, rest := d.stream(d.daemons[0], 20, map[string]string{"X-Request-Id": "s2", "Resumes": "s1", "Last-Event-Id": fmt.Sprint(last)})
+	assert.Assert(t, !strings.Contains(rest, "@v2"), "status %d: %s", status, rest)
+}
+
+// Guards against streams and texts whose software is taken from an outdated list of servers.
+func TestDaemonThatMissedReleaseDoesNotMislabelWhatServersGenerate(t *testing.T) {
+	d := newDeployment(t, 1)
+	defer d.stopAll()
+	for _, m := range d.models {
+		m.EventsPerItem, m.EventInterval = 20, 20*time.Millisecond
+	}
+	d.daemons[0].freezeView(t)
+	d.releaseInPlace()
+	<-time.After(2 * time.Second) // longer than a read of the list takes
+	status, body := d.stream(d.daemons[0], 20, map[string]string{"X-Request-Id": "s1"})
+	assert.Assert(t, !strings.Contains(body, "@v2"), "status %d: %s", status, body)
+	assert.Equal(t, d.submit(d.daemons[0], "job1", 2, 1).status, http.StatusAccepted)
+	<-time.After(time.Second)
+	client := platform.Client{HTTP: http.DefaultClient, Host: host}
+	got, resp := client.ReadResults(t.Context(), d.daemons[0].settings.CallerAddress, "job1", 0, 0, time.Second)
+	assert.NilError(t, resp.Err)
+	assert.Equal(t, len(got.Results), 0, "texts of v2 are listed as of v1")
+}
--- a/cmd/dotterelmountd/internal/hosted/streams.go
+++ b/cmd/dotterelmountd/internal/hosted/streams.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/ring"
 	"dotterelmount.example/server/committer"
@@ -35,5 +37,14 @@
 // Origin implements relay.StreamIndex.
 func (s *streamIndex) Origin(ctx context.Context, q *opaque.Request) (opaque.StreamOrigin, error) {
 	service, software, err := s.n.replica.Load().StreamOrigin(ctx, q.Service, q.Resumes)
+	if err == nil && q.Resumes == "" && s.otherSoftwareServes(service, software) {
+		err = &batch.UnknownStreamError{}
+	}
 	return opaque.StreamOrigin{Service: service, Software: software}, err
 }
+
+// otherSoftwareServes reports whether upstreams of another version are listed: they may have
+// begun a stream whose record is not stored yet.
+func (s *streamIndex) otherSoftwareServes(service, software string) bool {
+	return slices.ContainsFunc(s.n.View().UpstreamsOf(service), func(u *directory.Upstream) bool { return u.Software != software })
+}
--- a/lib/generation/generation.go
+++ b/lib/generation/generation.go
@@ -75,6 +75,26 @@
 	Versions map[api.ModelName]api.WeightVersion
 	Busy     bool   // it is executing a load order
 	Orders   uint64 // number of load orders accepted since its start
+	// StartMillis is the start of its process, in Unix milliseconds; 0: not reported.
+	StartMillis int64
+}
+
+// CheckIncarnation returns an error if the report is that of another process of the upstream
+// than the one listed. Errors: *IncarnationError.
+func (r *Report) CheckIncarnation(u *directory.Upstream) error {
+	if r.StartMillis == 0 || u.StartMillis == 0 || r.StartMillis == u.StartMillis {
+		return nil
+	}
+	return &IncarnationError{Listed: u.StartMillis, Reported: r.StartMillis}
+}
+
+// IncarnationError reports that an upstream has restarted under its ID since it was listed:
+// its software may be another version. The times are in Unix milliseconds.
+type IncarnationError struct{ Listed, Reported int64 }
+
+// Error implements error.
+func (e *IncarnationError) Error() string {
+	return fmt.Sprintf("the upstream restarted: started at %d, listed with %d", e.Reported, e.Listed)
 }
 
 // LoadMode says how a change of weights affects runs in progress.
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -104,6 +104,9 @@
 	// request asks for. The EventStream is nil if the upstream returns an error response.
 	// Errors: *AttemptError.
 	OpenStream(ctx context.Context, u *directory.Upstream, q *Request, last int) (*Response, EventStream, error)
+	// CheckIncarnation fails if the upstream can't confirm that its process is the one
+	// listed. Errors: *AttemptError.
+	CheckIncarnation(ctx context.Context, u *directory.Upstream) error
 }
 
 // Event is an event of a stream, with its bytes as received.
--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -40,14 +40,17 @@
 
 // Watcher is the handle of the duties.
 type Watcher struct {
-	cfg          Config
-	log          *zap.Logger
-	view         atomic.Pointer[directory.View]
-	readers      []*duty.Duty[struct{}]
-	applier      *duty.Duty[readResult]
-	onChange     func(*directory.View)
-	loadedFeeds  atomic.Int32
-	heldRemovals map[directory.UpstreamUnlisted]time.Time // when each removal is applied
+	cfg         Config
+	log         *zap.Logger
+	view        atomic.Pointer[directory.View]
+	readers     []*duty.Duty[struct{}]
+	applier     *duty.Duty[readResult]
+	onChange    func(*directory.View)
+	loadedFeeds atomic.Int32
+	// upstreamsReadNanos is the end of the last read of the feed that lists upstreams, in
+	// Unix nanoseconds.
+	upstreamsReadNanos atomic.Int64
+	heldRemovals       map[directory.UpstreamUnlisted]time.Time // when each removal is applied
 }
 
 // readResult is the result of one read of a feed.
@@ -89,6 +92,12 @@
 // Loaded reports whether every feed has been loaded in full at least once.
 func (w *Watcher) Loaded() bool { return int(w.loadedFeeds.Load()) >= len(w.readers) }
 
+// UpstreamsCurrent reports whether a read of the feed that lists upstreams has ended within
+// the time that one takes at most.
+func (w *Watcher) UpstreamsCurrent() bool {
+	return w.cfg.Now().Sub(time.Unix(0, w.upstreamsReadNanos.Load())) < w.cfg.ReadWait+w.cfg.ReadTimeout
+}
+
 // Handle implements duty.Handler: it applies the result of one read.
 func (w *Watcher) Handle(_ context.Context, res readResult) {
 	if res.fullLoad {
@@ -244,6 +253,9 @@
 		return readResult{}, err
 	}
 	r.loaded, r.everLoaded, r.cursor = true, true, next
+	if r.feed.ListsUpstreams {
+		r.watcher.upstreamsReadNanos.Store(cfg.Now().UnixNano())
+	}
 	return res, nil
 }
 
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -35,7 +35,9 @@
 	WaitTick   time.Duration
 	// Streams knows which software began a stream.
 	Streams StreamIndex
-	Peers   Peers
+	// UpstreamsCurrent reports whether the list of upstreams was read a short time ago.
+	UpstreamsCurrent func() bool
+	Peers            Peers
 	// OnCrashes reports to the other daemons how many connections to upstreams were
 	// lost while a request with this content hash ran, or 0 if it got a response
 	// after all.
@@ -112,7 +114,7 @@
 // Start starts the duties. view returns the current directory.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, exchanger opaque.Exchanger, view func() *directory.View) *Relay {
 	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), crashes: newCrashes()}
-	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
+	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
 	return r
@@ -353,6 +355,7 @@
 	exchanger  opaque.Exchanger
 	forwarder  opaque.Forwarder
 	streams    StreamIndex
+	current    func() bool // Config.UpstreamsCurrent
 	postResult func(context.Context, *attempt)
 }
 
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -37,6 +37,8 @@
 	return nil, nil, &opaque.AttemptError{}
 }
 
+func (s *scriptedExchanger) CheckIncarnation(context.Context, *directory.Upstream) error { return nil }
+
 func (s *scriptedExchanger) tried() []api.UpstreamID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -64,7 +66,7 @@
 	r := Start(duty.NewSystem(nil), Config{
 		Chooser: opaque.Chooser{Daemon: "d", BusyThreshold: 2}, AttemptTimeouts: opaque.AttemptTimeouts{MinTimeout: 50 * time.Millisecond, TargetMultiple: 1},
 		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: onCrashes, Now: time.Now,
-		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond, Peers: peers, CrashConfirmation: 30 * time.Millisecond,
+		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond, Peers: peers, UpstreamsCurrent: func() bool { return true }, CrashConfirmation: 30 * time.Millisecond,
 	}, zap.NewNop(), s, func() *directory.View { return view })
 	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
 	return r
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -123,6 +123,12 @@
 		return
 	}
 	defer events.Close()
+	// An upstream may have restarted with other software under its ID.
+	if s.software != "" || a.job.request.Route.Resumable && !w.current() {
+		if a.err = w.exchanger.CheckIncarnation(ctx, a.upstream); a.err != nil {
+			return
+		}
+	}
 	a.streamed = true
 	s.head.Put(head) // has no effect after the first upstream's head
 	for {
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -76,6 +76,8 @@
 	LeasedUpstreams func() []batch.Upstream
 	// Limits are the request limits of upstreams.
 	Limits *ratelimit.Buckets
+	// UpstreamsCurrent reports whether the list of upstreams was read a short time ago.
+	UpstreamsCurrent func() bool
 }
 
 // Runner controls the duties. The fields from wanted on are accessed only on the
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -120,6 +120,9 @@
 		return err
 	}
 	defer s.Close()
+	if err := w.checkIncarnation(ctx, r); err != nil {
+		return err
+	}
 	flushed := w.cfg.Now()
 	for {
 		e, err := s.Next()
@@ -150,6 +153,23 @@
 	}
 }
 
+// checkIncarnation returns an error if a run that continues a text, or whose upstream was
+// listed long ago, is on a later process of the upstream: its software may be another
+// version. Errors: *generation.Error.
+func (w *worker) checkIncarnation(ctx context.Context, r *run) error {
+	if r.EventCount == 0 && w.deps.UpstreamsCurrent() {
+		return nil
+	}
+	report, err := w.deps.Engine.Report(ctx, r.upstream)
+	if err != nil {
+		return err
+	}
+	if err := report.CheckIncarnation(r.upstream); err != nil {
+		return &generation.Error{Upstream: r.Upstream, Cause: generation.CauseWrongUpstream, Err: err}
+	}
+	return nil
+}
+
 // checkSoftware returns an error if the upstream is listed with other software than at
 // the run's start: it may have restarted under its ID before the run began.
 func (w *worker) checkSoftware(r *run) error {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -413,7 +413,7 @@
 func (s *Server) handleReport(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"stage": "both", "models": s.models(), "busy": s.loading, "seq": s.acceptedOrders})
+	writeJSON(w, http.StatusOK, map[string]any{"stage": "both", "models": s.models(), "busy": s.loading, "seq": s.acceptedOrders, "born": s.incarnation})
 }
 
 // handleLoadOrder accepts a load order (202), unless it is malformed (400), its
