Never end a stream that has begun with another server's error

After a stream broke off, a 4xx of the server that should go on counted as the response: the events ended and the caller's stream ended as if it were complete. What is not the rest of a begun stream is now a failed attempt, and no error response is kept once a stream has begun; the connection is aborted if nobody goes on.

TestErrorOfNextUpstreamDoesNotEndBegunStream (404, 422, 500, 503) and TestErrorBeforeStreamBeganDoesNotEndIt failed before: no error, the stream counted as complete. The error's text itself was not sent into the stream.

--- a/server/relay/peers.go
+++ b/server/relay/peers.go
@@ -99,6 +99,7 @@
 	now := r.cfg.Now()
 	j, stats := a.job, r.peerStatsOf(a.peer.ID)
 	stats.inFlight--
+	a.rejectLateResponse()
 	if a.err == nil {
 		stats.consecutiveFailures, stats.backoffUntil = 0, time.Time{}
 		r.finish(j, reply{Response: a.response, Upstream: a.upstreamID})
@@ -167,7 +168,7 @@
 // Head implements opaque.StreamSink.
 func (s *peerSink) Head(head *opaque.Response) error {
 	s.attempt.head, s.attempt.streamed = head, true
-	s.attempt.job.stream.head.Put(head) // has no effect after the first upstream's head
+	s.attempt.job.stream.sendHead(head)
 	return nil
 }
 
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -276,6 +276,7 @@
 	now := r.cfg.Now()
 	j, stats := a.job, r.statsOf(a.upstream.ID)
 	stats.inFlight--
+	a.rejectLateResponse()
 	if a.err == nil && !isFailure(a.response) {
 		if !a.streamed {
 			stats.succeeded(now.Sub(a.startedAt)) // a stream's duration does not measure the upstream
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 
@@ -20,6 +21,7 @@
 type stream struct {
 	head      *ring.Slot[*opaque.Response]
 	events    *ring.Ring[opaque.Event]
+	headSent  atomic.Bool
 	lastEvent atomic.Int64 // number of the last event forwarded
 	// software is the version of the upstream that generated the first event, or that of
 	// the stream that the request resumes; empty: no event was forwarded. One attempt
@@ -114,6 +116,30 @@
 	s.events.Close()
 }
 
+// begun reports whether the caller has a head, after which no other response can follow.
+func (s *stream) begun() bool { return s.headSent.Load() }
+
+// sendHead passes on the head of the first upstream; others have no effect.
+func (s *stream) sendHead(head *opaque.Response) {
+	s.headSent.Store(true)
+	s.head.Put(head)
+}
+
+// rejectLateResponse makes an attempt fail that got a response other than the rest of a
+// stream that has begun.
+func (a *attempt) rejectLateResponse() {
+	s := a.job.stream
+	if s == nil || !s.begun() {
+		return
+	}
+	a.job.failureResponse = nil // of an upstream before the stream began
+	if a.streamed || a.err != nil {
+		return
+	}
+	cause := &opaque.FailedError{Reason: fmt.Sprintf("status %d instead of the rest of a stream", a.response.Status)}
+	a.response, a.err = nil, &opaque.AttemptError{Execution: opaque.ExecutionUnknown, Cause: cause}
+}
+
 // stream makes one attempt at a stream and resumes after the last event forwarded.
 func (w *worker) stream(ctx context.Context, a *attempt) {
 	s := a.job.stream
@@ -130,7 +156,7 @@
 		}
 	}
 	a.streamed = true
-	s.head.Put(head) // has no effect after the first upstream's head
+	s.sendHead(head)
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/server/relay/stream_test.go
+++ b/server/relay/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -121,3 +122,41 @@
 		assert.Assert(t, want > 0 || errors.As(err, &notRun) && time.Since(begin) < 500*time.Millisecond, "%v", err)
 	}
 }
+
+// Guards against a server's error in a stream that has begun, or in place of its end.
+func TestErrorOfNextUpstreamDoesNotEndBegunStream(t *testing.T) {
+	for _, status := range []int{404, 422, 500, 503} {
+		s := &failingNext{status: status}
+		r := start(t, s, threeUpstreams...)
+		heads, text := 0, ""
+		resp, _, err := r.Stream(t.Context(), newStreamRequest(), func(*opaque.Response) error { heads++; return nil }, func(data []byte) error { text += string(data); return nil })
+		var failed *opaque.FailedError
+		assert.Assert(t, errors.As(err, &failed), "status %d: the stream ends as complete, response %v", status, resp)
+		assert.Equal(t, heads, 1)
+		assert.Assert(t, !strings.Contains(text, "error"), "%s", text)
+	}
+}
+
+// The same after a first upstream that failed before the stream began.
+func TestErrorBeforeStreamBeganDoesNotEndIt(t *testing.T) {
+	s := &failingNext{status: 500, failFirst: true}
+	r := start(t, s, threeUpstreams...)
+	_, _, err := r.Stream(t.Context(), newStreamRequest(), func(*opaque.Response) error { return nil }, func([]byte) error { return nil })
+	var failed *opaque.FailedError
+	assert.Assert(t, errors.As(err, &failed), "%v", err)
+}
+
+// failingNext cuts the first stream and answers the next requests with an error.
+type failingNext struct {
+	streamingExchanger
+	status    int
+	failFirst bool // the first request too
+}
+
+func (s *failingNext) OpenStream(ctx context.Context, u *directory.Upstream, q *opaque.Request, last int) (*opaque.Response, opaque.EventStream, error) {
+	if s.attempts > 0 || s.failFirst {
+		s.failFirst = false
+		return &opaque.Response{Status: s.status, Body: []byte("error"), Signature: "sig"}, nil, nil
+	}
+	return s.streamingExchanger.OpenStream(ctx, u, q, last)
+}
