--- a/cmd/dotterelmountd/internal/hosted/outofstep_test.go
+++ b/cmd/dotterelmountd/internal/hosted/outofstep_test.go
@@ -10,6 +10,7 @@
 
 	"dotterelmount.example/standin/platform"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // freezeView makes a daemon keep the upstreams as it knows them.
@@ -61,3 +62,22 @@
 	assert.NilError(t, resp.Err)
 	assert.Equal(t, len(got.Results), 0, "texts of v2 are listed as of v1")
 }
+
+// Guards against entries of another writer that stop a daemon from following the servers.
+func TestDaemonFollowsServersBesideOddEntries(t *testing.T) {
+	d := newDeployment(t, 1)
+	defer d.stopAll()
+	d.store.Put("keyed.servers", "nested", []byte(strings.Repeat("[", 200000)))
+	d.store.Put("keyed.servers", "number", []byte(`{"service":"plain","address":"127.0.0.1:1","zone":"z","version":"v","slots":1e400,"state":"ready","seq":1}`))
+	d.store.Put("keyed.servers", "port", []byte(`{"service":"plain","address":"127.0.0.1:70000","zone":"z","version":"v","slots":1,"state":"ready","seq":1}`))
+	late := platform.NewServer(d.store, "late", "plain")
+	defer late.Crash()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if d.daemons[0].View().Upstreams["late"] == nil {
+			return poll.Continue("not listed")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+	assert.Equal(t, len(d.daemons[0].View().UpstreamsOf("plain")), len(d.plain)+1)
+	assert.Equal(t, d.call(d.daemons[0], http.MethodPost, memberPath+"x", nil, map[string]string{"X-Request-Id": "r", "X-Deadline-Ms": "1000"}).status, http.StatusOK)
+}
