--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -123,6 +123,7 @@
 		{Name: "operator", Feed: feed.NewOperator(storeClient), MinReadInterval: operatorReadInterval},
 		{Name: "servers", Feed: feed.NewServers(storeClient), MinReadInterval: serversReadInterval, ListsUpstreams: true},
 	}, n.onViewChange)
+	n.serverClient.OnLeaving(n.watcher.Leaving)
 }
 
 // onViewChange closes idle connections to removed upstreams.
--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -44,12 +44,13 @@
 	log         *zap.Logger
 	view        atomic.Pointer[directory.View]
 	readers     []*duty.Duty[struct{}]
-	applier     *duty.Duty[readResult]
+	applier     *duty.Duty[any]
 	onChange    func(*directory.View)
 	loadedFeeds atomic.Int32
 	// upstreamsReadNanos is the end of the last read of the feed that lists upstreams, in
 	// Unix nanoseconds.
 	upstreamsReadNanos atomic.Int64
+	leaving            leavingUpstreams
 	heldRemovals       map[directory.UpstreamUnlisted]time.Time // when each removal is applied
 }
 
@@ -69,7 +70,7 @@
 // applies changes.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, feeds []FeedConfig, onChange func(*directory.View)) *Watcher {
 	w := newWatcher(cfg, log, onChange)
-	w.applier = duty.Start(sys, duty.Config{Name: "directory", RingSize: applierRingSize, Tick: cfg.RetryInterval}, duty.Handler[readResult](w))
+	w.applier = duty.Start(sys, duty.Config{Name: "directory", RingSize: applierRingSize, Tick: cfg.RetryInterval}, duty.Handler[any](w))
 	for _, f := range feeds {
 		r := &reader{watcher: w, feed: f}
 		d := duty.Start(sys, duty.Config{Name: "feed-" + f.Name, RingSize: 1}, duty.Handler[struct{}](r))
@@ -98,8 +99,18 @@
 	return w.cfg.Now().Sub(time.Unix(0, w.upstreamsReadNanos.Load())) < w.cfg.ReadWait+w.cfg.ReadTimeout
 }
 
-// Handle implements duty.Handler: it applies the result of one read.
-func (w *Watcher) Handle(_ context.Context, res readResult) {
+// Handle implements duty.Handler: it applies the result of one read, or notes that an
+// upstream leaves.
+func (w *Watcher) Handle(_ context.Context, m any) {
+	switch m := m.(type) {
+	case readResult:
+		w.applyRead(m)
+	case leavingUpstream:
+		w.noteLeaving(m)
+	}
+}
+
+func (w *Watcher) applyRead(res readResult) {
 	if res.fullLoad {
 		res.changes = append(res.changes, w.removalsOfUnlisted(res.changes)...)
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -52,6 +52,7 @@
 	highestFence      int            // highest fencing token accepted
 	loading           bool           // weights are being loaded
 	draining          bool
+	leaving           bool // all responses say so
 	downUntil         time.Time
 	fault             Fault
 	requestLimit      float64        // named in each response, in requests a second; 0: none
@@ -164,7 +165,7 @@
 	defer s.mu.Unlock()
 	s.store.Put(serversTopic, s.ID, nil)
 	s.ID, s.downUntil, s.incarnation = id, time.Now().Add(down), s.incarnation+1
-	s.acceptedOrders, s.highestFence, s.loading, s.draining = 0, 0, false, false
+	s.acceptedOrders, s.highestFence, s.loading, s.draining, s.leaving = 0, 0, false, false, false
 }
 
 // Crash closes the server and its connections permanently and removes its entry.
@@ -273,10 +274,22 @@
 	return most
 }
 
-// nameLimit names the request limit in a response, if there is one.
-func (s *Server) nameLimit(w http.ResponseWriter) {
+// SetLeaving makes the server say in all its responses whether it leaves. Its entry doesn't
+// change.
+func (s *Server) SetLeaving(leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.leaving = leaving
+}
+
+// announce adds to a response what the server says in all of them: that it leaves, and its
+// request limit.
+func (s *Server) announce(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if s.requestLimit > 0 {
 		s.received = append(s.received, time.Now())
 		w.Header().Set("Server-Limit", strconv.FormatFloat(s.requestLimit, 'f', -1, 64))
@@ -294,7 +307,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.suffer(r)
-	s.nameLimit(w)
+	s.announce(w)
 	if expect := r.Header.Get("X-Expect-Instance"); expect != "" && expect != s.InstanceID() {
 		w.Header().Set("X-Instance-Id", s.InstanceID())
 		w.WriteHeader(http.StatusMisdirectedRequest)
