Send nothing to a server whose responses say that it leaves

A response with the header now makes that process of the server draining at this daemon at once, whatever its entry says until it restarts; a record tells the other daemons. A daemon whose request a peer forwarded learns it with the response.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -123,7 +123,18 @@
 		{Name: "operator", Feed: feed.NewOperator(storeClient), MinReadInterval: operatorReadInterval},
 		{Name: "servers", Feed: feed.NewServers(storeClient), MinReadInterval: serversReadInterval, ListsUpstreams: true},
 	}, n.onViewChange)
-	n.serverClient.OnLeaving(n.watcher.Leaving)
+	n.serverClient.OnLeaving(func(u *directory.Upstream) { n.handleLeaving(u.ID, u.StartMillis) })
+}
+
+// handleLeaving notes that an upstream has said that it leaves, and reports it to the other
+// daemons.
+func (n *Node) handleLeaving(id api.UpstreamID, startMillis int64) {
+	if !n.watcher.Leaving(id, startMillis) {
+		return
+	}
+	if err := n.propose(&batch.UpstreamLeaving{Upstream: id, StartMillis: startMillis}, 0); err != nil {
+		n.log.Warn("reporting a leaving upstream to other daemons failed", zap.String("upstream", string(id)), zap.Error(err))
+	}
 }
 
 // onViewChange closes idle connections to removed upstreams.
@@ -184,6 +195,7 @@
 		},
 		RequestLimitNamed: func(r *batch.RequestLimitNamed) { n.throttle.Record(r) },
 		DemandReported:    func(r *batch.DemandReported) { n.throttle.Record(r) },
+		UpstreamLeaving:   func(r *batch.UpstreamLeaving) { n.watcher.Leaving(r.Upstream, r.StartMillis) },
 	}, n.log.Logger))
 }
 
@@ -226,6 +238,11 @@
 		}
 	}
 	cfg.Limits, cfg.Streams, cfg.UpstreamsCurrent = n.throttle.Buckets(), &streamIndex{n}, n.watcher.UpstreamsCurrent
+	cfg.OnLeaving = func(id api.UpstreamID) {
+		if u := n.View().Upstreams[id]; u != nil {
+			n.handleLeaving(id, u.StartMillis)
+		}
+	}
 	cfg.Peers = relay.Peers{Links: n.reachability.State, List: n.reachingPeers, Forwarder: n.forwardClient, MaxTries: maxPeerTries}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
--- a/front/forward/client.go
+++ b/front/forward/client.go
@@ -78,7 +78,7 @@
 			}
 			return part.End, nil
 		case *forwardpb.Part_Head:
-			err = sink.Head(&opaque.Response{Status: int(part.Head.GetStatus()), Headers: headersFromProto(part.Head.GetHeaders())})
+			err = sink.Head(&opaque.Response{Status: int(part.Head.GetStatus()), Headers: headersFromProto(part.Head.GetHeaders()), Leaving: part.Head.GetLeaving()})
 		case *forwardpb.Part_Event:
 			err = sink.Event(opaque.Event{Number: int(part.Event.GetNumber()), Data: part.Event.GetData()}, part.Event.GetSoftware())
 		default:
@@ -109,5 +109,6 @@
 	}
 	return &opaque.Response{
 		Status: int(end.GetStatus()), Headers: headersFromProto(end.GetHeaders()), Body: end.GetBody(), Signature: end.GetSignature(),
+		Leaving: end.GetLeaving(),
 	}, upstream, nil
 }
--- a/front/forward/forward_test.go
+++ b/front/forward/forward_test.go
@@ -45,13 +45,13 @@
 	got := make(chan *opaque.Request, 1)
 	_, p := serve(t, func(_ context.Context, q *opaque.Request, _ opaque.StreamSink) (*opaque.Response, api.UpstreamID, error) {
 		got <- q
-		return &opaque.Response{Status: 404, Headers: q.Headers, Body: []byte("x"), Signature: "sig"}, "u", nil
+		return &opaque.Response{Status: 404, Headers: q.Headers, Body: []byte("x"), Signature: "sig", Leaving: true}, "u", nil
 	})
 	want := newRequest()
 	resp, upstream, err := NewClient().Forward(t.Context(), p, want, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, upstream, api.UpstreamID("u"))
-	assert.DeepEqual(t, resp, &opaque.Response{Status: 404, Headers: want.Headers, Body: []byte("x"), Signature: "sig"})
+	assert.DeepEqual(t, resp, &opaque.Response{Status: 404, Headers: want.Headers, Body: []byte("x"), Signature: "sig", Leaving: true})
 	q := <-got
 	assert.Assert(t, time.Until(q.Deadline) <= 2*time.Second)
 	assert.Assert(t, q.Forwarded)
--- a/front/forward/server.go
+++ b/front/forward/server.go
@@ -129,6 +129,7 @@
 		end.DeadlineExceeded = errors.As(err, &failed) && failed.DeadlineExceeded
 	case resp != nil:
 		end.Status, end.Headers, end.Body, end.Signature = uint32(resp.Status), headersToProto(resp.Headers), resp.Body, resp.Signature
+		end.Leaving = resp.Leaving
 	}
 	end.Upstream = string(upstream)
 	return end
@@ -141,7 +142,7 @@
 
 // Head implements opaque.StreamSink.
 func (s sink) Head(head *opaque.Response) error {
-	return s.stream.Send(&forwardpb.Part{Part: &forwardpb.Part_Head{Head: &forwardpb.Head{Status: uint32(head.Status), Headers: headersToProto(head.Headers)}}})
+	return s.stream.Send(&forwardpb.Part{Part: &forwardpb.Part_Head{Head: &forwardpb.Head{Status: uint32(head.Status), Headers: headersToProto(head.Headers), Leaving: head.Leaving}}})
 }
 
 // Event implements opaque.StreamSink.
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -263,6 +263,14 @@
 	AtMillis int64         `msgpack:"at"` // in Unix milliseconds
 }
 
+// UpstreamLeaving reports that a process of an upstream has said that it leaves. The record
+// does not change a State.
+type UpstreamLeaving struct {
+	Upstream    api.UpstreamID `msgpack:"u"`
+	StartMillis int64          `msgpack:"s"` // of the process, in Unix milliseconds
+}
+
+func (*UpstreamLeaving) record()       {}
 func (*StreamBegan) record()           {}
 func (*RequestLimitNamed) record()     {}
 func (*DemandReported) record()        {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -45,6 +45,7 @@
 	kindRequestLimitNamed
 	kindDemandReported
 	kindStreamBegan
+	kindUpstreamLeaving
 )
 
 func kindOf(r batch.Record) byte {
@@ -83,6 +84,8 @@
 		return kindDemandReported
 	case *batch.StreamBegan:
 		return kindStreamBegan
+	case *batch.UpstreamLeaving:
+		return kindUpstreamLeaving
 	default:
 		return kindUpstreamChanged
 	}
@@ -107,6 +110,7 @@
 	kindRequestLimitNamed:     decode[batch.RequestLimitNamed],
 	kindDemandReported:        decode[batch.DemandReported],
 	kindStreamBegan:           decode[batch.StreamBegan],
+	kindUpstreamLeaving:       decode[batch.UpstreamLeaving],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/batchcodec/batchcodec_test.go
+++ b/lib/batch/batchcodec/batchcodec_test.go
@@ -26,6 +26,7 @@
 	&batch.EventIntervalMeasured{Upstream: "u", Daemon: "d", Micros: 39000},
 	&batch.ItemScored{Job: "j", Item: "i", Score: "3e1b.07"},
 	&batch.RewardFailed{Job: "j", Item: "i", Status: 500},
+	&batch.UpstreamLeaving{Upstream: "u", StartMillis: 5},
 	&batch.StreamBegan{Request: "r", Service: "s", Software: "v1", AtMillis: 5},
 	&batch.RequestLimitNamed{Upstream: "u", PerSecond: 2.5},
 	&batch.DemandReported{Daemon: "d", PerSecond: map[api.UpstreamID]float64{"u": 1.5}},
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -54,6 +54,13 @@
 // UpstreamUnlisted removes an upstream.
 type UpstreamUnlisted struct{ ID api.UpstreamID }
 
+// UpstreamLeaving reports that an incarnation of an upstream has said that it leaves. It
+// counts as draining from then on, whatever its descriptions say.
+type UpstreamLeaving struct {
+	ID          api.UpstreamID
+	StartMillis int64 // of the incarnation, as in Upstream
+}
+
 // MalformedRecord reports a record that cannot be decoded.
 type MalformedRecord struct {
 	Key   string
@@ -64,6 +71,7 @@
 func (WeightsAnnounced) change() {}
 func (UpstreamListed) change()   {}
 func (UpstreamUnlisted) change() {}
+func (UpstreamLeaving) change()  {}
 func (MalformedRecord) change()  {}
 
 // Cursor is a position in a feed.
@@ -96,6 +104,8 @@
 	// late description neither replaces a newer one nor restores an upstream
 	// that was removed.
 	newest map[api.UpstreamID]incarnationRevision
+	// leaving are the incarnations that have said that they leave, by their starts.
+	leaving map[api.UpstreamID]int64
 }
 
 // incarnationRevision orders the descriptions of an upstream.
@@ -117,6 +127,7 @@
 		AnnouncedVersions: make(map[api.ModelName]api.WeightVersion),
 		Upstreams:         make(map[api.UpstreamID]*Upstream),
 		newest:            make(map[api.UpstreamID]incarnationRevision),
+		leaving:           make(map[api.UpstreamID]int64),
 	}
 }
 
@@ -126,6 +137,7 @@
 	next := &View{
 		Table: v.Table, AnnouncedVersions: maps.Clone(v.AnnouncedVersions),
 		Upstreams: maps.Clone(v.Upstreams), newest: maps.Clone(v.newest),
+		leaving: maps.Clone(v.leaving),
 	}
 	for _, c := range changes {
 		switch c := c.(type) {
@@ -139,6 +151,8 @@
 			next.listUpstream(c.Upstream)
 		case UpstreamUnlisted:
 			delete(next.Upstreams, c.ID)
+		case UpstreamLeaving:
+			next.markLeaving(c)
 		}
 	}
 	return next
@@ -151,9 +165,25 @@
 		return
 	}
 	v.newest[u.ID] = at
+	if startMillis, ok := v.leaving[u.ID]; ok && startMillis == u.StartMillis {
+		u.Draining = true
+	}
 	v.Upstreams[u.ID] = &u
 }
 
+// markLeaving marks an incarnation as leaving, unless a later one is known.
+func (v *View) markLeaving(c UpstreamLeaving) {
+	if startMillis, ok := v.leaving[c.ID]; ok && startMillis > c.StartMillis {
+		return
+	}
+	v.leaving[c.ID] = c.StartMillis
+	if u, ok := v.Upstreams[c.ID]; ok && u.StartMillis == c.StartMillis {
+		draining := *u
+		draining.Draining = true
+		v.Upstreams[c.ID] = &draining
+	}
+}
+
 // UpstreamsOf returns the upstreams of a service, in no particular order.
 func (v *View) UpstreamsOf(service string) []*Upstream {
 	var out []*Upstream
--- a/lib/directory/directory_test.go
+++ b/lib/directory/directory_test.go
@@ -35,3 +35,16 @@
 	v = v.Apply([]Change{UpstreamListed{Upstream{ID: "u", StartMillis: 6, Revision: 1}}})
 	assert.Assert(t, !v.Upstreams["u"].Draining, "revisions restart with a new incarnation")
 }
+
+func TestLeavingIncarnationDrains(t *testing.T) {
+	v := NewView().Apply([]Change{UpstreamListed{Upstream{ID: "u", StartMillis: 5, Revision: 1}}})
+	leaving := v.Apply([]Change{UpstreamLeaving{ID: "u", StartMillis: 5}})
+	assert.Assert(t, !v.Upstreams["u"].Draining)
+	assert.Assert(t, leaving.Upstreams["u"].Draining)
+	again := leaving.Apply([]Change{UpstreamUnlisted{"u"}, UpstreamListed{Upstream{ID: "u", StartMillis: 5, Revision: 2}}})
+	assert.Assert(t, again.Upstreams["u"].Draining, "listed again after an outage of the list")
+	restarted := again.Apply([]Change{UpstreamListed{Upstream{ID: "u", StartMillis: 6, Revision: 1}}, UpstreamLeaving{ID: "u", StartMillis: 5}})
+	assert.Assert(t, !restarted.Upstreams["u"].Draining, "a late response of the process before")
+	early := NewView().Apply([]Change{UpstreamLeaving{ID: "u", StartMillis: 5}, UpstreamListed{Upstream{ID: "u", StartMillis: 5}}})
+	assert.Assert(t, early.Upstreams["u"].Draining, "another daemon's report arrives before the description")
+}
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -57,6 +57,8 @@
 	// Signature is the upstream's proof that it made the response; empty for the head
 	// of a stream.
 	Signature string
+	// Leaving is set if the upstream says that it leaves.
+	Leaving bool
 }
 
 // Execution says whether a failed request was executed by the upstream.
--- a/server/follow/leaving.go
+++ b/server/follow/leaving.go
@@ -23,20 +23,24 @@
 	return !loaded
 }
 
-// Leaving reports that a response says that its upstream leaves. It never blocks.
-func (w *Watcher) Leaving(u *directory.Upstream) {
-	l := leavingUpstream{id: u.ID, startMillis: u.StartMillis}
+// Leaving reports that an incarnation of an upstream, with its start in Unix milliseconds,
+// has said that it leaves. It returns true for the first report of it, and never blocks.
+func (w *Watcher) Leaving(id api.UpstreamID, startMillis int64) bool {
+	l := leavingUpstream{id: id, startMillis: startMillis}
 	if !w.leaving.add(l) {
-		return
+		return false
 	}
 	if err := w.applier.Post(l); err != nil {
 		w.leaving.known.Delete(l) // the next response reports it again
-		w.log.Warn("report of a leaving upstream dropped", zap.String("upstream", string(u.ID)), zap.Error(err))
+		w.log.Warn("report of a leaving upstream dropped", zap.String("upstream", string(id)), zap.Error(err))
+		return false
 	}
+	return true
 }
 
-// noteLeaving logs that an upstream leaves.
+// noteLeaving publishes that an upstream leaves.
 func (w *Watcher) noteLeaving(l leavingUpstream) {
 	listed, ok := w.View().Upstreams[l.id]
 	w.log.Info("upstream leaves", zap.String("upstream", string(l.id)), zap.Bool("listed", ok), zap.Bool("draining", ok && listed.Draining))
+	w.publish([]directory.Change{directory.UpstreamLeaving{ID: l.id, StartMillis: l.startMillis}})
 }
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -59,6 +59,8 @@
 	// demands of daemons that share them.
 	RequestLimitNamed func(*batch.RequestLimitNamed)
 	DemandReported    func(*batch.DemandReported)
+	// UpstreamLeaving is called for upstreams that have said that they leave.
+	UpstreamLeaving func(*batch.UpstreamLeaving)
 }
 
 // Snapshot is an immutable view of the daemons and upstreams.
@@ -209,6 +211,8 @@
 			j.callbacks.RequestLimitNamed(r)
 		case *batch.DemandReported:
 			j.callbacks.DemandReported(r)
+		case *batch.UpstreamLeaving:
+			j.callbacks.UpstreamLeaving(r)
 		}
 		changed := j.state.Apply(at, r)
 		j.noteChanges(r, changed)
@@ -239,7 +243,7 @@
 func (j *JobReplica) noteChanges(r batch.Record, changed bool) {
 	mayConcernRuns := true
 	switch r.(type) {
-	case *batch.DaemonAlive, *batch.DemandReported, *batch.StreamBegan:
+	case *batch.DaemonAlive, *batch.DemandReported, *batch.StreamBegan, *batch.UpstreamLeaving:
 		mayConcernRuns = false
 	}
 	j.unpublished.any = j.unpublished.any || changed || mayConcernRuns
--- a/server/relay/peers.go
+++ b/server/relay/peers.go
@@ -102,6 +102,9 @@
 	a.rejectLateResponse()
 	if a.err == nil {
 		stats.consecutiveFailures, stats.backoffUntil = 0, time.Time{}
+		if a.response.Leaving {
+			r.cfg.OnLeaving(a.upstreamID)
+		}
 		r.finish(j, reply{Response: a.response, Upstream: a.upstreamID})
 		return
 	}
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -35,6 +35,8 @@
 	WaitTick   time.Duration
 	// Streams knows which software began a stream.
 	Streams StreamIndex
+	// OnLeaving is called if a peer passes on the response of an upstream that leaves.
+	OnLeaving func(id api.UpstreamID)
 	// UpstreamsCurrent reports whether the list of upstreams was read a short time ago.
 	UpstreamsCurrent func() bool
 	Peers            Peers
