Hosted soak and stand-in: daemons cut off from all servers, servers that leave

Two kinds of fault: one to four of five daemons lose all servers (connections hang, are closed, or new ones are), and a server says only in its responses that it leaves. The servers tell the daemons apart by their source addresses, so that the proxies before them are gone; a dark server now holds back its responses itself.

--- a/bench/hostedsoak/deployment.go
+++ b/bench/hostedsoak/deployment.go
@@ -57,7 +57,12 @@
 	client             *platform.Client
 }
 
-func daemonName(i int) string     { return fmt.Sprintf("daemon-%d", i+1) }
+func daemonName(i int) string { return fmt.Sprintf("daemon-%d", i+1) }
+
+// daemonIP is the address of a daemon's connections to servers, by which these tell the
+// daemons apart.
+func daemonIP(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
+
 func storeLinkName(i int) string  { return "store:" + daemonName(i) }
 func callerLinkName(i int) string { return "caller:" + daemonName(i) }
 
@@ -75,13 +80,6 @@
 	for i := range plainCount {
 		d.plains = append(d.plains, d.newServer(fmt.Sprintf("plain-%d", i+1), plainService))
 	}
-	for _, s := range d.servers() {
-		address, err := d.network.Open(s.ID, s.Listener.Addr().String())
-		if err != nil {
-			return d, err
-		}
-		s.Advertise(address)
-	}
 	for i := range daemonCount {
 		if err := d.startDaemon(i); err != nil {
 			return d, err
@@ -106,13 +104,15 @@
 readiness: %s
 metrics: %s
 store: %s
+peers: %s
+upstream_source: %s
 lease_wait: 1s
 grace: %s
 fatal_invariants: true
 `
 
 func (d *deployment) startDaemon(i int) error {
-	listens, err := proc.FreeAddresses(3)
+	listens, err := proc.FreeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -125,7 +125,7 @@
 		return err
 	}
 	file := filepath.Join(d.runner.OutDir(), daemonName(i)+".yaml")
-	content := fmt.Sprintf(settingsTemplate, daemonName(i), listens[0], listens[1], listens[2], store, shutdownGrace)
+	content := fmt.Sprintf(settingsTemplate, daemonName(i), listens[0], listens[1], listens[2], store, listens[3], daemonIP(i), shutdownGrace)
 	if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
 		return fmt.Errorf("settings of %s: %w", daemonName(i), err)
 	}
--- a/bench/hostedsoak/evaluate.go
+++ b/bench/hostedsoak/evaluate.go
@@ -204,6 +204,25 @@
 type drainPeriod struct {
 	instanceID string
 	begin, end time.Time
+	// announced is set if the server said in its responses only that it leaves. The daemons
+	// know it from the first of them on.
+	announced bool
+}
+
+// known returns when the daemons could first know of a drain.
+func (d *drainPeriod) known(index *arrivalIndex) time.Time {
+	if !d.announced {
+		return d.begin
+	}
+	first := d.end
+	for _, arrivals := range index.arrivals {
+		for _, a := range arrivals {
+			if a.InstanceID == d.instanceID && a.StartedAt.After(d.begin) && a.StartedAt.Before(first) {
+				first = a.StartedAt
+			}
+		}
+	}
+	return first
 }
 
 // evaluateDrains counts requests that started at a server more than maxDrainDelay
@@ -214,12 +233,13 @@
 		daemons[req.SentID] = req.Daemon
 	}
 	for _, d := range drains {
-		if d.end.Sub(d.begin) > maxDrainDelay {
+		known := d.known(index)
+		if d.end.Sub(known) > maxDrainDelay {
 			r.EvaluatedDrains++
 		}
 		for id, arrivals := range index.arrivals {
 			for _, a := range arrivals {
-				if a.InstanceID == d.instanceID && a.StartedAt.After(d.begin.Add(maxDrainDelay)) && a.StartedAt.Before(d.end) && j.senderUndisturbed(daemons, id, a.StartedAt) {
+				if a.InstanceID == d.instanceID && a.StartedAt.After(known.Add(maxDrainDelay)) && a.StartedAt.Before(d.end) && j.senderUndisturbed(daemons, id, a.StartedAt) {
 					r.Countf(&r.NewWorkAfterDrain, "%s got %s %s after it was marked as draining", d.instanceID, id, a.StartedAt.Sub(d.begin))
 				}
 			}
--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -18,8 +18,9 @@
 	retryInterval    = 100 * time.Millisecond
 	retryTimeout     = 6 * time.Second       // for a fault that can't be injected at once
 	stormInterval    = 60 * time.Millisecond // between two configurations of a storm
-	crashSeries      = 5                     // crashes of a series
-	softwareVersions = 2                     // of the servers, which change at a restart
+	leaveDowntime    = 200 * time.Millisecond
+	crashSeries      = 5 // crashes of a series
+	softwareVersions = 2 // of the servers, which change at a restart
 	stopTimeout      = shutdownGrace + 3*time.Second
 )
 
@@ -99,7 +100,7 @@
 		serverGarbles: platform.FaultGarble, serverHangs: platform.FaultHang, serverFails: platform.FaultFail,
 	}
 	silenceScopes = map[kind]links.SilenceScope{
-		callerSilent: links.SilenceAll, storeSilent: links.SilenceAll, storeSilentOld: links.SilenceExisting, serverDark: links.SilenceAll,
+		callerSilent: links.SilenceAll, storeSilent: links.SilenceAll, storeSilentOld: links.SilenceExisting,
 	}
 )
 
@@ -109,8 +110,6 @@
 	switch f.Kind {
 	case callerCut, callerSilent:
 		return j.deployment.network.ByName[callerLinkName(daemon)]
-	case serverDark:
-		return j.deployment.network.Links[f.Target%len(j.deployment.servers())] // the servers' links were opened first
 	default:
 		return j.deployment.network.ByName[storeLinkName(daemon)]
 	}
@@ -127,7 +126,7 @@
 	case callerCut, storeCut:
 		link := j.faultLink(f)
 		return link.Name, func(ctx context.Context) bool { return links.Cut(ctx, f.Duration, link) }
-	case callerSilent, storeSilent, storeSilentOld, serverDark:
+	case callerSilent, storeSilent, storeSilentOld:
 		link := j.faultLink(f)
 		return link.Name, func(ctx context.Context) bool { return link.Silence(ctx, silenceScopes[f.Kind], f.Duration) }
 	case storeBusy, storeDown, storeLossy, storeLate, storeSlow:
@@ -136,6 +135,14 @@
 		return "store", func(context.Context) bool { j.deployment.store.Compact(); return true }
 	case serverSlow, serverBusy, serverCuts, serverLoses, serverGarbles, serverHangs, serverFails:
 		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return setServerFault(ctx, server, serverFaults[f.Kind], f.Duration) }
+	case serverDark:
+		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return darken(ctx, server, f.Duration) }
+	case daemonsCutOff:
+		return "cut-offs", func(ctx context.Context) bool {
+			return j.deployment.cutOff(ctx, cutOffSet(f.Target), f.Target, f.Duration)
+		}
+	case serverLeaves:
+		return "drain", func(ctx context.Context) bool { return j.announceLeaving(ctx, server, f.Duration) }
 	case serverLimits:
 		return "limit:" + server.URL, func(ctx context.Context) bool { return setServerLimit(ctx, server, f.Duration) }
 	case serverRestart:
@@ -217,7 +224,7 @@
 func (j *injector) crashServers(ctx context.Context, first int, down time.Duration) bool {
 	for n := range crashSeries {
 		for i, s := range j.deployment.servers() {
-			if (first+n+i)%2 == 0 && !s.Draining() {
+			if (first+n+i)%2 == 0 && !s.Draining() && !s.Leaving() {
 				s.Restart(down, s.InstanceID())
 			}
 		}
@@ -239,6 +246,18 @@
 	return true
 }
 
+// announceLeaving makes a server say in its responses that it leaves, for the given duration,
+// records the period, and restarts the server under another ID.
+func (j *injector) announceLeaving(ctx context.Context, s *platform.Server, duration time.Duration) bool {
+	s.SetLeaving(true)
+	id, begin := s.InstanceID(), time.Now()
+	duty.Sleep(ctx, duration)
+	j.mu.Lock()
+	j.drains = append(j.drains, drainPeriod{instanceID: id, begin: begin, end: time.Now(), announced: true})
+	j.mu.Unlock()
+	return j.restartServer(s, leaveDowntime)
+}
+
 // runConfigStorm publishes a new configuration every stormInterval for the given
 // duration.
 func (j *injector) runConfigStorm(ctx context.Context, duration time.Duration) bool {
--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -37,7 +37,7 @@
 	for i, model := range models {
 		trainers = append(trainers, &trainer{deployment: d, model: model, result: r, injector: j, rng: rand.New(rand.NewPCG(r.Seed, uint64(memberThreads+i)))})
 	}
-	stops, limits := r.runLoadAndFaults(ctx, d, j, l, trainers, faults)
+	stops, limits, cut := r.runLoadAndFaults(ctx, d, j, l, trainers, faults)
 	r.checkRecovery(ctx, d, l)
 	for _, t := range trainers {
 		t.rereadResults(ctx)
@@ -53,6 +53,7 @@
 	r.evaluateSteps(trainers, index)
 	r.evaluateKillers(l.requests, index, j)
 	r.evaluateDrains(j.drains, l.requests, index, j)
+	r.evaluateCutOff(cut, l.requests)
 	r.evaluateStops(stops, l.requests, index)
 	r.evaluateLoadOrders(d)
 	r.evaluateLimits(d, limits)
@@ -69,9 +70,9 @@
 }
 
 // runLoadAndFaults runs the load, first while the scheduled faults are injected and
-// then during the calm phase. It returns the graceful stops and the period of request
-// limits of the calm phase.
-func (r *Result) runLoadAndFaults(ctx context.Context, d *deployment, j *injector, l *load, trainers []*trainer, faults []fault) ([]injectedFault, limitPeriod) {
+// then during the calm phase. It returns the graceful stops, the period of request limits
+// and that of the cut-off of the calm phase.
+func (r *Result) runLoadAndFaults(ctx context.Context, d *deployment, j *injector, l *load, trainers []*trainer, faults []fault) ([]injectedFault, limitPeriod, cutPeriod) {
 	begin := time.Now()
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
@@ -91,12 +92,14 @@
 	j.run(ctx, faults)
 	duty.Sleep(ctx, calmTime)
 	limits := limitServers(ctx, d)
+	duty.Sleep(ctx, calmTime)
+	cut := cutOffCalmly(ctx, d, r.Seed)
 	stops := runCalm(ctx, d, j)
 	stopLoad()
 	senders.Wait()
 	probes.Wait()
 	r.Seconds = time.Since(begin).Seconds()
-	return stops, limits
+	return stops, limits, cut
 }
 
 // runCalm runs the calm phase, the last part of the load, without scheduled faults:
--- a/bench/hostedsoak/result.go
+++ b/bench/hostedsoak/result.go
@@ -34,6 +34,8 @@
 	EvaluatedKillers  int            `json:"killers_judged"`       // killer requests that crashed three servers
 	LimitsExceeded    int            `json:"limits_exceeded"`      // servers that got more requests than the limit that they named allows
 	LimitedRequests   int            `json:"limited_requests"`     // most requests within limitWindow at a server that named a limit
+	CutOffRequests    int            `json:"cut_off_requests"`     // requests at daemons cut off from all servers in the calm phase
+	CutOffFailed      int            `json:"cut_off_failed"`       // of these, not served
 	NotContinued      int            `json:"not_continued"`        // streams of the calm phase that were resumed and not completed
 	Resumptions       map[int]int    `json:"resumptions"`          // attempts to resume a stream, by status; 0: no complete response
 	TwoHolders        int            `json:"two_holders"`          // fencing tokens that two daemons used at the same server
@@ -96,6 +98,8 @@
 	c.Check(r.InProgressAtStops > 0, "in_progress_at_stops")
 	c.Check(r.KillerRetries <= maxKillerRetries, "killer_retries")
 	c.Check(r.EvaluatedKillers > 0, "killers_judged")
+	c.Check(r.CutOffRequests > 0, "cut_off_requests")
+	c.Check(r.CutOffFailed <= maxCutFailed+r.CutOffRequests/cutFailedOnes, "cut_off_failed")
 	c.Check(r.NotContinued == 0, "not_continued")
 	c.Check(r.Resumptions[http.StatusOK] > 0, "resumptions")
 	c.Check(r.LimitsExceeded == 0, "limits_exceeded")
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -44,6 +44,8 @@
 	serverDark     kind = "server-dark"      // connections to a server carry no data
 	serverLimits   kind = "server-limits"    // a server names a request limit
 	serverDrain    kind = "server-drain"     // a server is marked as draining
+	serverLeaves   kind = "server-leaves"    // a server says in its responses only that it leaves, and restarts later
+	daemonsCutOff  kind = "daemons-cut-off"  // some daemons can't reach any server
 	configChange   kind = "config-change"    // the operator publishes a configuration
 	configStorm    kind = "config-storm"     // the operator publishes configurations at short intervals
 )
@@ -75,6 +77,8 @@
 	serverDark:     {Min: time.Second, Max: 4 * time.Second},
 	serverLimits:   {Min: 2 * time.Second, Max: 6 * time.Second},
 	serverDrain:    {Min: 3 * time.Second, Max: 6 * time.Second},
+	serverLeaves:   {Min: 3 * time.Second, Max: 6 * time.Second},
+	daemonsCutOff:  {Min: time.Second, Max: 6 * time.Second},
 	configStorm:    {Min: 500 * time.Millisecond, Max: 2 * time.Second},
 }
 
--- a/standin/platform/cut.go
+++ b/standin/platform/cut.go
@@ -31,6 +31,9 @@
 	return context.WithValue(ctx, connStart{}, time.Now())
 }
 
+// AllCallers partitions all callers from a server that have no partition of their own.
+const AllCallers = ""
+
 // CutOff partitions the caller with an IP address from the server until Heal.
 func (s *Server) CutOff(ip string, mode CutMode) {
 	s.mu.Lock()
@@ -56,7 +59,10 @@
 		return
 	}
 	s.mu.Lock()
-	c := s.cuts[ip]
+	c, ok := s.cuts[ip]
+	if !ok {
+		c = s.cuts[AllCallers]
+	}
 	s.mu.Unlock()
 	if c == nil {
 		return
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -274,6 +274,13 @@
 	return most
 }
 
+// Leaving reports whether the server says that it leaves.
+func (s *Server) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // SetLeaving makes the server say in all its responses whether it leaves. Its entry doesn't
 // change.
 func (s *Server) SetLeaving(leaving bool) {
