--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -159,6 +159,7 @@
 	StartMillis   int64        `json:"started_ms"` // Unix milliseconds
 	RenewalOffset batch.Offset `json:"renewed"`    // offset of its last renewal
 	ConfigVersion uint64       `json:"config"`     // version in force
+	CutOff        bool         `json:"cut_off"`    // it reaches no server
 }
 
 type daemonsReport struct {
@@ -170,16 +171,20 @@
 	daemons := h.state.Daemons()
 	for _, id := range slices.Sorted(maps.Keys(daemons)) {
 		d := daemons[id]
-		r.Daemons = append(r.Daemons, daemonReport{Daemon: id, StartMillis: d.StartMillis, RenewalOffset: d.RenewalOffset, ConfigVersion: d.ConfigVersion})
+		r.Daemons = append(r.Daemons, daemonReport{Daemon: id, StartMillis: d.StartMillis, RenewalOffset: d.RenewalOffset, ConfigVersion: d.ConfigVersion, CutOff: d.CutOff})
 	}
 	return r
 }
 
 func (r daemonsReport) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(t, "DAEMON\tSTARTED\tLAST RENEWAL\tCONFIG")
+	fmt.Fprintln(t, "DAEMON\tSTARTED\tLAST RENEWAL\tCONFIG\tSERVERS")
 	for _, d := range r.Daemons {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\n", d.Daemon, time.UnixMilli(d.StartMillis).UTC().Format(time.RFC3339), d.RenewalOffset, d.ConfigVersion)
+		servers := "reachable"
+		if d.CutOff {
+			servers = "cut off"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", d.Daemon, time.UnixMilli(d.StartMillis).UTC().Format(time.RFC3339), d.RenewalOffset, d.ConfigVersion, servers)
 	}
 	_ = t.Flush() // a write error can't be reported
 }
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -103,7 +103,7 @@
 	n.serverClient.ObserveLinks(n.reachability)
 	storeClient := store.New(s.StoreAddress)
 	n.startWatcher(storeClient)
-	n.reachability.Start(n.system, n.serverClient, n.View, func() {})
+	n.reachability.Start(n.system, n.serverClient, n.View)
 	process := fmt.Sprintf("%s/%s", s.Daemon, uuid.Must(uuid.NewV7()))
 	n.startRelay(process)
 	n.startChunks(storeClient, process)
--- a/lib/reach/reach.go
+++ b/lib/reach/reach.go
@@ -89,7 +89,7 @@
 	case Unresponsive:
 		t.unresponsive++
 	}
-	if t.state == Reachable && t.connectFailures+t.unresponsive >= t.cfg.FailureLimit && now.Sub(t.roundStarted) >= t.cfg.RoundInterval {
+	if t.state == Reachable && !t.roundInProgress() && t.connectFailures+t.unresponsive >= t.cfg.FailureLimit && now.Sub(t.roundStarted) >= t.cfg.RoundInterval {
 		t.state = Suspected
 	}
 }
--- a/server/reachability/reachability.go
+++ b/server/reachability/reachability.go
@@ -41,16 +41,15 @@
 
 // Monitor controls the duties. Its methods are safe for concurrent use.
 type Monitor struct {
-	cfg      Config
-	log      *zap.Logger
-	view     func() *directory.View
-	onChange func()
-	duty     *duty.Duty[any]
-	probers  *duty.Pool[*probe]
-	tracker  *reach.Tracker // accessed only on the duty
-	since    time.Time      // of the current cut-off
-	state    atomic.Uint32  // reach.State
-	calm     atomic.Bool    // successes are of no interest
+	cfg     Config
+	log     *zap.Logger
+	view    func() *directory.View
+	duty    *duty.Duty[any]
+	probers *duty.Pool[*probe]
+	tracker *reach.Tracker // accessed only on the duty
+	since   time.Time      // of the current cut-off
+	state   atomic.Uint32  // reach.State
+	calm    atomic.Bool    // successes are of no interest
 }
 
 // probe is one probe of an upstream.
@@ -60,18 +59,16 @@
 	err      error
 }
 
-// New returns a Monitor of a daemon that reaches the upstreams. Outcomes before Start are
-// ignored.
+// New returns a Monitor of a daemon that reaches the upstreams.
 func New(cfg Config, log *zap.Logger) *Monitor {
 	m := &Monitor{cfg: cfg, log: log, tracker: reach.NewTracker(cfg.Reach)}
 	m.calm.Store(true)
 	return m
 }
 
-// Start starts the duties. onChange is called on the duty when the daemon was cut off or
-// reaches upstreams again; it must not block.
-func (m *Monitor) Start(sys *duty.System, p Prober, view func() *directory.View, onChange func()) {
-	m.view, m.onChange = view, onChange
+// Start starts the duties. It must be called before the first outcome is observed.
+func (m *Monitor) Start(sys *duty.System, p Prober, view func() *directory.View) {
+	m.view = view
 	h := &prober{timeout: m.cfg.ProbeTimeout, probe: p.Probe, postEnd: func(ctx context.Context, p *probe) { _ = m.duty.PostWait(ctx, p) }} // fails only while stopping
 	m.probers = duty.NewPool(sys, duty.Config{Name: "reachability-prober"}, m.cfg.Reach.Probes, func() duty.Handler[*probe] { return h })
 	m.duty = duty.Start(sys, duty.Config{Name: "reachability", RingSize: m.cfg.RingSize, Tick: m.cfg.Tick, IdleTick: m.cfg.IdleTick}, duty.Handler[any](m))
@@ -86,7 +83,7 @@
 // Observe reports the outcome of a connection. It never blocks; if the ring is full, the
 // outcome is dropped.
 func (m *Monitor) Observe(o reach.Outcome) {
-	if m.duty == nil || m.calm.Load() && (o == reach.Connected || o == reach.Responded) {
+	if m.calm.Load() && (o == reach.Connected || o == reach.Responded) {
 		return
 	}
 	if err := m.duty.Post(o); err != nil {
@@ -162,7 +159,6 @@
 		cutOff.Set(0)
 		m.log.Info("upstreams are reachable again", zap.Duration("after", m.cfg.Now().Sub(m.since)))
 	}
-	m.onChange()
 }
 
 // Idle implements duty.Idler.
