Refuse requests at once when neither servers nor peers can be reached

A daemon that had lost the servers and the other daemons tried up to three peers for each request, 400 ms each, before it refused. A peer with two failures in a row gets no requests until its backoff has passed; with none left, requests are refused at once as not run.

TestUnreachablePeersAreNotTriedByEachRequest failed before: 20 attempts for 10 requests.

--- a/server/relay/peers.go
+++ b/server/relay/peers.go
@@ -24,6 +24,10 @@
 	MaxTries int
 }
 
+// peerFailureLimit is the number of failures in a row from which a peer gets no requests
+// until its backoff has passed.
+const peerFailureLimit = 2
+
 // links returns the state of this daemon's links to the upstreams.
 func (r *Relay) links() reach.State {
 	if r.cfg.Peers.Links == nil {
@@ -79,6 +83,9 @@
 	var candidates []opaque.PeerCandidate
 	for _, p := range r.cfg.Peers.List() {
 		s := r.peerStatsOf(p.ID)
+		if s.consecutiveFailures >= peerFailureLimit && now.Before(s.backoffUntil) {
+			continue // a request that nobody can run is refused at once
+		}
 		candidates = append(candidates, opaque.PeerCandidate{Peer: p, InFlight: s.inFlight, BackingOff: now.Before(s.backoffUntil), Tried: j.triedPeers[p.ID]})
 	}
 	c, ok := r.cfg.Chooser.PickPeer(candidates)
--- a/server/relay/peers_test.go
+++ b/server/relay/peers_test.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/lib/reach"
 	"dotterelmount.example/lib/routes"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // peerGroup is an opaque.Forwarder that runs the respond function of each peer.
@@ -144,3 +145,25 @@
 	assert.Equal(t, heads, 1)
 	assert.DeepEqual(t, resumed, []int{0, 2})
 }
+
+// A daemon that reaches neither servers nor peers refuses requests without trying them all again.
+func TestUnreachablePeersAreNotTriedByEachRequest(t *testing.T) {
+	g := &peerGroup{respond: map[api.DaemonID]func(*opaque.Request, opaque.StreamSink) (*opaque.Response, error){}}
+	for _, id := range []api.DaemonID{"p1", "p2"} {
+		g.respond[id] = answer(nil, attemptError(opaque.ExecutionNotSent))
+	}
+	r, _ := startWithPeers(t, reach.CutOff, g)
+	for range 10 {
+		_, _, err := r.Forward(t.Context(), newRequest(routes.KindIdempotent))
+		var notRun *opaque.NotRunError
+		assert.Assert(t, errors.As(err, &notRun), "%v", err)
+	}
+	assert.Equal(t, g.calls.Load(), int32(2*peerFailureLimit))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, _, _ = r.Forward(t.Context(), newRequest(routes.KindIdempotent))
+		if g.calls.Load() <= 2*peerFailureLimit {
+			return poll.Continue("not tried again")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second))
+}
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -196,7 +196,7 @@
 		}
 	}
 	for id, s := range r.peerStats {
-		if s.inFlight == 0 && now.After(s.backoffUntil) {
+		if s.inFlight == 0 && now.Sub(s.backoffUntil) > r.cfg.MaxBackoff {
 			delete(r.peerStats, id)
 		}
 	}
