Forward only to configured daemons; probe no draining servers

By reading: a daemon that had just started, without a configuration, was a peer for others, and a round of probes could consist of servers that were about to go.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -294,7 +294,8 @@
 	return err
 }
 
-// reachingPeers returns the other live daemons that reach the upstreams. While the journal
+// reachingPeers returns the other live daemons that have a configuration and reach the
+// upstreams. While the journal
 // can't be read, they are those of the last read.
 func (n *Node) reachingPeers() []opaque.Peer {
 	s, asOf := n.leaseSnapshot(), time.Now()
@@ -303,7 +304,7 @@
 	}
 	var out []opaque.Peer
 	for id, d := range s.Daemons {
-		if string(id) != n.settings.Daemon && d.Address != "" && !d.CutOff && asOf.Sub(s.LastRenewals[id]) < roster.TTL {
+		if string(id) != n.settings.Daemon && d.Address != "" && d.ConfigVersion > 0 && !d.CutOff && asOf.Sub(s.LastRenewals[id]) < roster.TTL {
 			out = append(out, opaque.Peer{ID: id, Address: d.Address, DataCentre: d.DataCentre})
 		}
 	}
--- a/server/reachability/reachability.go
+++ b/server/reachability/reachability.go
@@ -113,7 +113,7 @@
 	m.publish()
 }
 
-// shuffledUpstreams returns the listed upstreams in random order, so that daemons don't
+// shuffledUpstreams returns the listed upstreams that don't drain, in random order, so that daemons don't
 // all probe the same ones; nil while no probes are needed.
 func (m *Monitor) shuffledUpstreams() []*directory.Upstream {
 	if m.tracker.State() == reach.Reachable {
@@ -121,7 +121,9 @@
 	}
 	var out []*directory.Upstream
 	for _, u := range m.view().Upstreams {
-		out = append(out, u)
+		if !u.Draining { // it may have gone
+			out = append(out, u)
+		}
 	}
 	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out
