Keep a server's failure response when its request is refused later

A request whose server had answered 500 and that was then refused, for its crashes or because all workers were busy, ended with neither a response nor an error: the front end panicked on it and the client's connection was closed. It gets the server's response now. A peer that knows no upstream, or has no worker free, says that another daemon may be able to run the request.

TestFailureResponseIsKeptWhenRequestIsRefusedLater failed before (neither a response nor an error), as did TestForwardedRequestWithoutUpstreamGoesElsewhere.

--- a/server/relay/peers.go
+++ b/server/relay/peers.go
@@ -49,17 +49,12 @@
 		return false
 	}
 	if !ok {
-		err := j.failure("this daemon is cut off from all upstreams", false, max(r.cfg.RetryAfter, j.retryAfter))
-		var notRun *opaque.NotRunError
-		if errors.As(err, &notRun) {
-			notRun.Elsewhere = true
-		}
-		r.finish(j, reply{Response: j.failureResponse, Err: err})
+		r.finish(j, reply{Err: elsewhere(j.failure("this daemon is cut off from all upstreams", false, max(r.cfg.RetryAfter, j.retryAfter)))})
 		return true
 	}
 	index, ok := r.workers.Acquire()
 	if !ok {
-		r.finish(j, reply{Err: j.failure("all workers are busy", false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: elsewhere(j.failure("all workers are busy", false, r.cfg.RetryAfter))})
 		return true
 	}
 	a := &attempt{
@@ -71,7 +66,7 @@
 	r.peerStatsOf(peer.ID).inFlight++
 	r.log.Info("request forwarded", zap.String("request", string(j.request.ID)), zap.String("to", string(peer.ID)), zap.Stringer("links", links))
 	if err := r.workers.Post(index, a); err != nil {
-		r.finish(j, reply{Err: j.failure("stopping", false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: elsewhere(j.failure("stopping", false, r.cfg.RetryAfter))})
 	}
 	return true
 }
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -139,11 +139,20 @@
 // submit posts a job to the duty. Errors: *opaque.NotRunError.
 func (r *Relay) submit(j *job) error {
 	if err := r.duty.Post(j); err != nil {
-		return &opaque.NotRunError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter}
+		return elsewhere(&opaque.NotRunError{Reason: err.Error(), RetryAfter: r.cfg.RetryAfter})
 	}
 	return nil
 }
 
+// elsewhere marks a request that has not run as one that another daemon may be able to run.
+func elsewhere(err error) error {
+	var notRun *opaque.NotRunError
+	if errors.As(err, &notRun) {
+		notRun.Elsewhere = true
+	}
+	return err
+}
+
 // wait waits until a job or its context ends. Errors: those of Forward.
 func (r *Relay) wait(j *job) (*opaque.Response, api.UpstreamID, error) {
 	rep, err := j.reply.Wait(j.ctx)
@@ -226,7 +235,7 @@
 	r.setWaits(j, candidates, now)
 	chosen, ok := r.cfg.Chooser.Pick(candidates)
 	if !ok || (chosen.Tried && !j.request.Route.Repeatable() && j.mayHaveRun) {
-		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("no upstream available for service "+q.Service, false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: elsewhere(j.failure("no upstream available for service "+q.Service, false, r.cfg.RetryAfter))})
 		return
 	}
 	u, waits := chosen.Upstream, r.mustWait(j, chosen)
@@ -237,7 +246,7 @@
 	}
 	index, ok := r.workers.Acquire()
 	if !ok {
-		r.finish(j, reply{Err: j.failure("all workers are busy", false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: elsewhere(j.failure("all workers are busy", false, r.cfg.RetryAfter))})
 		return
 	}
 	r.startAttempt(index, j, u, now)
@@ -254,7 +263,7 @@
 	j.tried[u.ID] = true
 	r.statsOf(u.ID).inFlight++
 	if err := r.workers.Post(index, a); err != nil {
-		r.finish(j, reply{Err: j.failure("stopping", false, r.cfg.RetryAfter)})
+		r.finish(j, reply{Err: elsewhere(j.failure("stopping", false, r.cfg.RetryAfter))})
 	}
 }
 
@@ -343,6 +352,9 @@
 	if j.stream != nil {
 		j.stream.close()
 	}
+	if rep.Err == nil && rep.Response == nil {
+		rep.Response = j.failureResponse
+	}
 	if rep.Response != nil {
 		rep.Err = nil
 	}
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -228,3 +228,30 @@
 	}
 	assert.Assert(t, len(s.tried()) <= crashLimit, "%d attempts", len(s.tried()))
 }
+
+// Guards against a request without a response or an error, which has an upstream's failure response
+// and is then refused for another reason.
+func TestFailureResponseIsKeptWhenRequestIsRefusedLater(t *testing.T) {
+	var r *Relay
+	q := newRequest(routes.KindIdempotent)
+	s := &scriptedExchanger{respond: func(int, context.Context, *directory.Upstream) (*opaque.Response, error) {
+		r.AddCrashes(fingerprint(q), crashLimit)
+		return &opaque.Response{Status: 500}, nil
+	}}
+	r = start(t, s, threeUpstreams...)
+	resp, _, err := r.Forward(t.Context(), q)
+	assert.NilError(t, err)
+	assert.Assert(t, resp != nil, "neither a response nor an error")
+	assert.Equal(t, resp.Status, 500)
+	assert.Equal(t, len(s.tried()), 1)
+}
+
+// A daemon that knows no upstream of the service says that another one may.
+func TestForwardedRequestWithoutUpstreamGoesElsewhere(t *testing.T) {
+	r := start(t, &scriptedExchanger{})
+	q := newRequest(routes.KindOnce)
+	q.Forwarded = true
+	_, _, err := r.ServeForwarded(t.Context(), q, nil)
+	var notRun *opaque.NotRunError
+	assert.Assert(t, errors.As(err, &notRun) && notRun.Elsewhere, "%v", err)
+}
