--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -295,8 +295,7 @@
 }
 
 // reachingPeers returns the other live daemons that have a configuration and reach the
-// upstreams. While the journal
-// can't be read, they are those of the last read.
+// upstreams. While the journal can't be read, they are those of the last read.
 func (n *Node) reachingPeers() []opaque.Peer {
 	s, asOf := n.leaseSnapshot(), time.Now()
 	if last := n.lastFullRead(); asOf.Sub(last) > roster.TTL {
