--- a/review/harness/keyed_test.go
+++ b/review/harness/keyed_test.go
@@ -35,18 +35,16 @@
 	answered := make(map[string]int)
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	const interval = 10 * time.Millisecond // 12 s in all; answers are lost for 4 s in the middle
+	const interval, lossAfter, lossTime = 10 * time.Millisecond, 4 * time.Second, 3900 * time.Millisecond
+	begin := time.Now()
 	for n := range requests {
-		if n*int(interval/time.Millisecond) == 4000 {
-			losing.Store(r.trouble)
-		}
-		if n*int(interval/time.Millisecond) == 8000 {
-			losing.Store(false)
-		}
+		since := time.Since(begin) - lossAfter
+		losing.Store(r.trouble && since >= 0 && since < lossTime)
 		wg.Go(func() {
 			id := newID()
 			a := r.send(call{Method: "POST", Address: daemons[n%3].Front, Host: host, Path: prefix + id[:4], ID: id, Timeout: 3 * time.Second,
 				Header: map[string]string{"X-Deadline-Ms": "2000", "Idempotency-Key": `"` + id + `"`}})
+			r.logf("request %s at %s: %d, signature %q, %v", id, daemons[n%3].Name, a.Status, a.Signature, a.Err)
 			mu.Lock()
 			statuses[a.Status]++
 			answered[id] = a.Status
--- a/review/harness/rig_test.go
+++ b/review/harness/rig_test.go
@@ -252,7 +252,6 @@
 	})
 }
 
-// at sleeps until a time since the start of the case.
 func (r *Rig) sleep(d time.Duration) { time.Sleep(d) }
 
 // call is one attempt of a client, on a connection of its own.
@@ -435,6 +434,7 @@
 			r.logf("results of job %s at %s from %d: %d %v", j.ID, d.Name, len(results), a.Status, a.Err)
 			return results, false
 		}
+		r.logf("results of job %s at %s from %d: 200, %d of %d", j.ID, d.Name, len(results), len(doc.Results), doc.Total)
 		results = append(results, doc.Results...)
 		if len(doc.Results) == 0 || len(results) >= doc.Total {
 			return results, true
--- a/review/harness/server_test.go
+++ b/review/harness/server_test.go
@@ -217,6 +217,7 @@
 	run := &Run{ID: id, Server: s.ID, Method: r.Method, Path: r.URL.Path, At: time.Now(), After: after, Versions: make(map[int]int)}
 	s.runs = append(s.runs, run)
 	s.mu.Unlock()
+	s.rig.logf("server %s runs %s: %s %s after event %d", s.ID, id, r.Method, r.URL.Path, after)
 	defer func() {
 		s.mu.Lock()
 		s.running--
