--- a/review/harness/behind_test.go
+++ b/review/harness/behind_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 )
 
@@ -10,7 +11,7 @@
 // configurationBehind: the store turns one machine away for some seconds. Meanwhile a
 // configuration adds a route, and other daemons accept batch jobs on it.
 func configurationBehind(r *Rig) {
-	const model, cycles, jobs = "daka510000", 6, 6
+	const model, cycles, jobs = "daka510000", 8, 6
 	const configApply, turnedAway, maxQueue = 2 * time.Second, 3200 * time.Millisecond, 40 * time.Second
 	r.startStore(300 * time.Second)
 	c := config{Version: 1, Routes: []route{batchRoute("r0", "/pufi0/", "engines")}, Services: []service{engineService("engines", model)}}
@@ -54,7 +55,8 @@
 			away.Gate.SetMode(gateServes)
 			r.logf("the store serves %s again", away.Name)
 		}
-		r.sleep(6 * time.Second)
+		// A random pause, so that the phases of the daemons' polls don't repeat.
+		r.sleep(6*time.Second + rand.N(time.Second))
 		for _, j := range accepted {
 			results, _ := r.read(j, others[0])
 			age := time.Since(j.sent)
