Expire items without a route only by a configuration read after they were seen

A view now says when the last read to the end of its feed began. An item without a route is expired only if it was already missing from a view whose read began after this daemon had seen the item: the configuration under which it was accepted is older than that read (lib/absence). Jobs carry nothing new, so jobs that older builds accept are covered too, and the fold is unchanged. Items kept for this reason are counted in a log line.

TestItemOfRouteNotReadYetIsNotExpired fails with the old rule (expired when first seen).

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -120,7 +120,7 @@
 
 func (n *Node) startWatcher(storeClient *store.Client) {
 	n.watcher = follow.Start(n.system, watcherConfig, n.log.Logger, []follow.FeedConfig{
-		{Name: "operator", Feed: feed.NewOperator(storeClient), MinReadInterval: operatorReadInterval},
+		{Name: "operator", Feed: feed.NewOperator(storeClient), MinReadInterval: operatorReadInterval, HasConfig: true},
 		{Name: "servers", Feed: feed.NewServers(storeClient), MinReadInterval: serversReadInterval, ListsUpstreams: true},
 	}, n.onViewChange)
 	n.serverClient.OnLeaving(func(u *directory.Upstream) { n.handleLeaving(u.ID, u.StartMillis) })
--- a/cmd/dotterelmountd/internal/hosted/hosted_test.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted_test.go
@@ -23,16 +23,16 @@
 	return []directory.Change{directory.ConfigChanged{Config: routes.Config{Version: 1}}}, 1, nil
 }
 
-func (f *silentFeed) Next(ctx context.Context, from directory.Cursor, wait time.Duration) ([]directory.Change, directory.Cursor, error) {
+func (f *silentFeed) Next(ctx context.Context, from directory.Cursor, wait time.Duration) (directory.Page, error) {
 	if f.waits.Add(1) == 1 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return directory.Page{}, ctx.Err()
 	}
 	if from == 1 {
-		return []directory.Change{directory.ConfigChanged{Config: routes.Config{Version: 2}}}, 2, nil
+		return directory.Page{Changes: []directory.Change{directory.ConfigChanged{Config: routes.Config{Version: 2}}}, Next: 2}, nil
 	}
 	duty.Sleep(ctx, wait)
-	return nil, from, ctx.Err()
+	return directory.Page{Next: from, AtEnd: true}, ctx.Err()
 }
 
 // A configuration must be in force 2 s after it was accepted, even if the
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -84,7 +84,14 @@
 	// Next returns the changes after a cursor, and waits up to wait until there
 	// is one. Errors: *GapError if changes are no longer retained; the caller
 	// must call Load again.
-	Next(ctx context.Context, from Cursor, wait time.Duration) ([]Change, Cursor, error)
+	Next(ctx context.Context, from Cursor, wait time.Duration) (Page, error)
+}
+
+// Page is the result of a read of a feed.
+type Page struct {
+	Changes []Change
+	Next    Cursor // where the next read continues
+	AtEnd   bool   // there were no changes after Next
 }
 
 // GapError is returned if changes after a cursor are no longer retained.
@@ -100,6 +107,10 @@
 	Table             *routes.Table // nil before the first configuration
 	AnnouncedVersions map[api.ModelName]api.WeightVersion
 	Upstreams         map[api.UpstreamID]*Upstream
+	// ConfigAsOf and UpstreamsAsOf are when the last read that reached the end of the feed
+	// of Table, or of Upstreams, began: the view has all that was written before. They
+	// are zero before the first such read.
+	ConfigAsOf, UpstreamsAsOf time.Time
 	// newest is the newest description of each upstream ever listed, so that a
 	// late description neither replaces a newer one nor restores an upstream
 	// that was removed.
@@ -137,7 +148,7 @@
 	next := &View{
 		Table: v.Table, AnnouncedVersions: maps.Clone(v.AnnouncedVersions),
 		Upstreams: maps.Clone(v.Upstreams), newest: maps.Clone(v.newest),
-		leaving: maps.Clone(v.leaving),
+		leaving: maps.Clone(v.leaving), ConfigAsOf: v.ConfigAsOf, UpstreamsAsOf: v.UpstreamsAsOf,
 	}
 	for _, c := range changes {
 		switch c := c.(type) {
@@ -158,6 +169,18 @@
 	return next
 }
 
+// ReadAt returns the view with the times of newer reads. Zero times change nothing.
+func (v *View) ReadAt(configAsOf, upstreamsAsOf time.Time) *View {
+	next := *v
+	if configAsOf.After(v.ConfigAsOf) {
+		next.ConfigAsOf = configAsOf
+	}
+	if upstreamsAsOf.After(v.UpstreamsAsOf) {
+		next.UpstreamsAsOf = upstreamsAsOf
+	}
+	return &next
+}
+
 // listUpstream sets an upstream's description unless a newer one is known.
 func (v *View) listUpstream(u Upstream) {
 	at := incarnationRevision{u.StartMillis, u.Revision}
--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -36,6 +36,8 @@
 	// ListsUpstreams is set on the feed that lists upstreams. A full load of it removes
 	// the upstreams that it does not contain.
 	ListsUpstreams bool
+	// HasConfig is set on the feed of the configuration.
+	HasConfig bool
 }
 
 // Watcher is the handle of the duties.
@@ -61,6 +63,9 @@
 	fullLoad  bool // the changes are the full content of a feed with ListsUpstreams
 	// holdUntil is the time until which removals may result from an outage of the feed.
 	holdUntil time.Time
+	// configAsOf and upstreamsAsOf are as in directory.View; zero: the read did not reach
+	// the end of that feed.
+	configAsOf, upstreamsAsOf time.Time
 }
 
 // applierRingSize suffices for 16 feeds: each reader posts one result at a time.
@@ -114,7 +119,10 @@
 	if res.fullLoad {
 		res.changes = append(res.changes, w.removalsOfUnlisted(res.changes)...)
 	}
-	w.publish(w.holdRemovals(res))
+	if changes := w.holdRemovals(res); len(changes) > 0 {
+		w.publish(changes)
+	}
+	w.view.Store(w.View().ReadAt(res.configAsOf, res.upstreamsAsOf))
 	if res.firstLoad {
 		w.loadedFeeds.Add(1)
 	}
@@ -233,10 +241,8 @@
 		return
 	}
 	r.handleSuccess()
-	if len(res.changes) > 0 || res.firstLoad || res.fullLoad {
-		if err := r.watcher.applier.PostWait(ctx, res); err != nil {
-			return // stopping
-		}
+	if err := r.watcher.applier.PostWait(ctx, res); err != nil {
+		return // stopping
 	}
 	duty.Sleep(ctx, r.feed.MinReadInterval-r.watcher.cfg.Now().Sub(startedAt))
 }
@@ -247,12 +253,13 @@
 	res := readResult{firstLoad: !r.everLoaded, fullLoad: !r.loaded && r.feed.ListsUpstreams, holdUntil: r.holdUntil()}
 	ctx, cancel := context.WithTimeout(ctx, cfg.ReadWait+cfg.ReadTimeout)
 	defer cancel()
+	startedAt := cfg.Now()
 	var err error
-	var next directory.Cursor
+	page := directory.Page{AtEnd: true}
 	if r.loaded {
-		res.changes, next, err = r.feed.Feed.Next(ctx, r.cursor, cfg.ReadWait)
+		page, err = r.feed.Feed.Next(ctx, r.cursor, cfg.ReadWait)
 	} else {
-		res.changes, next, err = r.feed.Feed.Load(ctx)
+		page.Changes, page.Next, err = r.feed.Feed.Load(ctx)
 	}
 	var gap *directory.GapError
 	if errors.As(err, &gap) {
@@ -263,7 +270,13 @@
 	if err != nil {
 		return readResult{}, err
 	}
-	r.loaded, r.everLoaded, r.cursor = true, true, next
+	r.loaded, r.everLoaded, r.cursor, res.changes = true, true, page.Next, page.Changes
+	if page.AtEnd && r.feed.HasConfig {
+		res.configAsOf = startedAt
+	}
+	if page.AtEnd && r.feed.ListsUpstreams {
+		res.upstreamsAsOf = startedAt
+	}
 	if r.feed.ListsUpstreams {
 		r.watcher.upstreamsReadNanos.Store(cfg.Now().UnixNano())
 	}
--- a/server/follow/follow_test.go
+++ b/server/follow/follow_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -36,3 +37,31 @@
 	w.Handle(t.Context(), readResult{changes: []directory.Change{directory.UpstreamUnlisted{ID: "u"}}, holdUntil: r.holdUntil()})
 	assert.Equal(t, len(w.View().Upstreams), 0)
 }
+
+// scriptedFeed returns prepared pages.
+type scriptedFeed struct{ pages []directory.Page }
+
+func (f *scriptedFeed) Load(context.Context) ([]directory.Change, directory.Cursor, error) {
+	return nil, 0, nil
+}
+
+func (f *scriptedFeed) Next(context.Context, directory.Cursor, time.Duration) (directory.Page, error) {
+	page := f.pages[0]
+	f.pages = f.pages[1:]
+	return page, nil
+}
+
+// A view is as recent as the beginning of the last read that reached the end of the feed.
+func TestViewIsAsOfLastReadToTheEnd(t *testing.T) {
+	now := time.Unix(100, 0)
+	w := newWatcher(Config{Now: func() time.Time { return now }}, zap.NewNop(), func(*directory.View) {})
+	r := &reader{watcher: w, feed: FeedConfig{HasConfig: true, Feed: &scriptedFeed{pages: []directory.Page{{AtEnd: false}, {AtEnd: true}}}}}
+	for _, want := range []time.Time{time.Unix(100, 0), time.Unix(100, 0), time.Unix(102, 0)} { // of a load and two pages
+		res, err := r.read(t.Context())
+		assert.NilError(t, err)
+		w.Handle(t.Context(), res)
+		assert.Assert(t, w.View().ConfigAsOf.Equal(want), "%v", w.View().ConfigAsOf)
+		assert.Assert(t, w.View().UpstreamsAsOf.IsZero())
+		now = now.Add(time.Second)
+	}
+}
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/absence"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
@@ -66,6 +67,7 @@
 	proposedAt  map[api.UpstreamID]time.Time
 	unheldSince map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
 	expiredAt   map[batch.ItemKey]time.Time
+	unrouted    absence.Tracker[batch.ItemKey]
 	leaving     bool
 	idle        bool // this daemon may not hold leases
 }
@@ -203,17 +205,17 @@
 		m.log.Warn("read of open items failed", zap.Error(err))
 		return
 	}
+	unrouted := m.unroutedItems(open, v, now)
 	for _, i := range open {
-		_, routed := v.Table.Match(i.Host, i.Path)
-		if routed && now.UnixMilli() < i.DeadlineMillis {
+		if !unrouted[i.ItemKey] && now.UnixMilli() < i.DeadlineMillis {
 			continue
 		}
 		if !leases.Responsible(m.cfg.Self, live, string(i.Job)) || now.Sub(m.expiredAt[i.ItemKey]) < m.cfg.ProposalTimeout {
 			continue
 		}
 		m.expiredAt[i.ItemKey] = now
-		m.log.Info("item expiry proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Bool("routed", routed),
-			zap.Uint64("config", v.Table.Version()), zap.Int64("due_ms", i.DeadlineMillis))
+		m.log.Info("item expiry proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Bool("routed", !unrouted[i.ItemKey]),
+			zap.Uint64("config", v.Table.Version()), zap.Time("config_as_of", v.ConfigAsOf), zap.Int64("due_ms", i.DeadlineMillis))
 		m.propose(&batch.ItemExpired{Job: i.Job, Item: i.Item})
 	}
 	for key, at := range m.expiredAt {
@@ -223,6 +225,27 @@
 	}
 }
 
+// unroutedItems returns the open items whose routes were removed. The configuration may be
+// older than the one under which another daemon accepted an item: until it is read again, an
+// item without a route is kept.
+func (m *Manager) unroutedItems(open []batch.OpenItem, v *directory.View, now time.Time) map[batch.ItemKey]bool {
+	var missing []batch.ItemKey
+	for _, i := range open {
+		if _, ok := v.Table.Match(i.Host, i.Path); !ok {
+			missing = append(missing, i.ItemKey)
+		}
+	}
+	out := make(map[batch.ItemKey]bool)
+	for _, key := range m.unrouted.Confirm(missing, v.ConfigAsOf, now) {
+		out[key] = true
+	}
+	if kept := len(missing) - len(out); kept > 0 {
+		m.log.Info("items without a route kept until the configuration is read again", zap.Int("items", kept),
+			zap.Uint64("config", v.Table.Version()), zap.Time("config_as_of", v.ConfigAsOf))
+	}
+	return out
+}
+
 func (m *Manager) propose(r batch.Record) {
 	if err := m.deps.Propose(r, m.cfg.ProposalTimeout); err != nil {
 		m.log.Warn("proposal dropped", zap.Any("record", r), zap.Error(err))
--- a/server/leasing/leasing_test.go
+++ b/server/leasing/leasing_test.go
@@ -22,12 +22,14 @@
 	lastFullRead time.Time
 	snapshot     jobreplica.Snapshot
 	proposed     []batch.Record
+	view         *directory.View
+	open         []batch.OpenItem
 }
 
 func newTestManager(t *testing.T) *testManager {
 	t.Helper()
 	m := &testManager{now: time.Unix(1000, 0)}
-	view := directory.NewView().Apply([]directory.Change{
+	m.view = directory.NewView().Apply([]directory.Change{
 		directory.ConfigChanged{Config: routes.Config{Version: 1, Services: []routes.Service{{Name: "s", Engine: &routes.Engine{}}}}},
 		directory.UpstreamListed{Upstream: directory.Upstream{ID: "u", Service: "s", Slots: 4}},
 	})
@@ -41,8 +43,8 @@
 		},
 		Snapshot:     func() *jobreplica.Snapshot { return &m.snapshot },
 		LastFullRead: func() time.Time { return m.lastFullRead },
-		View:         func() *directory.View { return view },
-		CutOff:       func() bool { return false }, OpenItems: func(context.Context) ([]batch.OpenItem, error) { return nil, nil },
+		View:         func() *directory.View { return m.view },
+		CutOff:       func() bool { return false }, OpenItems: func(context.Context) ([]batch.OpenItem, error) { return m.open, nil },
 	}, zap.NewNop())
 	m.snapshot = jobreplica.Snapshot{
 		Upstreams:    []batch.Upstream{{ID: "u", Service: "s", Holder: "other", LeaseOffset: 3}},
@@ -91,3 +93,37 @@
 		assert.Equal(t, m.countAcquired(), 0, "%v", at)
 	}
 }
+
+// Guards against items that are listed as errored by a daemon that hasn't read the
+// configuration under which another daemon accepted them.
+func TestItemOfRouteNotReadYetIsNotExpired(t *testing.T) {
+	m := newTestManager(t)
+	m.cfg.SweepInterval = 0
+	m.open = []batch.OpenItem{{ItemKey: batch.ItemKey{Job: "j", Item: "i"}, Host: "h", Path: "/new/x", DeadlineMillis: m.now.Add(time.Hour).UnixMilli()}}
+	expired := func() bool {
+		m.proposed = nil
+		m.lastFullRead, m.snapshot.LastRenewals["d"] = m.now, m.now
+		m.Tick(t.Context())
+		for _, r := range m.proposed {
+			if _, ok := r.(*batch.ItemExpired); ok {
+				return true
+			}
+		}
+		return false
+	}
+	begin := m.now
+	m.view = m.view.ReadAt(begin.Add(-time.Second), time.Time{})
+	for range 50 {
+		assert.Assert(t, !expired(), "%v after the item was seen", m.now.Sub(begin))
+		m.now = m.now.Add(100 * time.Millisecond)
+	}
+	without := m.view
+	m.view = m.view.ReadAt(m.now, time.Time{}).Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{Version: 2, Routes: []routes.Route{{Host: "h", Prefix: "/new/"}}}}})
+	m.now = m.now.Add(100 * time.Millisecond)
+	assert.Assert(t, !expired(), "the route is there")
+	m.view = without
+	assert.Assert(t, !expired())
+	m.view = without.ReadAt(m.now.Add(time.Millisecond), time.Time{})
+	m.now = m.now.Add(100 * time.Millisecond)
+	assert.Assert(t, expired(), "the route was removed")
+}
