Answer 503 while the configuration is too old to tell that there is no route

A daemon that the store turned away answered 404 for routes added meanwhile. 404 is final: its callers don't come back, while another daemon would have served them. Above the 2 s in which a configuration must be in force, a request without a route is refused as not run, with Retry-After.

TestRouteMissingFromOutdatedConfigurationIsNotDenied failed before (404).

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -259,7 +259,7 @@
 func (n *Node) serve() error {
 	h := entry.New(entry.Config{
 		Relay: n.relay, Jobs: &jobStore{n}, View: n.View, Ready: n.ready, Stopping: n.stopping.Load,
-		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, Now: time.Now,
+		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, MaxConfigAge: maxConfigAge, Now: time.Now,
 	})
 	n.callers = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.readiness = &http.Server{Handler: h.Readiness(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -27,6 +27,7 @@
 	operatorReadInterval = 50 * time.Millisecond   // a fortieth of the 2 s in which a configuration must be in force
 	serversReadInterval  = 150 * time.Millisecond  // an eighth of the upstreams' heartbeat interval
 	maxJournalReadAge    = 2 * time.Second         // an older read to the journal's end makes the daemon not ready
+	maxConfigAge         = 2 * time.Second         // in which a configuration must be in force
 	relayBusyThreshold   = 2                       // requests in flight at an upstream before the next upstream is used
 	retryAfter           = 100 * time.Millisecond  // another daemon can usually serve at once
 	headerTimeout        = 10 * time.Second        // above the limit that the platform sets its clients
--- a/cmd/dotterelmountd/internal/hosted/outofstep_test.go
+++ b/cmd/dotterelmountd/internal/hosted/outofstep_test.go
@@ -81,3 +81,23 @@
 	assert.Equal(t, len(d.daemons[0].View().UpstreamsOf("plain")), len(d.plain)+1)
 	assert.Equal(t, d.call(d.daemons[0], http.MethodPost, memberPath+"x", nil, map[string]string{"X-Request-Id": "r", "X-Deadline-Ms": "1000"}).status, http.StatusOK)
 }
+
+// Guards against callers that are told that a route doesn't exist by a daemon that can't know.
+func TestRouteMissingFromOutdatedConfigurationIsNotDenied(t *testing.T) {
+	d := newDeployment(t, 1)
+	defer d.stopAll()
+	call := func() int {
+		return d.call(d.daemons[0], http.MethodPost, "/nowhere/", nil, map[string]string{"X-Request-Id": "r"}).status
+	}
+	assert.Equal(t, call(), http.StatusNotFound)
+	d.store.SetMode(platform.ModeBusy)
+	<-time.After(maxConfigAge + 1500*time.Millisecond) // a read that had begun may last 1 s more
+	assert.Equal(t, call(), http.StatusServiceUnavailable)
+	d.store.SetMode(platform.ModeUp)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status := call(); status != http.StatusNotFound {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(4*time.Second))
+}
