Remove an upstream only by a list read after it was found missing

If its configuration was loaded before its list of upstreams, the empty list made it remove all of them: their items were placed anew, and the next holder took them as new upstreams, without waiting for the orders of the one before. The same after taking over the lease of an upstream that its list did not have yet.

TestUpstreamMissingFromListNotReadYetIsNotRemoved fails with the old rule.

--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dotterelmount.example/api"
@@ -68,6 +69,7 @@
 	unheldSince map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
 	expiredAt   map[batch.ItemKey]time.Time
 	unrouted    absence.Tracker[batch.ItemKey]
+	unlisted    absence.Tracker[api.UpstreamID] // held by this daemon
 	leaving     bool
 	idle        bool // this daemon may not hold leases
 }
@@ -155,7 +157,7 @@
 	}
 	in := leases.Input{Self: m.cfg.Self, Live: live, Capacity: s.Capacity, Held: s.Upstreams, Listed: v.Upstreams, Table: v.Table}
 	in.SkippedTurns = m.skippedTurns(leases.Unheld(in), now)
-	for _, r := range leases.Plan(in) {
+	for _, r := range m.confirmRemovals(leases.Plan(in), v, now) {
 		id := upstreamOf(r)
 		if now.Sub(m.proposedAt[id]) < m.cfg.ProposalTimeout {
 			continue
@@ -167,6 +169,23 @@
 	}
 }
 
+// confirmRemovals leaves out the removals of upstreams that are missing only from this
+// daemon's list, which may not be read yet, or be older than the one by which another daemon
+// acquired the lease.
+func (m *Manager) confirmRemovals(plan []batch.Record, v *directory.View, now time.Time) []batch.Record {
+	var missing []api.UpstreamID
+	for _, r := range plan {
+		if removal, ok := r.(*batch.UpstreamRemoved); ok {
+			missing = append(missing, removal.Upstream)
+		}
+	}
+	confirmed := m.unlisted.Confirm(missing, v.UpstreamsAsOf, now)
+	return slices.DeleteFunc(plan, func(r batch.Record) bool {
+		removal, ok := r.(*batch.UpstreamRemoved)
+		return ok && !slices.Contains(confirmed, removal.Upstream)
+	})
+}
+
 // skippedTurns returns for each unheld upstream how many daemons' turns to acquire
 // it have passed.
 func (m *Manager) skippedTurns(unheld []api.UpstreamID, now time.Time) map[api.UpstreamID]int {
--- a/server/leasing/leasing_test.go
+++ b/server/leasing/leasing_test.go
@@ -127,3 +127,33 @@
 	m.now = m.now.Add(100 * time.Millisecond)
 	assert.Assert(t, expired(), "the route was removed")
 }
+
+// Guards against a starting daemon that gives up the upstreams it holds before it has read
+// the list of upstreams.
+func TestUpstreamMissingFromListNotReadYetIsNotRemoved(t *testing.T) {
+	m := newTestManager(t)
+	m.snapshot.Upstreams[0].Holder = "d"
+	loaded := m.view
+	m.view = directory.NewView().Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{Version: 1}}})
+	removed := func() bool {
+		m.now = m.now.Add(100 * time.Millisecond)
+		m.proposed = nil
+		m.lastFullRead, m.snapshot.LastRenewals["d"] = m.now, m.now
+		m.Tick(t.Context())
+		for _, r := range m.proposed {
+			if _, ok := r.(*batch.UpstreamRemoved); ok {
+				return true
+			}
+		}
+		return false
+	}
+	for range 20 {
+		assert.Assert(t, !removed(), "the list was not read")
+	}
+	m.view = loaded.ReadAt(time.Time{}, m.now)
+	assert.Assert(t, !removed(), "the upstream is listed")
+	m.view = m.view.Apply([]directory.Change{directory.UpstreamUnlisted{ID: "u"}})
+	assert.Assert(t, !removed(), "the list may be older than the lease")
+	m.view = m.view.ReadAt(time.Time{}, m.now.Add(time.Millisecond))
+	assert.Assert(t, removed())
+}
