Move accepted jobs when a configuration moves their route

The service is now part of the job's state. The daemon responsible for a job proposes JobRerouted once a configuration read after the job was seen leads its route to other services; pending items are then placed there, items placed but not started are moved, and runs in progress end where they are. A record of an older configuration has no effect.

Renewals name the level of records that a daemon reads and the one that, as far as it knows, all live daemons read (lib/upgrade); JobRerouted is proposed only while that is in force. While an older build is live, jobs stay with their service, as before.

--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -9,6 +9,7 @@
 	"dotterelmount.example/lib/pace"
 	"dotterelmount.example/lib/reach"
 	scoring "dotterelmount.example/lib/rewards"
+	"dotterelmount.example/lib/upgrade"
 	"dotterelmount.example/server/chunks"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
@@ -79,6 +80,7 @@
 	TurnTimeout:     500 * time.Millisecond, // a proposal is read back within some tens of milliseconds
 	MaxReadAge:      700 * time.Millisecond, // two renewal intervals
 	ProposalTimeout: time.Second, SweepInterval: time.Second, Now: time.Now,
+	Levels: upgrade.Config{Silence: 40 * time.Second}, // idle daemons renew every 30 s
 }
 
 var upkeepConfig = upkeep.Config{
--- /dev/null
+++ b/cmd/dotterelmountd/internal/hosted/moved_test.go
@@ -0,0 +1,38 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"dotterelmount.example/standin/platform"
+	"gotest.tools/v3/assert"
+)
+
+// routeBatches publishes a configuration whose batch jobs run at a service of engines.
+func (d *deployment) routeBatches(version int, service string, single bool) {
+	d.store.PublishConfig(version, []platform.Route{{
+		Name: "batch", Host: host, PathPrefix: batchPath, Kind: "rollout", Service: service, TimeoutMillis: 10000, LatencyTargetMillis: 400, Attempts: 3,
+		Resumable: true, ItemTimeoutSeconds: 40, ResultTargetMillis: 7500, SingleVersion: single,
+	}}, []platform.Service{{Name: "engines", Models: []string{model}}, {Name: "engines-b", Models: []string{model}}, {Name: "plain"}})
+}
+
+// Guards against items that no server runs because a configuration moved the route of their
+// accepted job to another service.
+func TestItemsOfMovedRouteRunAtItsService(t *testing.T) {
+	d := newDeployment(t, 2)
+	defer d.stopAll()
+	d.routeBatches(2, "engines", false)
+	for n := range 2 {
+		d.models = append(d.models, platform.NewServer(d.store, fmt.Sprintf("engine-b-%d", n), "engines-b", model))
+	}
+	for _, m := range d.models {
+		m.EventsPerItem, m.EventInterval = 20, 20*time.Millisecond
+	}
+	const groups = 20 // 40 items for 12 slots
+	assert.Equal(t, d.submit(d.daemons[0], "job1", groups, 1).status, http.StatusAccepted)
+	<-time.After(200 * time.Millisecond)
+	d.routeBatches(3, "engines-b", false)
+	d.checkTexts(d.results(d.daemons[1], "job1", 2*groups))
+}
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -152,6 +152,12 @@
 	FromUpstream api.UpstreamID `msgpack:"from" json:"From"`
 }
 
+// RecordLevel is the level of the records that this build reads. A build skips the records
+// of higher levels, so that one is appended only while all live daemons read its level:
+//
+//	1: JobRerouted
+const RecordLevel = 1
+
 // DaemonAlive renews all leases of a daemon.
 type DaemonAlive struct {
 	Daemon api.DaemonID `msgpack:"d"`
@@ -167,6 +173,10 @@
 	DataCentre api.DataCentre `msgpack:"z,omitempty" json:",omitempty"`
 	// CutOff is true if the daemon reaches no upstream.
 	CutOff bool `msgpack:"x,omitempty" json:",omitempty"`
+	// RecordLevel is the level of the records that the daemon reads, LevelInForce the one
+	// that all live daemons read as far as it knows.
+	RecordLevel  int `msgpack:"l,omitempty" json:",omitempty"`
+	LevelInForce int `msgpack:"f,omitempty" json:",omitempty"`
 }
 
 // DaemonLeft releases all leases of a daemon.
@@ -270,6 +280,16 @@
 	StartMillis int64          `msgpack:"s"` // of the process, in Unix milliseconds
 }
 
+// JobRerouted moves a job to another service, because a configuration moved its route. It
+// has no effect unless ConfigVersion is above that of the job's last move. Items that run
+// already may end at the service before.
+type JobRerouted struct {
+	Job           JobID  `msgpack:"job"`
+	Service       string `msgpack:"svc"`
+	ConfigVersion uint64 `msgpack:"c"`
+}
+
+func (*JobRerouted) record()           {}
 func (*UpstreamLeaving) record()       {}
 func (*StreamBegan) record()           {}
 func (*RequestLimitNamed) record()     {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -46,6 +46,7 @@
 	kindDemandReported
 	kindStreamBegan
 	kindUpstreamLeaving
+	kindJobRerouted
 )
 
 func kindOf(r batch.Record) byte {
@@ -86,6 +87,8 @@
 		return kindStreamBegan
 	case *batch.UpstreamLeaving:
 		return kindUpstreamLeaving
+	case *batch.JobRerouted:
+		return kindJobRerouted
 	default:
 		return kindUpstreamChanged
 	}
@@ -111,6 +114,7 @@
 	kindDemandReported:        decode[batch.DemandReported],
 	kindStreamBegan:           decode[batch.StreamBegan],
 	kindUpstreamLeaving:       decode[batch.UpstreamLeaving],
+	kindJobRerouted:           decode[batch.JobRerouted],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -21,7 +21,8 @@
 	model := api.ModelName([]string{"m", "n"}[pick("model", 1)])
 	versions := map[api.ModelName]api.WeightVersion{"m": api.WeightVersion(pick("vm", 3)), "n": api.WeightVersion(pick("vn", 3))}
 	software := fmt.Sprint("v", pick("software", 1))
-	switch pick("kind", 13) {
+	service := []string{"s", "t"}[pick("service", 1)]
+	switch pick("kind", 14) {
 	case 0:
 		j := Job{ID: job, Service: "s", Model: model, MinVersion: api.WeightVersion(pick("min", 2)), MaxAttempts: 2}
 		for i := range pick("items", 5) + 1 {
@@ -51,10 +52,12 @@
 		return &RewardFailed{Job: job, Item: item, Status: 500}
 	case 13:
 		return &RequestLimitNamed{Upstream: upstream, PerSecond: float64(pick("limit", 2))}
+	case 14:
+		return &JobRerouted{Job: job, Service: service, ConfigVersion: uint64(pick("config", 3))}
 	case 9:
 		return &UpstreamChanged{Upstream: upstream, Daemon: daemon, Condition: Condition(pick("condition", 4)), Software: software, Versions: versions}
 	default:
-		return &LeaseAcquired{Upstream: upstream, Service: "s", Daemon: daemon, PreviousLease: Offset(pick("previous", 1) * n / 2), Slots: 2, Models: []api.ModelName{"m", "n"}, Software: software, Versions: versions}
+		return &LeaseAcquired{Upstream: upstream, Service: service, Daemon: daemon, PreviousLease: Offset(pick("previous", 1) * n / 2), Slots: 2, Models: []api.ModelName{"m", "n"}, Software: software, Versions: versions}
 	}
 }
 
--- a/lib/batch/place.go
+++ b/lib/batch/place.go
@@ -28,7 +28,7 @@
 		}
 		candidates, ok := candidatesByJob[i.job]
 		if !ok {
-			candidates = s.candidates(free, i.job.job)
+			candidates = s.candidates(free, i.job)
 			candidatesByJob[i.job] = candidates
 		}
 		u := s.chooseUpstream(candidates, i)
@@ -101,7 +101,7 @@
 // candidates returns the free upstreams that a job's items are placed on. Slow ones are
 // among them only while no other can run the job: if a single upstream has loaded its
 // weight version, the job must not wait until that upstream is fast again.
-func (s *State) candidates(free []*Upstream, j *Job) []*Upstream {
+func (s *State) candidates(free []*Upstream, j *jobState) []*Upstream {
 	var ready, slow []*Upstream
 	for _, u := range free {
 		switch {
@@ -119,7 +119,7 @@
 }
 
 // runsReady reports whether an upstream that is ready can run a job.
-func (s *State) runsReady(j *Job) bool {
+func (s *State) runsReady(j *jobState) bool {
 	for _, u := range s.upstreams {
 		if u.Condition == ConditionReady && u.Holder != "" && u.canRun(j) {
 			return true
@@ -156,8 +156,8 @@
 
 // canRun reports whether an upstream serves the job's service with a recent
 // enough weight version.
-func (u *Upstream) canRun(j *Job) bool {
-	return u.Service == j.Service && u.Versions[j.Model] >= j.MinVersion
+func (u *Upstream) canRun(j *jobState) bool {
+	return u.Service == j.service && u.Versions[j.job.Model] >= j.job.MinVersion
 }
 
 // hasRoomFor reports whether an upstream that can run the item's job has a free
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -76,6 +76,7 @@
 type Run struct {
 	Job         *Job
 	Item        *Item
+	Service     string // of the job now
 	Upstream    api.UpstreamID
 	LeaseOffset Offset              // fencing token of the upstream's lease
 	EventCount  int                 // number of events of the text so far
@@ -98,7 +99,7 @@
 		}
 		for _, i := range s.placed[id] {
 			out[ItemKey{i.job.job.ID, i.item().ID}] = Run{
-				Job: i.job.job, Item: i.item(), Upstream: id, LeaseOffset: u.LeaseOffset,
+				Job: i.job.job, Item: i.item(), Service: i.job.service, Upstream: id, LeaseOffset: u.LeaseOffset,
 				EventCount: i.eventCount, Versions: i.versions, Software: i.software,
 			}
 		}
@@ -110,7 +111,8 @@
 type OpenItem struct {
 	ItemKey
 	Host, Path     string
-	DeadlineMillis int64 // time after which the item may expire, in Unix milliseconds
+	Service        string // of the job now
+	DeadlineMillis int64  // time after which the item may expire, in Unix milliseconds
 }
 
 // OpenItems returns all open items in no particular order.
@@ -123,7 +125,7 @@
 		for _, i := range j.items {
 			if i.state == ItemOpen {
 				out = append(out, OpenItem{
-					ItemKey: ItemKey{j.job.ID, i.item().ID}, Host: j.job.Host, Path: i.item().Path,
+					ItemKey: ItemKey{j.job.ID, i.item().ID}, Host: j.job.Host, Path: i.item().Path, Service: j.service,
 					DeadlineMillis: j.job.SubmittedMillis + j.job.TimeoutMillis,
 				})
 			}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -66,12 +66,16 @@
 	Address       string // where it takes requests of other daemons; empty: nowhere
 	DataCentre    api.DataCentre
 	CutOff        bool // it reaches no upstream
+	RecordLevel   int  // as in DaemonAlive
+	LevelInForce  int  // as in DaemonAlive
 	Left          bool
 }
 
 type jobState struct {
 	job        *Job
 	acceptedAt Offset // offset of the JobAccepted record
+	service    string // whose upstreams run the items
+	routedBy   uint64 // configuration version that moved the job there; 0: never moved
 	items      map[ItemID]*itemState
 	results    []*itemState // in listing order
 	ended      bool
@@ -145,6 +149,8 @@
 		return s.setRequestLimit(r)
 	case *StreamBegan:
 		return s.addStream(r)
+	case *JobRerouted:
+		return s.rerouteJob(r)
 	}
 	return false
 }
@@ -153,7 +159,7 @@
 	if _, ok := s.jobs[job.ID]; ok {
 		return false
 	}
-	j := &jobState{job: job, acceptedAt: at, items: make(map[ItemID]*itemState, len(job.Items))}
+	j := &jobState{job: job, acceptedAt: at, service: job.Service, items: make(map[ItemID]*itemState, len(job.Items))}
 	s.jobs[job.ID] = j
 	for n := range job.Items {
 		id := job.Items[n].ID
@@ -213,7 +219,17 @@
 	}
 	s.recordWork(j)
 	s.recordItemLength(j)
-	s.rebalance(j.job.Service)
+	s.rebalance(j.service)
+	return true
+}
+
+func (s *State) rerouteJob(r *JobRerouted) bool {
+	j, ok := s.jobs[r.Job]
+	if !ok || j.ended || r.ConfigVersion <= j.routedBy || r.Service == j.service {
+		return false
+	}
+	j.service, j.routedBy = r.Service, r.ConfigVersion
+	s.placementDue = true
 	return true
 }
 
@@ -347,6 +363,7 @@
 	}
 	d.StartMillis, d.RenewalOffset, d.ConfigVersion, d.Capacity, d.Left = r.StartMillis, at, r.ConfigVersion, r.Capacity, false
 	d.Address, d.DataCentre, d.CutOff = r.Address, r.DataCentre, r.CutOff
+	d.RecordLevel, d.LevelInForce = r.RecordLevel, r.LevelInForce
 	return true
 }
 
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -77,6 +77,9 @@
 	Capacity map[api.DaemonID]int
 	// Daemons are the daemons that have not left, as of their last renewals.
 	Daemons map[api.DaemonID]batch.Daemon
+	// FollowedSince is since when the journal was followed without a gap; zero: since its
+	// first record.
+	FollowedSince time.Time
 }
 
 // Members returns the daemons and upstreams as input for leases.Roster.
@@ -110,6 +113,7 @@
 	decoder           replay.Decoder
 	appliedOffset     batch.Offset
 	lastFullRead      time.Time // start of the last read that reached the end
+	followedSince     time.Time // as in Snapshot
 	lastRenewals      map[api.DaemonID]time.Time
 	unpublished       changes // since the last snapshot
 	rewardsPublished  bool    // the last published list of reward calls was not empty
@@ -132,8 +136,9 @@
 	firstOffset journal.Offset
 	page        journal.Page
 	startedAt   time.Time // of the read
-	// resumed is set on the first result after failed reads.
-	resumed bool
+	// resumed is set on the first result after failed reads, afterGap on the first one after
+	// records expired unread.
+	resumed, afterGap bool
 }
 
 // Journal is the journal of batch jobs.
@@ -194,6 +199,9 @@
 			j.lastRenewals[d] = res.startedAt
 		}
 	}
+	if res.afterGap {
+		j.followedSince = res.startedAt
+	}
 	for i, part := range res.page.Records {
 		r, at, err := j.decoder.Add(res.firstOffset+journal.Offset(i), part)
 		if err != nil {
@@ -257,7 +265,7 @@
 	s := &Snapshot{
 		NextOffset: j.appliedOffset, Upstreams: j.snapshot.Load().Upstreams,
 		LastRenewals: make(map[api.DaemonID]time.Time, len(daemons)), StartMillis: make(map[api.DaemonID]int64, len(daemons)),
-		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons,
+		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons, FollowedSince: j.followedSince,
 	}
 	if j.unpublished.upstreams {
 		s.Upstreams = j.state.Upstreams()
@@ -287,46 +295,6 @@
 	return max(j.cfg.MinReadInterval, interval)
 }
 
-// logRecord logs an applied record, except renewals and accepted texts.
-func (j *JobReplica) logRecord(at batch.Offset, r batch.Record, changed bool) {
-	offset, effect := zap.Uint64("offset", uint64(at)), zap.Bool("effect", changed)
-	switch r := r.(type) {
-	case *batch.JobAccepted:
-		j.log.Info("job accepted", zap.String("job", string(r.Job.ID)), zap.String("model", string(r.Job.Model)),
-			zap.Uint64("min_version", uint64(r.Job.MinVersion)), zap.Int("items", len(r.Job.Items)), offset, effect)
-	case *batch.JobEnded:
-		j.log.Info("job ended", zap.String("job", string(r.ID)), offset, effect)
-	case *batch.LeaseAcquired:
-		j.log.Info("lease acquired", zap.String("upstream", string(r.Upstream)), zap.String("daemon", string(r.Daemon)),
-			zap.Uint64("previous", uint64(r.PreviousLease)), offset, effect)
-	case *batch.UpstreamRemoved:
-		j.log.Info("upstream removed", zap.String("upstream", string(r.Upstream)), zap.String("daemon", string(r.Daemon)), offset, effect)
-	case *batch.UpstreamChanged:
-		j.log.Info("upstream changed", zap.String("upstream", string(r.Upstream)), zap.Stringer("condition", r.Condition),
-			zap.Any("versions", r.Versions), offset, effect)
-	case *batch.RequestCrashed:
-		j.log.Info("upstreams lost during a request", zap.Uint64("content", r.ContentHash), zap.Int("lost", r.UpstreamsLost),
-			zap.String("process", r.Process), offset)
-	case *batch.RequestLimitNamed:
-		j.log.Info("request limit in force", zap.String("upstream", string(r.Upstream)), zap.Float64("per_second", r.PerSecond), offset, effect)
-	case *batch.DaemonLeft:
-		j.log.Info("daemon left", zap.String("daemon", string(r.Daemon)), offset, effect)
-	case *batch.ItemFailed:
-		j.log.Info("item failed", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
-			zap.Int("status", r.Status), zap.Bool("final", r.Final), offset, effect)
-	case *batch.RewardFailed:
-		j.log.Info("reward failed", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
-			zap.Int("status", r.Status), offset, effect)
-	case *batch.ItemExpired:
-		j.log.Info("item expired", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)), offset, effect)
-	case *batch.TextAdded:
-		if !changed {
-			j.log.Info("text record ignored", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)),
-				zap.Int("from", r.FirstEvent), zap.Int("events", r.EventCount), offset)
-		}
-	}
-}
-
 // Stop ends the duties. Errors: ctx.Err().
 func (j *JobReplica) Stop(ctx context.Context) error {
 	return duty.StopAll(ctx, j.applier, []*duty.Duty[struct{}]{j.reader})
@@ -339,6 +307,7 @@
 	scheduleNext func()
 	nextOffset   journal.Offset
 	failing      bool
+	gap          bool // records expired since the last result
 	behind       bool // not at the journal's end as of the last read
 	pageSize     *journal.PageSize
 }
@@ -357,7 +326,7 @@
 	var trimmed *journal.TrimmedError
 	if errors.As(err, &trimmed) {
 		r.replica.log.Warn("journal records expired before they were read", zap.Uint64("from", uint64(r.nextOffset)), zap.Uint64("first", uint64(trimmed.Oldest)))
-		r.nextOffset = trimmed.Oldest
+		r.nextOffset, r.gap = trimmed.Oldest, true
 		return
 	}
 	r.adaptPage(page, err, cfg.Now().Sub(startedAt))
@@ -365,7 +334,8 @@
 		r.handleFailure(ctx, err)
 		return
 	}
-	res := &readResult{firstOffset: r.nextOffset, page: page, startedAt: startedAt, resumed: r.failing}
+	res := &readResult{firstOffset: r.nextOffset, page: page, startedAt: startedAt, resumed: r.failing, afterGap: r.gap}
+	r.gap = false
 	if r.failing {
 		r.failing = false
 		r.replica.log.Info("journal readable again", zap.Uint64("from", uint64(r.nextOffset)))
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -1,6 +1,6 @@
 // Package leasing runs the duty that manages this daemon's leases on upstreams. It
-// renews them, acquires those of dead daemons, expires items past their deadline
-// and releases all leases before the daemon stops.
+// renews them, acquires those of dead daemons, expires items past their deadline, reroutes
+// jobs and releases all leases before the daemon stops.
 package leasing
 
 import (
@@ -14,6 +14,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/leases"
+	"dotterelmount.example/lib/upgrade"
 	"dotterelmount.example/server/jobreplica"
 	"go.uber.org/zap"
 )
@@ -38,9 +39,11 @@
 	// ProposalTimeout is how long a proposal may take to be read back from the
 	// journal before it is repeated.
 	ProposalTimeout time.Duration
-	// SweepInterval is the interval of searches for expired items.
+	// SweepInterval is the interval of searches for expired items and rerouted jobs.
 	SweepInterval time.Duration
-	Now           func() time.Time
+	// Levels decides which records all live daemons read.
+	Levels upgrade.Config
+	Now    func() time.Time
 }
 
 // Deps are the dependencies of a Manager.
@@ -67,8 +70,10 @@
 	sweptAt     time.Time
 	proposedAt  map[api.UpstreamID]time.Time
 	unheldSince map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
-	expiredAt   map[batch.ItemKey]time.Time
+	expired     proposals[batch.ItemKey]
+	rerouted    proposals[batch.JobID]
 	unrouted    absence.Tracker[batch.ItemKey]
+	misrouted   absence.Tracker[batch.JobID]
 	unlisted    absence.Tracker[api.UpstreamID] // held by this daemon
 	leaving     bool
 	idle        bool // this daemon may not hold leases
@@ -84,7 +89,7 @@
 func newManager(cfg Config, deps Deps, log *zap.Logger) *Manager {
 	return &Manager{
 		cfg: cfg, deps: deps, log: log,
-		proposedAt: make(map[api.UpstreamID]time.Time), expiredAt: make(map[batch.ItemKey]time.Time),
+		proposedAt: make(map[api.UpstreamID]time.Time), expired: make(proposals[batch.ItemKey]), rerouted: make(proposals[batch.JobID]),
 	}
 }
 
@@ -111,6 +116,7 @@
 		m.propose(&batch.DaemonAlive{
 			Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion(), Capacity: m.cfg.Capacity,
 			Address: m.cfg.Address, DataCentre: m.cfg.DataCentre, CutOff: cutOff,
+			RecordLevel: batch.RecordLevel, LevelInForce: m.levelInForce(s, now),
 		})
 	}
 	if now.Sub(m.deps.LastFullRead()) > m.cfg.MaxReadAge {
@@ -121,7 +127,7 @@
 	m.acquireLeases(s, live, now)
 	if now.Sub(m.sweptAt) >= m.cfg.SweepInterval {
 		m.sweptAt = now
-		m.expireItems(ctx, live, now)
+		m.sweep(ctx, live, now)
 	}
 }
 
@@ -212,59 +218,6 @@
 	return ""
 }
 
-// expireItems proposes the expiry of items past their deadline or without a route.
-// Each live daemon does this for its share of the jobs.
-func (m *Manager) expireItems(ctx context.Context, live map[api.DaemonID]bool, now time.Time) {
-	v := m.deps.View()
-	if v.Table == nil || !live[m.cfg.Self] {
-		return
-	}
-	open, err := m.deps.OpenItems(ctx)
-	if err != nil {
-		m.log.Warn("read of open items failed", zap.Error(err))
-		return
-	}
-	unrouted := m.unroutedItems(open, v, now)
-	for _, i := range open {
-		if !unrouted[i.ItemKey] && now.UnixMilli() < i.DeadlineMillis {
-			continue
-		}
-		if !leases.Responsible(m.cfg.Self, live, string(i.Job)) || now.Sub(m.expiredAt[i.ItemKey]) < m.cfg.ProposalTimeout {
-			continue
-		}
-		m.expiredAt[i.ItemKey] = now
-		m.log.Info("item expiry proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Bool("routed", !unrouted[i.ItemKey]),
-			zap.Uint64("config", v.Table.Version()), zap.Time("config_as_of", v.ConfigAsOf), zap.Int64("due_ms", i.DeadlineMillis))
-		m.propose(&batch.ItemExpired{Job: i.Job, Item: i.Item})
-	}
-	for key, at := range m.expiredAt {
-		if now.Sub(at) > m.cfg.ProposalTimeout {
-			delete(m.expiredAt, key)
-		}
-	}
-}
-
-// unroutedItems returns the open items whose routes were removed. The configuration may be
-// older than the one under which another daemon accepted an item: until it is read again, an
-// item without a route is kept.
-func (m *Manager) unroutedItems(open []batch.OpenItem, v *directory.View, now time.Time) map[batch.ItemKey]bool {
-	var missing []batch.ItemKey
-	for _, i := range open {
-		if _, ok := v.Table.Match(i.Host, i.Path); !ok {
-			missing = append(missing, i.ItemKey)
-		}
-	}
-	out := make(map[batch.ItemKey]bool)
-	for _, key := range m.unrouted.Confirm(missing, v.ConfigAsOf, now) {
-		out[key] = true
-	}
-	if kept := len(missing) - len(out); kept > 0 {
-		m.log.Info("items without a route kept until the configuration is read again", zap.Int("items", kept),
-			zap.Uint64("config", v.Table.Version()), zap.Time("config_as_of", v.ConfigAsOf))
-	}
-	return out
-}
-
 func (m *Manager) propose(r batch.Record) {
 	if err := m.deps.Propose(r, m.cfg.ProposalTimeout); err != nil {
 		m.log.Warn("proposal dropped", zap.Any("record", r), zap.Error(err))
--- /dev/null
+++ b/server/leasing/sweep_test.go
@@ -0,0 +1,84 @@
+package leasing
+
+import (
+	"testing"
+	"time"
+
+	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/routes"
+	"dotterelmount.example/lib/upgrade"
+	"gotest.tools/v3/assert"
+)
+
+func routeTo(services ...routes.WeightedService) *routes.Table {
+	return routes.NewTable(routes.Config{Version: 7, Routes: []routes.Route{{Host: "h", Prefix: "/x/", WeightedServices: services}}})
+}
+
+func openItem(job batch.JobID, item batch.ItemID, path, service string) batch.OpenItem {
+	return batch.OpenItem{ItemKey: batch.ItemKey{Job: job, Item: item}, Host: "h", Path: path, Service: service}
+}
+
+func TestJobsFollowTheirRoutes(t *testing.T) {
+	for name, c := range map[string]struct {
+		table *routes.Table
+		item  batch.OpenItem
+		want  string // service; empty: the job stays
+	}{
+		"moved":               {routeTo(routes.WeightedService{Service: "b", Weight: 1}), openItem("j", "i", "/x/1", "a"), "b"},
+		"not moved":           {routeTo(routes.WeightedService{Service: "a", Weight: 1}), openItem("j", "i", "/x/1", "a"), ""},
+		"split, still part":   {routeTo(routes.WeightedService{Service: "b", Weight: 9}, routes.WeightedService{Service: "a", Weight: 1}), openItem("j", "i", "/x/1", "a"), ""},
+		"no share any more":   {routeTo(routes.WeightedService{Service: "a"}, routes.WeightedService{Service: "c", Weight: 1}), openItem("j", "i", "/x/1", "a"), "c"},
+		"no service at all":   {routeTo(), openItem("j", "i", "/x/1", "a"), ""},
+		"the route is absent": {routeTo(routes.WeightedService{Service: "b", Weight: 1}), openItem("j", "i", "/y/1", "a"), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := planReroutes([]batch.OpenItem{c.item}, c.table)
+			if c.want == "" {
+				assert.Equal(t, len(got), 0)
+				return
+			}
+			assert.DeepEqual(t, got["j"], &batch.JobRerouted{Job: "j", Service: c.want, ConfigVersion: 7})
+		})
+	}
+}
+
+// Guards against jobs that stay with a service that their route has left, and against
+// records that daemons of an older build would skip.
+func TestJobIsReroutedOnceAllDaemonsReadIt(t *testing.T) {
+	m := newTestManager(t)
+	m.cfg.SweepInterval, m.cfg.Levels = 0, upgrade.Config{Silence: 40 * time.Second}
+	m.open = []batch.OpenItem{openItem("j", "i", "/x/1", "a")}
+	m.open[0].DeadlineMillis = m.now.Add(time.Hour).UnixMilli()
+	m.snapshot.Daemons = map[api.DaemonID]batch.Daemon{"d": {RecordLevel: batch.RecordLevel}, "older": {}}
+	m.view = directory.NewView().Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{
+		Version: 7, Routes: []routes.Route{{Host: "h", Prefix: "/x/", WeightedServices: []routes.WeightedService{{Service: "b", Weight: 1}}}},
+	}}})
+	rerouted := func() bool {
+		m.now = m.now.Add(100 * time.Millisecond)
+		m.proposed = nil
+		m.lastFullRead, m.snapshot.LastRenewals = m.now, map[api.DaemonID]time.Time{"d": m.now, "older": m.now.Add(-5 * time.Second)}
+		m.Tick(t.Context())
+		for _, r := range m.proposed {
+			if _, ok := r.(*batch.JobRerouted); ok {
+				return true
+			}
+		}
+		return false
+	}
+	for range 20 {
+		assert.Assert(t, !rerouted(), "the job may have been accepted under a later configuration")
+	}
+	m.view = m.view.ReadAt(m.now, time.Time{})
+	for range 20 {
+		assert.Assert(t, !rerouted(), "a live daemon skips the record")
+	}
+	m.snapshot.Daemons["older"] = batch.Daemon{RecordLevel: batch.RecordLevel}
+	for range 10 {
+		if rerouted() {
+			return
+		}
+	}
+	t.Fatal("the job is not rerouted")
+}
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -236,6 +236,10 @@
 	route, ok := v.Table.Match(wanted.Job.Host, wanted.Item.Path)
 	if !ok || !route.RoutesTo(u.Service) {
 		r.retryAt[key] = now.Add(r.cfg.RetryDelay)
+		if wanted.Service != u.Service {
+			r.proposeMove(key, wanted, "the job was rerouted")
+			return
+		}
 		r.log.Info("run refused by the route table", zap.String("item", string(key.Item)), zap.String("upstream", string(u.ID)), zap.Uint64("config", v.Table.Version()))
 		return
 	}
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -9,6 +9,7 @@
 	Resumable                             bool
 	ItemTimeoutSeconds                    float64 // timeout of an item of a job; zero: the route is not for jobs
 	ResultTargetMillis                    int     // latency target of results; only on routes for jobs
+	SingleVersion                         bool    // one weight version generates the whole text of an item
 }
 
 // Service is a service of the operator's configuration. If it has models, its
@@ -35,6 +36,7 @@
 		}
 		if r.ItemTimeoutSeconds > 0 {
 			row["max_queue_s"], row["result_target_ms"] = r.ItemTimeoutSeconds, r.ResultTargetMillis
+			row["single_version"] = r.SingleVersion
 		}
 		routeRows = append(routeRows, row)
 	}
