Drop the text of an item whose weight version no upstream has any more

Text was dropped for other software only, never for a version that is gone.

The daemon responsible for the job proposes TextDropped for an item that only the version of its text keeps from running; the state checks that again when it applies the record, so that a text is kept while an upstream can continue it or no other has room. The record has a level of its own: it is proposed only while all live daemons read it. Until then a run of a single-version job stores its text only when it is complete, so that nothing that a new build writes strands an item, also beside older builds.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -159,6 +159,9 @@
 		OnOutcome:       n.handleRunOutcome,
 		LeasedUpstreams: func() []batch.Upstream { return n.leaseSnapshot().Upstreams },
 		Limits:          n.throttle.Buckets(), UpstreamsCurrent: n.watcher.UpstreamsCurrent,
+		TextDroppable: func() bool {
+			return n.leaseSnapshot().LevelInForce(recordLevels, time.Now()) >= batch.LevelTextDropped
+		},
 	}, n.log.Logger)
 
 	leaseCfg := leaseManagerConfig
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -75,12 +75,14 @@
 	TTL: 1500 * time.Millisecond, // four renewal intervals
 }
 
+var recordLevels = upgrade.Config{Silence: 40 * time.Second} // idle daemons renew every 30 s
+
 var leaseManagerConfig = leasing.Config{
 	Tick: 100 * time.Millisecond, IdleTick: 500 * time.Millisecond, Roster: roster,
 	TurnTimeout:     500 * time.Millisecond, // a proposal is read back within some tens of milliseconds
 	MaxReadAge:      700 * time.Millisecond, // two renewal intervals
 	ProposalTimeout: time.Second, SweepInterval: time.Second, Now: time.Now,
-	Levels: upgrade.Config{Silence: 40 * time.Second}, // idle daemons renew every 30 s
+	Levels: recordLevels,
 }
 
 var upkeepConfig = upkeep.Config{
--- a/cmd/dotterelmountd/internal/hosted/moved_test.go
+++ b/cmd/dotterelmountd/internal/hosted/moved_test.go
@@ -36,3 +36,23 @@
 	d.routeBatches(3, "engines-b", false)
 	d.checkTexts(d.results(d.daemons[1], "job1", 2*groups))
 }
+
+// Guards against items of single-version jobs that no server runs any more once all servers
+// have loaded a later version than that of their texts.
+func TestSingleVersionItemsRunAfterTheirVersionIsGone(t *testing.T) {
+	d := newDeployment(t, 2)
+	defer d.stopAll()
+	d.routeBatches(2, "engines", true)
+	for _, m := range d.models {
+		m.EventsPerItem, m.EventInterval = 60, 50*time.Millisecond
+	}
+	<-time.After(time.Second)                                                         // the configuration is in force
+	assert.Equal(t, d.submit(d.daemons[0], "job1", 6, 1).status, http.StatusAccepted) // an item for each slot
+	<-time.After(runnerConfig.FlushInterval + 300*time.Millisecond)                   // part of each text is stored
+	d.store.PublishVersion(model, 2)
+	got := d.results(d.daemons[1], "job1", 12)
+	d.checkTexts(got)
+	for _, r := range got.Results {
+		assert.Equal(t, len(r.Versions), 1, "%s: %v", r.ID, r.Versions)
+	}
+}
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -152,11 +152,14 @@
 	FromUpstream api.UpstreamID `msgpack:"from" json:"From"`
 }
 
-// RecordLevel is the level of the records that this build reads. A build skips the records
-// of higher levels, so that one is appended only while all live daemons read its level:
-//
-//	1: JobRerouted
-const RecordLevel = 1
+// Levels of records. A build skips the records of levels above its own, so that one is
+// appended only while all live daemons read its level.
+const (
+	LevelJobRerouted = 1
+	LevelTextDropped = 2
+
+	RecordLevel = LevelTextDropped // of this build
+)
 
 // DaemonAlive renews all leases of a daemon.
 type DaemonAlive struct {
@@ -289,6 +292,16 @@
 	ConfigVersion uint64 `msgpack:"c"`
 }
 
+// TextDropped drops the text of an item that must be of one weight version, so that it
+// starts anew with another. It has no effect unless the text has EventCount events and the
+// item is stranded.
+type TextDropped struct {
+	Job        JobID  `msgpack:"job"`
+	Item       ItemID `msgpack:"item"`
+	EventCount int    `msgpack:"n" json:"Events"`
+}
+
+func (*TextDropped) record()           {}
 func (*JobRerouted) record()           {}
 func (*UpstreamLeaving) record()       {}
 func (*StreamBegan) record()           {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -47,6 +47,7 @@
 	kindStreamBegan
 	kindUpstreamLeaving
 	kindJobRerouted
+	kindTextDropped
 )
 
 func kindOf(r batch.Record) byte {
@@ -89,6 +90,8 @@
 		return kindUpstreamLeaving
 	case *batch.JobRerouted:
 		return kindJobRerouted
+	case *batch.TextDropped:
+		return kindTextDropped
 	default:
 		return kindUpstreamChanged
 	}
@@ -115,6 +118,7 @@
 	kindStreamBegan:           decode[batch.StreamBegan],
 	kindUpstreamLeaving:       decode[batch.UpstreamLeaving],
 	kindJobRerouted:           decode[batch.JobRerouted],
+	kindTextDropped:           decode[batch.TextDropped],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -22,9 +22,9 @@
 	versions := map[api.ModelName]api.WeightVersion{"m": api.WeightVersion(pick("vm", 3)), "n": api.WeightVersion(pick("vn", 3))}
 	software := fmt.Sprint("v", pick("software", 1))
 	service := []string{"s", "t"}[pick("service", 1)]
-	switch pick("kind", 14) {
+	switch pick("kind", 15) {
 	case 0:
-		j := Job{ID: job, Service: "s", Model: model, MinVersion: api.WeightVersion(pick("min", 2)), MaxAttempts: 2}
+		j := Job{ID: job, Service: "s", Model: model, MinVersion: api.WeightVersion(pick("min", 2)), MaxAttempts: 2, SingleVersion: pick("single", 1) == 1}
 		for i := range pick("items", 5) + 1 {
 			j.Items = append(j.Items, Item{ID: ItemID(fmt.Sprint("i", i)), Group: fmt.Sprint(i / 2), OutputHint: pick("hint", 3)})
 			if pick("scorer", 1) == 1 {
@@ -35,7 +35,7 @@
 	case 1:
 		return &JobEnded{ID: job}
 	case 2, 3:
-		return &TextAdded{Job: job, Item: item, RunID: fmt.Sprint(n), EventCount: 1, Versions: []api.WeightVersion{1}, Software: software, Done: pick("done", 1) == 1}
+		return &TextAdded{Job: job, Item: item, RunID: fmt.Sprint(n), EventCount: 1, Versions: []api.WeightVersion{api.WeightVersion(1 + pick("text version", 1))}, Software: software, Done: pick("done", 1) == 1}
 	case 4:
 		return &ItemFailed{Job: job, Item: item, Status: 500}
 	case 5:
@@ -52,6 +52,8 @@
 		return &RewardFailed{Job: job, Item: item, Status: 500}
 	case 13:
 		return &RequestLimitNamed{Upstream: upstream, PerSecond: float64(pick("limit", 2))}
+	case 15:
+		return &TextDropped{Job: job, Item: item, EventCount: 1 + pick("events", 1)}
 	case 14:
 		return &JobRerouted{Job: job, Service: service, ConfigVersion: uint64(pick("config", 3))}
 	case 9:
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -112,6 +112,8 @@
 	ItemKey
 	Host, Path     string
 	Service        string // of the job now
+	EventCount     int    // number of events of the text so far
+	Stranded       bool   // only the weight version of the text keeps the item from running
 	DeadlineMillis int64  // time after which the item may expire, in Unix milliseconds
 }
 
@@ -126,6 +128,7 @@
 			if i.state == ItemOpen {
 				out = append(out, OpenItem{
 					ItemKey: ItemKey{j.job.ID, i.item().ID}, Host: j.job.Host, Path: i.item().Path, Service: j.service,
+					EventCount: i.eventCount, Stranded: s.isStranded(i),
 					DeadlineMillis: j.job.SubmittedMillis + j.job.TimeoutMillis,
 				})
 			}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -149,6 +149,8 @@
 		return s.setRequestLimit(r)
 	case *StreamBegan:
 		return s.addStream(r)
+	case *TextDropped:
+		return s.dropStranded(r)
 	case *JobRerouted:
 		return s.rerouteJob(r)
 	}
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -17,6 +17,7 @@
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/lib/upgrade"
 	"go.uber.org/zap"
 )
 
@@ -93,6 +94,11 @@
 	return m
 }
 
+// LevelInForce returns the level of records that all live daemons read.
+func (s *Snapshot) LevelInForce(c upgrade.Config, now time.Time) int {
+	return c.LevelInForce(batch.RecordLevel, upgrade.Input{Daemons: s.Daemons, LastRenewals: s.LastRenewals, FollowedSince: s.FollowedSince, Now: now})
+}
+
 // StaleError reports that the journal could not be read to its end in time. Since is
 // the start of the last read that reached the end; zero if there was none.
 type StaleError struct{ Since time.Time }
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -72,6 +72,7 @@
 	unheldSince map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
 	expired     proposals[batch.ItemKey]
 	rerouted    proposals[batch.JobID]
+	dropped     proposals[batch.ItemKey]
 	unrouted    absence.Tracker[batch.ItemKey]
 	misrouted   absence.Tracker[batch.JobID]
 	unlisted    absence.Tracker[api.UpstreamID] // held by this daemon
@@ -89,7 +90,7 @@
 func newManager(cfg Config, deps Deps, log *zap.Logger) *Manager {
 	return &Manager{
 		cfg: cfg, deps: deps, log: log,
-		proposedAt: make(map[api.UpstreamID]time.Time), expired: make(proposals[batch.ItemKey]), rerouted: make(proposals[batch.JobID]),
+		proposedAt: make(map[api.UpstreamID]time.Time), expired: make(proposals[batch.ItemKey]), rerouted: make(proposals[batch.JobID]), dropped: make(proposals[batch.ItemKey]),
 	}
 }
 
@@ -116,7 +117,7 @@
 		m.propose(&batch.DaemonAlive{
 			Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion(), Capacity: m.cfg.Capacity,
 			Address: m.cfg.Address, DataCentre: m.cfg.DataCentre, CutOff: cutOff,
-			RecordLevel: batch.RecordLevel, LevelInForce: m.levelInForce(s, now),
+			RecordLevel: batch.RecordLevel, LevelInForce: s.LevelInForce(m.cfg.Levels, now),
 		})
 	}
 	if now.Sub(m.deps.LastFullRead()) > m.cfg.MaxReadAge {
--- a/server/leasing/sweep.go
+++ b/server/leasing/sweep.go
@@ -11,24 +11,12 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/routes"
-	"dotterelmount.example/lib/upgrade"
-	"dotterelmount.example/server/jobreplica"
 	"go.uber.org/zap"
 )
 
-// recordLevelRerouting is the batch.RecordLevel of records that reroute jobs.
-const recordLevelRerouting = 1
-
-// levelInForce returns the level of records that all live daemons read.
-func (m *Manager) levelInForce(s *jobreplica.Snapshot, now time.Time) int {
-	return m.cfg.Levels.LevelInForce(batch.RecordLevel, upgrade.Input{
-		Daemons: s.Daemons, LastRenewals: s.LastRenewals, FollowedSince: s.FollowedSince, Now: now,
-	})
-}
-
-// sweep proposes the expiry of items past their deadline or without a route, and the
-// rerouting of jobs whose route was moved. Each live daemon does this for its share of the
-// jobs.
+// sweep proposes the expiry of items past their deadline or without a route, the rerouting of
+// jobs whose route was moved, and the removal of texts that strand their items. Each live
+// daemon does this for its share of the jobs.
 func (m *Manager) sweep(ctx context.Context, live map[api.DaemonID]bool, now time.Time) {
 	v, s := m.deps.View(), m.deps.Snapshot()
 	if v.Table == nil || !live[m.cfg.Self] {
@@ -41,8 +29,10 @@
 	}
 	m.expired.forget(now, m.cfg.ProposalTimeout)
 	m.rerouted.forget(now, m.cfg.ProposalTimeout)
+	m.dropped.forget(now, m.cfg.ProposalTimeout)
 	unrouted := m.unroutedItems(open, v, now)
 	rerouted := m.reroutes(open, v, now)
+	level := s.LevelInForce(m.cfg.Levels, now)
 	for _, i := range open {
 		if !leases.Responsible(m.cfg.Self, live, string(i.Job)) {
 			continue
@@ -53,13 +43,19 @@
 			m.propose(&batch.ItemExpired{Job: i.Job, Item: i.Item})
 		}
 		if r := rerouted[i.Job]; r != nil && m.rerouted.due(i.Job, now, m.cfg.ProposalTimeout) {
-			level := m.levelInForce(s, now)
 			m.log.Info("job rerouting proposed", zap.String("job", string(i.Job)), zap.String("from", i.Service), zap.String("to", r.Service),
 				zap.Uint64("config", r.ConfigVersion), zap.Time("config_as_of", v.ConfigAsOf), zap.Int("level_in_force", level))
-			if level >= recordLevelRerouting {
+			if level >= batch.LevelJobRerouted {
 				m.propose(r)
 			}
 		}
+		if i.Stranded && m.dropped.due(i.ItemKey, now, m.cfg.ProposalTimeout) {
+			m.log.Info("dropping of a text proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Int("events", i.EventCount),
+				zap.Int("level_in_force", level))
+			if level >= batch.LevelTextDropped {
+				m.propose(&batch.TextDropped{Job: i.Job, Item: i.Item, EventCount: i.EventCount})
+			}
+		}
 	}
 }
 
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -76,6 +76,9 @@
 	LeasedUpstreams func() []batch.Upstream
 	// Limits are the request limits of upstreams.
 	Limits *ratelimit.Buckets
+	// TextDroppable reports whether a stored text of one weight version can be dropped again,
+	// once no upstream has that version. Otherwise such a text is stored only when complete.
+	TextDroppable func() bool
 	// UpstreamsCurrent reports whether the list of upstreams was read a short time ago.
 	UpstreamsCurrent func() bool
 }
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -146,7 +146,7 @@
 		t.add(e)
 		r.result.events++
 		r.receivedEvents.Add(1)
-		if now.Sub(flushed) >= w.cfg.FlushInterval {
+		if now.Sub(flushed) >= w.cfg.FlushInterval && w.mayStorePart(r) {
 			flushed = now
 			w.flush(r, t)
 		}
@@ -213,6 +213,10 @@
 	return "weight version " + e.Version.String() + " is below the job's minimum " + e.Min.String() + " or differs from the preceding text's"
 }
 
+// mayStorePart reports whether an incomplete text may be stored: an item that must be of one
+// weight version would never run again once no upstream has the version of its text.
+func (w *worker) mayStorePart(r *run) bool { return !r.Job.SingleVersion || w.deps.TextDroppable() }
+
 // flush posts the buffered text of a run in progress.
 func (w *worker) flush(r *run, t *textBuffer) {
 	if err := w.deps.PostText(t.takeRecord(r.key, false)); err != nil {
@@ -222,7 +226,7 @@
 
 // store stores the rest of a run's text and waits for the record's offset.
 func (w *worker) store(ctx context.Context, r *run, t *textBuffer) {
-	if len(t.events) == 0 && !r.result.complete {
+	if !r.result.complete && (len(t.events) == 0 || !w.mayStorePart(r)) {
 		return
 	}
 	record, data := t.takeRecord(r.key, r.result.complete)
