End a single-version run at a version change after a flush, too

A change at the first event after a flush went unnoticed. The run now keeps the version of its last event.

--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -58,10 +58,11 @@
 	firstEvent int
 	events     []string
 	versions   []api.WeightVersion
+	last       api.WeightVersion // of the run's last event; 0: none yet
 }
 
 func (t *textBuffer) add(e generation.Event) {
-	t.events = append(t.events, e.Data)
+	t.events, t.last = append(t.events, e.Data), e.Version
 	if !slices.Contains(t.versions, e.Version) {
 		t.versions = append(t.versions, e.Version)
 	}
@@ -201,8 +202,7 @@
 // mixesVersions reports whether an event's weight version differs from that of the
 // preceding text.
 func (w *worker) mixesVersions(r *run, t *textBuffer, e generation.Event) bool {
-	return slices.ContainsFunc(r.Versions, func(v api.WeightVersion) bool { return v != e.Version }) ||
-		slices.ContainsFunc(t.versions, func(v api.WeightVersion) bool { return v != e.Version })
+	return slices.ContainsFunc(r.Versions, func(v api.WeightVersion) bool { return v != e.Version }) || t.last != 0 && t.last != e.Version
 }
 
 // VersionError reports a run on a weight version that its job does not allow.
