Let runs of one weight version end before a load

The holder now orders the load to wait where such runs are placed. The time of such a load does not count as that of a load.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -174,7 +174,7 @@
 	upkeepCfg := upkeepConfig
 	upkeepCfg.Self, upkeepCfg.LeaseWait, upkeepCfg.LoadShare = self, n.settings.LeaseWait, n.settings.LoadShare
 	n.upkeep = upkeep.Start(n.system, upkeepCfg, upkeep.Deps{
-		Engine: n.serverClient, View: n.View, Snapshot: n.leaseSnapshot, Propose: n.propose,
+		Engine: n.serverClient, View: n.View, Snapshot: n.leaseSnapshot, Propose: n.propose, OneVersionRuns: n.runner.OneVersionRuns,
 	}, n.log.Logger)
 
 	rewardsCfg := rewardsConfig
--- a/cmd/dotterelmountd/internal/hosted/moved_test.go
+++ b/cmd/dotterelmountd/internal/hosted/moved_test.go
@@ -38,7 +38,7 @@
 }
 
 // Guards against items of single-version jobs that no server runs any more once all servers
-// have loaded a later version than that of their texts.
+// have a later version than that of their texts.
 func TestSingleVersionItemsRunAfterTheirVersionIsGone(t *testing.T) {
 	d := newDeployment(t, 2)
 	defer d.stopAll()
@@ -49,10 +49,39 @@
 	<-time.After(time.Second)                                                         // the configuration is in force
 	assert.Equal(t, d.submit(d.daemons[0], "job1", 6, 1).status, http.StatusAccepted) // an item for each slot
 	<-time.After(runnerConfig.FlushInterval + 300*time.Millisecond)                   // part of each text is stored
-	d.store.PublishVersion(model, 2)
+	for i, m := range d.models {
+		m.SetWeightVersion(model, 2)
+		m.Restart(0, fmt.Sprintf("engine-again-%d", i))
+	}
 	got := d.results(d.daemons[1], "job1", 12)
 	d.checkTexts(got)
 	for _, r := range got.Results {
 		assert.Equal(t, len(r.Versions), 1, "%s: %v", r.ID, r.Versions)
 	}
 }
+
+// Guards against runs of single-version jobs that each new version of the weights ends: with
+// a version every few seconds, long items would never be completed.
+func TestRunsOfSingleVersionJobsEndBeforeLoads(t *testing.T) {
+	d := newDeployment(t, 2)
+	defer d.stopAll()
+	d.routeBatches(2, "engines", true)
+	for _, m := range d.models {
+		m.EventsPerItem, m.EventInterval = 60, 50*time.Millisecond
+	}
+	<-time.After(time.Second) // the configuration is in force
+	assert.Equal(t, d.submit(d.daemons[0], "job1", 6, 1).status, http.StatusAccepted)
+	<-time.After(500 * time.Millisecond)
+	d.store.PublishVersion(model, 2)
+	got := d.results(d.daemons[1], "job1", 12)
+	d.checkTexts(got)
+	for _, r := range got.Results {
+		runs := 0
+		for _, m := range d.models {
+			runs += m.RunCount(r.ID)
+		}
+		assert.Equal(t, runs, 1, "runs of %s", r.ID)
+		assert.DeepEqual(t, r.Versions, []int{1})
+	}
+	d.waitLoaded(2)
+}
--- a/lib/generation/generation.go
+++ b/lib/generation/generation.go
@@ -106,6 +106,9 @@
 	LoadModeWait                     // runs end before the change
 )
 
+// String returns the mode's name in logs.
+func (m LoadMode) String() string { return [...]string{"continue", "wait"}[m] }
+
 // LoadOrder tells an upstream to load a weight version.
 type LoadOrder struct {
 	Model        api.ModelName
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -99,7 +99,9 @@
 	limited     map[batch.ItemKey]limitWait // items that wait for a request limit
 	startedRuns int
 	intervals   map[api.UpstreamID]*intervalState
-	measuredAt  time.Time // when event intervals were last measured
+	// oneVersion are the upstreams with wanted runs that must be of one weight version.
+	oneVersion atomic.Pointer[map[api.UpstreamID]bool]
+	measuredAt time.Time // when event intervals were last measured
 }
 
 // update replaces the set of wanted runs.
@@ -134,6 +136,7 @@
 		limited: make(map[batch.ItemKey]limitWait),
 	}
 	w := &worker{cfg: cfg, deps: deps, log: log, postEnd: func(ctx context.Context, active *run) { _ = r.duty.PostWait(ctx, active) }} // fails only while stopping
+	r.oneVersion.Store(&map[api.UpstreamID]bool{})
 	r.workers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Workers, func() duty.Handler[*run] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "runner", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[any](r))
 	return r
@@ -153,6 +156,7 @@
 	switch m := m.(type) {
 	case *update:
 		r.wanted, r.applied = m.runs, m.applied
+		r.publishOneVersion()
 	case *run:
 		r.workers.Release(m.worker)
 		r.handleEnd(m)
@@ -160,6 +164,21 @@
 	r.reconcile(ctx)
 }
 
+// publishOneVersion publishes the upstreams for OneVersionRuns.
+func (r *Runner) publishOneVersion() {
+	upstreams := make(map[api.UpstreamID]bool)
+	for _, run := range r.wanted {
+		if run.Job.SingleVersion {
+			upstreams[run.Upstream] = true
+		}
+	}
+	r.oneVersion.Store(&upstreams)
+}
+
+// OneVersionRuns reports whether runs are wanted on an upstream that must end with the weight
+// version they began with.
+func (r *Runner) OneVersionRuns(id api.UpstreamID) bool { return (*r.oneVersion.Load())[id] }
+
 // Tick measures event intervals and starts runs that are due for a retry.
 func (r *Runner) Tick(ctx context.Context) {
 	r.measureEventIntervals()
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -61,6 +61,9 @@
 	// Propose appends a record without waiting. The record is dropped if it is not
 	// appended within the given time.
 	Propose func(r batch.Record, within time.Duration) error
+	// OneVersionRuns reports whether this daemon has runs on an upstream that must end with
+	// the weight version they began with.
+	OneVersionRuns func(api.UpstreamID) bool
 }
 
 // loadPollFraction is the fraction of the last load's duration after which a load is
@@ -77,7 +80,8 @@
 	callers   *duty.Pool[*call]
 	upstreams map[api.UpstreamID]*heldUpstream
 	announced map[api.ModelName]announcement // latest of each model
-	// lastLoadTime is the duration of the last load on any upstream.
+	// lastLoadTime is the duration of the last load on any upstream that did not wait for
+	// runs.
 	lastLoadTime time.Duration
 }
 
@@ -259,7 +263,11 @@
 		!slices.Contains(loads.Next(s.Upstreams, u.Service, v.AnnouncedVersions, k.cfg.LoadShare), u.ID) {
 		return nil
 	}
-	return &generation.LoadOrder{Model: u.AssignedModel, Version: version, Mode: generation.LoadModeContinue, Holder: k.cfg.Self, Fence: u.LeaseOffset}
+	mode := generation.LoadModeContinue
+	if k.deps.OneVersionRuns(u.ID) {
+		mode = generation.LoadModeWait
+	}
+	return &generation.LoadOrder{Model: u.AssignedModel, Version: version, Mode: mode, Holder: k.cfg.Self, Fence: u.LeaseOffset}
 }
 
 // announcementDue reports whether an announcement is old enough for orders. The
@@ -299,7 +307,7 @@
 	}
 	fields := []zap.Field{zap.String("upstream", string(id)), zap.Uint64("lease", uint64(state.lease)), zap.Any("report", c.report), zap.Error(c.err)}
 	if c.ordered {
-		fields = append(fields, zap.Stringer("version", c.order.Version), zap.Uint64("orders", c.report.Orders), zap.Stringer("answer", c.orderResult))
+		fields = append(fields, zap.Stringer("version", c.order.Version), zap.Stringer("mode", c.order.Mode), zap.Uint64("orders", c.report.Orders), zap.Stringer("answer", c.orderResult))
 	}
 	k.log.Info("upstream polled", fields...)
 	if c.err != nil {
@@ -319,7 +327,7 @@
 	// needed may be a late copy of the response to another call on the connection.
 	if state.loading != nil && !c.report.Busy && state.versions[state.loading.Model] >= state.loading.Version {
 		k.log.Info("weights loaded", zap.String("upstream", string(id)), zap.Stringer("version", state.loading.Version), zap.Duration("took", now.Sub(state.loadStarted)))
-		if state.orderStarted {
+		if state.orderStarted && state.loading.Mode != generation.LoadModeWait {
 			k.lastLoadTime = now.Sub(state.loadStarted)
 		}
 		state.loading, state.nextCall, state.orderStarted = nil, now, false
--- a/server/upkeep/upkeep_test.go
+++ b/server/upkeep/upkeep_test.go
@@ -29,6 +29,7 @@
 	lastRenewal time.Time
 	view        *directory.View
 	changes     []batch.Condition
+	oneVersion  bool // it has runs of one weight version
 }
 
 func (f *fakeUpstream) Start(context.Context, *directory.Upstream, *batch.Run, []byte) (generation.Stream, error) {
@@ -95,7 +96,7 @@
 		Self: "d", CallDuties: 2, RingSize: 16, Tick: 5 * time.Millisecond, CallTimeout: time.Second, LeaseWait: wait, OrderLeaseAge: time.Second,
 		LoadPollInterval: 10 * time.Millisecond, AnnouncementDelay: 10 * time.Millisecond, ProposalTimeout: 50 * time.Millisecond, LoadShare: 1, FailLimit: 3,
 		ProbeInterval: 20 * time.Millisecond, SlowDuration: 50 * time.Millisecond, Now: time.Now,
-	}, Deps{Engine: f, View: func() *directory.View { return f.view }, Snapshot: f.snapshot, Propose: f.propose}, zap.NewNop())
+	}, Deps{Engine: f, View: func() *directory.View { return f.view }, Snapshot: f.snapshot, Propose: f.propose, OneVersionRuns: func(api.UpstreamID) bool { return f.oneVersion }}, zap.NewNop())
 	t.Cleanup(func() { assert.NilError(t, k.Stop(context.Background())) })
 	return k
 }
@@ -199,3 +200,12 @@
 	f.waitUntil(t, "loaded", func() bool { return f.upstream.Versions["m"] == 2 && f.upstream.Condition == batch.ConditionReady })
 	assert.Equal(t, len(f.orders), 3)
 }
+
+// Guards against runs that must be of one weight version and that a load would end.
+func TestLoadWaitsForRunsOfOneVersion(t *testing.T) {
+	f := newFakeUpstream()
+	f.oneVersion = true
+	f.start(t, 0)
+	f.waitUntil(t, "loaded", func() bool { return f.upstream.Versions["m"] == 2 })
+	assert.Equal(t, f.orders[0].Mode, generation.LoadModeWait)
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -51,6 +50,7 @@
 	acceptedOrders    int            // load orders accepted since the start; precondition of the next one
 	highestFence      int            // highest fencing token accepted
 	loading           bool           // weights are being loaded
+	modelRuns         int            // runs in progress that need a model
 	draining          bool
 	leaving           bool // all responses say so
 	downUntil         time.Time
@@ -183,13 +183,6 @@
 	return s.runCounts[id]
 }
 
-// WeightVersion returns the weight version of a model.
-func (s *Server) WeightVersion(model string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.versions[model]
-}
-
 // FenceTokens returns the fencing tokens of the load orders, in order of arrival.
 func (s *Server) FenceTokens() []int {
 	var out []int
@@ -371,6 +364,14 @@
 		_, _ = io.WriteString(w, response) // the caller may have disconnected
 		return
 	}
+	s.mu.Lock()
+	s.modelRuns++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.modelRuns--
+		s.mu.Unlock()
+	}()
 	s.stream(w, r, id, run, after, fault)
 }
 
@@ -435,44 +436,3 @@
 	defer s.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{"stage": "both", "models": s.models(), "busy": s.loading, "seq": s.acceptedOrders, "born": s.incarnation})
 }
-
-// handleLoadOrder accepts a load order (202), unless it is malformed (400), its
-// fencing token is stale (412), the version is loaded already (200), or another
-// load is in progress or the precondition fails (409).
-func (s *Server) handleLoadOrder(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Model        string `json:"model"`
-		Version      int    `json:"version"`
-		Owner        string `json:"owner"`
-		FenceToken   int    `json:"fence_token"`
-		Precondition int    `json:"precondition"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Owner == "" || o.FenceToken == 0 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.receivedOrders = append(s.receivedOrders, LoadOrder{Incarnation: fmt.Sprintf("%s/%d", s.ID, s.incarnation), Owner: o.Owner, FenceToken: o.FenceToken, ReceivedAt: time.Now()})
-	switch {
-	case o.FenceToken < s.highestFence:
-		w.WriteHeader(http.StatusPreconditionFailed)
-	case s.versions[o.Model] == o.Version:
-		w.WriteHeader(http.StatusOK)
-	case s.loading || o.Precondition != s.acceptedOrders:
-		w.WriteHeader(http.StatusConflict)
-	default:
-		s.highestFence, s.loading = o.FenceToken, true
-		s.acceptedOrders++
-		incarnation := s.incarnation
-		time.AfterFunc(weightLoadTime, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if s.incarnation != incarnation {
-				return
-			}
-			s.loading, s.versions[o.Model] = false, o.Version
-		})
-		w.WriteHeader(http.StatusAccepted)
-	}
-}
