Answer every request that a stopping daemon has read

Possible here: a connection that was accepted before the listener closed, or whose body arrives slowly, brings its request at any time of the grace, and at its end the process exits with whatever is in progress.

A request that is read after the time in which callers may still be sent here is refused as not run, with Retry-After, unless its deadline ends before the stop does (lib/shutdown). Requests still in progress shortly before the exit get 504 instead of a closed connection. The same holds for batch jobs; waits for results end then, too.

--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -68,6 +68,21 @@
 	d.store.PublishConfig(version, routes, []platform.Service{{Name: "engines", Models: []string{model}}, {Name: "plain"}})
 }
 
+// configureSlowMembers publishes a version in which members' requests may last long.
+func (d *deployment) configureSlowMembers(version int) {
+	d.store.PublishConfig(version, []platform.Route{{
+		Name: "members", Host: host, PathPrefix: memberPath, Kind: "safe", Service: "plain", TimeoutMillis: 10000, LatencyTargetMillis: 10000, Attempts: 1,
+	}}, []platform.Service{{Name: "engines", Models: []string{model}}, {Name: "plain"}})
+	for _, n := range d.daemons {
+		poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+			if n.View().Table.Version() < uint64(version) {
+				return poll.Continue("version %d", n.View().Table.Version())
+			}
+			return poll.Success()
+		})
+	}
+}
+
 // nextPort is the next port that freeAddress tries. The ports are below those that the
 // operating system gives to the listeners and connections of tests that run in parallel.
 var nextPort atomic.Int32
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/reach"
 	"dotterelmount.example/lib/settings"
+	"dotterelmount.example/lib/shutdown"
 	"dotterelmount.example/lib/sockets"
 	"dotterelmount.example/platform/entry"
 	"dotterelmount.example/platform/feed"
@@ -79,13 +80,17 @@
 	metrics        *http.Server
 	// stopping is set once Shutdown has begun: the daemon is not ready, and
 	// connections are closed after their response.
-	stopping atomic.Bool
+	stopping atomic.Pointer[shutdown.Plan]
+	// stopEnd ends when requests in progress must be ended, by endRequests.
+	stopEnd     context.Context
+	endRequests context.CancelFunc
 }
 
 // Start starts a daemon. Errors: CodeInvalid for an address that can't be listened
 // on.
 func Start(s *settings.Hosted) (*Node, error) {
 	n := &Node{settings: s, serverClient: servers.New(s.UpstreamSource), forwardClient: forward.NewClient()}
+	n.stopEnd, n.endRequests = context.WithCancel(context.Background())
 	n.system = duty.NewSystem(n.onPanic)
 	n.log = loglines.Start(n.system, os.Stdout)
 	n.log.Logger = n.log.With(zap.String("daemon", s.Daemon))
@@ -255,13 +260,13 @@
 // the configuration and the upstreams are loaded, and the journal was read to its
 // end recently.
 func (n *Node) ready() bool {
-	return !n.stopping.Load() && n.View().Table != nil && n.watcher.Loaded() &&
+	return n.stopping.Load() == nil && n.View().Table != nil && n.watcher.Loaded() &&
 		time.Since(n.lastFullRead()) < maxJournalReadAge
 }
 
 func (n *Node) serve() error {
 	h := entry.New(entry.Config{
-		Relay: n.relay, Jobs: &jobStore{n}, View: n.View, Ready: n.ready, Stopping: n.stopping.Load,
+		Relay: n.relay, Jobs: &jobStore{n}, View: n.View, Ready: n.ready, Stopping: n.stopping.Load, StopEnd: n.stopEnd,
 		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, MaxConfigAge: maxConfigAge, Now: time.Now,
 	})
 	n.callers = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -327,12 +332,16 @@
 func (n *Node) Reload() { n.log.Info("settings changed; restart to apply them") }
 
 // Shutdown stops gracefully: it reports not ready, releases the leases and waits
-// for requests in progress. Errors: ctx.Err().
+// for requests in progress. Those that last too long are ended with a failure response.
+// Errors: ctx.Err().
 func (n *Node) Shutdown(ctx context.Context) error {
 	n.log.Info("stopping", zap.Duration("grace", n.settings.ShutdownTimeout))
 	ctx, cancel := context.WithTimeout(ctx, n.settings.ShutdownTimeout-stopMargin)
 	defer cancel()
-	n.stopping.Store(true)
+	begin := time.Now()
+	plan := &shutdown.Plan{TakeAllUntil: begin.Add(lingerTime), End: begin.Add(n.settings.ShutdownTimeout - stopMargin - responseMargin)}
+	n.stopping.Store(plan)
+	defer time.AfterFunc(time.Until(plan.End), n.endRequests).Stop()
 	if err := n.runner.Stop(ctx); err != nil {
 		n.log.Warn("stopping runs failed", zap.Error(err))
 	}
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -38,6 +38,7 @@
 	crashReportTimeout   = 3 * time.Second         // within it, all daemons must know a request that crashes upstreams
 	journalShare         = 0.4                     // of the store's reads per second; the rest is for the feeds, restarts and bursts
 	stopMargin           = 500 * time.Millisecond  // part of the shutdown timeout left for the exit of the process
+	responseMargin       = 200 * time.Millisecond  // for the failure responses of requests that a stop ends
 	feedWait             = time.Second             // plus feedTimeout, below the 2 s in which a configuration must be in force
 	feedTimeout          = 600 * time.Millisecond  // a healthy store responds within some milliseconds
 	logCallTimeout       = time.Second             // a healthy store responds within some milliseconds
