Don't take a change of weights for a failure of the upstream

Runs of single-version jobs that met a newly loaded version were counted as failed runs: three of them, which a load ends at once, made a sound upstream suspect, and it got no items until a probe a second later.

TestVersionChangeIsNoFailureOfTheUpstream failed before.

--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -46,6 +46,10 @@
 
 func (r *result) outcome(active *run) generation.RunOutcome {
 	cause := r.cause()
+	var changed *VersionChangedError
+	if errors.As(r.err, &changed) {
+		return generation.RunOutcome{Upstream: active.Upstream}
+	}
 	ofUpstream := r.stalled || cause == generation.CauseConnection || cause == generation.CauseWrongUpstream
 	return generation.RunOutcome{Upstream: active.Upstream, Failed: r.err != nil && ofUpstream, Stalled: r.stalled}
 }
@@ -133,9 +137,12 @@
 		if err != nil {
 			return err
 		}
-		if e.Version < r.Job.MinVersion || (r.Job.SingleVersion && w.mixesVersions(r, t, e)) {
+		if e.Version < r.Job.MinVersion {
 			return &generation.Error{Upstream: r.Upstream, Cause: generation.CauseWrongUpstream, Err: &VersionError{Version: e.Version, Min: r.Job.MinVersion}}
 		}
+		if r.Job.SingleVersion && w.mixesVersions(r, t, e) {
+			return &generation.Error{Upstream: r.Upstream, Cause: generation.CauseWrongUpstream, Err: &VersionChangedError{Version: e.Version}}
+		}
 		if err := w.checkSoftware(r); err != nil {
 			return err
 		}
@@ -210,7 +217,16 @@
 
 // Error implements error.
 func (e *VersionError) Error() string {
-	return "weight version " + e.Version.String() + " is below the job's minimum " + e.Min.String() + " or differs from the preceding text's"
+	return "weight version " + e.Version.String() + " is below the job's minimum " + e.Min.String()
+}
+
+// VersionChangedError reports that the weight version changed within a text that must be of
+// one. The upstream is sound.
+type VersionChangedError struct{ Version api.WeightVersion }
+
+// Error implements error.
+func (e *VersionChangedError) Error() string {
+	return "weight version " + e.Version.String() + " differs from the preceding text's"
 }
 
 // mayStorePart reports whether an incomplete text may be stored: an item that must be of one
