Bound the events that a daemon buffers for all servers together

Report of another operator: a faulty server sent bytes that were no answer without end; the process that had called it ran out of memory, and the requests of its other clients ended with it.

Bytes of unfinished events count towards the budget of buffered responses. Messages of up to a 256th of the budget are read even when it is used up, so that a faulty server doesn't end the responses of sound ones.

--- a/lib/bounded/bounded.go
+++ b/lib/bounded/bounded.go
@@ -32,21 +32,35 @@
 	return data, nil
 }
 
-// Budget bounds the bytes that several readers buffer at the same time. It is safe for
-// concurrent use.
+// Budget bounds the bytes that several readers buffer at the same time. Messages of up to a
+// small part of it are read even when it is used up, so that a few long messages don't end
+// all others. It is safe for concurrent use.
 type Budget struct {
 	limit int
 	used  atomic.Int64
 }
 
+// exemptPart is the part of a budget that a single message may always use.
+const exemptPart = 256
+
 // NewBudget returns a budget of limit bytes.
 func NewBudget(limit int) *Budget { return &Budget{limit: limit} }
 
-// ReadAll is as the function ReadAll, and fails with *TooLongError also if all calls
-// together buffer more than the budget.
+// charge adds bytes of a message, which now has size bytes. Errors: *TooLongError.
+func (b *Budget) charge(bytes, size int) error {
+	if b.used.Add(int64(bytes)) > int64(b.limit) && size > b.limit/exemptPart {
+		return &TooLongError{What: "all buffered responses", Bytes: b.limit}
+	}
+	return nil
+}
+
+func (b *Budget) release(bytes int) { b.used.Add(-int64(bytes)) }
+
+// ReadAll is as the function ReadAll, and fails with *TooLongError also if all messages
+// together exceed the budget.
 func (b *Budget) ReadAll(r io.Reader, limit int, what string) ([]byte, error) {
 	c := &charged{budget: b, reader: r}
-	defer func() { b.used.Add(-c.bytes) }()
+	defer func() { b.release(c.bytes) }()
 	return ReadAll(c, limit, what)
 }
 
@@ -54,15 +68,15 @@
 type charged struct {
 	budget *Budget
 	reader io.Reader
-	bytes  int64
+	bytes  int
 }
 
 // Read implements io.Reader.
 func (c *charged) Read(p []byte) (int, error) {
 	n, err := c.reader.Read(p)
-	c.bytes += int64(n)
-	if c.budget.used.Add(int64(n)) > int64(c.budget.limit) {
-		return n, &TooLongError{What: "all buffered responses", Bytes: c.budget.limit}
+	c.bytes += n
+	if err := c.budget.charge(n, c.bytes); err != nil {
+		return n, err
 	}
 	return n, err
 }
@@ -70,18 +84,26 @@
 // LineReader reads the lines of messages, each of a bounded size.
 type LineReader struct {
 	reader *bufio.Reader
+	budget *Budget
 	what   string
 	limit  int // bytes of a message
-	left   int // bytes of the current message
+	size   int // bytes of the current message
 }
 
-// NewLineReader returns a reader of messages of at most limit bytes.
-func NewLineReader(r io.Reader, limit int, what string) *LineReader {
-	return &LineReader{reader: bufio.NewReader(r), what: what, limit: limit, left: limit}
+// NewLineReader returns a reader of messages of at most limit bytes, which count towards the
+// budget until the next message starts or the reader is closed.
+func (b *Budget) NewLineReader(r io.Reader, limit int, what string) *LineReader {
+	return &LineReader{reader: bufio.NewReader(r), budget: b, what: what, limit: limit}
 }
 
 // StartMessage starts a new message.
-func (l *LineReader) StartMessage() { l.left = l.limit }
+func (l *LineReader) StartMessage() {
+	l.budget.release(l.size)
+	l.size = 0
+}
+
+// Close releases what the last message uses of the budget.
+func (l *LineReader) Close() { l.StartMessage() }
 
 // Line returns the next line with its ending. Errors: io.EOF at the end between lines,
 // io.ErrUnexpectedEOF within a line, *TooLongError, those of the reader.
@@ -89,7 +111,11 @@
 	var line []byte
 	for {
 		part, err := l.reader.ReadSlice('\n')
-		if l.left -= len(part); l.left < 0 {
+		l.size += len(part)
+		if err := l.budget.charge(len(part), l.size); err != nil {
+			return nil, err
+		}
+		if l.size > l.limit {
 			return nil, &TooLongError{What: l.what, Bytes: l.limit}
 		}
 		line = append(line, part...)
--- a/lib/bounded/bounded_test.go
+++ b/lib/bounded/bounded_test.go
@@ -59,7 +59,7 @@
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
 
 func TestLinesOfAMessageAreBounded(t *testing.T) {
-	l := NewLineReader(strings.NewReader("ab\r\nc\n\nlast"), 8, "event")
+	l := NewBudget(1<<20).NewLineReader(strings.NewReader("ab\r\nc\n\nlast"), 8, "event")
 	for _, want := range []string{"ab", "c", ""} {
 		line, err := l.Line()
 		assert.NilError(t, err)
@@ -72,7 +72,7 @@
 	assert.ErrorIs(t, err, io.EOF)
 	for _, b := range []byte{'x', '\n'} {
 		e := &endless{b: b}
-		l := NewLineReader(e, 10_000, "event")
+		l := NewBudget(1<<20).NewLineReader(e, 10_000, "event")
 		var err error
 		for err == nil {
 			_, err = l.Line()
@@ -81,3 +81,18 @@
 		assert.Assert(t, e.read <= 20_000, "%d bytes read", e.read)
 	}
 }
+
+// A message that uses up the budget fails; short ones beside it don't.
+func TestBudgetCountsUnfinishedMessages(t *testing.T) {
+	b := NewBudget(10_000)
+	first := b.NewLineReader(strings.NewReader(strings.Repeat("x", 9_000)+"\n"), 20_000, "event")
+	_, err := first.Line()
+	assert.NilError(t, err)
+	_, err = b.NewLineReader(strings.NewReader(strings.Repeat("x", 2_000)+"\n"), 20_000, "event").Line()
+	assert.Assert(t, isTooLong(err))
+	_, err = b.NewLineReader(strings.NewReader("data: x\n"), 20_000, "event").Line()
+	assert.NilError(t, err)
+	first.Close()
+	_, err = b.NewLineReader(strings.NewReader(strings.Repeat("x", 2_000)+"\n"), 20_000, "event").Line()
+	assert.NilError(t, err)
+}
