--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 	$(BIN)/soak --bin $(BIN) --out out/soak-$(SEED) --seed $(SEED) --duration $(DURATION)
 
 hostedsoak: build ## runs hosted daemons on a stand-in of the platform under faults: SEED=n DURATION=d
-	$(BIN)/hostedsoak --bin $(BIN) --out out/hostedsoak-$(SEED) --seed $(SEED) --duration $(DURATION)
+	$(BIN)/hostedsoak --bin $(BIN) --out out/hostedsoak-$(SEED) --seed $(SEED) --duration $(DURATION) --same-build
 
 control: build ## measures the cost of coordination per daemon: CONTROL=flags
 	$(BIN)/control --bin $(BIN) --out out/control $(CONTROL)
--- a/bench/hostedsoak/deployment.go
+++ b/bench/hostedsoak/deployment.go
@@ -20,6 +20,7 @@
 const (
 	daemonCount   = 5
 	engineCount   = 4
+	otherEngines  = 2 // of the service that routes of jobs are moved to
 	plainCount    = 5 // servers without a model
 	eventsPerItem = 12
 	eventInterval = 25 * time.Millisecond
@@ -33,11 +34,14 @@
 const (
 	host          = "soak.example"
 	engineService = "engines"
-	plainService  = "plains"
-	batchPath     = "/steps/"     // trainers' jobs
-	safePath      = "/check-ins/" // requests that may run more than once
-	oncePath      = "/slips/"     // requests that must run at most once
-	streamPath    = "/voices/"    // requests with streamed responses
+	// otherEngineService is the service that routes of jobs are moved to.
+	otherEngineService = "engines-b"
+	plainService       = "plains"
+	batchPath          = "/steps/"     // trainers' jobs
+	singlePath         = "/steps-one/" // trainers' jobs of one weight version
+	safePath           = "/check-ins/" // requests that may run more than once
+	oncePath           = "/slips/"     // requests that must run at most once
+	streamPath         = "/voices/"    // requests with streamed responses
 )
 
 var models = []string{"coach", "arranger"}
@@ -67,16 +71,19 @@
 func callerLinkName(i int) string { return "caller:" + daemonName(i) }
 
 // startDeployment starts all processes and waits until every daemon is ready.
-func startDeployment(ctx context.Context, r *proc.Runner) (*deployment, error) {
+func startDeployment(ctx context.Context, r *proc.Runner, sameBuild bool) (*deployment, error) {
 	d := &deployment{
 		runner: r, system: duty.NewSystem(nil), network: links.New(), store: platform.NewStore(),
 		client: &platform.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: memberThreads}}, Host: host},
 	}
-	d.operator = &operator{store: d.store}
+	d.operator = &operator{store: d.store, sameBuild: sameBuild}
 	d.operator.publish()
 	for i := range engineCount {
 		d.engines = append(d.engines, d.newServer(fmt.Sprintf("engine-%d", i+1), engineService, models...))
 	}
+	for i := range otherEngines {
+		d.engines = append(d.engines, d.newServer(fmt.Sprintf("engine-b-%d", i+1), otherEngineService, models...))
+	}
 	for i := range plainCount {
 		d.plains = append(d.plains, d.newServer(fmt.Sprintf("plain-%d", i+1), plainService))
 	}
--- a/bench/hostedsoak/evaluate.go
+++ b/bench/hostedsoak/evaluate.go
@@ -150,6 +150,9 @@
 	if !platform.IsItemText(result.ID, eventsPerItem, result.Text) {
 		return "wrong text"
 	}
+	if s.path == singlePath && len(result.Versions) != 1 {
+		return fmt.Sprintf("versions %v in a job of one version", result.Versions)
+	}
 	for n := 1; n <= eventsPerItem; n++ {
 		versions := index.eventVersions[result.ID][n]
 		if !slices.ContainsFunc(versions, func(v int) bool { return slices.Contains(result.Versions, v) }) {
--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -98,6 +98,7 @@
 	serverFaults = map[kind]platform.Fault{
 		serverSlow: platform.FaultSlow, serverBusy: platform.FaultBusy, serverCuts: platform.FaultCut, serverLoses: platform.FaultLose,
 		serverGarbles: platform.FaultGarble, serverHangs: platform.FaultHang, serverFails: platform.FaultFail,
+		serverEndless: platform.FaultEndless, serverCutsHead: platform.FaultCutHead,
 	}
 	silenceScopes = map[kind]links.SilenceScope{
 		callerSilent: links.SilenceAll, storeSilent: links.SilenceAll, storeSilentOld: links.SilenceExisting,
@@ -133,7 +134,7 @@
 		return "store", func(ctx context.Context) bool { return j.setMode(ctx, storeModes[f.Kind], f.Duration) }
 	case storeForgets:
 		return "store", func(context.Context) bool { j.deployment.store.Compact(); return true }
-	case serverSlow, serverBusy, serverCuts, serverLoses, serverGarbles, serverHangs, serverFails:
+	case serverSlow, serverBusy, serverCuts, serverLoses, serverGarbles, serverHangs, serverFails, serverEndless, serverCutsHead:
 		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return setServerFault(ctx, server, serverFaults[f.Kind], f.Duration) }
 	case serverDark:
 		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return darken(ctx, server, f.Duration) }
@@ -153,6 +154,8 @@
 		return "drain", func(ctx context.Context) bool { return j.drainServer(ctx, server, f.Duration) }
 	case configChange:
 		return "operator", func(context.Context) bool { j.deployment.operator.publish(); return true }
+	case routeMove:
+		return "operator", func(context.Context) bool { j.deployment.operator.moveJobs(); return true }
 	case configStorm:
 		return "operator", func(ctx context.Context) bool { return j.runConfigStorm(ctx, f.Duration) }
 	case daemonsKill:
--- a/bench/hostedsoak/main.go
+++ b/bench/hostedsoak/main.go
@@ -28,6 +28,7 @@
 			&cli.StringFlag{Name: "out", Value: "out/hostedsoak", Usage: "`directory` for outputs; its previous content is deleted"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`number` that seeds the schedule"},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "`duration` of the fault schedule"},
+			&cli.BoolFlag{Name: "same-build", Usage: "all daemons are of this build: routes of jobs are moved and added, and some jobs are of one weight version"},
 			&cli.BoolFlag{Name: "schedule", Usage: "print the schedule and exit"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -38,13 +39,13 @@
 				}
 				return nil
 			}
-			return run(ctx, c.String("bin"), c.String("out"), c.Uint64("seed"), faults)
+			return run(ctx, c.String("bin"), c.String("out"), c.Uint64("seed"), faults, c.Bool("same-build"))
 		},
 	}
 }
 
 // run runs a schedule and prints the result, even if a part of the run failed.
-func run(ctx context.Context, bin, out string, seed uint64, faults []fault) error {
+func run(ctx context.Context, bin, out string, seed uint64, faults []fault, sameBuild bool) error {
 	if err := os.RemoveAll(out); err != nil {
 		return fmt.Errorf("output directory: %w", err)
 	}
@@ -54,7 +55,7 @@
 	}
 	defer runner.KillAll()
 	r := newResult(seed)
-	if err := runParts(ctx, runner, r, faults); err != nil {
+	if err := runParts(ctx, runner, r, faults, sameBuild); err != nil {
 		r.Errorf("%v", err)
 	}
 	line, err := json.Marshal(r)
--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -24,10 +24,10 @@
 // runParts starts the deployment, runs load and faults, stops the deployment and
 // evaluates the run. If the deployment doesn't start, it returns the error and
 // skips the rest.
-func runParts(ctx context.Context, runner *proc.Runner, r *Result, faults []fault) error {
+func runParts(ctx context.Context, runner *proc.Runner, r *Result, faults []fault, sameBuild bool) error {
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	d, err := startDeployment(starting, runner)
+	d, err := startDeployment(starting, runner, sameBuild)
 	if err != nil {
 		return err
 	}
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -41,6 +41,8 @@
 	serverGarbles  kind = "server-garbles"   // a server sends bytes that aren't a valid response
 	serverHangs    kind = "server-hangs"     // a server doesn't respond until the caller disconnects
 	serverFails    kind = "server-fails"     // a server responds 500
+	serverEndless  kind = "server-endless"   // a server sends bytes without end
+	serverCutsHead kind = "server-cuts-head" // a server closes connections in the middle of its responses' heads
 	serverDark     kind = "server-dark"      // connections to a server carry no data
 	serverLimits   kind = "server-limits"    // a server names a request limit
 	serverDrain    kind = "server-drain"     // a server is marked as draining
@@ -48,12 +50,13 @@
 	daemonsCutOff  kind = "daemons-cut-off"  // some daemons can't reach any server
 	configChange   kind = "config-change"    // the operator publishes a configuration
 	configStorm    kind = "config-storm"     // the operator publishes configurations at short intervals
+	routeMove      kind = "route-move"       // a configuration moves the routes of jobs to other engines
 )
 
 // faultDurations maps every kind to its range of durations, zero for
 // instantaneous faults.
 var faultDurations = map[kind]durationRange{
-	daemonKill: {}, daemonsKill: {}, daemonTerm: {}, daemonHup: {}, storeForgets: {}, configChange: {},
+	daemonKill: {}, daemonsKill: {}, daemonTerm: {}, daemonHup: {}, storeForgets: {}, configChange: {}, routeMove: {},
 	daemonPause:    {Min: 500 * time.Millisecond, Max: 5 * time.Second},
 	callerCut:      {Min: 500 * time.Millisecond, Max: 3 * time.Second},
 	callerSilent:   {Min: 500 * time.Millisecond, Max: 3 * time.Second},
@@ -72,6 +75,8 @@
 	serverCuts:     {Min: 500 * time.Millisecond, Max: 2 * time.Second},
 	serverLoses:    {Min: 500 * time.Millisecond, Max: 2 * time.Second},
 	serverGarbles:  {Min: 500 * time.Millisecond, Max: 2 * time.Second},
+	serverEndless:  {Min: 200 * time.Millisecond, Max: time.Second},
+	serverCutsHead: {Min: 500 * time.Millisecond, Max: 2 * time.Second},
 	serverHangs:    {Min: 500 * time.Millisecond, Max: 3 * time.Second},
 	serverFails:    {Min: 200 * time.Millisecond, Max: 500 * time.Millisecond},
 	serverDark:     {Min: time.Second, Max: 4 * time.Second},
--- a/bench/hostedsoak/short_test.go
+++ b/bench/hostedsoak/short_test.go
@@ -24,6 +24,6 @@
 	assert.NilError(t, err, "%s", built)
 	runner, err := proc.NewRunner(bin, t.TempDir())
 	assert.NilError(t, err)
-	line, err := runner.Run(context.Background(), "soak", "hostedsoak", "--bin", bin, "--out", out, "--seed", shortSeed, "--duration", shortDuration)
+	line, err := runner.Run(context.Background(), "soak", "hostedsoak", "--bin", bin, "--out", out, "--seed", shortSeed, "--duration", shortDuration, "--same-build")
 	assert.NilError(t, err, "%s", line)
 }
--- a/bench/hostedsoak/trainers.go
+++ b/bench/hostedsoak/trainers.go
@@ -27,6 +27,7 @@
 // step is a trainer's job with its state and the results read so far.
 type step struct {
 	job            platform.Job
+	path           string            // of its route
 	acceptedAt     time.Time         // zero: not accepted
 	ended          bool              // by endJob
 	results        []platform.Result // by position
@@ -51,10 +52,10 @@
 	for n := 0; loadCtx.Err() == nil; n++ {
 		s := &step{job: platform.Job{
 			ID: fmt.Sprintf("%s-%d", t.model, n), Step: n, Model: t.model, MinVersion: max(1, version-1), TargetGroups: targetGroups,
-		}}
+		}, path: t.deployment.operator.jobPath(n)}
 		for i := range groupsPerStep * itemsPerGroup {
 			id := fmt.Sprintf("%s-%d", s.job.ID, i)
-			item := platform.NewItem(id, batchPath+"x", t.model, fmt.Sprintf("%s-g%d", s.job.ID, i/itemsPerGroup))
+			item := platform.NewItem(id, s.path+"x", t.model, fmt.Sprintf("%s-g%d", s.job.ID, i/itemsPerGroup))
 			if i%scoredEvery == 0 {
 				item.Scorer = &platform.Scorer{ID: scorePrefix + id, Host: host, Path: safePath + "score", Body: []byte(id)}
 			}
@@ -77,7 +78,7 @@
 func (t *trainer) submitJob(ctx context.Context, s *step) bool {
 	s.promisedNotRun = true
 	return t.retry(ctx, readWait, func() bool {
-		response := t.deployment.client.SubmitJob(ctx, t.deployment.callerAddresses[t.randomDaemon()], batchPath, submitTimeout, s.job)
+		response := t.deployment.client.SubmitJob(ctx, t.deployment.callerAddresses[t.randomDaemon()], s.path, submitTimeout, s.job)
 		s.promisedNotRun = s.promisedNotRun && response.Err == nil && response.PromisesNotRun()
 		if response.Err != nil || response.Status != http.StatusAccepted {
 			return false
--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -41,7 +41,7 @@
 				Action: withHistory(hostedJobs),
 			},
 			{Name: "upstreams", Usage: "list upstreams with their lease holders and weights", Action: withHistory(hostedUpstreams)},
-			{Name: "daemons", Usage: "list daemons with the configuration versions in force", Action: withHistory(hostedDaemons)},
+			{Name: "daemons", Usage: "list daemons with the configuration versions in force and the levels of records they read", Action: withHistory(hostedDaemons)},
 			{
 				Name: "audit", Usage: "print the records of jobs, leases and servers",
 				Flags:  []cli.Flag{&cli.StringFlag{Name: flagJob, Usage: "only records of the job with this `id`"}},
@@ -160,6 +160,10 @@
 	RenewalOffset batch.Offset `json:"renewed"`    // offset of its last renewal
 	ConfigVersion uint64       `json:"config"`     // version in force
 	CutOff        bool         `json:"cut_off"`    // it reaches no server
+	// RecordLevel is the level of records that the daemon reads, LevelInForce the one that all
+	// live daemons read as far as it knows.
+	RecordLevel  int `json:"record_level"`
+	LevelInForce int `json:"level_in_force"`
 }
 
 type daemonsReport struct {
@@ -171,20 +175,20 @@
 	daemons := h.state.Daemons()
 	for _, id := range slices.Sorted(maps.Keys(daemons)) {
 		d := daemons[id]
-		r.Daemons = append(r.Daemons, daemonReport{Daemon: id, StartMillis: d.StartMillis, RenewalOffset: d.RenewalOffset, ConfigVersion: d.ConfigVersion, CutOff: d.CutOff})
+		r.Daemons = append(r.Daemons, daemonReport{Daemon: id, StartMillis: d.StartMillis, RenewalOffset: d.RenewalOffset, ConfigVersion: d.ConfigVersion, CutOff: d.CutOff, RecordLevel: d.RecordLevel, LevelInForce: d.LevelInForce})
 	}
 	return r
 }
 
 func (r daemonsReport) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(t, "DAEMON\tSTARTED\tLAST RENEWAL\tCONFIG\tSERVERS")
+	fmt.Fprintln(t, "DAEMON\tSTARTED\tLAST RENEWAL\tCONFIG\tSERVERS\tRECORDS\tIN FORCE")
 	for _, d := range r.Daemons {
 		servers := "reachable"
 		if d.CutOff {
 			servers = "cut off"
 		}
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\n", d.Daemon, time.UnixMilli(d.StartMillis).UTC().Format(time.RFC3339), d.RenewalOffset, d.ConfigVersion, servers)
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%d\t%d\n", d.Daemon, time.UnixMilli(d.StartMillis).UTC().Format(time.RFC3339), d.RenewalOffset, d.ConfigVersion, servers, d.RecordLevel, d.LevelInForce)
 	}
 	_ = t.Flush() // a write error can't be reported
 }
--- a/server/jobreplica/records.go
+++ b/server/jobreplica/records.go
@@ -15,7 +15,7 @@
 	case *batch.JobRerouted:
 		j.log.Info("job rerouted", zap.String("job", string(r.Job)), zap.String("service", r.Service), zap.Uint64("config", r.ConfigVersion), offset, effect)
 	case *batch.TextDropped:
-		j.log.Info("text dropped", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)), zap.Int("events", r.EventCount), offset, effect)
+		j.log.Info("stranded text dropped", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)), zap.Int("events", r.EventCount), offset, effect)
 	case *batch.JobEnded:
 		j.log.Info("job ended", zap.String("job", string(r.ID)), offset, effect)
 	case *batch.LeaseAcquired:
--- a/server/leasing/sweep.go
+++ b/server/leasing/sweep.go
@@ -50,7 +50,7 @@
 			}
 		}
 		if i.Stranded && m.dropped.due(i.ItemKey, now, m.cfg.ProposalTimeout) {
-			m.log.Info("dropping of a text proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Int("events", i.EventCount),
+			m.log.Info("text drop proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Int("events", i.EventCount),
 				zap.Int("level_in_force", level))
 			if level >= batch.LevelTextDropped {
 				m.propose(&batch.TextDropped{Job: i.Job, Item: i.Item, EventCount: i.EventCount})
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 )
@@ -10,14 +11,16 @@
 
 // The faults of a server.
 const (
-	FaultNone   Fault = iota
-	FaultSlow         // increases the time between two events
-	FaultBusy         // refuses all requests
-	FaultCut          // truncates responses midway
-	FaultLose         // runs requests and closes their connections without a response
-	FaultGarble       // sends bytes that are not HTTP
-	FaultHang         // sends nothing until the caller disconnects
-	FaultFail         // responds with status 500
+	FaultNone    Fault = iota
+	FaultSlow          // increases the time between two events
+	FaultBusy          // refuses all requests
+	FaultCut           // truncates responses midway
+	FaultLose          // runs requests and closes their connections without a response
+	FaultGarble        // sends bytes that are not HTTP
+	FaultHang          // sends nothing until the caller disconnects
+	FaultFail          // responds with status 500
+	FaultEndless       // sends bytes without end, in a header line or in the body, until the caller disconnects
+	FaultCutHead       // closes the connection in the middle of the head
 )
 
 // SetFault changes the fault injected into requests that arrive from now on.
@@ -39,6 +42,18 @@
 			_ = c.Close()
 		}
 		return true
+	case FaultCutHead:
+		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Requ") // the caller may have disconnected
+			_ = c.Close()
+		}
+		return true
+	case FaultEndless:
+		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			writeEndless(c, len(r.RequestURI)%2 == 0)
+			_ = c.Close()
+		}
+		return true
 	case FaultHang:
 		<-r.Context().Done()
 		return true
@@ -49,3 +64,15 @@
 		return false
 	}
 }
+
+// writeEndless writes a header line or a body without end until writing fails.
+func writeEndless(w io.Writer, inHead bool) {
+	head := "HTTP/1.1 200 OK\r\nX-Padding: "
+	if !inHead {
+		head += "\r\n\r\n"
+	}
+	block := bytes.Repeat([]byte("x"), 32<<10)
+	for _, err := io.WriteString(w, head); err == nil; {
+		_, err = w.Write(block)
+	}
+}
