--- a/server/committer/committer.go
+++ b/server/committer/committer.go
@@ -92,6 +92,8 @@
 	lastRefused  bool         // the journal refused the last append
 	lastNumber   uint64       // of the last append not refused
 	failingSince atomic.Int64 // Unix nanoseconds; 0: the last call succeeded
+	lastCall     atomic.Int64 // end of the last call, or when a record was let through; Unix nanoseconds
+	calling      atomic.Bool  // a call is in progress
 }
 
 // appendCall is one append with its sequence number.
@@ -117,6 +119,17 @@
 	return since != 0 && c.cfg.Now().UnixNano()-since > int64(c.cfg.FailFastAfter)
 }
 
+// rejectsAtOnce reports whether a record is rejected because the journal is failing. If no
+// call was made for FailFastAfter, one record is let through: only a call shows that the
+// journal is available again.
+func (c *Committer) rejectsAtOnce() bool {
+	if !c.Failing() {
+		return false
+	}
+	now, last := c.cfg.Now().UnixNano(), c.lastCall.Load()
+	return c.calling.Load() || now-last < int64(c.cfg.FailFastAfter) || !c.lastCall.CompareAndSwap(last, now)
+}
+
 // Commit appends a record, waits for the result and returns the record's offsets.
 // Errors: *journal.RefusedError when the record is not in the journal and never
 // will be, *journal.AmbiguousError when it may be, *TooLargeError.
@@ -154,7 +167,7 @@
 		}
 		entries[i] = e
 	}
-	if c.Failing() {
+	if c.rejectsAtOnce() {
 		return nil, &journal.RefusedError{Op: "append", Cause: &failingError{}}
 	}
 	if err := c.post(ctx, entries...); err != nil {
@@ -370,7 +383,10 @@
 func (a *appendHandler) tryAppend(ctx context.Context, seq journal.Sequence, records [][]byte) (journal.Offset, error) {
 	callCtx, cancel := context.WithTimeout(ctx, a.cfg.CallTimeout)
 	defer cancel()
+	a.calling.Store(true)
 	first, err := a.journal.Append(callCtx, seq, records)
+	a.lastCall.Store(a.cfg.Now().UnixNano())
+	a.calling.Store(false)
 	if err == nil {
 		if a.failingSince.Swap(0) != 0 {
 			a.log.Info("journal available again", zap.Uint64("append", seq.Number), zap.Uint64("offset", uint64(first)))
--- a/server/committer/committer_test.go
+++ b/server/committer/committer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,3 +168,38 @@
 		assert.Equal(t, content[p.FirstOffset], string(records[i]))
 	}
 }
+
+// Guards against a daemon that refuses all batch jobs for good after an outage in which one
+// was refused: nothing else may be written to that journal.
+func TestCommitProbesAJournalThatFailed(t *testing.T) {
+	var out atomic.Bool
+	out.Store(true)
+	f, c := setup(t, func(uint64, int) (bool, bool) { return out.Load(), false })
+	_, err := c.Commit(t.Context(), []byte("a"))
+	assert.Assert(t, err != nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.Failing() {
+			return poll.Success()
+		}
+		return poll.Continue("not failing yet")
+	})
+	for range 20 {
+		_, err := c.Commit(t.Context(), []byte("b"))
+		assert.Assert(t, err != nil)
+	}
+	f.mu.Lock()
+	calls := 0
+	for _, n := range f.calls {
+		calls += n
+	}
+	f.mu.Unlock()
+	assert.Assert(t, calls <= 3, "%d calls: records are not refused at once", calls)
+	out.Store(false)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := c.Commit(t.Context(), []byte("c")); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(2*time.Second), poll.WithDelay(10*time.Millisecond))
+	assert.Assert(t, !c.Failing())
+}
