Run items with bodies larger than a page of the store

All parts of a chunk were expected in one read, and a read brings 1 MB at most. They are read page by page now. A body that exceeds an append was refused with 503 and Retry-After, although it can never be stored: it gets 413 with the limit.

The stand-in's store keeps max_kb.

--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -10,6 +10,7 @@
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/platform/entry"
+	"dotterelmount.example/server/committer"
 	"go.uber.org/zap"
 )
 
@@ -28,6 +29,9 @@
 		}
 	}
 	ranges, err := j.n.chunkCommitter.CommitAll(ctx, data)
+	if tooLarge := j.tooLarge(err); tooLarge != nil {
+		return tooLarge
+	}
 	if err != nil {
 		return &opaque.NotRunError{Reason: err.Error(), RetryAfter: retryAfter}
 	}
@@ -37,6 +41,15 @@
 	return j.commit(ctx, &batch.JobAccepted{Job: *job})
 }
 
+// tooLarge returns the error of a job whose part exceeds an append, nil for other errors.
+func (j *jobStore) tooLarge(err error) error {
+	var tooLarge *committer.TooLargeError
+	if !errors.As(err, &tooLarge) {
+		return nil
+	}
+	return &entry.TooLargeError{Limit: j.n.settings.MaxAppendBytes, Cause: err}
+}
+
 // End implements entry.JobStore.
 func (j *jobStore) End(ctx context.Context, id batch.JobID) error {
 	if err := j.n.replica.Load().CheckJob(ctx, id); err != nil {
@@ -53,6 +66,9 @@
 		return err
 	}
 	_, err = j.n.committer.Commit(ctx, data)
+	if tooLarge := j.tooLarge(err); tooLarge != nil {
+		return tooLarge
+	}
 	var ambiguous *journal.AmbiguousError
 	switch {
 	case err == nil:
--- a/server/chunks/chunks.go
+++ b/server/chunks/chunks.go
@@ -173,19 +173,29 @@
 	if c.Partition < 0 || c.Partition >= len(h.partitions) {
 		return "", &MissingError{Chunk: c}
 	}
-	page, err := h.partitions[c.Partition].Fetch(ctx, journal.Offset(c.FirstOffset), c.Bytes+c.Records*recordFramingBytes)
-	if err != nil {
-		return "", err
-	}
 	var joiner journal.Joiner
-	for i := 0; i < min(c.Records, len(page.Records)); i++ {
-		data, err := joiner.Add(page.Records[i])
+	left := c.Bytes + c.Records*recordFramingBytes
+	for read := 0; read < c.Records; {
+		// A page may hold less than was asked for.
+		page, err := h.partitions[c.Partition].Fetch(ctx, journal.Offset(c.FirstOffset)+journal.Offset(read), left)
 		if err != nil {
 			return "", err
 		}
-		if data != nil && len(data) == c.Bytes {
-			return string(data), nil
+		parts := page.Records[:min(c.Records-read, len(page.Records))]
+		if len(parts) == 0 {
+			break
+		}
+		for _, part := range parts {
+			data, err := joiner.Add(part)
+			if err != nil {
+				return "", err
+			}
+			if data != nil && len(data) == c.Bytes {
+				return string(data), nil
+			}
+			left -= len(part)
 		}
+		read += len(parts)
 	}
 	return "", &MissingError{Chunk: c}
 }
--- a/server/chunks/chunks_test.go
+++ b/server/chunks/chunks_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 // fakePartition is an in-memory partition of chunks.
 type fakePartition struct {
 	records [][]byte
+	maxPage int // bytes of a page; 0: no limit
 	err     error
 	reads   atomic.Int64
 }
@@ -25,6 +27,9 @@
 	if s.err != nil {
 		return journal.Page{}, s.err
 	}
+	if s.maxPage > 0 {
+		bytes = min(bytes, s.maxPage)
+	}
 	page := journal.Page{End: journal.Offset(len(s.records))}
 	for size := 0; int(from) < len(s.records) && (size == 0 || size+len(s.records[from]) <= bytes); from++ {
 		size += len(s.records[from])
@@ -68,6 +73,26 @@
 	assert.Equal(t, len(none), 0)
 }
 
+// Guards against items that are accepted and never run because their body is larger than a
+// page of the journal.
+func TestChunkLargerThanAPageIsRead(t *testing.T) {
+	const page, part = 1000, 256
+	a := &fakePartition{maxPage: page}
+	r := start(t, a)
+	a.put(0, "before", part)
+	for _, size := range []int{page - 1, page, page + 1, 2 * page, 5*page + 7} {
+		text := strings.Repeat("x", size-1) + "y"
+		c := a.put(0, text, part)
+		a.put(0, "after", part)
+		got, err := r.ReadChunk(t.Context(), c)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), text)
+	}
+	var missing *MissingError
+	_, err := r.ReadChunk(t.Context(), batch.ChunkRef{FirstOffset: uint64(len(a.records)) - 1, Records: 3, Bytes: 700})
+	assert.Assert(t, errors.As(err, &missing), "%v", err)
+}
+
 func TestReadOfMissingChunkFails(t *testing.T) {
 	a := &fakePartition{}
 	r := start(t, a)
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -21,9 +21,10 @@
 
 const (
 	maxConnections = 100
-	maxBodyBytes   = 1 << 20
-	engineSlots    = 4
-	operatorTopic  = "keyed.op"
+	// defaultMaxBodyBytes is that of Store.MaxBodyBytes.
+	defaultMaxBodyBytes = 1 << 20
+	engineSlots         = 4
+	operatorTopic       = "keyed.op"
 )
 
 // PublishConfig publishes a version of the configuration as the operator does.
@@ -53,7 +54,7 @@
 		serviceRows = append(serviceRows, row)
 	}
 	s.PutJSON(operatorTopic, "config", map[string]any{
-		"version": version, "routes": routeRows, "services": serviceRows, "limits": map[string]any{"max_body_bytes": maxBodyBytes},
+		"version": version, "routes": routeRows, "services": serviceRows, "limits": map[string]any{"max_body_bytes": s.MaxBodyBytes},
 	})
 }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -21,6 +21,7 @@
 )
 
 const (
+	maxPageKB         = 1024                   // of a read
 	lateDelay         = 2 * time.Second        // the platform documents 1 to 6 s
 	slowResponseDelay = 150 * time.Millisecond // about 40 times the usual response time
 )
@@ -41,11 +42,13 @@
 // Store is the metadata store. It is safe for concurrent use.
 type Store struct {
 	*httptest.Server
-	mu         sync.Mutex
-	changed    chan struct{} // closed and replaced on each change
-	mode       Mode
-	partitions map[string]*partition
-	closing    chan struct{}
+	// MaxBodyBytes is the limit of requests' bodies in configurations.
+	MaxBodyBytes int
+	mu           sync.Mutex
+	changed      chan struct{} // closed and replaced on each change
+	mode         Mode
+	partitions   map[string]*partition
+	closing      chan struct{}
 }
 
 // partition is one partition of a topic.
@@ -64,7 +67,7 @@
 
 // NewStore starts a store.
 func NewStore() *Store {
-	s := &Store{changed: make(chan struct{}), partitions: make(map[string]*partition), closing: make(chan struct{})}
+	s := &Store{MaxBodyBytes: defaultMaxBodyBytes, changed: make(chan struct{}), partitions: make(map[string]*partition), closing: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/log-append", s.append)
 	mux.HandleFunc("GET /api/log-read", s.read)
@@ -261,6 +264,10 @@
 	q := r.URL.Query()
 	from, _ := strconv.Atoi(q.Get("from"))
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	maxKB, err := strconv.Atoi(q.Get("max_kb"))
+	if err != nil || maxKB > maxPageKB {
+		maxKB = maxPageKB
+	}
 	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
 	for expired := false; ; {
@@ -276,7 +283,7 @@
 			return
 		}
 		if from < p.firstOffset+len(p.records) || expired {
-			page := p.encodePage(from)
+			page := p.encodePage(from, maxKB<<10)
 			s.mu.Unlock()
 			_, _ = w.Write(page) // the caller may have disconnected
 			return
@@ -293,11 +300,15 @@
 }
 
 // encodePage returns the end offset, the first offset, and the records from an
-// offset on, each with its length.
-func (p *partition) encodePage(from int) []byte {
+// offset on, each with its length, up to a size in bytes but at least one.
+func (p *partition) encodePage(from, maxBytes int) []byte {
 	out := binary.BigEndian.AppendUint64(nil, uint64(p.firstOffset+len(p.records)))
 	out = binary.BigEndian.AppendUint64(out, uint64(p.firstOffset))
+	const framing = 4 // bytes of a record's length
 	for i := from - p.firstOffset; i < len(p.records); i++ {
+		if i > from-p.firstOffset && len(out)+framing+len(p.records[i]) > maxBytes {
+			break
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(len(p.records[i])))
 		out = append(out, p.records[i]...)
 	}
