--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -165,7 +165,7 @@
 		LeasedUpstreams: func() []batch.Upstream { return n.leaseSnapshot().Upstreams },
 		Limits:          n.throttle.Buckets(), UpstreamsCurrent: n.watcher.UpstreamsCurrent,
 		TextDroppable: func() bool {
-			return n.leaseSnapshot().LevelInForce(recordLevels, time.Now()) >= batch.LevelTextDropped
+			return n.leaseSnapshot().LevelInForce(recordLevels, n.lastFullRead()) >= batch.LevelTextDropped
 		},
 	}, n.log.Logger)
 
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -94,9 +94,13 @@
 	return m
 }
 
-// LevelInForce returns the level of records that all live daemons read.
-func (s *Snapshot) LevelInForce(c upgrade.Config, now time.Time) int {
-	return c.LevelInForce(batch.RecordLevel, upgrade.Input{Daemons: s.Daemons, LastRenewals: s.LastRenewals, FollowedSince: s.FollowedSince, Now: now})
+// LevelInForce returns the level of records that all live daemons read, as of the last read
+// that reached the journal's end; 0 before the first one.
+func (s *Snapshot) LevelInForce(c upgrade.Config, lastFullRead time.Time) int {
+	if s.NextOffset == 0 {
+		return 0
+	}
+	return c.LevelInForce(batch.RecordLevel, upgrade.Input{Daemons: s.Daemons, LastRenewals: s.LastRenewals, FollowedSince: s.FollowedSince, Now: lastFullRead})
 }
 
 // StaleError reports that the journal could not be read to its end in time. Since is
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -117,7 +117,7 @@
 		m.propose(&batch.DaemonAlive{
 			Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion(), Capacity: m.cfg.Capacity,
 			Address: m.cfg.Address, DataCentre: m.cfg.DataCentre, CutOff: cutOff,
-			RecordLevel: batch.RecordLevel, LevelInForce: s.LevelInForce(m.cfg.Levels, now),
+			RecordLevel: batch.RecordLevel, LevelInForce: s.LevelInForce(m.cfg.Levels, m.deps.LastFullRead()),
 		})
 	}
 	if now.Sub(m.deps.LastFullRead()) > m.cfg.MaxReadAge {
--- a/server/leasing/leasing_test.go
+++ b/server/leasing/leasing_test.go
@@ -10,6 +10,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/routes"
+	"dotterelmount.example/lib/upgrade"
 	"dotterelmount.example/server/jobreplica"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -157,3 +158,19 @@
 	m.view = m.view.ReadAt(time.Time{}, m.now.Add(time.Millisecond))
 	assert.Assert(t, removed())
 }
+
+// Guards against a level that a starting daemon announces before it has read of the others.
+func TestRenewalBeforeTheFirstReadClaimsNoLevel(t *testing.T) {
+	m := newTestManager(t)
+	m.cfg.Levels = upgrade.Config{Silence: 40 * time.Second}
+	renewal := func() *batch.DaemonAlive {
+		m.now, m.proposed = m.now.Add(time.Second), nil
+		m.Tick(t.Context())
+		return m.proposed[0].(*batch.DaemonAlive)
+	}
+	m.snapshot = jobreplica.Snapshot{}
+	assert.Equal(t, renewal().LevelInForce, 0, "nothing was read")
+	m.snapshot = jobreplica.Snapshot{NextOffset: 3, Daemons: map[api.DaemonID]batch.Daemon{"d": {RecordLevel: batch.RecordLevel}}}
+	m.lastFullRead = m.now
+	assert.Equal(t, renewal().LevelInForce, batch.RecordLevel)
+}
--- a/server/leasing/sweep.go
+++ b/server/leasing/sweep.go
@@ -32,7 +32,7 @@
 	m.dropped.forget(now, m.cfg.ProposalTimeout)
 	unrouted := m.unroutedItems(open, v, now)
 	rerouted := m.reroutes(open, v, now)
-	level := s.LevelInForce(m.cfg.Levels, now)
+	level := s.LevelInForce(m.cfg.Levels, m.deps.LastFullRead())
 	for _, i := range open {
 		if !leases.Responsible(m.cfg.Self, live, string(i.Job)) {
 			continue
--- a/server/leasing/sweep_test.go
+++ b/server/leasing/sweep_test.go
@@ -51,6 +51,7 @@
 	m.cfg.SweepInterval, m.cfg.Levels = 0, upgrade.Config{Silence: 40 * time.Second}
 	m.open = []batch.OpenItem{openItem("j", "i", "/x/1", "a")}
 	m.open[0].DeadlineMillis = m.now.Add(time.Hour).UnixMilli()
+	m.snapshot.NextOffset = 9
 	m.snapshot.Daemons = map[api.DaemonID]batch.Daemon{"d": {RecordLevel: batch.RecordLevel}, "older": {}}
 	m.view = directory.NewView().Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{
 		Version: 7, Routes: []routes.Route{{Host: "h", Prefix: "/x/", WeightedServices: []routes.WeightedService{{Service: "b", Weight: 1}}}},
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -154,9 +154,11 @@
 		t.add(e)
 		r.result.events++
 		r.receivedEvents.Add(1)
-		if now.Sub(flushed) >= w.cfg.FlushInterval && w.mayStorePart(r) {
+		if now.Sub(flushed) >= w.cfg.FlushInterval {
 			flushed = now
-			w.flush(r, t)
+			if w.mayStorePart(r) {
+				w.flush(r, t)
+			}
 		}
 	}
 }
