--- a/cmd/dotterelmountd/internal/hosted/moved_test.go
+++ b/cmd/dotterelmountd/internal/hosted/moved_test.go
@@ -37,18 +37,25 @@
 	d.checkTexts(d.results(d.daemons[1], "job1", 2*groups))
 }
 
+// submitSingleVersion submits a job of one weight version with an item for each slot, which
+// runs for 3 s.
+func (d *deployment) submitSingleVersion(id string) {
+	d.t.Helper()
+	d.routeBatches(2, "engines", true)
+	for _, m := range d.models {
+		m.EventsPerItem, m.EventInterval = 60, 50*time.Millisecond
+	}
+	<-time.After(time.Second) // the configuration is in force
+	assert.Equal(d.t, d.submit(d.daemons[0], id, 6, 1).status, http.StatusAccepted)
+}
+
 // Guards against items of single-version jobs that no server runs any more once all servers
 // have a later version than that of their texts.
 func TestSingleVersionItemsRunAfterTheirVersionIsGone(t *testing.T) {
 	d := newDeployment(t, 2)
 	defer d.stopAll()
-	d.routeBatches(2, "engines", true)
-	for _, m := range d.models {
-		m.EventsPerItem, m.EventInterval = 60, 50*time.Millisecond
-	}
-	<-time.After(time.Second)                                                         // the configuration is in force
-	assert.Equal(t, d.submit(d.daemons[0], "job1", 6, 1).status, http.StatusAccepted) // an item for each slot
-	<-time.After(runnerConfig.FlushInterval + 300*time.Millisecond)                   // part of each text is stored
+	d.submitSingleVersion("job1")
+	<-time.After(runnerConfig.FlushInterval + 300*time.Millisecond) // part of each text is stored
 	for i, m := range d.models {
 		m.SetWeightVersion(model, 2)
 		m.Restart(0, fmt.Sprintf("engine-again-%d", i))
@@ -65,12 +72,7 @@
 func TestRunsOfSingleVersionJobsEndBeforeLoads(t *testing.T) {
 	d := newDeployment(t, 2)
 	defer d.stopAll()
-	d.routeBatches(2, "engines", true)
-	for _, m := range d.models {
-		m.EventsPerItem, m.EventInterval = 60, 50*time.Millisecond
-	}
-	<-time.After(time.Second) // the configuration is in force
-	assert.Equal(t, d.submit(d.daemons[0], "job1", 6, 1).status, http.StatusAccepted)
+	d.submitSingleVersion("job1")
 	<-time.After(500 * time.Millisecond)
 	d.store.PublishVersion(model, 2)
 	got := d.results(d.daemons[1], "job1", 12)
--- a/server/leasing/leasing_test.go
+++ b/server/leasing/leasing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,6 +56,19 @@
 	return m
 }
 
+// proposes makes a tick, at which this daemon's renewal and the journal are recent, after
+// some time and reports whether a record of type T was proposed.
+func proposes[T batch.Record](t *testing.T, m *testManager, after time.Duration) bool {
+	t.Helper()
+	m.now, m.proposed = m.now.Add(after), nil
+	m.lastFullRead, m.snapshot.LastRenewals["d"] = m.now, m.now
+	m.Tick(t.Context())
+	return slices.ContainsFunc(m.proposed, func(r batch.Record) bool {
+		_, ok := r.(T)
+		return ok
+	})
+}
+
 // countAcquired returns the number of leases acquired since the last call.
 func (m *testManager) countAcquired() int {
 	n := 0
@@ -101,31 +115,18 @@
 	m := newTestManager(t)
 	m.cfg.SweepInterval = 0
 	m.open = []batch.OpenItem{{ItemKey: batch.ItemKey{Job: "j", Item: "i"}, Host: "h", Path: "/new/x", DeadlineMillis: m.now.Add(time.Hour).UnixMilli()}}
-	expired := func() bool {
-		m.proposed = nil
-		m.lastFullRead, m.snapshot.LastRenewals["d"] = m.now, m.now
-		m.Tick(t.Context())
-		for _, r := range m.proposed {
-			if _, ok := r.(*batch.ItemExpired); ok {
-				return true
-			}
-		}
-		return false
-	}
+	expired := func() bool { return proposes[*batch.ItemExpired](t, m, 100*time.Millisecond) }
 	begin := m.now
 	m.view = m.view.ReadAt(begin.Add(-time.Second), time.Time{})
 	for range 50 {
 		assert.Assert(t, !expired(), "%v after the item was seen", m.now.Sub(begin))
-		m.now = m.now.Add(100 * time.Millisecond)
 	}
 	without := m.view
 	m.view = m.view.ReadAt(m.now, time.Time{}).Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{Version: 2, Routes: []routes.Route{{Host: "h", Prefix: "/new/"}}}}})
-	m.now = m.now.Add(100 * time.Millisecond)
 	assert.Assert(t, !expired(), "the route is there")
 	m.view = without
 	assert.Assert(t, !expired())
 	m.view = without.ReadAt(m.now.Add(time.Millisecond), time.Time{})
-	m.now = m.now.Add(100 * time.Millisecond)
 	assert.Assert(t, expired(), "the route was removed")
 }
 
@@ -136,18 +137,7 @@
 	m.snapshot.Upstreams[0].Holder = "d"
 	loaded := m.view
 	m.view = directory.NewView().Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{Version: 1}}})
-	removed := func() bool {
-		m.now = m.now.Add(100 * time.Millisecond)
-		m.proposed = nil
-		m.lastFullRead, m.snapshot.LastRenewals["d"] = m.now, m.now
-		m.Tick(t.Context())
-		for _, r := range m.proposed {
-			if _, ok := r.(*batch.UpstreamRemoved); ok {
-				return true
-			}
-		}
-		return false
-	}
+	removed := func() bool { return proposes[*batch.UpstreamRemoved](t, m, 100*time.Millisecond) }
 	for range 20 {
 		assert.Assert(t, !removed(), "the list was not read")
 	}
--- a/server/leasing/sweep_test.go
+++ b/server/leasing/sweep_test.go
@@ -56,18 +56,8 @@
 	m.view = directory.NewView().Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{
 		Version: 7, Routes: []routes.Route{{Host: "h", Prefix: "/x/", WeightedServices: []routes.WeightedService{{Service: "b", Weight: 1}}}},
 	}}})
-	rerouted := func() bool {
-		m.now = m.now.Add(100 * time.Millisecond)
-		m.proposed = nil
-		m.lastFullRead, m.snapshot.LastRenewals = m.now, map[api.DaemonID]time.Time{"d": m.now, "older": m.now.Add(-5 * time.Second)}
-		m.Tick(t.Context())
-		for _, r := range m.proposed {
-			if _, ok := r.(*batch.JobRerouted); ok {
-				return true
-			}
-		}
-		return false
-	}
+	m.snapshot.LastRenewals = map[api.DaemonID]time.Time{"older": m.now.Add(-5 * time.Second)}
+	rerouted := func() bool { return proposes[*batch.JobRerouted](t, m, 100*time.Millisecond) }
 	for range 20 {
 		assert.Assert(t, !rerouted(), "the job may have been accepted under a later configuration")
 	}
