--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -93,7 +93,7 @@
 	duty.Sleep(ctx, calmTime)
 	limits := limitServers(ctx, d)
 	duty.Sleep(ctx, calmTime)
-	cut := cutOffCalmly(ctx, d, r.Seed)
+	cut := cutOffCalmly(ctx, d, l, r.Seed)
 	stops := runCalm(ctx, d, j)
 	stopLoad()
 	senders.Wait()
