--- a/bench/hostedsoak/operator.go
+++ b/bench/hostedsoak/operator.go
@@ -62,8 +62,8 @@
 	return out
 }
 
-// jobPath returns the path of a trainer's next job: that of all versions, that of one weight
-// version, or the newest one that all daemons that read the configuration have, by turns.
+// jobPath returns the path of a trainer's next job. By turns, it is on the route of one weight
+// version, on the newest route that must be in force already, and on the one of all versions.
 func (o *operator) jobPath(step int) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/server/leasing/sweep.go
+++ b/server/leasing/sweep.go
@@ -43,14 +43,14 @@
 			m.propose(&batch.ItemExpired{Job: i.Job, Item: i.Item})
 		}
 		if r := rerouted[i.Job]; r != nil && m.rerouted.due(i.Job, now, m.cfg.ProposalTimeout) {
-			m.log.Info("job rerouting proposed", zap.String("job", string(i.Job)), zap.String("from", i.Service), zap.String("to", r.Service),
+			m.log.Info("job rerouting due", zap.Bool("proposed", level >= batch.LevelJobRerouted), zap.String("job", string(i.Job)), zap.String("from", i.Service), zap.String("to", r.Service),
 				zap.Uint64("config", r.ConfigVersion), zap.Time("config_as_of", v.ConfigAsOf), zap.Int("level_in_force", level))
 			if level >= batch.LevelJobRerouted {
 				m.propose(r)
 			}
 		}
 		if i.Stranded && m.dropped.due(i.ItemKey, now, m.cfg.ProposalTimeout) {
-			m.log.Info("text drop proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Int("events", i.EventCount),
+			m.log.Info("text drop due", zap.Bool("proposed", level >= batch.LevelTextDropped), zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Int("events", i.EventCount),
 				zap.Int("level_in_force", level))
 			if level >= batch.LevelTextDropped {
 				m.propose(&batch.TextDropped{Job: i.Job, Item: i.Item, EventCount: i.EventCount})
