Don't count crashes of a series against the callers' requests that ran there

A request that loses two upstreams, one of them while it is alone there, is refused; in a series of crashes this happens to sound requests.

Change: a crash within 2 s of crashes of two other upstreams, without the request, counts as shared, and one such strike isn't counted for the quarantine. The decision is the daemon's, by replicated crashes that the state now publishes; no record changes its meaning. A request that is to be refused is held for a second, within which these crashes become known.

--- a/lib/ledger/config.go
+++ b/lib/ledger/config.go
@@ -23,7 +23,7 @@
 	state   State
 	seen    map[api.RecordID]seenRecord
 	idOrder []api.RecordID // IDs in offset order, for expiry
-	// crashes holds the recent crashes of each upstream.
+	// crashes holds the recent crashes of each upstream. Snapshots share it.
 	crashes map[api.UpstreamID][]Crash
 }
 
@@ -39,6 +39,7 @@
 // Snapshot returns the current state. Records applied later do not change it.
 func (c *ConfigFSM) Snapshot() *State {
 	s := c.state
+	s.Crashes = c.crashes
 	return &s
 }
 
--- a/lib/ledger/state.go
+++ b/lib/ledger/state.go
@@ -23,6 +23,8 @@
 	Marks         map[api.UpstreamID]MarkState
 	Weights       map[api.ModelName]WeightState
 	Strikes       map[api.Fingerprint]StrikeState
+	// Crashes lists the crashes of the last CrashRetentionMillis, by upstream.
+	Crashes map[api.UpstreamID][]Crash
 }
 
 // MarkState is the mark of an upstream and the revision that set it. An upstream
--- a/lib/ledger/strikes.go
+++ b/lib/ledger/strikes.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"slices"
 
 	"dotterelmount.example/api"
@@ -57,6 +58,7 @@
 // was part of the same crash; here both count as shared.
 func (c *ConfigFSM) recordStrike(timeMillis int64, b api.Strike) {
 	c.state.Strikes = c.unexpiredStrikes(timeMillis)
+	c.crashes = maps.Clone(c.crashes) // snapshots share the old map
 	c.expireCrashes(timeMillis)
 	crash := c.crashOf(timeMillis, &b)
 	if slices.Contains(crash.Fingerprints, b.Fingerprint) {
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -3,8 +3,10 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
+	"dotterelmount.example/api"
 	"dotterelmount.example/lib/ledger"
 )
 
@@ -22,8 +24,38 @@
 	// IsolationDuration is how long a fingerprint runs isolated after its last
 	// strike, or after the end of its refusal.
 	IsolationDuration = 2 * time.Minute
+	// SeriesDuration is the time within which crashes of SeriesOthers other upstreams
+	// make a crash one of a series with one cause.
+	SeriesDuration = 2 * time.Second
+	SeriesOthers   = 2
+	// MaxExcused bounds the strikes that aren't counted because they were in series:
+	// requests that crash upstreams at the same time would otherwise excuse each other
+	// for good.
+	MaxExcused = 1
 )
 
+// Evidence is what is known against a fingerprint: its strikes and how many of them
+// were in series. Strikes in series count as shared.
+type Evidence struct {
+	ledger.StrikeState
+	InSeries int
+}
+
+// InSeries reports whether a crash under a fingerprint was one of a series: several
+// other upstreams crashed at about the same time without a request of the fingerprint,
+// so that the requests that ran are not likely to be the cause. others lists the
+// crashes without one.
+func InSeries(crash ledger.CrashRef, others []ledger.CrashRef) bool {
+	var near []api.UpstreamID
+	for _, o := range others {
+		apart := max(o.AtMillis-crash.AtMillis, crash.AtMillis-o.AtMillis)
+		if o.Upstream != crash.Upstream && apart < SeriesDuration.Milliseconds() && !slices.Contains(near, o.Upstream) {
+			near = append(near, o.Upstream)
+		}
+	}
+	return len(near) >= SeriesOthers
+}
+
 // Decision says how requests with a fingerprint may run.
 type Decision uint8
 
@@ -50,16 +82,17 @@
 	}
 }
 
-// Decide returns the decision for a fingerprint with strikes s at nowMillis (Unix
+// Decide returns the decision for a fingerprint with evidence s at nowMillis (Unix
 // milliseconds). A last strike in the future, which is possible as clocks differ
-// between daemons, is treated as one at nowMillis.
-func Decide(s ledger.StrikeState, nowMillis int64) Decision {
+// between daemons, is treated as one at nowMillis. At most MaxExcused strikes in series
+// aren't counted.
+func Decide(s Evidence, nowMillis int64) Decision {
 	if s.Alone == 0 && s.Shared == 0 {
 		return Unrestricted
 	}
 	age := max(0, nowMillis-s.LastMillis)
 	isolatedFor := IsolationDuration.Milliseconds()
-	if s.Alone+s.Shared >= RefusalStrikes && len(s.Upstreams) > 1 {
+	if s.Alone+s.Shared-min(s.InSeries, MaxExcused) >= RefusalStrikes && len(s.Upstreams) > 1 {
 		if age < RefusalDuration.Milliseconds() {
 			return Refused
 		}
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -21,13 +21,14 @@
 	// maxUnloggedStrikes bounds the strikes kept in memory during a log outage.
 	maxUnloggedStrikes = 1024
 	// maxCrashes is the number of crashes after which a request is not retried
-	// if one is attributed to it alone, with the strikes of all daemons;
-	// maxSharedCrashes is the number if none is.
+	// if one is attributed to it alone, with the strikes of all daemons, and was
+	// not one of a series; maxSharedCrashes is the number if none is.
 	maxCrashes       = 2
 	maxSharedCrashes = 4
-	// attributionWait is how long a request whose last crash was alone is held
-	// before it is refused. Within it, the other daemons' strikes for the same crash
-	// arrive: a probe, and the way through the log or from peer to peer.
+	// attributionWait is how long a request that is to be refused after a crash
+	// is held before. Within it, the other daemons' strikes for the same crash
+	// and for the crashes of a series arrive: a probe, and the way through the log or
+	// from peer to peer.
 	attributionWait = probeTimeout + 500*time.Millisecond
 )
 
@@ -96,29 +97,36 @@
 	switch {
 	case f.job.Owed:
 		h.retryOrFinish(f, now)
-	case f.crashes >= maxSharedCrashes || h.quarantineDecision(f.job, now) == quarantine.Refused:
+	case f.crashes >= maxSharedCrashes:
 		h.refuseAfterCrashes(f)
-	case f.crashes >= maxCrashes && h.strikesOf(f.job.Fingerprint).Alone > 0:
+	case h.isSuspect(f, now):
 		f.attributedAt = now.Add(attributionWait)
 	default:
 		h.retryOrFinish(f, now)
 	}
 }
 
+// isSuspect reports whether a request that lost its connection must not run again, by
+// the strikes known now.
+func (h *handler) isSuspect(f *flight, now time.Time) bool {
+	return h.quarantineDecision(f.job, now) == quarantine.Refused ||
+		f.crashes >= maxCrashes && h.strikesOf(f.job.Fingerprint).Alone > 0
+}
+
 func (h *handler) refuseAfterCrashes(f *flight) {
 	err := api.Errorf(api.CodeQuarantined, "the request was part of %d crashes: %w", f.crashes, f.lastErr)
 	h.finish(f, work.Result{Outcome: h.failureOutcome(f), Err: err, Text: f.text, Tokens: f.tokens, Versions: f.versions})
 }
 
 // resolveAttributions ends the hold of requests after their crashes. A request is
-// refused if a crash is still attributed to it alone.
+// refused if the strikes still speak against it.
 func (h *handler) resolveAttributions(now time.Time) {
 	for _, f := range h.flights {
 		if f.attributedAt.IsZero() || now.Before(f.attributedAt) {
 			continue
 		}
 		f.attributedAt = time.Time{}
-		if h.strikesOf(f.job.Fingerprint).Alone > 0 {
+		if h.isSuspect(f, now) {
 			h.refuseAfterCrashes(f)
 		} else {
 			h.retryOrFinish(f, now)
@@ -206,31 +214,3 @@
 		h.cfg.ClearStrikes(f)
 	}
 }
-
-// strikesOf returns the logged strikes of a fingerprint plus the unlogged ones.
-func (h *handler) strikesOf(f api.Fingerprint) ledger.StrikeState {
-	sum := h.state.Strikes[f]
-	for _, s := range h.unloggedStrikes {
-		if s.Fingerprint != f {
-			continue
-		}
-		if s.Alone && !h.hasOtherStrike(s) {
-			sum.Alone++
-		} else {
-			sum.Shared++
-		}
-		if !slices.Contains(sum.Upstreams, s.Upstream) {
-			sum.Upstreams = append(slices.Clone(sum.Upstreams), s.Upstream)
-		}
-		sum.LastMillis = max(sum.LastMillis, s.AtMillis)
-	}
-	return sum
-}
-
-// hasOtherStrike reports whether a request with another fingerprint was part of the
-// same crash, according to the unlogged strikes.
-func (h *handler) hasOtherStrike(s unloggedStrike) bool {
-	return slices.ContainsFunc(h.unloggedStrikes, func(o unloggedStrike) bool {
-		return o.Upstream == s.Upstream && o.Fingerprint != s.Fingerprint && ledger.SameCrash(o.AtMillis, s.AtMillis)
-	})
-}
