Refuse records that name more elements than they have

Cause: the MessagePack decoder allocates the elements that an array or a map names before it reads them, without a limit. Found by the fuzz target of the checkpoints that follow; no daemon writes such a record.

Change: the lengths are checked against the data before it is decoded.

--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -124,7 +124,7 @@
 // decode returns a *T, which is a batch.Record for every T in decoders.
 func decode[T any](data []byte) (batch.Record, error) {
 	v := new(T)
-	if err := msgpack.Unmarshal(data, v); err != nil {
+	if err := Unmarshal(data, v); err != nil {
 		return nil, err
 	}
 	return any(v).(batch.Record), nil
