--- a/bench/hostedsoak/deployment.go
+++ b/bench/hostedsoak/deployment.go
@@ -12,6 +12,7 @@
 	"dotterelmount.example/bench/links"
 	"dotterelmount.example/bench/proc"
 	"dotterelmount.example/bench/supervise"
+	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/standin/platform"
 )
@@ -105,6 +106,26 @@
 	return append(append([]*platform.Server(nil), d.engines...), d.plains...)
 }
 
+// journalRetention is the age from which records of the journal can expire. The daemons
+// write a checkpoint in each quarter of it.
+const journalRetention = 16 * time.Second
+
+// expireJournal deletes the journal's old records, unless there are daemons of an earlier
+// build, which write no checkpoints.
+func (d *deployment) expireJournal() {
+	if d.operator.sameBuild {
+		d.store.Expire(replay.Topic, journalRetention)
+	}
+}
+
+// retentionSetting is a line of the daemons' settings.
+func (d *deployment) retentionSetting() string {
+	if !d.operator.sameBuild {
+		return ""
+	}
+	return fmt.Sprintf("retention: %s\n", journalRetention)
+}
+
 const settingsTemplate = `daemon: %s
 data_centre: z1
 callers: %s
@@ -116,7 +137,7 @@
 lease_wait: 1s
 grace: %s
 fatal_invariants: true
-`
+%s`
 
 func (d *deployment) startDaemon(i int) error {
 	listens, err := proc.FreeAddresses(4)
@@ -132,7 +153,7 @@
 		return err
 	}
 	file := filepath.Join(d.runner.OutDir(), daemonName(i)+".yaml")
-	content := fmt.Sprintf(settingsTemplate, daemonName(i), listens[0], listens[1], listens[2], store, listens[3], daemonIP(i), shutdownGrace)
+	content := fmt.Sprintf(settingsTemplate, daemonName(i), listens[0], listens[1], listens[2], store, listens[3], daemonIP(i), shutdownGrace, d.retentionSetting())
 	if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
 		return fmt.Errorf("settings of %s: %w", daemonName(i), err)
 	}
--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -134,6 +134,8 @@
 		return "store", func(ctx context.Context) bool { return j.setMode(ctx, storeModes[f.Kind], f.Duration) }
 	case storeForgets:
 		return "store", func(context.Context) bool { j.deployment.store.Compact(); return true }
+	case storeExpires:
+		return "store", func(context.Context) bool { j.deployment.expireJournal(); return true }
 	case serverSlow, serverBusy, serverCuts, serverLoses, serverGarbles, serverHangs, serverFails, serverEndless, serverCutsHead:
 		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return setServerFault(ctx, server, serverFaults[f.Kind], f.Duration) }
 	case serverDark:
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -32,6 +32,7 @@
 	storeLate      kind = "store-late"       // the store carries out appends after a delay and doesn't respond
 	storeSlow      kind = "store-slow"       // the store responds after a delay
 	storeForgets   kind = "store-forgets"    // the history of the operator's and the servers' records is compacted
+	storeExpires   kind = "store-expires"    // the oldest records of the journal expire
 	serverRestart  kind = "server-restart"   // a server stops and starts again with a new ID and other software
 	serversCrash   kind = "servers-crash"    // half of the servers stop and start again with the same IDs, several times in a row
 	serverSlow     kind = "server-slow"      // a server sends events at longer intervals
@@ -56,7 +57,7 @@
 // faultDurations maps every kind to its range of durations, zero for
 // instantaneous faults.
 var faultDurations = map[kind]durationRange{
-	daemonKill: {}, daemonsKill: {}, daemonTerm: {}, daemonHup: {}, storeForgets: {}, configChange: {}, routeMove: {},
+	daemonKill: {}, daemonsKill: {}, daemonTerm: {}, daemonHup: {}, storeForgets: {}, storeExpires: {}, configChange: {}, routeMove: {},
 	daemonPause:    {Min: 500 * time.Millisecond, Max: 5 * time.Second},
 	callerCut:      {Min: 500 * time.Millisecond, Max: 3 * time.Second},
 	callerSilent:   {Min: 500 * time.Millisecond, Max: 3 * time.Second},
--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -71,7 +71,8 @@
 		defer cancel()
 		h := &history{}
 		var err error
-		h.state, err = replay.Read(ctx, store.New(address).Partition(replay.Topic, 0), func(e replay.Entry) { h.entries = append(h.entries, e) })
+		client := store.New(address)
+		h.state, err = replay.Read(ctx, client.Partition(replay.Topic, 0), client.Keyed(replay.CheckpointTopic), func(e replay.Entry) { h.entries = append(h.entries, e) })
 		if err != nil {
 			return api.Errorf(api.CodeLogUnavailable, "journal at %s: %w", address, err)
 		}
--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -111,11 +111,17 @@
 
 // start adds a daemon and waits until it is ready.
 func (d *deployment) start() *Node {
+	d.t.Helper()
+	return d.startWith("")
+}
+
+// startWith is start with more settings.
+func (d *deployment) startWith(more string) *Node {
 	d.t.Helper()
 	d.started++
 	s, err := settings.ParseHosted([]byte(fmt.Sprintf(
-		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\nupstream_source: 127.0.0.%d\npeers: %s\n",
-		d.started, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address(), 10+d.started, freeAddress(d.t))))
+		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\nupstream_source: 127.0.0.%d\npeers: %s\n%s",
+		d.started, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address(), 10+d.started, freeAddress(d.t), more)))
 	assert.NilError(d.t, err)
 	n, err := Start(s)
 	assert.NilError(d.t, err)
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -18,6 +18,7 @@
 	"dotterelmount.example/front/forward"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/replay"
+	"dotterelmount.example/lib/checkpoint"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
@@ -112,7 +113,7 @@
 	process := fmt.Sprintf("%s/%s", s.Daemon, uuid.Must(uuid.NewV7()))
 	n.startRelay(process)
 	n.startChunks(storeClient, process)
-	n.startJobs(storeClient.Partition(replay.Topic, 0), process)
+	n.startJobs(storeClient, process)
 	if err := errors.Join(n.servePeers(), n.serve()); err != nil {
 		return nil, err
 	}
@@ -151,7 +152,8 @@
 	n.serverClient.PruneConnections(func(address string) bool { return addresses[address] })
 }
 
-func (n *Node) startJobs(j jobreplica.Journal, process string) {
+func (n *Node) startJobs(storeClient *store.Client, process string) {
+	j := storeClient.Partition(replay.Topic, 0)
 	self := api.DaemonID(n.settings.Daemon)
 	startMillis := time.Now().UnixMilli()
 	n.committer = n.startCommitter(j, replay.Topic, process)
@@ -194,7 +196,9 @@
 	replicaCfg.Daemon, replicaCfg.JobRetention = self, n.settings.JobRetention
 	replicaCfg.MinPageBytes = n.settings.MaxRecordBytes + recordFraming
 	replicaCfg.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReadsPerSecond))
-	n.replica.Store(jobreplica.Start(n.system, j, replicaCfg, jobreplica.Callbacks{
+	replicaCfg.Process, replicaCfg.MaxRecordBytes, replicaCfg.MaxAppendBytes = process, n.settings.MaxRecordBytes, n.settings.MaxAppendBytes
+	replicaCfg.Checkpoints = checkpoint.Policy{Interval: n.settings.Retention / checkpointsPerRetention, Silence: recordLevels.Silence}
+	n.replica.Store(jobreplica.Start(n.system, j, storeClient.Keyed(replay.CheckpointTopic), replicaCfg, jobreplica.Callbacks{
 		RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update,
 		RequestCrashed: func(r *batch.RequestCrashed) {
 			if r.Process != process {
@@ -204,6 +208,7 @@
 		RequestLimitNamed: func(r *batch.RequestLimitNamed) { n.throttle.Record(r) },
 		DemandReported:    func(r *batch.DemandReported) { n.throttle.Record(r) },
 		UpstreamLeaving:   func(r *batch.UpstreamLeaving) { n.watcher.Leaving(r.Upstream, r.StartMillis) },
+		Propose:           func(r batch.Record) error { return n.propose(r, logCallTimeout) },
 	}, n.log.Logger))
 }
 
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -25,25 +25,26 @@
 
 // Durations and sizes of the components.
 const (
-	operatorReadInterval = 50 * time.Millisecond   // a fortieth of the 2 s in which a configuration must be in force
-	serversReadInterval  = 150 * time.Millisecond  // an eighth of the upstreams' heartbeat interval
-	maxJournalReadAge    = 2 * time.Second         // an older read to the journal's end makes the daemon not ready
-	maxConfigAge         = 2 * time.Second         // in which a configuration must be in force
-	relayBusyThreshold   = 2                       // requests in flight at an upstream before the next upstream is used
-	retryAfter           = 100 * time.Millisecond  // another daemon can usually serve at once
-	headerTimeout        = 10 * time.Second        // above the limit that the platform sets its clients
-	idleTimeout          = 2 * time.Minute         // above the limit that the platform sets its clients
-	lingerTime           = 2500 * time.Millisecond // two readiness polls, one per second, plus the delay of new connections
-	streamRecordWait     = 80 * time.Millisecond   // two thirds of the time within which an event must reach the caller
-	crashReportTimeout   = 3 * time.Second         // within it, all daemons must know a request that crashes upstreams
-	journalShare         = 0.4                     // of the store's reads per second; the rest is for the feeds, restarts and bursts
-	stopMargin           = 500 * time.Millisecond  // part of the shutdown timeout left for the exit of the process
-	responseMargin       = 200 * time.Millisecond  // for the failure responses of requests that a stop ends
-	feedWait             = time.Second             // plus feedTimeout, below the 2 s in which a configuration must be in force
-	feedTimeout          = 600 * time.Millisecond  // a healthy store responds within some milliseconds
-	logCallTimeout       = time.Second             // a healthy store responds within some milliseconds
-	maxPeerTries         = 3                       // of a request, if this daemon is cut off; a fifth of the daemons may just have died
-	recordFraming        = 4 << 10                 // bytes; more than what a page holds besides its records
+	operatorReadInterval    = 50 * time.Millisecond   // a fortieth of the 2 s in which a configuration must be in force
+	serversReadInterval     = 150 * time.Millisecond  // an eighth of the upstreams' heartbeat interval
+	maxJournalReadAge       = 2 * time.Second         // an older read to the journal's end makes the daemon not ready
+	maxConfigAge            = 2 * time.Second         // in which a configuration must be in force
+	relayBusyThreshold      = 2                       // requests in flight at an upstream before the next upstream is used
+	retryAfter              = 100 * time.Millisecond  // another daemon can usually serve at once
+	headerTimeout           = 10 * time.Second        // above the limit that the platform sets its clients
+	idleTimeout             = 2 * time.Minute         // above the limit that the platform sets its clients
+	lingerTime              = 2500 * time.Millisecond // two readiness polls, one per second, plus the delay of new connections
+	streamRecordWait        = 80 * time.Millisecond   // two thirds of the time within which an event must reach the caller
+	crashReportTimeout      = 3 * time.Second         // within it, all daemons must know a request that crashes upstreams
+	journalShare            = 0.4                     // of the store's reads per second; the rest is for the feeds, restarts and bursts
+	stopMargin              = 500 * time.Millisecond  // part of the shutdown timeout left for the exit of the process
+	responseMargin          = 200 * time.Millisecond  // for the failure responses of requests that a stop ends
+	feedWait                = time.Second             // plus feedTimeout, below the 2 s in which a configuration must be in force
+	feedTimeout             = 600 * time.Millisecond  // a healthy store responds within some milliseconds
+	logCallTimeout          = time.Second             // a healthy store responds within some milliseconds
+	maxPeerTries            = 3                       // of a request, if this daemon is cut off; a fifth of the daemons may just have died
+	checkpointsPerRetention = 4                       // three in a row may fail
+	recordFraming           = 4 << 10                 // bytes; more than what a page holds besides its records
 )
 
 var latencyRecorder = latency.New()
@@ -65,7 +66,8 @@
 
 var replicaConfig = jobreplica.Config{
 	RingSize: 1024, ReadWait: feedWait, ReadTimeout: feedTimeout, MinReadInterval: 15 * time.Millisecond, RetryInterval: 100 * time.Millisecond,
-	Roster: roster, IdleReadInterval: 200 * time.Millisecond, // trainers read results about every 500 ms
+	LoadInterval: 2 * time.Second,
+	Roster:       roster, IdleReadInterval: 200 * time.Millisecond, // trainers read results about every 500 ms
 	MaxResultBytes: 900 << 10, // the platform's clients accept 1 MB
 	Now:            time.Now,
 }
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -157,8 +157,9 @@
 const (
 	LevelJobRerouted = 1
 	LevelTextDropped = 2
+	LevelStateReset  = 3
 
-	RecordLevel = LevelTextDropped // of this build
+	RecordLevel = LevelStateReset // of this build
 )
 
 // DaemonAlive renews all leases of a daemon.
@@ -180,6 +181,8 @@
 	// that all live daemons read as far as it knows.
 	RecordLevel  int `msgpack:"l,omitempty" json:",omitempty"`
 	LevelInForce int `msgpack:"f,omitempty" json:",omitempty"`
+	// ImageLevel is the level of the images that the daemon writes and reads; 0: none.
+	ImageLevel int `msgpack:"i,omitempty" json:",omitempty"`
 }
 
 // DaemonLeft releases all leases of a daemon.
@@ -301,6 +304,14 @@
 	EventCount int    `msgpack:"n" json:"Events"`
 }
 
+// StateReset ends the states of all daemons: they go on with the state of Process, which
+// it stores as a checkpoint. It is appended only if no daemon has a state, after the journal
+// lost records that no checkpoint includes. The record does not change a State.
+type StateReset struct {
+	Process string `msgpack:"p"`
+}
+
+func (*StateReset) record()            {}
 func (*TextDropped) record()           {}
 func (*JobRerouted) record()           {}
 func (*UpstreamLeaving) record()       {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -48,6 +48,7 @@
 	kindUpstreamLeaving
 	kindJobRerouted
 	kindTextDropped
+	kindStateReset
 )
 
 func kindOf(r batch.Record) byte {
@@ -92,6 +93,8 @@
 		return kindJobRerouted
 	case *batch.TextDropped:
 		return kindTextDropped
+	case *batch.StateReset:
+		return kindStateReset
 	default:
 		return kindUpstreamChanged
 	}
@@ -119,6 +122,7 @@
 	kindUpstreamLeaving:       decode[batch.UpstreamLeaving],
 	kindJobRerouted:           decode[batch.JobRerouted],
 	kindTextDropped:           decode[batch.TextDropped],
+	kindStateReset:            decode[batch.StateReset],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/replay/replay.go
+++ b/lib/batch/replay/replay.go
@@ -8,6 +8,7 @@
 
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/checkpoint"
 	"dotterelmount.example/lib/journal"
 )
 
@@ -26,6 +27,9 @@
 // zero value is ready to use.
 type Decoder struct{ joiner journal.Joiner }
 
+// Open reports whether the last part belongs to a record that is not complete.
+func (d *Decoder) Open() bool { return d.joiner.Open() }
+
 // Add takes the part at an offset. It returns the record that the part
 // completes, or nil, and the offset for State.Apply. Errors:
 // *journal.PartError, *batchcodec.FormatError; the part is then skipped.
@@ -46,16 +50,49 @@
 	Changed bool // the record changed the state
 }
 
+// LoadCheckpoint returns the state of the newest checkpoint among the records of its
+// topic. Errors: *checkpoint.MissingError, *checkpoint.DamagedError, *LevelError,
+// *FormatError, *batchcodec.FormatError, *batch.ImageError.
+func LoadCheckpoint(records []journal.KeyedRecord) (*Checkpoint, *batch.State, error) {
+	_, data, err := checkpoint.Join(records)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := DecodeCheckpoint(data)
+	if err != nil {
+		return nil, nil, err
+	}
+	state, err := batch.FromImage(c.Image)
+	return c, state, err
+}
+
 // Read replays a journal up to its current end and passes every applied record
-// to each. It returns the resulting state. Errors: those of the journal.
-func Read(ctx context.Context, j journal.Journal, each func(Entry)) (*batch.State, error) {
+// to each. If its first records expired, it begins with the newest checkpoint, or with the
+// oldest record if there is none: daemons of earlier builds write none, and what it shows is
+// then incomplete. It returns the resulting state. Errors: those of the journal and of LoadCheckpoint,
+// *journal.TrimmedError if records after the checkpoint expired.
+func Read(ctx context.Context, j journal.Journal, stored journal.Keyed, each func(Entry)) (*batch.State, error) {
 	state := batch.New()
 	var decoder Decoder
-	for from := journal.Offset(0); ; {
+	for from, loaded := journal.Offset(0), false; ; {
 		page, err := j.Read(ctx, from, 0)
 		var trimmed *journal.TrimmedError
-		if errors.As(err, &trimmed) {
-			from = trimmed.Oldest
+		if errors.As(err, &trimmed) && !loaded {
+			records, _, err := stored.Newest(ctx)
+			if err != nil {
+				return nil, err
+			}
+			loaded = true
+			c, begin, err := LoadCheckpoint(records)
+			var missing *checkpoint.MissingError
+			switch {
+			case errors.As(err, &missing):
+				from = trimmed.Oldest
+			case err != nil:
+				return nil, err
+			default:
+				state, decoder, from = begin, Decoder{}, c.Next
+			}
 			continue
 		}
 		if err != nil {
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -68,6 +68,7 @@
 	CutOff        bool // it reaches no upstream
 	RecordLevel   int  // as in DaemonAlive
 	LevelInForce  int  // as in DaemonAlive
+	ImageLevel    int  // as in DaemonAlive
 	Left          bool
 }
 
@@ -194,7 +195,7 @@
 	if earlier == nil || earlier.eventCount == 0 || earlier.state == ItemErrored || earlier.job.job.Model != i.job.job.Model {
 		return
 	}
-	if slices.Min(earlier.versions) < i.job.job.MinVersion || (i.job.job.SingleVersion && len(earlier.versions) > 1) {
+	if len(earlier.versions) == 0 || slices.Min(earlier.versions) < i.job.job.MinVersion || (i.job.job.SingleVersion && len(earlier.versions) > 1) {
 		return
 	}
 	i.eventCount, i.chunks, i.versions = earlier.eventCount, slices.Clip(earlier.chunks), slices.Clip(earlier.versions)
@@ -365,7 +366,7 @@
 	}
 	d.StartMillis, d.RenewalOffset, d.ConfigVersion, d.Capacity, d.Left = r.StartMillis, at, r.ConfigVersion, r.Capacity, false
 	d.Address, d.DataCentre, d.CutOff = r.Address, r.DataCentre, r.CutOff
-	d.RecordLevel, d.LevelInForce = r.RecordLevel, r.LevelInForce
+	d.RecordLevel, d.LevelInForce, d.ImageLevel = r.RecordLevel, r.LevelInForce, r.ImageLevel
 	return true
 }
 
--- a/lib/journal/journal.go
+++ b/lib/journal/journal.go
@@ -43,6 +43,32 @@
 	Fetch(ctx context.Context, from Offset, bytes int) (Page, error)
 }
 
+// KeyedRecord is a record of a keyed topic. A nil Value deletes the key.
+type KeyedRecord struct {
+	Key   string
+	Value []byte
+}
+
+// Keyed is a partition that keeps the newest record of each key for good. It is safe for
+// concurrent use.
+type Keyed interface {
+	// Newest returns the newest record of every key, and the partition's end before the
+	// first was read. The records are not a consistent snapshot. Errors: as Journal.Read.
+	Newest(ctx context.Context) ([]KeyedRecord, Offset, error)
+	// AppendAt appends the records together if the partition ends at an offset, and
+	// returns its new end. Errors: *EndError, *RefusedError, *AmbiguousError.
+	AppendAt(ctx context.Context, end Offset, records []KeyedRecord) (Offset, error)
+}
+
+// EndError is returned by an append under the condition that the partition ends at an
+// offset, which it doesn't. It had no effect.
+type EndError struct{ Expected Offset }
+
+// Error implements error.
+func (e *EndError) Error() string {
+	return fmt.Sprintf("the partition doesn't end at offset %d", e.Expected)
+}
+
 // RefusedError is returned by a call that has had no effect and will have none.
 type RefusedError struct {
 	Op    string
--- a/lib/journal/split.go
+++ b/lib/journal/split.go
@@ -42,6 +42,9 @@
 	data []byte
 }
 
+// Open reports whether the last part belongs to a record that is not complete.
+func (j *Joiner) Open() bool { return j.open }
+
 // Add adds the next part. It returns the record if the part completes one, and nil
 // otherwise. Errors: *PartError; the previous parts are dropped.
 func (j *Joiner) Add(part []byte) ([]byte, error) {
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/replay"
+	"dotterelmount.example/lib/checkpoint"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/leases"
@@ -44,7 +45,17 @@
 	JobRetention time.Duration
 	// MaxResultBytes bounds the text returned by one call of Results.
 	MaxResultBytes int
-	Now            func() time.Time
+	// Checkpoints decides when this daemon writes checkpoints.
+	Checkpoints checkpoint.Policy
+	// Process identifies this process in records.
+	Process string
+	// MaxRecordBytes and MaxAppendBytes bound the records of a checkpoint and one append
+	// of them.
+	MaxRecordBytes, MaxAppendBytes int
+	// LoadInterval is the time between two attempts to read a checkpoint while the state
+	// is partial.
+	LoadInterval time.Duration
+	Now          func() time.Time
 }
 
 // Callbacks are called on the duty that applies records and must not block.
@@ -62,6 +73,8 @@
 	DemandReported    func(*batch.DemandReported)
 	// UpstreamLeaving is called for upstreams that have said that they leave.
 	UpstreamLeaving func(*batch.UpstreamLeaving)
+	// Propose appends a record without waiting.
+	Propose func(r batch.Record) error
 }
 
 // Snapshot is an immutable view of the daemons and upstreams.
@@ -79,8 +92,11 @@
 	// Daemons are the daemons that have not left, as of their last renewals.
 	Daemons map[api.DaemonID]batch.Daemon
 	// FollowedSince is since when the journal was followed without a gap; zero: since its
-	// first record.
+	// first record, or with the state of those who did.
 	FollowedSince time.Time
+	// Partial is true if records were lost that no checkpoint includes. The state is then
+	// not known: there are no upstreams.
+	Partial bool
 }
 
 // Members returns the daemons and upstreams as input for leases.Roster.
@@ -122,8 +138,15 @@
 	state             *batch.State
 	decoder           replay.Decoder
 	appliedOffset     batch.Offset
-	lastFullRead      time.Time // start of the last read that reached the end
-	followedSince     time.Time // as in Snapshot
+	lastFullRead      time.Time     // start of the last read that reached the end
+	followedSince     time.Time     // as in Snapshot
+	partial           bool          // as in Snapshot
+	lastReset         atomic.Uint64 // offset of the first record after the last StateReset; 0: none
+	resetAt           time.Time     // when one was last applied or proposed
+	checkpoints       *checkpointWriter
+	checkpointedAt    time.Time // when this daemon last took a checkpoint, or its start
+	checkedAt         time.Time // when it last checked whether to
+	recent            recentRecords
 	lastRenewals      map[api.DaemonID]time.Time
 	unpublished       changes // since the last snapshot
 	rewardsPublished  bool    // the last published list of reward calls was not empty
@@ -146,9 +169,7 @@
 	firstOffset journal.Offset
 	page        journal.Page
 	startedAt   time.Time // of the read
-	// resumed is set on the first result after failed reads, afterGap on the first one after
-	// records expired unread.
-	resumed, afterGap bool
+	resumed     bool      // first result after failed reads
 }
 
 // Journal is the journal of batch jobs.
@@ -161,16 +182,19 @@
 // the journal.
 const maxPageBytes = 1 << 20
 
-// Start starts the duties.
-func Start(sys *duty.System, j Journal, cfg Config, callbacks Callbacks, log *zap.Logger) *JobReplica {
+// Start starts the duties. stored is where checkpoints are kept.
+func Start(sys *duty.System, j Journal, stored journal.Keyed, cfg Config, callbacks Callbacks, log *zap.Logger) *JobReplica {
 	jr := &JobReplica{cfg: cfg, callbacks: callbacks, log: log, state: batch.New(), lastRenewals: make(map[api.DaemonID]time.Time)}
 	jr.snapshot.Store(&Snapshot{})
+	jr.checkpointedAt = cfg.Now()
+	jr.recent = newRecentRecords()
+	jr.checkpoints = startCheckpointWriter(sys, stored, cfg, log)
 	const (
 		tick     = 100 * time.Millisecond // resolution of query deadlines
 		idleTick = time.Second            // between searches for old jobs
 	)
 	jr.applier = duty.Start(sys, duty.Config{Name: "book", RingSize: cfg.RingSize, Tick: tick, IdleTick: idleTick}, duty.Handler[any](jr))
-	r := &reader{replica: jr, journal: j, behind: true, pageSize: journal.NewPageSize(cfg.MinPageBytes, maxPageBytes, cfg.ReadTimeout)}
+	r := &reader{replica: jr, journal: j, stored: stored, loadDue: true, behind: true, pageSize: journal.NewPageSize(cfg.MinPageBytes, maxPageBytes, cfg.ReadTimeout)}
 	jr.reader = duty.Start(sys, duty.Config{Name: "journal-reader", RingSize: 1}, duty.Handler[struct{}](r))
 	r.scheduleNext = func() { _ = jr.reader.Post(struct{}{}) } // never full: only the reader posts
 	r.scheduleNext()
@@ -188,6 +212,10 @@
 	switch m := m.(type) {
 	case *readResult:
 		j.apply(m)
+	case *loaded:
+		j.load(m)
+	case *recordsLost:
+		j.loseRecords(m.at)
 	case *query:
 		j.handleQuery(m)
 	}
@@ -209,9 +237,6 @@
 			j.lastRenewals[d] = res.startedAt
 		}
 	}
-	if res.afterGap {
-		j.followedSince = res.startedAt
-	}
 	for i, part := range res.page.Records {
 		r, at, err := j.decoder.Add(res.firstOffset+journal.Offset(i), part)
 		if err != nil {
@@ -223,15 +248,11 @@
 		switch r := r.(type) {
 		case *batch.DaemonAlive:
 			j.lastRenewals[r.Daemon] = j.cfg.Now()
-		case *batch.RequestCrashed:
-			j.callbacks.RequestCrashed(r)
-		case *batch.RequestLimitNamed:
-			j.callbacks.RequestLimitNamed(r)
-		case *batch.DemandReported:
-			j.callbacks.DemandReported(r)
-		case *batch.UpstreamLeaving:
-			j.callbacks.UpstreamLeaving(r)
+		case *batch.StateReset:
+			j.applyReset(at, r)
 		}
+		j.recent.add(r, j.cfg.Now())
+		j.report(r)
 		changed := j.state.Apply(at, r)
 		j.noteChanges(r, changed)
 		if !j.lastFullRead.IsZero() {
@@ -252,10 +273,25 @@
 			j.publish()
 			j.unpublished = changes{}
 		}
+		j.keepState()
 	}
 	j.answerPending()
 }
 
+// report passes on a record that doesn't change the state.
+func (j *JobReplica) report(r batch.Record) {
+	switch r := r.(type) {
+	case *batch.RequestCrashed:
+		j.callbacks.RequestCrashed(r)
+	case *batch.RequestLimitNamed:
+		j.callbacks.RequestLimitNamed(r)
+	case *batch.DemandReported:
+		j.callbacks.DemandReported(r)
+	case *batch.UpstreamLeaving:
+		j.callbacks.UpstreamLeaving(r)
+	}
+}
+
 // noteChanges records what may have changed. Records without effect count too, as the
 // runner may wait for them.
 func (j *JobReplica) noteChanges(r batch.Record, changed bool) {
@@ -275,9 +311,12 @@
 	s := &Snapshot{
 		NextOffset: j.appliedOffset, Upstreams: j.snapshot.Load().Upstreams,
 		LastRenewals: make(map[api.DaemonID]time.Time, len(daemons)), StartMillis: make(map[api.DaemonID]int64, len(daemons)),
-		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons, FollowedSince: j.followedSince,
+		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons, FollowedSince: j.followedSince, Partial: j.partial,
 	}
-	if j.unpublished.upstreams {
+	switch {
+	case j.partial:
+		s.Upstreams = nil
+	case j.unpublished.upstreams:
 		s.Upstreams = j.state.Upstreams()
 	}
 	for id, d := range daemons {
@@ -286,7 +325,7 @@
 	j.daemonCount.Store(int64(len(daemons)))
 	j.idle.Store(!j.cfg.Roster.Live(s.Members(), j.cfg.Now())[j.cfg.Daemon])
 	j.snapshot.Store(s)
-	if !j.unpublished.runs {
+	if !j.unpublished.runs || j.partial {
 		return
 	}
 	j.callbacks.RunsChanged(j.state.Runs(j.cfg.Daemon), j.appliedOffset)
@@ -307,93 +346,7 @@
 
 // Stop ends the duties. Errors: ctx.Err().
 func (j *JobReplica) Stop(ctx context.Context) error {
-	return duty.StopAll(ctx, j.applier, []*duty.Duty[struct{}]{j.reader})
-}
-
-// reader is the handler of the duty that reads the journal.
-type reader struct {
-	replica      *JobReplica
-	journal      Journal
-	scheduleNext func()
-	nextOffset   journal.Offset
-	failing      bool
-	gap          bool // records expired since the last result
-	behind       bool // not at the journal's end as of the last read
-	pageSize     *journal.PageSize
-}
-
-// Handle makes one read.
-func (r *reader) Handle(ctx context.Context, _ struct{}) {
-	defer r.scheduleNext()
-	cfg := r.replica.cfg
-	startedAt := cfg.Now()
-	callCtx, cancel := context.WithTimeout(ctx, cfg.ReadWait+cfg.ReadTimeout)
-	page, err := r.read(callCtx)
-	cancel()
-	if ctx.Err() != nil {
-		return
-	}
-	var trimmed *journal.TrimmedError
-	if errors.As(err, &trimmed) {
-		r.replica.log.Warn("journal records expired before they were read", zap.Uint64("from", uint64(r.nextOffset)), zap.Uint64("first", uint64(trimmed.Oldest)))
-		r.nextOffset, r.gap = trimmed.Oldest, true
-		return
-	}
-	r.adaptPage(page, err, cfg.Now().Sub(startedAt))
-	if err != nil {
-		r.handleFailure(ctx, err)
-		return
-	}
-	res := &readResult{firstOffset: r.nextOffset, page: page, startedAt: startedAt, resumed: r.failing, afterGap: r.gap}
-	r.gap = false
-	if r.failing {
-		r.failing = false
-		r.replica.log.Info("journal readable again", zap.Uint64("from", uint64(r.nextOffset)))
-	}
-	r.nextOffset += journal.Offset(len(page.Records))
-	if err := r.replica.applier.PostWait(ctx, res); err != nil {
-		return // stopping
-	}
-	if r.nextOffset >= page.End {
-		duty.Sleep(ctx, r.replica.readInterval()-cfg.Now().Sub(startedAt))
-	}
-}
-
-// read reads the next page: one of limited size while the reader is behind, otherwise
-// what arrives next.
-func (r *reader) read(ctx context.Context) (journal.Page, error) {
-	if r.behind {
-		return r.journal.Fetch(ctx, r.nextOffset, r.pageSize.Bytes())
-	}
-	return r.journal.Read(ctx, r.nextOffset, r.replica.cfg.ReadWait)
-}
-
-// adaptPage notes the result of a read for the size of the next one.
-func (r *reader) adaptPage(page journal.Page, err error, took time.Duration) {
-	if err != nil {
-		r.pageSize.Failed()
-		r.behind = true
-		return
-	}
-	bytes := 0
-	for _, record := range page.Records {
-		bytes += len(record)
-	}
-	switch {
-	case r.behind && bytes == 0:
-		r.pageSize.Succeeded(bytes, 0) // the next record may be larger than the page
-	case r.behind:
-		r.pageSize.Succeeded(bytes, took)
-	}
-	r.behind = r.nextOffset+journal.Offset(len(page.Records)) < page.End
-}
-
-func (r *reader) handleFailure(ctx context.Context, err error) {
-	if !r.failing {
-		r.failing = true
-		r.replica.log.Warn("journal read failed", zap.Uint64("from", uint64(r.nextOffset)), zap.Error(err))
-	}
-	duty.Sleep(ctx, r.replica.cfg.RetryInterval)
+	return errors.Join(duty.StopAll(ctx, j.applier, []*duty.Duty[struct{}]{j.reader}), j.checkpoints.duty.Stop(ctx))
 }
 
 // query is a query of the state that waits until it is answered or has expired.
@@ -405,6 +358,7 @@
 	// its end since the query started. expired: the query cannot wait any longer.
 	answer func(s *batch.State, upToDate, expired bool) bool
 	done   *ring.Slot[struct{}]
+	err    error // set before done
 }
 
 func (j *JobReplica) handleQuery(q *query) {
@@ -416,6 +370,11 @@
 func (j *JobReplica) tryAnswer(q *query) bool {
 	now := j.cfg.Now()
 	expired := !now.Before(q.deadline) || q.ctx.Err() != nil
+	if j.partial {
+		q.err = &PartialError{Since: j.followedSince}
+		q.done.Put(struct{}{})
+		return true
+	}
 	if q.answer(j.state, !j.lastFullRead.Before(q.startedAt), expired) || expired {
 		q.done.Put(struct{}{})
 		return true
@@ -441,6 +400,8 @@
 	if err := j.applier.Post(q); err != nil {
 		return err
 	}
-	_, err := q.done.Wait(ctx)
-	return err
+	if _, err := q.done.Wait(ctx); err != nil {
+		return err
+	}
+	return q.err
 }
--- a/server/jobreplica/jobreplica_test.go
+++ b/server/jobreplica/jobreplica_test.go
@@ -76,7 +76,7 @@
 
 func start(t *testing.T, j Journal, runs func(map[batch.ItemKey]batch.Run)) *JobReplica {
 	t.Helper()
-	replica := Start(duty.NewSystem(nil), j, Config{
+	replica := Start(duty.NewSystem(nil), j, &keyedTopic{}, Config{
 		Daemon: "d", RingSize: 64, ReadWait: 10 * time.Millisecond, ReadTimeout: time.Second, MinPageBytes: 128 << 10, MinReadInterval: time.Millisecond, ReadsPerSecond: 1 << 20,
 		RetryInterval: time.Millisecond, JobRetention: time.Minute, MaxResultBytes: 1 << 20, Now: time.Now,
 	}, Callbacks{
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -111,13 +111,16 @@
 	}
 	now := m.cfg.Now()
 	s := m.deps.Snapshot()
+	if s.Partial {
+		return // whoever renews is taken to have a state
+	}
 	since, cutOff := now.Sub(m.renewedAt), m.deps.CutOff()
 	if cutOff != m.cutOff || since >= m.cfg.Roster.RenewInterval && since >= m.renewInterval(s, now) {
 		m.renewedAt, m.cutOff = now, cutOff
 		m.propose(&batch.DaemonAlive{
 			Daemon: m.cfg.Self, StartMillis: m.cfg.StartMillis, ConfigVersion: m.configVersion(), Capacity: m.cfg.Capacity,
 			Address: m.cfg.Address, DataCentre: m.cfg.DataCentre, CutOff: cutOff,
-			RecordLevel: batch.RecordLevel, LevelInForce: s.LevelInForce(m.cfg.Levels, m.deps.LastFullRead()),
+			ImageLevel: batch.ImageLevel, RecordLevel: batch.RecordLevel, LevelInForce: s.LevelInForce(m.cfg.Levels, m.deps.LastFullRead()),
 		})
 	}
 	if now.Sub(m.deps.LastFullRead()) > m.cfg.MaxReadAge {
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,6 +56,7 @@
 type partition struct {
 	firstOffset   int // of records[0]
 	records       [][]byte
+	appendedAt    []time.Time          // of each of records
 	producers     map[string]*producer // by name
 	newestOffsets map[string]int       // offset of the newest record of a key
 }
@@ -178,7 +180,7 @@
 	if value == nil {
 		delete(p.newestOffsets, key)
 	}
-	p.records = append(p.records, append(append([]byte{byte(len(key))}, key...), value...))
+	p.add(append(append([]byte{byte(len(key))}, key...), value...))
 	s.notifyReaders()
 }
 
@@ -208,10 +210,10 @@
 		keep[key] = p.records[offset-p.firstOffset]
 	}
 	p.firstOffset += len(p.records)
-	p.records = nil
+	p.records, p.appendedAt = nil, nil
 	for key, record := range keep {
 		p.newestOffsets[key] = p.firstOffset + len(p.records)
-		p.records = append(p.records, record)
+		p.add(record)
 	}
 	s.notifyReaders()
 }
@@ -229,8 +231,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(partitionName(r))
-	last, known := p.producers[q.Get("producer")]
+	last, known := p.producers[q.Get("producer")] // appends without a producer are not recorded
+	end := p.firstOffset + len(p.records)
 	switch {
+	case q.Has("at") && q.Get("at") != strconv.Itoa(end):
+		writeJSON(w, http.StatusPreconditionFailed, map[string]any{"why": "at", "end": end})
+		return
 	case known && epoch == last.epoch && seq == last.seq:
 		writeJSON(w, http.StatusOK, map[string]any{"offset": last.offset, "end": p.firstOffset + len(p.records)})
 		return
@@ -244,14 +250,49 @@
 	offset := p.firstOffset + len(p.records)
 	for len(body) >= 4 {
 		n := int(binary.BigEndian.Uint32(body))
-		p.records = append(p.records, body[4:4+n])
+		if strings.HasPrefix(q.Get("topic"), "keyed.") {
+			p.noteKey(body[4 : 4+n])
+		}
+		p.add(body[4 : 4+n])
 		body = body[4+n:]
 	}
-	p.producers[q.Get("producer")] = &producer{epoch: epoch, seq: seq, offset: offset}
+	if q.Has("producer") {
+		p.producers[q.Get("producer")] = &producer{epoch: epoch, seq: seq, offset: offset}
+	}
 	s.notifyReaders()
 	writeJSON(w, http.StatusOK, map[string]any{"offset": offset, "end": p.firstOffset + len(p.records)})
 }
 
+// noteKey notes that the next record of a keyed topic is the newest one of its key. Without
+// a value, it deletes the key.
+func (p *partition) noteKey(record []byte) {
+	key := string(record[1 : 1+int(record[0])])
+	if len(record) == 1+len(key) {
+		delete(p.newestOffsets, key)
+		return
+	}
+	p.newestOffsets[key] = p.firstOffset + len(p.records)
+}
+
+// Expire deletes the records of partition 0 of a topic that is not keyed that are older
+// than age, as its retention does.
+func (s *Store) Expire(topic string, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic + "/0")
+	n := 0
+	for n < len(p.records) && time.Since(p.appendedAt[n]) >= age {
+		n++
+	}
+	p.firstOffset += n
+	p.records, p.appendedAt = slices.Clone(p.records[n:]), slices.Clone(p.appendedAt[n:])
+	s.notifyReaders()
+}
+
+func (p *partition) add(record []byte) {
+	p.records, p.appendedAt = append(p.records, record), append(p.appendedAt, time.Now())
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
