Give callers who leave a query no variables that the duty still writes

Change: a query that ended with an error returns nothing of them.

Measured: TestResultsOfCallersWhoLeaveAreNotShared reports data races under the race detector before, none after (go test -race ./server/jobreplica: ok).

--- a/server/jobreplica/jobreplica_test.go
+++ b/server/jobreplica/jobreplica_test.go
@@ -266,3 +266,20 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(5*time.Millisecond))
 	assert.Assert(t, j.failed.Load() > 0, "no read was too large")
 }
+
+// Guards against results that the duty changes while their caller, who has left, reads them.
+// The race detector finds it.
+func TestResultsOfCallersWhoLeaveAreNotShared(t *testing.T) {
+	j := &pagedJournal{pageSize: 1}
+	j.add(t, &batch.DaemonAlive{Daemon: "d", StartMillis: 1}, job("j", "a"))
+	replica := start(t, j, func(map[batch.ItemKey]batch.Run) {})
+	for n := range 300 {
+		j.add(t, &batch.TextAdded{Job: "j", Item: "a", RunStart: n, FirstEvent: n, EventCount: 1, Versions: []api.WeightVersion{1}})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n%7)*300*time.Microsecond)
+		got, err := replica.Results(ctx, "j", 0, time.Second)
+		assert.Assert(t, err != nil || got.Total == 1)
+		_, _, err = replica.StreamOrigin(ctx, "s", "r")
+		assert.Assert(t, err != nil)
+		cancel()
+	}
+}
--- a/server/jobreplica/queries.go
+++ b/server/jobreplica/queries.go
@@ -1,7 +1,6 @@
 package jobreplica
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -15,7 +14,7 @@
 
 // Results returns a job's results starting at a position, and waits up to wait for
 // one. Errors: *batch.UnknownJobError, *StaleError when the journal was not read far
-// enough to know that there is no such job or result, ctx.Err().
+// enough to know that there is no such job or result, *PartialError, ctx.Err().
 func (j *JobReplica) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, error) {
 	var out batch.Results
 	var failure error
@@ -30,7 +29,10 @@
 		}
 		return j.confirmAbsent(&failure, upToDate, expired) && j.cfg.Now().Sub(startedAt) >= wait
 	})
-	return out, cmp.Or(failure, err)
+	if err != nil {
+		return batch.Results{}, err // the duty may still write to out and failure
+	}
+	return out, failure
 }
 
 // confirmAbsent reports whether something absent from the state is absent from the
@@ -43,50 +45,57 @@
 }
 
 // find looks up something that may not be in the state yet. Errors: those of get
-// once the journal has been read to its end, *StaleError, ctx.Err().
-func (j *JobReplica) find(ctx context.Context, get func(*batch.State) error) error {
+// once the journal has been read to its end, *StaleError, *PartialError, ctx.Err().
+func find[T any](ctx context.Context, j *JobReplica, get func(*batch.State) (T, error)) (T, error) {
+	var out, none T
 	var failure error
 	err := j.query(ctx, absenceWait, func(s *batch.State, upToDate, expired bool) bool {
-		failure = get(s)
+		out, failure = get(s)
 		return failure == nil || j.confirmAbsent(&failure, upToDate, expired)
 	})
-	return cmp.Or(failure, err)
+	if err != nil {
+		return none, err // the duty may still write to out and failure
+	}
+	return out, failure
 }
 
 // ItemBody returns the reference to an item's body. Errors: *batch.UnknownJobError,
-// *batch.UnknownItemError, *StaleError when that is not known in time, ctx.Err().
+// *batch.UnknownItemError, *StaleError when that is not known in time, *PartialError,
+// ctx.Err().
 func (j *JobReplica) ItemBody(ctx context.Context, id batch.JobID, item batch.ItemID) (batch.ChunkRef, error) {
-	var out batch.ChunkRef
-	err := j.find(ctx, func(s *batch.State) (err error) {
-		out, err = s.ItemBody(id, item)
-		return err
-	})
-	return out, err
+	return find(ctx, j, func(s *batch.State) (batch.ChunkRef, error) { return s.ItemBody(id, item) })
 }
 
 // CheckJob returns nil if a job exists. Errors: *batch.UnknownJobError, *StaleError
-// when that is not known in time, ctx.Err().
+// when that is not known in time, *PartialError, ctx.Err().
 func (j *JobReplica) CheckJob(ctx context.Context, id batch.JobID) error {
-	return j.find(ctx, func(s *batch.State) error { return s.CheckJob(id) })
+	_, err := find(ctx, j, func(s *batch.State) (struct{}, error) { return struct{}{}, s.CheckJob(id) })
+	return err
 }
 
+// streamOrigin is the service and the version of the software that began a stream.
+type streamOrigin struct{ service, software string }
+
 // StreamOrigin returns the service and the version of the software that began a stream;
 // id is empty if the caller names no stream. Errors: *batch.UnknownStreamError, *StaleError
-// when that is not known in time, ctx.Err().
+// when that is not known in time, *PartialError, ctx.Err().
 func (j *JobReplica) StreamOrigin(ctx context.Context, service string, id api.RequestID) (originService, software string, err error) {
-	err = j.find(ctx, func(s *batch.State) (err error) {
-		originService, software, err = s.StreamOrigin(service, id)
-		return err
+	o, err := find(ctx, j, func(s *batch.State) (o streamOrigin, err error) {
+		o.service, o.software, err = s.StreamOrigin(service, id)
+		return o, err
 	})
-	return originService, software, err
+	return o.service, o.software, err
 }
 
-// OpenItems returns the open items of all jobs. Errors: ctx.Err().
+// OpenItems returns the open items of all jobs. Errors: *PartialError, ctx.Err().
 func (j *JobReplica) OpenItems(ctx context.Context) ([]batch.OpenItem, error) {
 	var out []batch.OpenItem
 	err := j.query(ctx, 0, func(s *batch.State, _, _ bool) bool {
 		out = s.OpenItems()
 		return true
 	})
-	return out, err
+	if err != nil {
+		return nil, err // the duty may still write to out
+	}
+	return out, nil
 }
