Count the ages of jobs and streams by each daemon's own steady clock

Clocks that differ by seconds, or jump, gave items up and forgot finished jobs and streams that much too early.

Change: the age counts from when the daemon read the record. For records of a history or a checkpoint it is still the date, as nothing better is known.

--- a/lib/batch/image_test.go
+++ b/lib/batch/image_test.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// forgetBefore forgets what was submitted, or began, before a time.
+func (s *State) forgetBefore(millis int64) {
+	s.ForgetFinished(
+		func(id JobID) bool { return s.jobs[id].job.SubmittedMillis < millis },
+		func(id api.RequestID) bool { return s.streams[id].atMillis < millis },
+	)
+}
+
 // assertSame asserts that two states, and what they decide, are equal.
 func assertSame(t *testing.T, a, b *State) {
 	t.Helper()
@@ -71,7 +79,7 @@
 			r := anyRecord(rng, n)
 			whole.Apply(Offset(n+1), r)
 			if n%7 == 0 {
-				whole.ForgetFinished(int64(n) - 40)
+				whole.forgetBefore(int64(n) - 40)
 			}
 			if n >= begin {
 				tail = append(tail, r)
@@ -83,7 +91,7 @@
 			n := begin + i
 			started.Apply(Offset(n+1), r)
 			if n%7 == 0 {
-				started.ForgetFinished(int64(n) - 40)
+				started.forgetBefore(int64(n) - 40)
 			}
 		}
 		assertSame(t, whole, started)
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"dotterelmount.example/api"
 )
@@ -110,11 +111,12 @@
 // OpenItem is an item that is not listed yet and whose job has not ended.
 type OpenItem struct {
 	ItemKey
-	Host, Path     string
-	Service        string // of the job now
-	EventCount     int    // number of events of the text so far
-	Stranded       bool   // only the weight version of the text keeps the item from running
-	DeadlineMillis int64  // time after which the item may expire, in Unix milliseconds
+	Host, Path    string
+	Service       string        // of the job now
+	EventCount    int           // number of events of the text so far
+	Stranded      bool          // only the weight version of the text keeps the item from running
+	TimeoutMillis int64         // time after the job's submission after which the item may expire
+	Age           time.Duration // since that submission, as this daemon knows it; not set by State
 }
 
 // OpenItems returns all open items in no particular order.
@@ -129,7 +131,7 @@
 				out = append(out, OpenItem{
 					ItemKey: ItemKey{j.job.ID, i.item().ID}, Host: j.job.Host, Path: i.item().Path, Service: j.service,
 					EventCount: i.eventCount, Stranded: s.isStranded(i),
-					DeadlineMillis: j.job.SubmittedMillis + j.job.TimeoutMillis,
+					TimeoutMillis: j.job.TimeoutMillis,
 				})
 			}
 		}
@@ -170,13 +172,12 @@
 	return out
 }
 
-// ForgetFinished removes jobs that were submitted before beforeMillis and have
-// ended or have all items listed, and streams that began before, to bound memory. Removed
-// ones are unknown afterwards.
-func (s *State) ForgetFinished(beforeMillis int64) {
-	maps.DeleteFunc(s.streams, func(_ api.RequestID, stream streamState) bool { return stream.atMillis < beforeMillis })
+// ForgetFinished removes old jobs that have ended or have all items listed, and old
+// streams, to bound memory. Removed ones are unknown afterwards.
+func (s *State) ForgetFinished(oldJob func(JobID) bool, oldStream func(api.RequestID) bool) {
+	maps.DeleteFunc(s.streams, func(id api.RequestID, _ streamState) bool { return oldStream(id) })
 	for id, j := range s.jobs {
-		if j.job.SubmittedMillis >= beforeMillis || (!j.ended && len(j.results) < len(j.items)) {
+		if (!j.ended && len(j.results) < len(j.items)) || !oldJob(id) {
 			continue
 		}
 		delete(s.jobs, id)
--- a/lib/batch/software_test.go
+++ b/lib/batch/software_test.go
@@ -93,7 +93,7 @@
 	_, _, err = f.StreamOrigin("s", "")
 	var unknown *UnknownStreamError
 	assert.Assert(t, errors.As(err, &unknown), "two versions began streams")
-	f.ForgetFinished(6)
+	f.forgetBefore(6)
 	_, _, err = f.StreamOrigin("s", "r1")
 	assert.Assert(t, errors.As(err, &unknown))
 }
--- a/server/jobreplica/checkpoint.go
+++ b/server/jobreplica/checkpoint.go
@@ -38,6 +38,7 @@
 		j.lastRenewals[id] = now
 	}
 	j.recent = newRecentRecords()
+	j.loadAges(m.checkpoint.Image, now)
 	for _, r := range m.checkpoint.Recent {
 		j.recent.add(r, now)
 		j.report(r)
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -147,6 +147,8 @@
 	checkpointedAt    time.Time // when this daemon last took a checkpoint, or its start
 	checkedAt         time.Time // when it last checked whether to
 	recent            recentRecords
+	jobAges           ages[batch.JobID]
+	streamAges        ages[api.RequestID]
 	lastRenewals      map[api.DaemonID]time.Time
 	unpublished       changes // since the last snapshot
 	rewardsPublished  bool    // the last published list of reward calls was not empty
@@ -188,6 +190,7 @@
 	jr.snapshot.Store(&Snapshot{})
 	jr.checkpointedAt = cfg.Now()
 	jr.recent = newRecentRecords()
+	jr.jobAges, jr.streamAges = make(ages[batch.JobID]), make(ages[api.RequestID])
 	jr.checkpoints = startCheckpointWriter(sys, stored, cfg, log)
 	const (
 		tick     = 100 * time.Millisecond // resolution of query deadlines
@@ -224,7 +227,7 @@
 // Tick ends expired queries and forgets old finished jobs.
 func (j *JobReplica) Tick(context.Context) {
 	j.answerPending()
-	j.state.ForgetFinished(j.cfg.Now().Add(-j.cfg.JobRetention).UnixMilli())
+	j.forgetFinished()
 }
 
 // Idle implements duty.Idler.
@@ -254,6 +257,9 @@
 		j.recent.add(r, j.cfg.Now())
 		j.report(r)
 		changed := j.state.Apply(at, r)
+		if changed {
+			j.noteAge(r)
+		}
 		j.noteChanges(r, changed)
 		if !j.lastFullRead.IsZero() {
 			j.logRecord(at, r, changed)
--- a/server/jobreplica/queries.go
+++ b/server/jobreplica/queries.go
@@ -92,6 +92,10 @@
 	var out []batch.OpenItem
 	err := j.query(ctx, 0, func(s *batch.State, _, _ bool) bool {
 		out = s.OpenItems()
+		now := j.cfg.Now()
+		for n := range out {
+			out[n].Age = j.jobAges.of(out[n].Job, now)
+		}
 		return true
 	})
 	if err != nil {
--- a/server/leasing/leasing_test.go
+++ b/server/leasing/leasing_test.go
@@ -114,7 +114,7 @@
 func TestItemOfRouteNotReadYetIsNotExpired(t *testing.T) {
 	m := newTestManager(t)
 	m.cfg.SweepInterval = 0
-	m.open = []batch.OpenItem{{ItemKey: batch.ItemKey{Job: "j", Item: "i"}, Host: "h", Path: "/new/x", DeadlineMillis: m.now.Add(time.Hour).UnixMilli()}}
+	m.open = []batch.OpenItem{{ItemKey: batch.ItemKey{Job: "j", Item: "i"}, Host: "h", Path: "/new/x", TimeoutMillis: time.Hour.Milliseconds()}}
 	expired := func() bool { return proposes[*batch.ItemExpired](t, m, 100*time.Millisecond) }
 	begin := m.now
 	m.view = m.view.ReadAt(begin.Add(-time.Second), time.Time{})
--- a/server/leasing/sweep.go
+++ b/server/leasing/sweep.go
@@ -37,9 +37,9 @@
 		if !leases.Responsible(m.cfg.Self, live, string(i.Job)) {
 			continue
 		}
-		if (unrouted[i.ItemKey] || now.UnixMilli() >= i.DeadlineMillis) && m.expired.due(i.ItemKey, now, m.cfg.ProposalTimeout) {
+		if (unrouted[i.ItemKey] || i.Age.Milliseconds() >= i.TimeoutMillis) && m.expired.due(i.ItemKey, now, m.cfg.ProposalTimeout) {
 			m.log.Info("item expiry proposed", zap.String("job", string(i.Job)), zap.String("item", string(i.Item)), zap.Bool("routed", !unrouted[i.ItemKey]),
-				zap.Uint64("config", v.Table.Version()), zap.Time("config_as_of", v.ConfigAsOf), zap.Int64("due_ms", i.DeadlineMillis))
+				zap.Uint64("config", v.Table.Version()), zap.Time("config_as_of", v.ConfigAsOf), zap.Duration("age", i.Age), zap.Int64("timeout_ms", i.TimeoutMillis))
 			m.propose(&batch.ItemExpired{Job: i.Job, Item: i.Item})
 		}
 		if r := rerouted[i.Job]; r != nil && m.rerouted.due(i.Job, now, m.cfg.ProposalTimeout) {
--- a/server/leasing/sweep_test.go
+++ b/server/leasing/sweep_test.go
@@ -50,7 +50,7 @@
 	m := newTestManager(t)
 	m.cfg.SweepInterval, m.cfg.Levels = 0, upgrade.Config{Silence: 40 * time.Second}
 	m.open = []batch.OpenItem{openItem("j", "i", "/x/1", "a")}
-	m.open[0].DeadlineMillis = m.now.Add(time.Hour).UnixMilli()
+	m.open[0].TimeoutMillis = time.Hour.Milliseconds()
 	m.snapshot.NextOffset = 9
 	m.snapshot.Daemons = map[api.DaemonID]batch.Daemon{"d": {RecordLevel: batch.RecordLevel}, "older": {}}
 	m.view = directory.NewView().Apply([]directory.Change{directory.ConfigChanged{Config: routes.Config{
