End the state of a daemon that skips a record of a later build

In a return to an earlier build its state then differs from the others' for good, and it goes on deciding.

Change: such a record makes the state partial until a checkpoint after it. Kinds from 128 on are for records that never change states. Builds before this one can't be changed.

Measured: TestRecordOfALaterBuildEndsTheState times out without the check (the state stays) and passes with it.

--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -18,11 +18,15 @@
 // Unwrap returns the cause.
 func (e *FormatError) Unwrap() error { return e.Cause }
 
-// unknownKindError reports a record kind without a decoder.
-type unknownKindError struct{ kind byte }
+// UnknownKindError reports a record of a kind that this build doesn't read.
+type UnknownKindError struct{ Kind byte }
 
 // Error implements error.
-func (e *unknownKindError) Error() string { return fmt.Sprintf("unknown kind %d", e.kind) }
+func (e *UnknownKindError) Error() string { return fmt.Sprintf("unknown kind %d", e.Kind) }
+
+// ChangesStates reports whether records of the kind may change states: the numbers from
+// 128 on are for kinds that never do, which any build may skip.
+func (e *UnknownKindError) ChangesStates() bool { return e.Kind > 0 && e.Kind < 128 }
 
 // The kinds of records. The numbers are stored: a retired one is not reused.
 const (
@@ -146,11 +150,11 @@
 // Decode is the inverse of Encode. Errors: *FormatError.
 func Decode(data []byte) (batch.Record, error) {
 	if len(data) == 0 {
-		return nil, &FormatError{Cause: &unknownKindError{}}
+		return nil, &FormatError{Cause: &UnknownKindError{}}
 	}
 	f, ok := decoders[data[0]]
 	if !ok {
-		return nil, &FormatError{Cause: &unknownKindError{kind: data[0]}}
+		return nil, &FormatError{Cause: &UnknownKindError{Kind: data[0]}}
 	}
 	r, err := f(data[1:])
 	if err != nil {
--- a/server/jobreplica/checkpoint.go
+++ b/server/jobreplica/checkpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/checkpoint"
 	"dotterelmount.example/lib/duty"
@@ -66,6 +67,21 @@
 	}
 }
 
+// checkKind ends the state after a record of a later build that may change states, as in a
+// return to an earlier build. Later checkpoints include what it changed. Those who write
+// such records stop once this daemon renews.
+func (j *JobReplica) checkKind(at batch.Offset, err error) {
+	var unknown *batchcodec.UnknownKindError
+	if !errors.As(err, &unknown) || !unknown.ChangesStates() {
+		return
+	}
+	j.lastReset.Store(uint64(at))
+	if !j.partial {
+		j.log.Warn("record of a later build: batch work stops until there is a checkpoint after it", zap.Uint64("offset", uint64(at)), zap.Uint8("kind", unknown.Kind))
+		j.becomePartial(j.cfg.Now())
+	}
+}
+
 // resetNext returns the offset before which checkpoints are void.
 func (j *JobReplica) resetNext() journal.Offset { return journal.Offset(j.lastReset.Load()) }
 
--- a/server/jobreplica/checkpoint_test.go
+++ b/server/jobreplica/checkpoint_test.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
+	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/checkpoint"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/journal"
@@ -361,3 +362,43 @@
 	assert.Assert(t, d.Snapshot().Partial)
 	assert.Equal(t, d.lastReset.Load(), uint64(0))
 }
+
+// Guards against a daemon of an earlier build that goes on beside others though it skipped a
+// record that changed their states. It takes the state from their next checkpoint. Kinds
+// that never change states are skipped.
+func TestRecordOfALaterBuildEndsTheState(t *testing.T) {
+	j, k := &trimmedJournal{}, &keyedTopic{}
+	d := startDaemon(t, "e", j, k, checkpoint.Policy{Silence: time.Hour})
+	j.add(alive("e"), leaseOf("u"))
+	j.addRaw(200)
+	j.add(alive("e"))
+	waitFor(t, "the skipped record", func() bool { return d.Snapshot().NextOffset == 4 && len(d.Snapshot().Upstreams) == 1 })
+	j.addRaw(127)
+	waitFor(t, "a partial state", func() bool { return d.Snapshot().Partial })
+	s := batch.New()
+	s.Apply(2, leaseOf("u"))
+	s.Apply(5, leaseOf("w"))
+	for _, next := range []journal.Offset{4, 5} {
+		c := replay.Checkpoint{Next: next, Image: s.Image()}
+		data, err := c.Encode()
+		assert.NilError(t, err)
+		records, _, err := checkpoint.Split(nil, next, data, 1000)
+		assert.NilError(t, err)
+		_, end, err := k.Newest(t.Context())
+		assert.NilError(t, err)
+		_, err = k.AppendAt(t.Context(), end, records)
+		assert.NilError(t, err)
+		if next == 4 {
+			duty.Sleep(t.Context(), 200*time.Millisecond)
+			assert.Assert(t, d.Snapshot().Partial, "this checkpoint is from before the record")
+		}
+	}
+	waitFor(t, "the state", func() bool { return !d.Snapshot().Partial && len(d.Snapshot().Upstreams) == 2 })
+}
+
+// addRaw adds a record of a kind.
+func (j *trimmedJournal) addRaw(kind byte) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.records = append(j.records, journal.Split([]byte{kind, 0x80}, 1<<20)...)
+}
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -141,7 +141,7 @@
 	lastFullRead      time.Time     // start of the last read that reached the end
 	followedSince     time.Time     // as in Snapshot
 	partial           bool          // as in Snapshot
-	lastReset         atomic.Uint64 // offset of the first record after the last StateReset; 0: none
+	lastReset         atomic.Uint64 // offset of the first record after the last one that ended all states here; 0: none
 	resetAt           time.Time     // when one was last applied or proposed
 	checkpoints       *checkpointWriter
 	checkpointedAt    time.Time // when this daemon last took a checkpoint, or its start
@@ -244,6 +244,7 @@
 		r, at, err := j.decoder.Add(res.firstOffset+journal.Offset(i), part)
 		if err != nil {
 			j.log.Warn("journal record ignored", zap.Uint64("offset", uint64(at)), zap.Error(err))
+			j.checkKind(at, err)
 		}
 		if r == nil {
 			continue
