--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -306,9 +306,11 @@
 
 // StateReset ends the states of all daemons: they go on with the state of Process, which
 // it stores as a checkpoint. It is appended only if no daemon has a state, after the journal
-// lost records that no checkpoint includes. The record does not change a State.
+// lost records that no checkpoint includes. It has no effect after a renewal of a daemon
+// beyond the offset After: that daemon may have a state. The record does not change a State.
 type StateReset struct {
 	Process string `msgpack:"p"`
+	After   Offset `msgpack:"a"`
 }
 
 func (*StateReset) record()            {}
--- a/server/jobreplica/checkpoint.go
+++ b/server/jobreplica/checkpoint.go
@@ -56,6 +56,10 @@
 // applyReset ends the state. The daemon that proposed the reset stores its own as a
 // checkpoint, from which all go on.
 func (j *JobReplica) applyReset(at batch.Offset, r *batch.StateReset) {
+	if j.lastRenewal > r.After {
+		j.log.Info("reset of the states without effect", zap.Uint64("offset", uint64(at)), zap.String("process", r.Process), zap.Uint64("renewed", uint64(j.lastRenewal)))
+		return
+	}
 	j.log.Warn("states reset", zap.Uint64("offset", uint64(at)), zap.String("process", r.Process))
 	j.lastReset.Store(uint64(at))
 	j.resetAt = j.cfg.Now()
@@ -109,7 +113,7 @@
 	switch {
 	case j.partial && now.Sub(j.resetAt) >= resetWait && j.cfg.Checkpoints.MayReset(m, j.followedSince, now):
 		j.resetAt = now
-		err := j.callbacks.Propose(&batch.StateReset{Process: j.cfg.Process})
+		err := j.callbacks.Propose(&batch.StateReset{Process: j.cfg.Process, After: j.appliedOffset})
 		j.log.Warn("reset of the states proposed", zap.Uint64("applied", uint64(j.appliedOffset)), zap.Error(err))
 	case !j.partial && j.cfg.Checkpoints.Due(j.cfg.Daemon, m, j.checkpointedAt, now):
 		j.checkpointedAt = now
--- a/server/jobreplica/checkpoint_test.go
+++ b/server/jobreplica/checkpoint_test.go
@@ -402,3 +402,49 @@
 	defer j.mu.Unlock()
 	j.records = append(j.records, journal.Split([]byte{kind, 0x80}, 1<<20)...)
 }
+
+// Guards against a reset that is appended late, when a daemon has a state again.
+func TestLateResetHasNoEffect(t *testing.T) {
+	j, k := &trimmedJournal{}, &keyedTopic{}
+	d := startDaemon(t, "e", j, k, checkpoint.Policy{Silence: time.Hour})
+	j.add(alive("e"), leaseOf("u"), &batch.StateReset{Process: "late/1", After: 0}, alive("e"))
+	waitFor(t, "the record", func() bool { return d.Snapshot().NextOffset == 4 })
+	assert.Assert(t, !d.Snapshot().Partial)
+	j.add(&batch.StateReset{Process: "f/1", After: 4})
+	waitFor(t, "the reset", func() bool { return d.Snapshot().Partial })
+}
+
+// A daemon that can't read the checkpoints reads the journal from its first record.
+func TestJournalIsReadWithoutCheckpoints(t *testing.T) {
+	j, k := &trimmedJournal{}, &keyedTopic{err: &journal.RefusedError{Op: "newest", Cause: &journal.EndError{}}}
+	d := startDaemon(t, "e", j, k, often)
+	j.add(alive("e"), leaseOf("u"))
+	waitFor(t, "the lease", func() bool { return len(d.Snapshot().Upstreams) == 1 && !d.Snapshot().Partial })
+}
+
+// Nobody can renew while the journal can't be read, so that this time doesn't count as
+// silence of those who may have a state.
+func TestOutageIsNoSilence(t *testing.T) {
+	j, k := &trimmedJournal{}, &keyedTopic{}
+	j.add(alive("old"))
+	j.expire()
+	blocked := &blockedJournal{trimmedJournal: j}
+	policy := checkpoint.Policy{Silence: 2 * time.Second}
+	d := &daemon{}
+	d.JobReplica = Start(duty.NewSystem(nil), blocked, k, Config{
+		Daemon: "e", Process: "e/1", RingSize: 64, ReadWait: 10 * time.Millisecond, ReadTimeout: time.Second, MinPageBytes: 128 << 10, MinReadInterval: time.Millisecond,
+		ReadsPerSecond: 1 << 20, RetryInterval: time.Millisecond, JobRetention: time.Minute, MaxResultBytes: 1 << 20, LoadInterval: 20 * time.Millisecond,
+		MaxRecordBytes: 200, MaxAppendBytes: 500, Checkpoints: policy, Now: time.Now,
+	}, Callbacks{
+		RunsChanged: func(map[batch.ItemKey]batch.Run, batch.Offset) {},
+		Propose:     func(r batch.Record) error { j.add(r); return nil },
+	}, zap.NewNop())
+	t.Cleanup(func() { assert.NilError(t, d.Stop(context.Background())) })
+	waitFor(t, "a partial state", func() bool { return d.Snapshot().Partial })
+	blocked.block(true)
+	duty.Sleep(t.Context(), 2500*time.Millisecond)
+	blocked.block(false)
+	duty.Sleep(t.Context(), 1200*time.Millisecond)
+	assert.Equal(t, d.lastReset.Load(), uint64(0))
+	waitFor(t, "a reset", func() bool { return d.lastReset.Load() > 0 })
+}
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -150,8 +150,9 @@
 	jobAges           ages[batch.JobID]
 	streamAges        ages[api.RequestID]
 	lastRenewals      map[api.DaemonID]time.Time
-	unpublished       changes // since the last snapshot
-	rewardsPublished  bool    // the last published list of reward calls was not empty
+	lastRenewal       batch.Offset // of any daemon
+	unpublished       changes      // since the last snapshot
+	rewardsPublished  bool         // the last published list of reward calls was not empty
 	daemonCount       atomic.Int64
 	idle              atomic.Bool // this daemon may not hold leases
 	pending           []*query
@@ -239,6 +240,9 @@
 		for d := range j.lastRenewals {
 			j.lastRenewals[d] = res.startedAt
 		}
+		if j.partial {
+			j.followedSince = res.startedAt // nobody could renew meanwhile
+		}
 	}
 	for i, part := range res.page.Records {
 		r, at, err := j.decoder.Add(res.firstOffset+journal.Offset(i), part)
@@ -251,7 +255,7 @@
 		}
 		switch r := r.(type) {
 		case *batch.DaemonAlive:
-			j.lastRenewals[r.Daemon] = j.cfg.Now()
+			j.lastRenewals[r.Daemon], j.lastRenewal = j.cfg.Now(), at
 		case *batch.StateReset:
 			j.applyReset(at, r)
 		}
--- a/server/jobreplica/reader.go
+++ b/server/jobreplica/reader.go
@@ -153,11 +153,11 @@
 	if ctx.Err() != nil {
 		return
 	}
+	r.loadDue, r.loadedAt = false, cfg.Now()
 	if err != nil {
-		r.handleFailure(ctx, err)
+		log.Warn("checkpoint not read", zap.Error(err))
 		return
 	}
-	r.loadDue, r.loadedAt = false, cfg.Now()
 	found, state, err := replay.LoadCheckpoint(records)
 	var missing *checkpoint.MissingError
 	if errors.As(err, &missing) {
