--- a/bench/hostedsoak/deployment.go
+++ b/bench/hostedsoak/deployment.go
@@ -49,6 +49,7 @@
 
 // deployment holds the running processes and stand-ins.
 type deployment struct {
+	builds             builds
 	runner             *proc.Runner
 	system             *duty.System
 	network            *links.Network
@@ -72,12 +73,13 @@
 func callerLinkName(i int) string { return "caller:" + daemonName(i) }
 
 // startDeployment starts all processes and waits until every daemon is ready.
-func startDeployment(ctx context.Context, r *proc.Runner, sameBuild bool) (*deployment, error) {
+func startDeployment(ctx context.Context, r *proc.Runner, b builds) (*deployment, error) {
 	d := &deployment{
+		builds: b,
 		runner: r, system: duty.NewSystem(nil), network: links.New(), store: platform.NewStore(),
 		client: &platform.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: memberThreads}}, Host: host},
 	}
-	d.operator = &operator{store: d.store, sameBuild: sameBuild}
+	d.operator = &operator{store: d.store, sameBuild: b.same}
 	d.operator.publish()
 	for i := range engineCount {
 		d.engines = append(d.engines, d.newServer(fmt.Sprintf("engine-%d", i+1), engineService, models...))
@@ -118,14 +120,6 @@
 	}
 }
 
-// retentionSetting is a line of the daemons' settings.
-func (d *deployment) retentionSetting() string {
-	if !d.operator.sameBuild {
-		return ""
-	}
-	return fmt.Sprintf("retention: %s\n", journalRetention)
-}
-
 const settingsTemplate = `daemon: %s
 data_centre: z1
 callers: %s
@@ -137,7 +131,8 @@
 lease_wait: 1s
 grace: %s
 fatal_invariants: true
-%s`
+retention: %s
+`
 
 func (d *deployment) startDaemon(i int) error {
 	listens, err := proc.FreeAddresses(4)
@@ -153,14 +148,14 @@
 		return err
 	}
 	file := filepath.Join(d.runner.OutDir(), daemonName(i)+".yaml")
-	content := fmt.Sprintf(settingsTemplate, daemonName(i), listens[0], listens[1], listens[2], store, listens[3], daemonIP(i), shutdownGrace, d.retentionSetting())
+	content := fmt.Sprintf(settingsTemplate, daemonName(i), listens[0], listens[1], listens[2], store, listens[3], daemonIP(i), shutdownGrace, journalRetention)
 	if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
 		return fmt.Errorf("settings of %s: %w", daemonName(i), err)
 	}
 	d.callerAddresses = append(d.callerAddresses, caller)
 	d.readinessAddresses = append(d.readinessAddresses, listens[1])
 	d.daemons = append(d.daemons, supervise.Start(d.system, &supervise.Process{
-		Runner: d.runner, Name: daemonName(i), Program: "dotterelmountd", Args: []string{"hosted", "--settings", file}, Address: listens[0],
+		Runner: d.runner, Name: daemonName(i), Program: d.builds.first(), Args: []string{"hosted", "--settings", file}, Address: listens[0],
 	}))
 	return nil
 }
--- a/bench/hostedsoak/main.go
+++ b/bench/hostedsoak/main.go
@@ -29,6 +29,8 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`number` that seeds the schedule"},
 			&cli.DurationFlag{Name: "duration", Value: 40 * time.Second, Usage: "`duration` of the fault schedule"},
 			&cli.BoolFlag{Name: "same-build", Usage: "all daemons are of this build: routes of jobs are moved and added, and some jobs are of one weight version"},
+			&cli.StringFlag{Name: "previous", Usage: "`directory` of an earlier build's dotterelmountd: all daemons begin with it and are replaced one after the other"},
+			&cli.BoolFlag{Name: "back", Usage: "with --previous: the daemons begin with this build and go back to the earlier one"},
 			&cli.BoolFlag{Name: "schedule", Usage: "print the schedule and exit"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -39,13 +41,17 @@
 				}
 				return nil
 			}
-			return run(ctx, c.String("bin"), c.String("out"), c.Uint64("seed"), faults, c.Bool("same-build"))
+			b, err := newBuilds(c.Bool("same-build"), c.String("previous"), c.Bool("back"))
+			if err != nil {
+				return err
+			}
+			return run(ctx, c.String("bin"), c.String("out"), c.Uint64("seed"), faults, b)
 		},
 	}
 }
 
 // run runs a schedule and prints the result, even if a part of the run failed.
-func run(ctx context.Context, bin, out string, seed uint64, faults []fault, sameBuild bool) error {
+func run(ctx context.Context, bin, out string, seed uint64, faults []fault, b builds) error {
 	if err := os.RemoveAll(out); err != nil {
 		return fmt.Errorf("output directory: %w", err)
 	}
@@ -55,7 +61,7 @@
 	}
 	defer runner.KillAll()
 	r := newResult(seed)
-	if err := runParts(ctx, runner, r, faults, sameBuild); err != nil {
+	if err := runParts(ctx, runner, r, faults, b); err != nil {
 		r.Errorf("%v", err)
 	}
 	line, err := json.Marshal(r)
--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -24,10 +24,10 @@
 // runParts starts the deployment, runs load and faults, stops the deployment and
 // evaluates the run. If the deployment doesn't start, it returns the error and
 // skips the rest.
-func runParts(ctx context.Context, runner *proc.Runner, r *Result, faults []fault, sameBuild bool) error {
+func runParts(ctx context.Context, runner *proc.Runner, r *Result, faults []fault, b builds) error {
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	d, err := startDeployment(starting, runner, sameBuild)
+	d, err := startDeployment(starting, runner, b)
 	if err != nil {
 		return err
 	}
@@ -89,7 +89,9 @@
 			t.run(ctx, loadCtx)
 		})
 	}
+	replaced := j.replaceBuilds(ctx, faults[len(faults)-1].Start)
 	j.run(ctx, faults)
+	replaced.Wait()
 	duty.Sleep(ctx, calmTime)
 	limits := limitServers(ctx, d)
 	duty.Sleep(ctx, calmTime)
--- a/bench/hostedsoak/soak_test.go
+++ b/bench/hostedsoak/soak_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"dotterelmount.example/api"
 	"dotterelmount.example/standin/platform"
 	"gotest.tools/v3/assert"
 )
@@ -111,3 +112,17 @@
 	}}
 	assert.Equal(t, j.storeUptime(begin).Round(100*time.Millisecond), 6*time.Second)
 }
+
+func TestBuildsOfTheDaemons(t *testing.T) {
+	b, err := newBuilds(true, "", false)
+	assert.NilError(t, err)
+	assert.Equal(t, b.first()+" "+b.last(), "dotterelmountd dotterelmountd")
+	b, err = newBuilds(false, "/old", false)
+	assert.NilError(t, err)
+	assert.Equal(t, b.first()+" "+b.last(), "/old/dotterelmountd dotterelmountd")
+	b, err = newBuilds(false, "/old", true)
+	assert.NilError(t, err)
+	assert.Equal(t, b.first()+" "+b.last(), "dotterelmountd /old/dotterelmountd")
+	_, err = newBuilds(true, "/old", false)
+	assert.Equal(t, api.CodeOf(err), api.CodeInvalid)
+}
--- a/bench/proc/proc.go
+++ b/bench/proc/proc.go
@@ -75,6 +75,14 @@
 // OutDir returns the directory with the output files.
 func (r *Runner) OutDir() string { return r.outDir }
 
+// path returns the path of a program: a name in the runner's directory, or an absolute path.
+func (r *Runner) path(program string) string {
+	if filepath.IsAbs(program) {
+		return program
+	}
+	return filepath.Join(r.binDir, program)
+}
+
 // Process is a started program.
 type Process struct {
 	Name    string
@@ -96,7 +104,7 @@
 		return nil, &StartError{Name: name, LogFile: p.LogFile, Cause: err}
 	}
 	stdout := newListenWriter(file)
-	p.cmd = exec.Command(filepath.Join(r.binDir, program), args...)
+	p.cmd = exec.Command(r.path(program), args...)
 	p.cmd.Stdout = stdout
 	p.cmd.Stderr = file
 	p.cmd.WaitDelay = outputDelay
@@ -144,7 +152,7 @@
 		return nil, &StartError{Name: name, LogFile: logFile, Cause: err}
 	}
 	defer func() { _ = file.Close() }()
-	cmd := exec.CommandContext(ctx, filepath.Join(r.binDir, program), args...)
+	cmd := exec.CommandContext(ctx, r.path(program), args...)
 	cmd.Stderr = file
 	out, err := cmd.Output()
 	_, _ = file.Write(out)
--- a/bench/supervise/supervise.go
+++ b/bench/supervise/supervise.go
@@ -32,7 +32,7 @@
 type Process struct {
 	Runner      *proc.Runner
 	Name        string
-	Program     string
+	Program     string // of the next run; changed by SetProgram
 	Args        []string
 	Address     string                // ip:port of every run; if empty, see Current
 	OnStart     func(context.Context) // called after each start; may be nil
@@ -69,7 +69,10 @@
 func (s *Process) runOnce(ctx context.Context) {
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	p, err := s.Runner.Start(startCtx, s.Name, s.Program, s.Args...)
+	s.mu.Lock()
+	program := s.Program
+	s.mu.Unlock()
+	p, err := s.Runner.Start(startCtx, s.Name, program, s.Args...)
 	if err != nil {
 		return // for example a port still in use; the output file has the reason
 	}
@@ -111,6 +114,13 @@
 	return s.current
 }
 
+// SetProgram changes the program of the runs after the current one.
+func (s *Process) SetProgram(program string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Program = program
+}
+
 // Signal sends a signal; endsProcess says whether the process is expected to exit
 // from it. It reports whether the signal was sent.
 func (s *Process) Signal(sig syscall.Signal, endsProcess bool) bool {
