--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -21,8 +21,9 @@
 	MaxAppendBytes int    `yaml:"call_bytes" validate:"min=1024"`   // maximum size of an append
 	// StoreReadsPerSecond is the store's limit on read calls over all daemons.
 	StoreReadsPerSecond int `yaml:"store_reads" validate:"min=10"`
-	// Retention is how long the store retains records. The daemon logs a warning
-	// at start if it is shorter than JobRetention.
+	// Retention is how long the store retains records. A checkpoint is written in each
+	// quarter of it. The daemon logs a warning at start if it is shorter than
+	// JobRetention.
 	Retention time.Duration `yaml:"retention" validate:"min=1s"`
 	// JobRetention is how long after its submission a finished job can be read.
 	JobRetention time.Duration `yaml:"remember" validate:"min=1s"`
