Read the change again: the series in lib/quarantine, the store's prefix in platform/

Found by reading the diff: the rule that excuses crashes of a series stood in the dispatcher, the prefix of keyed topics outside platform/, and two doc comments said what their functions don't do. The daemon decides and stores the same as before: same topic, same rule.

--- a/cmd/dotterelmountd/internal/hosted/history_test.go
+++ b/cmd/dotterelmountd/internal/hosted/history_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/platform/store"
 	"dotterelmount.example/standin/platform"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -94,3 +97,22 @@
 	assert.Equal(t, d.submit(d.daemons[1], "j", 1, 1).status, http.StatusAccepted)
 	d.checkTexts(d.results(d.daemons[0], "j", 2))
 }
+
+// A daemon that was stopped while another one wrote must not overwrite what that one wrote.
+func TestKeyedTopicIsAppendedOnlyAtItsEnd(t *testing.T) {
+	s := platform.NewStore()
+	defer s.Close()
+	topic := store.New(s.Address()).Keyed("t")
+	end, err := topic.AppendAt(t.Context(), 0, []journal.KeyedRecord{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}})
+	assert.NilError(t, err)
+	assert.Equal(t, end, journal.Offset(2))
+	_, err = topic.AppendAt(t.Context(), 0, []journal.KeyedRecord{{Key: "a", Value: []byte("late")}})
+	var moved *journal.EndError
+	assert.Assert(t, errors.As(err, &moved), "%v", err)
+	_, err = topic.AppendAt(t.Context(), end, []journal.KeyedRecord{{Key: "b"}})
+	assert.NilError(t, err)
+	got, end, err := topic.Newest(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, end, journal.Offset(3))
+	assert.DeepEqual(t, got, []journal.KeyedRecord{{Key: "a", Value: []byte("1")}})
+}
--- a/lib/batch/replay/checkpoint.go
+++ b/lib/batch/replay/checkpoint.go
@@ -13,7 +13,7 @@
 )
 
 // CheckpointTopic is the keyed topic of the checkpoints.
-const CheckpointTopic = "keyed.checkpoint"
+const CheckpointTopic = "checkpoint"
 
 // maxCheckpointBytes bounds a checkpoint before its compression.
 const maxCheckpointBytes = 64 << 20
--- a/lib/batch/replay/replay.go
+++ b/lib/batch/replay/replay.go
@@ -67,10 +67,10 @@
 }
 
 // Read replays a journal up to its current end and passes every applied record
-// to each. If its first records expired, it begins with the newest checkpoint, or with the
-// oldest record if there is none: daemons of earlier builds write none, and what it shows is
-// then incomplete. It returns the resulting state. Errors: those of the journal and of LoadCheckpoint,
-// *journal.TrimmedError if records after the checkpoint expired.
+// to each. If its first records expired, it begins with the newest checkpoint. Without one,
+// as in a deployment of an earlier build, it begins with the oldest record, and the state is
+// incomplete. It returns the resulting state. Errors: those of the journal and of
+// LoadCheckpoint, *journal.TrimmedError if records after the checkpoint expired.
 func Read(ctx context.Context, j journal.Journal, stored journal.Keyed, each func(Entry)) (*batch.State, error) {
 	state := batch.New()
 	var decoder Decoder
--- a/lib/checkpoint/checkpoint.go
+++ b/lib/checkpoint/checkpoint.go
@@ -60,9 +60,8 @@
 }
 
 // Split returns the records of a checkpoint, each of at most limit bytes, the head last.
-// before is the head of the checkpoint that it follows, nil if there is none; next and
-// data are as in Head. The parts of the one before the last that have no successor are
-// deleted. Errors: *TooLargeError.
+// before is the head of the checkpoint that it follows, nil if there is none; next is as
+// in Head. Errors: *TooLargeError.
 func Split(before *Head, next journal.Offset, data []byte, limit int) ([]journal.KeyedRecord, Head, error) {
 	h := Head{Next: next, Slot: slots[0], Bytes: len(data), Hash: xxhash.Sum64(data)}
 	if before != nil && before.Slot == slots[0] {
@@ -85,8 +84,8 @@
 	return append(out, journal.KeyedRecord{Key: headKey, Value: value}), h, nil
 }
 
-// Surplus returns records that delete the parts which a topic has of the slot of a head
-// beyond its parts.
+// Surplus returns records that delete parts left by an earlier, longer checkpoint in the
+// slot of a head. records are those that the topic has.
 func Surplus(records []journal.KeyedRecord, h Head) []journal.KeyedRecord {
 	var out []journal.KeyedRecord
 	for _, r := range records {
@@ -112,8 +111,8 @@
 	return len(records)
 }
 
-// Keys returns the records that a topic has after newer ones, without the values, which
-// Surplus doesn't need.
+// Keys returns the keys that a topic has, from its records and newer ones, as records for
+// Surplus, which needs no values.
 func Keys(records, newer []journal.KeyedRecord) []journal.KeyedRecord {
 	var out []journal.KeyedRecord
 	known := make(map[string]bool)
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -41,6 +41,22 @@
 	InSeries int
 }
 
+// ExcuseSeries counts the crashes that were in series. Those that were counted as alone,
+// which are listed in alone, count as shared. others lists the crashes without a request
+// of the fingerprint.
+func (e *Evidence) ExcuseSeries(alone, others []ledger.CrashRef) {
+	for _, c := range e.Crashes {
+		if !InSeries(c, others) {
+			continue
+		}
+		e.InSeries++
+		if e.Alone > 0 && slices.Contains(alone, c) {
+			e.Alone--
+			e.Shared++
+		}
+	}
+}
+
 // InSeries reports whether a crash under a fingerprint was one of a series: several
 // other upstreams crashed at about the same time without a request of the fingerprint,
 // so that the requests that ran are not likely to be the cause. others lists the
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -81,3 +81,13 @@
 	}
 	assert.Assert(t, !quarantine.InSeries(crash, []ledger.CrashRef{second}))
 }
+
+// Of three crashes, two are in series: the first counted as alone, the second as shared.
+func TestSeriesExcusesCrashes(t *testing.T) {
+	crashes := []ledger.CrashRef{{Upstream: "a", AtMillis: 10_000}, {Upstream: "b", AtMillis: 10_300}, {Upstream: "c", AtMillis: 60_000}}
+	e := quarantine.Evidence{StrikeState: ledger.StrikeState{Alone: 2, Shared: 1, Crashes: crashes}}
+	e.ExcuseSeries([]ledger.CrashRef{crashes[0], crashes[2]}, []ledger.CrashRef{{Upstream: "x", AtMillis: 10_600}, {Upstream: "y", AtMillis: 10_900}})
+	assert.Equal(t, e.InSeries, 2)
+	assert.Equal(t, e.Alone, 1)
+	assert.Equal(t, e.Shared, 2)
+}
--- a/server/dispatch/crash.go
+++ b/server/dispatch/crash.go
@@ -25,10 +25,9 @@
 	// not one of a series; maxSharedCrashes is the number if none is.
 	maxCrashes       = 2
 	maxSharedCrashes = 4
-	// attributionWait is how long a request that is to be refused after a crash
-	// is held before. Within it, the other daemons' strikes for the same crash
-	// and for the crashes of a series arrive: a probe, and the way through the log or
-	// from peer to peer.
+	// attributionWait is how long a request is held between a crash and its refusal.
+	// Meanwhile the other daemons' strikes arrive, for the same crash and for others of
+	// a series: a probe, and the way through the log or from peer to peer.
 	attributionWait = probeTimeout + 500*time.Millisecond
 )
 
--- a/server/dispatch/evidence.go
+++ b/server/dispatch/evidence.go
@@ -36,27 +36,11 @@
 		sum.LastMillis = max(sum.LastMillis, s.AtMillis)
 	}
 	if len(sum.Crashes) > 0 {
-		h.excuseSeries(f, &sum, alone)
+		sum.ExcuseSeries(alone, h.crashesWithout(f, sum.Crashes))
 	}
 	return sum
 }
 
-// excuseSeries counts the strikes that were in series. Those in alone, which were
-// counted as alone, count as shared.
-func (h *handler) excuseSeries(f api.Fingerprint, sum *quarantine.Evidence, alone []ledger.CrashRef) {
-	others := h.crashesWithout(f, sum.Crashes)
-	for _, c := range sum.Crashes {
-		if !quarantine.InSeries(c, others) {
-			continue
-		}
-		sum.InSeries++
-		if sum.Alone > 0 && slices.Contains(alone, c) {
-			sum.Alone--
-			sum.Shared++
-		}
-	}
-}
-
 // isLoggedAlone reports whether the log has only one strike for a crash, which was
 // reported as alone.
 func (h *handler) isLoggedAlone(c ledger.CrashRef) bool {
