Name customers, duties and the bounds of services in the core types

Cause: the configuration has keys, customers and bounds for the number of upstreams, and the platform takes calls of one daemon at a time; nothing read them.

Images of states have level 2, as an older build would lose a job's customer.

--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -54,6 +54,7 @@
 // Job is a batch job as submitted.
 type Job struct {
 	ID         JobID             `msgpack:"id"`
+	Customer   string            `msgpack:"cust,omitempty" json:",omitempty"` // who submitted it; empty: customers have no keys
 	Host       string            `msgpack:"host"`
 	Service    string            `msgpack:"svc"`
 	Model      api.ModelName     `msgpack:"model"`
--- a/lib/batch/image.go
+++ b/lib/batch/image.go
@@ -11,7 +11,7 @@
 
 // ImageLevel is the level of the images that this build writes and reads. A field that
 // another build would lose takes a new level.
-const ImageLevel = 1
+const ImageLevel = 2
 
 // Image is a complete state in encodable form, for checkpoints. It shares immutable data
 // with the state that it was taken from.
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -22,6 +22,9 @@
 	DataCentre api.DataCentre
 	Slots      int
 	Draining   bool
+	// Reclaimable is set if the platform may take the upstream away, with all others of its
+	// kind in its data centre.
+	Reclaimable bool
 	// Software is the version of the upstream's software. What two versions generate does
 	// not fit together.
 	Software string
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -25,6 +25,8 @@
 	Body       []byte
 	Route      *routes.Route
 	Service    string
+	Customer   string // whose key the request has; empty: none
+	Priority   int    // of the customer or the route; 0 is the most urgent
 	Arrived    time.Time
 	Deadline   time.Time // of the client, limited by the route's timeout
 	// Owed is set if the request belongs to an accepted job: it is repeated until it is
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -56,6 +56,8 @@
 	// SingleVersion requires that the whole text of an item is generated with one
 	// weight version.
 	SingleVersion bool
+	// Public routes take requests without a key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -95,21 +97,45 @@
 
 // Service is a set of interchangeable upstreams.
 type Service struct {
-	Name   string
-	Engine *Engine // nil: a plain service
+	Name      string
+	Engine    *Engine    // nil: a plain service
+	Autoscale *Autoscale // nil: the number of upstreams is not ours to decide
+}
+
+// Autoscale bounds the number of a service's upstreams that may be ordered.
+type Autoscale struct {
+	Min, Max int           // upstreams in each data centre, reclaimable ones included
+	BootTime time.Duration // from the order until a new upstream serves
+	// SpotPrice is the price of a reclaimable upstream as a fraction of that of others; 0:
+	// there are none.
+	SpotPrice float64
+	// Prices are the relative prices of an upstream for each data centre that may have some.
+	Prices map[api.DataCentre]float64
+}
+
+// Customer is a customer whose callers identify themselves by a key.
+type Customer struct {
+	Name string
+	Keys []string // in clear
+	// Priority takes precedence over that of the route; nil: the customer has none.
+	Priority *int
 }
 
-// Limits are the limits on requests.
+// Limits are the limits on requests. Zero values mean that there is no limit.
 type Limits struct {
-	MaxBodyBytes int64
+	MaxBodyBytes   int64
+	MaxHeaderBytes int           // of the request line and the headers
+	HeaderTimeout  time.Duration // from the start of a request to the end of its headers
+	IdleTimeout    time.Duration // of a connection between two requests
 }
 
 // Config is a version of the operator's configuration.
 type Config struct {
-	Version  uint64
-	Routes   []Route
-	Services []Service
-	Limits   Limits
+	Version   uint64
+	Routes    []Route
+	Services  []Service
+	Limits    Limits
+	Customers []Customer // empty: callers need no key
 }
 
 // Table looks up the routes and services of a configuration. It is immutable.
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -39,10 +39,30 @@
 	// ProcessorShare is the processor capacity of this host, in cores. Hosts with more
 	// run more of the batch jobs.
 	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
+	// Duties are the calls to the platform that one daemon at a time makes.
+	Duties Duties `yaml:"duties"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
 
+// Duties configures the calls to the platform that one daemon at a time makes.
+type Duties struct {
+	Address string `yaml:"address" validate:"omitempty,hostport"` // of the platform's API; empty: there are no duties
+	// Names are the duties that the platform asks for.
+	Names []string `yaml:"names"`
+	// CallsPerSecond is the platform's limit on the calls of all daemons together.
+	CallsPerSecond float64 `yaml:"calls_per_second" validate:"min=0"`
+	// FencesChecked is set if the platform refuses calls with a fencing token below the
+	// highest that it has seen.
+	FencesChecked bool `yaml:"fences_checked"`
+	// Lease is how long a daemon holds a duty after it has last renewed it.
+	Lease time.Duration `yaml:"lease" validate:"min=0s"`
+	// UsageWindow is the length of the windows in which usage is counted, and UsageDelay the
+	// time after the end of a window within which it must be reported.
+	UsageWindow time.Duration `yaml:"usage_window" validate:"min=0s"`
+	UsageDelay  time.Duration `yaml:"usage_delay" validate:"min=0s"`
+}
+
 // Defaults of a hosted daemon's settings.
 const (
 	DefaultMaxRecordBytes      = 256 << 10       // bytes
