--- a/lib/singleton/singleton.go
+++ b/lib/singleton/singleton.go
@@ -12,11 +12,15 @@
 type Term struct {
 	Duty  Duty
 	Fence uint64
-	// End is when the holder must have stopped, by the clock of this host that also counts
-	// the time in which it is suspended.
-	End time.Duration
+	// From is when the holder could make its first call: calls of earlier holders are not
+	// executed any more. End is when it must have stopped. Both are by the clock of this
+	// host that also counts the time in which it is suspended.
+	From, End time.Duration
 }
 
+// Covers reports whether calls may be made under the term at a time.
+func (t Term) Covers(now time.Duration) bool { return t.From <= now && now < t.End }
+
 // Terms knows the terms of this daemon. It is safe for concurrent use.
 type Terms interface {
 	// Current returns the term of a duty if this daemon holds it.
