--- a/lib/journal/journal.go
+++ b/lib/journal/journal.go
@@ -60,6 +60,16 @@
 	AppendAt(ctx context.Context, end Offset, records []KeyedRecord) (Offset, error)
 }
 
+// KeyedWriter is a Keyed that also takes records under no condition. It is safe for concurrent
+// use.
+type KeyedWriter interface {
+	Keyed
+	// Put appends the records together. After an *AmbiguousError it may be repeated, if the
+	// records take no effect twice: the first call may still be executed later. Errors:
+	// *RefusedError, *AmbiguousError.
+	Put(ctx context.Context, records []KeyedRecord) error
+}
+
 // EndError is returned by an append under the condition that the partition ends at an
 // offset, which it doesn't. It had no effect.
 type EndError struct{ Expected Offset }
--- a/lib/singleton/call.go
+++ b/lib/singleton/call.go
@@ -15,12 +15,6 @@
 	Count       int
 }
 
-// Usage is the number of requests of each customer that began to run in a window.
-type Usage struct {
-	Window int64 // number of the window
-	Counts map[string]int64
-}
-
 // Outcome is what became of a call to the platform that failed.
 type Outcome int
 
@@ -38,6 +32,8 @@
 	OutcomeBusy
 	// OutcomeRefused: the platform refused the call for another reason.
 	OutcomeRefused
+	// OutcomeEnded: the call was not made, because its term has ended.
+	OutcomeEnded
 )
 
 // String returns the outcome for log lines.
@@ -53,6 +49,8 @@
 		return "busy"
 	case OutcomeRefused:
 		return "refused"
+	case OutcomeEnded:
+		return "ended"
 	default:
 		return "unknown"
 	}
--- a/server/singleton/calls.go
+++ b/server/singleton/calls.go
@@ -8,11 +8,12 @@
 
 	"dotterelmount.example/lib/duty"
 	decision "dotterelmount.example/lib/singleton"
+	"dotterelmount.example/lib/usage"
 )
 
 // Platform is the platform's API. Errors: *decision.CallError.
 type Platform interface {
-	ReportUsage(ctx context.Context, t decision.Term, u decision.Usage) error
+	ReportUsage(ctx context.Context, t decision.Term, u usage.Report) error
 	Order(ctx context.Context, t decision.Term, o decision.UpstreamOrder) error
 }
 
@@ -44,7 +45,7 @@
 func (*TermEndedError) Error() string { return "the term of the duty has ended" }
 
 // ReportUsage implements Platform.
-func (c *Calls) ReportUsage(ctx context.Context, t decision.Term, u decision.Usage) error {
+func (c *Calls) ReportUsage(ctx context.Context, t decision.Term, u usage.Report) error {
 	return c.call(ctx, t, func() error { return c.platform.ReportUsage(ctx, t, u) })
 }
 
@@ -56,7 +57,7 @@
 func (c *Calls) call(ctx context.Context, t decision.Term, do func() error) error {
 	duty.Sleep(ctx, c.wait(t.Duty))
 	if now, ok := c.keepers.Current(t.Duty); !ok || now.Fence != t.Fence || ctx.Err() != nil {
-		return &decision.CallError{Op: string(t.Duty), Outcome: decision.OutcomeRefused, Cause: &TermEndedError{t}}
+		return &decision.CallError{Op: string(t.Duty), Outcome: decision.OutcomeEnded, Cause: &TermEndedError{t}}
 	}
 	err := do()
 	var e *decision.CallError
--- a/server/singleton/singleton.go
+++ b/server/singleton/singleton.go
@@ -54,6 +54,9 @@
 	// OnStamp is told of the time in another daemon's record that changed between two reads,
 	// the first of which began at after and the second ended at before, by Config.Boot.
 	OnStamp func(stamp time.Time, after, before time.Duration)
+	// Plausible reports whether another daemon's time, which it stored a moment ago, agrees with
+	// the time that this daemon knows.
+	Plausible func(stamp time.Time) bool
 }
 
 // Keepers keep the terms of this daemon.
@@ -151,10 +154,13 @@
 	rankAt  time.Time
 	leaving []leave
 	// Of the last record of another daemon: its time, and when its read began.
-	lapsed   bool // the term has run out
-	stamp    int64
-	stampAt  time.Duration
-	failedAt time.Duration // last call without a response that was counted
+	lapsed  bool // the term has run out
+	stamp   int64
+	stampAt time.Duration
+	// checkUntil is until when this daemon's time is compared with the holder's; 0: the
+	// comparison has not begun, negative: it has ended.
+	checkUntil time.Duration
+	failedAt   time.Duration // last call without a response that was counted
 }
 
 func newKeeper(cfg Config, deps Deps, d decision.Duty, log *zap.Logger) *keeper {
@@ -219,7 +225,9 @@
 func (k *keeper) Tick(ctx context.Context) { k.step(ctx) }
 
 // Idle implements duty.Idler.
-func (k *keeper) Idle() bool { return k.rank < 0 && !k.keeper.Holding() && len(k.leaving) == 0 }
+func (k *keeper) Idle() bool {
+	return k.rank < 0 && k.checkUntil < 0 && !k.keeper.Holding() && len(k.leaving) == 0
+}
 
 // step does what the decision asks for now.
 func (k *keeper) step(ctx context.Context) {
@@ -229,6 +237,8 @@
 		k.read(ctx)
 	case a.Append != nil:
 		k.append(ctx, a)
+	case k.checksTime():
+		k.read(ctx)
 	}
 	k.publish()
 	if !k.keeper.Holding() {
@@ -268,6 +278,9 @@
 		return
 	}
 	stored := decision.Stored{End: uint64(end)}
+	if len(records) == 0 {
+		k.checkUntil = -1 // nobody has held the duty
+	}
 	for _, r := range records {
 		if r.Key != string(k.name) {
 			continue
@@ -284,12 +297,35 @@
 	k.keeper.ReadDone(sent, now, stored)
 }
 
+// checksTime reports whether to read the record, only to compare this daemon's time with the
+// holder's. If they disagree, or the record is old, it is read until it changes, for a lease at
+// most.
+func (k *keeper) checksTime() bool {
+	now := k.cfg.Boot()
+	switch {
+	case k.checkUntil == 0:
+		k.checkUntil = now + k.cfg.Keeper.Lease
+		return true
+	case k.checkUntil < 0:
+		return false
+	case now >= k.checkUntil || k.keeper.Holding():
+		k.checkUntil = -1
+		return false
+	default:
+		return now-k.stampAt >= k.cfg.Keeper.RetryInterval
+	}
+}
+
 // noteStamp passes on the time in a record of another daemon that has changed since the last
 // read: the record was made between the two reads.
 func (k *keeper) noteStamp(millis int64, r *decision.Record, sent, now time.Duration) {
 	changed := k.stamp != 0 && millis > k.stamp
 	if changed && r.Process != k.cfg.Keeper.Process && !r.Released {
 		k.deps.OnStamp(time.UnixMilli(millis), k.stampAt, now)
+		k.checkUntil = -1
+	}
+	if millis == 0 || r.Released || k.deps.Plausible(time.UnixMilli(millis)) {
+		k.checkUntil = -1
 	}
 	k.stamp, k.stampAt = millis, sent
 }
--- a/server/singleton/singleton_test.go
+++ b/server/singleton/singleton_test.go
@@ -14,6 +14,7 @@
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/leases"
 	decision "dotterelmount.example/lib/singleton"
+	"dotterelmount.example/lib/usage"
 	"dotterelmount.example/server/jobreplica"
 	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
@@ -81,7 +82,7 @@
 	err    error
 }
 
-func (p *fakePlatform) ReportUsage(_ context.Context, t decision.Term, _ decision.Usage) error {
+func (p *fakePlatform) ReportUsage(_ context.Context, t decision.Term, _ usage.Report) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fences = append(p.fences, t.Fence)
@@ -112,6 +113,7 @@
 		Topic:        func(decision.Duty) journal.Keyed { return topic },
 		Snapshot:     func() *jobreplica.Snapshot { return &jobreplica.Snapshot{LastRenewals: renewals} },
 		LastFullRead: time.Now, Time: func() (time.Time, bool) { return time.Now(), true }, OnStamp: func(time.Time, time.Duration, time.Duration) {},
+		Plausible: func(time.Time) bool { return true },
 	}, zap.NewNop())
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -148,8 +150,8 @@
 		other = b
 	}
 	platform := &fakePlatform{}
-	assert.NilError(t, holder.Calls(platform).ReportUsage(t.Context(), term, decision.Usage{}))
-	err := other.Calls(platform).ReportUsage(t.Context(), term, decision.Usage{})
+	assert.NilError(t, holder.Calls(platform).ReportUsage(t.Context(), term, usage.Report{}))
+	err := other.Calls(platform).ReportUsage(t.Context(), term, usage.Report{})
 	var ended *TermEndedError
 	assert.Assert(t, errors.As(err, &ended), "%v", err)
 
@@ -161,7 +163,7 @@
 
 	// The platform refuses the fence: the term is given up at once, and a higher one acquired.
 	platform.err = &decision.CallError{Outcome: decision.OutcomeFenced, Cause: context.Canceled}
-	assert.Assert(t, other.Calls(platform).ReportUsage(t.Context(), next, decision.Usage{}) != nil)
+	assert.Assert(t, other.Calls(platform).ReportUsage(t.Context(), next, usage.Report{}) != nil)
 	now, ok := other.Current(metering)
 	assert.Assert(t, !ok || now.Fence > next.Fence)
 	_, third := await(t, next.Fence, other)
