Count the requests that began to run

Cause: usage is counted by the daemon that ran a request, which only the relay knows.

Change: the relay tells of each request of a customer that an upstream began to run, once: a plain one at its first attempt that may have run, a stream at its first event. Requests of jobs don't count, and what a peer runs counts there.

Result: tests by outcome of the attempts pass; nothing listens yet.

--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -44,6 +44,9 @@
 	// lost while a request with this content hash ran, or 0 if it got a response
 	// after all.
 	OnCrashes func(content uint64, lost int)
+	// OnBegan is told of each request of a customer that an upstream began to run, and when;
+	// nil: nobody is. It must not block.
+	OnBegan func(customer string, at time.Time)
 	// CrashConfirmation is the time within which a cut-off of this daemon is found out.
 	// Crashes are reported after it.
 	CrashConfirmation time.Duration
@@ -87,6 +90,10 @@
 	// waitingSince is when the job began to wait for a request limit; zero if it doesn't.
 	waitingSince time.Time
 	demanded     bool // counted as demand for an upstream with a limit
+	// beganAt is the start of the first attempt that may have run; counted is set once
+	// Config.OnBegan is told.
+	beganAt time.Time
+	counted bool
 }
 
 // attempt is one attempt at a job on one upstream.
@@ -115,8 +122,11 @@
 
 // Start starts the duties. view returns the current directory.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, exchanger opaque.Exchanger, view func() *directory.View) *Relay {
+	if cfg.OnBegan == nil {
+		cfg.OnBegan = ignoreBegan
+	}
 	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), crashes: newCrashes()}
-	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
+	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, onBegan: cfg.OnBegan, now: cfg.Now, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
 	return r
@@ -288,6 +298,9 @@
 	j, stats := a.job, r.statsOf(a.upstream.ID)
 	stats.inFlight--
 	a.rejectLateResponse()
+	if a.err == nil {
+		r.noteBegan(a, true)
+	}
 	if a.err == nil && !isFailure(a.response) {
 		if !a.streamed {
 			stats.succeeded(now.Sub(a.startedAt)) // a stream's duration does not measure the upstream
@@ -320,11 +333,13 @@
 	if !errors.As(a.err, &e) {
 		a.job.mayHaveRun = true
 		a.job.runs++
+		r.noteBegan(a, false)
 		return
 	}
 	if e.Execution == opaque.ExecutionUnknown {
 		a.job.mayHaveRun = true
 		a.job.runs++
+		r.noteBegan(a, false)
 	}
 	if a.job.ctx.Err() == nil && !e.Busy {
 		stats.failed(now, r.cfg.Backoff, r.cfg.MaxBackoff)
@@ -359,6 +374,7 @@
 		rep.Err = nil
 	}
 	r.reportCrashes(j, rep)
+	r.countUncertain(j)
 	j.reply.Put(rep)
 }
 
@@ -371,6 +387,8 @@
 	forwarder  opaque.Forwarder
 	streams    StreamIndex
 	current    func() bool // Config.UpstreamsCurrent
+	onBegan    func(customer string, at time.Time)
+	now        func() time.Time
 	postResult func(context.Context, *attempt)
 }
 
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -27,6 +27,7 @@
 	// the stream that the request resumes; empty: no event was forwarded. One attempt
 	// at a time accesses it.
 	software string
+	counted  bool // worker.onBegan was told; accessed as software
 }
 
 // StreamIndex knows which software began the streams of all daemons. It is safe for
@@ -164,6 +165,7 @@
 			return
 		}
 		if err == nil {
+			w.countStream(a)
 			w.fixSoftware(ctx, a)
 			err = s.events.Push(ctx, event)
 		}
