Report usage from hosted daemons

Cause: the platform asks for a report of each window of usage by one daemon at a time.

Change: hosted daemons keep the terms of the duties that the settings name, count the requests of customers, and report them while they hold the duty; without a duty in the settings nothing is started, and without customers in the configuration nobody becomes a holder. A daemon that stops releases its terms and stores its counts.

--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -341,6 +341,11 @@
 	_ = n.readiness.Close()
 	_ = n.forwardServer.Shutdown(ctx)
 	_ = n.leaseManager.Stop(ctx)
+	if n.keepers != nil {
+		_ = n.keepers.Stop(ctx)
+		_ = n.reporter.Stop(ctx)
+		_ = n.meter.Stop(ctx)
+	}
 	_ = n.committer.Stop(ctx)
 	_ = n.runner.Stop(ctx)
 	_ = n.upkeep.Stop(ctx)
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -39,10 +39,12 @@
 	"dotterelmount.example/server/follow"
 	"dotterelmount.example/server/jobreplica"
 	"dotterelmount.example/server/leasing"
+	"dotterelmount.example/server/metering"
 	"dotterelmount.example/server/reachability"
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/singleton"
 	"dotterelmount.example/server/throttle"
 	"dotterelmount.example/server/upkeep"
 	"github.com/google/uuid"
@@ -74,11 +76,17 @@
 	upkeep         *upkeep.Upkeep
 	relay          *relay.Relay
 	rewards        *rewards.Caller
-	forwardClient  *forward.Client
-	forwardServer  *forward.Server // nil: this daemon takes no requests of others
-	callers        *http.Server
-	readiness      *http.Server
-	metrics        *http.Server
+	// keepers keep the terms of the platform's duties; dutyCalls makes the calls under them. Without
+	// duties, these and the next two are nil.
+	keepers       *singleton.Keepers
+	dutyCalls     *singleton.Calls
+	meter         *metering.Meter
+	reporter      *metering.Reporter
+	forwardClient *forward.Client
+	forwardServer *forward.Server // nil: this daemon takes no requests of others
+	callers       *http.Server
+	readiness     *http.Server
+	metrics       *http.Server
 	// stopping is set once Shutdown has begun: the daemon is not ready, and
 	// connections are closed after their response.
 	stopping atomic.Pointer[shutdown.Plan]
@@ -111,6 +119,7 @@
 	n.startWatcher(storeClient)
 	n.reachability.Start(n.system, n.serverClient, n.View)
 	process := fmt.Sprintf("%s/%s", s.Daemon, uuid.Must(uuid.NewV7()))
+	n.startDuties(storeClient, process)
 	n.startRelay(process)
 	n.startChunks(storeClient, process)
 	n.startJobs(storeClient, process)
@@ -256,6 +265,9 @@
 			n.handleLeaving(id, u.StartMillis)
 		}
 	}
+	if n.meter != nil {
+		cfg.OnBegan = n.meter.Began
+	}
 	cfg.Peers = relay.Peers{Links: n.reachability.State, List: n.reachingPeers, Forwarder: n.forwardClient, MaxTries: maxPeerTries}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
@@ -353,6 +365,7 @@
 	if err := n.rewards.Stop(ctx); err != nil {
 		n.log.Warn("stopping reward calls failed", zap.Error(err))
 	}
+	n.leaveDuties(ctx)
 	if err := n.leaseManager.Leave(); err != nil {
 		n.log.Warn("releasing leases failed", zap.Error(err))
 	}
@@ -361,6 +374,7 @@
 	if n.forwardServer != nil {
 		err = errors.Join(err, n.forwardServer.Shutdown(ctx))
 	}
+	n.flushMeter(ctx)
 	n.log.Info("stopped", zap.Error(err))
 	return errors.Join(err, n.log.Stop(ctx))
 }
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -3,22 +3,27 @@
 import (
 	"time"
 
+	"dotterelmount.example/lib/boottime"
 	"dotterelmount.example/lib/latency"
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/pace"
 	"dotterelmount.example/lib/reach"
 	scoring "dotterelmount.example/lib/rewards"
+	decision "dotterelmount.example/lib/singleton"
 	"dotterelmount.example/lib/upgrade"
+	"dotterelmount.example/lib/usage"
 	"dotterelmount.example/server/chunks"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
 	"dotterelmount.example/server/jobreplica"
 	"dotterelmount.example/server/leasing"
+	"dotterelmount.example/server/metering"
 	"dotterelmount.example/server/reachability"
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/singleton"
 	"dotterelmount.example/server/throttle"
 	"dotterelmount.example/server/upkeep"
 )
@@ -137,6 +142,33 @@
 	Roster: roster, Now: time.Now,
 }
 
+var keeperConfig = singleton.Config{
+	Keeper: decision.Config{
+		LateCalls: 6 * time.Second,                                               // the longest delay that the platform names for calls without a response
+		RankDelay: 300 * time.Millisecond, RetryInterval: 150 * time.Millisecond, // a healthy store responds within some milliseconds
+		FailureLimit: 3, Absence: 10 * time.Second, MaxAbsence: time.Minute,
+	},
+	Candidates: 3, // the loss of the first two at once is rare, and the live daemons are known a second later
+	Tick:       50 * time.Millisecond, IdleTick: time.Second, LeaveTimeout: time.Second, RankInterval: 500 * time.Millisecond,
+	Roster: roster, MaxReadAge: 2 * time.Second, Now: time.Now, Boot: boottime.Now,
+}
+
+var meterConfig = metering.MeterConfig{
+	Flushing: usage.Flushing{Interval: time.Second, PerSecond: 100}, // a fifth of the appends that a partition takes
+	RingSize: 4096, Tick: 100 * time.Millisecond, IdleTick: time.Second, CallTimeout: logCallTimeout, RetryInterval: 250 * time.Millisecond,
+	Now: time.Now, Boot: boottime.Now,
+}
+
+var reporterConfig = metering.ReporterConfig{
+	Reporting: usage.Reporting{
+		Grace: 1500 * time.Millisecond, // above the interval at which daemons store their counts
+		// Records of lost daemons are deleted by then, and nobody acts on a later report.
+		GiveUp:     3 * time.Minute,
+		RetryDelay: 250 * time.Millisecond, MaxRetryDelay: 2 * time.Second,
+	},
+	Tick: 100 * time.Millisecond, IdleTick: 500 * time.Millisecond, CallTimeout: logCallTimeout,
+}
+
 var relayConfig = relay.Config{
 	AttemptTimeouts: attemptTimeouts, Workers: 48, RingSize: 1024,
 	Backoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second, RetryAfter: retryAfter, Now: time.Now,
--- a/server/metering/meter.go
+++ b/server/metering/meter.go
@@ -17,6 +17,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/ring"
 	"dotterelmount.example/lib/usage"
 	"go.uber.org/zap"
 )
@@ -53,7 +54,7 @@
 	topic   journal.KeyedWriter
 	daemons func() int
 	log     *zap.Logger
-	duty    *duty.Duty[began]
+	duty    *duty.Duty[any]
 
 	counter *usage.Counter
 	number  uint64                // of the last record
@@ -62,16 +63,20 @@
 	failing bool
 }
 
-// began is a request that an upstream began to run.
-type began struct {
-	customer string
-	at       time.Time // true time
-}
+// Messages of a Meter.
+type (
+	// began is a request that an upstream began to run.
+	began struct {
+		customer string
+		at       time.Time // true time
+	}
+	flush struct{ done *ring.Slot[struct{}] }
+)
 
 // StartMeter starts the duty. daemons returns the number of live daemons.
 func StartMeter(sys *duty.System, cfg MeterConfig, clock *Clock, topic journal.KeyedWriter, daemons func() int, log *zap.Logger) *Meter {
 	m := &Meter{cfg: cfg, clock: clock, topic: topic, daemons: daemons, log: log, counter: usage.NewCounter(cfg.Flushing)}
-	m.duty = duty.Start(sys, duty.Config{Name: "usage-meter", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[began](m))
+	m.duty = duty.Start(sys, duty.Config{Name: "usage-meter", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[any](m))
 	return m
 }
 
@@ -89,9 +94,18 @@
 }
 
 // Handle implements duty.Handler.
-func (m *Meter) Handle(_ context.Context, b began) {
-	m.counter.Add(b.customer, b.at)
-	requestsCounted.Add(1)
+func (m *Meter) Handle(ctx context.Context, message any) {
+	switch message := message.(type) {
+	case began:
+		m.counter.Add(message.customer, message.at)
+		requestsCounted.Add(1)
+	case flush:
+		m.take(m.cfg.Boot())
+		if len(m.unsaved) > 0 {
+			m.save(ctx)
+		}
+		message.done.Put(struct{}{})
+	}
 }
 
 // Tick stores the counts if that is due.
@@ -110,14 +124,14 @@
 // Idle implements duty.Idler.
 func (m *Meter) Idle() bool { return m.counter.Empty() && len(m.unsaved) == 0 }
 
-// Stopped stores what is left, because the daemon stops.
-func (m *Meter) Stopped() {
-	ctx, cancel := context.WithTimeout(context.Background(), m.cfg.CallTimeout)
-	defer cancel()
-	m.take(m.cfg.Boot())
-	if len(m.unsaved) > 0 {
-		m.save(ctx)
+// Flush stores what is counted, because the daemon stops. It returns when that is stored or fails.
+func (m *Meter) Flush(ctx context.Context) {
+	done := ring.NewSlot[struct{}]()
+	if err := m.duty.Post(flush{done}); err != nil {
+		m.log.Warn("usage counts not stored at the stop", zap.Error(err))
+		return
 	}
+	_, _ = done.Wait(ctx) // the process ends anyway
 }
 
 // take moves the counts into records. Their keys are new, so that they add up, also if a call
@@ -155,7 +169,7 @@
 	m.failing, m.unsaved = false, nil
 }
 
-// Stop stops the duty after storing what is left. Errors: ctx.Err().
+// Stop stops the duty. Errors: ctx.Err().
 func (m *Meter) Stop(ctx context.Context) error { return m.duty.Stop(ctx) }
 
 // countsKey returns the key of a record with counts: window, process and number.
--- a/server/singleton/singleton.go
+++ b/server/singleton/singleton.go
@@ -49,6 +49,8 @@
 	Topic        func(d decision.Duty) journal.Keyed
 	Snapshot     func() *jobreplica.Snapshot
 	LastFullRead func() time.Time
+	// Wanted reports whether the configuration in force asks for a duty.
+	Wanted func(d decision.Duty) bool
 	// Time returns the true time, if this daemon knows it. The holder's is part of its record.
 	Time func() (time.Time, bool)
 	// OnStamp is told of the time in another daemon's record that changed between two reads,
@@ -226,7 +228,7 @@
 
 // Idle implements duty.Idler.
 func (k *keeper) Idle() bool {
-	return k.rank < 0 && k.checkUntil < 0 && !k.keeper.Holding() && len(k.leaving) == 0
+	return k.rank < 0 && k.checkUntil <= 0 && !k.keeper.Holding() && len(k.leaving) == 0
 }
 
 // step does what the decision asks for now.
@@ -256,7 +258,7 @@
 	}
 	k.rankAt, k.rank = now, -1
 	s := k.deps.Snapshot()
-	if now.Sub(k.deps.LastFullRead()) > k.cfg.MaxReadAge || s.Partial {
+	if now.Sub(k.deps.LastFullRead()) > k.cfg.MaxReadAge || s.Partial || !k.deps.Wanted(k.name) {
 		return
 	}
 	live := make(map[api.DaemonID]int)
@@ -303,6 +305,8 @@
 func (k *keeper) checksTime() bool {
 	now := k.cfg.Boot()
 	switch {
+	case k.checkUntil == 0 && !k.deps.Wanted(k.name):
+		return false
 	case k.checkUntil == 0:
 		k.checkUntil = now + k.cfg.Keeper.Lease
 		return true
--- a/server/singleton/singleton_test.go
+++ b/server/singleton/singleton_test.go
@@ -112,7 +112,7 @@
 	}, Deps{
 		Topic:        func(decision.Duty) journal.Keyed { return topic },
 		Snapshot:     func() *jobreplica.Snapshot { return &jobreplica.Snapshot{LastRenewals: renewals} },
-		LastFullRead: time.Now, Time: func() (time.Time, bool) { return time.Now(), true }, OnStamp: func(time.Time, time.Duration, time.Duration) {},
+		LastFullRead: time.Now, Wanted: func(decision.Duty) bool { return true }, Time: func() (time.Time, bool) { return time.Now(), true }, OnStamp: func(time.Time, time.Duration, time.Duration) {},
 		Plausible: func(time.Time) bool { return true },
 	}, zap.NewNop())
 	t.Cleanup(func() {
