Let work leave its data centre only for a gain

Cause: a request left its data centre as soon as two of its daemon's requests ran there, and leases, over which the texts of all jobs pass, were spread over daemons without regard to data centres.

Change: lib/locality decides both: requests by the response time that is expected here and elsewhere, leases by the load of the daemons. Settings locality.min_gain and locality.lease_excess; without them nothing changes.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/leases"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/reach"
@@ -174,6 +175,7 @@
 	leaseCfg := leaseManagerConfig
 	leaseCfg.Self, leaseCfg.StartMillis, leaseCfg.Capacity = self, startMillis, n.settings.Capacity()
 	leaseCfg.Address, leaseCfg.DataCentre = n.settings.PeerAddress, api.DataCentre(n.settings.DataCentre)
+	leaseCfg.Locality.LeaseExcess = n.settings.Locality.LeaseExcess
 	n.leaseManager = leasing.Start(n.system, leaseCfg, leasing.Deps{
 		Propose: n.propose, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, View: n.View, OpenItems: n.openItems, CutOff: n.reachability.CutOff,
 	}, n.log.Logger)
@@ -258,6 +260,9 @@
 	}
 	cfg.Peers = relay.Peers{Links: n.reachability.State, List: n.reachingPeers, Forwarder: n.forwardClient, MaxTries: maxPeerTries}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
+	if l := n.settings.Locality; l.MinGain > 0 {
+		cfg.Chooser.Locality = &locality.Policy{MinGain: l.MinGain, LeaseExcess: l.LeaseExcess}
+	}
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
 }
 
--- a/lib/leases/leases.go
+++ b/lib/leases/leases.go
@@ -12,6 +12,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/routes"
 	"github.com/cespare/xxhash/v2"
 )
@@ -24,6 +25,9 @@
 	// Capacity is the processor capacity of each daemon, in thousandths of a core. A
 	// daemon without an entry has defaultCapacity.
 	Capacity map[api.DaemonID]int
+	// DataCentres are those of the daemons.
+	DataCentres map[api.DaemonID]api.DataCentre
+	Locality    locality.Policy
 	// Held are the upstreams with a lease, valid or not.
 	Held []batch.Upstream
 	// Listed are the upstreams of the directory.
@@ -98,12 +102,17 @@
 }
 
 // nextDaemon returns the daemon whose turn it is to lease an upstream: the one with
-// the fewest upstreams for its capacity, without the skipped daemons at the head of
+// the fewest upstreams for its capacity, in the data centre of the upstream unless those there
+// have too many, without the skipped daemons at the head of
 // this order, which may have died without being detected yet.
 func (in *Input) nextDaemon(daemons []api.DaemonID, load map[api.DaemonID]int, id api.UpstreamID) api.DaemonID {
+	holderLoad := func(d api.DaemonID) float64 {
+		u := in.Listed[id]
+		return in.Locality.HolderLoad(load[d]+1, capacity(in.Capacity, d), u == nil || in.DataCentres[d] == u.DataCentre)
+	}
 	order := slices.SortedFunc(slices.Values(daemons), func(a, b api.DaemonID) int {
 		return cmp.Or(
-			cmp.Compare((load[a]+1)*capacity(in.Capacity, b), (load[b]+1)*capacity(in.Capacity, a)),
+			cmp.Compare(holderLoad(a), holderLoad(b)),
 			cmp.Compare(rendezvousHash(a, id), rendezvousHash(b, id)),
 		)
 	})
--- a/lib/leases/leases_test.go
+++ b/lib/leases/leases_test.go
@@ -7,6 +7,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/routes"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -89,3 +90,38 @@
 	got := Plan(Input{Self: "d", Live: live("d"), Held: held, Table: table})
 	assert.DeepEqual(t, got, []batch.Record{&batch.UpstreamRemoved{Upstream: "u", Daemon: "d"}})
 }
+
+// The texts of all jobs pass over the leases: they stay in the data centre of the upstream
+// unless its daemons have too many.
+func TestLeaseStaysInTheDataCentreUnlessItsDaemonsHaveTooMany(t *testing.T) {
+	holders := func(near, far int) map[api.DaemonID]int {
+		in := Input{
+			Live: make(map[api.DaemonID]bool), DataCentres: make(map[api.DaemonID]api.DataCentre), Table: table, Locality: locality.Policy{LeaseExcess: 1.5},
+			Listed: make(map[api.UpstreamID]*directory.Upstream),
+		}
+		for n := range near + far {
+			d, dc := api.DaemonID(fmt.Sprint("near", n)), api.DataCentre("a")
+			if n >= near {
+				d, dc = api.DaemonID(fmt.Sprint("far", n)), "b"
+			}
+			in.Live[d], in.DataCentres[d] = true, dc
+		}
+		for n := range 30 {
+			id := api.UpstreamID(fmt.Sprint("u", n))
+			in.Listed[id] = &directory.Upstream{ID: id, Service: "s", Slots: 4, DataCentre: "a"}
+		}
+		out := make(map[api.DaemonID]int)
+		for d := range in.Live {
+			in.Self = d
+			out[api.DaemonID(in.DataCentres[d])] += len(Plan(in))
+		}
+		return out
+	}
+	assert.DeepEqual(t, holders(4, 0), map[api.DaemonID]int{"a": 30})
+	assert.DeepEqual(t, holders(0, 3), map[api.DaemonID]int{"b": 30}) // the data centre has lost its daemons
+	got := holders(10, 10)
+	assert.Equal(t, got["a"]+got["b"], 30)
+	assert.Assert(t, got["a"] >= 18, "%v", got)
+	got = holders(1, 9)
+	assert.Assert(t, got["b"] >= 24, "one daemon can't hold them all: %v", got)
+}
--- a/lib/opaque/pick.go
+++ b/lib/opaque/pick.go
@@ -7,6 +7,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/routes"
 	"github.com/cespare/xxhash/v2"
 )
@@ -20,6 +21,8 @@
 	// Slow is true while responses take much longer than those of its peers.
 	Slow  bool
 	Tried bool // by the current request
+	// Expected is the time in which a request is expected to be answered; 0: unknown.
+	Expected time.Duration
 	// Wait is the expected time until the upstream's request limit allows the request.
 	// TooLate is set if it can't be answered in time then.
 	Wait    time.Duration
@@ -33,8 +36,30 @@
 	// BusyThreshold is the number of requests in flight from which another
 	// upstream is preferred over waiting for a free connection.
 	BusyThreshold int
+	// Locality decides which requests leave the data centre; nil: those for which an upstream
+	// elsewhere has fewer requests in flight.
+	Locality *locality.Policy
 }
 
+// PickFor is Pick for a request with a latency target, which stays in the data centre unless
+// it gains enough by leaving it.
+func (c Chooser) PickFor(target time.Duration, candidates []Candidate) (Candidate, bool) {
+	best, ok := c.Pick(candidates)
+	if !ok || c.Locality == nil || c.isLocal(best) || c.rank(best) > maxSoundRank {
+		return best, ok
+	}
+	local, ok := c.Pick(slices.DeleteFunc(slices.Clone(candidates), func(a Candidate) bool { return !c.isLocal(a) }))
+	if !ok || c.rank(local) > maxSoundRank || c.Locality.Leaves(local.Expected, best.Expected, target) {
+		return best, true
+	}
+	return local, true
+}
+
+func (c Chooser) isLocal(a Candidate) bool { return a.Upstream.DataCentre == c.DataCentre }
+
+// maxSoundRank is the highest rank of upstreams that can take a request now.
+const maxSoundRank = 1
+
 // rank returns the rank of a candidate; lower ranks are preferred.
 func (c Chooser) rank(a Candidate) int {
 	switch {
--- a/lib/opaque/pick_test.go
+++ b/lib/opaque/pick_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/routes"
 	"gotest.tools/v3/assert"
 )
@@ -37,3 +38,24 @@
 	_, ok = StartDelay(q, now, time.Millisecond, 0, 0)
 	assert.Assert(t, !ok, "this daemon has no share")
 }
+
+func TestRequestLeavesItsDataCentreOnlyForAGain(t *testing.T) {
+	c := Chooser{Daemon: "d", DataCentre: "here", BusyThreshold: 2, Locality: &locality.Policy{MinGain: 0.2}}
+	const target = 150 * time.Millisecond
+	local := Candidate{Upstream: &directory.Upstream{ID: "local", DataCentre: "here"}, InFlight: 3, Expected: 40 * time.Millisecond}
+	remote := Candidate{Upstream: &directory.Upstream{ID: "remote", DataCentre: "there"}, Expected: 25 * time.Millisecond}
+	pick := func(local Candidate) string {
+		got, ok := c.PickFor(target, []Candidate{local, remote})
+		assert.Assert(t, ok)
+		return string(got.Upstream.ID)
+	}
+	assert.Equal(t, pick(local), "local", "it gains too little")
+	slow := local
+	slow.Slow, slow.Expected = true, 80*time.Millisecond
+	assert.Equal(t, pick(slow), "remote")
+	failing := local
+	failing.BackingOff = true
+	assert.Equal(t, pick(failing), "remote")
+	c.Locality = nil
+	assert.Equal(t, pick(local), "remote", "without a policy the number in flight decides")
+}
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -40,7 +40,8 @@
 	// run more of the batch jobs.
 	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
 	// Duties are the calls to the platform that one daemon at a time makes.
-	Duties Duties `yaml:"duties"`
+	Duties   Duties   `yaml:"duties"`
+	Locality Locality `yaml:"locality"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
@@ -63,6 +64,16 @@
 	UsageDelay  time.Duration `yaml:"usage_delay" validate:"min=0s"`
 }
 
+// Locality configures which work leaves its data centre. The zero value lets all work leave it.
+type Locality struct {
+	// MinGain is the fraction of its latency target by which a request must be answered
+	// earlier in another data centre.
+	MinGain float64 `yaml:"min_gain" validate:"min=0,max=100"`
+	// LeaseExcess is how many times as loaded as others the daemons of a data centre must be
+	// before one elsewhere takes the lease on an upstream there.
+	LeaseExcess float64 `yaml:"lease_excess" validate:"min=0,max=100"`
+}
+
 // Defaults of a hosted daemon's settings.
 const (
 	DefaultMaxRecordBytes      = 256 << 10       // bytes
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -14,6 +14,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/leases"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/upgrade"
 	"dotterelmount.example/server/jobreplica"
 	"go.uber.org/zap"
@@ -30,6 +31,8 @@
 	// Address is where this daemon takes requests of others, ip:port; empty: nowhere.
 	Address    string
 	DataCentre api.DataCentre
+	// Locality decides when the lease of an upstream leaves its data centre.
+	Locality locality.Policy
 	// TurnTimeout is how long each daemon in turn may take to acquire an upstream
 	// before the next daemon may.
 	TurnTimeout time.Duration
@@ -165,7 +168,11 @@
 	if v.Table == nil {
 		return
 	}
-	in := leases.Input{Self: m.cfg.Self, Live: live, Capacity: s.Capacity, Held: s.Upstreams, Listed: v.Upstreams, Table: v.Table}
+	in := leases.Input{Self: m.cfg.Self, Live: live, Capacity: s.Capacity, Held: s.Upstreams, Listed: v.Upstreams, Table: v.Table, Locality: m.cfg.Locality}
+	in.DataCentres = make(map[api.DaemonID]api.DataCentre, len(live))
+	for d := range live {
+		in.DataCentres[d] = s.Daemons[d].DataCentre
+	}
 	in.SkippedTurns = m.skippedTurns(leases.Unheld(in), now)
 	for _, r := range m.confirmRemovals(leases.Plan(in), v, now) {
 		id := upstreamOf(r)
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -233,7 +233,7 @@
 	}
 	candidates := r.candidates(j, now)
 	r.setWaits(j, candidates, now)
-	chosen, ok := r.cfg.Chooser.Pick(candidates)
+	chosen, ok := r.cfg.Chooser.PickFor(q.Route.LatencyTarget, candidates)
 	if !ok || (chosen.Tried && !j.request.Route.Repeatable() && j.mayHaveRun) {
 		r.finish(j, reply{Err: elsewhere(j.failure("no upstream available for service "+q.Service, false, r.cfg.RetryAfter))})
 		return
@@ -290,7 +290,7 @@
 	a.rejectLateResponse()
 	if a.err == nil && !isFailure(a.response) {
 		if !a.streamed {
-			stats.succeeded(now.Sub(a.startedAt)) // a stream's duration does not measure the upstream
+			stats.succeeded(now.Sub(a.startedAt), now) // a stream's duration does not measure the upstream
 		} else {
 			stats.consecutiveFailures = 0
 		}
--- a/server/relay/stats.go
+++ b/server/relay/stats.go
@@ -5,6 +5,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/directory"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/opaque"
 	"github.com/cespare/xxhash/v2"
 )
@@ -15,9 +16,11 @@
 	consecutiveFailures int
 	backoffUntil        time.Time
 	latency             time.Duration // moving average over responses
+	respondedAt         time.Time     // when the newest response arrived
 }
 
 const (
+	maxLatencyAge    = 3 * time.Second       // of a mean latency that decides whether requests leave the data centre
 	latencySmoothing = 0.3                   // weight of the latest response in the average
 	slowFactor       = 2.5                   // an upstream is slow if its average exceeds the fastest one's by this factor
 	minSlowLatency   = 60 * time.Millisecond // an upstream with an average up to this is never slow
@@ -26,7 +29,8 @@
 	crashLimit       = 3                     // number of crashes from which a request is refused
 )
 
-func (s *upstreamStats) succeeded(took time.Duration) {
+func (s *upstreamStats) succeeded(took time.Duration, now time.Time) {
+	s.respondedAt = now
 	s.consecutiveFailures, s.backoffUntil = 0, time.Time{}
 	if s.latency == 0 {
 		s.latency = took
@@ -65,20 +69,32 @@
 			continue
 		}
 		s := r.statsOf(u.ID)
+		latency := r.latencyOf(s, now)
 		out = append(out, opaque.Candidate{
 			Upstream: u, InFlight: s.inFlight, BackingOff: now.Before(s.backoffUntil), Tried: j.tried[u.ID],
+			Expected: locality.Expected(latency, s.inFlight, u.Slots),
 		})
-		if s.latency > 0 && (fastest == 0 || s.latency < fastest) {
-			fastest = s.latency
+		if latency > 0 && (fastest == 0 || latency < fastest) {
+			fastest = latency
 		}
 	}
 	for i := range out {
-		l := r.statsOf(out[i].Upstream.ID).latency
+		l := r.latencyOf(r.statsOf(out[i].Upstream.ID), now)
 		out[i].Slow = l > minSlowLatency && float64(l) > slowFactor*float64(fastest)
 	}
 	return out
 }
 
+// latencyOf returns the mean latency of an upstream, 0 if it is unknown. With a locality
+// policy it is forgotten after a time, so that requests return to an upstream of their own data
+// centre that was slow once.
+func (r *Relay) latencyOf(s *upstreamStats, now time.Time) time.Duration {
+	if r.cfg.Chooser.Locality != nil && now.Sub(s.respondedAt) > maxLatencyAge {
+		return 0
+	}
+	return s.latency
+}
+
 // fingerprint returns a hash of a request's content, which is the same for all
 // retries by a caller.
 func fingerprint(q *opaque.Request) uint64 {
