Identify customers by their keys

Cause: a configuration with customers was ignored. A request with an unknown key ran, the key was passed on to the upstream, and no upstream learned whose request it ran. Anybody who knew the ID of a job could read and end it.

Change: lib/access decides from the configuration's customers whose request it is: 401 for a key that nobody has, 503 while the configuration is too old to tell, and, where the settings ask for it, 503 for keys that may have been taken away. The relay decides again before each attempt. Upstreams learn the customer of requests, items and reward calls, also if another daemon sends them, and get neither keys nor names that callers claim. A job belongs to its customer; another one's jobs, and texts of items with the same ID, don't exist for it. Routes are found by the slashes of the path rather than by a search of all routes of a host.

Without customers, requests and records are as before.

--- a/cmd/dotterelmountd/internal/hosted/deploy_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deploy_test.go
@@ -61,9 +61,20 @@
 	assert.Equal(t, h.JobRetention, 2*time.Minute)
 	assert.Equal(t, h.LeaseWait, 3*time.Second)
 	assert.Equal(t, h.Capacity(), 192)
+	assert.DeepEqual(t, h.Keys, settings.Keys{Revoke: settings.DefaultRevoke})
 	assert.Equal(t, h.Duties.Address, "", "there are no duties without an address")
 }
 
+func TestDeployTemplateHasKeys(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		v := values()
+		v["bounds.revoke_ms"], v["bounds.fail_closed"] = "4000", strconv.FormatBool(closed)
+		h, err := settings.ParseHosted(renderTemplate(t, v))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, h.Keys, settings.Keys{FailClosed: closed, Revoke: 4 * time.Second})
+	}
+}
+
 func TestDeployTemplateHasDuties(t *testing.T) {
 	v := values()
 	for name, value := range map[string]string{
--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -37,12 +37,13 @@
 	plain   []*platform.Server
 	daemons []*Node
 	started int
+	log     io.Writer // of daemons that start from now on
 }
 
 func newDeployment(t *testing.T, daemons int) *deployment {
 	t.Helper()
 	t.Parallel()
-	d := &deployment{t: t, store: platform.NewStore()}
+	d := &deployment{t: t, store: platform.NewStore(), log: os.Stdout}
 	t.Cleanup(d.store.Close)
 	d.configure(1)
 	for n := range 3 {
@@ -123,7 +124,7 @@
 		"daemon: d%d\ndata_centre: z1\ncallers: %s\nreadiness: %s\nmetrics: %s\nstore: %s\nlease_wait: 100ms\nupstream_source: 127.0.0.%d\npeers: %s\n%s",
 		d.started, freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), d.store.Address(), 10+d.started, freeAddress(d.t), more)))
 	assert.NilError(d.t, err)
-	n, err := Start(s)
+	n, err := start(s, d.log)
 	assert.NilError(d.t, err)
 	d.daemons = append(d.daemons, n)
 	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -90,11 +90,14 @@
 
 // Start starts a daemon. Errors: CodeInvalid for an address that can't be listened
 // on.
-func Start(s *settings.Hosted) (*Node, error) {
+func Start(s *settings.Hosted) (*Node, error) { return start(s, os.Stdout) }
+
+// start is Start with log lines written to w.
+func start(s *settings.Hosted, w io.Writer) (*Node, error) {
 	n := &Node{settings: s, serverClient: servers.New(s.UpstreamSource), forwardClient: forward.NewClient()}
 	n.stopEnd, n.endRequests = context.WithCancel(context.Background())
 	n.system = duty.NewSystem(n.onPanic)
-	n.log = loglines.Start(n.system, os.Stdout)
+	n.log = loglines.Start(n.system, w)
 	n.log.Logger = n.log.With(zap.String("daemon", s.Daemon))
 	invariant.OnViolation(n.onViolation)
 	n.log.Info("starting", zap.String("data_centre", s.DataCentre), zap.String("callers", s.CallerAddress), zap.String("store", s.StoreAddress))
@@ -252,6 +255,7 @@
 			n.log.Warn("reporting crashes during a request to other daemons failed", zap.Uint64("content", contentHash), zap.Error(err))
 		}
 	}
+	cfg.Keys = n.keyPolicy()
 	cfg.Limits, cfg.Streams, cfg.UpstreamsCurrent = n.throttle.Buckets(), &streamIndex{n}, n.watcher.UpstreamsCurrent
 	cfg.OnLeaving = func(id api.UpstreamID) {
 		if u := n.View().Upstreams[id]; u != nil {
@@ -277,11 +281,11 @@
 func (n *Node) serve() error {
 	h := entry.New(entry.Config{
 		Relay: n.relay, Jobs: &jobStore{n}, View: n.View, Ready: n.ready, Stopping: n.stopping.Load, StopEnd: n.stopEnd,
-		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, MaxConfigAge: maxConfigAge, Now: time.Now,
+		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, MaxConfigAge: maxConfigAge, Keys: n.keyPolicy(), Now: time.Now,
 	})
 	n.callers = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.readiness = &http.Server{Handler: h.Readiness(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	n.metrics = &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.metrics = &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/journal"
@@ -19,7 +20,10 @@
 
 // Submit implements entry.JobStore. A job is not accepted, and never will be, if
 // storing one of its bodies may have failed.
-func (j *jobStore) Submit(ctx context.Context, job *batch.Job, bodies []entry.ItemBodies) error {
+func (j *jobStore) Submit(ctx context.Context, by access.Caller, job *batch.Job, bodies []entry.ItemBodies) error {
+	if !j.mayHaveID(ctx, by, job.ID) {
+		return &opaque.NotRunError{Reason: "the id is that of another customer's job", RetryAfter: retryAfter}
+	}
 	var data [][]byte
 	var refs []*batch.ChunkRef // where the reference to each is kept
 	for i := range job.Items {
@@ -41,6 +45,16 @@
 	return j.commit(ctx, &batch.JobAccepted{Job: *job})
 }
 
+// mayHaveID reports whether a caller may submit a job under an ID. If the state isn't
+// complete, it may: of two jobs with one ID, the first record counts.
+func (j *jobStore) mayHaveID(ctx context.Context, by access.Caller, id batch.JobID) bool {
+	if by.Unrestricted {
+		return true
+	}
+	may, err := j.n.replica.Load().MaySubmit(ctx, by, id)
+	return may || err != nil
+}
+
 // tooLarge returns the error of a job whose part exceeds an append, nil for other errors.
 func (j *jobStore) tooLarge(err error) error {
 	var tooLarge *committer.TooLargeError
@@ -51,8 +65,8 @@
 }
 
 // End implements entry.JobStore.
-func (j *jobStore) End(ctx context.Context, id batch.JobID) error {
-	if err := j.n.replica.Load().CheckJob(ctx, id); err != nil {
+func (j *jobStore) End(ctx context.Context, by access.Caller, id batch.JobID) error {
+	if err := j.n.replica.Load().CheckJob(ctx, by, id); err != nil {
 		return err
 	}
 	return j.commit(ctx, &batch.JobEnded{ID: id})
@@ -81,8 +95,8 @@
 }
 
 // Results implements entry.JobStore.
-func (j *jobStore) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, []string, error) {
-	found, err := j.n.replica.Load().Results(ctx, id, from, wait)
+func (j *jobStore) Results(ctx context.Context, by access.Caller, id batch.JobID, from int, wait time.Duration) (batch.Results, []string, error) {
+	found, err := j.n.replica.Load().Results(ctx, by, id, from, wait)
 	if err != nil {
 		return found, nil, err
 	}
@@ -98,8 +112,8 @@
 }
 
 // ItemBody implements entry.JobStore.
-func (j *jobStore) ItemBody(ctx context.Context, id batch.JobID, item batch.ItemID) ([]byte, error) {
-	loc, err := j.n.replica.Load().ItemBody(ctx, id, item)
+func (j *jobStore) ItemBody(ctx context.Context, by access.Caller, id batch.JobID, item batch.ItemID) ([]byte, error) {
+	loc, err := j.n.replica.Load().ItemBody(ctx, by, id, item)
 	if err != nil {
 		return nil, err
 	}
--- a/front/forward/codec.go
+++ b/front/forward/codec.go
@@ -14,7 +14,7 @@
 		Id: string(q.ID), Method: q.Method, RequestUri: q.RequestURI, Host: q.Host, Headers: headersToProto(q.Headers), Body: q.Body,
 		Service: q.Service, Route: q.Route.Name, Kind: uint32(q.Route.Kind), Resumable: q.Route.Resumable, Attempts: uint32(max(0, q.Route.MaxAttempts)),
 		LatencyTargetMillis: millis(q.Route.LatencyTarget), LeftMillis: millis(left), Owed: q.Owed, ConfigVersion: q.ConfigVersion,
-		LastEvent: uint32(max(0, q.LastEvent)), Software: q.Software,
+		LastEvent: uint32(max(0, q.LastEvent)), Software: q.Software, Customer: q.Customer, Priority: int32(q.Priority),
 	}
 }
 
@@ -28,6 +28,7 @@
 		ID: api.RequestID(p.GetId()), Method: p.GetMethod(), RequestURI: p.GetRequestUri(), Host: p.GetHost(), Headers: headersFromProto(p.GetHeaders()),
 		Body: p.GetBody(), Service: p.GetService(), Arrived: now, Deadline: now.Add(duration(p.GetLeftMillis())), Owed: p.GetOwed(),
 		ConfigVersion: p.GetConfigVersion(), LastEvent: int(p.GetLastEvent()), Software: p.GetSoftware(), Forwarded: true,
+		Customer: p.GetCustomer(), Priority: int(p.GetPriority()),
 		Route: &routes.Route{
 			Name: p.GetRoute(), Kind: routes.Kind(p.GetKind()), Resumable: p.GetResumable(), MaxAttempts: int(p.GetAttempts()),
 			LatencyTarget:    duration(p.GetLatencyTargetMillis()),
--- a/front/forward/forward_test.go
+++ b/front/forward/forward_test.go
@@ -9,6 +9,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/forward/forwardpb"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/routes"
@@ -37,6 +38,7 @@
 	return &opaque.Request{
 		ID: "r", Method: "POST", RequestURI: "/a%2Fb?c", Host: "h", Headers: []opaque.HeaderField{{Name: "X-A", Value: "1"}, {Name: "X-A", Value: "2"}},
 		Body: []byte("body"), Service: "s", Deadline: time.Now().Add(2 * time.Second), LastEvent: 3, Software: "v1", ConfigVersion: 7,
+		Customer: "c", Priority: 2,
 		Route: &routes.Route{Name: "n", Kind: routes.KindStream, Resumable: true, MaxAttempts: 2, LatencyTarget: 150 * time.Millisecond},
 	}
 }
@@ -48,11 +50,14 @@
 		return &opaque.Response{Status: 404, Headers: q.Headers, Body: []byte("x"), Signature: "sig", Leaving: true}, "u", nil
 	})
 	want := newRequest()
+	want.Key = access.NewKey("k")
 	resp, upstream, err := NewClient().Forward(t.Context(), p, want, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, upstream, api.UpstreamID("u"))
 	assert.DeepEqual(t, resp, &opaque.Response{Status: 404, Headers: want.Headers, Body: []byte("x"), Signature: "sig", Leaving: true})
 	q := <-got
+	assert.Assert(t, q.Key.IsZero(), "the key stays with the daemon that checked it")
+	want.Key = access.Key{}
 	assert.Assert(t, time.Until(q.Deadline) <= 2*time.Second)
 	assert.Assert(t, q.Forwarded)
 	q.Deadline, q.Arrived, q.Forwarded, q.Route.WeightedServices = want.Deadline, want.Arrived, false, nil
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -33,6 +33,16 @@
 	return nil
 }
 
+// Customer returns whose job it is; empty: nobody's in particular. Errors:
+// *UnknownJobError.
+func (s *State) Customer(id JobID) (string, error) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return "", &UnknownJobError{ID: id}
+	}
+	return j.job.Customer, nil
+}
+
 // Results returns the results of a job from position from on, with at most
 // limit bytes of text but at least one result if there is one. Errors:
 // *UnknownJobError.
--- a/lib/batch/reward.go
+++ b/lib/batch/reward.go
@@ -11,7 +11,8 @@
 // has no score.
 type Reward struct {
 	ItemKey
-	Scorer *Scorer
+	Customer string // of the job
+	Scorer   *Scorer
 	// Daemon ran the item to its end; empty: unknown.
 	Daemon api.DaemonID
 	// Failures is the number of failure responses so far.
@@ -25,7 +26,7 @@
 		s.rewards = make([]Reward, 0, len(s.unscored))
 		for _, i := range s.unscored {
 			s.rewards = append(s.rewards, Reward{
-				ItemKey: ItemKey{i.job.job.ID, i.item().ID}, Scorer: i.item().Scorer, Daemon: i.rewardDaemon, Failures: i.rewardFailures,
+				ItemKey: ItemKey{i.job.job.ID, i.item().ID}, Customer: i.job.job.Customer, Scorer: i.item().Scorer, Daemon: i.rewardDaemon, Failures: i.rewardFailures,
 			})
 		}
 	}
--- a/lib/batch/reward_test.go
+++ b/lib/batch/reward_test.go
@@ -94,3 +94,21 @@
 	assert.Equal(t, f.Rewards()[1].Scorer.ID, "othera")
 	assert.Equal(t, len(f.Runs("d1")), 0, "no text is generated again")
 }
+
+// Guards against a customer that reads another one's text by submitting an item with its ID.
+func TestTextOfAnotherCustomerIsNotReused(t *testing.T) {
+	for customer, reused := range map[string]bool{"c1": true, "c2": false, "": false} {
+		f := newFixture(1, 4)
+		first, second := scoredJob("j1", "r", "a"), scoredJob("j2", "r", "a")
+		first.Customer, second.Customer = "c1", customer
+		f.add(&JobAccepted{Job: first})
+		f.finishText("j1", "a")
+		assert.Equal(t, f.Rewards()[0].Customer, "c1")
+		f.add(&ItemScored{Job: "j1", Item: "a", Score: "s"})
+		f.add(&JobAccepted{Job: second})
+		assert.Equal(t, len(f.results(t, "j2")) == 1, reused, customer)
+		owner, err := f.Customer("j2")
+		assert.NilError(t, err)
+		assert.Equal(t, owner, customer)
+	}
+}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -190,9 +190,10 @@
 
 // reuseText copies the text of the same item in an earlier job if the weight
 // versions that generated it are acceptable to the new job, and the score if the item
-// has the same reward call.
+// has the same reward call. A customer gets no text of another one.
 func (s *State) reuseText(i, earlier *itemState) {
-	if earlier == nil || earlier.eventCount == 0 || earlier.state == ItemErrored || earlier.job.job.Model != i.job.job.Model {
+	if earlier == nil || earlier.eventCount == 0 || earlier.state == ItemErrored || earlier.job.job.Model != i.job.job.Model ||
+		earlier.job.job.Customer != i.job.job.Customer {
 		return
 	}
 	if len(earlier.versions) == 0 || slices.Min(earlier.versions) < i.job.job.MinVersion || (i.job.job.SingleVersion && len(earlier.versions) > 1) {
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/routes"
 )
 
@@ -108,6 +109,7 @@
 // View is the state after a series of changes. It is immutable once published.
 type View struct {
 	Table             *routes.Table // nil before the first configuration
+	Customers         *access.Index // of Table; nil before the first configuration
 	AnnouncedVersions map[api.ModelName]api.WeightVersion
 	Upstreams         map[api.UpstreamID]*Upstream
 	// ConfigAsOf and UpstreamsAsOf are when the last read that reached the end of the feed
@@ -149,7 +151,7 @@
 // lower version than the current one are ignored.
 func (v *View) Apply(changes []Change) *View {
 	next := &View{
-		Table: v.Table, AnnouncedVersions: maps.Clone(v.AnnouncedVersions),
+		Table: v.Table, Customers: v.Customers, AnnouncedVersions: maps.Clone(v.AnnouncedVersions),
 		Upstreams: maps.Clone(v.Upstreams), newest: maps.Clone(v.newest),
 		leaving: maps.Clone(v.leaving), ConfigAsOf: v.ConfigAsOf, UpstreamsAsOf: v.UpstreamsAsOf,
 	}
@@ -157,7 +159,7 @@
 		switch c := c.(type) {
 		case ConfigChanged:
 			if next.Table == nil || c.Config.Version > next.Table.Version() {
-				next.Table = routes.NewTable(c.Config)
+				next.Table, next.Customers = routes.NewTable(c.Config), access.NewIndex(c.Config.Customers)
 			}
 		case WeightsAnnounced:
 			next.AnnouncedVersions[c.Model] = max(next.AnnouncedVersions[c.Model], c.Version)
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/routes"
 )
@@ -25,10 +26,13 @@
 	Body       []byte
 	Route      *routes.Route
 	Service    string
-	Customer   string // whose key the request has; empty: none
-	Priority   int    // of the customer or the route; 0 is the most urgent
-	Arrived    time.Time
-	Deadline   time.Time // of the client, limited by the route's timeout
+	// Key is the caller's key; zero: it needs none, or another daemon has checked it. It is
+	// not among Headers. Customer is whose key it is; empty: none.
+	Key      access.Key
+	Customer string
+	Priority int // of the customer or the route; 0 is the most urgent
+	Arrived  time.Time
+	Deadline time.Time // of the client, limited by the route's timeout
 	// Owed is set if the request belongs to an accepted job: it is repeated until it is
 	// done, and crashes of upstreams are not attributed to it.
 	Owed bool
@@ -134,6 +138,8 @@
 	RetryAfter time.Duration // delay after which the client may retry
 	// Elsewhere is set if another daemon may be able to run the request now.
 	Elsewhere bool
+	// KeyInvalid is set if the caller's key isn't valid any more.
+	KeyInvalid bool
 }
 
 // Error implements error.
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -141,19 +141,31 @@
 // Table looks up the routes and services of a configuration. It is immutable.
 type Table struct {
 	config   Config
-	byHost   map[string][]*Route // longest prefix first
+	byHost   map[string]*hostRoutes
 	services map[string]*Service
 }
 
+// hostRoutes are the routes of a host.
+type hostRoutes struct {
+	byPrefix   map[string]*Route // those with a prefix that ends with a slash
+	others     []*Route          // longest prefix first
+	publicJobs bool              // a route takes batch jobs without a key
+}
+
 // NewTable returns a table of the configuration.
 func NewTable(c Config) *Table {
-	t := &Table{config: c, byHost: make(map[string][]*Route), services: make(map[string]*Service)}
+	t := &Table{config: c, byHost: make(map[string]*hostRoutes), services: make(map[string]*Service)}
 	for i := range t.config.Routes {
 		r := &t.config.Routes[i]
-		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		h, ok := t.byHost[r.Host]
+		if !ok {
+			h = &hostRoutes{byPrefix: make(map[string]*Route)}
+			t.byHost[r.Host] = h
+		}
+		h.add(r)
 	}
-	for _, rs := range t.byHost {
-		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	for _, h := range t.byHost {
+		slices.SortStableFunc(h.others, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range t.config.Services {
 		s := &t.config.Services[i]
@@ -168,15 +180,49 @@
 // Limits returns the limits on requests.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
+// add adds a route. Of two with the same prefix, the first one counts.
+func (h *hostRoutes) add(r *Route) {
+	h.publicJobs = h.publicJobs || r.Public && r.Kind == KindBatch
+	if !strings.HasSuffix(r.Prefix, "/") {
+		h.others = append(h.others, r)
+		return
+	}
+	if _, ok := h.byPrefix[r.Prefix]; !ok {
+		h.byPrefix[r.Prefix] = r
+	}
+}
+
+// match returns the route with the longest prefix of path, or nil. The effort grows with
+// the number of slashes in the path, not with that of routes.
+func (h *hostRoutes) match(path string) *Route {
+	var found *Route
+	for end := len(path); end > 0 && found == nil; {
+		end = strings.LastIndexByte(path[:end], '/')
+		found = h.byPrefix[path[:end+1]]
+	}
+	for _, r := range h.others {
+		if (found == nil || len(r.Prefix) > len(found.Prefix)) && strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return found
+}
+
 // Match returns the route of the host with the longest prefix of path, or false if
 // there is none.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	for _, r := range t.byHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
-		}
+	h, ok := t.byHost[host]
+	if !ok {
+		return nil, false
 	}
-	return nil, false
+	r := h.match(path)
+	return r, r != nil
+}
+
+// PublicJobs reports whether a route of the host takes batch jobs without a key.
+func (t *Table) PublicJobs(host string) bool {
+	h, ok := t.byHost[host]
+	return ok && h.publicJobs
 }
 
 // Service returns the service with the given name.
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -39,6 +39,8 @@
 	// ProcessorShare is the processor capacity of this host, in cores. Hosts with more
 	// run more of the batch jobs.
 	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
+	// Keys says what holds for the keys of customers while the configuration can't be read.
+	Keys Keys `yaml:"keys"`
 	// Duties are the calls to the platform that one daemon at a time makes.
 	Duties   Duties   `yaml:"duties"`
 	Locality Locality `yaml:"locality"`
@@ -46,6 +48,14 @@
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
 
+// Keys configures what holds for the keys of customers while the configuration can't be read.
+type Keys struct {
+	// FailClosed refuses keys that may have been taken away Revoke or longer ago. Otherwise
+	// they stay valid until the configuration is read again.
+	FailClosed bool          `yaml:"fail_closed"`
+	Revoke     time.Duration `yaml:"revoke" validate:"min=0s"`
+}
+
 // Duties configures the calls to the platform that one daemon at a time makes.
 type Duties struct {
 	Address string `yaml:"address" validate:"omitempty,hostport"` // of the platform's API; empty: there are no duties
@@ -83,9 +93,10 @@
 	DefaultJobRetention        = 2 * time.Minute // must be within the store's retention
 	DefaultLeaseWait           = 3 * time.Second // exceeds the longest pause between a holder's lease checks
 	DefaultShutdownTimeout     = 8 * time.Second
-	DefaultLoadShare           = 1.0 / 5 // that many engines can load without slowing each other down
-	DefaultRunWorkers          = 96      // eight engines with twelve slots each
-	DefaultProcessorShare      = 1.0     // cores
+	DefaultLoadShare           = 1.0 / 5         // that many engines can load without slowing each other down
+	DefaultRunWorkers          = 96              // eight engines with twelve slots each
+	DefaultProcessorShare      = 1.0             // cores
+	DefaultRevoke              = 5 * time.Second // several reads of the configuration
 )
 
 // LoadHosted reads and validates a hosted daemon's settings file. Errors: as Load.
@@ -103,6 +114,7 @@
 	h := &Hosted{
 		MaxRecordBytes: DefaultMaxRecordBytes, MaxAppendBytes: DefaultMaxAppendBytes, StoreReadsPerSecond: DefaultStoreReadsPerSecond, Retention: DefaultRetention, JobRetention: DefaultJobRetention,
 		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, Workers: DefaultRunWorkers, ProcessorShare: DefaultProcessorShare,
+		Keys: Keys{Revoke: DefaultRevoke},
 	}
 	if err := decode(data, h); err != nil {
 		return nil, err
--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -190,7 +190,10 @@
 // logChanges logs the effects of changes.
 func (w *Watcher) logChanges(previous, next *directory.View, changes []directory.Change) {
 	if next.Table != previous.Table {
-		w.log.Info("configuration applied", zap.Uint64("version", next.Table.Version()))
+		w.log.Info("configuration applied", zap.Uint64("version", next.Table.Version()), zap.Bool("keys_required", next.Customers.Required()))
+		if ignored := next.Customers.Ignored(); len(ignored) > 0 {
+			w.log.Warn("entries of the configuration ignored", zap.Uint64("version", next.Table.Version()), zap.Strings("entries", ignored))
+		}
 	}
 	for _, c := range changes {
 		switch c := c.(type) {
--- a/server/jobreplica/ages_test.go
+++ b/server/jobreplica/ages_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/batch"
 	"gotest.tools/v3/assert"
 )
@@ -22,7 +23,7 @@
 	}
 	j.add(t, ended, open, &batch.JobEnded{ID: "ended"})
 	for range 15 { // ticks
-		got, err := replica.Results(t.Context(), "ended", 0, 0)
+		got, err := replica.Results(t.Context(), access.Anyone(), "ended", 0, 0)
 		assert.NilError(t, err)
 		assert.Assert(t, got.Ended)
 		items, err := replica.OpenItems(t.Context())
--- a/server/jobreplica/checkpoint_test.go
+++ b/server/jobreplica/checkpoint_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/batch/replay"
@@ -201,9 +202,9 @@
 	assert.Equal(t, s.Upstreams[0].Holder, api.DaemonID("d"))
 	assert.Equal(t, s.Upstreams[0].LeaseOffset, batch.Offset(2))
 	assert.Equal(t, second.crashCount(), 1)
-	a, err := first.Results(t.Context(), "j", 0, 0)
+	a, err := first.Results(t.Context(), access.Anyone(), "j", 0, 0)
 	assert.NilError(t, err)
-	b, err := second.Results(t.Context(), "j", 0, 0)
+	b, err := second.Results(t.Context(), access.Anyone(), "j", 0, 0)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, a, b)
 	assert.Equal(t, len(b.Results), 1)
@@ -242,9 +243,9 @@
 			assert.Equal(t, len(d.Snapshot().Upstreams), 0)
 			assert.Equal(t, d.runCount(), 0)
 			var partial *PartialError
-			_, err := d.Results(t.Context(), "j", 0, 0)
+			_, err := d.Results(t.Context(), access.Anyone(), "j", 0, 0)
 			assert.Assert(t, errors.As(err, &partial), "%v", err)
-			assert.Assert(t, errors.As(d.CheckJob(t.Context(), "j"), &partial))
+			assert.Assert(t, errors.As(d.CheckJob(t.Context(), access.Anyone(), "j"), &partial))
 			_, _, err = d.StreamOrigin(t.Context(), "s", "r")
 			assert.Assert(t, errors.As(err, &partial))
 		})
@@ -343,7 +344,7 @@
 	j.add(alive("d1"), leaseOf("u"))
 	for _, d := range daemons {
 		waitFor(t, "the lease", func() bool { return len(d.Snapshot().Upstreams) == 1 && !d.Snapshot().Partial })
-		r, err := d.Results(t.Context(), "j", 0, 0)
+		r, err := d.Results(t.Context(), access.Anyone(), "j", 0, 0)
 		assert.NilError(t, err)
 		assert.Equal(t, len(r.Results), 1)
 	}
--- a/server/jobreplica/jobreplica_test.go
+++ b/server/jobreplica/jobreplica_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/duty"
@@ -132,13 +133,13 @@
 func TestAbsenceIsReportedOnlyAtEndOfJournal(t *testing.T) {
 	j := &pagedJournal{pageSize: 8}
 	replica := start(t, j, func(map[batch.ItemKey]batch.Run) {})
-	_, err := replica.Results(t.Context(), "none", 0, 0)
+	_, err := replica.Results(t.Context(), access.Anyone(), "none", 0, 0)
 	assert.ErrorType(t, err, &batch.UnknownJobError{})
 	j.add(t, job("late", "a"))
-	r, err := replica.Results(t.Context(), "late", 0, 0)
+	r, err := replica.Results(t.Context(), access.Anyone(), "late", 0, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, r.Total, 1)
-	_, err = replica.ItemBody(t.Context(), "late", "z")
+	_, err = replica.ItemBody(t.Context(), access.Anyone(), "late", "z")
 	assert.ErrorType(t, err, &batch.UnknownItemError{})
 }
 
@@ -151,7 +152,7 @@
 		j.add(t, &batch.TextAdded{Job: "j", Item: "a", EventCount: 1, Done: true})
 	})
 	defer timer.Stop()
-	r, err := replica.Results(t.Context(), "j", 0, 5*time.Second)
+	r, err := replica.Results(t.Context(), access.Anyone(), "j", 0, 5*time.Second)
 	assert.NilError(t, err)
 	assert.Equal(t, len(r.Results), 1)
 	assert.Assert(t, time.Since(startedAt) < 3*time.Second)
@@ -222,10 +223,10 @@
 	j.add(t, job("j", "a", "b"), &batch.ItemExpired{Job: "j", Item: "a"}, &batch.ItemExpired{Job: "j", Item: "b"})
 	replica := start(t, j, func(map[batch.ItemKey]batch.Run) {})
 	var stale *StaleError
-	_, err := replica.Results(t.Context(), "j", 1, 0)
+	_, err := replica.Results(t.Context(), access.Anyone(), "j", 1, 0)
 	assert.Assert(t, errors.As(err, &stale), "%v", err)
 	j.showAll()
-	r, err := replica.Results(t.Context(), "j", 1, 0)
+	r, err := replica.Results(t.Context(), access.Anyone(), "j", 1, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, len(r.Results), 1)
 }
@@ -285,7 +286,7 @@
 	for n := range 300 {
 		j.add(t, &batch.TextAdded{Job: "j", Item: "a", RunStart: n, FirstEvent: n, EventCount: 1, Versions: []api.WeightVersion{1}})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(n%7)*300*time.Microsecond)
-		got, err := replica.Results(ctx, "j", 0, time.Second)
+		got, err := replica.Results(ctx, access.Anyone(), "j", 0, time.Second)
 		assert.Assert(t, err != nil || got.Total == 1)
 		_, _, err = replica.StreamOrigin(ctx, "s", "r")
 		assert.Assert(t, err != nil)
--- a/server/jobreplica/queries.go
+++ b/server/jobreplica/queries.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/batch"
 )
 
@@ -12,15 +13,27 @@
 // read to its end.
 const absenceWait = 800 * time.Millisecond
 
+// mayUse returns nil if the caller may use a job. A job of another customer doesn't exist
+// for it. Errors: *batch.UnknownJobError.
+func mayUse(s *batch.State, by access.Caller, id batch.JobID) error {
+	owner, err := s.Customer(id)
+	if err == nil && !by.MayUse(owner) {
+		err = &batch.UnknownJobError{ID: id}
+	}
+	return err
+}
+
 // Results returns a job's results starting at a position, and waits up to wait for
 // one. Errors: *batch.UnknownJobError, *StaleError when the journal was not read far
 // enough to know that there is no such job or result, *PartialError, ctx.Err().
-func (j *JobReplica) Results(ctx context.Context, id batch.JobID, from int, wait time.Duration) (batch.Results, error) {
+func (j *JobReplica) Results(ctx context.Context, by access.Caller, id batch.JobID, from int, wait time.Duration) (batch.Results, error) {
 	var out batch.Results
 	var failure error
 	startedAt := j.cfg.Now()
 	err := j.query(ctx, max(wait, absenceWait), func(s *batch.State, upToDate, expired bool) bool {
-		out, failure = s.Results(id, from, j.cfg.MaxResultBytes)
+		if failure = mayUse(s, by, id); failure == nil {
+			out, failure = s.Results(id, from, j.cfg.MaxResultBytes)
+		}
 		if failure != nil {
 			return j.confirmAbsent(&failure, upToDate, expired)
 		}
@@ -62,17 +75,36 @@
 // ItemBody returns the reference to an item's body. Errors: *batch.UnknownJobError,
 // *batch.UnknownItemError, *StaleError when that is not known in time, *PartialError,
 // ctx.Err().
-func (j *JobReplica) ItemBody(ctx context.Context, id batch.JobID, item batch.ItemID) (batch.ChunkRef, error) {
-	return find(ctx, j, func(s *batch.State) (batch.ChunkRef, error) { return s.ItemBody(id, item) })
+func (j *JobReplica) ItemBody(ctx context.Context, by access.Caller, id batch.JobID, item batch.ItemID) (batch.ChunkRef, error) {
+	return find(ctx, j, func(s *batch.State) (batch.ChunkRef, error) {
+		if err := mayUse(s, by, id); err != nil {
+			return batch.ChunkRef{}, err
+		}
+		return s.ItemBody(id, item)
+	})
 }
 
-// CheckJob returns nil if a job exists. Errors: *batch.UnknownJobError, *StaleError
-// when that is not known in time, *PartialError, ctx.Err().
-func (j *JobReplica) CheckJob(ctx context.Context, id batch.JobID) error {
-	_, err := find(ctx, j, func(s *batch.State) (struct{}, error) { return struct{}{}, s.CheckJob(id) })
+// CheckJob returns nil if a job exists that the caller may use. Errors:
+// *batch.UnknownJobError, *StaleError when that is not known in time, *PartialError,
+// ctx.Err().
+func (j *JobReplica) CheckJob(ctx context.Context, by access.Caller, id batch.JobID) error {
+	_, err := find(ctx, j, func(s *batch.State) (struct{}, error) { return struct{}{}, mayUse(s, by, id) })
 	return err
 }
 
+// MaySubmit reports whether a caller may submit a job under an ID, as far as the journal was
+// read: the ID isn't that of a job that the caller may not use. Errors: *PartialError,
+// ctx.Err().
+func (j *JobReplica) MaySubmit(ctx context.Context, by access.Caller, id batch.JobID) (bool, error) {
+	var may bool
+	err := j.query(ctx, 0, func(s *batch.State, _, _ bool) bool {
+		owner, err := s.Customer(id)
+		may = err != nil || by.MayUse(owner)
+		return true
+	})
+	return may && err == nil, err
+}
+
 // streamOrigin is the service and the version of the software that began a stream.
 type streamOrigin struct{ service, software string }
 
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
@@ -40,6 +41,8 @@
 	// UpstreamsCurrent reports whether the list of upstreams was read a short time ago.
 	UpstreamsCurrent func() bool
 	Peers            Peers
+	// Keys decides whether a request's key is still valid when an attempt begins.
+	Keys access.Policy
 	// OnCrashes reports to the other daemons how many connections to upstreams were
 	// lost while a request with this content hash ran, or 0 if it got a response
 	// after all.
@@ -220,6 +223,10 @@
 		r.finish(j, reply{Err: j.failure("the deadline passed", true, r.cfg.RetryAfter)})
 		return
 	}
+	if err := r.checkKey(j, now); err != nil {
+		r.finish(j, reply{Err: err})
+		return
+	}
 	if !q.Owed && r.crashes.refused(j.content, now) {
 		r.finish(j, reply{Err: j.failure("the request crashed several upstreams", false, crashRetryAfter)})
 		return
--- a/server/rewards/rewards.go
+++ b/server/rewards/rewards.go
@@ -167,7 +167,7 @@
 		if !c.callers.Idle() {
 			return
 		}
-		c.start(ctx, &next, routeOf[next.ItemKey], view.Table.Version(), now)
+		c.start(ctx, &next, routeOf[next.ItemKey], view, now)
 	}
 }
 
@@ -189,7 +189,7 @@
 }
 
 // start starts one call. The caller has checked for an idle caller duty.
-func (c *Caller) start(ctx context.Context, next *rewards.Candidate, route *routes.Route, config uint64, now time.Time) {
+func (c *Caller) start(ctx context.Context, next *rewards.Candidate, route *routes.Route, view *directory.View, now time.Time) {
 	index, ok := c.callers.Acquire()
 	if !ok {
 		return
@@ -199,7 +199,8 @@
 	k := &call{reward: next.Reward, caller: index, startedAt: now}
 	k.request = &opaque.Request{
 		ID: api.RequestID(next.Scorer.ID), Method: http.MethodPost, RequestURI: next.Scorer.Path, Host: next.Scorer.Host,
-		Route: &single, Service: next.Service, Arrived: now, ConfigVersion: config, Owed: true,
+		Route: &single, Service: next.Service, Arrived: now, ConfigVersion: view.Table.Version(), Owed: true,
+		Customer: next.Customer, Priority: view.Customers.Priority(next.Customer, route.Priority),
 	}
 	k.request.Deadline = now.Add(c.timeout(k.request, now))
 	k.ctx, k.cancel = context.WithDeadline(ctx, k.request.Deadline)
--- a/standin/platform/client.go
+++ b/standin/platform/client.go
@@ -18,6 +18,7 @@
 type Client struct {
 	HTTP *http.Client
 	Host string // Host header of the calls
+	Key  string // of a tenant; empty: the calls have none
 }
 
 // Call is one attempt to send a request.
@@ -68,6 +69,9 @@
 			request.Header.Set(name, value)
 		}
 	}
+	if c.Key != "" {
+		request.Header.Set("Authorization", "Token "+c.Key)
+	}
 	if call.LastEventID > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(call.LastEventID))
 	}
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -10,6 +10,15 @@
 	ItemTimeoutSeconds                    float64 // timeout of an item of a job; zero: the route is not for jobs
 	ResultTargetMillis                    int     // latency target of results; only on routes for jobs
 	SingleVersion                         bool    // one weight version generates the whole text of an item
+	Public                                bool    // the route takes requests without a key
+}
+
+// Tenant is a tenant of the operator's configuration, whose clients identify themselves by
+// one of its keys.
+type Tenant struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"api_keys"`
+	Priority int      `json:"priority"`
 }
 
 // Service is a service of the operator's configuration. If it has models, its
@@ -27,13 +36,14 @@
 	operatorTopic       = "keyed.op"
 )
 
-// PublishConfig publishes a version of the configuration as the operator does.
-func (s *Store) PublishConfig(version int, routes []Route, services []Service) {
+// PublishConfig publishes a version of the configuration as the operator does. Without
+// tenants, clients need no keys.
+func (s *Store) PublishConfig(version int, routes []Route, services []Service, tenants ...Tenant) {
 	routeRows := []map[string]any{}
 	for _, r := range routes {
 		row := map[string]any{
 			"name": r.Name, "host": r.Host, "path_prefix": r.PathPrefix, "type": r.Kind, "service": r.Service,
-			"timeout_ms": r.TimeoutMillis, "full_value_ms": r.LatencyTargetMillis, "attempts": r.Attempts, "resumable": r.Resumable,
+			"timeout_ms": r.TimeoutMillis, "full_value_ms": r.LatencyTargetMillis, "attempts": r.Attempts, "resumable": r.Resumable, "public": r.Public,
 		}
 		if r.ItemTimeoutSeconds > 0 {
 			row["max_queue_s"], row["result_target_ms"] = r.ItemTimeoutSeconds, r.ResultTargetMillis
@@ -53,9 +63,13 @@
 		}
 		serviceRows = append(serviceRows, row)
 	}
-	s.PutJSON(operatorTopic, "config", map[string]any{
+	config := map[string]any{
 		"version": version, "routes": routeRows, "services": serviceRows, "limits": map[string]any{"max_body_bytes": s.MaxBodyBytes},
-	})
+	}
+	if len(tenants) > 0 {
+		config["tenants"] = tenants
+	}
+	s.PutJSON(operatorTopic, "config", config)
 }
 
 // PublishVersion announces a model's next weight version as its trainer does.
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -69,8 +69,10 @@
 	RequestID     string
 	InstanceID    string
 	StartedAt     time.Time
-	LastEventID   int   // number of the last event that the caller has; zero: none
-	EventVersions []int // weight versions of the events generated
+	Tenant        string // as the daemon named it; empty: none
+	KeyShown      bool   // the request had credentials
+	LastEventID   int    // number of the last event that the caller has; zero: none
+	EventVersions []int  // weight versions of the events generated
 }
 
 // LoadOrder is an order to load a weight version that a server received.
@@ -337,7 +339,10 @@
 	busy, fault := s.loading && r.Header.Get("X-Model") != "" || s.fault == FaultBusy, s.fault
 	if !busy {
 		s.runCounts[id]++
-		s.arrivals = append(s.arrivals, Arrival{RequestID: id, InstanceID: s.ID, StartedAt: time.Now(), LastEventID: after})
+		s.arrivals = append(s.arrivals, Arrival{
+			RequestID: id, InstanceID: s.ID, StartedAt: time.Now(), LastEventID: after,
+			Tenant: strings.Join(r.Header.Values("X-Tenant"), ","), KeyShown: r.Header.Get("Authorization") != "",
+		})
 	}
 	run := len(s.arrivals) - 1
 	s.mu.Unlock()
