Show whose keys a daemon knows; describe keys

Change: dotterelmount hosted keys asks daemons, at /debug/keys of their metrics address, for their customers, the fingerprints of keys, the version of the configuration and its age. With fail_closed a read of the configuration waits for a quarter of the time within which a key must be refused at most.

--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -27,7 +27,7 @@
 
 func hostedCommand() *cli.Command {
 	return &cli.Command{
-		Name: "hosted", Usage: "read the state of a deployment on the users' platform from its store", Action: needsCommand,
+		Name: "hosted", Usage: "read the state of a deployment on the users' platform", Action: needsCommand,
 		Flags: []cli.Flag{&cli.StringFlag{
 			Name: flagStore, Usage: "`ip:port` of the platform's store", Sources: cli.EnvVars("DOTTERELMOUNT_STORE"),
 		}},
@@ -42,6 +42,7 @@
 			},
 			{Name: "upstreams", Usage: "list upstreams with their lease holders and weights", Action: withHistory(hostedUpstreams)},
 			{Name: "daemons", Usage: "list daemons with the configuration versions in force and the levels of records they read", Action: withHistory(hostedDaemons)},
+			hostedKeysCommand(),
 			{
 				Name: "audit", Usage: "print the records of jobs, leases and servers",
 				Flags:  []cli.Flag{&cli.StringFlag{Name: flagJob, Usage: "only records of the job with this `id`"}},
--- a/cmd/dotterelmount/hosted_test.go
+++ b/cmd/dotterelmount/hosted_test.go
@@ -3,14 +3,18 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/batch/replay"
 	"dotterelmount.example/lib/journal"
+	"dotterelmount.example/lib/routes"
 	"dotterelmount.example/platform/store"
 	platform "dotterelmount.example/standin/platform"
 	"gotest.tools/v3/assert"
@@ -73,3 +77,24 @@
 	_, err = runHosted(t, s.Address(), "jobs")
 	assert.Equal(t, exitCode(err), exitUnavailable, "%v", err)
 }
+
+func TestHostedKeys(t *testing.T) {
+	daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.URL.Path == access.ReportPath)
+		x := access.NewIndex([]routes.Customer{{Name: "c1", Keys: []string{"secret"}}, {Name: "c2", Keys: []string{"secret"}}})
+		assert.Check(t, json.NewEncoder(w).Encode(access.Report{Daemon: "d1", ConfigVersion: 7, Required: true, Customers: x.Report(), Ignored: x.Ignored()}))
+	}))
+	defer daemon.Close()
+	address := strings.TrimPrefix(daemon.URL, "http://")
+	for _, format := range []string{"json", "text"} {
+		var out bytes.Buffer
+		c := newCommand()
+		c.Writer = &out
+		assert.NilError(t, c.Run(t.Context(), []string{"dotterelmount", "--output", format, "hosted", "keys", "--metrics", address, "--metrics", address}))
+		assert.Equal(t, strings.Count(out.String(), "c1, which")+strings.Count(out.String(), "c2, which"), 2, out.String())
+		assert.Assert(t, strings.Contains(out.String(), access.NewKey("secret").Fingerprint()) && !strings.Contains(out.String(), "secret"), out.String())
+	}
+	daemon.Close()
+	err := newCommand().Run(t.Context(), []string{"dotterelmount", "hosted", "keys", "--metrics", address})
+	assert.Equal(t, exitCode(err), exitUnavailable, "%v", err)
+}
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -129,7 +129,11 @@
 func (n *Node) View() *directory.View { return n.watcher.View() }
 
 func (n *Node) startWatcher(storeClient *store.Client) {
-	n.watcher = follow.Start(n.system, watcherConfig, n.log.Logger, []follow.FeedConfig{
+	cfg := watcherConfig
+	if k := n.settings.Keys; k.FailClosed {
+		cfg.ReadWait = min(cfg.ReadWait, k.Revoke/readsPerRevoke)
+	}
+	n.watcher = follow.Start(n.system, cfg, n.log.Logger, []follow.FeedConfig{
 		{Name: "operator", Feed: feed.NewOperator(storeClient), MinReadInterval: operatorReadInterval, HasConfig: true},
 		{Name: "servers", Feed: feed.NewServers(storeClient), MinReadInterval: serversReadInterval, ListsUpstreams: true},
 	}, n.onViewChange)
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -44,6 +44,7 @@
 	logCallTimeout          = time.Second             // a healthy store responds within some milliseconds
 	maxPeerTries            = 3                       // of a request, if this daemon is cut off; a fifth of the daemons may just have died
 	checkpointsPerRetention = 4                       // three in a row may fail
+	readsPerRevoke          = 4                       // without one in its time, keys are refused
 	recordFraming           = 4 << 10                 // bytes; more than what a page holds besides its records
 )
 
