Charge crashes to the request at fault; pause items under which upstreams are lost

Cause: three connections lost under a request, for whatever reason, refused its content at all daemons for a minute, also that of a request that ran beside the one at fault and of other customers; after the minute it could crash three more upstreams. An item under which upstreams crashed took down the next one at once.

Change: lib/quarantine decides on the losses with their upstreams and times. RequestCrashed names the losses with their ages, and the customer is part of a request's fingerprint.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -26,6 +26,7 @@
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/reach"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/shutdown"
@@ -202,7 +203,7 @@
 		RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update,
 		RequestCrashed: func(r *batch.RequestCrashed) {
 			if r.Process != process {
-				n.relay.AddCrashes(r.ContentHash, r.UpstreamsLost)
+				n.relay.AddCrashes(r.ContentHash, lossesOf(r, time.Now()))
 			}
 		},
 		RequestLimitNamed: func(r *batch.RequestLimitNamed) { n.throttle.Record(r) },
@@ -244,8 +245,9 @@
 
 func (n *Node) startRelay(process string) {
 	cfg := relayConfig
-	cfg.OnCrashes = func(contentHash uint64, upstreamsLost int) {
-		r := &batch.RequestCrashed{ContentHash: contentHash, UpstreamsLost: upstreamsLost, Process: process}
+	cfg.OnCrashes = func(contentHash uint64, losses []quarantine.Loss) {
+		r := crashRecord(contentHash, losses, time.Now())
+		r.Process = process
 		if err := n.propose(r, crashReportTimeout); err != nil {
 			n.log.Warn("reporting crashes during a request to other daemons failed", zap.Uint64("content", contentHash), zap.Error(err))
 		}
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -151,6 +151,8 @@
 	Job          JobID          `msgpack:"job"`
 	Item         ItemID         `msgpack:"item"`
 	FromUpstream api.UpstreamID `msgpack:"from" json:"From"`
+	// UpstreamLost is set if the connection to the upstream was lost while the item ran.
+	UpstreamLost bool `msgpack:"l,omitempty" json:",omitempty"`
 }
 
 // Levels of records. A build skips the records of levels above its own, so that one is
@@ -254,6 +256,14 @@
 	ContentHash   uint64 `msgpack:"c" json:"Content"` // hash of the request's content
 	UpstreamsLost int    `msgpack:"n" json:"Lost"`    // 0: the request got a response
 	Process       string `msgpack:"p"`                // reporting process
+	// Losses are these upstreams. Builds that don't name them report UpstreamsLost only.
+	Losses []UpstreamLoss `msgpack:"l,omitempty" json:",omitempty"`
+}
+
+// UpstreamLoss is a crash of an upstream under a request.
+type UpstreamLoss struct {
+	Upstream  api.UpstreamID `msgpack:"u"`
+	AgeMillis int64          `msgpack:"a"` // at the time of the report
 }
 
 // RequestLimitNamed reports the limit that an upstream names in its responses: the
--- a/lib/batch/image.go
+++ b/lib/batch/image.go
@@ -49,6 +49,7 @@
 	Failures       int                 `msgpack:"f,omitempty"`
 	Upstream       api.UpstreamID      `msgpack:"u,omitempty"`
 	MovedFrom      api.UpstreamID      `msgpack:"m,omitempty"`
+	Losses         int                 `msgpack:"lo,omitempty"`
 	TextDone       bool                `msgpack:"d,omitempty"`
 	Score          string              `msgpack:"sc,omitempty"`
 	RewardFailures int                 `msgpack:"rf,omitempty"`
@@ -99,7 +100,7 @@
 		img.Items = append(img.Items, ItemImage{
 			Index: i.index, State: i.state, Newest: s.latestItems[i.item().ID] == i, EventCount: i.eventCount,
 			Chunks: slices.Clip(i.chunks), Versions: slices.Clip(i.versions), Software: i.software, LastRun: i.lastRun,
-			Failures: i.failures, Upstream: i.upstream, MovedFrom: i.movedFrom, TextDone: i.textDone, Score: i.score,
+			Failures: i.failures, Upstream: i.upstream, MovedFrom: i.movedFrom, Losses: i.losses, TextDone: i.textDone, Score: i.score,
 			RewardFailures: i.rewardFailures, RewardDaemon: i.rewardDaemon,
 		})
 	}
@@ -189,7 +190,7 @@
 	}
 	i := &itemState{
 		job: j, index: img.Index, state: img.State, eventCount: img.EventCount, chunks: img.Chunks, versions: img.Versions,
-		software: img.Software, lastRun: img.LastRun, failures: img.Failures, upstream: img.Upstream, movedFrom: img.MovedFrom,
+		software: img.Software, lastRun: img.LastRun, failures: img.Failures, upstream: img.Upstream, movedFrom: img.MovedFrom, losses: img.Losses,
 		textDone: img.TextDone, score: img.Score, rewardFailures: img.RewardFailures, rewardDaemon: img.RewardDaemon,
 	}
 	if i.upstream != "" && (s.upstreams[i.upstream] == nil || i.state != ItemOpen || i.textDone || j.ended) {
--- a/lib/batch/image_test.go
+++ b/lib/batch/image_test.go
@@ -13,7 +13,7 @@
 // anyRecord draws a record of any level that changes states.
 func anyRecord(rng *rand.Rand, n int) Record {
 	job, item := JobID(fmt.Sprint("j", rng.IntN(4))), ItemID(fmt.Sprint("i", rng.IntN(6)))
-	switch rng.IntN(24) {
+	switch rng.IntN(25) {
 	case 0:
 		j := Job{ID: job, Service: "s0", Model: "m", MaxAttempts: 2, SubmittedMillis: int64(n)}
 		for i := range rng.IntN(6) + 1 {
@@ -34,6 +34,8 @@
 		return &TextDropped{Job: job, Item: item, EventCount: 1 + rng.IntN(3)}
 	case 7:
 		return &EventIntervalMeasured{Upstream: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), Daemon: api.DaemonID(fmt.Sprint("d", rng.IntN(3))), Micros: int64(rng.IntN(5))}
+	case 8:
+		return &ItemMoved{Job: job, Item: item, FromUpstream: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), UpstreamLost: true}
 	default:
 		return levelZeroRecord(rng, n)
 	}
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -83,6 +83,7 @@
 	EventCount  int                 // number of events of the text so far
 	Versions    []api.WeightVersion // weight versions that generated them
 	Software    string              // version of the software that generated them
+	Losses      int                 // upstreams lost under its runs since the last event
 }
 
 // ItemKey identifies an item of a job.
@@ -101,7 +102,7 @@
 		for _, i := range s.placed[id] {
 			out[ItemKey{i.job.job.ID, i.item().ID}] = Run{
 				Job: i.job.job, Item: i.item(), Service: i.job.service, Upstream: id, LeaseOffset: u.LeaseOffset,
-				EventCount: i.eventCount, Versions: i.versions, Software: i.software,
+				EventCount: i.eventCount, Versions: i.versions, Software: i.software, Losses: i.losses,
 			}
 		}
 	}
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -96,6 +96,7 @@
 	groupOutput int            // longest expected output in the item's group, in tokens
 	upstream    api.UpstreamID // where the item is placed; empty: nowhere
 	movedFrom   api.UpstreamID // upstream of the newest ItemMoved record
+	losses      int            // upstreams lost under runs without an event since the last one with any
 	textDone    bool           // the text is complete
 	score       string         // empty: none
 	// rewardFailures counts the failure responses to the reward call. rewardDaemon is
@@ -266,7 +267,7 @@
 	if i.eventCount > 0 && r.Software != i.software {
 		return false
 	}
-	i.lastRun, i.software = r.RunID, r.Software
+	i.lastRun, i.software, i.losses = r.RunID, r.Software, 0
 	i.eventCount += r.EventCount
 	if r.Chunk.Records > 0 {
 		i.chunks = append(i.chunks, r.Chunk)
@@ -341,6 +342,9 @@
 	}
 	s.unplace(i)
 	i.movedFrom = r.FromUpstream
+	if r.UpstreamLost {
+		i.losses++
+	}
 	s.addPending(i)
 	return true
 }
--- a/lib/generation/generation.go
+++ b/lib/generation/generation.go
@@ -51,7 +51,9 @@
 	Upstream api.UpstreamID
 	Cause    Cause
 	Status   int // HTTP status of the response; 0: none
-	Err      error
+	// ConnectionLost is set if the connection ended after the request was sent.
+	ConnectionLost bool
+	Err            error
 }
 
 // Error implements error.
--- a/server/relay/crashes.go
+++ b/server/relay/crashes.go
@@ -1,62 +1,22 @@
 package relay
 
 import (
+	"expvar"
 	"time"
 
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/reach"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 )
 
-// crashes counts the connections to upstreams that were lost while a request ran.
-// It identifies a request by a hash of its content because callers retry it under
-// new ids.
-type crashes struct{ byContent map[uint64]*crashCount }
+// requestsQuarantined counts the requests refused because upstreams are lost when they run.
+var requestsQuarantined = expvar.NewInt("requests_quarantined")
 
-type crashCount struct {
-	count int
-	last  time.Time
-}
-
-func newCrashes() *crashes { return &crashes{byContent: make(map[uint64]*crashCount)} }
-
-// add adds lost connections to a request's count. If lost is 0, it deletes the count:
-// the request got a response, so it was not the cause.
-func (c *crashes) add(content uint64, lost int, now time.Time) {
-	if lost == 0 {
-		delete(c.byContent, content)
-		return
-	}
-	e, ok := c.byContent[content]
-	if !ok {
-		e = &crashCount{}
-		c.byContent[content] = e
-	}
-	e.count += lost
-	e.last = now
-}
-
-// withdraw takes back a lost connection that was added before.
-func (c *crashes) withdraw(content uint64) {
-	if e, ok := c.byContent[content]; ok {
-		if e.count--; e.count <= 0 {
-			delete(c.byContent, content)
-		}
-	}
-}
-
-func (c *crashes) known(content uint64) bool { return c.byContent[content] != nil }
-
-func (c *crashes) refused(content uint64, now time.Time) bool {
-	e, ok := c.byContent[content]
-	return ok && e.count >= crashLimit && now.Sub(e.last) < crashTTL
-}
-
-func (c *crashes) expire(now time.Time) {
-	for content, e := range c.byContent {
-		if now.Sub(e.last) > crashTTL {
-			delete(c.byContent, content)
-		}
-	}
+// daemonSpread returns a number from 0 to 1 for a daemon, which differs between daemons.
+func daemonSpread(daemon string) float64 {
+	const steps = 1 << 16
+	return float64(xxhash.Sum64String(daemon)%steps) / steps
 }
 
 // unconfirmedCrashes are connections that were lost a short time ago. If this daemon turns
@@ -68,25 +28,41 @@
 
 type lostConnection struct {
 	content uint64
-	at      time.Time
+	loss    quarantine.Loss
 }
 
 type crashReport struct {
 	content uint64
-	lost    int
+	losses  []quarantine.Loss
 	at      time.Time
 }
 
 func (u *unconfirmedCrashes) empty() bool { return len(u.lost)+len(u.reports) == 0 }
 
 // addCrash counts a lost connection of a request, unless this daemon is cut off.
-func (r *Relay) addCrash(j *job, now time.Time) {
+func (r *Relay) addCrash(a *attempt, now time.Time) {
 	if r.links() == reach.CutOff {
 		return
 	}
-	j.crashes++
-	r.crashes.add(j.content, 1, now)
-	r.unconfirmed.lost = append(r.unconfirmed.lost, lostConnection{j.content, now})
+	j, loss := a.job, quarantine.Loss{Upstream: a.upstream.ID, At: now}
+	j.losses = append(j.losses, loss)
+	r.crashes.Add(j.content, loss)
+	r.unconfirmed.lost = append(r.unconfirmed.lost, lostConnection{j.content, loss})
+}
+
+// admitContent finishes a job if its request is refused because of crashes, and returns false.
+func (r *Relay) admitContent(j *job, now time.Time) bool {
+	if j.request.Owed {
+		return true
+	}
+	wait, ok := r.crashes.Admit(j.content, now)
+	if ok {
+		return true
+	}
+	requestsQuarantined.Add(1)
+	r.log.Info("request quarantined", zap.String("request", string(j.request.ID)), zap.Uint64("content", j.content), zap.Duration("for", wait))
+	r.finish(j, reply{Err: j.failure("the request crashed several upstreams", false, wait)})
+	return false
 }
 
 // confirmCrashes reports to the other daemons the crashes that are not explained by a cut-off
@@ -98,30 +74,30 @@
 		return
 	case links == reach.CutOff:
 		for _, l := range u.lost {
-			r.crashes.withdraw(l.content)
+			r.crashes.Withdraw(l.content, l.loss)
 		}
 		r.log.Info("lost connections are not counted as crashes", zap.Int("connections", len(u.lost)), zap.Int("reports", len(u.reports)))
 		*u = unconfirmedCrashes{}
 		return
 	}
 	for len(u.reports) > 0 && now.Sub(u.reports[0].at) >= r.cfg.CrashConfirmation {
-		r.cfg.OnCrashes(u.reports[0].content, u.reports[0].lost)
+		r.cfg.OnCrashes(u.reports[0].content, u.reports[0].losses)
 		u.reports = u.reports[1:]
 	}
-	for len(u.lost) > 0 && now.Sub(u.lost[0].at) >= 2*r.cfg.CrashConfirmation {
+	for len(u.lost) > 0 && now.Sub(u.lost[0].loss.At) >= 2*r.cfg.CrashConfirmation {
 		u.lost = u.lost[1:]
 	}
 }
 
-// reportCrashes reports to the other daemons how many connections were lost while a
-// job ran, or that its request got a response after earlier crashes.
+// reportCrashes reports to the other daemons the connections that were lost while a job ran,
+// or that its request got a response after earlier crashes.
 func (r *Relay) reportCrashes(j *job, rep reply) {
 	responded := rep.Response != nil
 	switch {
-	case responded && r.crashes.known(j.content):
-		r.crashes.add(j.content, 0, r.cfg.Now())
-		r.cfg.OnCrashes(j.content, 0)
-	case !responded && j.crashes > 0:
-		r.unconfirmed.reports = append(r.unconfirmed.reports, crashReport{j.content, j.crashes, r.cfg.Now()})
+	case responded && r.crashes.Known(j.content):
+		r.crashes.Clear(j.content)
+		r.cfg.OnCrashes(j.content, nil)
+	case !responded && len(j.losses) > 0:
+		r.unconfirmed.reports = append(r.unconfirmed.reports, crashReport{j.content, j.losses, r.cfg.Now()})
 	}
 }
--- a/server/relay/crashes_test.go
+++ b/server/relay/crashes_test.go
@@ -9,6 +9,7 @@
 
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/reach"
 	"dotterelmount.example/lib/routes"
 	"gotest.tools/v3/assert"
@@ -35,7 +36,7 @@
 				return &opaque.Response{Status: 200}, nil
 			}}
 			peers := Peers{Links: func() reach.State { return reach.State(links.Load()) }, List: func() []opaque.Peer { return nil }}
-			r := startWithCrashes(t, s, peers, func(uint64, int) { reports.Add(1) }, threeUpstreams...)
+			r := startWithCrashes(t, s, peers, func(uint64, []quarantine.Loss) { reports.Add(1) }, threeUpstreams...)
 			_, _, err := r.Forward(t.Context(), newRequest(routes.KindIdempotent))
 			assert.Assert(t, err != nil)
 			links.Store(uint32(reach.Suspected))
@@ -56,3 +57,41 @@
 		})
 	}
 }
+
+// A request that is lost with the upstreams which another request crashes runs on, at every
+// daemon; the other one is refused.
+func TestBystanderOfCrashesReportedByPeersRuns(t *testing.T) {
+	s := &scriptedExchanger{respond: func(int, context.Context, *directory.Upstream) (*opaque.Response, error) {
+		return &opaque.Response{Status: 200}, nil
+	}}
+	r := start(t, s, threeUpstreams...)
+	bystander, killer := newRequest(routes.KindIdempotent), newRequest(routes.KindIdempotent)
+	bystander.RequestURI, killer.RequestURI = "/page", "/other"
+	var crashes []quarantine.Loss
+	for n := range quarantine.RefusalStrikes + 1 {
+		crashes = append(crashes, quarantine.Loss{Upstream: "a", At: time.Now().Add(-5 * time.Second * time.Duration(n))})
+	}
+	r.AddCrashes(fingerprint(bystander), crashes[1:])
+	r.AddCrashes(fingerprint(killer), crashes)
+	var refused *opaque.NotRunError
+	_, _, err := r.Forward(t.Context(), killer)
+	assert.Assert(t, errors.As(err, &refused) && refused.RetryAfter > time.Second, "%v", err)
+	_, _, err = r.Forward(t.Context(), bystander)
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.tried()), 1)
+}
+
+// The same content of another customer is another request.
+func TestCrashesCountPerCustomer(t *testing.T) {
+	s := &scriptedExchanger{respond: func(int, context.Context, *directory.Upstream) (*opaque.Response, error) {
+		return &opaque.Response{Status: 200}, nil
+	}}
+	r := start(t, s, threeUpstreams...)
+	q, other := newRequest(routes.KindIdempotent), newRequest(routes.KindIdempotent)
+	q.Customer, other.Customer = "c1", "c2"
+	r.AddCrashes(fingerprint(q), losses(quarantine.RefusalStrikes))
+	_, _, err := r.Forward(t.Context(), q)
+	assert.Assert(t, err != nil)
+	_, _, err = r.Forward(t.Context(), other)
+	assert.NilError(t, err)
+}
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/ratelimit"
 	"dotterelmount.example/lib/ring"
 	"go.uber.org/zap"
@@ -40,10 +41,10 @@
 	// UpstreamsCurrent reports whether the list of upstreams was read a short time ago.
 	UpstreamsCurrent func() bool
 	Peers            Peers
-	// OnCrashes reports to the other daemons how many connections to upstreams were
-	// lost while a request with this content hash ran, or 0 if it got a response
+	// OnCrashes reports to the other daemons the connections to upstreams that were
+	// lost while a request with this content hash ran, or none if it got a response
 	// after all.
-	OnCrashes func(content uint64, lost int)
+	OnCrashes func(content uint64, losses []quarantine.Loss)
 	// CrashConfirmation is the time within which a cut-off of this daemon is found out.
 	// Crashes are reported after it.
 	CrashConfirmation time.Duration
@@ -61,7 +62,7 @@
 	stats   map[api.UpstreamID]*upstreamStats
 	// peerStats is what this daemon has observed of others that run requests for it.
 	peerStats map[api.DaemonID]*upstreamStats
-	crashes   *crashes
+	crashes   *quarantine.Contents
 	// unconfirmed are crashes that a cut-off of this daemon may explain.
 	unconfirmed unconfirmedCrashes
 	waiting     []*job // for a request limit, in order of arrival
@@ -74,11 +75,11 @@
 	reply           *ring.Slot[reply]
 	tried           map[api.UpstreamID]bool
 	triedPeers      map[api.DaemonID]bool
-	attempts        int           // at upstreams, by this daemon
-	runs            int           // attempts that may have run, also by peers
-	mayHaveRun      bool          // an attempt may have run
-	retryAfter      time.Duration // named by the last peer that did not run it
-	crashes         int           // connections lost while it ran
+	attempts        int               // at upstreams, by this daemon
+	runs            int               // attempts that may have run, also by peers
+	mayHaveRun      bool              // an attempt may have run
+	retryAfter      time.Duration     // named by the last peer that did not run it
+	losses          []quarantine.Loss // connections lost while it ran
 	failureResponse *opaque.Response
 	lastErr         error
 	content         uint64 // fingerprint of the request
@@ -115,7 +116,7 @@
 
 // Start starts the duties. view returns the current directory.
 func Start(sys *duty.System, cfg Config, log *zap.Logger, exchanger opaque.Exchanger, view func() *directory.View) *Relay {
-	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), crashes: newCrashes()}
+	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), crashes: quarantine.NewContents(daemonSpread(string(cfg.Chooser.Daemon)))}
 	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
@@ -162,11 +163,11 @@
 	return rep.Response, rep.Upstream, rep.Err
 }
 
-// AddCrashes adds the number of connections to upstreams that another daemon lost
-// while a request ran, or clears the request's count if lost is 0. It never blocks; if
-// the ring is full, the report is dropped.
-func (r *Relay) AddCrashes(content uint64, lost int) {
-	if err := r.duty.Post(peerCrashes{content, lost}); err != nil {
+// AddCrashes adds the connections to upstreams that another daemon lost while a request
+// ran, or clears those of the request if there are none. It never blocks; if the ring is
+// full, the report is dropped.
+func (r *Relay) AddCrashes(content uint64, losses []quarantine.Loss) {
+	if err := r.duty.Post(peerCrashes{content, losses}); err != nil {
 		r.log.Warn("crash report of another daemon dropped", zap.Uint64("content", content), zap.Error(err))
 	}
 }
@@ -174,7 +175,16 @@
 // peerCrashes is another daemon's report of lost connections.
 type peerCrashes struct {
 	content uint64
-	lost    int
+	losses  []quarantine.Loss
+}
+
+func (r *Relay) addPeerCrashes(p peerCrashes) {
+	if len(p.losses) == 0 {
+		r.crashes.Clear(p.content)
+	}
+	for _, l := range p.losses {
+		r.crashes.Add(p.content, l)
+	}
 }
 
 // Handle processes a new job, the end of an attempt or a peer's crash report.
@@ -190,7 +200,7 @@
 			r.handleEnd(m)
 		}
 	case peerCrashes:
-		r.crashes.add(m.content, m.lost, r.cfg.Now())
+		r.addPeerCrashes(m)
 	}
 }
 
@@ -209,7 +219,7 @@
 			delete(r.peerStats, id)
 		}
 	}
-	r.crashes.expire(now)
+	r.crashes.Expire(now)
 	r.confirmCrashes(now)
 }
 
@@ -220,8 +230,7 @@
 		r.finish(j, reply{Err: j.failure("the deadline passed", true, r.cfg.RetryAfter)})
 		return
 	}
-	if !q.Owed && r.crashes.refused(j.content, now) {
-		r.finish(j, reply{Err: j.failure("the request crashed several upstreams", false, crashRetryAfter)})
+	if !r.admitContent(j, now) {
 		return
 	}
 	if r.startForwarded(j, now) {
@@ -330,7 +339,7 @@
 		stats.failed(now, r.cfg.Backoff, r.cfg.MaxBackoff)
 	}
 	if !a.job.request.Owed && e.ConnectionLost && !errors.Is(e, context.DeadlineExceeded) && a.job.ctx.Err() == nil {
-		r.addCrash(a.job, now)
+		r.addCrash(a, now)
 	}
 }
 
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/ratelimit"
 	"dotterelmount.example/lib/routes"
 	"go.uber.org/zap"
@@ -52,10 +53,10 @@
 
 func startWith(t *testing.T, s opaque.Exchanger, peers Peers, upstreams ...directory.Upstream) *Relay {
 	t.Helper()
-	return startWithCrashes(t, s, peers, func(uint64, int) {}, upstreams...)
+	return startWithCrashes(t, s, peers, func(uint64, []quarantine.Loss) {}, upstreams...)
 }
 
-func startWithCrashes(t *testing.T, s opaque.Exchanger, peers Peers, onCrashes func(uint64, int), upstreams ...directory.Upstream) *Relay {
+func startWithCrashes(t *testing.T, s opaque.Exchanger, peers Peers, onCrashes func(uint64, []quarantine.Loss), upstreams ...directory.Upstream) *Relay {
 	t.Helper()
 	var changes []directory.Change
 	for _, u := range upstreams {
@@ -83,6 +84,15 @@
 	return &opaque.AttemptError{Execution: execution, ConnectionLost: execution == opaque.ExecutionUnknown, Cause: &opaque.FailedError{Reason: "scripted"}}
 }
 
+// losses returns n losses of upstreams that another daemon reports.
+func losses(n int) []quarantine.Loss {
+	out := make([]quarantine.Loss, n)
+	for i := range out {
+		out[i] = quarantine.Loss{Upstream: "a", At: time.Now()}
+	}
+	return out
+}
+
 var threeUpstreams = []directory.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 
 func TestIdempotentRequestIsRetriedOnOtherUpstreams(t *testing.T) {
@@ -202,14 +212,14 @@
 		return &opaque.Response{Status: 200}, nil
 	}}
 	r, q := start(t, s, threeUpstreams...), newRequest(routes.KindIdempotent)
-	r.AddCrashes(fingerprint(q), crashLimit-1)
+	r.AddCrashes(fingerprint(q), losses(quarantine.RefusalStrikes-1))
 	_, _, err := r.Forward(t.Context(), q) // a response clears the crashes
 	assert.NilError(t, err)
-	r.AddCrashes(fingerprint(q), 1)
+	r.AddCrashes(fingerprint(q), losses(1))
 	_, _, err = r.Forward(t.Context(), q)
 	assert.NilError(t, err)
-	r.AddCrashes(fingerprint(q), crashLimit-1)
-	r.AddCrashes(fingerprint(q), 1)
+	r.AddCrashes(fingerprint(q), losses(quarantine.RefusalStrikes-1))
+	r.AddCrashes(fingerprint(q), losses(1))
 	_, _, err = r.Forward(t.Context(), q)
 	var refused *opaque.NotRunError
 	assert.Assert(t, errors.As(err, &refused), "%v", err)
@@ -223,10 +233,10 @@
 		return nil, attemptError(opaque.ExecutionUnknown)
 	}}
 	r := start(t, s, directory.Upstream{ID: "a"})
-	for range 2 * crashLimit {
+	for range 2 * quarantine.RefusalStrikes {
 		_, _, _ = r.Forward(t.Context(), newRequest(routes.KindIdempotent)) // fails or is refused
 	}
-	assert.Assert(t, len(s.tried()) <= crashLimit, "%d attempts", len(s.tried()))
+	assert.Assert(t, len(s.tried()) <= quarantine.RefusalStrikes, "%d attempts", len(s.tried()))
 }
 
 // Guards against a request without a response or an error, which has an upstream's failure response
@@ -235,7 +245,7 @@
 	var r *Relay
 	q := newRequest(routes.KindIdempotent)
 	s := &scriptedExchanger{respond: func(int, context.Context, *directory.Upstream) (*opaque.Response, error) {
-		r.AddCrashes(fingerprint(q), crashLimit)
+		r.AddCrashes(fingerprint(q), losses(quarantine.RefusalStrikes))
 		return &opaque.Response{Status: 500}, nil
 	}}
 	r = start(t, s, threeUpstreams...)
--- a/server/relay/stats.go
+++ b/server/relay/stats.go
@@ -21,9 +21,6 @@
 	latencySmoothing = 0.3                   // weight of the latest response in the average
 	slowFactor       = 2.5                   // an upstream is slow if its average exceeds the fastest one's by this factor
 	minSlowLatency   = 60 * time.Millisecond // an upstream with an average up to this is never slow
-	crashRetryAfter  = 5 * time.Second       // retry delay sent to callers whose request is refused for its crashes
-	crashTTL         = 60 * time.Second      // a request's crashes expire this long after the latest one
-	crashLimit       = 3                     // number of crashes from which a request is refused
 )
 
 func (s *upstreamStats) succeeded(took time.Duration) {
@@ -79,11 +76,11 @@
 	return out
 }
 
-// fingerprint returns a hash of a request's content, which is the same for all
-// retries by a caller.
+// fingerprint returns a hash of a request's content and its customer, which is the same for
+// all retries by a caller.
 func fingerprint(q *opaque.Request) uint64 {
 	h := xxhash.New()
-	for _, s := range []string{q.Method, q.Host, q.RequestURI} {
+	for _, s := range []string{q.Customer, q.Method, q.Host, q.RequestURI} {
 		_, _ = h.WriteString(s) // never fails
 	}
 	_, _ = h.Write(q.Body)
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -97,6 +97,7 @@
 	busyCounts  map[batch.ItemKey]int
 	retryAt     map[batch.ItemKey]time.Time
 	limited     map[batch.ItemKey]limitWait // items that wait for a request limit
+	pausedAt    map[batch.ItemKey]int       // losses of upstreams for which the item has paused
 	startedRuns int
 	intervals   map[api.UpstreamID]*intervalState
 	// oneVersion are the upstreams with wanted runs that must be of one weight version.
@@ -133,7 +134,7 @@
 	r := &Runner{
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.ItemKey]*run),
 		intervals: make(map[api.UpstreamID]*intervalState), busyCounts: make(map[batch.ItemKey]int), retryAt: make(map[batch.ItemKey]time.Time),
-		limited: make(map[batch.ItemKey]limitWait),
+		limited: make(map[batch.ItemKey]limitWait), pausedAt: make(map[batch.ItemKey]int),
 	}
 	w := &worker{cfg: cfg, deps: deps, log: log, postEnd: func(ctx context.Context, active *run) { _ = r.duty.PostWait(ctx, active) }} // fails only while stopping
 	r.oneVersion.Store(&map[api.UpstreamID]bool{})
@@ -201,6 +202,7 @@
 		}
 	}
 	now := r.cfg.Now()
+	r.pauseAfterLosses(now)
 	for _, key := range r.dueRuns(now) {
 		if !r.workers.Idle() {
 			break
@@ -320,7 +322,7 @@
 	case cause == generation.CauseFailed || cause == generation.CauseInvalidItem:
 		r.propose(&batch.ItemFailed{Job: active.key.Job, Item: active.key.Item, Status: res.status(), Final: cause == generation.CauseInvalidItem})
 	default:
-		r.proposeMove(active.key, active.Run, "the run failed")
+		r.proposeMoveAfterFailure(active)
 	}
 	if res.offset == 0 {
 		delete(r.active, active.key)
@@ -329,9 +331,13 @@
 
 // proposeMove proposes to place an item on another upstream.
 func (r *Runner) proposeMove(key batch.ItemKey, wanted batch.Run, reason string) {
+	r.logMove(key, wanted, reason)
+	r.propose(&batch.ItemMoved{Job: key.Job, Item: key.Item, FromUpstream: wanted.Upstream})
+}
+
+func (r *Runner) logMove(key batch.ItemKey, wanted batch.Run, reason string) {
 	r.log.Info("item move proposed", zap.String("job", string(key.Job)), zap.String("item", string(key.Item)),
 		zap.String("upstream", string(wanted.Upstream)), zap.String("reason", reason))
-	r.propose(&batch.ItemMoved{Job: key.Job, Item: key.Item, FromUpstream: wanted.Upstream})
 }
 
 func (r *Runner) propose(rec batch.Record) {
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -44,6 +44,12 @@
 	return 0
 }
 
+// upstreamLost reports whether the connection to the upstream ended during the run.
+func (r *result) upstreamLost() bool {
+	var e *generation.Error
+	return !r.stalled && errors.As(r.err, &e) && e.ConnectionLost
+}
+
 func (r *result) outcome(active *run) generation.RunOutcome {
 	cause := r.cause()
 	var changed *VersionChangedError
