Move items that would be late to an upstream where they end in time

Cause: an item stayed at a slow or silent upstream until its run failed or the upstream was found slow, also when its job was due before. What was measured of an upstream counted for its next process.

Change: lib/straggler decides by measured intervals, the silence since the last event and the time to a first event; the state says where the item would be placed (SetAlternatives), by the rule that places it. With the setting move_late_items the runner moves such an item once. The template sets it where the platform has an API for duties. Measurements are reset when the upstream's process is another one.

The runner's test fixture has a view now, which forgetting needs.

--- a/cmd/dotterelmountd/internal/hosted/deploy_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deploy_test.go
@@ -62,7 +62,7 @@
 	assert.Equal(t, h.LeaseWait, 3*time.Second)
 	assert.Equal(t, h.Capacity(), 192)
 	assert.Equal(t, h.Duties.Address, "", "there are no duties without an address")
-	assert.Assert(t, !h.UpstreamWindows)
+	assert.Assert(t, !h.UpstreamWindows && !h.MoveLateItems)
 }
 
 func TestDeployTemplateHasDuties(t *testing.T) {
@@ -78,7 +78,7 @@
 	assert.DeepEqual(t, h.Duties, settings.Duties{
 		Address: "10.200.0.190:8307", Names: []string{"metering", "scale"}, CallsPerSecond: 50, Lease: 3 * time.Second, UsageWindow: 5 * time.Second, UsageDelay: 10 * time.Second,
 	})
-	assert.Assert(t, h.UpstreamWindows)
+	assert.Assert(t, h.UpstreamWindows && h.MoveLateItems)
 }
 
 // The deployments' sheets say how many engines can load weights at the same time
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -162,6 +162,7 @@
 
 	runnerCfg := runnerConfig
 	runnerCfg.Self, runnerCfg.Process, runnerCfg.Workers = self, process, n.settings.Workers
+	runnerCfg.MoveLate = n.settings.MoveLateItems
 	n.runner = runner.Start(n.system, runnerCfg, runner.Deps{
 		Engine: n.serverClient, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
 		OnOutcome:       n.handleRunOutcome,
@@ -199,6 +200,7 @@
 	replicaCfg.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReadsPerSecond))
 	replicaCfg.Process, replicaCfg.MaxRecordBytes, replicaCfg.MaxAppendBytes = process, n.settings.MaxRecordBytes, n.settings.MaxAppendBytes
 	replicaCfg.Checkpoints = checkpoint.Policy{Interval: n.settings.Retention / checkpointsPerRetention, Silence: recordLevels.Silence}
+	replicaCfg.Alternatives = n.settings.MoveLateItems
 	n.replica.Store(jobreplica.Start(n.system, j, storeClient.Keyed(replay.CheckpointTopic), replicaCfg, jobreplica.Callbacks{
 		RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update,
 		RequestCrashed: func(r *batch.RequestCrashed) {
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -84,6 +84,9 @@
 	Versions    []api.WeightVersion // weight versions that generated them
 	Software    string              // version of the software that generated them
 	Losses      int                 // upstreams lost under its runs since the last event
+	// Alternative is where the item would be placed if it were moved now; nil: it isn't known,
+	// or there is no room.
+	Alternative *Alternative
 }
 
 // ItemKey identifies an item of a job.
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -44,6 +44,9 @@
 	// UpstreamWindows bounds what this daemon has outstanding at each upstream by the
 	// upstream's refusals and losses.
 	UpstreamWindows bool `yaml:"upstream_windows"`
+	// MoveLateItems moves items that would miss their job's due time where they run to another
+	// upstream, if they end in time there.
+	MoveLateItems bool `yaml:"move_late_items"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -55,6 +55,8 @@
 	// LoadInterval is the time between two attempts to read a checkpoint while the state
 	// is partial.
 	LoadInterval time.Duration
+	// Alternatives makes RunsChanged name where items would be placed if they were moved.
+	Alternatives bool
 	Now          func() time.Time
 }
 
@@ -339,7 +341,11 @@
 	if !j.unpublished.runs || j.partial {
 		return
 	}
-	j.callbacks.RunsChanged(j.state.Runs(j.cfg.Daemon), j.appliedOffset)
+	runs := j.state.Runs(j.cfg.Daemon)
+	if j.cfg.Alternatives {
+		j.state.SetAlternatives(runs)
+	}
+	j.callbacks.RunsChanged(runs, j.appliedOffset)
 	if rewards := j.state.Rewards(); len(rewards) > 0 || j.rewardsPublished {
 		j.rewardsPublished = len(rewards) > 0
 		j.callbacks.RewardsChanged(rewards)
--- a/server/runner/intervals.go
+++ b/server/runner/intervals.go
@@ -13,6 +13,7 @@
 // intervalState tracks the mean time between events of runs on an upstream.
 type intervalState struct {
 	meter            *pace.Meter
+	startMillis      int64         // of the upstream's process
 	reportedInterval time.Duration // last proposed interval; 0: none
 }
 
@@ -43,6 +44,7 @@
 			r.intervals[id] = &intervalState{meter: pace.NewMeter(r.cfg.Pace)}
 		}
 	}
+	r.forgetRestarted()
 	if len(r.intervals) == 0 {
 		return
 	}
@@ -80,8 +82,23 @@
 	r.deps.OnOutcome(generation.RunOutcome{Upstream: id, Slow: true})
 	for _, active := range r.active {
 		if active.Upstream == id && !active.finished {
-			active.evicted = true
-			active.cancel()
+			active.evict("the upstream is slow")
 		}
 	}
 }
+
+// forgetRestarted resets the measurements of upstreams whose process is another one.
+func (r *Runner) forgetRestarted() {
+	listed := r.deps.View().Upstreams
+	for id, state := range r.intervals {
+		u := listed[id]
+		if u == nil || u.StartMillis == state.startMillis {
+			continue
+		}
+		if state.startMillis != 0 {
+			state.meter.Reset()
+			state.reportedInterval = 0
+		}
+		state.startMillis = u.StartMillis
+	}
+}
--- a/server/runner/intervals_test.go
+++ b/server/runner/intervals_test.go
@@ -7,6 +7,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/batch"
+	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/pace"
 	"go.uber.org/zap"
@@ -19,17 +20,19 @@
 	now  time.Time
 	slow []api.UpstreamID
 	run  *run
+	view *directory.View
 }
 
 func newTestRunner(t *testing.T) *testRunner {
 	t.Helper()
-	r := &testRunner{now: time.Unix(100, 0)}
+	r := &testRunner{now: time.Unix(100, 0), view: directory.NewView()}
 	r.Runner = &Runner{
 		cfg: Config{
 			Self: "d", MeasureInterval: 200 * time.Millisecond, MinIntervalChange: 0.3, Now: func() time.Time { return r.now },
 			Pace: pace.Config{Window: 1800 * time.Millisecond, MinEvents: 12, Factor: 2.2, MinPeers: 2},
 		},
 		deps: Deps{
+			View:    func() *directory.View { return r.view },
 			Propose: func(batch.Record) error { return nil },
 			OnOutcome: func(o generation.RunOutcome) {
 				assert.Assert(t, o.Slow)
@@ -78,3 +81,21 @@
 	assert.Equal(t, len(r.slow), 0)
 	assert.Assert(t, !r.run.evicted)
 }
+
+// list lists the process of an upstream that started at a time.
+func (r *testRunner) list(id api.UpstreamID, startMillis int64) {
+	r.view = r.view.Apply([]directory.Change{directory.UpstreamListed{Upstream: directory.Upstream{ID: id, Service: "s", StartMillis: startMillis}}})
+}
+
+// What was measured of an upstream says nothing of its next process.
+func TestRestartedUpstreamIsMeasuredAnew(t *testing.T) {
+	r := newTestRunner(t)
+	r.list("u", 1)
+	r.advance(3*time.Second, 40*time.Millisecond)
+	_, known := r.intervals["u"].meter.MeanInterval(r.now)
+	assert.Assert(t, known)
+	r.list("u", 2)
+	r.advance(200*time.Millisecond, 40*time.Millisecond)
+	_, known = r.intervals["u"].meter.MeanInterval(r.now)
+	assert.Assert(t, !known)
+}
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -52,7 +52,9 @@
 	// MinIntervalChange is the relative change of an event interval above which it
 	// is proposed again.
 	MinIntervalChange float64
-	Now               func() time.Time
+	// MoveLate moves items that would miss their job's due time where they are.
+	MoveLate bool
+	Now      func() time.Time
 }
 
 // Deps are the dependencies of a Runner.
@@ -102,7 +104,8 @@
 	intervals   map[api.UpstreamID]*intervalState
 	// oneVersion are the upstreams with wanted runs that must be of one weight version.
 	oneVersion atomic.Pointer[map[api.UpstreamID]bool]
-	measuredAt time.Time // when event intervals were last measured
+	measuredAt time.Time     // when event intervals were last measured
+	startTime  time.Duration // average time from a run's start to its first event; 0: not known
 }
 
 // update replaces the set of wanted runs.
@@ -123,7 +126,9 @@
 	startedAt      time.Time
 	result         result
 	finished       bool
-	evicted        bool         // moved to another upstream because its own is slow
+	evicted        bool // to be moved to another upstream
+	evictReason    string
+	lastEventAfter atomic.Int64 // time from the start to the newest event, in nanoseconds
 	receivedEvents atomic.Int64 // number of events so far
 	readingDone    atomic.Bool  // no more events follow; the text may still wait to be stored
 	measuredEvents int64        // receivedEvents at the last measurement
@@ -183,6 +188,7 @@
 // Tick measures event intervals and starts runs that are due for a retry.
 func (r *Runner) Tick(ctx context.Context) {
 	r.measureEventIntervals()
+	r.moveStragglers(r.cfg.Now())
 	r.reconcile(ctx)
 }
 
@@ -288,6 +294,7 @@
 	active.cancel()
 	active.finished = true
 	res := active.result
+	r.observeStart(res.firstEventAfter)
 	r.log.Info("run ended", zap.String("job", string(active.key.Job)), zap.String("item", string(active.key.Item)),
 		zap.String("upstream", string(active.Upstream)), zap.String("software", active.upstream.Software), zap.Uint64("lease", uint64(active.LeaseOffset)), zap.Int("from", active.EventCount), zap.Int("events", res.events),
 		zap.Bool("whole", res.complete), zap.Duration("first", res.firstEventAfter), zap.Duration("took", r.cfg.Now().Sub(active.startedAt)),
@@ -297,7 +304,7 @@
 		delete(r.active, active.key)
 		if active.evicted {
 			r.retryAt[active.key] = retryAt
-			r.proposeMove(active.key, active.Run, "the upstream is slow")
+			r.proposeMove(active.key, active.Run, active.evictReason)
 		}
 		return
 	}
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -159,6 +159,7 @@
 		}
 		t.add(e)
 		r.result.events++
+		r.lastEventAfter.Store(int64(now.Sub(r.startedAt)))
 		r.receivedEvents.Add(1)
 		if now.Sub(flushed) >= w.cfg.FlushInterval {
 			flushed = now
