--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -27,6 +27,7 @@
 	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/reach"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/shutdown"
@@ -169,6 +170,7 @@
 
 	runnerCfg := runnerConfig
 	runnerCfg.Self, runnerCfg.Process, runnerCfg.Workers = self, process, n.settings.Workers
+	runnerCfg.MoveLate = n.settings.MoveLateItems
 	n.runner = runner.Start(n.system, runnerCfg, runner.Deps{
 		Engine: n.serverClient, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
 		OnOutcome:       n.handleRunOutcome,
@@ -207,11 +209,12 @@
 	replicaCfg.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReadsPerSecond))
 	replicaCfg.Process, replicaCfg.MaxRecordBytes, replicaCfg.MaxAppendBytes = process, n.settings.MaxRecordBytes, n.settings.MaxAppendBytes
 	replicaCfg.Checkpoints = checkpoint.Policy{Interval: n.settings.Retention / checkpointsPerRetention, Silence: recordLevels.Silence}
+	replicaCfg.Alternatives = n.settings.MoveLateItems
 	n.replica.Store(jobreplica.Start(n.system, j, storeClient.Keyed(replay.CheckpointTopic), replicaCfg, jobreplica.Callbacks{
 		RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update,
 		RequestCrashed: func(r *batch.RequestCrashed) {
 			if r.Process != process {
-				n.relay.AddCrashes(r.ContentHash, r.UpstreamsLost)
+				n.relay.AddCrashes(r.ContentHash, lossesOf(r, time.Now()))
 			}
 		},
 		RequestLimitNamed: func(r *batch.RequestLimitNamed) { n.throttle.Record(r) },
@@ -253,8 +256,9 @@
 
 func (n *Node) startRelay(process string) {
 	cfg := relayConfig
-	cfg.OnCrashes = func(contentHash uint64, upstreamsLost int) {
-		r := &batch.RequestCrashed{ContentHash: contentHash, UpstreamsLost: upstreamsLost, Process: process}
+	cfg.OnCrashes = func(contentHash uint64, losses []quarantine.Loss) {
+		r := crashRecord(contentHash, losses, time.Now())
+		r.Process = process
 		if err := n.propose(r, crashReportTimeout); err != nil {
 			n.log.Warn("reporting crashes during a request to other daemons failed", zap.Uint64("content", contentHash), zap.Error(err))
 		}
@@ -271,6 +275,7 @@
 	if l := n.settings.Locality; l.MinGain > 0 {
 		cfg.Chooser.Locality = &locality.Policy{MinGain: l.MinGain, LeaseExcess: l.LeaseExcess}
 	}
+	cfg.Windows = n.settings.UpstreamWindows
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
 }
 
