--- a/cmd/dotterelmountd/internal/hosted/deploy_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deploy_test.go
@@ -61,7 +61,19 @@
 	assert.Equal(t, h.JobRetention, 2*time.Minute)
 	assert.Equal(t, h.LeaseWait, 3*time.Second)
 	assert.Equal(t, h.Capacity(), 192)
+	assert.DeepEqual(t, h.Keys, settings.Keys{Revoke: settings.DefaultRevoke})
 	assert.Equal(t, h.Duties.Address, "", "there are no duties without an address")
+	assert.Assert(t, !h.UpstreamWindows && !h.MoveLateItems)
+}
+
+func TestDeployTemplateHasKeys(t *testing.T) {
+	for _, closed := range []bool{false, true} {
+		v := values()
+		v["bounds.revoke_ms"], v["bounds.fail_closed"] = "4000", strconv.FormatBool(closed)
+		h, err := settings.ParseHosted(renderTemplate(t, v))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, h.Keys, settings.Keys{FailClosed: closed, Revoke: 4 * time.Second})
+	}
 }
 
 func TestDeployTemplateHasDuties(t *testing.T) {
@@ -77,6 +89,7 @@
 	assert.DeepEqual(t, h.Duties, settings.Duties{
 		Address: "10.200.0.190:8307", Names: []string{"metering", "scale"}, CallsPerSecond: 50, Lease: 3 * time.Second, UsageWindow: 5 * time.Second, UsageDelay: 10 * time.Second,
 	})
+	assert.Assert(t, h.UpstreamWindows && h.MoveLateItems)
 }
 
 // The deployments' sheets say how many engines can load weights at the same time
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -33,6 +33,16 @@
 	return nil
 }
 
+// Customer returns whose job it is; empty: nobody's in particular. Errors:
+// *UnknownJobError.
+func (s *State) Customer(id JobID) (string, error) {
+	j, ok := s.jobs[id]
+	if !ok {
+		return "", &UnknownJobError{ID: id}
+	}
+	return j.job.Customer, nil
+}
+
 // Results returns the results of a job from position from on, with at most
 // limit bytes of text but at least one result if there is one. Errors:
 // *UnknownJobError.
@@ -83,6 +93,10 @@
 	EventCount  int                 // number of events of the text so far
 	Versions    []api.WeightVersion // weight versions that generated them
 	Software    string              // version of the software that generated them
+	Losses      int                 // upstreams lost under its runs since the last event
+	// Alternative is where the item would be placed if it were moved now; nil: it isn't known,
+	// or there is no room.
+	Alternative *Alternative
 }
 
 // ItemKey identifies an item of a job.
@@ -101,7 +115,7 @@
 		for _, i := range s.placed[id] {
 			out[ItemKey{i.job.job.ID, i.item().ID}] = Run{
 				Job: i.job.job, Item: i.item(), Service: i.job.service, Upstream: id, LeaseOffset: u.LeaseOffset,
-				EventCount: i.eventCount, Versions: i.versions, Software: i.software,
+				EventCount: i.eventCount, Versions: i.versions, Software: i.software, Losses: i.losses,
 			}
 		}
 	}
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/ratelimit"
 	"dotterelmount.example/lib/routes"
 	"go.uber.org/zap"
@@ -52,16 +53,16 @@
 
 func startWith(t *testing.T, s opaque.Exchanger, peers Peers, upstreams ...directory.Upstream) *Relay {
 	t.Helper()
-	return startWithCrashes(t, s, peers, func(uint64, int) {}, upstreams...)
+	return startWithCrashes(t, s, peers, func(uint64, []quarantine.Loss) {}, upstreams...)
 }
 
-func startWithCrashes(t *testing.T, s opaque.Exchanger, peers Peers, onCrashes func(uint64, int), upstreams ...directory.Upstream) *Relay {
+func startWithCrashes(t *testing.T, s opaque.Exchanger, peers Peers, onCrashes func(uint64, []quarantine.Loss), upstreams ...directory.Upstream) *Relay {
 	t.Helper()
 	return startConfigured(t, s, func(c *Config) { c.Peers, c.OnCrashes = peers, onCrashes }, upstreams...)
 }
 
-// startConfigured starts a relay with a configuration that configure changes.
-func startConfigured(t *testing.T, s opaque.Exchanger, configure func(*Config), upstreams ...directory.Upstream) *Relay {
+// startConfigured starts a relay with a changed configuration.
+func startConfigured(t *testing.T, s opaque.Exchanger, change func(*Config), upstreams ...directory.Upstream) *Relay {
 	t.Helper()
 	var changes []directory.Change
 	for _, u := range upstreams {
@@ -71,10 +72,10 @@
 	view := directory.NewView().Apply(changes)
 	cfg := Config{
 		Chooser: opaque.Chooser{Daemon: "d", BusyThreshold: 2}, AttemptTimeouts: opaque.AttemptTimeouts{MinTimeout: 50 * time.Millisecond, TargetMultiple: 1},
-		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: func(uint64, int) {}, Now: time.Now,
+		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: func(uint64, []quarantine.Loss) {}, Now: time.Now,
 		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond, UpstreamsCurrent: func() bool { return true }, CrashConfirmation: 30 * time.Millisecond,
 	}
-	configure(&cfg)
+	change(&cfg)
 	r := Start(duty.NewSystem(nil), cfg, zap.NewNop(), s, func() *directory.View { return view })
 	t.Cleanup(func() { assert.NilError(t, r.Stop(context.Background())) })
 	return r
@@ -91,6 +92,15 @@
 	return &opaque.AttemptError{Execution: execution, ConnectionLost: execution == opaque.ExecutionUnknown, Cause: &opaque.FailedError{Reason: "scripted"}}
 }
 
+// losses returns n losses of upstreams that another daemon reports.
+func losses(n int) []quarantine.Loss {
+	out := make([]quarantine.Loss, n)
+	for i := range out {
+		out[i] = quarantine.Loss{Upstream: "a", At: time.Now()}
+	}
+	return out
+}
+
 var threeUpstreams = []directory.Upstream{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 
 func TestIdempotentRequestIsRetriedOnOtherUpstreams(t *testing.T) {
@@ -210,14 +220,14 @@
 		return &opaque.Response{Status: 200}, nil
 	}}
 	r, q := start(t, s, threeUpstreams...), newRequest(routes.KindIdempotent)
-	r.AddCrashes(fingerprint(q), crashLimit-1)
+	r.AddCrashes(fingerprint(q), losses(quarantine.RefusalStrikes-1))
 	_, _, err := r.Forward(t.Context(), q) // a response clears the crashes
 	assert.NilError(t, err)
-	r.AddCrashes(fingerprint(q), 1)
+	r.AddCrashes(fingerprint(q), losses(1))
 	_, _, err = r.Forward(t.Context(), q)
 	assert.NilError(t, err)
-	r.AddCrashes(fingerprint(q), crashLimit-1)
-	r.AddCrashes(fingerprint(q), 1)
+	r.AddCrashes(fingerprint(q), losses(quarantine.RefusalStrikes-1))
+	r.AddCrashes(fingerprint(q), losses(1))
 	_, _, err = r.Forward(t.Context(), q)
 	var refused *opaque.NotRunError
 	assert.Assert(t, errors.As(err, &refused), "%v", err)
@@ -231,10 +241,10 @@
 		return nil, attemptError(opaque.ExecutionUnknown)
 	}}
 	r := start(t, s, directory.Upstream{ID: "a"})
-	for range 2 * crashLimit {
+	for range 2 * quarantine.RefusalStrikes {
 		_, _, _ = r.Forward(t.Context(), newRequest(routes.KindIdempotent)) // fails or is refused
 	}
-	assert.Assert(t, len(s.tried()) <= crashLimit, "%d attempts", len(s.tried()))
+	assert.Assert(t, len(s.tried()) <= quarantine.RefusalStrikes, "%d attempts", len(s.tried()))
 }
 
 // Guards against a request without a response or an error, which has an upstream's failure response
@@ -243,7 +253,7 @@
 	var r *Relay
 	q := newRequest(routes.KindIdempotent)
 	s := &scriptedExchanger{respond: func(int, context.Context, *directory.Upstream) (*opaque.Response, error) {
-		r.AddCrashes(fingerprint(q), crashLimit)
+		r.AddCrashes(fingerprint(q), losses(quarantine.RefusalStrikes))
 		return &opaque.Response{Status: 500}, nil
 	}}
 	r = start(t, s, threeUpstreams...)
