--- a/cmd/dotterelmountd/internal/hosted/usage_test.go
+++ b/cmd/dotterelmountd/internal/hosted/usage_test.go
@@ -1,13 +1,11 @@
 package hosted
 
 import (
-	"context"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
-	"dotterelmount.example/api"
-	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/usage"
 	"dotterelmount.example/platform/store"
 	"dotterelmount.example/server/metering"
@@ -28,13 +26,9 @@
 	d := &meteredDeployment{deployment: newDeployment(t, 0), cloud: platform.NewCloud(fencesChecked), sent: make(usage.Counts)}
 	t.Cleanup(d.cloud.Close)
 	d.cloud.PerSecond = 20
-	d.store.PutJSON("keyed.op", "config", map[string]any{
-		"version": 2, "limits": map[string]any{}, "services": []any{map[string]any{"name": "plain", "max_conns": 100}},
-		"routes": []any{map[string]any{
-			"name": "members", "host": host, "path_prefix": memberPath, "type": "safe", "service": "plain", "timeout_ms": 2000, "full_value_ms": 150, "attempts": 3,
-		}},
-		"tenants": []any{map[string]any{"name": "alice", "api_keys": []string{"k1"}}, map[string]any{"name": "bob", "api_keys": []string{"k2"}}},
-	})
+	d.store.PublishConfig(2, []platform.Route{
+		{Name: "members", Host: host, PathPrefix: memberPath, Kind: "safe", Service: "plain", TimeoutMillis: 2000, LatencyTargetMillis: 150, Attempts: 3},
+	}, []platform.Service{{Name: "plain"}}, platform.Tenant{Name: "alice", Keys: []string{"k1"}}, platform.Tenant{Name: "bob", Keys: []string{"k2"}})
 	for range 2 {
 		d.startWith(fmt.Sprintf("duties:\n  address: %s\n  names: [metering]\n  calls_per_second: 20\n  fences_checked: %t\n  lease: 1s\n  usage_window: 3s\n  usage_delay: 8s\n", d.cloud.Address(), fencesChecked))
 	}
@@ -45,18 +39,13 @@
 // request sends requests of a customer to a daemon.
 func (d *meteredDeployment) request(n *Node, customer string, count int) {
 	d.t.Helper()
-	route, ok := n.View().Table.Match(host, memberPath+"x")
-	assert.Assert(d.t, ok)
+	keys := map[string]string{"alice": "k1", "bob": "k2"}
 	for range count {
 		d.sent[customer]++
-		ctx, cancel := context.WithTimeout(d.t.Context(), 5*time.Second)
-		resp, _, err := n.relay.Forward(ctx, &opaque.Request{
-			ID: api.RequestID(fmt.Sprintf("%s-%d", customer, d.sent[customer])), Method: "POST", RequestURI: memberPath + "x", Host: host, Route: route,
-			Service: "plain", Customer: customer, Arrived: time.Now(), Deadline: time.Now().Add(2 * time.Second),
+		resp := d.call(n, http.MethodPost, memberPath+"x", nil, map[string]string{
+			"X-Request-Id": fmt.Sprintf("%s-%d", customer, d.sent[customer]), "X-Deadline-Ms": "2000", "Authorization": "Token " + keys[customer],
 		})
-		cancel()
-		assert.NilError(d.t, err)
-		assert.Equal(d.t, resp.Status, 200)
+		assert.Equal(d.t, resp.status, http.StatusOK)
 	}
 }
 
