--- a/cmd/dotterelmountd/internal/hosted/duties.go
+++ b/cmd/dotterelmountd/internal/hosted/duties.go
@@ -28,9 +28,6 @@
 	spreadPart = 8 // over which they spread that
 )
 
-// dutyTopicPrefix begins the names of the topics with the records of duties.
-const dutyTopicPrefix = "duty-"
-
 // startDuties starts the duties that the settings name, of which there is one holder at a time.
 // Without any, nothing is started.
 func (n *Node) startDuties(storeClient *store.Client, process string) {
@@ -51,7 +48,7 @@
 	cfg.Keeper.Lease, cfg.Keeper.FencesChecked = d.Lease, d.FencesChecked
 	cfg.CallTimeout, cfg.CallsPerSecond = d.Lease/4, d.CallsPerSecond
 	n.keepers = singleton.Start(n.system, cfg, singleton.Deps{
-		Topic:    func(d decision.Duty) journal.Keyed { return storeClient.Keyed(dutyTopicPrefix + string(d)) },
+		Topic:    func(d decision.Duty) journal.Keyed { return storeClient.Keyed(singleton.TopicOf(d)) },
 		Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, Wanted: func(d decision.Duty) bool { return knownDuties[d](n) },
 		Time: clock.Time, OnStamp: clock.Compare, Plausible: clock.Plausible,
 	}, n.log.Logger)
--- a/server/singleton/record.go
+++ b/server/singleton/record.go
@@ -5,9 +5,31 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/journal"
 	decision "dotterelmount.example/lib/singleton"
 )
 
+// TopicOf returns the name of the keyed topic with the record of a duty, without the prefix of
+// such topics.
+func TopicOf(d decision.Duty) string { return "duty-" + string(d) }
+
+// RecordOf returns the record of a duty among those of its topic, and the true time at which it
+// was appended, as its holder knew it; zero if it didn't. The record is nil if there is none.
+// Errors: *api.Error.
+func RecordOf(d decision.Duty, records []journal.KeyedRecord) (*decision.Record, time.Time, error) {
+	for _, r := range records {
+		if r.Key != string(d) {
+			continue
+		}
+		record, millis, err := decodeRecord(r.Value)
+		if err != nil || millis == 0 {
+			return record, time.Time{}, err
+		}
+		return record, time.UnixMilli(millis), nil
+	}
+	return nil, time.Time{}, nil
+}
+
 // recordDoc is a record as stored.
 type recordDoc struct {
 	Holder    api.DaemonID   `json:"holder"`
--- a/server/singleton/singleton.go
+++ b/server/singleton/singleton.go
@@ -157,7 +157,7 @@
 	leaving []leave
 	// Of the last record of another daemon: its time, and when its read began.
 	lapsed  bool // the term has run out
-	stamp   int64
+	stamp   time.Time
 	stampAt time.Duration
 	// checkUntil is until when this daemon's time is compared with the holder's; 0: the
 	// comparison has not begun, negative: it has ended.
@@ -279,24 +279,14 @@
 		k.failed(now, err)
 		return
 	}
-	stored := decision.Stored{End: uint64(end)}
-	if len(records) == 0 {
-		k.checkUntil = -1 // nobody has held the duty
-	}
-	for _, r := range records {
-		if r.Key != string(k.name) {
-			continue
-		}
-		record, millis, err := decodeRecord(r.Value)
-		if err != nil {
-			k.log.Warn("record of a duty is not readable", zap.Error(err)) // it may be of a later build
-			k.failed(now, err)
-			return
-		}
-		stored.Record = record
-		k.noteStamp(millis, record, sent, now)
+	record, stamp, err := RecordOf(k.name, records)
+	if err != nil {
+		k.log.Warn("record of a duty is not readable", zap.Error(err)) // it may be of a later build
+		k.failed(now, err)
+		return
 	}
-	k.keeper.ReadDone(sent, now, stored)
+	k.noteStamp(stamp, record, sent, now)
+	k.keeper.ReadDone(sent, now, decision.Stored{Record: record, End: uint64(end)})
 }
 
 // checksTime reports whether to read the record, only to compare this daemon's time with the
@@ -322,16 +312,19 @@
 
 // noteStamp passes on the time in a record of another daemon that has changed since the last
 // read: the record was made between the two reads.
-func (k *keeper) noteStamp(millis int64, r *decision.Record, sent, now time.Duration) {
-	changed := k.stamp != 0 && millis > k.stamp
-	if changed && r.Process != k.cfg.Keeper.Process && !r.Released {
-		k.deps.OnStamp(time.UnixMilli(millis), k.stampAt, now)
+func (k *keeper) noteStamp(stamp time.Time, r *decision.Record, sent, now time.Duration) {
+	if r == nil || r.Released || stamp.IsZero() {
+		k.checkUntil = -1 // there is nothing to compare with
+		return
+	}
+	if !k.stamp.IsZero() && stamp.After(k.stamp) && r.Process != k.cfg.Keeper.Process {
+		k.deps.OnStamp(stamp, k.stampAt, now)
 		k.checkUntil = -1
 	}
-	if millis == 0 || r.Released || k.deps.Plausible(time.UnixMilli(millis)) {
+	if k.deps.Plausible(stamp) {
 		k.checkUntil = -1
 	}
-	k.stamp, k.stampAt = millis, sent
+	k.stamp, k.stampAt = stamp, sent
 }
 
 func (k *keeper) append(ctx context.Context, a decision.Action) {
