Leave daemons of earlier builds out of the candidates

Cause: during an upgrade the first three daemons by capacity may all be of a build that doesn't know duties: nobody would take them.

Change: only daemons whose renewals name the level of images of this landing are candidates.

Result: a test with two larger daemons of earlier builds passes.

--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -152,6 +152,7 @@
 	Candidates: 3, // the loss of the first two at once is rare, and the live daemons are known a second later
 	Tick:       50 * time.Millisecond, IdleTick: time.Second, LeaveTimeout: time.Second, RankInterval: 500 * time.Millisecond,
 	Roster: roster, MaxReadAge: 2 * time.Second, Now: time.Now, Boot: boottime.Now,
+	MinImageLevel: 2, // that of the first build with duties
 }
 
 var meterConfig = metering.MeterConfig{
--- a/server/singleton/singleton.go
+++ b/server/singleton/singleton.go
@@ -36,7 +36,10 @@
 	CallTimeout    time.Duration // of a call to the store
 	LeaveTimeout   time.Duration // of the release of a term
 	RankInterval   time.Duration // between two looks at the live daemons
-	Roster         leases.Roster
+	// MinImageLevel is the level of images from which on a daemon's build knows duties. Others
+	// are no candidates.
+	MinImageLevel int
+	Roster        leases.Roster
 	// MaxReadAge is the age of the last full read of the journal up to which the live daemons
 	// count as known.
 	MaxReadAge time.Duration
@@ -263,7 +266,9 @@
 	}
 	live := make(map[api.DaemonID]int)
 	for id := range k.cfg.Roster.Live(s.Members(), now) {
-		live[id] = s.Capacity[id]
+		if s.Daemons[id].ImageLevel >= k.cfg.MinImageLevel {
+			live[id] = s.Capacity[id]
+		}
 	}
 	k.rank = slices.Index(decision.Candidates(k.name, live, k.cfg.Candidates), k.cfg.Keeper.Self)
 }
--- a/server/singleton/singleton_test.go
+++ b/server/singleton/singleton_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/boottime"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/journal"
@@ -96,22 +97,28 @@
 // start starts a daemon of several that are all live.
 func start(t *testing.T, topic *memoryTopic, all []api.DaemonID, self api.DaemonID) *Keepers {
 	t.Helper()
-	sys := duty.NewSystem(nil)
-	renewals := make(map[api.DaemonID]time.Time)
+	snapshot := &jobreplica.Snapshot{LastRenewals: make(map[api.DaemonID]time.Time)}
 	for _, id := range all {
-		renewals[id] = time.Now().Add(time.Hour)
+		snapshot.LastRenewals[id] = time.Now().Add(time.Hour)
 	}
+	return startWith(t, topic, snapshot, 0, self)
+}
+
+// startWith starts a daemon with what the journal says, and the level that candidates have.
+func startWith(t *testing.T, topic *memoryTopic, snapshot *jobreplica.Snapshot, level int, self api.DaemonID) *Keepers {
+	t.Helper()
+	sys := duty.NewSystem(nil)
 	s := Start(sys, Config{
 		Keeper: decision.Config{
 			Self: self, Process: string(self) + "/1", Lease: 600 * time.Millisecond, FencesChecked: true, LateCalls: time.Second,
 			RankDelay: 50 * time.Millisecond, RetryInterval: 20 * time.Millisecond, FailureLimit: 3, Absence: time.Minute, MaxAbsence: time.Minute,
 		},
 		Duties: []decision.Duty{metering}, Candidates: 2, Tick: 10 * time.Millisecond, IdleTick: 20 * time.Millisecond,
-		CallTimeout: time.Second, LeaveTimeout: time.Second, RankInterval: 10 * time.Millisecond,
+		CallTimeout: time.Second, LeaveTimeout: time.Second, RankInterval: 10 * time.Millisecond, MinImageLevel: level,
 		Roster: leases.Roster{MaxActive: 10, TTL: time.Minute}, MaxReadAge: time.Minute, Now: time.Now, Boot: boottime.Now,
 	}, Deps{
 		Topic:        func(decision.Duty) journal.Keyed { return topic },
-		Snapshot:     func() *jobreplica.Snapshot { return &jobreplica.Snapshot{LastRenewals: renewals} },
+		Snapshot:     func() *jobreplica.Snapshot { return snapshot },
 		LastFullRead: time.Now, Wanted: func(decision.Duty) bool { return true }, Time: func() (time.Time, bool) { return time.Now(), true }, OnStamp: func(time.Time, time.Duration, time.Duration) {},
 		Plausible: func(time.Time) bool { return true },
 	}, zap.NewNop())
@@ -212,3 +219,15 @@
 	duty.Sleep(ctx, 300*time.Millisecond) // half a lease: ten ticks of the daemon that is no candidate
 	assert.Equal(t, topic.callCount(), before)
 }
+
+// Daemons of a build that doesn't know duties are no candidates, whatever their capacity.
+func TestEarlierBuildsAreNoCandidates(t *testing.T) {
+	live := time.Now().Add(time.Hour)
+	snapshot := &jobreplica.Snapshot{
+		LastRenewals: map[api.DaemonID]time.Time{"old1": live, "old2": live, "new": live},
+		Capacity:     map[api.DaemonID]int{"old1": 4000, "old2": 4000, "new": 100},
+		Daemons:      map[api.DaemonID]batch.Daemon{"old1": {ImageLevel: 1}, "old2": {}, "new": {ImageLevel: 2}},
+	}
+	topic := &memoryTopic{values: make(map[string][]byte)}
+	await(t, 0, startWith(t, topic, snapshot, 2, "new"))
+}
