Take keys away in the hosted soak

Cause: no soak showed keys, their end under faults, or jobs of customers.

Change: each version adds a key and takes the one before last away. The soak counts requests served with such a key, runs for another tenant or with the key shown, and jobs that another tenant can read. Trainers submit with one key and read with another one. With an earlier build callers need no keys, as it doesn't know them.

--- a/bench/hostedsoak/deployment.go
+++ b/bench/hostedsoak/deployment.go
@@ -80,6 +80,7 @@
 		client: &platform.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: memberThreads}}, Host: host},
 	}
 	d.operator = &operator{store: d.store, sameBuild: b.same}
+	d.client = d.clientWith(memberKey)
 	d.operator.publish()
 	for i := range engineCount {
 		d.engines = append(d.engines, d.newServer(fmt.Sprintf("engine-%d", i+1), engineService, models...))
--- a/bench/hostedsoak/operator.go
+++ b/bench/hostedsoak/operator.go
@@ -100,7 +100,7 @@
 	for i := range routes {
 		routes[i].Host = host
 	}
-	o.store.PublishConfig(o.version, routes, []platform.Service{{Name: engineService, Models: models}, {Name: otherEngineService, Models: models}, {Name: plainService}})
+	o.store.PublishConfig(o.version, routes, []platform.Service{{Name: engineService, Models: models}, {Name: otherEngineService, Models: models}, {Name: plainService}}, o.tenants()...)
 	o.publishTimes = append(o.publishTimes, time.Now())
 }
 
--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return err
 	}
+	r.keys = b.same
 	j := newInjector(d)
 	l := &load{deployment: d, seed: r.Seed, resumptions: make(map[int]int)}
 	var trainers []*trainer
@@ -51,6 +52,7 @@
 	index := readArrivals(d)
 	r.evaluateRequests(l.requests, index)
 	r.evaluateSteps(trainers, index)
+	r.evaluateTenants(trainers, index, b.same)
 	r.evaluateKillers(l.requests, index, j)
 	r.evaluateDrains(j.drains, l.requests, index, j)
 	r.evaluateCutOff(cut, l.requests)
@@ -59,7 +61,7 @@
 	r.evaluateLimits(d, limits)
 	r.evaluateExits(exits)
 	r.evaluateFaults(j)
-	r.Probes = int(r.probes.Load())
+	r.Probes, r.RevokedKeys = int(r.probes.Load()), int(r.revoked.Load())
 	r.Resumptions = l.resumptions
 	for _, end := range l.notContinued {
 		if end.After(limits.begin) && end.Before(limits.end) {
--- a/bench/hostedsoak/probes.go
+++ b/bench/hostedsoak/probes.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	probePrefix     = "probe-" // of the ids of probes
 	probeInterval   = 150 * time.Millisecond
 	probeTimeout    = time.Second
 	revertTolerance = 250 * time.Millisecond // after a version was first found, during which responses may still lack it
@@ -22,7 +23,7 @@
 type probe struct {
 	daemon, version, pid int
 	sent                 time.Time
-	found                bool // the version's route exists
+	found                bool // the version's route and key exist
 }
 
 // startProbes sends requests to the newest probe routes of every daemon until ctx
@@ -38,6 +39,7 @@
 				if p, ok := sendProbe(d, i, n); ok {
 					r.evaluateProbe(p, seen, d.operator, j)
 				}
+				r.probeRevokedKey(d, j, i, n)
 				duty.Sleep(ctx, probeInterval)
 			}
 		})
@@ -56,14 +58,14 @@
 		return p, false
 	}
 	p.pid = running.PID()
-	id := fmt.Sprintf("probe-%d-%d", daemon, n)
-	response := d.client.Send(context.Background(), d.callerAddresses[daemon], platform.Call{
+	id := fmt.Sprintf("%s%d-%d", probePrefix, daemon, n)
+	response := d.clientWith(probeKey(p.version)).Send(context.Background(), d.callerAddresses[daemon], platform.Call{
 		Method: http.MethodPost, Path: probePath(p.version), RequestID: id, Deadline: probeTimeout,
 	})
 	p.found = response.Status == http.StatusOK
 	newestAfter := d.operator.newestVersion()
 	current := d.daemons[daemon].Current()
-	conclusive := response.Err == nil && (p.found || response.Status == http.StatusNotFound) && p.version > newestAfter-probeRouteCount
+	conclusive := response.Err == nil && (p.found || response.Status == http.StatusNotFound || response.Status == http.StatusUnauthorized) && p.version > newestAfter-probeRouteCount
 	return p, conclusive && current != nil && current.PID() == p.pid
 }
 
--- a/bench/hostedsoak/result.go
+++ b/bench/hostedsoak/result.go
@@ -42,11 +42,17 @@
 	ConfigReverts     int            `json:"config_reverts"`       // probes that missed a version found earlier in the same process
 	ConfigLate        int            `json:"config_late"`          // probes that missed a version later than maxApplyDelay after its publication
 	Probes            int            `json:"probes"`               // conclusive ones
+	WrongTenant       int            `json:"wrong_tenant"`         // runs for another tenant than the one that has the key, or with the key
+	RevokedServed     int            `json:"revoked_served"`       // requests served although their key was taken away more than maxApplyDelay before
+	RevokedKeys       int            `json:"revoked_keys"`         // requests refused for such a key
+	ForeignReads      int            `json:"foreign_reads"`        // jobs shown to another tenant
 	UnexpectedExits   int            `json:"unexpected_exits"`     // including those caused by a violated invariant
 	Recovered         bool           `json:"recovered"`            // every daemon served each kind of request after the faults
 
 	fleet.ErrorLog
-	probes atomic.Int64
+	probes  atomic.Int64
+	revoked atomic.Int64
+	keys    bool // callers need keys
 }
 
 func newResult(seed uint64) *Result {
@@ -108,6 +114,10 @@
 	c.Check(r.ConfigReverts == 0, "config_reverts")
 	c.Check(r.ConfigLate == 0, "config_late")
 	c.Check(r.Probes > 0, "probes")
+	c.Check(r.WrongTenant == 0, "wrong_tenant")
+	c.Check(r.RevokedServed == 0, "revoked_served")
+	c.Check(r.RevokedKeys > 0 || !r.keys, "revoked_keys")
+	c.Check(r.ForeignReads == 0, "foreign_reads")
 	c.Check(r.UnexpectedExits == 0, "unexpected_exits")
 	c.Check(r.Recovered, "recovered")
 	c.Check(len(r.Errors) == 0, "errors")
--- a/bench/hostedsoak/soak_test.go
+++ b/bench/hostedsoak/soak_test.go
@@ -126,3 +126,16 @@
 	_, err = newBuilds(true, "/old", false)
 	assert.Equal(t, api.CodeOf(err), api.CodeInvalid)
 }
+
+func TestEvaluateTenantsCountsWrongOnes(t *testing.T) {
+	index := &arrivalIndex{arrivals: map[string][]platform.Arrival{
+		"1-1": {{Tenant: memberTenant}, {Tenant: ""}}, "1-2": {{Tenant: memberTenant, KeyShown: true}}, "item": {{Tenant: trainerTenant}},
+		scorePrefix + "item": {{Tenant: memberTenant}}, probePrefix + "1-1": {{Tenant: probeTenant}, {Tenant: probeTenant + "," + memberTenant}},
+	}}
+	trainers := []*trainer{{steps: []*step{{job: platform.Job{Items: []platform.Item{{ID: "item"}}}}}}}
+	r := newQuietResult()
+	r.evaluateTenants(trainers, index, true)
+	assert.Equal(t, r.WrongTenant, 4)
+	r.evaluateTenants(trainers, index, false)
+	assert.Equal(t, r.WrongTenant, 4, "callers need no keys")
+}
--- a/bench/hostedsoak/trainers.go
+++ b/bench/hostedsoak/trainers.go
@@ -78,7 +78,7 @@
 func (t *trainer) submitJob(ctx context.Context, s *step) bool {
 	s.promisedNotRun = true
 	return t.retry(ctx, readWait, func() bool {
-		response := t.deployment.client.SubmitJob(ctx, t.deployment.callerAddresses[t.randomDaemon()], s.path, submitTimeout, s.job)
+		response := t.deployment.clientWith(trainerKey).SubmitJob(ctx, t.deployment.callerAddresses[t.randomDaemon()], s.path, submitTimeout, s.job)
 		s.promisedNotRun = s.promisedNotRun && response.Err == nil && response.PromisesNotRun()
 		if response.Err != nil || response.Status != http.StatusAccepted {
 			return false
@@ -109,6 +109,7 @@
 		}
 		if t.rng.IntN(8) == 0 {
 			t.readResults(ctx, s, 0) // reread to check that results keep their positions
+			t.readAsOther(ctx, s, t.randomDaemon())
 		}
 		return false
 	})
@@ -120,7 +121,7 @@
 func (t *trainer) readResults(ctx context.Context, s *step, after int) (int, bool) {
 	daemon := t.randomDaemon()
 	known := len(s.results)
-	page, response := t.deployment.client.ReadResults(ctx, t.deployment.callerAddresses[daemon], s.job.ID, after, readWait, callTimeout)
+	page, response := t.deployment.clientWith(readerKey).ReadResults(ctx, t.deployment.callerAddresses[daemon], s.job.ID, after, readWait, callTimeout)
 	if response.Err != nil || response.Status != http.StatusOK {
 		t.result.addFailedRead(s, daemon, response.Status)
 		return 0, false
@@ -167,7 +168,7 @@
 // endJob ends a step's job, so that its remaining items needn't run.
 func (t *trainer) endJob(ctx context.Context, s *step) {
 	s.ended = t.retry(ctx, pollInterval, func() bool {
-		response := t.deployment.client.EndJob(ctx, t.deployment.callerAddresses[t.randomDaemon()], s.job.ID, callTimeout)
+		response := t.deployment.clientWith(readerKey).EndJob(ctx, t.deployment.callerAddresses[t.randomDaemon()], s.job.ID, callTimeout)
 		return response.Err == nil && response.Status == http.StatusOK
 	})
 	if !s.ended {
