--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -42,7 +42,7 @@
 			},
 			{Name: "upstreams", Usage: "list upstreams with their lease holders and weights", Action: withHistory(hostedUpstreams)},
 			{Name: "daemons", Usage: "list daemons with the configuration versions in force and the levels of records they read", Action: withHistory(hostedDaemons)},
-			hostedKeysCommand(),
+			hostedKeysCommand(), hostedExplainCommand(),
 			{
 				Name: "audit", Usage: "print the records of jobs, leases and servers",
 				Flags:  []cli.Flag{&cli.StringFlag{Name: flagJob, Usage: "only records of the job with this `id`"}},
--- a/cmd/dotterelmount/hosted_test.go
+++ b/cmd/dotterelmount/hosted_test.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/lib/batch"
 	"dotterelmount.example/lib/batch/batchcodec"
 	"dotterelmount.example/lib/batch/replay"
+	"dotterelmount.example/lib/explain"
 	"dotterelmount.example/lib/journal"
 	"dotterelmount.example/lib/routes"
 	"dotterelmount.example/platform/store"
@@ -98,3 +99,21 @@
 	err := newCommand().Run(t.Context(), []string{"dotterelmount", "hosted", "keys", "--metrics", address})
 	assert.Equal(t, exitCode(err), exitUnavailable, "%v", err)
 }
+
+func TestHostedExplain(t *testing.T) {
+	daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.URL.Path == explain.Path && r.URL.Query().Get("customer") == "c1" && r.URL.Query().Get("path") == "/p/1")
+		assert.Check(t, json.NewEncoder(w).Encode(explain.Report{
+			Daemon: "d1", Route: "r1", Decision: explain.Decision{Outcome: explain.Waits, To: "u1", WaitSeconds: 0.25, Candidates: []explain.Candidate{{ID: "u1", State: "at its limit"}}},
+		}))
+	}))
+	defer daemon.Close()
+	var out bytes.Buffer
+	c := newCommand()
+	c.Writer = &out
+	address := strings.TrimPrefix(daemon.URL, "http://")
+	assert.NilError(t, c.Run(t.Context(), []string{"dotterelmount", "hosted", "explain", "--metrics", address, "--host", "h", "--path", "/p/1", "--customer", "c1"}))
+	for _, want := range []string{"waits to u1, in 0.250 s", "at its limit", "route r1"} {
+		assert.Assert(t, strings.Contains(out.String(), want), out.String())
+	}
+}
--- a/cmd/dotterelmountd/internal/hosted/keys.go
+++ b/cmd/dotterelmountd/internal/hosted/keys.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dotterelmount.example/lib/access"
+	"dotterelmount.example/lib/explain"
 	"go.uber.org/zap"
 )
 
@@ -15,12 +16,13 @@
 	return access.Policy{MaxAge: maxConfigAge, FailClosed: n.settings.Keys.FailClosed, Revoke: n.settings.Keys.Revoke}
 }
 
-// metricsHandler serves the metrics and, at /debug/keys, what this daemon knows of the keys
-// of customers.
+// metricsHandler serves the metrics and, below /debug/, what this daemon knows of the keys of
+// customers and where a request would go.
 func (n *Node) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", expvar.Handler())
 	mux.HandleFunc("GET "+access.ReportPath, n.serveKeys)
+	mux.HandleFunc("GET "+explain.Path, n.serveExplanation)
 	return mux
 }
 
--- a/lib/access/index.go
+++ b/lib/access/index.go
@@ -93,3 +93,6 @@
 	}
 	return ofRoute
 }
+
+// Has reports whether there is a customer with a name.
+func (x *Index) Has(customer string) bool { return x != nil && x.byName[customer] != nil }
--- a/lib/opaque/pick.go
+++ b/lib/opaque/pick.go
@@ -45,11 +45,11 @@
 // it gains enough by leaving it.
 func (c Chooser) PickFor(target time.Duration, candidates []Candidate) (Candidate, bool) {
 	best, ok := c.Pick(candidates)
-	if !ok || c.Locality == nil || c.isLocal(best) || c.rank(best) > maxSoundRank {
+	if !ok || c.Locality == nil || c.isLocal(best) || c.Rank(best) > maxSoundRank {
 		return best, ok
 	}
 	local, ok := c.Pick(slices.DeleteFunc(slices.Clone(candidates), func(a Candidate) bool { return !c.isLocal(a) }))
-	if !ok || c.rank(local) > maxSoundRank || c.Locality.Leaves(local.Expected, best.Expected, target) {
+	if !ok || c.Rank(local) > maxSoundRank || c.Locality.Leaves(local.Expected, best.Expected, target) {
 		return best, true
 	}
 	return local, true
@@ -60,8 +60,8 @@
 // maxSoundRank is the highest rank of upstreams that can take a request now.
 const maxSoundRank = 1
 
-// rank returns the rank of a candidate; lower ranks are preferred.
-func (c Chooser) rank(a Candidate) int {
+// Rank returns the rank of a candidate; lower ranks are preferred.
+func (c Chooser) Rank(a Candidate) int {
 	switch {
 	case a.Upstream.Draining:
 		return 6
@@ -92,10 +92,10 @@
 		return Candidate{}, false
 	}
 	best := slices.MinFunc(candidates, func(a, b Candidate) int {
-		if d := cmp.Compare(c.rank(a), c.rank(b)); d != 0 {
+		if d := cmp.Compare(c.Rank(a), c.Rank(b)); d != 0 {
 			return d
 		}
-		if c.rank(a) > 0 {
+		if c.Rank(a) > 0 {
 			if d := cmp.Compare(a.Wait, b.Wait); d != 0 {
 				return d
 			}
--- a/lib/quarantine/contents.go
+++ b/lib/quarantine/contents.go
@@ -111,25 +111,39 @@
 // that until the evidence is complete or the refusal ends. Then one request runs in each
 // TrialInterval.
 func (c *Contents) Admit(hash uint64, now time.Time) (wait time.Duration, ok bool) {
+	wait, trial, ok := c.peek(hash, now)
+	if trial {
+		c.byHash[hash].nextTrial = now.Add(TrialInterval)
+	}
+	return wait, ok
+}
+
+// Peek returns what Admit would return, without the effect that a request runs.
+func (c *Contents) Peek(hash uint64, now time.Time) (wait time.Duration, ok bool) {
+	wait, _, ok = c.peek(hash, now)
+	return wait, ok
+}
+
+// peek also returns whether the request would be a trial.
+func (c *Contents) peek(hash uint64, now time.Time) (wait time.Duration, trial, ok bool) {
 	e := c.byHash[hash]
 	if e == nil {
-		return 0, true
+		return 0, false, true
 	}
 	charged := c.charged(hash, e)
 	if charged < RefusalStrikes {
-		return 0, true
+		return 0, false, true
 	}
 	if until := c.refusedUntil(hash, e); now.Before(until) {
 		if age := now.Sub(e.lastLoss()); age < EvidenceDelay && charged == RefusalStrikes {
-			return EvidenceDelay - age, false
+			return EvidenceDelay - age, false, false
 		}
-		return until.Sub(now), false
+		return until.Sub(now), false, false
 	}
 	if now.Before(e.nextTrial) {
-		return e.nextTrial.Sub(now), false
+		return e.nextTrial.Sub(now), false, false
 	}
-	e.nextTrial = now.Add(TrialInterval)
-	return 0, true
+	return 0, true, true
 }
 
 // refusedUntil returns when the refusal of a content ends; the time of its last loss if it
--- a/server/jobreplica/queries.go
+++ b/server/jobreplica/queries.go
@@ -135,3 +135,17 @@
 	}
 	return out, nil
 }
+
+// ExplainPlacement returns where the first item of a job would be placed if it were accepted
+// now. Errors: *PartialError, ctx.Err().
+func (j *JobReplica) ExplainPlacement(ctx context.Context, job *batch.Job) (batch.Placement, error) {
+	var out batch.Placement
+	err := j.query(ctx, 0, func(s *batch.State, _, _ bool) bool {
+		out = s.ExplainPlacement(job)
+		return true
+	})
+	if err != nil {
+		return batch.Placement{}, err // the duty may still write to out
+	}
+	return out, nil
+}
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -192,8 +192,8 @@
 	}
 }
 
-// Handle processes a new job, the end of an attempt or a peer's crash report.
-func (r *Relay) Handle(_ context.Context, m any) {
+// Handle processes a new job, the end of an attempt, a peer's crash report or a question.
+func (r *Relay) Handle(ctx context.Context, m any) {
 	switch m := m.(type) {
 	case *job:
 		r.startNext(m)
@@ -204,6 +204,8 @@
 		} else {
 			r.handleEnd(m)
 		}
+	case *explanation:
+		m.reply.Put(r.explain(ctx, m.request))
 	case peerCrashes:
 		r.addPeerCrashes(m)
 	}
@@ -249,18 +251,14 @@
 		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("all attempts failed", false, r.cfg.RetryAfter)})
 		return
 	}
-	candidates := r.candidates(j, now)
-	r.setWaits(j, candidates, now)
-	r.setWindowWaits(j, candidates, now)
-	chosen, ok := r.cfg.Chooser.PickFor(q.Route.LatencyTarget, candidates)
-	if !ok || (chosen.Tried && !j.request.Route.Repeatable() && j.mayHaveRun) {
+	c := r.choose(j, now)
+	if !c.ok {
 		r.finish(j, reply{Err: elsewhere(j.failure("no upstream available for service "+q.Service, false, r.cfg.RetryAfter))})
 		return
 	}
-	u, waits := chosen.Upstream, r.mustWait(j, chosen)
-	r.countDemand(j, candidates, waits)
-	if waits {
-		r.waitForLimit(j, chosen, now)
+	r.countDemand(j, c.candidates, c.waits)
+	if c.waits {
+		r.waitForLimit(j, c.chosen, now)
 		return
 	}
 	index, ok := r.workers.Acquire()
@@ -268,7 +266,26 @@
 		r.finish(j, reply{Err: elsewhere(j.failure("all workers are busy", false, r.cfg.RetryAfter))})
 		return
 	}
-	r.startAttempt(index, j, u, now)
+	r.startAttempt(index, j, c.chosen.Upstream, now)
+}
+
+// choice is the decision about the upstream of a job's next attempt.
+type choice struct {
+	candidates []opaque.Candidate
+	chosen     opaque.Candidate
+	ok         bool // there is an upstream that the job may be sent to
+	waits      bool // the job has to wait for the upstream's limits first
+}
+
+// choose decides about the upstream of a job's next attempt.
+func (r *Relay) choose(j *job, now time.Time) choice {
+	c := choice{candidates: r.candidates(j, now)}
+	r.setWaits(j, c.candidates, now)
+	r.setWindowWaits(j, c.candidates, now)
+	c.chosen, c.ok = r.cfg.Chooser.PickFor(j.request.Route.LatencyTarget, c.candidates)
+	c.ok = c.ok && (!c.chosen.Tried || j.request.Route.Repeatable() || !j.mayHaveRun)
+	c.waits = c.ok && r.mustWait(j, c.chosen)
+	return c
 }
 
 func (r *Relay) startAttempt(index int, j *job, u *directory.Upstream, now time.Time) {
