Query the work of jobs

Cause: a decision on the number of upstreams needs the work of recent and open jobs, with the length of their long texts. Change: batch.State.Workloads, served by jobreplica.

--- a/server/jobreplica/queries.go
+++ b/server/jobreplica/queries.go
@@ -103,3 +103,20 @@
 	}
 	return out, nil
 }
+
+// Workloads returns the work of all jobs. Errors: *PartialError, ctx.Err().
+func (j *JobReplica) Workloads(ctx context.Context) ([]batch.Workload, error) {
+	var out []batch.Workload
+	err := j.query(ctx, 0, func(s *batch.State, _, _ bool) bool {
+		out = s.Workloads()
+		now := j.cfg.Now()
+		for n := range out {
+			out[n].Age = j.jobAges.of(out[n].Job, now)
+		}
+		return true
+	})
+	if err != nil {
+		return nil, err // the duty may still write to out
+	}
+	return out, nil
+}
