--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -184,3 +184,15 @@
 	s, ok := t.services[name]
 	return s, ok
 }
+
+// Autoscaled returns the services with engines whose number of upstreams is ours to decide,
+// in the order of the configuration.
+func (t *Table) Autoscaled() []*Service {
+	var out []*Service
+	for i := range t.config.Services {
+		if s := &t.config.Services[i]; s.Autoscale != nil && s.Engine != nil {
+			out = append(out, s)
+		}
+	}
+	return out
+}
