Give each model a home that isn't reclaimable

Cause: a model whose only assigned upstreams are reclaimable loses all of them when a data centre's reclaimable upstreams are taken away.

--- a/lib/batch/assign.go
+++ b/lib/batch/assign.go
@@ -104,3 +104,13 @@
 	slices.Sort(out)
 	return out
 }
+
+func (s *State) swapHomes(r *HomesSwapped) bool {
+	a, b := s.upstreams[r.First], s.upstreams[r.Second]
+	if a == nil || b == nil || a.Service != b.Service || a.AssignedModel != r.FirstModel || b.AssignedModel != r.SecondModel || r.FirstModel == r.SecondModel ||
+		!slices.Contains(a.Models, r.SecondModel) || !slices.Contains(b.Models, r.FirstModel) {
+		return false
+	}
+	a.AssignedModel, b.AssignedModel = b.AssignedModel, a.AssignedModel
+	return true
+}
--- a/lib/batch/assign_test.go
+++ b/lib/batch/assign_test.go
@@ -61,3 +61,21 @@
 	}
 	assert.DeepEqual(t, f.assignedCounts(), map[api.ModelName]int{"m": 1, "n": 1})
 }
+
+func TestHomesAreSwappedIfTheyAreAsExpected(t *testing.T) {
+	f := newFixture(4, 4)
+	us := f.Upstreams()
+	a, b := us[0], us[1]
+	assert.Assert(t, a.AssignedModel != b.AssignedModel)
+	swap := &HomesSwapped{First: a.ID, FirstModel: a.AssignedModel, Second: b.ID, SecondModel: b.AssignedModel}
+	at := Offset(1000)
+	apply := func(r *HomesSwapped) bool {
+		at++
+		return f.Apply(at, r)
+	}
+	assert.Assert(t, apply(swap))
+	assert.Equal(t, f.Upstreams()[0].AssignedModel, b.AssignedModel)
+	assert.Equal(t, f.Upstreams()[1].AssignedModel, a.AssignedModel)
+	assert.Assert(t, !apply(swap), "a repeat must not swap them back")
+	assert.Assert(t, !apply(&HomesSwapped{First: a.ID, FirstModel: b.AssignedModel, Second: "gone", SecondModel: a.AssignedModel}))
+}
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -156,11 +156,12 @@
 // Levels of records. A build skips the records of levels above its own, so that one is
 // appended only while all live daemons read its level.
 const (
-	LevelJobRerouted = 1
-	LevelTextDropped = 2
-	LevelStateReset  = 3
+	LevelJobRerouted  = 1
+	LevelTextDropped  = 2
+	LevelStateReset   = 3
+	LevelHomesSwapped = 4
 
-	RecordLevel = LevelStateReset // of this build
+	RecordLevel = LevelHomesSwapped // of this build
 )
 
 // DaemonAlive renews all leases of a daemon.
@@ -314,6 +315,16 @@
 	After   Offset `msgpack:"a"`
 }
 
+// HomesSwapped swaps the models that two upstreams of a service are assigned. It has no
+// effect unless they are assigned these models.
+type HomesSwapped struct {
+	First       api.UpstreamID `msgpack:"a"`
+	FirstModel  api.ModelName  `msgpack:"am"` // before
+	Second      api.UpstreamID `msgpack:"b"`
+	SecondModel api.ModelName  `msgpack:"bm"` // before
+}
+
+func (*HomesSwapped) record()          {}
 func (*StateReset) record()            {}
 func (*TextDropped) record()           {}
 func (*JobRerouted) record()           {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -53,6 +53,7 @@
 	kindJobRerouted
 	kindTextDropped
 	kindStateReset
+	kindHomesSwapped
 )
 
 func kindOf(r batch.Record) byte {
@@ -99,6 +100,8 @@
 		return kindTextDropped
 	case *batch.StateReset:
 		return kindStateReset
+	case *batch.HomesSwapped:
+		return kindHomesSwapped
 	default:
 		return kindUpstreamChanged
 	}
@@ -127,6 +130,7 @@
 	kindJobRerouted:           decode[batch.JobRerouted],
 	kindTextDropped:           decode[batch.TextDropped],
 	kindStateReset:            decode[batch.StateReset],
+	kindHomesSwapped:          decode[batch.HomesSwapped],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -22,7 +22,7 @@
 	versions := map[api.ModelName]api.WeightVersion{"m": api.WeightVersion(pick("vm", 3)), "n": api.WeightVersion(pick("vn", 3))}
 	software := fmt.Sprint("v", pick("software", 1))
 	service := []string{"s", "t"}[pick("service", 1)]
-	switch pick("kind", 15) {
+	switch pick("kind", 16) {
 	case 0:
 		j := Job{ID: job, Service: "s", Model: model, MinVersion: api.WeightVersion(pick("min", 2)), MaxAttempts: 2, SingleVersion: pick("single", 1) == 1}
 		for i := range pick("items", 5) + 1 {
@@ -54,6 +54,8 @@
 		return &RequestLimitNamed{Upstream: upstream, PerSecond: float64(pick("limit", 2))}
 	case 15:
 		return &TextDropped{Job: job, Item: item, EventCount: 1 + pick("events", 1)}
+	case 16:
+		return &HomesSwapped{First: upstream, FirstModel: model, Second: api.UpstreamID(fmt.Sprint("u", pick("second", 4))), SecondModel: api.ModelName([]string{"m", "n"}[pick("second model", 1)])}
 	case 14:
 		return &JobRerouted{Job: job, Service: service, ConfigVersion: uint64(pick("config", 3))}
 	case 9:
--- a/lib/batch/image_test.go
+++ b/lib/batch/image_test.go
@@ -34,6 +34,10 @@
 		return &TextDropped{Job: job, Item: item, EventCount: 1 + rng.IntN(3)}
 	case 7:
 		return &EventIntervalMeasured{Upstream: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), Daemon: api.DaemonID(fmt.Sprint("d", rng.IntN(3))), Micros: int64(rng.IntN(5))}
+	case 8:
+		return &HomesSwapped{
+			First: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), FirstModel: "m", Second: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), SecondModel: "n",
+		}
 	default:
 		return levelZeroRecord(rng, n)
 	}
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -142,7 +142,7 @@
 // ChangesUpstreams reports whether a record can change the result of Upstreams.
 func ChangesUpstreams(r Record) bool {
 	switch r.(type) {
-	case *LeaseAcquired, *UpstreamRemoved, *UpstreamChanged, *EventIntervalMeasured, *RequestLimitNamed, *DaemonLeft, *JobEnded:
+	case *LeaseAcquired, *UpstreamRemoved, *UpstreamChanged, *EventIntervalMeasured, *RequestLimitNamed, *DaemonLeft, *JobEnded, *HomesSwapped:
 		return true
 	default:
 		return false
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -154,6 +154,8 @@
 		return s.dropStranded(r)
 	case *JobRerouted:
 		return s.rerouteJob(r)
+	case *HomesSwapped:
+		return s.swapHomes(r)
 	}
 	return false
 }
--- a/server/jobreplica/records.go
+++ b/server/jobreplica/records.go
@@ -16,6 +16,9 @@
 		j.log.Info("job rerouted", zap.String("job", string(r.Job)), zap.String("service", r.Service), zap.Uint64("config", r.ConfigVersion), offset, effect)
 	case *batch.TextDropped:
 		j.log.Info("stranded text dropped", zap.String("job", string(r.Job)), zap.String("item", string(r.Item)), zap.Int("events", r.EventCount), offset, effect)
+	case *batch.HomesSwapped:
+		j.log.Info("assigned models swapped", zap.String("first", string(r.First)), zap.String("model", string(r.FirstModel)),
+			zap.String("second", string(r.Second)), zap.String("second_model", string(r.SecondModel)), offset, effect)
 	case *batch.JobEnded:
 		j.log.Info("job ended", zap.String("job", string(r.ID)), offset, effect)
 	case *batch.LeaseAcquired:
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -73,6 +73,7 @@
 	expired     proposals[batch.ItemKey]
 	rerouted    proposals[batch.JobID]
 	dropped     proposals[batch.ItemKey]
+	swapped     proposals[string] // by service
 	unrouted    absence.Tracker[batch.ItemKey]
 	misrouted   absence.Tracker[batch.JobID]
 	unlisted    absence.Tracker[api.UpstreamID] // held by this daemon
@@ -91,6 +92,7 @@
 	return &Manager{
 		cfg: cfg, deps: deps, log: log,
 		proposedAt: make(map[api.UpstreamID]time.Time), expired: make(proposals[batch.ItemKey]), rerouted: make(proposals[batch.JobID]), dropped: make(proposals[batch.ItemKey]),
+		swapped: make(proposals[string]),
 	}
 }
 
--- a/server/leasing/sweep.go
+++ b/server/leasing/sweep.go
@@ -11,17 +11,21 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/routes"
+	"dotterelmount.example/server/jobreplica"
 	"go.uber.org/zap"
 )
 
 // sweep proposes the expiry of items past their deadline or without a route, the rerouting of
 // jobs whose route was moved, and the removal of texts that strand their items. Each live
-// daemon does this for its share of the jobs.
+// daemon does this for its share of the jobs, and swaps the homes of models for its share of
+// the services.
 func (m *Manager) sweep(ctx context.Context, live map[api.DaemonID]bool, now time.Time) {
 	v, s := m.deps.View(), m.deps.Snapshot()
 	if v.Table == nil || !live[m.cfg.Self] {
 		return
 	}
+	level := s.LevelInForce(m.cfg.Levels, m.deps.LastFullRead())
+	m.swapHomes(s, v, live, level, now)
 	open, err := m.deps.OpenItems(ctx)
 	if err != nil {
 		m.log.Warn("read of open items failed", zap.Error(err))
@@ -32,7 +36,6 @@
 	m.dropped.forget(now, m.cfg.ProposalTimeout)
 	unrouted := m.unroutedItems(open, v, now)
 	rerouted := m.reroutes(open, v, now)
-	level := s.LevelInForce(m.cfg.Levels, m.deps.LastFullRead())
 	for _, i := range open {
 		if !leases.Responsible(m.cfg.Self, live, string(i.Job)) {
 			continue
@@ -59,6 +62,21 @@
 	}
 }
 
+// swapHomes proposes to give models an ordinary home that have only reclaimable ones.
+func (m *Manager) swapHomes(s *jobreplica.Snapshot, v *directory.View, live map[api.DaemonID]bool, level int, now time.Time) {
+	m.swapped.forget(now, m.cfg.ProposalTimeout)
+	for service, r := range leases.SwapHomes(s.Upstreams, v.Upstreams) {
+		if !leases.Responsible(m.cfg.Self, live, "homes/"+service) || !m.swapped.due(service, now, m.cfg.ProposalTimeout) {
+			continue
+		}
+		m.log.Info("swap of assigned models due", zap.Bool("proposed", level >= batch.LevelHomesSwapped), zap.String("service", service),
+			zap.Any("record", r), zap.Int("level_in_force", level))
+		if level >= batch.LevelHomesSwapped {
+			m.propose(r)
+		}
+	}
+}
+
 // proposals are the times at which a record on each key was last proposed.
 type proposals[K comparable] map[K]time.Time
 
--- a/server/leasing/sweep_test.go
+++ b/server/leasing/sweep_test.go
@@ -73,3 +73,31 @@
 	}
 	t.Fatal("the job is not rerouted")
 }
+
+// The swap is proposed once all daemons read it, and again only after it may have been lost.
+func TestModelGetsAnOrdinaryHomeOnceAllDaemonsReadIt(t *testing.T) {
+	m := newTestManager(t)
+	m.cfg.SweepInterval, m.cfg.Levels = 0, upgrade.Config{Silence: 40 * time.Second}
+	var changes []directory.Change
+	m.snapshot.Upstreams = nil
+	for id, model := range map[api.UpstreamID]api.ModelName{"u1": "m", "u2": "m", "u3": "n"} {
+		changes = append(changes, directory.UpstreamListed{Upstream: directory.Upstream{ID: id, Service: "s", Slots: 4, Reclaimable: id == "u3"}})
+		m.snapshot.Upstreams = append(m.snapshot.Upstreams, batch.Upstream{ID: id, Service: "s", Holder: "d", AssignedModel: model})
+	}
+	m.view = m.view.Apply(changes)
+	m.snapshot.NextOffset = 9
+	m.snapshot.Daemons = map[api.DaemonID]batch.Daemon{"d": {RecordLevel: batch.RecordLevel}, "older": {RecordLevel: batch.LevelHomesSwapped - 1}}
+	m.snapshot.LastRenewals["older"] = m.now
+	swapped := func() bool { return proposes[*batch.HomesSwapped](t, m, 100*time.Millisecond) }
+	for range 20 {
+		assert.Assert(t, !swapped(), "a live daemon skips the record")
+	}
+	m.snapshot.Daemons["older"] = batch.Daemon{RecordLevel: batch.RecordLevel}
+	proposed := 0
+	for range 20 { // 2 s, with a proposal timeout of 1 s
+		if swapped() {
+			proposed++
+		}
+	}
+	assert.Assert(t, proposed == 2, "%d proposals", proposed)
+}
