Move runs before their upstream goes

Cause: a reclaimed upstream ends its runs when it goes; the runner saw that by a broken or silent connection. Change: the time left in an upstream's description becomes the time at which it goes; shortly before, its runs are ended, their text is stored and their items move. Until then they go on. The two checks of run.evicted in intervals_test.go compare the reason, which replaces the flag.

--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -99,6 +99,7 @@
 var runnerConfig = runner.Config{
 	RingSize: 1024, Tick: 50 * time.Millisecond, IdleTick: time.Second,
 	FirstEventTimeout: 3 * time.Second, EventTimeout: time.Second, // an event normally takes some tens of milliseconds
+	LeaveMargin: 500 * time.Millisecond, // the age of a description read by the feed, and a round trip
 	// The window spans the slow phases of some 600 ms that all upstreams have.
 	Pace:            pace.Config{Window: 1800 * time.Millisecond, MinEvents: 12, Factor: 2.2, MinPeers: 2},
 	MeasureInterval: 200 * time.Millisecond, MinIntervalChange: 0.3,
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -25,6 +25,10 @@
 	// Reclaimable is set if the platform may take the upstream away, with all others of its
 	// kind in its data centre.
 	Reclaimable bool
+	// LeavesIn is the time until a draining upstream goes, as of its description; 0: not
+	// known. LeavesAt is when it goes, by the clock of this process; zero: not known.
+	LeavesIn time.Duration
+	LeavesAt time.Time
 	// Software is the version of the upstream's software. What two versions generate does
 	// not fit together.
 	Software string
@@ -191,6 +195,11 @@
 		return
 	}
 	v.newest[u.ID] = at
+	// A description is read late, never early.
+	if old := v.Upstreams[u.ID]; old != nil && old.StartMillis == u.StartMillis && !old.LeavesAt.IsZero() && u.Draining &&
+		(u.LeavesAt.IsZero() || old.LeavesAt.Before(u.LeavesAt)) {
+		u.LeavesAt = old.LeavesAt
+	}
 	if startMillis, ok := v.leaving[u.ID]; ok && startMillis == u.StartMillis {
 		u.Draining = true
 	}
--- a/lib/directory/directory_test.go
+++ b/lib/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/routes"
@@ -48,3 +49,17 @@
 	early := NewView().Apply([]Change{UpstreamLeaving{ID: "u", StartMillis: 5}, UpstreamListed{Upstream{ID: "u", StartMillis: 5}}})
 	assert.Assert(t, early.Upstreams["u"].Draining, "another daemon's report arrives before the description")
 }
+
+// The time left in a description is older the later it is read: the earliest end counts.
+func TestEarliestEndOfADrainingUpstreamCounts(t *testing.T) {
+	at := time.Unix(100, 0)
+	leaving := func(revision uint64, leavesAt time.Time) Change {
+		return UpstreamListed{Upstream{ID: "u", StartMillis: 5, Revision: revision, Draining: true, LeavesAt: leavesAt}}
+	}
+	v := NewView().Apply([]Change{leaving(1, at), leaving(2, at.Add(time.Second)), leaving(3, time.Time{})})
+	assert.Equal(t, v.Upstreams["u"].LeavesAt, at)
+	v = v.Apply([]Change{leaving(4, at.Add(-time.Second))})
+	assert.Equal(t, v.Upstreams["u"].LeavesAt, at.Add(-time.Second))
+	v = v.Apply([]Change{UpstreamListed{Upstream{ID: "u", StartMillis: 5, Revision: 5}}})
+	assert.Assert(t, v.Upstreams["u"].LeavesAt.IsZero(), "it stays")
+}
--- a/server/follow/follow.go
+++ b/server/follow/follow.go
@@ -271,6 +271,7 @@
 		return readResult{}, err
 	}
 	r.loaded, r.everLoaded, r.cursor, res.changes = true, true, page.Next, page.Changes
+	setLeaveTimes(res.changes, cfg.Now())
 	if page.AtEnd && r.feed.HasConfig {
 		res.configAsOf = startedAt
 	}
--- a/server/follow/follow_test.go
+++ b/server/follow/follow_test.go
@@ -65,3 +65,17 @@
 		now = now.Add(time.Second)
 	}
 }
+
+func TestTimeLeftCountsFromTheRead(t *testing.T) {
+	now := time.Unix(100, 0)
+	w := newWatcher(Config{Now: func() time.Time { return now }}, zap.NewNop(), func(*directory.View) {})
+	r := &reader{watcher: w, loaded: true, feed: FeedConfig{ListsUpstreams: true, Feed: &scriptedFeed{pages: []directory.Page{{AtEnd: true, Changes: []directory.Change{
+		directory.UpstreamListed{Upstream: directory.Upstream{ID: "u", Draining: true, LeavesIn: 2 * time.Second}},
+		directory.UpstreamListed{Upstream: directory.Upstream{ID: "v", Draining: true}},
+	}}}}}}
+	res, err := r.read(t.Context())
+	assert.NilError(t, err)
+	w.Handle(t.Context(), res)
+	assert.Equal(t, w.View().Upstreams["u"].LeavesAt, now.Add(2*time.Second))
+	assert.Assert(t, w.View().Upstreams["v"].LeavesAt.IsZero())
+}
--- a/server/follow/leaving.go
+++ b/server/follow/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/directory"
@@ -44,3 +45,14 @@
 	w.log.Info("upstream leaves", zap.String("upstream", string(l.id)), zap.Bool("listed", ok), zap.Bool("draining", ok && listed.Draining))
 	w.publish([]directory.Change{directory.UpstreamLeaving{ID: l.id, StartMillis: l.startMillis}})
 }
+
+// setLeaveTimes sets when upstreams go by the clock of this process, from the times left of
+// descriptions that were just read.
+func setLeaveTimes(changes []directory.Change, now time.Time) {
+	for n, c := range changes {
+		if l, ok := c.(directory.UpstreamListed); ok && l.Upstream.Draining && l.Upstream.LeavesIn > 0 {
+			l.Upstream.LeavesAt = now.Add(l.Upstream.LeavesIn)
+			changes[n] = l
+		}
+	}
+}
--- a/server/runner/intervals.go
+++ b/server/runner/intervals.go
@@ -80,7 +80,7 @@
 	r.deps.OnOutcome(generation.RunOutcome{Upstream: id, Slow: true})
 	for _, active := range r.active {
 		if active.Upstream == id && !active.finished {
-			active.evicted = true
+			active.evicted = "the upstream is slow"
 			active.cancel()
 		}
 	}
--- a/server/runner/intervals_test.go
+++ b/server/runner/intervals_test.go
@@ -65,7 +65,7 @@
 	assert.Equal(t, len(r.slow), 0)
 	r.advance(3*time.Second, 100*time.Millisecond)
 	assert.DeepEqual(t, r.slow[:1], []api.UpstreamID{"u"})
-	assert.Assert(t, r.run.evicted && r.run.ctx.Err() != nil)
+	assert.Assert(t, r.run.evicted != "" && r.run.ctx.Err() != nil)
 }
 
 // While the store is down, complete texts wait to be stored. Their runs receive no
@@ -76,5 +76,5 @@
 	r.run.readingDone.Store(true)
 	r.advance(7*time.Second, 0)
 	assert.Equal(t, len(r.slow), 0)
-	assert.Assert(t, !r.run.evicted)
+	assert.Equal(t, r.run.evicted, "")
 }
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -45,6 +45,9 @@
 	// MaxLimitWait is how long an item waits for its upstream's request limit before it is
 	// moved to another upstream.
 	MaxLimitWait time.Duration
+	// LeaveMargin is the time before an upstream goes at which its runs are moved. The time
+	// left is known as of the upstream's last description.
+	LeaveMargin time.Duration
 	// Pace decides which upstreams are slow. MeasureInterval is the time between
 	// measurements of the event intervals.
 	Pace            pace.Config
@@ -122,7 +125,7 @@
 	startedAt      time.Time
 	result         result
 	finished       bool
-	evicted        bool         // moved to another upstream because its own is slow
+	evicted        string       // why it is moved to another upstream; empty: it isn't
 	receivedEvents atomic.Int64 // number of events so far
 	readingDone    atomic.Bool  // no more events follow; the text may still wait to be stored
 	measuredEvents int64        // receivedEvents at the last measurement
@@ -182,6 +185,7 @@
 // Tick measures event intervals and starts runs that are due for a retry.
 func (r *Runner) Tick(ctx context.Context) {
 	r.measureEventIntervals()
+	r.moveFromLeaving(r.cfg.Now())
 	r.reconcile(ctx)
 }
 
@@ -293,9 +297,9 @@
 	retryAt := r.cfg.Now().Add(r.cfg.RetryDelay)
 	if res.cancelled {
 		delete(r.active, active.key)
-		if active.evicted {
+		if active.evicted != "" {
 			r.retryAt[active.key] = retryAt
-			r.proposeMove(active.key, active.Run, "the upstream is slow")
+			r.proposeMove(active.key, active.Run, active.evicted)
 		}
 		return
 	}
