--- a/lib/scaling/need.go
+++ b/lib/scaling/need.go
@@ -101,16 +101,20 @@
 		// Work that is spread over slots ends when the mean slot is done, at the latest by the
 		// length of the longest text after it.
 		inTime := max(c.OnTime*target-j.LongEvents*interval, minRunFraction*target)
-		slots = max(slots, j.Events*interval/inTime)
-		// Steps overlap: all that is submitted until the first one is due shares the slots.
-		work, steps := 0.0, 0
+		// Steps overlap: what is submitted within that time begins together, and all that is
+		// submitted until the first one is due shares the slots.
+		together, work, steps := 0.0, 0.0, 0
 		for _, o := range jobs {
-			if since := j.Age - o.Age; since >= 0 && since < j.Target {
+			since := (j.Age - o.Age).Seconds()
+			if since >= 0 && since < inTime {
+				together += o.Events * interval
+			}
+			if since >= 0 && since < target {
 				work += o.Events * interval
 				steps++
 			}
 		}
-		slots = max(slots, work/target/c.Utilisation)
+		slots = max(slots, together/inTime, work/target/c.Utilisation)
 		available = min(available, 1-float64(steps)*c.LoadTime.Seconds()/target)
 	}
 	catchUp := 0.0
--- a/lib/scaling/planner_test.go
+++ b/lib/scaling/planner_test.go
@@ -306,3 +306,19 @@
 	w.run(6 * time.Second)
 	assert.Assert(t, w.need.Late && w.need.Base > base && w.need.Base <= 2*base, "%+v, %d before", w.need, base)
 }
+
+// Steps that are late coincide with the next ones.
+func TestStepsThatBeginTogetherNeedMore(t *testing.T) {
+	in := &Input{Models: []api.ModelName{"m"}, Upstreams: []Upstream{{Slots: testSlots, Interval: testInterval}}}
+	need := func(ages ...time.Duration) int {
+		in.Jobs = nil
+		for _, age := range ages {
+			in.Jobs = append(in.Jobs, batch.Workload{Model: "m", Target: testTarget, Age: age, Events: 4000, LongEvents: 60})
+		}
+		n, ok := testConfig.Assess(in)
+		assert.Assert(t, ok)
+		return n.Base
+	}
+	apart, together := need(20*time.Second, 16*time.Second), need(20*time.Second, 19*time.Second)
+	assert.Assert(t, together >= 3*apart/2, "%d apart, %d together", apart, together)
+}
