--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -24,8 +24,10 @@
 	"dotterelmount.example/lib/generation"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/leases"
+	"dotterelmount.example/lib/locality"
 	"dotterelmount.example/lib/loglines"
 	"dotterelmount.example/lib/opaque"
+	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/reach"
 	"dotterelmount.example/lib/settings"
 	"dotterelmount.example/lib/shutdown"
@@ -89,11 +91,14 @@
 
 // Start starts a daemon. Errors: CodeInvalid for an address that can't be listened
 // on.
-func Start(s *settings.Hosted) (*Node, error) {
+func Start(s *settings.Hosted) (*Node, error) { return start(s, os.Stdout) }
+
+// start is Start with log lines written to w.
+func start(s *settings.Hosted, w io.Writer) (*Node, error) {
 	n := &Node{settings: s, serverClient: servers.New(s.UpstreamSource), forwardClient: forward.NewClient()}
 	n.stopEnd, n.endRequests = context.WithCancel(context.Background())
 	n.system = duty.NewSystem(n.onPanic)
-	n.log = loglines.Start(n.system, os.Stdout)
+	n.log = loglines.Start(n.system, w)
 	n.log.Logger = n.log.With(zap.String("daemon", s.Daemon))
 	invariant.OnViolation(n.onViolation)
 	n.log.Info("starting", zap.String("data_centre", s.DataCentre), zap.String("callers", s.CallerAddress), zap.String("store", s.StoreAddress))
@@ -125,7 +130,11 @@
 func (n *Node) View() *directory.View { return n.watcher.View() }
 
 func (n *Node) startWatcher(storeClient *store.Client) {
-	n.watcher = follow.Start(n.system, watcherConfig, n.log.Logger, []follow.FeedConfig{
+	cfg := watcherConfig
+	if k := n.settings.Keys; k.FailClosed {
+		cfg.ReadWait = min(cfg.ReadWait, k.Revoke/readsPerRevoke)
+	}
+	n.watcher = follow.Start(n.system, cfg, n.log.Logger, []follow.FeedConfig{
 		{Name: "operator", Feed: feed.NewOperator(storeClient), MinReadInterval: operatorReadInterval, HasConfig: true},
 		{Name: "servers", Feed: feed.NewServers(storeClient), MinReadInterval: serversReadInterval, ListsUpstreams: true},
 	}, n.onViewChange)
@@ -161,6 +170,7 @@
 
 	runnerCfg := runnerConfig
 	runnerCfg.Self, runnerCfg.Process, runnerCfg.Workers = self, process, n.settings.Workers
+	runnerCfg.MoveLate = n.settings.MoveLateItems
 	n.runner = runner.Start(n.system, runnerCfg, runner.Deps{
 		Engine: n.serverClient, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
 		OnOutcome:       n.handleRunOutcome,
@@ -174,6 +184,7 @@
 	leaseCfg := leaseManagerConfig
 	leaseCfg.Self, leaseCfg.StartMillis, leaseCfg.Capacity = self, startMillis, n.settings.Capacity()
 	leaseCfg.Address, leaseCfg.DataCentre = n.settings.PeerAddress, api.DataCentre(n.settings.DataCentre)
+	leaseCfg.Locality.LeaseExcess = n.settings.Locality.LeaseExcess
 	n.leaseManager = leasing.Start(n.system, leaseCfg, leasing.Deps{
 		Propose: n.propose, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, View: n.View, OpenItems: n.openItems, CutOff: n.reachability.CutOff,
 	}, n.log.Logger)
@@ -198,11 +209,12 @@
 	replicaCfg.ReadsPerSecond = int(journalShare * float64(n.settings.StoreReadsPerSecond))
 	replicaCfg.Process, replicaCfg.MaxRecordBytes, replicaCfg.MaxAppendBytes = process, n.settings.MaxRecordBytes, n.settings.MaxAppendBytes
 	replicaCfg.Checkpoints = checkpoint.Policy{Interval: n.settings.Retention / checkpointsPerRetention, Silence: recordLevels.Silence}
+	replicaCfg.Alternatives = n.settings.MoveLateItems
 	n.replica.Store(jobreplica.Start(n.system, j, storeClient.Keyed(replay.CheckpointTopic), replicaCfg, jobreplica.Callbacks{
 		RunsChanged: n.runner.Update, RewardsChanged: n.rewards.Update,
 		RequestCrashed: func(r *batch.RequestCrashed) {
 			if r.Process != process {
-				n.relay.AddCrashes(r.ContentHash, r.UpstreamsLost)
+				n.relay.AddCrashes(r.ContentHash, lossesOf(r, time.Now()))
 			}
 		},
 		RequestLimitNamed: func(r *batch.RequestLimitNamed) { n.throttle.Record(r) },
@@ -244,12 +256,14 @@
 
 func (n *Node) startRelay(process string) {
 	cfg := relayConfig
-	cfg.OnCrashes = func(contentHash uint64, upstreamsLost int) {
-		r := &batch.RequestCrashed{ContentHash: contentHash, UpstreamsLost: upstreamsLost, Process: process}
+	cfg.OnCrashes = func(contentHash uint64, losses []quarantine.Loss) {
+		r := crashRecord(contentHash, losses, time.Now())
+		r.Process = process
 		if err := n.propose(r, crashReportTimeout); err != nil {
 			n.log.Warn("reporting crashes during a request to other daemons failed", zap.Uint64("content", contentHash), zap.Error(err))
 		}
 	}
+	cfg.Keys = n.keyPolicy()
 	cfg.Limits, cfg.Streams, cfg.UpstreamsCurrent = n.throttle.Buckets(), &streamIndex{n}, n.watcher.UpstreamsCurrent
 	cfg.OnLeaving = func(id api.UpstreamID) {
 		if u := n.View().Upstreams[id]; u != nil {
@@ -258,6 +272,10 @@
 	}
 	cfg.Peers = relay.Peers{Links: n.reachability.State, List: n.reachingPeers, Forwarder: n.forwardClient, MaxTries: maxPeerTries}
 	cfg.Chooser = opaque.Chooser{Daemon: api.DaemonID(n.settings.Daemon), DataCentre: api.DataCentre(n.settings.DataCentre), BusyThreshold: relayBusyThreshold}
+	if l := n.settings.Locality; l.MinGain > 0 {
+		cfg.Chooser.Locality = &locality.Policy{MinGain: l.MinGain, LeaseExcess: l.LeaseExcess}
+	}
+	cfg.Windows = n.settings.UpstreamWindows
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
 }
 
@@ -272,11 +290,11 @@
 func (n *Node) serve() error {
 	h := entry.New(entry.Config{
 		Relay: n.relay, Jobs: &jobStore{n}, View: n.View, Ready: n.ready, Stopping: n.stopping.Load, StopEnd: n.stopEnd,
-		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, MaxConfigAge: maxConfigAge, Now: time.Now,
+		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, MaxConfigAge: maxConfigAge, Keys: n.keyPolicy(), Now: time.Now,
 	})
 	n.callers = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	n.readiness = &http.Server{Handler: h.Readiness(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	n.metrics = &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	n.metrics = &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
--- a/lib/batch/image_test.go
+++ b/lib/batch/image_test.go
@@ -13,7 +13,7 @@
 // anyRecord draws a record of any level that changes states.
 func anyRecord(rng *rand.Rand, n int) Record {
 	job, item := JobID(fmt.Sprint("j", rng.IntN(4))), ItemID(fmt.Sprint("i", rng.IntN(6)))
-	switch rng.IntN(24) {
+	switch rng.IntN(25) {
 	case 0:
 		j := Job{ID: job, Service: "s0", Model: "m", MaxAttempts: 2, SubmittedMillis: int64(n)}
 		for i := range rng.IntN(6) + 1 {
@@ -38,6 +38,8 @@
 		return &HomesSwapped{
 			First: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), FirstModel: "m", Second: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), SecondModel: "n",
 		}
+	case 9:
+		return &ItemMoved{Job: job, Item: item, FromUpstream: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), UpstreamLost: true}
 	default:
 		return levelZeroRecord(rng, n)
 	}
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -39,12 +39,29 @@
 	// ProcessorShare is the processor capacity of this host, in cores. Hosts with more
 	// run more of the batch jobs.
 	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
+	// Keys says what holds for the keys of customers while the configuration can't be read.
+	Keys Keys `yaml:"keys"`
 	// Duties are the calls to the platform that one daemon at a time makes.
-	Duties Duties `yaml:"duties"`
+	Duties   Duties   `yaml:"duties"`
+	Locality Locality `yaml:"locality"`
+	// UpstreamWindows bounds what this daemon has outstanding at each upstream by the
+	// upstream's refusals and losses.
+	UpstreamWindows bool `yaml:"upstream_windows"`
+	// MoveLateItems moves items that would miss their job's due time where they run to another
+	// upstream, if they end in time there.
+	MoveLateItems bool `yaml:"move_late_items"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
 
+// Keys configures what holds for the keys of customers while the configuration can't be read.
+type Keys struct {
+	// FailClosed refuses keys that may have been taken away Revoke or longer ago. Otherwise
+	// they stay valid until the configuration is read again.
+	FailClosed bool          `yaml:"fail_closed"`
+	Revoke     time.Duration `yaml:"revoke" validate:"min=0s"`
+}
+
 // Duties configures the calls to the platform that one daemon at a time makes.
 type Duties struct {
 	Address string `yaml:"address" validate:"omitempty,hostport"` // of the platform's API; empty: there are no duties
@@ -63,6 +80,16 @@
 	UsageDelay  time.Duration `yaml:"usage_delay" validate:"min=0s"`
 }
 
+// Locality configures which work leaves its data centre. The zero value lets all work leave it.
+type Locality struct {
+	// MinGain is the fraction of its latency target by which a request must be answered
+	// earlier in another data centre.
+	MinGain float64 `yaml:"min_gain" validate:"min=0,max=100"`
+	// LeaseExcess is how many times as loaded as others the daemons of a data centre must be
+	// before one elsewhere takes the lease on an upstream there.
+	LeaseExcess float64 `yaml:"lease_excess" validate:"min=0,max=100"`
+}
+
 // Defaults of a hosted daemon's settings.
 const (
 	DefaultMaxRecordBytes      = 256 << 10       // bytes
@@ -72,9 +99,10 @@
 	DefaultJobRetention        = 2 * time.Minute // must be within the store's retention
 	DefaultLeaseWait           = 3 * time.Second // exceeds the longest pause between a holder's lease checks
 	DefaultShutdownTimeout     = 8 * time.Second
-	DefaultLoadShare           = 1.0 / 5 // that many engines can load without slowing each other down
-	DefaultRunWorkers          = 96      // eight engines with twelve slots each
-	DefaultProcessorShare      = 1.0     // cores
+	DefaultLoadShare           = 1.0 / 5         // that many engines can load without slowing each other down
+	DefaultRunWorkers          = 96              // eight engines with twelve slots each
+	DefaultProcessorShare      = 1.0             // cores
+	DefaultRevoke              = 5 * time.Second // several reads of the configuration
 )
 
 // LoadHosted reads and validates a hosted daemon's settings file. Errors: as Load.
@@ -92,6 +120,7 @@
 	h := &Hosted{
 		MaxRecordBytes: DefaultMaxRecordBytes, MaxAppendBytes: DefaultMaxAppendBytes, StoreReadsPerSecond: DefaultStoreReadsPerSecond, Retention: DefaultRetention, JobRetention: DefaultJobRetention,
 		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, Workers: DefaultRunWorkers, ProcessorShare: DefaultProcessorShare,
+		Keys: Keys{Revoke: DefaultRevoke},
 	}
 	if err := decode(data, h); err != nil {
 		return nil, err
--- a/server/runner/leaving.go
+++ b/server/runner/leaving.go
@@ -12,12 +12,11 @@
 	upstreams := r.deps.View().Upstreams
 	for _, active := range r.active {
 		u := upstreams[active.Upstream]
-		if active.finished || active.evicted != "" || u == nil || u.LeavesAt.IsZero() || u.StartMillis != active.upstream.StartMillis {
+		if active.finished || active.evicted || u == nil || u.LeavesAt.IsZero() || u.StartMillis != active.upstream.StartMillis {
 			continue
 		}
 		if now.Add(r.cfg.LeaveMargin).After(u.LeavesAt) {
-			active.evicted = "the upstream is about to go"
-			active.cancel()
+			active.evict("the upstream is about to go")
 		}
 	}
 }
--- a/server/runner/leaving_test.go
+++ b/server/runner/leaving_test.go
@@ -26,5 +26,5 @@
 	assert.NilError(t, r.run.ctx.Err(), "the time is that of another process")
 	r.run.upstream.StartMillis = 5
 	r.moveFromLeaving(begin.Add(1600 * time.Millisecond))
-	assert.Assert(t, r.run.evicted != "" && r.run.ctx.Err() != nil)
+	assert.Assert(t, r.run.evicted && r.run.ctx.Err() != nil)
 }
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -55,7 +55,9 @@
 	// MinIntervalChange is the relative change of an event interval above which it
 	// is proposed again.
 	MinIntervalChange float64
-	Now               func() time.Time
+	// MoveLate moves items that would miss their job's due time where they are.
+	MoveLate bool
+	Now      func() time.Time
 }
 
 // Deps are the dependencies of a Runner.
@@ -100,11 +102,13 @@
 	busyCounts  map[batch.ItemKey]int
 	retryAt     map[batch.ItemKey]time.Time
 	limited     map[batch.ItemKey]limitWait // items that wait for a request limit
+	pausedAt    map[batch.ItemKey]int       // losses of upstreams for which the item has paused
 	startedRuns int
 	intervals   map[api.UpstreamID]*intervalState
 	// oneVersion are the upstreams with wanted runs that must be of one weight version.
 	oneVersion atomic.Pointer[map[api.UpstreamID]bool]
-	measuredAt time.Time // when event intervals were last measured
+	measuredAt time.Time     // when event intervals were last measured
+	startTime  time.Duration // average time from a run's start to its first event; 0: not known
 }
 
 // update replaces the set of wanted runs.
@@ -125,7 +129,9 @@
 	startedAt      time.Time
 	result         result
 	finished       bool
-	evicted        string       // why it is moved to another upstream; empty: it isn't
+	evicted        bool // to be moved to another upstream
+	evictReason    string
+	lastEventAfter atomic.Int64 // time from the start to the newest event, in nanoseconds
 	receivedEvents atomic.Int64 // number of events so far
 	readingDone    atomic.Bool  // no more events follow; the text may still wait to be stored
 	measuredEvents int64        // receivedEvents at the last measurement
@@ -136,7 +142,7 @@
 	r := &Runner{
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.ItemKey]*run),
 		intervals: make(map[api.UpstreamID]*intervalState), busyCounts: make(map[batch.ItemKey]int), retryAt: make(map[batch.ItemKey]time.Time),
-		limited: make(map[batch.ItemKey]limitWait),
+		limited: make(map[batch.ItemKey]limitWait), pausedAt: make(map[batch.ItemKey]int),
 	}
 	w := &worker{cfg: cfg, deps: deps, log: log, postEnd: func(ctx context.Context, active *run) { _ = r.duty.PostWait(ctx, active) }} // fails only while stopping
 	r.oneVersion.Store(&map[api.UpstreamID]bool{})
@@ -186,6 +192,7 @@
 func (r *Runner) Tick(ctx context.Context) {
 	r.measureEventIntervals()
 	r.moveFromLeaving(r.cfg.Now())
+	r.moveStragglers(r.cfg.Now())
 	r.reconcile(ctx)
 }
 
@@ -205,6 +212,7 @@
 		}
 	}
 	now := r.cfg.Now()
+	r.pauseAfterLosses(now)
 	for _, key := range r.dueRuns(now) {
 		if !r.workers.Idle() {
 			break
@@ -290,6 +298,7 @@
 	active.cancel()
 	active.finished = true
 	res := active.result
+	r.observeStart(res.firstEventAfter)
 	r.log.Info("run ended", zap.String("job", string(active.key.Job)), zap.String("item", string(active.key.Item)),
 		zap.String("upstream", string(active.Upstream)), zap.String("software", active.upstream.Software), zap.Uint64("lease", uint64(active.LeaseOffset)), zap.Int("from", active.EventCount), zap.Int("events", res.events),
 		zap.Bool("whole", res.complete), zap.Duration("first", res.firstEventAfter), zap.Duration("took", r.cfg.Now().Sub(active.startedAt)),
@@ -297,9 +306,9 @@
 	retryAt := r.cfg.Now().Add(r.cfg.RetryDelay)
 	if res.cancelled {
 		delete(r.active, active.key)
-		if active.evicted != "" {
+		if active.evicted {
 			r.retryAt[active.key] = retryAt
-			r.proposeMove(active.key, active.Run, active.evicted)
+			r.proposeMove(active.key, active.Run, active.evictReason)
 		}
 		return
 	}
@@ -324,7 +333,7 @@
 	case cause == generation.CauseFailed || cause == generation.CauseInvalidItem:
 		r.propose(&batch.ItemFailed{Job: active.key.Job, Item: active.key.Item, Status: res.status(), Final: cause == generation.CauseInvalidItem})
 	default:
-		r.proposeMove(active.key, active.Run, "the run failed")
+		r.proposeMoveAfterFailure(active)
 	}
 	if res.offset == 0 {
 		delete(r.active, active.key)
@@ -333,9 +342,13 @@
 
 // proposeMove proposes to place an item on another upstream.
 func (r *Runner) proposeMove(key batch.ItemKey, wanted batch.Run, reason string) {
+	r.logMove(key, wanted, reason)
+	r.propose(&batch.ItemMoved{Job: key.Job, Item: key.Item, FromUpstream: wanted.Upstream})
+}
+
+func (r *Runner) logMove(key batch.ItemKey, wanted batch.Run, reason string) {
 	r.log.Info("item move proposed", zap.String("job", string(key.Job)), zap.String("item", string(key.Item)),
 		zap.String("upstream", string(wanted.Upstream)), zap.String("reason", reason))
-	r.propose(&batch.ItemMoved{Job: key.Job, Item: key.Item, FromUpstream: wanted.Upstream})
 }
 
 func (r *Runner) propose(rec batch.Record) {
--- a/server/scaling/scaling_test.go
+++ b/server/scaling/scaling_test.go
@@ -21,18 +21,18 @@
 // fakePlatform records orders and holds the terms of the duty. It carries out orders at once,
 // unless outcome is set for them.
 type fakePlatform struct {
-	t           *testing.T
-	now         time.Time
-	term        singleton.Term
-	held        bool
-	orders      []singleton.UpstreamOrder
-	fences      []uint64
-	outcome     func(singleton.UpstreamOrder) (singleton.Outcome, bool)
-	counts      map[scaling.Place]int
-	viewAsOf    time.Time
-	sent        []*call // to the duty that makes the calls
-	scaler      *Scaler
-	caller      *caller
+	t        *testing.T
+	now      time.Time
+	term     singleton.Term
+	held     bool
+	orders   []singleton.UpstreamOrder
+	fences   []uint64
+	outcome  func(singleton.UpstreamOrder) (singleton.Outcome, bool)
+	counts   map[scaling.Place]int
+	viewAsOf time.Time
+	sent     []*call // to the duty that makes the calls
+	scaler   *Scaler
+	caller   *caller
 }
 
 func (f *fakePlatform) order(_ context.Context, t singleton.Term, o singleton.UpstreamOrder) error {
