Expect steps to coincide once one was late

Change: an open job is as long as those before; long texts are those of ended jobs; after a late job all steps of its model that overlap count as begun together, within the window.

--- a/lib/batch/workload.go
+++ b/lib/batch/workload.go
@@ -21,7 +21,7 @@
 	Age       time.Duration // since the submission, as this daemon knows it; not set by State
 	Events    float64       // generated so far and still expected
 	Remaining float64       // still expected; 0 once the job has ended
-	// LongEvents is the expected number of events of a long text of the job.
+	// LongEvents is the number of events of a long text of the job; 0 until it has ended.
 	LongEvents float64
 }
 
@@ -41,19 +41,23 @@
 
 func (s *State) workload(j *jobState) Workload {
 	w := Workload{Job: j.job.ID, Service: j.service, Model: j.job.Model, Target: time.Duration(j.job.TargetMillis) * time.Millisecond}
-	lengths := make([]float64, 0, len(j.items))
+	lengths := make([]int, 0, len(j.items))
+	open := 0
 	for _, i := range j.items {
-		length := float64(i.eventCount)
-		if i.state == ItemOpen && !i.textDone && !j.ended {
-			length = max(length+1, s.expectedEvents(i))
-			w.Remaining += length - float64(i.eventCount)
+		w.Events += float64(i.eventCount)
+		lengths = append(lengths, i.eventCount)
+		if i.state == ItemOpen && !i.textDone {
+			open++
 		}
-		w.Events += length
-		lengths = append(lengths, length)
 	}
-	if len(lengths) > 0 {
+	switch {
+	case !j.ended && open > 0:
+		// Each open text has an event left; together they are as long as those before.
+		w.Remaining = max(float64(open), s.eventsPerItem[j.job.Model]*float64(len(j.items))-w.Events)
+		w.Events += w.Remaining
+	case len(lengths) > 0 && j.ended:
 		slices.Sort(lengths)
-		w.LongEvents = lengths[int(math.Ceil(longItems*float64(len(lengths))))-1]
+		w.LongEvents = float64(lengths[int(math.Ceil(longItems*float64(len(lengths))))-1])
 	}
 	return w
 }
--- a/lib/scaling/need.go
+++ b/lib/scaling/need.go
@@ -37,8 +37,9 @@
 func (n Need) Total() int { return n.Base + n.Reserve }
 
 // Assess returns the need of a service, or false while it can't be told: no job was seen, or
-// no upstream was measured.
-func (c *Config) Assess(in *Input) (Need, bool) {
+// no upstream was measured. Steps of the models in late were late lately: the next ones begin
+// together with their successors.
+func (c *Config) Assess(in *Input, late map[api.ModelName]bool) (Need, bool) {
 	interval, slots := measured(in.Upstreams)
 	need := Need{ByModel: make(map[api.ModelName]int, len(in.Models))}
 	oldest := time.Duration(-1)
@@ -51,11 +52,11 @@
 	need.Settled = oldest >= c.MinHistory
 	for _, m := range in.Models {
 		jobs := c.recent(in.Jobs, m)
-		busy, late := c.slotsFor(jobs, interval, in.Autoscale.BootTime)
+		busy, behind := c.slotsFor(jobs, interval, in.Autoscale.BootTime, late[m])
 		n := max(minHomes, int(math.Ceil(busy/slots)))
 		need.ByModel[m] = n
 		need.Base += n
-		need.Late = need.Late || late
+		need.Late = need.Late || behind
 	}
 	need.Reserve = int(math.Ceil(c.Reserve * float64(need.Base)))
 	return need, true
@@ -92,21 +93,37 @@
 	return out
 }
 
+// meanLongEvents returns the mean length of long texts of the jobs that have ended.
+func meanLongEvents(jobs []batch.Workload) float64 {
+	sum, n := 0.0, 0
+	for _, j := range jobs {
+		if j.LongEvents > 0 {
+			sum += j.LongEvents
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
 // slotsFor returns the slots that the jobs of a model need, and whether one of them will be
-// late with as many.
-func (c *Config) slotsFor(jobs []batch.Workload, interval float64, boot time.Duration) (slots float64, late bool) {
-	available := 1.0
+// late with as many. If steps coincide, those that overlap count as begun together.
+func (c *Config) slotsFor(jobs []batch.Workload, interval float64, boot time.Duration, coincide bool) (slots float64, late bool) {
+	available, long := 1.0, meanLongEvents(jobs)*interval
 	for _, j := range jobs {
 		target := j.Target.Seconds()
 		// Work that is spread over slots ends when the mean slot is done, at the latest by the
 		// length of the longest text after it.
-		inTime := max(c.OnTime*target-j.LongEvents*interval, minRunFraction*target)
+		inTime := max(c.OnTime*target-long, minRunFraction*target)
+		begin := inTime
+		if coincide {
+			begin = target
+		}
 		// Steps overlap: what is submitted within that time begins together, and all that is
 		// submitted until the first one is due shares the slots.
 		together, work, steps := 0.0, 0.0, 0
 		for _, o := range jobs {
 			since := (j.Age - o.Age).Seconds()
-			if since >= 0 && since < inTime {
+			if since >= 0 && since < begin {
 				together += o.Events * interval
 			}
 			if since >= 0 && since < target {
--- a/lib/scaling/planner.go
+++ b/lib/scaling/planner.go
@@ -24,6 +24,7 @@
 	orders    map[Place]*sentOrder
 	refused   map[Place]time.Time // until when nothing is ordered
 	seen      map[Place]sighting
+	lateAt    map[api.ModelName]time.Time // when an open job of a model was last seen to be late
 	reducedAt time.Time
 }
 
@@ -42,7 +43,7 @@
 
 // NewPlanner returns a Planner that knows of no orders.
 func NewPlanner(cfg Config) *Planner {
-	return &Planner{cfg: cfg, orders: make(map[Place]*sentOrder), refused: make(map[Place]time.Time), seen: make(map[Place]sighting)}
+	return &Planner{cfg: cfg, orders: make(map[Place]*sentOrder), refused: make(map[Place]time.Time), seen: make(map[Place]sighting), lateAt: make(map[api.ModelName]time.Time)}
 }
 
 // plan is the state of one decision.
@@ -59,7 +60,7 @@
 // Plan returns the orders to send now, those that add upstreams first. Each holds the whole
 // number of upstreams that its place should have, so that it may be sent any number of times.
 func (p *Planner) Plan(now time.Time, in *Input) ([]Order, Need) {
-	need, known := p.cfg.Assess(in)
+	need, known := p.cfg.Assess(in, p.late(now, in))
 	d := &plan{Planner: p, now: now, scale: &in.Autoscale, present: make(map[Place]int), ordered: make(map[Place]bool)}
 	d.countPresent(in)
 	d.settleOrders()
@@ -74,6 +75,20 @@
 	return d.take(in.Service), need
 }
 
+// late returns the models of which a job was late within Window.
+func (p *Planner) late(now time.Time, in *Input) map[api.ModelName]bool {
+	for _, j := range in.Jobs {
+		if j.Remaining > 0 && j.Target > 0 && j.Age > j.Target {
+			p.lateAt[j.Model] = now
+		}
+	}
+	out := make(map[api.ModelName]bool, len(p.lateAt))
+	for m, at := range p.lateAt {
+		out[m] = now.Sub(at) <= p.cfg.Window
+	}
+	return out
+}
+
 // countPresent counts the upstreams and notes where some are reclaimed.
 func (d *plan) countPresent(in *Input) {
 	leaving := make(map[Place]bool)
