--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -103,10 +103,10 @@
 
 func (r jobsReport) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(t, "JOB\tMODEL\tMIN VERSION\tSUBMITTED\tITEMS\tCOMPLETED\tERRORED\tOPEN\tENDED")
+	fmt.Fprintln(t, "JOB\tCUSTOMER\tMODEL\tMIN VERSION\tSUBMITTED\tITEMS\tCOMPLETED\tERRORED\tOPEN\tENDED")
 	for i := range r.Jobs {
 		j := &r.Jobs[i]
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%t\n", j.ID, j.Model, j.MinVersion, time.UnixMilli(j.SubmittedMillis).UTC().Format(time.RFC3339),
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%t\n", j.ID, j.Customer, j.Model, j.MinVersion, time.UnixMilli(j.SubmittedMillis).UTC().Format(time.RFC3339),
 			j.Items, j.Completed, len(j.Errored), len(j.Open), j.Ended)
 	}
 	_ = t.Flush() // a write error can't be reported
--- a/lib/batch/report.go
+++ b/lib/batch/report.go
@@ -10,6 +10,7 @@
 // JobReport summarises a job.
 type JobReport struct {
 	ID              JobID             `json:"id"`
+	Customer        string            `json:"customer,omitempty"`
 	Model           api.ModelName     `json:"model"`
 	MinVersion      api.WeightVersion `json:"min_version"`
 	SubmittedMillis int64             `json:"at_ms"`  // submission time, in Unix milliseconds
@@ -38,7 +39,7 @@
 	out := make([]JobReport, 0, len(states))
 	for _, j := range states {
 		r := JobReport{
-			ID: j.job.ID, Model: j.job.Model, MinVersion: j.job.MinVersion, SubmittedMillis: j.job.SubmittedMillis, Items: len(j.items), Ended: j.ended,
+			ID: j.job.ID, Customer: j.job.Customer, Model: j.job.Model, MinVersion: j.job.MinVersion, SubmittedMillis: j.job.SubmittedMillis, Items: len(j.items), Ended: j.ended,
 		}
 		if j.job.TargetMillis > 0 {
 			r.DueMillis = j.job.SubmittedMillis + j.job.TargetMillis
