Order upstreams from hosted daemons

Cause: the platform asks one daemon at a time for orders of servers. Change: hosted daemons start the duty where the settings name it; its term is wanted where a service has bounds. A daemon that stops ends its orders before it releases the term.

--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -344,6 +344,9 @@
 	_ = n.leaseManager.Stop(ctx)
 	if n.keepers != nil {
 		_ = n.keepers.Stop(ctx)
+		if n.scaler != nil {
+			_ = n.scaler.Stop(ctx)
+		}
 		_ = n.reporter.Stop(ctx)
 		_ = n.meter.Stop(ctx)
 	}
--- a/cmd/dotterelmountd/internal/hosted/duties.go
+++ b/cmd/dotterelmountd/internal/hosted/duties.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/platform/cloud"
 	"dotterelmount.example/platform/store"
 	"dotterelmount.example/server/metering"
+	"dotterelmount.example/server/scaling"
 	"dotterelmount.example/server/singleton"
 	"go.uber.org/zap"
 )
@@ -20,6 +21,7 @@
 // knownDuties are the duties that this build carries out, and in which configurations.
 var knownDuties = map[decision.Duty]func(n *Node) bool{
 	metering.Metering: func(n *Node) bool { return n.View().Table != nil && n.View().Table.HasCustomers() },
+	scaling.Duty:      func(n *Node) bool { return n.View().Table != nil && len(n.View().Table.Autoscaled()) > 0 },
 }
 
 // Parts of the time within which usage is to be reported.
@@ -76,6 +78,12 @@
 // leaveDuties ends the calls under terms of this daemon and releases the terms, so that others
 // take over at once.
 func (n *Node) leaveDuties(ctx context.Context) {
+	if n.scaler != nil {
+		if err := n.scaler.Stop(ctx); err != nil {
+			n.log.Warn("stopping the orders of upstreams failed", zap.Error(err))
+			return // a call may be under way
+		}
+	}
 	if n.reporter != nil {
 		if err := n.reporter.Stop(ctx); err != nil {
 			n.log.Warn("stopping the reports of usage failed", zap.Error(err))
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -46,6 +46,7 @@
 	"dotterelmount.example/server/relay"
 	"dotterelmount.example/server/rewards"
 	"dotterelmount.example/server/runner"
+	"dotterelmount.example/server/scaling"
 	"dotterelmount.example/server/singleton"
 	"dotterelmount.example/server/throttle"
 	"dotterelmount.example/server/upkeep"
@@ -84,6 +85,7 @@
 	dutyCalls     *singleton.Calls
 	meter         *metering.Meter
 	reporter      *metering.Reporter
+	scaler        *scaling.Scaler // nil: the platform doesn't ask for orders of upstreams
 	forwardClient *forward.Client
 	forwardServer *forward.Server // nil: this daemon takes no requests of others
 	callers       *http.Server
@@ -231,6 +233,7 @@
 		UpstreamLeaving:   func(r *batch.UpstreamLeaving) { n.watcher.Leaving(r.Upstream, r.StartMillis) },
 		Propose:           func(r batch.Record) error { return n.propose(r, logCallTimeout) },
 	}, n.log.Logger))
+	n.startScaling()
 }
 
 // handleRunOutcome passes on the outcome of a run. n.upkeep is set before the first run.
