Test orders of upstreams with hosted daemons

Cause: the duty, the stand-in of the platform's API and the moves from reclaimed servers were tested apart.

--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -347,8 +347,10 @@
 		if n.scaler != nil {
 			_ = n.scaler.Stop(ctx)
 		}
-		_ = n.reporter.Stop(ctx)
-		_ = n.meter.Stop(ctx)
+		if n.reporter != nil {
+			_ = n.reporter.Stop(ctx)
+			_ = n.meter.Stop(ctx)
+		}
 	}
 	_ = n.committer.Stop(ctx)
 	_ = n.runner.Stop(ctx)
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -30,7 +30,9 @@
 type Cloud struct {
 	*httptest.Server
 	// PerSecond is the limit of calls; 0: none.
-	PerSecond     int
+	PerSecond int
+	// OnOrder, if set, is called when an order of servers is executed.
+	OnOrder       func(service string, spot bool, count int)
 	fencesChecked bool
 	closing       chan struct{}
 
@@ -223,6 +225,9 @@
 		return http.StatusConflict, "none is available"
 	}
 	c.orders[key] = call.Groups
+	if c.OnOrder != nil {
+		c.OnOrder(call.Service, call.Spot, call.Groups)
+	}
 	return http.StatusOK, ""
 }
 
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -52,7 +52,9 @@
 	loading           bool           // weights are being loaded
 	modelRuns         int            // runs in progress that need a model
 	draining          bool
-	leaving           bool // all responses say so
+	leaving           bool      // all responses say so
+	spot              bool      // may be reclaimed
+	goesAt            time.Time // zero: it wasn't reclaimed
 	downUntil         time.Time
 	fault             Fault
 	requestLimit      float64        // named in each response, in requests a second; 0: none
@@ -121,10 +123,17 @@
 	if s.draining {
 		state = "draining"
 	}
-	s.store.PutJSON(serversTopic, s.ID, map[string]any{
+	entry := map[string]any{
 		"service": s.Service, "address": s.advertisedAddress, "zone": "z1", "version": s.software, "slots": 4,
 		"state": state, "cold_left_ms": 0, "models": s.models(), "seq": s.entrySeq, "born": s.incarnation,
-	})
+	}
+	if s.spot {
+		entry["spot"] = true
+	}
+	if !s.goesAt.IsZero() {
+		entry["leaves_ms"] = max(1, time.Until(s.goesAt).Milliseconds())
+	}
+	s.store.PutJSON(serversTopic, s.ID, entry)
 }
 
 func (s *Server) models() []map[string]any {
