--- a/cmd/dotterelmountd/internal/hosted/deployment_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deployment_test.go
@@ -346,8 +346,13 @@
 	_ = n.leaseManager.Stop(ctx)
 	if n.keepers != nil {
 		_ = n.keepers.Stop(ctx)
-		_ = n.reporter.Stop(ctx)
-		_ = n.meter.Stop(ctx)
+		if n.scaler != nil {
+			_ = n.scaler.Stop(ctx)
+		}
+		if n.reporter != nil {
+			_ = n.reporter.Stop(ctx)
+			_ = n.meter.Stop(ctx)
+		}
 	}
 	_ = n.committer.Stop(ctx)
 	_ = n.runner.Stop(ctx)
