Share the room of plain services between customers

Cause: requests that wait for room started by deadline, so that the backlog of a customer that sends much came before the requests of one that sends little; a full queue refused whoever came last.

Change: lib/fairshare orders waiting requests by start-time fair queueing between customers and gives the expected wait, by which requests are refused at once. The relay keeps shares for each service where windows bound what is outstanding; if too many requests wait, the one that would start last goes.

TestRequestsWaitForRequestLimit runs with and without windows now.

--- a/server/relay/limits.go
+++ b/server/relay/limits.go
@@ -73,12 +73,8 @@
 // would be too late then.
 func (r *Relay) waitForLimit(j *job, chosen opaque.Candidate, now time.Time) {
 	isNew := j.waitingSince.IsZero()
-	if chosen.TooLate || isNew && len(r.waiting) >= r.cfg.MaxWaiting {
-		retryAfter := r.cfg.RetryAfter
-		if chosen.Wait != ratelimit.Never {
-			retryAfter = max(retryAfter, chosen.Wait)
-		}
-		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("the limits of service "+j.request.Service+" leave no room", false, retryAfter)})
+	if chosen.TooLate || isNew && len(r.waiting) >= r.cfg.MaxWaiting && !r.makeRoom(j, chosen.Wait) {
+		r.refuseForLimits(j, chosen.Wait)
 		return
 	}
 	r.waiting = append(r.waiting, j)
@@ -90,13 +86,24 @@
 	}
 }
 
+// refuseForLimits finishes a job that limits leave no room for.
+func (r *Relay) refuseForLimits(j *job, wait time.Duration) {
+	retryAfter := r.cfg.RetryAfter
+	if wait != ratelimit.Never {
+		retryAfter = max(retryAfter, wait)
+	}
+	r.finish(j, reply{Response: j.failureResponse, Err: j.failure("the limits of service "+j.request.Service+" leave no room", false, retryAfter)})
+}
+
 // startWaiting starts the waiting jobs that request limits and windows allow, in order of
-// arrival or, if there are windows, in that of compareWaiting. The others go on waiting.
+// arrival or, if there are windows, in that of their customers' shares. The others go on
+// waiting.
 func (r *Relay) startWaiting() {
-	waiting := slices.Clone(r.waiting)
 	if r.cfg.Windows {
-		slices.SortStableFunc(waiting, compareWaiting)
+		r.startWaitingForWindows()
+		return
 	}
+	waiting := slices.Clone(r.waiting)
 	r.waiting = r.waiting[:0]
 	for _, j := range waiting {
 		r.startNext(j)
--- a/server/relay/limits_test.go
+++ b/server/relay/limits_test.go
@@ -17,10 +17,16 @@
 // Requests wait for the limit of the only upstream, those that would be too late are
 // rejected at once, as not run.
 func TestRequestsWaitForRequestLimit(t *testing.T) {
+	t.Run("limits only", func(t *testing.T) { testRequestLimit(t, func(*Config) {}) })
+	t.Run("with windows", func(t *testing.T) { testRequestLimit(t, func(c *Config) { c.Windows = true }) })
+}
+
+func testRequestLimit(t *testing.T, change func(*Config)) {
+	t.Helper()
 	s := &scriptedExchanger{respond: func(int, context.Context, *directory.Upstream) (*opaque.Response, error) {
 		return &opaque.Response{Status: 200}, nil
 	}}
-	r := start(t, s, directory.Upstream{ID: "a"})
+	r := startConfigured(t, s, change, directory.Upstream{ID: "a", Slots: 8})
 	r.cfg.Limits.SetRates(map[api.UpstreamID]float64{"a": 10}, time.Now())
 	var wg sync.WaitGroup
 	var mu sync.Mutex
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/fairshare"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/ratelimit"
@@ -73,7 +74,9 @@
 	crashes   *quarantine.Contents
 	// unconfirmed are crashes that a cut-off of this daemon may explain.
 	unconfirmed unconfirmedCrashes
-	waiting     []*job // for a request limit, in order of arrival
+	waiting     []*job                       // for a request limit or window
+	shares      map[string]*fairshare.Shares // by service
+	estimates   map[string]windowEstimate    // by service
 }
 
 // job is a request in progress.
@@ -100,6 +103,7 @@
 	// Config.OnBegan is told.
 	beganAt time.Time
 	counted bool
+	charged bool // counted as use of its customer's share
 }
 
 // attempt is one attempt at a job on one upstream.
@@ -131,7 +135,7 @@
 	if cfg.OnBegan == nil {
 		cfg.OnBegan = ignoreBegan
 	}
-	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), crashes: quarantine.NewContents(daemonSpread(string(cfg.Chooser.Daemon)))}
+	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), shares: make(map[string]*fairshare.Shares), estimates: make(map[string]windowEstimate), crashes: quarantine.NewContents(daemonSpread(string(cfg.Chooser.Daemon)))}
 	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, onBegan: cfg.OnBegan, now: cfg.Now, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
@@ -304,6 +308,7 @@
 		timeout: r.cfg.AttemptTimeouts.AttemptTimeout(j.request, now, j.request.Route.MaxAttempts-j.attempts),
 	}
 	r.cfg.Limits.Take(u.ID, now)
+	r.charge(j, now)
 	j.waitingSince = time.Time{}
 	j.attempts++
 	j.tried[u.ID] = true
--- a/server/relay/window.go
+++ b/server/relay/window.go
@@ -1,13 +1,13 @@
 package relay
 
 import (
-	"cmp"
 	"errors"
 	"expvar"
 	"slices"
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/fairshare"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/outstanding"
 	"go.uber.org/zap"
@@ -40,7 +40,14 @@
 	if s.latency > 0 {
 		return s.latency
 	}
-	return q.Route.LatencyTarget
+	return max(time.Millisecond, q.Route.LatencyTarget)
+}
+
+// windowEstimate is the expected time until windows allow the next job of a service, and the
+// rate at which they allow jobs, as of the last job for which one of them had no room.
+type windowEstimate struct {
+	next      time.Duration
+	perSecond float64
 }
 
 // setWindowWaits sets how long a job would wait for the window of each candidate. The jobs of
@@ -49,42 +56,75 @@
 	if !r.cfg.Windows || j.stream != nil {
 		return // a stream has a slot of its upstream for long
 	}
-	perSecond := 0.0
+	perSecond, full := 0.0, false
 	waits := make([]time.Duration, len(candidates))
 	for i := range candidates {
 		s, u := r.statsOf(candidates[i].Upstream.ID), candidates[i].Upstream
 		w, response := r.windowOf(u.ID, u.Slots), s.responseTime(j.request)
 		waits[i] = w.Wait(now, s.load(), len(j.request.Body), response)
-		if response > 0 && !u.Draining {
+		full = full || waits[i] > 0
+		if !u.Draining {
 			perSecond += float64(w.Limit()) / response.Seconds()
 		}
 	}
-	ahead := r.aheadOf(j)
+	if !full {
+		return
+	}
+	r.estimates[j.request.Service] = windowEstimate{slices.Min(waits), perSecond}
+	ahead := r.delayByOthers(j, perSecond, now)
 	for i, wait := range waits {
 		if wait == 0 {
 			continue
 		}
-		delay, ok := opaque.StartDelay(j.request, now, wait, ahead, perSecond)
+		delay, ok := opaque.StartDelay(j.request, now, wait+ahead, 0, perSecond)
 		c := &candidates[i]
 		c.Wait, c.TooLate = max(c.Wait, delay), c.TooLate || !ok
 	}
 }
 
-// aheadOf returns the number of waiting jobs that are started before a job.
-func (r *Relay) aheadOf(j *job) int {
-	n := 0
-	for _, o := range r.waiting {
-		if o != j && o.request.Service == j.request.Service && compareWaiting(o, j) <= 0 {
-			n++
+// sharesOf returns what customers have used of a service.
+func (r *Relay) sharesOf(service string) *fairshare.Shares {
+	s, ok := r.shares[service]
+	if !ok {
+		s = fairshare.New()
+		r.shares[service] = s
+	}
+	return s
+}
+
+func shareOf(j *job) fairshare.Request {
+	return fairshare.Request{Customer: j.request.Customer, Priority: j.request.Priority, Deadline: j.request.Deadline}
+}
+
+// waitingOf returns the waiting jobs of a service and what fairshare has to know of them.
+func (r *Relay) waitingOf(service string) (jobs []*job, requests []fairshare.Request) {
+	for _, j := range r.waiting {
+		if j.request.Service == service {
+			jobs, requests = append(jobs, j), append(requests, shareOf(j))
 		}
 	}
-	return n
+	return jobs, requests
+}
+
+// delayByOthers returns the expected time until the jobs that are started before a job have
+// started. In a pass over the waiting jobs, these are those that wait on.
+func (r *Relay) delayByOthers(j *job, perSecond float64, now time.Time) time.Duration {
+	_, waiting := r.waitingOf(j.request.Service)
+	if j.waitingSince.IsZero() {
+		return r.sharesOf(j.request.Service).Delay(waiting, shareOf(j), perSecond, now)
+	}
+	if perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(len(waiting)) / perSecond * float64(time.Second))
 }
 
-// compareWaiting orders jobs that wait for windows: the more urgent ones first, then those
-// whose deadline comes first.
-func compareWaiting(a, b *job) int {
-	return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), a.request.Deadline.Compare(b.request.Deadline))
+// charge charges a job's customer for its first start.
+func (r *Relay) charge(j *job, now time.Time) {
+	if r.cfg.Windows && !j.charged {
+		j.charged = true
+		r.sharesOf(j.request.Service).Started(j.request.Customer, now)
+	}
 }
 
 // observeWindow takes the end of an attempt, which is no longer outstanding. A request that the
@@ -115,24 +155,74 @@
 	}
 }
 
-// startWaitingForWindows starts the jobs that windows allow now, in the order of
-// compareWaiting. Once a job of a service has to wait on, those after it wait too.
+// startWaitingForWindows starts the jobs that windows allow now, in the order of their customers'
+// shares. Once windows hold up a job of a service, those after it wait too, unless the job has
+// tried some upstreams, which may be those with room.
 func (r *Relay) startWaitingForWindows() {
 	if !r.cfg.Windows || len(r.waiting) == 0 {
 		return
 	}
-	waiting := slices.Clone(r.waiting)
-	slices.SortStableFunc(waiting, compareWaiting)
+	ordered := r.orderedWaiting()
 	r.waiting = r.waiting[:0]
-	blocked := make(map[string]bool)
-	for _, j := range waiting {
+	heldUp := make(map[string]int) // jobs by service, from the first that windows hold up
+	now := r.cfg.Now()
+	for _, j := range ordered {
 		service := j.request.Service
-		if blocked[service] {
-			r.waiting = append(r.waiting, j)
+		if n := heldUp[service]; n > 0 && j.ctx.Err() == nil {
+			heldUp[service]++
+			r.waitOn(j, n, now)
 			continue
 		}
 		before := len(r.waiting)
+		delete(r.estimates, service)
 		r.startNext(j)
-		blocked[service] = len(r.waiting) > before
+		if _, full := r.estimates[service]; full && len(r.waiting) > before && len(j.tried) == 0 {
+			heldUp[service]++
+		}
+	}
+}
+
+// waitOn lets a job wait on behind others of its service, or refuses it if it would be too late.
+func (r *Relay) waitOn(j *job, ahead int, now time.Time) {
+	e := r.estimates[j.request.Service]
+	if delay, ok := opaque.StartDelay(j.request, now, e.next, ahead, e.perSecond); !ok {
+		r.refuseForLimits(j, delay)
+		return
+	}
+	r.waiting = append(r.waiting, j)
+}
+
+// orderedWaiting returns the waiting jobs in the order in which those of each service start.
+func (r *Relay) orderedWaiting() []*job {
+	services := make(map[string]bool)
+	var out []*job
+	for _, j := range r.waiting {
+		service := j.request.Service
+		if services[service] {
+			continue
+		}
+		services[service] = true
+		jobs, requests := r.waitingOf(service)
+		for _, n := range r.sharesOf(service).Order(requests) {
+			out = append(out, jobs[n])
+		}
+	}
+	return out
+}
+
+// makeRoom removes the waiting job that would be started last if a new one has no room to
+// wait, and refuses it. It returns false if that is the new one.
+func (r *Relay) makeRoom(j *job, delay time.Duration) bool {
+	if !r.cfg.Windows {
+		return false
+	}
+	jobs, requests := r.waitingOf(j.request.Service)
+	order := r.sharesOf(j.request.Service).Order(append(requests, shareOf(j)))
+	last := order[len(order)-1]
+	if last == len(jobs) {
+		return false
 	}
+	r.waiting = slices.DeleteFunc(r.waiting, func(o *job) bool { return o == jobs[last] })
+	r.refuseForLimits(jobs[last], delay)
+	return true
 }
--- a/server/relay/window_test.go
+++ b/server/relay/window_test.go
@@ -72,47 +72,103 @@
 	wg.Wait()
 }
 
-// While an upstream is full, the most urgent request that waits for it runs next.
-func TestUrgentRequestIsStartedFirst(t *testing.T) {
-	release := make(chan struct{}, 8)
-	var mu sync.Mutex
-	var order []int
-	s := &fullServer{capacity: 1, work: func(q *opaque.Request) {
-		mu.Lock()
-		order = append(order, q.Priority)
-		mu.Unlock()
-		<-release
-	}}
-	r := startConfigured(t, s, withWindows, directory.Upstream{ID: "a", Slots: 1})
-	started := func(count int) {
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			mu.Lock()
-			defer mu.Unlock()
-			if len(order) < count {
-				return poll.Continue("%d started", len(order))
-			}
-			return poll.Success()
-		}, poll.WithTimeout(10*time.Second))
+// recordingServer runs one request at a time and records who began, in order.
+type recordingServer struct {
+	fullServer
+	release chan struct{}
+	began   []string
+}
+
+func newRecordingServer() *recordingServer {
+	s := &recordingServer{release: make(chan struct{}, 64)}
+	s.capacity, s.work = 1, func(q *opaque.Request) {
+		s.mu.Lock()
+		s.began = append(s.began, fmt.Sprint(q.Customer, q.Priority))
+		s.mu.Unlock()
+		<-s.release
 	}
+	return s
+}
+
+// serve sends requests of customers with priorities, the first alone and the others in order while
+// it runs, and returns the order in which they began.
+func (s *recordingServer) serve(t *testing.T, requests ...*opaque.Request) []string {
+	t.Helper()
+	r := startConfigured(t, s, withWindows, directory.Upstream{ID: "a", Slots: 1})
 	var wg sync.WaitGroup
-	send := func(n, priority int) {
-		j := newJob(t.Context(), windowRequest(n, priority))
-		assert.NilError(t, r.submit(j)) // in this order
+	for n, q := range requests {
+		j := newJob(t.Context(), q)
+		assert.NilError(t, r.submit(j))
 		wg.Go(func() {
 			_, _, err := r.wait(j)
 			assert.Check(t, err == nil, "%v", err)
 		})
+		if n > 0 {
+			continue
+		}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if len(s.began) == 0 {
+				return poll.Continue("not begun")
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second))
 	}
-	send(0, 0)
-	started(1)
-	for n, priority := range []int{2, 2, 1, 0} {
-		send(n+1, priority)
-	}
-	for range 5 {
-		release <- struct{}{}
+	for range requests {
+		s.release <- struct{}{}
 	}
 	wg.Wait()
-	assert.DeepEqual(t, order, []int{0, 0, 1, 2, 2})
+	return s.began
+}
+
+// While an upstream is full, the most urgent request that waits for it runs next.
+func TestUrgentRequestIsStartedFirst(t *testing.T) {
+	var requests []*opaque.Request
+	for n, priority := range []int{0, 2, 2, 1, 0} {
+		requests = append(requests, windowRequest(n, priority))
+	}
+	assert.DeepEqual(t, newRecordingServer().serve(t, requests...), []string{"0", "0", "1", "2", "2"})
+}
+
+// A small customer's request runs before the backlog of a large one that came first.
+func TestSmallCustomerRunsBeforeBacklog(t *testing.T) {
+	var requests []*opaque.Request
+	for n, customer := range []string{"large", "large", "large", "large", "small"} {
+		q := windowRequest(n, 0)
+		q.Customer = customer
+		requests = append(requests, q)
+	}
+	assert.DeepEqual(t, newRecordingServer().serve(t, requests...), []string{"large0", "small0", "large0", "large0", "large0"})
+}
+
+// If no more requests may wait, those of the customer that has the most go first.
+func TestFullQueueRefusesLargestCustomer(t *testing.T) {
+	s := newRecordingServer()
+	r := startConfigured(t, s, func(c *Config) { withWindows(c); c.MaxWaiting = 3 }, directory.Upstream{ID: "a", Slots: 1})
+	var large []*job
+	for n := range 4 {
+		q := windowRequest(n, 0)
+		q.Customer, q.Deadline = "large", q.Deadline.Add(time.Duration(n)*time.Second)
+		large = append(large, newJob(t.Context(), q))
+		assert.NilError(t, r.submit(large[n]))
+	}
+	q := windowRequest(4, 0)
+	q.Customer = "small"
+	small := newJob(t.Context(), q)
+	assert.NilError(t, r.submit(small))
+	_, _, err := r.wait(large[3])
+	var notRun *opaque.NotRunError
+	assert.Assert(t, errors.As(err, &notRun) && notRun.RetryAfter > 0, "%v", err)
+	for range 4 {
+		s.release <- struct{}{}
+	}
+	_, _, err = r.wait(small)
+	assert.NilError(t, err)
+	for _, j := range large[:3] {
+		_, _, err = r.wait(j)
+		assert.NilError(t, err)
+	}
 }
 
 // A request that a full upstream can't run before its deadline is refused at once, with the time after
