--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -42,7 +42,7 @@
 			},
 			{Name: "upstreams", Usage: "list upstreams with their lease holders and weights", Action: withHistory(hostedUpstreams)},
 			{Name: "daemons", Usage: "list daemons with the configuration versions in force and the levels of records they read", Action: withHistory(hostedDaemons)},
-			hostedKeysCommand(),
+			hostedKeysCommand(), hostedExplainCommand(),
 			{Name: "duties", Usage: "list the duties of one daemon at a time with their holders", Action: withStore(hostedDuties)},
 			{Name: "usage", Usage: "list the windows of usage that are fixed, or still counted", Action: withStore(hostedUsage)},
 			{
@@ -105,10 +105,10 @@
 
 func (r jobsReport) writeText(w io.Writer) {
 	t := tabwriter.NewWriter(w, 0, 0, columnGap, ' ', 0)
-	fmt.Fprintln(t, "JOB\tMODEL\tMIN VERSION\tSUBMITTED\tITEMS\tCOMPLETED\tERRORED\tOPEN\tENDED")
+	fmt.Fprintln(t, "JOB\tCUSTOMER\tMODEL\tMIN VERSION\tSUBMITTED\tITEMS\tCOMPLETED\tERRORED\tOPEN\tENDED")
 	for i := range r.Jobs {
 		j := &r.Jobs[i]
-		fmt.Fprintf(t, "%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%t\n", j.ID, j.Model, j.MinVersion, time.UnixMilli(j.SubmittedMillis).UTC().Format(time.RFC3339),
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%d\t%d\t%d\t%d\t%t\n", j.ID, j.Customer, j.Model, j.MinVersion, time.UnixMilli(j.SubmittedMillis).UTC().Format(time.RFC3339),
 			j.Items, j.Completed, len(j.Errored), len(j.Open), j.Ended)
 	}
 	_ = t.Flush() // a write error can't be reported
--- a/lib/batch/image_test.go
+++ b/lib/batch/image_test.go
@@ -35,6 +35,10 @@
 	case 7:
 		return &EventIntervalMeasured{Upstream: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), Daemon: api.DaemonID(fmt.Sprint("d", rng.IntN(3))), Micros: int64(rng.IntN(5))}
 	case 8:
+		return &HomesSwapped{
+			First: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), FirstModel: "m", Second: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), SecondModel: "n",
+		}
+	case 9:
 		return &ItemMoved{Job: job, Item: item, FromUpstream: api.UpstreamID(fmt.Sprint("u", rng.IntN(5))), UpstreamLost: true}
 	default:
 		return levelZeroRecord(rng, n)
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/access"
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
+	"dotterelmount.example/lib/fairshare"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/quarantine"
 	"dotterelmount.example/lib/ratelimit"
@@ -73,7 +74,9 @@
 	crashes   *quarantine.Contents
 	// unconfirmed are crashes that a cut-off of this daemon may explain.
 	unconfirmed unconfirmedCrashes
-	waiting     []*job // for a request limit, in order of arrival
+	waiting     []*job                       // for a request limit or window
+	shares      map[string]*fairshare.Shares // by service
+	estimates   map[string]windowEstimate    // by service
 }
 
 // job is a request in progress.
@@ -100,6 +103,7 @@
 	// Config.OnBegan is told.
 	beganAt time.Time
 	counted bool
+	charged bool // counted as use of its customer's share
 }
 
 // attempt is one attempt at a job on one upstream.
@@ -131,7 +135,7 @@
 	if cfg.OnBegan == nil {
 		cfg.OnBegan = ignoreBegan
 	}
-	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), crashes: quarantine.NewContents(daemonSpread(string(cfg.Chooser.Daemon)))}
+	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), shares: make(map[string]*fairshare.Shares), estimates: make(map[string]windowEstimate), crashes: quarantine.NewContents(daemonSpread(string(cfg.Chooser.Daemon)))}
 	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, onBegan: cfg.OnBegan, now: cfg.Now, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
 	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
@@ -202,8 +206,8 @@
 	}
 }
 
-// Handle processes a new job, the end of an attempt or a peer's crash report.
-func (r *Relay) Handle(_ context.Context, m any) {
+// Handle processes a new job, the end of an attempt, a peer's crash report or a question.
+func (r *Relay) Handle(ctx context.Context, m any) {
 	switch m := m.(type) {
 	case *job:
 		r.startNext(m)
@@ -214,6 +218,8 @@
 		} else {
 			r.handleEnd(m)
 		}
+	case *explanation:
+		m.reply.Put(r.explain(ctx, m.request))
 	case peerCrashes:
 		r.addPeerCrashes(m)
 	}
@@ -259,18 +265,14 @@
 		r.finish(j, reply{Response: j.failureResponse, Err: j.failure("all attempts failed", false, r.cfg.RetryAfter)})
 		return
 	}
-	candidates := r.candidates(j, now)
-	r.setWaits(j, candidates, now)
-	r.setWindowWaits(j, candidates, now)
-	chosen, ok := r.cfg.Chooser.PickFor(q.Route.LatencyTarget, candidates)
-	if !ok || (chosen.Tried && !j.request.Route.Repeatable() && j.mayHaveRun) {
+	c := r.choose(j, now)
+	if !c.ok {
 		r.finish(j, reply{Err: elsewhere(j.failure("no upstream available for service "+q.Service, false, r.cfg.RetryAfter))})
 		return
 	}
-	u, waits := chosen.Upstream, r.mustWait(j, chosen)
-	r.countDemand(j, candidates, waits)
-	if waits {
-		r.waitForLimit(j, chosen, now)
+	r.countDemand(j, c.candidates, c.waits)
+	if c.waits {
+		r.waitForLimit(j, c.chosen, now)
 		return
 	}
 	index, ok := r.workers.Acquire()
@@ -278,7 +280,26 @@
 		r.finish(j, reply{Err: elsewhere(j.failure("all workers are busy", false, r.cfg.RetryAfter))})
 		return
 	}
-	r.startAttempt(index, j, u, now)
+	r.startAttempt(index, j, c.chosen.Upstream, now)
+}
+
+// choice is the decision about the upstream of a job's next attempt.
+type choice struct {
+	candidates []opaque.Candidate
+	chosen     opaque.Candidate
+	ok         bool // there is an upstream that the job may be sent to
+	waits      bool // the job has to wait for the upstream's limits first
+}
+
+// choose decides about the upstream of a job's next attempt.
+func (r *Relay) choose(j *job, now time.Time) choice {
+	c := choice{candidates: r.candidates(j, now)}
+	r.setWaits(j, c.candidates, now)
+	r.setWindowWaits(j, c.candidates, now)
+	c.chosen, c.ok = r.cfg.Chooser.PickFor(j.request.Route.LatencyTarget, c.candidates)
+	c.ok = c.ok && (!c.chosen.Tried || j.request.Route.Repeatable() || !j.mayHaveRun)
+	c.waits = c.ok && r.mustWait(j, c.chosen)
+	return c
 }
 
 func (r *Relay) startAttempt(index int, j *job, u *directory.Upstream, now time.Time) {
@@ -287,6 +308,7 @@
 		timeout: r.cfg.AttemptTimeouts.AttemptTimeout(j.request, now, j.request.Route.MaxAttempts-j.attempts),
 	}
 	r.cfg.Limits.Take(u.ID, now)
+	r.charge(j, now)
 	j.waitingSince = time.Time{}
 	j.attempts++
 	j.tried[u.ID] = true
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -45,6 +45,9 @@
 	// MaxLimitWait is how long an item waits for its upstream's request limit before it is
 	// moved to another upstream.
 	MaxLimitWait time.Duration
+	// LeaveMargin is the time before an upstream goes at which its runs are moved. The time
+	// left is known as of the upstream's last description.
+	LeaveMargin time.Duration
 	// Pace decides which upstreams are slow. MeasureInterval is the time between
 	// measurements of the event intervals.
 	Pace            pace.Config
@@ -188,6 +191,7 @@
 // Tick measures event intervals and starts runs that are due for a retry.
 func (r *Runner) Tick(ctx context.Context) {
 	r.measureEventIntervals()
+	r.moveFromLeaving(r.cfg.Now())
 	r.moveStragglers(r.cfg.Now())
 	r.reconcile(ctx)
 }
