End a term before its release is sent, and calls with their term

Cause: by reading. A release may take effect as soon as it is sent, but other threads saw the term until its answer; and a call that waited for its connection could be sent after the end of the term.

Change: the term is withdrawn before the release is sent, and a call has the end of its term as its deadline.

--- a/cmd/dotterelmountd/internal/hosted/duties.go
+++ b/cmd/dotterelmountd/internal/hosted/duties.go
@@ -26,8 +26,9 @@
 
 // Parts of the time within which usage is to be reported.
 const (
-	settlePart = 4 // after the end of a window, in which daemons store their counts
-	spreadPart = 8 // over which they spread that
+	settlePart        = 0.4  // after the end of a window, in which daemons store their counts
+	settlePartWaiting = 0.25 // the same if a new holder waits until it makes calls, which leaves less time
+	spreadPart        = 0.125
 )
 
 // startDuties starts the duties that the settings name, of which there is one holder at a time.
@@ -65,13 +66,18 @@
 	counts, reports := storeClient.Keyed(metering.CountsTopic), storeClient.Keyed(metering.ReportsTopic)
 	cfg := meterConfig
 	cfg.Writer, cfg.Flushing.Window = process, d.UsageWindow
-	cfg.Flushing.Spread = usage.Spread(n.settings.Daemon, d.UsageDelay/spreadPart)
+	cfg.Flushing.Spread = usage.Spread(n.settings.Daemon, part(d.UsageDelay, spreadPart))
 	n.meter = metering.StartMeter(n.system, cfg, clock, counts, func() int { return len(n.leaseSnapshot().Daemons) }, n.log.Logger)
 	reporter := reporterConfig
-	reporter.Reporting.Window, reporter.Reporting.Delay, reporter.Reporting.Settle = d.UsageWindow, d.UsageDelay, d.UsageDelay/settlePart
+	reporter.Reporting.Window, reporter.Reporting.Delay, reporter.Reporting.Settle = d.UsageWindow, d.UsageDelay, part(d.UsageDelay, settlePart)
+	if !d.FencesChecked {
+		reporter.Reporting.Settle = part(d.UsageDelay, settlePartWaiting)
+	}
 	n.reporter = metering.StartReporter(n.system, reporter, clock, n.keepers, n.dutyCalls, counts, reports, n.log.Logger)
 }
 
+func part(d time.Duration, of float64) time.Duration { return time.Duration(of * float64(d)) }
+
 // leaveDuties ends the calls under terms of this daemon and releases the terms, so that others
 // take over at once.
 func (n *Node) leaveDuties(ctx context.Context) {
--- a/server/singleton/calls.go
+++ b/server/singleton/calls.go
@@ -46,20 +46,24 @@
 
 // ReportUsage implements Platform.
 func (c *Calls) ReportUsage(ctx context.Context, t decision.Term, u usage.Report) error {
-	return c.call(ctx, t, func() error { return c.platform.ReportUsage(ctx, t, u) })
+	return c.call(ctx, t, func(ctx context.Context) error { return c.platform.ReportUsage(ctx, t, u) })
 }
 
 // Order implements Platform.
 func (c *Calls) Order(ctx context.Context, t decision.Term, o decision.UpstreamOrder) error {
-	return c.call(ctx, t, func() error { return c.platform.Order(ctx, t, o) })
+	return c.call(ctx, t, func(ctx context.Context) error { return c.platform.Order(ctx, t, o) })
 }
 
-func (c *Calls) call(ctx context.Context, t decision.Term, do func() error) error {
+func (c *Calls) call(ctx context.Context, t decision.Term, do func(context.Context) error) error {
 	duty.Sleep(ctx, c.wait(t.Duty))
-	if now, ok := c.keepers.Current(t.Duty); !ok || now.Fence != t.Fence || ctx.Err() != nil {
+	now, ok := c.keepers.Current(t.Duty)
+	if !ok || now.Fence != t.Fence || ctx.Err() != nil {
 		return &decision.CallError{Op: string(t.Duty), Outcome: decision.OutcomeEnded, Cause: &TermEndedError{t}}
 	}
-	err := do()
+	// Nothing may be sent after the term, also if the connection takes long.
+	ctx, cancel := context.WithTimeout(ctx, now.End-c.keepers.cfg.Boot())
+	defer cancel()
+	err := do(ctx)
 	var e *decision.CallError
 	responded := !errors.As(err, &e) || !e.NoResponse()
 	if e != nil && e.Outcome == decision.OutcomeFenced {
--- a/server/singleton/singleton.go
+++ b/server/singleton/singleton.go
@@ -237,7 +237,9 @@
 // step does what the decision asks for now.
 func (k *keeper) step(ctx context.Context) {
 	k.updateRank()
-	switch a := k.keeper.Next(k.cfg.Boot(), decision.Input{Rank: k.rank, Leaving: len(k.leaving) > 0}); {
+	a := k.keeper.Next(k.cfg.Boot(), decision.Input{Rank: k.rank, Leaving: len(k.leaving) > 0})
+	k.publish() // a release ends the term before it is sent
+	switch {
 	case a.Read:
 		k.read(ctx)
 	case a.Append != nil:
