Report usage in the hosted soak

Cause: duties were tested with two daemons and one fault at a time.

Change: the soak's daemons report usage to the stand-in of the platform's API, which is busy, silent or late by three new kinds of fault. Each window must be reported once, and no rule broken.

--- a/bench/hostedsoak/deployment.go
+++ b/bench/hostedsoak/deployment.go
@@ -54,6 +54,7 @@
 	system             *duty.System
 	network            *links.Network
 	store              *platform.Store
+	cloud              *platform.Cloud
 	operator           *operator
 	engines            []*platform.Server
 	plains             []*platform.Server
@@ -72,11 +73,12 @@
 func storeLinkName(i int) string  { return "store:" + daemonName(i) }
 func callerLinkName(i int) string { return "caller:" + daemonName(i) }
 
-// startDeployment starts all processes and waits until every daemon is ready.
-func startDeployment(ctx context.Context, r *proc.Runner, b builds) (*deployment, error) {
+// startDeployment starts all processes and waits until every daemon is ready. fencesChecked is
+// set if the platform's API refuses fences that are too low.
+func startDeployment(ctx context.Context, r *proc.Runner, b builds, fencesChecked bool) (*deployment, error) {
 	d := &deployment{
 		builds: b,
-		runner: r, system: duty.NewSystem(nil), network: links.New(), store: platform.NewStore(),
+		runner: r, system: duty.NewSystem(nil), network: links.New(), store: platform.NewStore(), cloud: platform.NewCloud(fencesChecked),
 		client: &platform.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: memberThreads}}, Host: host},
 	}
 	d.operator = &operator{store: d.store, sameBuild: b.same}
@@ -150,6 +152,9 @@
 	}
 	file := filepath.Join(d.runner.OutDir(), daemonName(i)+".yaml")
 	content := fmt.Sprintf(settingsTemplate, daemonName(i), listens[0], listens[1], listens[2], store, listens[3], daemonIP(i), shutdownGrace, journalRetention)
+	if d.builds.same {
+		content += d.dutySettings()
+	}
 	if err := os.WriteFile(file, []byte(content), 0o644); err != nil {
 		return fmt.Errorf("settings of %s: %w", daemonName(i), err)
 	}
@@ -190,5 +195,6 @@
 	}
 	d.network.Close()
 	d.store.Close()
+	d.cloud.Close()
 	return exits, first
 }
--- a/bench/hostedsoak/faults.go
+++ b/bench/hostedsoak/faults.go
@@ -95,6 +95,7 @@
 		storeBusy: platform.ModeBusy, storeDown: platform.ModeSilent, storeLossy: platform.ModeLossy,
 		storeLate: platform.ModeLate, storeSlow: platform.ModeSlow,
 	}
+	cloudModes   = map[kind]platform.CloudMode{cloudBusy: platform.CloudBusy, cloudSilent: platform.CloudSilent, cloudLate: platform.CloudLate}
 	serverFaults = map[kind]platform.Fault{
 		serverSlow: platform.FaultSlow, serverBusy: platform.FaultBusy, serverCuts: platform.FaultCut, serverLoses: platform.FaultLose,
 		serverGarbles: platform.FaultGarble, serverHangs: platform.FaultHang, serverFails: platform.FaultFail,
@@ -138,6 +139,13 @@
 		return "store", func(context.Context) bool { j.deployment.expireJournal(); return true }
 	case serverSlow, serverBusy, serverCuts, serverLoses, serverGarbles, serverHangs, serverFails, serverEndless, serverCutsHead:
 		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return setServerFault(ctx, server, serverFaults[f.Kind], f.Duration) }
+	case cloudBusy, cloudSilent, cloudLate:
+		return "cloud", func(ctx context.Context) bool {
+			j.deployment.cloud.SetMode(cloudModes[f.Kind])
+			defer j.deployment.cloud.SetMode(platform.CloudUp)
+			duty.Sleep(ctx, f.Duration)
+			return true
+		}
 	case serverDark:
 		return "trouble:" + server.Service + server.URL, func(ctx context.Context) bool { return darken(ctx, server, f.Duration) }
 	case daemonsCutOff:
--- a/bench/hostedsoak/parts.go
+++ b/bench/hostedsoak/parts.go
@@ -27,7 +27,7 @@
 func runParts(ctx context.Context, runner *proc.Runner, r *Result, faults []fault, b builds) error {
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	d, err := startDeployment(starting, runner, b)
+	d, err := startDeployment(starting, runner, b, r.Seed%2 == 0)
 	if err != nil {
 		return err
 	}
@@ -43,6 +43,9 @@
 	for _, t := range trainers {
 		t.rereadResults(ctx)
 	}
+	if b.same {
+		r.awaitUsage(ctx, d)
+	}
 	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 	defer stop()
 	exits, err := d.close(closing)
@@ -59,6 +62,7 @@
 	r.evaluateStops(stops, l.requests, index)
 	r.evaluateLoadOrders(d)
 	r.evaluateLimits(d, limits)
+	r.evaluateUsage(d)
 	r.evaluateExits(exits)
 	r.evaluateFaults(j)
 	r.Probes, r.RevokedKeys = int(r.probes.Load()), int(r.revoked.Load())
--- a/bench/hostedsoak/result.go
+++ b/bench/hostedsoak/result.go
@@ -46,6 +46,10 @@
 	RevokedServed     int            `json:"revoked_served"`       // requests served although their key was taken away more than maxApplyDelay before
 	RevokedKeys       int            `json:"revoked_keys"`         // requests refused for such a key
 	ForeignReads      int            `json:"foreign_reads"`        // jobs shown to another tenant
+	UsageWindows      int            `json:"usage_windows"`        // windows of usage that were reported
+	UsageMissing      int            `json:"usage_missing"`        // windows between the first and the last that were not
+	DutyViolations    int            `json:"duty_violations"`      // calls to the platform's API that break its rules
+	DutyHolders       int            `json:"duty_holders"`         // fences under which usage was reported
 	UnexpectedExits   int            `json:"unexpected_exits"`     // including those caused by a violated invariant
 	Recovered         bool           `json:"recovered"`            // every daemon served each kind of request after the faults
 
@@ -118,6 +122,9 @@
 	c.Check(r.RevokedServed == 0, "revoked_served")
 	c.Check(r.RevokedKeys > 0 || !r.keys, "revoked_keys")
 	c.Check(r.ForeignReads == 0, "foreign_reads")
+	c.Check(r.UsageWindows > 0 || !r.keys, "usage_windows")
+	c.Check(r.UsageMissing == 0, "usage_missing")
+	c.Check(r.DutyViolations == 0, "duty_violations")
 	c.Check(r.UnexpectedExits == 0, "unexpected_exits")
 	c.Check(r.Recovered, "recovered")
 	c.Check(len(r.Errors) == 0, "errors")
--- a/bench/hostedsoak/schedule.go
+++ b/bench/hostedsoak/schedule.go
@@ -49,6 +49,9 @@
 	serverDrain    kind = "server-drain"     // a server is marked as draining
 	serverLeaves   kind = "server-leaves"    // a server says in its responses only that it leaves, and restarts later
 	daemonsCutOff  kind = "daemons-cut-off"  // some daemons can't reach any server
+	cloudBusy      kind = "cloud-busy"       // the platform's API responds 429
+	cloudSilent    kind = "cloud-silent"     // the platform's API doesn't respond
+	cloudLate      kind = "cloud-late"       // the platform's API executes calls after a delay and doesn't respond
 	configChange   kind = "config-change"    // the operator publishes a configuration
 	configStorm    kind = "config-storm"     // the operator publishes configurations at short intervals
 	routeMove      kind = "route-move"       // a configuration moves the routes of jobs to other engines
@@ -85,6 +88,9 @@
 	serverDrain:    {Min: 3 * time.Second, Max: 6 * time.Second},
 	serverLeaves:   {Min: 3 * time.Second, Max: 6 * time.Second},
 	daemonsCutOff:  {Min: time.Second, Max: 6 * time.Second},
+	cloudBusy:      {Min: time.Second, Max: 4 * time.Second},
+	cloudSilent:    {Min: time.Second, Max: 5 * time.Second},
+	cloudLate:      {Min: time.Second, Max: 4 * time.Second},
 	configStorm:    {Min: 500 * time.Millisecond, Max: 2 * time.Second},
 }
 
--- a/standin/platform/cloud.go
+++ b/standin/platform/cloud.go
@@ -83,6 +83,9 @@
 	c.Server.Close()
 }
 
+// FencesChecked reports whether the API refuses fences that are too low.
+func (c *Cloud) FencesChecked() bool { return c.fencesChecked }
+
 // Address returns the API's ip:port.
 func (c *Cloud) Address() string { return strings.TrimPrefix(c.URL, "http://") }
 
