--- a/cmd/dotterelmount/duties.go
+++ b/cmd/dotterelmount/duties.go
@@ -16,11 +16,12 @@
 	"dotterelmount.example/lib/usage"
 	"dotterelmount.example/platform/store"
 	"dotterelmount.example/server/metering"
+	"dotterelmount.example/server/scaling"
 	"dotterelmount.example/server/singleton"
 )
 
 // duties are those that daemons may hold.
-var duties = []decision.Duty{metering.Metering, "scale"}
+var duties = []decision.Duty{metering.Metering, scaling.Duty}
 
 // withStore returns the action of a command that reads single topics of the store.
 func withStore(f func(ctx context.Context, client *store.Client) (report, error)) cli.ActionFunc {
--- a/lib/usage/reporter.go
+++ b/lib/usage/reporter.go
@@ -19,8 +19,9 @@
 	Grace time.Duration
 	// GiveUp is the time after the end of a window from which it is not reported any more.
 	GiveUp time.Duration
-	// RetryDelay is the time until a report that failed is repeated. It doubles with each
-	// failure in a row, up to MaxRetryDelay.
+	// RetryDelay is the time until the store is read again after a failure, and until a report
+	// that failed is repeated. The latter doubles with each failure in a row, up to
+	// MaxRetryDelay.
 	RetryDelay, MaxRetryDelay time.Duration
 }
 
@@ -74,6 +75,7 @@
 	retryAt time.Time
 	retries int
 	heldTo  time.Time // the store failed; no window is fixed until then
+	readAt  time.Time // the store failed; it is not read until then
 }
 
 // NewReporter returns the Reporter of a term. Unless another window is stored, it begins with the
@@ -85,7 +87,7 @@
 // Next returns what is to be done at a true time.
 func (r *Reporter) Next(now time.Time) Step {
 	if !r.known {
-		return Step{Read: true}
+		return Step{Read: !now.Before(r.readAt)}
 	}
 	due := r.due(now)
 	if len(due) > 0 && (!now.Before(r.heldTo) || r.late(due[0], now)) {
@@ -94,12 +96,26 @@
 	if now.Before(r.retryAt) {
 		return Step{}
 	}
+	return Step{Send: r.nextReport(now)}
+}
+
+// nextReport returns the next report, the oldest one that is still in time before those that are
+// late: of these, holders before have mostly sent what a new one repeats.
+func (r *Reporter) nextReport(now time.Time) *Report {
+	var late *Report
 	for _, w := range slices.Sorted(maps.Keys(r.stored.Fixed)) {
-		if w > r.stored.Done && !r.sent[w] && !r.expired(w, now) {
-			return Step{Send: &Report{Window: w, Counts: r.stored.Fixed[w]}}
+		if w <= r.stored.Done || r.sent[w] || r.expired(w, now) {
+			continue
+		}
+		report := &Report{Window: w, Counts: r.stored.Fixed[w]}
+		if now.Sub(EndOf(w, r.cfg.Window)) <= r.cfg.Delay {
+			return report
+		}
+		if late == nil {
+			late = report
 		}
 	}
-	return Step{}
+	return late
 }
 
 func (r *Reporter) expired(window int64, now time.Time) bool {
@@ -133,7 +149,7 @@
 // StoreFailed notes that a call to the store has failed, or that its condition wasn't met.
 func (r *Reporter) StoreFailed(now time.Time) {
 	r.known = false
-	r.heldTo = now.Add(r.cfg.Grace)
+	r.heldTo, r.readAt = now.Add(r.cfg.Grace), now.Add(r.cfg.RetryDelay)
 }
 
 // Collected returns the update that fixes the windows which are due, with the counts of the
--- a/server/metering/reporter.go
+++ b/server/metering/reporter.go
@@ -53,6 +53,7 @@
 
 	term     singleton.Term
 	decision *usage.Reporter // nil: this daemon doesn't hold the duty
+	failing  bool            // the last call to the store failed
 }
 
 // StartReporter starts the duty.
@@ -105,7 +106,10 @@
 }
 
 func (r *Reporter) storeFailed(now time.Time, what string, err error) bool {
-	r.log.Warn(what, zap.Error(err))
+	if !r.failing {
+		r.log.Warn(what, zap.Error(err))
+	}
+	r.failing = true
 	reporterFailures.Add(1)
 	r.decision.StoreFailed(now)
 	return false
@@ -122,6 +126,10 @@
 	if err != nil {
 		return r.storeFailed(now, "usage reports are not readable", err)
 	}
+	if r.failing {
+		r.log.Info("usage reports readable again")
+	}
+	r.failing = false
 	r.decision.ReadDone(stored)
 	return true
 }
