Count the servers of a deployment for operators

Cause: operators could not see how many servers of each kind a service has, and within which bounds. Change: dotterelmount hosted servers reads them from the platform's store.

--- a/cmd/dotterelmount/hosted.go
+++ b/cmd/dotterelmount/hosted.go
@@ -42,7 +42,7 @@
 			},
 			{Name: "upstreams", Usage: "list upstreams with their lease holders and weights", Action: withHistory(hostedUpstreams)},
 			{Name: "daemons", Usage: "list daemons with the configuration versions in force and the levels of records they read", Action: withHistory(hostedDaemons)},
-			hostedKeysCommand(), hostedExplainCommand(),
+			hostedKeysCommand(), hostedExplainCommand(), hostedServersCommand(),
 			{Name: "duties", Usage: "list the duties of one daemon at a time with their holders", Action: withStore(hostedDuties)},
 			{Name: "usage", Usage: "list the windows of usage that are fixed, or still counted", Action: withStore(hostedUsage)},
 			{
