Bound what a hosted daemon takes from callers that nobody controls

Cause: bodies were read with io.ReadAll without a bound on their sum, heads were bounded only by net/http's 1 MiB, jobs were decoded whatever they became, answers were held for callers that never read them, and the number of connections had no bound. A crowd of callers ended the process.

Change: lib/intake decides, from the host's memory and descriptors (settings limits.memory_mb and limits.descriptors), how much all requests and answers may hold together; server/intake applies it to listeners and HTTP servers. A body, a head, the decoding of a job and an answer are claimed before they are read or made. Over the budget, the request or answer that has stalled longest is closed; else the request is refused unread with 503 and Connection: close. Small requests have a reserve. Connections are bounded at each address; the one that has waited longest makes room. The heap has a limit above which garbage is collected more often. Responses with a length are read into one buffer.

--- a/cmd/dotterelmountd/internal/hosted/deploy_test.go
+++ b/cmd/dotterelmountd/internal/hosted/deploy_test.go
@@ -20,7 +20,7 @@
 	return map[string]string{
 		"node": `"front-sapporo-a-1"`, "zone": `"sapporo-a"`, "ip": `"10.1.0.10"`, "listen.front": `"10.1.0.10:8161"`,
 		"listen.ready": `"10.1.0.10:8167"`, "port_range.0": "7720", "provider.address": `"10.200.1.7:8169"`, "provider.record_bytes": "262144",
-		"provider.call_bytes": "2097152", "provider.reads_per_s": "2000", "provider.max_queue_s": "300", "bounds.status_s": "120", "bounds.lease_ms": "3000", "bounds.grace_s": "8", "limits.cpu_share": "0.192",
+		"provider.call_bytes": "2097152", "provider.reads_per_s": "2000", "provider.max_queue_s": "300", "bounds.status_s": "120", "bounds.lease_ms": "3000", "bounds.grace_s": "8", "limits.cpu_share": "0.192", "limits.memory_mb": "304", "limits.max_fds": "8200",
 	}
 }
 
@@ -58,6 +58,7 @@
 	assert.Equal(t, h.Daemon, "front-sapporo-a-1")
 	assert.Equal(t, h.MetricsAddress, "10.1.0.10:9464")
 	assert.Equal(t, h.PeerAddress, "10.1.0.10:7720")
+	assert.Equal(t, h.Limits, settings.HostLimits{MemoryMB: 304, Descriptors: 8200})
 	assert.Equal(t, h.JobRetention, 2*time.Minute)
 	assert.Equal(t, h.LeaseWait, 3*time.Second)
 	assert.Equal(t, h.Capacity(), 192)
--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -37,6 +37,7 @@
 	"dotterelmount.example/server/chunks"
 	"dotterelmount.example/server/committer"
 	"dotterelmount.example/server/follow"
+	"dotterelmount.example/server/intake"
 	"dotterelmount.example/server/jobreplica"
 	"dotterelmount.example/server/leasing"
 	"dotterelmount.example/server/reachability"
@@ -76,6 +77,7 @@
 	rewards        *rewards.Caller
 	forwardClient  *forward.Client
 	forwardServer  *forward.Server // nil: this daemon takes no requests of others
+	intake         *intake.Gate
 	callers        *http.Server
 	readiness      *http.Server
 	metrics        *http.Server
@@ -101,6 +103,7 @@
 		n.log.Warn("store retention is shorter than job retention",
 			zap.Duration("retention", s.Retention), zap.Duration("remember", s.JobRetention))
 	}
+	n.startIntake()
 	throttleCfg := throttleConfig
 	throttleCfg.Self = api.DaemonID(s.Daemon)
 	n.throttle = throttle.New(throttleCfg, n.log.Logger)
@@ -121,6 +124,21 @@
 	return n, nil
 }
 
+// startIntake bounds what callers and other daemons may send.
+func (n *Node) startIntake() {
+	n.intake = intake.New(intake.Config{
+		Memory: int64(n.settings.Limits.MemoryMB) << 20, Descriptors: n.settings.Limits.Descriptors, Now: time.Now,
+		HeadLimit: func() int64 {
+			if table := n.View().Table; table != nil {
+				return table.Limits().MaxHeaderBytes
+			}
+			return 0
+		},
+	}, n.log.Logger)
+	n.intake.Start(n.system)
+	n.serverClient.LimitBuffer(n.intake.Plan().Buffered)
+}
+
 // View returns the configuration and the upstreams as last read from the platform.
 func (n *Node) View() *directory.View { return n.watcher.View() }
 
@@ -274,19 +292,26 @@
 		Relay: n.relay, Jobs: &jobStore{n}, View: n.View, Ready: n.ready, Stopping: n.stopping.Load, StopEnd: n.stopEnd,
 		Observer: latencyRecorder, Log: n.log.Logger, RetryAfter: retryAfter, MaxConfigAge: maxConfigAge, Now: time.Now,
 	})
-	n.callers = &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	n.readiness = &http.Server{Handler: h.Readiness(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	n.metrics = &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	newServer := func(h http.Handler) *http.Server {
+		return n.intake.Server(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	}
+	n.callers, n.readiness, n.metrics = newServer(h), newServer(h.Readiness()), newServer(expvar.Handler())
+	side := func(name string) func(net.Listener) net.Listener {
+		return func(l net.Listener) net.Listener { return n.intake.Side(name, l) }
+	}
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
+		bound         func(net.Listener) net.Listener
 	}{
-		{"callers", n.settings.CallerAddress, n.callers}, {"readiness", n.settings.ReadinessAddress, n.readiness}, {"metrics", n.settings.MetricsAddress, n.metrics},
+		{"callers", n.settings.CallerAddress, n.callers, n.intake.Callers},
+		{"readiness", n.settings.ReadinessAddress, n.readiness, side("readiness")},
+		{"metrics", n.settings.MetricsAddress, n.metrics, side("metrics")},
 	} {
 		if l.address == "" {
 			continue
 		}
-		if err := n.listen(l.name, l.address, l.server); err != nil {
+		if err := n.listen(l.name, l.address, l.server, l.bound); err != nil {
 			return err
 		}
 	}
@@ -303,7 +328,7 @@
 	if err != nil {
 		return api.Errorf(api.CodeInvalid, "peers: %w", err)
 	}
-	n.forwardServer, err = forward.Start(n.system, listener, n.relay)
+	n.forwardServer, err = forward.Start(n.system, n.intake.Peers(listener), n.relay)
 	return err
 }
 
@@ -323,13 +348,13 @@
 	return out
 }
 
-func (n *Node) listen(name, address string, server *http.Server) error {
+func (n *Node) listen(name, address string, server *http.Server, bound func(net.Listener) net.Listener) error {
 	cfg := net.ListenConfig{Control: sockets.SetUserTimeout}
 	listener, err := cfg.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return api.Errorf(api.CodeInvalid, "%s: %w", name, err)
 	}
-	accept.Serve(n.system, name, server, listener, n.log.Logger)
+	accept.Serve(n.system, name, server, bound(listener), n.log.Logger)
 	return nil
 }
 
--- a/lib/bounded/bounded.go
+++ b/lib/bounded/bounded.go
@@ -56,6 +56,24 @@
 
 func (b *Budget) release(bytes int) { b.used.Add(-int64(bytes)) }
 
+// ReadSized reads a message of size bytes, which are charged before they are read. Errors:
+// *TooLongError, io.ErrUnexpectedEOF, those of r.
+func (b *Budget) ReadSized(r io.Reader, size, limit int, what string) ([]byte, error) {
+	if size > limit {
+		return nil, &TooLongError{What: what, Bytes: limit}
+	}
+	defer b.release(size)
+	if err := b.charge(size, size); err != nil {
+		return nil, err
+	}
+	data := make([]byte, size)
+	_, err := io.ReadFull(r, data)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return data, err
+}
+
 // ReadAll is as the function ReadAll, and fails with *TooLongError also if all messages
 // together exceed the budget.
 func (b *Budget) ReadAll(r io.Reader, limit int, what string) ([]byte, error) {
--- a/lib/bounded/bounded_test.go
+++ b/lib/bounded/bounded_test.go
@@ -54,6 +54,25 @@
 	assert.NilError(t, err, "the budget is free again")
 }
 
+func TestReadSizedChargesBeforeItReads(t *testing.T) {
+	b := NewBudget(1000)
+	data, err := b.ReadSized(strings.NewReader("abcd"), 3, 800, "body")
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "abc")
+	_, err = b.ReadSized(strings.NewReader("ab"), 3, 800, "body")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	e := &endless{}
+	for _, size := range []int{801, 1001} {
+		_, err = b.ReadSized(e, size, size-1, "body")
+		assert.Assert(t, isTooLong(err))
+	}
+	_, err = b.ReadSized(e, 1001, 2000, "body")
+	assert.Assert(t, isTooLong(err), "over the budget")
+	assert.Equal(t, e.read, 0)
+	_, err = b.ReadSized(e, 1000, 2000, "body")
+	assert.NilError(t, err, "the budget is free again")
+}
+
 type readerFunc func([]byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
--- a/lib/routes/routes.go
+++ b/lib/routes/routes.go
@@ -124,7 +124,7 @@
 // Limits are the limits on requests. Zero values mean that there is no limit.
 type Limits struct {
 	MaxBodyBytes   int64
-	MaxHeaderBytes int           // of the request line and the headers
+	MaxHeaderBytes int64         // of the request line and the headers
 	HeaderTimeout  time.Duration // from the start of a request to the end of its headers
 	IdleTimeout    time.Duration // of a connection between two requests
 }
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -39,12 +39,21 @@
 	// ProcessorShare is the processor capacity of this host, in cores. Hosts with more
 	// run more of the batch jobs.
 	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
+	// Limits are the limits of this host on the process.
+	Limits HostLimits `yaml:"limits"`
 	// Duties are the calls to the platform that one daemon at a time makes.
 	Duties Duties `yaml:"duties"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
 
+// HostLimits are the limits of a host on a process. What callers send is taken only within
+// them.
+type HostLimits struct {
+	MemoryMB    int `yaml:"memory_mb" validate:"min=32"`   // MiB; the process is ended above it
+	Descriptors int `yaml:"descriptors" validate:"min=64"` // open files and sockets
+}
+
 // Duties configures the calls to the platform that one daemon at a time makes.
 type Duties struct {
 	Address string `yaml:"address" validate:"omitempty,hostport"` // of the platform's API; empty: there are no duties
@@ -75,6 +84,8 @@
 	DefaultLoadShare           = 1.0 / 5 // that many engines can load without slowing each other down
 	DefaultRunWorkers          = 96      // eight engines with twelve slots each
 	DefaultProcessorShare      = 1.0     // cores
+	DefaultMemoryMB            = 2048    // MiB; a host that names no limit is taken for a large one
+	DefaultDescriptors         = 8192
 )
 
 // LoadHosted reads and validates a hosted daemon's settings file. Errors: as Load.
@@ -92,6 +103,7 @@
 	h := &Hosted{
 		MaxRecordBytes: DefaultMaxRecordBytes, MaxAppendBytes: DefaultMaxAppendBytes, StoreReadsPerSecond: DefaultStoreReadsPerSecond, Retention: DefaultRetention, JobRetention: DefaultJobRetention,
 		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, Workers: DefaultRunWorkers, ProcessorShare: DefaultProcessorShare,
+		Limits: HostLimits{MemoryMB: DefaultMemoryMB, Descriptors: DefaultDescriptors},
 	}
 	if err := decode(data, h); err != nil {
 		return nil, err
--- a/lib/settings/load.go
+++ b/lib/settings/load.go
@@ -59,6 +59,7 @@
 		},
 		Platform: Platform{CheckpointInterval: DefaultCheckpointInterval},
 		Limits:   Limits{BodyBytes: DefaultBodyBytes, StepBytes: DefaultStepBytes, DisconnectTimeout: DefaultDisconnectTimeout, Linger: DefaultLinger},
+		Host:     HostLimits{MemoryMB: DefaultMemoryMB, Descriptors: DefaultDescriptors},
 	}
 }
 
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -15,6 +15,8 @@
 	Peers    []string `yaml:"peers" validate:"dive,hostport"`
 	Dispatch Dispatch `yaml:"dispatch"`
 	Limits   Limits   `yaml:"limits"`
+	// Host contains the limits of this host on the process.
+	Host HostLimits `yaml:"host"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -36,7 +36,7 @@
 		},
 		{
 			minimal + "colour: red\n", "colour", "colour",
-			"daemon, data_centre, listen, platform, peers, dispatch, limits, fatal_invariants",
+			"daemon, data_centre, listen, platform, peers, dispatch, limits, host, fatal_invariants",
 		},
 		{minimal + "dispatch:\n  carriers: many\n", "dispatch.carriers", "many", "a number (int)"},
 		{minimal + "dispatch:\n  carriers: 0\n", "dispatch.carriers", "0", "at least 1"},
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -54,7 +54,7 @@
 		serviceRows = append(serviceRows, row)
 	}
 	s.PutJSON(operatorTopic, "config", map[string]any{
-		"version": version, "routes": routeRows, "services": serviceRows, "limits": map[string]any{"max_body_bytes": s.MaxBodyBytes},
+		"version": version, "routes": routeRows, "services": serviceRows, "limits": map[string]any{"max_body_bytes": s.MaxBodyBytes, "max_header_bytes": s.MaxHeaderBytes},
 	})
 }
 
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -45,11 +45,13 @@
 	*httptest.Server
 	// MaxBodyBytes is the limit of requests' bodies in configurations.
 	MaxBodyBytes int
-	mu           sync.Mutex
-	changed      chan struct{} // closed and replaced on each change
-	mode         Mode
-	partitions   map[string]*partition
-	closing      chan struct{}
+	// MaxHeaderBytes is the limit of requests' heads in configurations; zero: none.
+	MaxHeaderBytes int
+	mu             sync.Mutex
+	changed        chan struct{} // closed and replaced on each change
+	mode           Mode
+	partitions     map[string]*partition
+	closing        chan struct{}
 }
 
 // partition is one partition of a topic.
