Bound what the project's own interface takes

Cause: front/httpapi, front/trainerapi, front/adminapi and front/peer read as much as callers sent, as the hosted daemon did.

Change: they read and decode bodies through server/intake; all listeners are bounded by the settings host.memory_mb and host.descriptors. A request without room is refused as shed (429, not run).

--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -26,6 +26,7 @@
 	"dotterelmount.example/server/dispatch"
 	"dotterelmount.example/server/gossip"
 	"dotterelmount.example/server/hosts"
+	"dotterelmount.example/server/intake"
 	"dotterelmount.example/server/once"
 	"dotterelmount.example/server/sampler"
 	"dotterelmount.example/server/shares"
@@ -77,6 +78,7 @@
 	peerServer     *peer.Server
 	gossip         atomic.Pointer[gossip.Gossip]
 	shares         atomic.Pointer[shares.Shares]
+	intake         *intake.Gate
 	callers        *http.Server
 	callersAddress string
 	stopping       atomic.Bool
@@ -93,6 +95,8 @@
 	n := &Node{settings: s, log: log, started: time.Now()}
 	invariant.OnViolation(n.onViolation)
 	n.system = duty.NewSystem(n.onPanic)
+	n.intake = intake.New(intake.Config{Memory: int64(s.Host.MemoryMB) << 20, Descriptors: s.Host.Descriptors, Now: time.Now}, log)
+	n.intake.Start(n.system)
 	n.eventLog = httplog.New(s.Platform.Log, nil)
 	callers, err := net.Listen("tcp", s.Listen.Callers)
 	if err != nil {
@@ -177,8 +181,8 @@
 }
 
 func (n *Node) serveCallers(listener net.Listener) {
-	n.callers = &http.Server{Handler: n.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	accept.Serve(n.system, "callers", n.callers, listener, n.log)
+	n.callers = n.intake.Server(&http.Server{Handler: n.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	accept.Serve(n.system, "callers", n.callers, n.intake.Callers(listener), n.log)
 }
 
 func (n *Node) callerDeps() httpapi.Deps {
--- a/cmd/dotterelmountd/internal/node/peers.go
+++ b/cmd/dotterelmountd/internal/node/peers.go
@@ -48,7 +48,7 @@
 		Daemon: cfg.Self.ID, ShortReserve: n.settings.Dispatch.ShortReserve, OnChange: n.dispatch.Load().SharesChanged,
 	}, n.peerClient, n.replica.State, n.shareMembers)
 	n.shares.Store(s)
-	n.peerServer, err = peer.Start(n.system, listener, peerHandler{g, s})
+	n.peerServer, err = peer.Start(n.system, n.intake.Peers(listener), peerHandler{g, s})
 	return err
 }
 
--- a/front/adminapi/handler.go
+++ b/front/adminapi/handler.go
@@ -1,6 +1,7 @@
 package adminapi
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +11,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/front/httpapi/errmap"
+	"dotterelmount.example/server/intake"
 )
 
 const (
@@ -185,9 +187,16 @@
 func refuse(w http.ResponseWriter, err error) { errmap.Write(w, err, api.OutcomeNotRun) }
 
 // decode reads a body with exactly one JSON value; unknown fields are an error.
-// Errors: CodeInvalid, CodeTooLarge.
+// Errors: CodeInvalid, CodeTooLarge, CodeShed.
 func decode(w http.ResponseWriter, r *http.Request, v any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	data, err := intake.Body(w, r, maxBodyBytes)
+	if err != nil {
+		return intake.APIError(err)
+	}
+	if err := intake.ClaimJSON(r.Context(), data); err != nil {
+		return intake.APIError(err)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(v); err != nil {
 		return bodyError(err)
@@ -199,10 +208,6 @@
 }
 
 func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return api.Errorf(api.CodeTooLarge, "body exceeds %d bytes: %w", tooLarge.Limit, err)
-	}
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		return api.Errorf(api.CodeInvalid, "body is truncated: %w", err)
 	}
--- a/front/httpapi/chat.go
+++ b/front/httpapi/chat.go
@@ -11,6 +11,7 @@
 	"dotterelmount.example/lib/fingerprint"
 	"dotterelmount.example/lib/ring"
 	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/intake"
 )
 
 const (
@@ -75,6 +76,10 @@
 		return
 	}
 	defer q.cancel()
+	if err := intake.ClaimJSON(r.Context(), body); err != nil {
+		errmap.Write(w, intake.APIError(err), api.OutcomeNotRun)
+		return
+	}
 	in, err := parseChat(body)
 	if err != nil {
 		errmap.Write(w, err, api.OutcomeNotRun)
--- a/front/httpapi/httpapi.go
+++ b/front/httpapi/httpapi.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +14,7 @@
 	"dotterelmount.example/front/httpapi/errmap"
 	"dotterelmount.example/lib/ledger"
 	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/intake"
 	"dotterelmount.example/server/once"
 )
 
@@ -138,13 +137,9 @@
 }
 
 func (h *handler) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, api.Errorf(api.CodeTooLarge, "body exceeds %d bytes: %w", tooLarge.Limit, err)
-	case err != nil:
-		return nil, api.Errorf(api.CodeInvalid, "body is truncated: %w", err)
+	body, err := intake.Body(w, r, h.MaxBodyBytes)
+	if err != nil {
+		return nil, intake.APIError(err)
 	}
 	return body, nil
 }
--- a/front/httpapi/plain.go
+++ b/front/httpapi/plain.go
@@ -7,6 +7,7 @@
 	"dotterelmount.example/front/httpapi/errmap"
 	"dotterelmount.example/lib/fingerprint"
 	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/intake"
 )
 
 // plain forwards a request to a plain service.
@@ -33,6 +34,10 @@
 		errmap.Write(w, result.Err, result.Outcome)
 		return
 	}
+	if err := intake.Answer(r.Context(), len(result.Body)); err != nil {
+		errmap.Write(w, intake.APIError(err), api.OutcomeUnknown)
+		return
+	}
 	if result.ContentType != "" {
 		w.Header().Set("Content-Type", result.ContentType)
 	}
--- a/front/trainerapi/trainerapi.go
+++ b/front/trainerapi/trainerapi.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"regexp"
 	"time"
@@ -15,6 +13,7 @@
 	"dotterelmount.example/front/httpapi/errmap"
 	"dotterelmount.example/lib/samples"
 	"dotterelmount.example/lib/work"
+	"dotterelmount.example/server/intake"
 	"dotterelmount.example/server/sampler"
 )
 
@@ -173,7 +172,7 @@
 		h.writeError(w, err)
 		return
 	}
-	h.writeJSON(w, newPullResponse(&result))
+	h.writePull(w, r, newPullResponse(&result))
 }
 
 // newPullResponse converts a result. Empty lists are encoded as [], not null.
@@ -222,15 +221,15 @@
 	return api.TrainerID(name), nil
 }
 
-// decode reads a JSON body into v. Errors: CodeTooLarge, CodeInvalid.
+// decode reads a JSON body into v. Errors: CodeTooLarge, CodeShed,
+// CodeInvalid.
 func (h *handlers) decode(w http.ResponseWriter, r *http.Request, v any) error {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return api.Errorf(api.CodeTooLarge, "body exceeds %d bytes", h.cfg.MaxBodyBytes)
-	case err != nil:
-		return api.Errorf(api.CodeInvalid, "body is truncated: %w", err)
+	data, err := intake.Body(w, r, h.cfg.MaxBodyBytes)
+	if err != nil {
+		return intake.APIError(err)
+	}
+	if err := intake.ClaimJSON(r.Context(), data); err != nil {
+		return intake.APIError(err)
 	}
 	if err := json.Unmarshal(data, v); err != nil {
 		return api.Errorf(api.CodeInvalid, "decoding the body: %w", err)
@@ -238,6 +237,21 @@
 	return nil
 }
 
+// writePull responds to a pull. A trainer repeats a pull that is refused.
+func (h *handlers) writePull(w http.ResponseWriter, r *http.Request, resp PullResponse) {
+	size := 0
+	for _, g := range resp.Groups {
+		for _, s := range g.Samples {
+			size += len(s.Text)
+		}
+	}
+	if err := intake.Answer(r.Context(), size); err != nil {
+		h.writeError(w, intake.APIError(err))
+		return
+	}
+	h.writeJSON(w, resp)
+}
+
 func (h *handlers) writeJSON(w http.ResponseWriter, v any) {
 	data, err := json.Marshal(v)
 	if err != nil {
