Let answers use a part of the budget

Cause: beside other load, the test of callers that never read peaked at 112 MB of 112: answers of 7 MB that had been read but not yet claimed came on top of a budget full of answers.

Change: answers may use half of the budget for requests, and responses that are being read a twelfth of the memory instead of an eighth.

--- a/lib/intake/budget.go
+++ b/lib/intake/budget.go
@@ -19,6 +19,7 @@
 	edge     *Edge
 	phase    Phase
 	held     int64
+	answer   bool      // held is an answer
 	progress time.Time // of the last byte or change of phase
 	began    time.Time // of the phase
 	moved    int64     // bytes since then
@@ -34,9 +35,10 @@
 
 // Budget is shared by all edges of a daemon. It is not safe for concurrent use.
 type Budget struct {
-	plan  Plan
-	edges []*Edge
-	used  int64
+	plan    Plan
+	edges   []*Edge
+	used    int64
+	answers int64 // part of used
 }
 
 // NewBudget returns a budget without edges.
@@ -121,6 +123,10 @@
 	}
 	a.held += n
 	b.used += n
+	if a.phase == Writing {
+		a.answer = true
+		b.answers += n
+	}
 	return victims, true
 }
 
@@ -131,6 +137,9 @@
 
 func (b *Budget) fits(a *Account, n int64) bool {
 	limit := b.plan.Bytes
+	if a.phase == Writing && b.answers > 0 && b.answers+n > b.plan.Answers {
+		return false
+	}
 	switch {
 	case a.held+n <= smallBytes:
 		limit += b.plan.Reserve
@@ -141,12 +150,13 @@
 }
 
 // longestStalled returns the account other than a that holds bytes and has made no progress
-// for the longest time, if that is StallTime at least.
+// for the longest time, if that is StallTime at least. If a needs room for an answer, it is
+// that of another answer.
 func (b *Budget) longestStalled(a *Account, now time.Time) *Account {
 	var found *Account
 	for _, e := range b.edges {
 		for _, other := range e.accounts {
-			if other == a || other.held == 0 || !other.stalled(now) {
+			if other == a || other.held == 0 || !other.stalled(now) || a.phase == Writing && !other.answer {
 				continue
 			}
 			if found == nil || other.progress.Before(found.progress) {
@@ -160,7 +170,10 @@
 // Release returns all that a connection holds.
 func (b *Budget) Release(a *Account) {
 	b.used -= a.held
-	a.held = 0
+	if a.answer {
+		b.answers -= a.held
+	}
+	a.held, a.answer = 0, false
 }
 
 // Sweep returns the connections whose body or answer has stopped or is slower than MinRate;
--- a/lib/intake/budget_test.go
+++ b/lib/intake/budget_test.go
@@ -12,7 +12,7 @@
 var start = time.Unix(1000, 0)
 
 func newBudget() (*Budget, *Edge) {
-	b := NewBudget(Plan{Bytes: 10 * mb, Reserve: mb, Alone: 16 * mb})
+	b := NewBudget(Plan{Bytes: 10 * mb, Answers: 5 * mb, Reserve: mb, Alone: 16 * mb})
 	return b, b.NewEdge(100)
 }
 
@@ -102,6 +102,31 @@
 	assert.Assert(t, !ok)
 }
 
+// Answers that callers don't read leave room for requests, and make room for other answers.
+func TestAnswersUseAPart(t *testing.T) {
+	b, e := newBudget()
+	first, second, request := open(t, b, e), open(t, b, e), open(t, b, e)
+	b.Enter(first, Writing, start)
+	b.Enter(second, Writing, start)
+	_, ok := b.Claim(first, 4*mb, start)
+	assert.Assert(t, ok)
+	_, ok = b.Claim(second, 2*mb, start)
+	assert.Assert(t, !ok)
+	_, ok = b.Claim(request, 6*mb, start)
+	assert.Assert(t, ok)
+	now := start.Add(StallTime)
+	b.Enter(second, Writing, now)
+	victims, ok := b.Claim(second, 2*mb, now)
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, indexes(victims, first, request), []int{0})
+	b.Release(second)
+	assert.Equal(t, b.Used(), int64(6*mb))
+	b.Release(request)
+	b.Enter(second, Writing, now)
+	_, ok = b.Claim(second, 8*mb, now)
+	assert.Assert(t, ok, "a single answer")
+}
+
 // A single request may use more while only small ones are beside it.
 func TestSingleRequestUsesMore(t *testing.T) {
 	b, e := newBudget()
--- a/lib/intake/plan.go
+++ b/lib/intake/plan.go
@@ -39,6 +39,9 @@
 type Plan struct {
 	Bytes   int64 // of all requests and answers together
 	Reserve int64 // besides Bytes, for small requests
+	// Answers is the part of Bytes that answers may use: others follow them closely, which
+	// are read or on their way to their callers.
+	Answers int64
 	// Alone is the limit of a request while nothing else needs more than the reserve. A
 	// request of the largest legal size is decoded within it.
 	Alone int64
@@ -52,15 +55,15 @@
 }
 
 // NewPlan returns the plan of a host with this memory, in bytes, and descriptors. A quarter
-// of the memory is for connections, almost a third for requests and answers, an eighth for
-// responses; the rest is for the daemon's state, for garbage and for the program itself. A quarter of the descriptors is for upstreams, the
+// of the memory is for connections, almost a third for requests and answers, a twelfth for
+// responses that are being read; the rest is for the daemon's state, for garbage and for the program itself. A quarter of the descriptors is for upstreams, the
 // store and files.
 func NewPlan(memory int64, descriptors int) Plan {
 	conns := max(minConns, min(descriptors*3/8, int(memory/4/connBytes)))
 	return Plan{
-		Bytes: memory * 30 / 100, Reserve: memory * 5 / 100, Alone: memory * 60 / 100,
+		Bytes: memory * 30 / 100, Answers: memory * 15 / 100, Reserve: memory * 5 / 100, Alone: memory * 60 / 100,
 		Conns: conns, SideConns: max(minConns, min(maxSideConns, conns/4)), PeerConns: max(minConns, min(maxPeerConns, conns/2)),
-		Buffered:  memory / 8,
+		Buffered:  memory / 12,
 		HeapBytes: memory * 7 / 10,
 	}
 }
