--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -41,6 +41,8 @@
 	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
 	// Keys says what holds for the keys of customers while the configuration can't be read.
 	Keys Keys `yaml:"keys"`
+	// Limits are the limits of this host on the process.
+	Limits HostLimits `yaml:"limits"`
 	// Duties are the calls to the platform that one daemon at a time makes.
 	Duties   Duties   `yaml:"duties"`
 	Locality Locality `yaml:"locality"`
@@ -62,6 +64,13 @@
 	Revoke     time.Duration `yaml:"revoke" validate:"min=0s"`
 }
 
+// HostLimits are the limits of a host on a process. What callers send is taken only within
+// them.
+type HostLimits struct {
+	MemoryMB    int `yaml:"memory_mb" validate:"min=32"`   // MiB; the process is ended above it
+	Descriptors int `yaml:"descriptors" validate:"min=64"` // open files and sockets
+}
+
 // Duties configures the calls to the platform that one daemon at a time makes.
 type Duties struct {
 	Address string `yaml:"address" validate:"omitempty,hostport"` // of the platform's API; empty: there are no duties
@@ -103,6 +112,8 @@
 	DefaultRunWorkers          = 96              // eight engines with twelve slots each
 	DefaultProcessorShare      = 1.0             // cores
 	DefaultRevoke              = 5 * time.Second // several reads of the configuration
+	DefaultMemoryMB            = 2048            // MiB; a host that names no limit is taken for a large one
+	DefaultDescriptors         = 8192
 )
 
 // LoadHosted reads and validates a hosted daemon's settings file. Errors: as Load.
@@ -120,7 +131,8 @@
 	h := &Hosted{
 		MaxRecordBytes: DefaultMaxRecordBytes, MaxAppendBytes: DefaultMaxAppendBytes, StoreReadsPerSecond: DefaultStoreReadsPerSecond, Retention: DefaultRetention, JobRetention: DefaultJobRetention,
 		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, Workers: DefaultRunWorkers, ProcessorShare: DefaultProcessorShare,
-		Keys: Keys{Revoke: DefaultRevoke},
+		Keys:   Keys{Revoke: DefaultRevoke},
+		Limits: HostLimits{MemoryMB: DefaultMemoryMB, Descriptors: DefaultDescriptors},
 	}
 	if err := decode(data, h); err != nil {
 		return nil, err
--- a/standin/platform/operator.go
+++ b/standin/platform/operator.go
@@ -64,7 +64,7 @@
 		serviceRows = append(serviceRows, row)
 	}
 	config := map[string]any{
-		"version": version, "routes": routeRows, "services": serviceRows, "limits": map[string]any{"max_body_bytes": s.MaxBodyBytes},
+		"version": version, "routes": routeRows, "services": serviceRows, "limits": map[string]any{"max_body_bytes": s.MaxBodyBytes, "max_header_bytes": s.MaxHeaderBytes},
 	}
 	if len(tenants) > 0 {
 		config["tenants"] = tenants
