--- a/lib/batch/alternative.go
+++ b/lib/batch/alternative.go
@@ -11,7 +11,7 @@
 	Upstream            api.UpstreamID
 	EventIntervalMicros int64 // as of the upstream
 	FreeSlots           int   // that the item's job could use, at all upstreams
-	// ExpectedEvents is the expected number of events of the item's whole text.
+	// ExpectedEvents is the expected number of events of the item's whole text; 0: not known.
 	ExpectedEvents float64
 }
 
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -120,21 +120,23 @@
 // run is a run on a worker.
 type run struct {
 	batch.Run
-	key            batch.ItemKey
-	id             string
-	worker         int
-	upstream       *directory.Upstream
-	ctx            context.Context
-	cancel         context.CancelFunc
-	startedAt      time.Time
-	result         result
-	finished       bool
-	evicted        bool // to be moved to another upstream
-	evictReason    string
-	lastEventAfter atomic.Int64 // time from the start to the newest event, in nanoseconds
-	receivedEvents atomic.Int64 // number of events so far
-	readingDone    atomic.Bool  // no more events follow; the text may still wait to be stored
-	measuredEvents int64        // receivedEvents at the last measurement
+	key         batch.ItemKey
+	id          string
+	worker      int
+	upstream    *directory.Upstream
+	ctx         context.Context
+	cancel      context.CancelFunc
+	startedAt   time.Time
+	result      result
+	finished    bool
+	evicted     bool // to be moved to another upstream
+	evictReason string
+	// firstEventAfter and lastEventAfter are the times from the start to the first and the
+	// newest event, in nanoseconds; 0: there was none.
+	firstEventAfter, lastEventAfter atomic.Int64
+	receivedEvents                  atomic.Int64 // number of events so far
+	readingDone                     atomic.Bool  // no more events follow; the text may still wait to be stored
+	measuredEvents                  int64        // receivedEvents at the last measurement
 }
 
 // Start starts the duties.
--- a/server/runner/stragglers.go
+++ b/server/runner/stragglers.go
@@ -25,9 +25,22 @@
 	}
 }
 
+// usualStart returns the usual time from a run's start to its first event: before a run has
+// ended, the longest of those in progress; 0: there was no event yet.
+func (r *Runner) usualStart() time.Duration {
+	start := r.startTime
+	if start == 0 {
+		for _, active := range r.active {
+			start = max(start, time.Duration(active.firstEventAfter.Load()))
+		}
+	}
+	return start
+}
+
 // moveStragglers moves the runs that would end in time elsewhere but not where they are.
 func (r *Runner) moveStragglers(now time.Time) {
-	if !r.cfg.MoveLate || r.startTime == 0 {
+	start := r.usualStart()
+	if !r.cfg.MoveLate || start == 0 {
 		return
 	}
 	var runs []*run
@@ -35,11 +48,11 @@
 	room := 0
 	for key, active := range r.active {
 		alternative := r.wanted[key].Alternative
-		if alternative == nil || active.finished || active.evicted || active.readingDone.Load() || !r.keepsText(active) {
+		if alternative == nil || alternative.ExpectedEvents == 0 || active.finished || active.evicted || active.readingDone.Load() || !r.keepsText(active) {
 			continue
 		}
 		runs = append(runs, active)
-		items = append(items, r.stragglerItem(active, alternative, now))
+		items = append(items, r.stragglerItem(active, alternative, start, now))
 		room = max(room, alternative.FreeSlots)
 	}
 	for _, n := range straggler.Pick(items, room) {
@@ -57,12 +70,14 @@
 	return !active.Job.SingleVersion || active.receivedEvents.Load() == 0 || r.deps.TextDroppable()
 }
 
-func (r *Runner) stragglerItem(active *run, a *batch.Alternative, now time.Time) straggler.Item {
-	received := active.receivedEvents.Load()
+func (r *Runner) stragglerItem(active *run, a *batch.Alternative, start time.Duration, now time.Time) straggler.Item {
+	// A text that is longer than expected goes on for some time in proportion.
+	const overrun = 0.25
+	done := float64(active.EventCount) + float64(active.receivedEvents.Load())
 	item := straggler.Item{
-		Remaining: max(1, a.ExpectedEvents-float64(active.EventCount)-float64(received)),
+		Remaining: max(1, a.ExpectedEvents-done, overrun*done),
 		SinceLast: now.Sub(active.startedAt) - time.Duration(active.lastEventAfter.Load()),
-		Left:      timeLeft(active.Job, now), Start: r.startTime,
+		Left:      timeLeft(active.Job, now), Start: start,
 		Elsewhere: time.Duration(a.EventIntervalMicros) * time.Microsecond,
 	}
 	if state := r.intervals[active.Upstream]; state != nil {
--- a/server/runner/stragglers_test.go
+++ b/server/runner/stragglers_test.go
@@ -43,10 +43,13 @@
 
 func TestItemStaysIfItCannotMove(t *testing.T) {
 	for name, change := range map[string]func(*testRunner){
-		"not asked for":        func(r *testRunner) { r.cfg.MoveLate = false },
-		"no place elsewhere":   func(r *testRunner) { r.wanted = nil },
-		"text only to store":   func(r *testRunner) { r.run.readingDone.Store(true) },
-		"text would be lost":   func(r *testRunner) { r.run.Job.SingleVersion = true },
+		"not asked for":      func(r *testRunner) { r.cfg.MoveLate = false },
+		"no place elsewhere": func(r *testRunner) { r.wanted = nil },
+		"text only to store": func(r *testRunner) { r.run.readingDone.Store(true) },
+		"text would be lost": func(r *testRunner) { r.run.Job.SingleVersion = true },
+		"length not known": func(r *testRunner) {
+			r.wanted[r.run.key].Alternative.ExpectedEvents = 0
+		},
 		"no run measured yet":  func(r *testRunner) { r.startTime = 0 },
 		"it has ended already": func(r *testRunner) { r.run.finished = true },
 	} {
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -156,6 +156,7 @@
 		now := w.cfg.Now()
 		if r.result.events == 0 {
 			r.result.firstEventAfter = now.Sub(r.startedAt)
+			r.firstEventAfter.Store(int64(r.result.firstEventAfter))
 		}
 		t.add(e)
 		r.result.events++
