Learn how many upstreams can load at once

Change: for services whose number of upstreams changes, loads.Limit keeps the number of concurrent loads where they don't slow each other down. Others load as before.

--- a/lib/loads/loads.go
+++ b/lib/loads/loads.go
@@ -19,7 +19,18 @@
 // upstreams, the one that is the most versions behind comes first, as it can serve
 // no requests.
 func Next(all []batch.Upstream, service string, announced map[api.ModelName]api.WeightVersion, share float64) []api.UpstreamID {
-	total, loading := 0, 0
+	total := 0
+	for i := range all {
+		if all[i].Service == service && all[i].Holder != "" {
+			total++
+		}
+	}
+	return NextOf(all, service, announced, max(1, int(math.Round(share*float64(total)))))
+}
+
+// NextOf is Next for a number of upstreams that load at the same time.
+func NextOf(all []batch.Upstream, service string, announced map[api.ModelName]api.WeightVersion, atOnce int) []api.UpstreamID {
+	loading := 0
 	current := make(map[api.ModelName]int) // upstreams at the newest version or loading it
 	var behind []*batch.Upstream
 	for i := range all {
@@ -27,7 +38,6 @@
 		if u.Service != service || u.Holder == "" {
 			continue
 		}
-		total++
 		switch {
 		case u.Condition == batch.ConditionLoading:
 			loading++
@@ -39,7 +49,7 @@
 		}
 	}
 	var out []api.UpstreamID
-	for available := max(1, int(math.Round(share*float64(total)))) - loading; available > 0 && len(behind) > 0; available-- {
+	for available := atOnce - loading; available > 0 && len(behind) > 0; available-- {
 		u := slices.MinFunc(behind, func(a, b *batch.Upstream) int {
 			return cmp.Or(
 				cmp.Compare(current[a.AssignedModel], current[b.AssignedModel]),
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -80,6 +80,7 @@
 	callers   *duty.Pool[*call]
 	upstreams map[api.UpstreamID]*heldUpstream
 	announced map[api.ModelName]announcement // latest of each model
+	limits    map[string]*loads.Limit        // of services whose number of upstreams changes
 	// lastLoadTime is the duration of the last load on any upstream that did not wait for
 	// runs.
 	lastLoadTime time.Duration
@@ -122,7 +123,7 @@
 
 // Start starts the duties.
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Upkeep {
-	k := &Upkeep{cfg: cfg, deps: deps, log: log, upstreams: make(map[api.UpstreamID]*heldUpstream), announced: make(map[api.ModelName]announcement)}
+	k := &Upkeep{cfg: cfg, deps: deps, log: log, upstreams: make(map[api.UpstreamID]*heldUpstream), announced: make(map[api.ModelName]announcement), limits: make(map[string]*loads.Limit)}
 	c := &caller{cfg: cfg, engine: deps.Engine, postEnd: func(ctx context.Context, c *call) { _ = k.duty.PostWait(ctx, c) }} // fails only while stopping
 	k.callers = duty.NewPool(sys, duty.Config{Name: "upkeep-caller"}, cfg.CallDuties, func() duty.Handler[*call] { return c })
 	k.duty = duty.Start(sys, duty.Config{Name: "upkeep", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[any](k))
@@ -165,6 +166,7 @@
 		k.proposeCondition(u, listed, state, now)
 		k.startCall(s, v, u, listed, state, now)
 	}
+	k.observeLoads(s, v, now)
 	maps.DeleteFunc(k.upstreams, func(id api.UpstreamID, state *heldUpstream) bool { return !held[id] && !state.calling })
 }
 
@@ -260,7 +262,7 @@
 func (k *Upkeep) dueOrder(s *jobreplica.Snapshot, v *directory.View, u *batch.Upstream, state *heldUpstream, now time.Time) *generation.LoadOrder {
 	version := v.AnnouncedVersions[u.AssignedModel]
 	if u.AssignedModel == "" || state.versions[u.AssignedModel] >= version || !k.announcementDue(u.AssignedModel, version, now) || !k.mayOrder(s, state, now) ||
-		!slices.Contains(loads.Next(s.Upstreams, u.Service, v.AnnouncedVersions, k.cfg.LoadShare), u.ID) {
+		!slices.Contains(k.nextLoads(s, v, u.Service), u.ID) {
 		return nil
 	}
 	mode := generation.LoadModeContinue
@@ -270,6 +272,33 @@
 	return &generation.LoadOrder{Model: u.AssignedModel, Version: version, Mode: mode, Holder: k.cfg.Self, Fence: u.LeaseOffset}
 }
 
+// observeLoads takes note of the loads of services whose number of upstreams changes, while
+// this daemon holds upstreams.
+func (k *Upkeep) observeLoads(s *jobreplica.Snapshot, v *directory.View, now time.Time) {
+	if v.Table == nil || len(k.upstreams) == 0 {
+		for _, l := range k.limits {
+			l.Pause()
+		}
+		return
+	}
+	for _, service := range v.Table.Autoscaled() {
+		l, ok := k.limits[service.Name]
+		if !ok {
+			l = loads.NewLimit(k.cfg.LoadShare)
+			k.limits[service.Name] = l
+		}
+		l.Observe(s.Upstreams, service.Name, now)
+	}
+}
+
+// nextLoads returns the upstreams of a service that may start to load now.
+func (k *Upkeep) nextLoads(s *jobreplica.Snapshot, v *directory.View, service string) []api.UpstreamID {
+	if l, ok := k.limits[service]; ok {
+		return loads.NextOf(s.Upstreams, service, v.AnnouncedVersions, l.AtOnce())
+	}
+	return loads.Next(s.Upstreams, service, v.AnnouncedVersions, k.cfg.LoadShare)
+}
+
 // announcementDue reports whether an announcement is old enough for orders. The
 // first runs that an announcement allows arrive right after it and would find no
 // room on loading upstreams.
