Bound the accepted jobs that a daemon's state holds

Cause: 24 accepted jobs of 0.7 MB with 15,000 items each took a process on a host of 112 MB to 217 MB (TestHostedManyJobsWithManyItems on the code before): each was within all limits, and all daemons hold them.

Change: the state knows the sizes of its jobs. A daemon refuses a further job while they take a fifth of the host's memory; its records are stored as before.

--- a/cmd/dotterelmountd/internal/hostile/hosted_test.go
+++ b/cmd/dotterelmountd/internal/hostile/hosted_test.go
@@ -174,3 +174,22 @@
 		})
 	}
 }
+
+// The process survives many jobs of legal size with many small items, which it may accept.
+func TestHostedManyJobsWithManyItems(t *testing.T) {
+	d := startHosted(t)
+	const jobs, items = 24, 15000
+	d.firstMB = d.peakMB()
+	stop := d.watchFDs()
+	for j := range jobs {
+		text := &strings.Builder{}
+		for i := range items {
+			fmt.Fprintf(text, `{"id":"%d-%d","path":"/jobs/x","body":"AA=="},`, j, i)
+		}
+		body := `{"model":"m1","items":[` + strings.TrimSuffix(text.String(), ",") + "]}"
+		status, _ := roundTrip(t, d.callers, head(jobPath, fmt.Sprintf("X-Request-Id: job-%d", j), fmt.Sprintf("Content-Length: %d", len(body))), "\r\n", body)
+		t.Logf("job %d of %d bytes: status %d, peak memory %d MB", j, len(body), status, d.peakMB())
+	}
+	stop()
+	d.check(d.ordinary)
+}
--- a/lib/batch/image.go
+++ b/lib/batch/image.go
@@ -155,6 +155,7 @@
 		items: make(map[ItemID]*itemState, len(img.Items)),
 	}
 	s.jobs[img.Job.ID] = j
+	s.jobBytes += img.Job.Size()
 	for n := range img.Items {
 		if err := s.addItemImage(j, &img.Items[n]); err != nil {
 			return err
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -195,6 +195,7 @@
 			continue
 		}
 		delete(s.jobs, id)
+		s.jobBytes -= j.job.Size()
 		for item, i := range j.items {
 			if s.latestItems[item] == i {
 				delete(s.latestItems, item)
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -11,6 +11,7 @@
 // concurrent use.
 type State struct {
 	jobs          map[JobID]*jobState
+	jobBytes      int // sizes of jobs
 	upstreams     map[api.UpstreamID]*Upstream
 	daemons       map[api.DaemonID]*Daemon
 	pending       []*itemState          // open items without an upstream, in the order of comparePending
@@ -167,6 +168,7 @@
 	}
 	j := &jobState{job: job, acceptedAt: at, service: job.Service, items: make(map[ItemID]*itemState, len(job.Items))}
 	s.jobs[job.ID] = j
+	s.jobBytes += job.Size()
 	for n := range job.Items {
 		id := job.Items[n].ID
 		if _, ok := j.items[id]; ok {
--- a/lib/intake/plan.go
+++ b/lib/intake/plan.go
@@ -45,6 +45,8 @@
 	// Alone is the limit of a request while nothing else needs more than the reserve. A
 	// request of the largest legal size is decoded within it.
 	Alone int64
+	// Jobs is the limit of the accepted batch jobs that the daemon's state holds.
+	Jobs int64
 	// Conns are the connections of callers, SideConns those of each edge for the platform's
 	// checks, and PeerConns those of other daemons.
 	Conns, SideConns, PeerConns int
@@ -56,13 +58,15 @@
 
 // NewPlan returns the plan of a host with this memory, in bytes, and descriptors. A quarter
 // of the memory is for connections, almost a third for requests and answers, a twelfth for
-// responses that are being read; the rest is for the daemon's state, for garbage and for the program itself. A quarter of the descriptors is for upstreams, the
+// responses that are being read and a fifth for accepted jobs, though not all of these are
+// used at once; the rest is for the daemon's other state, for garbage and for the program itself. A quarter of the descriptors is for upstreams, the
 // store and files.
 func NewPlan(memory int64, descriptors int) Plan {
 	conns := max(minConns, min(descriptors*3/8, int(memory/4/connBytes)))
 	return Plan{
 		Bytes: memory * 30 / 100, Answers: memory * 15 / 100, Reserve: memory * 5 / 100, Alone: memory * 60 / 100,
 		Conns: conns, SideConns: max(minConns, min(maxSideConns, conns/4)), PeerConns: max(minConns, min(maxPeerConns, conns/2)),
+		Jobs:      memory / 5,
 		Buffered:  memory / 12,
 		HeapBytes: memory * 7 / 10,
 	}
--- a/server/intake/gate.go
+++ b/server/intake/gate.go
@@ -28,6 +28,7 @@
 	reasonConns       = "refused_connections"   // 503: all connections of the edge are busy
 	reasonIdle        = "closed_for_connection" // waited longest at the limit of connections
 	reasonStalled     = "closed_for_room"       // stalled, and another request needed the room
+	reasonJobs        = "refused_jobs"          // 503: the state holds as many jobs as it may
 	reasonSlow        = "closed_slow"           // no progress, or below the minimum rate
 )
 
@@ -105,6 +106,17 @@
 	}
 }
 
+// TakesJob reports whether a job of size bytes is accepted while the state holds jobs of
+// held bytes.
+func (g *Gate) TakesJob(size, held int64) bool {
+	if held+size <= g.plan.Jobs {
+		return true
+	}
+	g.log.Warn("intake limited", zap.String("reason", reasonJobs), zap.Int64("job_bytes", size), zap.Int64("jobs_held_bytes", held))
+	counters.Add(reasonJobs, 1)
+	return false
+}
+
 // note counts and logs a refusal; at most one a second is logged.
 func (g *Gate) note(reason string, c *Conn) {
 	counters.Add(reason, 1)
--- a/server/jobreplica/ages.go
+++ b/server/jobreplica/ages.go
@@ -63,6 +63,7 @@
 	now := j.cfg.Now()
 	oldStream := func(id api.RequestID) bool { return j.streamAges.of(id, now) >= j.cfg.JobRetention }
 	j.state.ForgetFinished(func(id batch.JobID) bool { return j.jobAges.of(id, now) >= j.cfg.JobRetention }, oldStream)
+	j.jobBytes.Store(int64(j.state.JobBytes()))
 	if j.partial {
 		return // a checkpoint may have the jobs
 	}
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -156,6 +156,7 @@
 	unpublished       changes      // since the last snapshot
 	rewardsPublished  bool         // the last published list of reward calls was not empty
 	daemonCount       atomic.Int64
+	jobBytes          atomic.Int64
 	idle              atomic.Bool // this daemon may not hold leases
 	pending           []*query
 	lastFullReadNanos atomic.Int64 // lastFullRead in Unix nanoseconds, for other threads
@@ -210,6 +211,9 @@
 // Snapshot returns the newest snapshot.
 func (j *JobReplica) Snapshot() *Snapshot { return j.snapshot.Load() }
 
+// JobBytes returns about how much memory the jobs take, as of the newest snapshot.
+func (j *JobReplica) JobBytes() int64 { return j.jobBytes.Load() }
+
 // LastFullRead returns the start of the last read that reached the journal's end.
 func (j *JobReplica) LastFullRead() time.Time { return time.Unix(0, j.lastFullReadNanos.Load()) }
 
@@ -336,6 +340,7 @@
 		s.LastRenewals[id], s.StartMillis[id], s.Capacity[id] = j.lastRenewals[id], d.StartMillis, d.Capacity
 	}
 	j.daemonCount.Store(int64(len(daemons)))
+	j.jobBytes.Store(int64(j.state.JobBytes()))
 	j.idle.Store(!j.cfg.Roster.Live(s.Members(), j.cfg.Now())[j.cfg.Daemon])
 	j.snapshot.Store(s)
 	if !j.unpublished.runs || j.partial {
