Place items on the faster upstreams of a service first

Change: rules of placement, raised by a record of level 5 once all live daemons read it; with them slower upstreams come after the others. Setting place_by_speed.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -213,6 +213,9 @@
 	leaseCfg := leaseManagerConfig
 	leaseCfg.Self, leaseCfg.StartMillis, leaseCfg.Capacity = self, startMillis, n.settings.Capacity()
 	leaseCfg.Address, leaseCfg.DataCentre = n.settings.PeerAddress, api.DataCentre(n.settings.DataCentre)
+	if n.settings.PlaceBySpeed {
+		leaseCfg.Rules = batch.RulesBySpeed
+	}
 	leaseCfg.Locality.LeaseExcess = n.settings.Locality.LeaseExcess
 	n.leaseManager = leasing.Start(n.system, leaseCfg, leasing.Deps{
 		Propose: n.propose, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, View: n.View, OpenItems: n.openItems, CutOff: n.reachability.CutOff,
--- a/lib/batch/batch.go
+++ b/lib/batch/batch.go
@@ -162,8 +162,9 @@
 	LevelTextDropped  = 2
 	LevelStateReset   = 3
 	LevelHomesSwapped = 4
+	LevelRulesRaised  = 5
 
-	RecordLevel = LevelHomesSwapped // of this build
+	RecordLevel = LevelRulesRaised // of this build
 )
 
 // DaemonAlive renews all leases of a daemon.
@@ -325,6 +326,20 @@
 	After   Offset `msgpack:"a"`
 }
 
+// Rules of placement, of which each includes those before it.
+const (
+	RulesBySlots = iota // the upstream with the most free slots
+	RulesBySpeed        // those that aren't slower than others first
+
+	Rules = RulesBySpeed // of this build
+)
+
+// RulesRaised brings rules of placement into force. It has no effect if they are in force
+// already.
+type RulesRaised struct {
+	Rules int `msgpack:"r"`
+}
+
 // HomesSwapped swaps the models that two upstreams of a service are assigned. It has no
 // effect unless they are assigned these models.
 type HomesSwapped struct {
@@ -335,6 +350,7 @@
 }
 
 func (*HomesSwapped) record()          {}
+func (*RulesRaised) record()           {}
 func (*StateReset) record()            {}
 func (*TextDropped) record()           {}
 func (*JobRerouted) record()           {}
--- a/lib/batch/batchcodec/batchcodec.go
+++ b/lib/batch/batchcodec/batchcodec.go
@@ -54,6 +54,7 @@
 	kindTextDropped
 	kindStateReset
 	kindHomesSwapped
+	kindRulesRaised
 )
 
 func kindOf(r batch.Record) byte {
@@ -100,6 +101,8 @@
 		return kindTextDropped
 	case *batch.StateReset:
 		return kindStateReset
+	case *batch.RulesRaised:
+		return kindRulesRaised
 	case *batch.HomesSwapped:
 		return kindHomesSwapped
 	default:
@@ -131,6 +134,7 @@
 	kindTextDropped:           decode[batch.TextDropped],
 	kindStateReset:            decode[batch.StateReset],
 	kindHomesSwapped:          decode[batch.HomesSwapped],
+	kindRulesRaised:           decode[batch.RulesRaised],
 }
 
 // decode returns a *T, which is a batch.Record for every T in decoders.
--- a/lib/batch/batchcodec/batchcodec_test.go
+++ b/lib/batch/batchcodec/batchcodec_test.go
@@ -30,6 +30,7 @@
 	&batch.JobRerouted{Job: "j", Service: "s", ConfigVersion: 6},
 	&batch.TextDropped{Job: "j", Item: "i", EventCount: 3},
 	&batch.StateReset{Process: "d/1", After: 7},
+	&batch.RulesRaised{Rules: 1},
 	&batch.HomesSwapped{First: "u", FirstModel: "m", Second: "v", SecondModel: "n"},
 	&batch.StreamBegan{Request: "r", Service: "s", Software: "v1", AtMillis: 5},
 	&batch.RequestLimitNamed{Upstream: "u", PerSecond: 2.5},
--- a/lib/batch/determinism_test.go
+++ b/lib/batch/determinism_test.go
@@ -22,7 +22,11 @@
 	versions := map[api.ModelName]api.WeightVersion{"m": api.WeightVersion(pick("vm", 3)), "n": api.WeightVersion(pick("vn", 3))}
 	software := fmt.Sprint("v", pick("software", 1))
 	service := []string{"s", "t"}[pick("service", 1)]
-	switch pick("kind", 16) {
+	switch pick("kind", 18) {
+	case 17:
+		return &RulesRaised{Rules: pick("rules", 1)}
+	case 18:
+		return &EventIntervalMeasured{Upstream: upstream, Daemon: daemon, Micros: int64(10 * pick("interval", 3))}
 	case 0:
 		j := Job{ID: job, Service: "s", Model: model, MinVersion: api.WeightVersion(pick("min", 2)), MaxAttempts: 2, SingleVersion: pick("single", 1) == 1}
 		for i := range pick("items", 5) + 1 {
--- a/lib/batch/image.go
+++ b/lib/batch/image.go
@@ -23,6 +23,7 @@
 	EventsPerJob  map[api.ModelName]float64 `msgpack:"ej"`
 	EventsPerItem map[api.ModelName]float64 `msgpack:"ei"`
 	PlacementDue  bool                      `msgpack:"p"`
+	Rules         int                       `msgpack:"r,omitempty"`
 }
 
 // JobImage is a job in an Image.
@@ -78,7 +79,7 @@
 func (s *State) Image() *Image {
 	img := &Image{
 		Upstreams: s.Upstreams(), Daemons: make(map[api.DaemonID]Daemon, len(s.daemons)),
-		EventsPerJob: maps.Clone(s.eventsPerJob), EventsPerItem: maps.Clone(s.eventsPerItem), PlacementDue: s.placementDue,
+		EventsPerJob: maps.Clone(s.eventsPerJob), EventsPerItem: maps.Clone(s.eventsPerItem), PlacementDue: s.placementDue, Rules: s.rules,
 	}
 	for id, d := range s.daemons {
 		img.Daemons[id] = *d
@@ -115,7 +116,7 @@
 // *ImageError.
 func FromImage(img *Image) (*State, error) {
 	s := New()
-	s.placementDue = img.PlacementDue
+	s.placementDue, s.rules = img.PlacementDue, img.Rules
 	maps.Copy(s.eventsPerJob, img.EventsPerJob)
 	maps.Copy(s.eventsPerItem, img.EventsPerItem)
 	for id, d := range img.Daemons {
--- a/lib/batch/image_test.go
+++ b/lib/batch/image_test.go
@@ -13,7 +13,9 @@
 // anyRecord draws a record of any level that changes states.
 func anyRecord(rng *rand.Rand, n int) Record {
 	job, item := JobID(fmt.Sprint("j", rng.IntN(4))), ItemID(fmt.Sprint("i", rng.IntN(6)))
-	switch rng.IntN(25) {
+	switch rng.IntN(26) {
+	case 25:
+		return &RulesRaised{Rules: rng.IntN(2)}
 	case 0:
 		j := Job{ID: job, Service: "s0", Model: "m", MaxAttempts: 2, SubmittedMillis: int64(n)}
 		for i := range rng.IntN(6) + 1 {
--- a/lib/batch/place.go
+++ b/lib/batch/place.go
@@ -170,14 +170,17 @@
 }
 
 // score is the number of free slots of an upstream, plus a bonus if it runs an
-// item of the same group, which shares the prompt. The upstream that the item
-// was last moved from comes after the others.
+// item of the same group, which shares the prompt. Slower upstreams come after the others,
+// and so does the one that the item was last moved from.
 func (s *State) score(u *Upstream, i *itemState) int {
 	const sharedPrompt = 2 // bonus, in slots
 	score := s.slotsOf(u, i) - len(s.placed[u.ID])
 	if i.movedFrom == u.ID {
 		score -= u.Slots
 	}
+	if s.rules >= RulesBySpeed && s.isSlower(u) {
+		score -= u.Slots
+	}
 	for _, o := range s.placed[u.ID] {
 		if o.job == i.job && o.item().Group == i.item().Group {
 			return score + sharedPrompt
@@ -186,6 +189,33 @@
 	return score
 }
 
+// slowerFactor is the multiple of the shortest event interval of a service above which an
+// upstream is slower. Upstreams differ less from each other by their load.
+const slowerFactor = 1.15
+
+// isSlower reports whether the runs of an upstream are slower than those of others of its service. It
+// answers the load of steps, whose longest texts end in time only at the faster upstreams: the
+// groups with the longest texts are placed first, and find these free.
+func (s *State) isSlower(u *Upstream) bool {
+	if s.fastest == nil {
+		s.fastest = make(map[string]int64)
+		for _, o := range s.upstreams {
+			if at, ok := s.fastest[o.Service]; o.EventIntervalMicros > 0 && (!ok || o.EventIntervalMicros < at) {
+				s.fastest[o.Service] = o.EventIntervalMicros
+			}
+		}
+	}
+	return float64(u.EventIntervalMicros) > slowerFactor*float64(s.fastest[u.Service])
+}
+
+func (s *State) raiseRules(r *RulesRaised) bool {
+	if r.Rules <= s.rules {
+		return false
+	}
+	s.rules, s.placementDue = r.Rules, true
+	return true
+}
+
 // tieBreak orders upstreams of equal score by a hash, which spreads groups over
 // them in the same way on every daemon.
 func tieBreak(u *Upstream, i *itemState) uint64 {
--- a/lib/batch/query.go
+++ b/lib/batch/query.go
@@ -25,6 +25,9 @@
 	Ended   bool
 }
 
+// Rules returns the rules of placement in force.
+func (s *State) Rules() int { return s.rules }
+
 // CheckJob returns nil if the job exists. Errors: *UnknownJobError.
 func (s *State) CheckJob(id JobID) error {
 	if _, ok := s.jobs[id]; !ok {
--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -21,6 +21,11 @@
 	rewards       []Reward                  // of unscored; nil: to be rebuilt
 	eventsPerJob  map[api.ModelName]float64 // moving average
 	eventsPerItem map[api.ModelName]float64 // moving average over completed texts
+	// rules are the rules of placement in force.
+	rules int
+	// fastest is the shortest event interval of each service, in microseconds; nil: to be
+	// computed.
+	fastest map[string]int64
 	// placementDue is set when a change may allow a pending item to be placed.
 	placementDue bool
 }
@@ -155,6 +160,8 @@
 		return s.dropStranded(r)
 	case *JobRerouted:
 		return s.rerouteJob(r)
+	case *RulesRaised:
+		return s.raiseRules(r)
 	case *HomesSwapped:
 		return s.swapHomes(r)
 	}
@@ -404,6 +411,7 @@
 		return false
 	}
 	u.PreviousHolder = u.Holder
+	s.fastest = nil
 	u.Service, u.Holder, u.LeaseOffset, u.Slots, u.Models = r.Service, r.Daemon, at, r.Slots, r.Models
 	s.placementDue = true
 	s.setSoftware(u, r.Software)
@@ -437,6 +445,7 @@
 	}
 	delete(s.placed, r.Upstream)
 	delete(s.upstreams, r.Upstream)
+	s.fastest = nil
 	s.rebalance(u.Service)
 	return true
 }
@@ -461,5 +470,6 @@
 		return false
 	}
 	u.EventIntervalMicros = r.Micros
+	s.fastest = nil
 	return true
 }
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -52,6 +52,8 @@
 	// MoveLateItems moves items that would miss their job's due time where they run to another
 	// upstream, if they end in time there.
 	MoveLateItems bool `yaml:"move_late_items"`
+	// PlaceBySpeed places items on the faster upstreams of a service first.
+	PlaceBySpeed bool `yaml:"place_by_speed"`
 	// FatalInvariants terminates the process on an invariant violation; for tests.
 	FatalInvariants bool `yaml:"fatal_invariants"`
 }
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -96,6 +96,8 @@
 	// FollowedSince is since when the journal was followed without a gap; zero: since its
 	// first record, or with the state of those who did.
 	FollowedSince time.Time
+	// Rules are the rules of placement in force.
+	Rules int
 	// Partial is true if records were lost that no checkpoint includes. The state is then
 	// not known: there are no upstreams.
 	Partial bool
@@ -324,7 +326,7 @@
 	s := &Snapshot{
 		NextOffset: j.appliedOffset, Upstreams: j.snapshot.Load().Upstreams,
 		LastRenewals: make(map[api.DaemonID]time.Time, len(daemons)), StartMillis: make(map[api.DaemonID]int64, len(daemons)),
-		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons, FollowedSince: j.followedSince, Partial: j.partial,
+		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons, FollowedSince: j.followedSince, Partial: j.partial, Rules: j.state.Rules(),
 	}
 	switch {
 	case j.partial:
--- a/server/leasing/leasing.go
+++ b/server/leasing/leasing.go
@@ -44,6 +44,8 @@
 	ProposalTimeout time.Duration
 	// SweepInterval is the interval of searches for expired items and rerouted jobs.
 	SweepInterval time.Duration
+	// Rules are the rules of placement that are to be in force.
+	Rules int
 	// Levels decides which records all live daemons read.
 	Levels upgrade.Config
 	Now    func() time.Time
@@ -64,24 +66,25 @@
 
 // Manager manages this daemon's leases.
 type Manager struct {
-	cfg         Config
-	deps        Deps
-	log         *zap.Logger
-	duty        *duty.Duty[struct{}]
-	renewedAt   time.Time // when the last renewal was proposed
-	cutOff      bool      // as of the last renewal
-	sweptAt     time.Time
-	proposedAt  map[api.UpstreamID]time.Time
-	unheldSince map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
-	expired     proposals[batch.ItemKey]
-	rerouted    proposals[batch.JobID]
-	dropped     proposals[batch.ItemKey]
-	swapped     proposals[string] // by service
-	unrouted    absence.Tracker[batch.ItemKey]
-	misrouted   absence.Tracker[batch.JobID]
-	unlisted    absence.Tracker[api.UpstreamID] // held by this daemon
-	leaving     bool
-	idle        bool // this daemon may not hold leases
+	cfg             Config
+	deps            Deps
+	log             *zap.Logger
+	duty            *duty.Duty[struct{}]
+	renewedAt       time.Time // when the last renewal was proposed
+	cutOff          bool      // as of the last renewal
+	rulesProposedAt time.Time
+	sweptAt         time.Time
+	proposedAt      map[api.UpstreamID]time.Time
+	unheldSince     map[api.UpstreamID]time.Time // when an upstream was first seen without a live holder
+	expired         proposals[batch.ItemKey]
+	rerouted        proposals[batch.JobID]
+	dropped         proposals[batch.ItemKey]
+	swapped         proposals[string] // by service
+	unrouted        absence.Tracker[batch.ItemKey]
+	misrouted       absence.Tracker[batch.JobID]
+	unlisted        absence.Tracker[api.UpstreamID] // held by this daemon
+	leaving         bool
+	idle            bool // this daemon may not hold leases
 }
 
 // Start starts the duty.
--- a/server/leasing/sweep.go
+++ b/server/leasing/sweep.go
@@ -26,6 +26,7 @@
 	}
 	level := s.LevelInForce(m.cfg.Levels, m.deps.LastFullRead())
 	m.swapHomes(s, v, live, level, now)
+	m.raiseRules(s, live, level, now)
 	open, err := m.deps.OpenItems(ctx)
 	if err != nil {
 		m.log.Warn("read of open items failed", zap.Error(err))
@@ -77,6 +78,16 @@
 	}
 }
 
+// raiseRules proposes to bring the rules of placement of this build into force.
+func (m *Manager) raiseRules(s *jobreplica.Snapshot, live map[api.DaemonID]bool, level int, now time.Time) {
+	if m.cfg.Rules <= s.Rules || level < batch.LevelRulesRaised || !leases.Responsible(m.cfg.Self, live, "rules") || now.Sub(m.rulesProposedAt) < m.cfg.ProposalTimeout {
+		return
+	}
+	m.rulesProposedAt = now
+	m.log.Info("rules of placement raised", zap.Int("from", s.Rules), zap.Int("to", m.cfg.Rules))
+	m.propose(&batch.RulesRaised{Rules: m.cfg.Rules})
+}
+
 // proposals are the times at which a record on each key was last proposed.
 type proposals[K comparable] map[K]time.Time
 
