Continue texts that are longer than expected where texts are faster

Cause: expected lengths are off by half; a long text that began at a slower upstream was found late only once it could end in time nowhere.

Change: a text with half as many events again as expected moves once to an upstream with a shorter interval.

--- a/lib/straggler/straggler.go
+++ b/lib/straggler/straggler.go
@@ -20,6 +20,7 @@
 	Interval time.Duration
 	Left     time.Duration // time until its job is due; negative: it is overdue
 	Moved    bool          // it was moved before
+	Overrun  bool          // its text is longer than expected: nobody knows how long it gets
 	// Elsewhere is the mean time between events at the upstream where it would be placed;
 	// 0: there is no room, or the time is not measured.
 	Elsewhere time.Duration
@@ -52,13 +53,23 @@
 	return i.There() <= i.Left || 2*i.There() < i.Here()
 }
 
+// overruns reports whether an item whose text is longer than expected should go on where texts
+// are faster, while that may still bring it in time.
+func (i Item) overruns() bool {
+	return i.Overrun && !i.Moved && i.Elsewhere > 0 && i.Left > 0 && float64(i.Interval) > fasterFactor*float64(i.Elsewhere)
+}
+
+// fasterFactor is the ratio of two event intervals from which a move pays for the prompt that is
+// read again.
+const fasterFactor = 1.15
+
 // Pick returns the indexes of the items to be moved, at most limit of them: those first whose
 // jobs are due first, as a group that can still come in time gains most, then those with
 // the fewest remaining events, so that as many as possible end.
 func Pick(items []Item, limit int) []int {
 	var out []int
 	for n, i := range items {
-		if i.gains() {
+		if i.gains() || i.overruns() {
 			out = append(out, n)
 		}
 	}
--- a/lib/straggler/straggler_test.go
+++ b/lib/straggler/straggler_test.go
@@ -81,3 +81,24 @@
 		}
 	})
 }
+
+// Nobody knows how long a text gets that is longer than expected: it goes on where texts are faster,
+// as later it could no longer end in time.
+func TestOverrunningItemMovesToFasterUpstream(t *testing.T) {
+	i := sound()
+	i.Interval, i.Elsewhere = 64*ms, 49*ms
+	assert.Assert(t, !picked(i))
+	i.Overrun = true
+	assert.Assert(t, picked(i))
+	for name, change := range map[string]func(*straggler.Item){
+		"moved before": func(i *straggler.Item) { i.Moved = true },
+		"no room":      func(i *straggler.Item) { i.Elsewhere = 0 },
+		"not faster":   func(i *straggler.Item) { i.Elsewhere = 60 * ms },
+		"late anyway":  func(i *straggler.Item) { i.Left = 0 },
+		"not measured": func(i *straggler.Item) { i.Interval = 0 },
+	} {
+		o := i
+		change(&o)
+		assert.Assert(t, !picked(o), name)
+	}
+}
--- a/server/runner/stragglers.go
+++ b/server/runner/stragglers.go
@@ -71,11 +71,14 @@
 }
 
 func (r *Runner) stragglerItem(active *run, a *batch.Alternative, start time.Duration, now time.Time) straggler.Item {
-	// A text that is longer than expected goes on for some time in proportion.
-	const overrun = 0.25
+	const (
+		overrun       = 0.25 // a text that is longer than expected goes on for some time in proportion
+		overrunFactor = 1.5  // expectations are off by half
+		minOverrun    = 16   // events; shorter texts end soon wherever they run
+	)
 	done := float64(active.EventCount) + float64(active.receivedEvents.Load())
 	item := straggler.Item{
-		Remaining: max(1, a.ExpectedEvents-done, overrun*done),
+		Remaining: max(1, a.ExpectedEvents-done, overrun*done), Overrun: done > overrunFactor*a.ExpectedEvents && done >= minOverrun,
 		SinceLast: now.Sub(active.startedAt) - time.Duration(active.lastEventAfter.Load()),
 		Left:      timeLeft(active.Job, now), Start: start,
 		Elsewhere: time.Duration(a.EventIntervalMicros) * time.Microsecond,
--- a/server/runner/stragglers_test.go
+++ b/server/runner/stragglers_test.go
@@ -73,3 +73,12 @@
 	r.receive(2*time.Second, 50*time.Millisecond)
 	assert.Assert(t, !r.run.evicted)
 }
+
+func TestOverrunningItemMovesToFasterUpstream(t *testing.T) {
+	r := newLateRunner(t)
+	r.wanted[r.run.key].Alternative.ExpectedEvents = 12
+	r.receive(time.Second, 66*time.Millisecond) // 15 events instead of 12, an event each 40 ms elsewhere
+	assert.Assert(t, !r.run.evicted)
+	r.receive(400*time.Millisecond, 66*time.Millisecond)
+	assert.Assert(t, r.run.evicted)
+}
