--- a/server/runner/stragglers.go
+++ b/server/runner/stragglers.go
@@ -84,7 +84,10 @@
 		Elsewhere: time.Duration(a.EventIntervalMicros) * time.Microsecond,
 	}
 	if state := r.intervals[active.Upstream]; state != nil {
-		item.Interval, _ = state.meter.MeanInterval(now)
+		var measured bool
+		if item.Interval, measured = state.meter.MeanInterval(now); !measured {
+			item.Interval = state.reportedInterval // in the step before
+		}
 	}
 	return item
 }
--- a/server/runner/stragglers_test.go
+++ b/server/runner/stragglers_test.go
@@ -76,6 +76,10 @@
 
 func TestOverrunningItemMovesToFasterUpstream(t *testing.T) {
 	r := newLateRunner(t)
+	r.wanted[r.run.key].Alternative.ExpectedEvents = 100
+	r.receive(2*time.Second, 66*time.Millisecond)
+	r.run.receivedEvents.Store(0) // as of the next item there
+	r.run.measuredEvents = 0
 	r.wanted[r.run.key].Alternative.ExpectedEvents = 12
 	r.receive(time.Second, 66*time.Millisecond) // 15 events instead of 12, an event each 40 ms elsewhere
 	assert.Assert(t, !r.run.evicted)
