Guard what a connection between daemons holds

drpc reads and writes a connection at the same time, so both changed what its messages hold. TestMessagesBetweenDaemons does so under the race detector.

--- a/server/intake/conn.go
+++ b/server/intake/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,7 @@
 	account  *intake.Account
 	edgeName string
 	http     bool
+	messages sync.Mutex // between daemons, reads and writes of a connection are concurrent
 	// inHead is set while the bytes that are read belong to a head.
 	inHead atomic.Bool
 	// stopped is set once the rest of a body is not to be read.
@@ -98,7 +100,10 @@
 // countMessage counts bytes of another daemon's messages until the next response.
 func (c *Conn) countMessage(n int, err error) (int, error) {
 	c.moved(n)
-	if claimErr := c.claim(int64(n) * messageFactor); claimErr != nil {
+	c.messages.Lock()
+	claimErr := c.claim(int64(n) * messageFactor)
+	c.messages.Unlock()
+	if claimErr != nil {
 		_ = c.Conn.Close()
 		return 0, claimErr
 	}
@@ -177,7 +182,9 @@
 func (c *Conn) Write(p []byte) (int, error) {
 	if !c.http {
 		n, err := c.Conn.Write(p)
+		c.messages.Lock()
 		c.release()
+		c.messages.Unlock()
 		c.moved(n)
 		return n, err
 	}
--- a/server/intake/intake_test.go
+++ b/server/intake/intake_test.go
@@ -196,6 +196,38 @@
 	awaitUsed(t, g, 0)
 }
 
+// Messages between daemons hold their size until the next response, with reads and writes at
+// the same time.
+func TestMessagesBetweenDaemons(t *testing.T) {
+	g, _ := serve(t, &clock{}, readAll)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	sent := dial(t, l.Addr().String(), strings.Repeat("m", 100<<10))
+	c, err := g.Peers(l).Accept()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(connTime)))
+	_, err = io.ReadFull(c, make([]byte, 100<<10))
+	assert.NilError(t, err)
+	assert.Equal(t, g.used(), int64(100<<10*messageFactor))
+	done := make(chan struct{})
+	go func() { // ends with the connection
+		defer close(done)
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	for range 100 {
+		_, err = c.Write([]byte("r"))
+		assert.NilError(t, err)
+		_, err = sent.Write([]byte("m"))
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, sent.Close())
+	<-done
+	assert.NilError(t, c.Close())
+	assert.Equal(t, g.used(), int64(0))
+}
+
 // BenchmarkSmallRequest compares a small request with and without a Gate.
 func BenchmarkSmallRequest(b *testing.B) {
 	plain := func(w http.ResponseWriter, r *http.Request) {
