--- a/cmd/dotterelmountd/internal/hosted/jobs.go
+++ b/cmd/dotterelmountd/internal/hosted/jobs.go
@@ -24,7 +24,8 @@
 	if !j.mayHaveID(ctx, by, job.ID) {
 		return &opaque.NotRunError{Reason: "the id is that of another customer's job", RetryAfter: retryAfter}
 	}
-	if !j.n.intake.TakesJob(int64(job.Size()), j.n.replica.Load().JobBytes()) {
+	replica := j.n.replica.Load()
+	if !j.n.intake.TakesJob(int64(job.Size()), replica.JobBytes()) && replica.CheckJob(ctx, by, job.ID) != nil {
 		return &opaque.NotRunError{Reason: "no room for another job", RetryAfter: retryAfter}
 	}
 	var data [][]byte
--- a/lib/intake/budget.go
+++ b/lib/intake/budget.go
@@ -78,8 +78,10 @@
 	return a.phase == Waiting || a.stalled(now)
 }
 
+// stalled reports whether the connection makes no progress, or takes longer for a body than any
+// caller waits for its answer.
 func (a *Account) stalled(now time.Time) bool {
-	return a.phase != Running && now.Sub(a.progress) >= StallTime
+	return a.phase != Running && now.Sub(a.progress) >= StallTime || a.phase == Reading && now.Sub(a.began) >= MaxStall
 }
 
 // Close removes a connection. It may be called again.
@@ -113,7 +115,11 @@
 	if a.closed || !b.fitsAlone(a.held+n) {
 		return nil, false
 	}
-	for !b.fits(a, n) {
+	stalled, answers := b.heldByStalled(a, now)
+	if !b.fits(a, n, stalled, answers) {
+		return nil, false
+	}
+	for !b.fits(a, n, 0, 0) {
 		v := b.longestStalled(a, now)
 		if v == nil {
 			return victims, false
@@ -135,18 +141,43 @@
 
 func (b *Budget) fitsAlone(n int64) bool { return n <= b.plan.Alone }
 
-func (b *Budget) fits(a *Account, n int64) bool {
-	limit := b.plan.Bytes
-	if a.phase == Writing && b.answers > 0 && b.answers+n > b.plan.Answers {
+// fits reports whether a may hold n bytes more once others have given back freed bytes, of which
+// freedAnswers are of answers.
+func (b *Budget) fits(a *Account, n, freed, freedAnswers int64) bool {
+	limit, used, answers := b.plan.Bytes, b.used-freed, b.answers-freedAnswers
+	if a.phase == Writing && answers > 0 && answers+n > b.plan.Answers {
 		return false
 	}
 	switch {
 	case a.held+n <= smallBytes:
 		limit += b.plan.Reserve
-	case b.used-a.held <= b.plan.Reserve:
+	case used-a.held <= b.plan.Reserve:
 		limit = max(limit, b.plan.Alone)
 	}
-	return b.used+n <= limit
+	return used+n <= limit
+}
+
+// heldByStalled returns the bytes, and those of answers among them, that could make room for a
+// claim of a.
+func (b *Budget) heldByStalled(a *Account, now time.Time) (held, answers int64) {
+	for _, e := range b.edges {
+		for _, other := range e.accounts {
+			if !b.mayYield(other, a, now) {
+				continue
+			}
+			held += other.held
+			if other.answer {
+				answers += other.held
+			}
+		}
+	}
+	return held, answers
+}
+
+// mayYield reports whether a connection may be closed for a claim of a. If that is one for an
+// answer, only other answers make room.
+func (b *Budget) mayYield(other, a *Account, now time.Time) bool {
+	return other != a && other.held > 0 && other.stalled(now) && (a.phase != Writing || other.answer)
 }
 
 // longestStalled returns the account other than a that holds bytes and has made no progress
@@ -156,7 +187,7 @@
 	var found *Account
 	for _, e := range b.edges {
 		for _, other := range e.accounts {
-			if other == a || other.held == 0 || !other.stalled(now) || a.phase == Writing && !other.answer {
+			if !b.mayYield(other, a, now) {
 				continue
 			}
 			if found == nil || other.progress.Before(found.progress) {
--- a/lib/intake/json.go
+++ b/lib/intake/json.go
@@ -4,6 +4,7 @@
 const (
 	elementBytes = 1 << 10 // of an element of a list, with what is made of it: a slice that grows, an item, its record
 	memberBytes  = 128     // of a member of an object
+	maxDepth     = 10_000  // of nested values; a decoder refuses more
 )
 
 // JSONCost returns an upper estimate of the memory that decoding a document needs. It counts
@@ -11,7 +12,7 @@
 // first error needs less.
 func JSONCost(data []byte) int64 {
 	cost := int64(len(data))
-	var depth []byte // opening brackets; a document may have many, a valid one of ours has few
+	var depth []byte // opening brackets
 	for i := 0; i < len(data); i++ {
 		switch c := data[i]; c {
 		case '"':
@@ -21,6 +22,9 @@
 				}
 			}
 		case '{', '[':
+			if len(depth) == maxDepth {
+				return cost
+			}
 			depth = append(depth, c)
 			cost += valueCost(c)
 		case '}', ']':
