Show a job's results only to the customer that asked for them

Cause: a results call that waited checked only that its key was valid afterwards: a key that had moved to another customer meanwhile would have shown that one the results (review, by reading). Change: the customer must be the same; the relay names that reason, too.

--- a/server/relay/keys.go
+++ b/server/relay/keys.go
@@ -25,7 +25,11 @@
 	r.log.Info("request ended for its key", zap.String("request", string(q.ID)), zap.Stringer("outcome", d.Outcome), zap.Stringer("key", q.Key),
 		zap.String("customer", q.Customer), zap.Uint64("config", view.Table.Version()), zap.Time("config_as_of", view.ConfigAsOf))
 	j.failureResponse = nil // of an upstream; the caller may not have it any more
-	err := j.failure(d.Outcome.String(), false, r.cfg.RetryAfter)
+	reason := d.Outcome.String()
+	if d.Allowed() {
+		reason = "the key has another customer now"
+	}
+	err := j.failure(reason, false, r.cfg.RetryAfter)
 	var notRun *opaque.NotRunError
 	if errors.As(err, &notRun) {
 		notRun.KeyInvalid = d.Outcome == access.UnknownKey
