--- a/lib/batch/state.go
+++ b/lib/batch/state.go
@@ -11,6 +11,7 @@
 // concurrent use.
 type State struct {
 	jobs          map[JobID]*jobState
+	jobBytes      int // sizes of jobs
 	upstreams     map[api.UpstreamID]*Upstream
 	daemons       map[api.DaemonID]*Daemon
 	pending       []*itemState          // open items without an upstream, in the order of comparePending
@@ -21,6 +22,11 @@
 	rewards       []Reward                  // of unscored; nil: to be rebuilt
 	eventsPerJob  map[api.ModelName]float64 // moving average
 	eventsPerItem map[api.ModelName]float64 // moving average over completed texts
+	// rules are the rules of placement in force.
+	rules int
+	// fastest is the shortest event interval of each service, in microseconds; nil: to be
+	// computed.
+	fastest map[string]int64
 	// placementDue is set when a change may allow a pending item to be placed.
 	placementDue bool
 }
@@ -155,6 +161,8 @@
 		return s.dropStranded(r)
 	case *JobRerouted:
 		return s.rerouteJob(r)
+	case *RulesRaised:
+		return s.raiseRules(r)
 	case *HomesSwapped:
 		return s.swapHomes(r)
 	}
@@ -167,6 +175,7 @@
 	}
 	j := &jobState{job: job, acceptedAt: at, service: job.Service, items: make(map[ItemID]*itemState, len(job.Items))}
 	s.jobs[job.ID] = j
+	s.jobBytes += job.Size()
 	for n := range job.Items {
 		id := job.Items[n].ID
 		if _, ok := j.items[id]; ok {
@@ -404,6 +413,7 @@
 		return false
 	}
 	u.PreviousHolder = u.Holder
+	s.fastest = nil
 	u.Service, u.Holder, u.LeaseOffset, u.Slots, u.Models = r.Service, r.Daemon, at, r.Slots, r.Models
 	s.placementDue = true
 	s.setSoftware(u, r.Software)
@@ -437,6 +447,7 @@
 	}
 	delete(s.placed, r.Upstream)
 	delete(s.upstreams, r.Upstream)
+	s.fastest = nil
 	s.rebalance(u.Service)
 	return true
 }
@@ -461,5 +472,6 @@
 		return false
 	}
 	u.EventIntervalMicros = r.Micros
+	s.fastest = nil
 	return true
 }
--- a/server/jobreplica/jobreplica.go
+++ b/server/jobreplica/jobreplica.go
@@ -96,6 +96,8 @@
 	// FollowedSince is since when the journal was followed without a gap; zero: since its
 	// first record, or with the state of those who did.
 	FollowedSince time.Time
+	// Rules are the rules of placement in force.
+	Rules int
 	// Partial is true if records were lost that no checkpoint includes. The state is then
 	// not known: there are no upstreams.
 	Partial bool
@@ -156,6 +158,7 @@
 	unpublished       changes      // since the last snapshot
 	rewardsPublished  bool         // the last published list of reward calls was not empty
 	daemonCount       atomic.Int64
+	jobBytes          atomic.Int64
 	idle              atomic.Bool // this daemon may not hold leases
 	pending           []*query
 	lastFullReadNanos atomic.Int64 // lastFullRead in Unix nanoseconds, for other threads
@@ -210,6 +213,9 @@
 // Snapshot returns the newest snapshot.
 func (j *JobReplica) Snapshot() *Snapshot { return j.snapshot.Load() }
 
+// JobBytes returns about how much memory the jobs take, as of the newest snapshot.
+func (j *JobReplica) JobBytes() int64 { return j.jobBytes.Load() }
+
 // LastFullRead returns the start of the last read that reached the journal's end.
 func (j *JobReplica) LastFullRead() time.Time { return time.Unix(0, j.lastFullReadNanos.Load()) }
 
@@ -324,7 +330,7 @@
 	s := &Snapshot{
 		NextOffset: j.appliedOffset, Upstreams: j.snapshot.Load().Upstreams,
 		LastRenewals: make(map[api.DaemonID]time.Time, len(daemons)), StartMillis: make(map[api.DaemonID]int64, len(daemons)),
-		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons, FollowedSince: j.followedSince, Partial: j.partial,
+		Capacity: make(map[api.DaemonID]int, len(daemons)), Daemons: daemons, FollowedSince: j.followedSince, Partial: j.partial, Rules: j.state.Rules(),
 	}
 	switch {
 	case j.partial:
@@ -336,6 +342,7 @@
 		s.LastRenewals[id], s.StartMillis[id], s.Capacity[id] = j.lastRenewals[id], d.StartMillis, d.Capacity
 	}
 	j.daemonCount.Store(int64(len(daemons)))
+	j.jobBytes.Store(int64(j.state.JobBytes()))
 	j.idle.Store(!j.cfg.Roster.Live(s.Members(), j.cfg.Now())[j.cfg.Daemon])
 	j.snapshot.Store(s)
 	if !j.unpublished.runs || j.partial {
