Serve the largest customers at least a quarter as often as all

Cause: with equal shares a customer that asks for most of the demand is served less than a quarter as often as all, which the customers' terms forbid; the test of shares looked at the small customers only.

Change: a customer's weight grows with its demand above three times the mean.

--- a/lib/fairshare/fairshare.go
+++ b/lib/fairshare/fairshare.go
@@ -4,7 +4,8 @@
 // The load that it answers: a few customers send far more than a service has room for, beside
 // many that send little. Each daemon shares the room that it has, by start-time fair queueing: no
 // share is idle while another customer could use it, and a request waits for its own
-// customer's others, not for those of customers that use more.
+// customer's others, not for those of customers that use more. A customer that asks for very
+// much has a larger share, so that it isn't served less than a quarter as often as all.
 package fairshare
 
 import (
@@ -28,6 +29,12 @@
 	// credit is the number of requests by which a customer that used less than its share may
 	// catch up: requests come at random, so that one within its share has moments of more.
 	credit = 8
+	// demandWindow is the time over which a customer's demand is averaged.
+	demandWindow = 10 * time.Second
+	// floorDivisor makes the weights of customers whose demand is above this multiple of the
+	// mean grow with it. All weights together are then at most 4/3 of their number, so that
+	// nobody's part of the room is below a quarter of its part of the demand.
+	floorDivisor = 3
 	// maxIdle is the number of customers that are remembered although they wait for nothing.
 	maxIdle = 1024
 )
@@ -37,12 +44,19 @@
 	virtual   float64 // start tag of the request started last
 	customers map[string]*usage
 	began     time.Time // of the first request
+	asked     float64   // requests of all customers, decaying with demandWindow
+	askedAt   time.Time
 }
 
 type usage struct {
 	finish float64 // finish tag of the customer's request started last
 	count  float64 // of starts, decaying with rateWindow
 	at     time.Time
+	// asked are the customer's requests, decaying with demandWindow, and weight its share in
+	// relation to that of customers with little demand.
+	asked   float64
+	askedAt time.Time
+	weight  float64
 }
 
 // New returns shares of which nothing is used.
@@ -56,6 +70,38 @@
 	return s.virtual - credit
 }
 
+// Asked takes note of a new request.
+func (s *Shares) Asked(customer string, now time.Time) {
+	s.asked, s.askedAt = decayed(s.asked, s.askedAt, now, demandWindow)+1, now
+	u := s.usageOf(customer, now)
+	u.asked, u.askedAt = decayed(u.asked, u.askedAt, now, demandWindow)+1, now
+	u.weight = max(1, u.asked*float64(len(s.customers))/(floorDivisor*s.asked))
+}
+
+// usageOf returns what a customer has used, which may be nothing yet.
+func (s *Shares) usageOf(customer string, now time.Time) *usage {
+	u := s.customers[customer]
+	if u == nil {
+		s.dropIdle()
+		u = &usage{at: now, weight: 1, finish: s.virtual - credit}
+		s.customers[customer] = u
+	}
+	return u
+}
+
+// cost returns what a request of a customer costs of its share.
+func (s *Shares) cost(customer string) float64 {
+	if u := s.customers[customer]; u != nil {
+		return 1 / u.weight
+	}
+	return 1
+}
+
+// decayed returns a count that decays with a time constant.
+func decayed(count float64, at, now time.Time, window time.Duration) float64 {
+	return count * math.Exp(-max(0, now.Sub(at)).Seconds()/window.Seconds())
+}
+
 // Started charges a customer for a request that has started.
 func (s *Shares) Started(customer string, now time.Time) {
 	if s.began.IsZero() {
@@ -63,13 +109,8 @@
 	}
 	start := s.start(customer)
 	s.virtual = max(s.virtual, start)
-	u := s.customers[customer]
-	if u == nil {
-		s.dropIdle()
-		u = &usage{at: now}
-		s.customers[customer] = u
-	}
-	u.finish, u.count, u.at = start+1, u.countAt(now)+1, now
+	u := s.usageOf(customer, now)
+	u.finish, u.count, u.at = start+1/u.weight, u.countAt(now)+1, now
 }
 
 // dropIdle drops customers that used no more than others who wait.
@@ -85,7 +126,7 @@
 }
 
 func (u *usage) countAt(now time.Time) float64 {
-	return u.count * math.Exp(-max(0, now.Sub(u.at)).Seconds()/rateWindow.Seconds())
+	return decayed(u.count, u.at, now, rateWindow)
 }
 
 // Order returns the indexes of waiting requests in the order in which they start: by priority,
@@ -102,7 +143,7 @@
 	for _, n := range order {
 		c := waiting[n].Customer
 		tags[n] = s.start(c) + own[c]
-		own[c]++
+		own[c] += s.cost(c)
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Or(cmp.Compare(waiting[a].Priority, waiting[b].Priority), cmp.Compare(tags[a], tags[b]))
@@ -120,21 +161,20 @@
 	}
 	position := slices.Index(s.Order(append(slices.Clone(waiting), r)), len(waiting))
 	seconds := float64(position) / perSecond
-	ownAhead := 0
+	ownAhead := 0.0
 	for _, o := range waiting {
 		if o.Customer == r.Customer && o.Priority <= r.Priority {
-			ownAhead++
+			ownAhead += s.cost(r.Customer)
 		}
 	}
-	rounds := s.start(r.Customer) + float64(ownAhead) - s.virtual
+	rounds := s.start(r.Customer) + ownAhead - s.virtual
 	if rate := s.highestRate(now); rounds > 0 && rate > 0 {
 		seconds = max(seconds, rounds/rate)
 	}
 	return time.Duration(min(seconds, math.MaxInt32) * float64(time.Second))
 }
 
-// highestRate returns the highest rate at which requests of one customer start; 0: it isn't known
-// yet.
+// highestRate returns the highest rate at which a customer uses its share; 0: it isn't known yet.
 func (s *Shares) highestRate(now time.Time) float64 {
 	const minObserved = 200 * time.Millisecond
 	observed := now.Sub(s.began)
@@ -143,7 +183,7 @@
 	}
 	highest := 0.0
 	for _, u := range s.customers {
-		highest = max(highest, u.countAt(now))
+		highest = max(highest, u.countAt(now)/u.weight)
 	}
 	return highest / (rateWindow.Seconds() * (1 - math.Exp(-observed.Seconds()/rateWindow.Seconds())))
 }
--- a/lib/fairshare/fairshare_test.go
+++ b/lib/fairshare/fairshare_test.go
@@ -75,6 +75,38 @@
 	})
 }
 
+// A customer that asks for much more than others has at least a quarter of its part of the demand.
+func TestLargestCustomerIsNotStarved(t *testing.T) {
+	s, served := fairshare.New(), map[string]int{}
+	now, waiting := epoch, []fairshare.Request{}
+	const small, perRound = 50, 1000 // of the large one; each small one asks once
+	ask := func(c string) {
+		s.Asked(c, now)
+		waiting = append(waiting, request(c, 0))
+	}
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		waiting = waiting[:0]
+		for range perRound {
+			ask("large")
+		}
+		for c := range small {
+			ask(fmt.Sprint(c))
+		}
+		for range 100 { // a tenth is served
+			first := s.Order(waiting)[0]
+			c := waiting[first].Customer
+			served[c]++
+			s.Started(c, now)
+			waiting = slices.Delete(waiting, first, first+1)
+		}
+	}
+	assert.Assert(t, served["large"] >= 40*100/4, "%d", served["large"])
+	for c := range small {
+		assert.Assert(t, served[fmt.Sprint(c)] >= 36, "%d: %d", c, served[fmt.Sprint(c)])
+	}
+}
+
 // daemon is what one daemon knows: its waiting requests, its shares and the window of a server.
 type daemon struct {
 	shares  *fairshare.Shares
@@ -110,6 +142,7 @@
 	send := func(c call, n int) {
 		now, d := epoch.Add(time.Duration(n)*step), fleet[rng.IntN(daemons)]
 		r := fairshare.Request{Customer: fmt.Sprint(c.customer), Deadline: now.Add(deadline * step)}
+		d.shares.Asked(r.Customer, now)
 		delay := d.shares.Delay(d.waiting, r, float64(d.window.Limit())/step.Seconds(), now)
 		if delay <= (deadline-aim)*step {
 			d.waiting, d.calls = append(d.waiting, r), append(d.calls, c)
@@ -190,5 +223,12 @@
 			}
 		}
 		assert.Check(t, total >= slots*steps*9/10, "%d of %d", total, slots*steps)
+		allAsked := 0
+		for c := range demand {
+			allAsked += asked[c]
+		}
+		for c := range demand {
+			assert.Check(t, 4*float64(got[c])*float64(allAsked) >= float64(total)*float64(asked[c]), "customer %d, %d of %d, is served less than a quarter as often as all, %d of %d", c, got[c], asked[c], total, allAsked)
+		}
 	}
 }
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -104,6 +104,7 @@
 	beganAt time.Time
 	counted bool
 	charged bool // counted as use of its customer's share
+	asked   bool // counted as its customer's demand
 }
 
 // attempt is one attempt at a job on one upstream.
--- a/server/relay/window.go
+++ b/server/relay/window.go
@@ -111,6 +111,10 @@
 func (r *Relay) delayByOthers(j *job, perSecond float64, now time.Time) time.Duration {
 	_, waiting := r.waitingOf(j.request.Service)
 	if j.waitingSince.IsZero() {
+		if !j.asked {
+			j.asked = true
+			r.sharesOf(j.request.Service).Asked(j.request.Customer, now)
+		}
 		return r.sharesOf(j.request.Service).Delay(waiting, shareOf(j), perSecond, now)
 	}
 	if perSecond <= 0 {
