Limit the heap only where the settings name the host's memory

A test process with some dozen daemons, none with the setting, peaked at 1.7 GB, over the limit of 1.4 GB that each of them set for the whole process.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -143,7 +143,7 @@
 // startIntake bounds what callers and other daemons may send.
 func (n *Node) startIntake() {
 	n.intake = intake.New(intake.Config{
-		Memory: int64(n.settings.Limits.MemoryMB) << 20, Descriptors: n.settings.Limits.Descriptors, Now: time.Now,
+		Memory: int64(n.settings.Limits.MemoryMB) << 20, Descriptors: n.settings.Limits.Descriptors, LimitHeap: n.settings.Limits.MemoryMB != settings.DefaultMemoryMB, Now: time.Now,
 		HeadLimit: func() int64 {
 			if table := n.View().Table; table != nil {
 				return table.Limits().MaxHeaderBytes
--- a/cmd/dotterelmountd/internal/node/node.go
+++ b/cmd/dotterelmountd/internal/node/node.go
@@ -95,7 +95,7 @@
 	n := &Node{settings: s, log: log, started: time.Now()}
 	invariant.OnViolation(n.onViolation)
 	n.system = duty.NewSystem(n.onPanic)
-	n.intake = intake.New(intake.Config{Memory: int64(s.Host.MemoryMB) << 20, Descriptors: s.Host.Descriptors, Now: time.Now}, log)
+	n.intake = intake.New(intake.Config{Memory: int64(s.Host.MemoryMB) << 20, Descriptors: s.Host.Descriptors, LimitHeap: s.Host.MemoryMB != settings.DefaultMemoryMB, Now: time.Now}, log)
 	n.intake.Start(n.system)
 	n.eventLog = httplog.New(s.Platform.Log, nil)
 	callers, err := net.Listen("tcp", s.Listen.Callers)
--- a/server/intake/gate.go
+++ b/server/intake/gate.go
@@ -43,6 +43,7 @@
 type Config struct {
 	Memory      int64 // bytes of the host; the process is ended above it
 	Descriptors int
+	LimitHeap   bool // collect garbage more often near the memory; for settings that name it
 	// HeadLimit returns the limit on a request line and its headers, in bytes; zero: the
 	// default.
 	HeadLimit func() int64
@@ -60,10 +61,12 @@
 	unlogged int
 }
 
-// New returns a Gate and sets the memory limit of the collector of garbage.
+// New returns a Gate and, with LimitHeap, sets the memory limit of the collector of garbage.
 func New(cfg Config, log *zap.Logger) *Gate {
 	plan := intake.NewPlan(cfg.Memory, cfg.Descriptors)
-	debug.SetMemoryLimit(plan.HeapBytes)
+	if cfg.LimitHeap {
+		debug.SetMemoryLimit(plan.HeapBytes)
+	}
 	return &Gate{cfg: cfg, plan: plan, log: log, budget: intake.NewBudget(plan)}
 }
 
