Read the rest of a refused body before the connection is closed

A body that is not read to its end left unread bytes in the socket. Closing it reset the connection, and callers that still sent lost their 413 or 503, above all with Connection: close or a chunked body. The connection now closes its writing side, gives back what it holds, discards what arrives for up to 500 ms and then closes; a refused head does the same, instead of reading up to 64 KiB for 100 ms. A second Close ends the wait.

--- a/server/intake/conn.go
+++ b/server/intake/conn.go
@@ -18,8 +18,8 @@
 
 const (
 	maxWrite      = 64 << 10               // bytes of an answer between two notes of its progress
-	answerTimeout = 100 * time.Millisecond // of a response of some hundred bytes, and for what is read after it
-	lingerBytes   = 64 << 10
+	answerTimeout = 100 * time.Millisecond // of a response of some hundred bytes
+	lingerTime    = 500 * time.Millisecond // for the rest of a request after its response
 	// messageFactor is the memory of a message of another daemon, in its own size: the
 	// buffer that grows, and the packet made of it.
 	messageFactor = 3
@@ -50,6 +50,8 @@
 	inHead atomic.Bool
 	// stopped is set once the rest of a body is not to be read.
 	stopped atomic.Bool
+	// lingers is set from the end of a refused request's handler until Close.
+	lingers atomic.Bool
 	head    intake.Head // of the request that is being read
 	held    int64       // bytes that were claimed or needed no claim
 	large   bool        // the account holds bytes
@@ -222,16 +224,30 @@
 	return nil
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After the response to a request that was not read to its end it
+// waits for the caller, unless it is called again.
 func (c *Conn) Close() error {
+	if c.lingers.CompareAndSwap(true, false) {
+		c.linger()
+	}
 	c.gate.mu.Lock()
 	c.gate.budget.Close(c.account)
 	c.gate.mu.Unlock()
 	return c.Conn.Close()
 }
 
-// answerAndClose answers a request that was not read. Closing a connection with unread bytes
-// would reset it, also for the response, so some are read first.
+// linger discards what the caller still sends: closing a connection with unread bytes would
+// reset it, also for the response. The connection counts until then, but holds nothing.
+func (c *Conn) linger() {
+	c.gate.mu.Lock()
+	c.gate.budget.Release(c.account)
+	c.gate.mu.Unlock()
+	_ = c.CloseWrite() // fails only on a closed connection
+	_ = c.Conn.SetReadDeadline(c.gate.cfg.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.Conn) // ends with the caller or the time
+}
+
+// answerAndClose answers a request that was not read.
 func (c *Conn) answerAndClose(response string) {
 	if c.http {
 		_ = c.Conn.SetWriteDeadline(c.gate.cfg.Now().Add(answerTimeout))
@@ -241,8 +257,6 @@
 		_ = c.Conn.Close()
 		return
 	}
-	_ = c.CloseWrite() // fails only on a closed connection
-	_ = c.Conn.SetReadDeadline(c.gate.cfg.Now().Add(answerTimeout))
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // ends with the caller, the time or the bytes
+	c.linger()
 	_ = c.Close()
 }
--- a/server/intake/gate.go
+++ b/server/intake/gate.go
@@ -189,6 +189,7 @@
 		c.enter(intake.Running)
 		next.ServeHTTP(w, r)
 		c.enter(intake.Reading) // net/http may read the rest of the body
+		c.lingers.Store(c.stopped.Load())
 	})
 	return s
 }
--- a/server/intake/intake_test.go
+++ b/server/intake/intake_test.go
@@ -164,6 +164,29 @@
 	awaitUsed(t, g, 0)
 }
 
+// A caller that sends all of a body that is refused still gets the response, in each form of
+// the body and whether or not it asks to keep the connection.
+func TestResponseToBodyThatIsNotRead(t *testing.T) {
+	g, address := serve(t, &clock{}, readAll)
+	const size = 4 << 20
+	body := strings.Repeat("b", size)
+	for _, form := range []string{
+		fmt.Sprintf("Content-Length: %d\r\n\r\n%s", size, body),
+		fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, body),
+	} {
+		for _, connection := range []string{"keep-alive", "close"} {
+			for range 5 {
+				c := dial(t, address, "POST / HTTP/1.1\r\nHost: a\r\nConnection: "+connection+"\r\n"+form)
+				code, closed := status(t, c)
+				assert.Equal(t, code, http.StatusRequestEntityTooLarge)
+				assert.Assert(t, closed)
+				assert.NilError(t, c.Close())
+			}
+		}
+	}
+	awaitUsed(t, g, 0)
+}
+
 // An answer that nobody reads is closed when another one needs its room.
 func TestAnswerThatNobodyReads(t *testing.T) {
 	c := &clock{}
