End a head before net/http reads beside the handler

A head that was whole in net/http's buffer, as with pipelined requests, ended without a Read, so the byte that net/http reads for the next request while a handler runs still counted as part of it, beside the handler's claims. The head now ends when net/http reports the connection as active, which is before that read.

--- a/server/intake/gate.go
+++ b/server/intake/gate.go
@@ -172,8 +172,18 @@
 // Server sets the hooks of an HTTP server whose listener is one of g.
 func (g *Gate) Server(s *http.Server) *http.Server {
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		if conn, ok := c.(*Conn); ok && state == http.StateIdle {
+		conn, ok := c.(*Conn)
+		if !ok {
+			return
+		}
+		switch state {
+		case http.StateActive:
+			// A head that was in net/http's buffer ended without a Read. From here on,
+			// net/http may read beside the handler.
+			conn.inHead.Store(false)
+		case http.StateIdle:
 			conn.nextRequest()
+		default:
 		}
 	}
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/server/intake/intake_test.go
+++ b/server/intake/intake_test.go
@@ -149,6 +149,34 @@
 	awaitUsed(t, g, 0)
 }
 
+// A request whose head came with the one before is handled while net/http reads the next byte,
+// so the two may not share what they count; the race detector checks it.
+func TestHandlerBesideTheNextRead(t *testing.T) {
+	const buffer = 4 << 10 // of net/http's reader
+	g, address := serve(t, &clock{}, func(w http.ResponseWriter, r *http.Request) {
+		if err := Answer(r.Context(), 100<<10); err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	})
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	const padded = "GET / HTTP/1.1\r\nHost: a\r\nX-Padding: %s\r\n\r\n"
+	first := fmt.Sprintf(padded, strings.Repeat("p", buffer-len(request)-len(padded)+len("%s")))
+	assert.Equal(t, len(first+request), buffer)
+	for range 20 {
+		c := dial(t, address, first+request+request)
+		r := bufio.NewReader(c)
+		for range 3 {
+			resp, err := http.ReadResponse(r, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusOK)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, c.Close())
+	}
+	awaitUsed(t, g, 0)
+}
+
 // A body without a length that grows over the limit is refused, and one that ends early
 // holds nothing.
 func TestChunkedBodies(t *testing.T) {
