Keep connections between daemons whose call is in progress

They never left the phase Waiting, so a forwarded request of some KiB that ran for a second counted as stalled, and its connection was closed for the claim of another one, or as the longest waiting one at the limit of connections; the forwarder then saw a lost connection for a request that ran. The servers now note a call from the arrival of its whole message until its response was written. TestCallBetweenDaemonsMakesNoRoom, and TestConnectionOfACallMakesNoRoom for both servers, fail without it.

--- a/front/forward/forward_test.go
+++ b/front/forward/forward_test.go
@@ -13,6 +13,8 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/routes"
+	"dotterelmount.example/server/intake"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 )
@@ -139,6 +141,44 @@
 	assert.NilError(t, <-stopped)
 }
 
+// At the limit of connections, one with a call in progress makes no room for others.
+func TestConnectionOfACallMakesNoRoom(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	gate := intake.New(intake.Config{Memory: 4 << 30, Descriptors: 1, Now: time.Now}, zap.NewNop())
+	begun, others := make(chan struct{}, 1), make(chan struct{})
+	s, err := Start(duty.NewSystem(nil), gate.Peers(l), handler(func(ctx context.Context, _ *opaque.Request, _ opaque.StreamSink) (*opaque.Response, api.UpstreamID, error) {
+		begun <- struct{}{}
+		select {
+		case <-others:
+		case <-ctx.Done():
+		}
+		return &opaque.Response{Status: 200}, "u", nil
+	}))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	time.AfterFunc(0, func() {
+		defer close(others)
+		<-begun
+		var conns []net.Conn
+		for range gate.Plan().PeerConns {
+			c, err := net.DialTimeout("tcp", l.Addr().String(), time.Second)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			conns = append(conns, c)
+		}
+		_ = conns[0].SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = conns[0].Read(make([]byte, 1)) // the last one was accepted, and this one closed
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	resp, _, err := NewClient().Forward(ctx, &opaque.Peer{Address: l.Addr().String()}, newRequest(), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Status, 200)
+}
+
 // FuzzRequest checks that any bytes are rejected or decode to a request that is unchanged by
 // encoding and decoding.
 func FuzzRequest(f *testing.F) {
--- a/front/forward/server.go
+++ b/front/forward/server.go
@@ -13,6 +13,7 @@
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/opaque"
 	"dotterelmount.example/lib/ring"
+	"dotterelmount.example/server/intake"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 )
@@ -44,7 +45,7 @@
 		_ = listener.Close()
 		return nil, api.Errorf(api.CodeInternal, "registering the forwarding service: %w", err)
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(calls{mux}, drpcserver.Options{Manager: managerOptions()})
 	s.duty = duty.Start(sys, duty.Config{Name: "accept-peers", RingSize: 1}, duty.Handler[*drpcserver.Server](acceptor{listener}))
 	_ = s.duty.Post(server) // can't fail, because a new duty's ring is empty
 	return s, nil
@@ -56,7 +57,7 @@
 // Handle serves until ctx is done and all calls in progress have ended.
 func (a acceptor) Handle(ctx context.Context, server *drpcserver.Server) {
 	// Serve fails only if the listener does; other daemons then use other peers.
-	_ = server.Serve(ctx, traffic.Listener(a.listener))
+	_ = server.Serve(ctx, intake.Wrap(a.listener, traffic.Conn))
 }
 
 // Shutdown refuses new requests, waits for those in progress and stops the server. Errors:
--- a/front/peer/peer_test.go
+++ b/front/peer/peer_test.go
@@ -14,6 +14,8 @@
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/membership"
 	"dotterelmount.example/lib/quota"
+	"dotterelmount.example/server/intake"
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 )
 
@@ -110,6 +112,46 @@
 	})
 }
 
+// waiting is a peer.Handler whose IndirectProbe runs wait.
+type waiting struct {
+	echo
+	wait func()
+}
+
+func (h waiting) IndirectProbe(context.Context, string, time.Duration) (bool, error) {
+	h.wait()
+	return true, nil
+}
+
+// At the limit of connections, one with a call in progress makes no room for others.
+func TestConnectionOfACallMakesNoRoom(t *testing.T) {
+	listener, err := peer.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	bounds := intake.New(intake.Config{Memory: 4 << 30, Descriptors: 1, Now: time.Now}, zap.NewNop())
+	server, err := peer.Start(duty.NewSystem(nil), bounds.Peers(listener), waiting{wait: func() {
+		var conns []net.Conn
+		for range bounds.Plan().PeerConns {
+			c, err := net.DialTimeout("tcp", listener.Addr().String(), time.Second)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			conns = append(conns, c)
+		}
+		_ = conns[0].SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = conns[0].Read(make([]byte, 1)) // the last one was accepted, and this one closed
+	}})
+	assert.NilError(t, err)
+	client := peer.NewClient()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	reached, err := client.IndirectProbe(ctx, server.Addr(), "", 5*time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, reached)
+	client.Close()
+	assert.NilError(t, server.Shutdown(ctx))
+}
+
 func TestTailFitsOneMessage(t *testing.T) {
 	server, client, ctx := startServer(t)
 	image, err := client.Image(ctx, server.Addr())
--- a/front/peer/server.go
+++ b/front/peer/server.go
@@ -8,6 +8,7 @@
 	"dotterelmount.example/front/peer/peerpb"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/eventlog"
+	"dotterelmount.example/server/intake"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -47,7 +48,7 @@
 		_ = listener.Close()
 		return nil, api.Errorf(api.CodeInternal, "registering the peer service: %w", err)
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	server := drpcserver.NewWithOptions(calls{mux}, drpcserver.Options{Manager: managerOptions()})
 	s := &Server{listener: listener}
 	s.duty = duty.Start(sys, duty.Config{Name: "accept-peers", RingSize: 1}, duty.Handler[*drpcserver.Server](acceptor{listener}))
 	_ = s.duty.Post(server) // can't fail, because a new duty's ring is empty
@@ -61,7 +62,7 @@
 func (a acceptor) Handle(ctx context.Context, server *drpcserver.Server) {
 	// Serve fails only if the listener does; peers then see this daemon as
 	// unreachable.
-	_ = server.Serve(ctx, traffic.Listener(a.listener))
+	_ = server.Serve(ctx, intake.Wrap(a.listener, traffic.Conn))
 }
 
 func managerOptions() drpcmanager.Options {
--- a/server/intake/intake_test.go
+++ b/server/intake/intake_test.go
@@ -279,6 +279,52 @@
 	assert.Equal(t, g.used(), int64(0))
 }
 
+// A call of another daemon that runs long makes no room for other requests; one whose message
+// stopped does, and so does a connection between calls.
+func TestCallBetweenDaemonsMakesNoRoom(t *testing.T) {
+	now := &clock{}
+	g, _ := serve(t, now, readAll)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	peers := Wrap(g.Peers(l), func(c net.Conn) net.Conn { return struct{ net.Conn }{c} })
+	message := strings.Repeat("m", 300<<10)
+	receive := func() net.Conn {
+		dial(t, l.Addr().String(), message)
+		c, err := peers.Accept()
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		assert.NilError(t, c.SetDeadline(time.Now().Add(connTime)))
+		_, err = io.ReadFull(c, make([]byte, len(message)))
+		assert.NilError(t, err)
+		return c
+	}
+	held := int64(len(message) * messageFactor)
+	first := receive()
+	BeginCall(first)
+	now.offset.Add(int64(2 * intake.StallTime))
+	claimant := &Conn{Conn: nopConn{}, gate: g}
+	g.mu.Lock()
+	claimant.account, _ = g.budget.Open(g.budget.NewEdge(1), claimant, now.now())
+	g.mu.Unlock()
+	assert.Assert(t, claimant.claim(held) != nil, "the call is in progress")
+	assert.Equal(t, g.used(), held)
+	claimant.release()
+	EndCall(first)
+	now.offset.Add(int64(2 * intake.StallTime))
+	assert.NilError(t, claimant.claim(held))
+	assert.Equal(t, g.used(), held)
+	_, err = first.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, net.ErrClosed), "%v", err)
+}
+
+// nopConn is a connection that is only closed.
+type nopConn struct{ net.Conn }
+
+func (nopConn) Close() error { return nil }
+
+func (nopConn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
 // BenchmarkSmallRequest compares a small request with and without a Gate.
 func BenchmarkSmallRequest(b *testing.B) {
 	plain := func(w http.ResponseWriter, r *http.Request) {
