--- a/front/forward/server.go
+++ b/front/forward/server.go
@@ -110,8 +110,9 @@
 	return sendEnd(stream, endOf(resp, upstream, err))
 }
 
+// sendEnd completes the response, which Shutdown waits for.
 func sendEnd(stream forwardpb.DRPCForwarder_ForwardStream, end *forwardpb.End) error {
-	return stream.Send(&forwardpb.Part{Part: &forwardpb.Part_End{End: end}})
+	return errors.Join(stream.Send(&forwardpb.Part{Part: &forwardpb.Part_End{End: end}}), stream.CloseSend())
 }
 
 func notRunEnd(e *opaque.NotRunError) *forwardpb.End {
