--- a/tools/knownred.sh
+++ b/tools/knownred.sh
@@ -14,6 +14,7 @@
     failures++
     if (n == 0) { print "not known: " $2 " failed outside a test"; bad = 1 }
     for (i = 1; i <= n; i++) {
+      if (output[i] == "" && i < n && index(tests[i + 1], tests[i] "/") == 1) continue # it failed through its subtests alone
       if (!(($2, tests[i]) in allowed)) { print "not known: " $2 " " tests[i]; bad = 1; continue }
       found = 0
       lines = split(output[i], line, "\n")
