Print no key in clear in any form of a customer; share the reading of daemons' reports

Cause: %+v of a customer or an index would have printed its keys (review; nothing printed them); two commands read a daemon's report by the same lines. Change: both have a String method; one function reads reports.

--- a/cmd/dotterelmount/explain.go
+++ b/cmd/dotterelmount/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,7 +11,6 @@
 
 	"github.com/urfave/cli/v3"
 
-	"dotterelmount.example/api"
 	"dotterelmount.example/cmd/dotterelmount/internal/adminclient"
 	"dotterelmount.example/lib/explain"
 )
@@ -53,30 +51,13 @@
 		name := f.Names()[0]
 		question.Set(name, c.String(name))
 	}
-	r, err := fetchExplanation(ctx, c.String(flagMetrics), question)
+	r, err := fetchReport[explain.Report](ctx, c.String(flagMetrics), explain.Path+"?"+question.Encode(), maxExplanationBytes)
 	if err != nil {
 		return &adminclient.UnreachableError{Daemons: []string{c.String(flagMetrics)}, Cause: err}
 	}
 	return show(c, explanationReport{r})
 }
 
-func fetchExplanation(ctx context.Context, address string, question url.Values) (explain.Report, error) {
-	var r explain.Report
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+explain.Path+"?"+question.Encode(), http.NoBody)
-	if err != nil {
-		return r, err
-	}
-	resp, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return r, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return r, api.Errorf(api.CodeInternal, "status %d", resp.StatusCode)
-	}
-	return r, json.NewDecoder(io.LimitReader(resp.Body, maxExplanationBytes)).Decode(&r)
-}
-
 func (r explanationReport) writeText(w io.Writer) {
 	fmt.Fprintf(w, "daemon %s, configuration %d read %s ago\n", r.Daemon, r.ConfigVersion, time.Since(r.ConfigAsOf).Round(time.Millisecond))
 	fmt.Fprintf(w, "route %s, service %s, customer %s, priority %d\n", orNone(r.Route), orNone(r.Service), orNone(r.Customer), r.Priority)
--- a/cmd/dotterelmount/keys.go
+++ b/cmd/dotterelmount/keys.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	var r keysReport
 	for _, address := range c.StringSlice(flagMetrics) {
-		d, err := fetchKeys(ctx, address)
+		d, err := fetchReport[access.Report](ctx, address, access.ReportPath, maxKeysReportBytes)
 		if err != nil {
 			return &adminclient.UnreachableError{Daemons: []string{address}, Cause: err}
 		}
@@ -54,10 +54,10 @@
 	return show(c, r)
 }
 
-// fetchKeys returns what a daemon knows of keys.
-func fetchKeys(ctx context.Context, address string) (access.Report, error) {
-	var r access.Report
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+access.ReportPath, http.NoBody)
+// fetchReport decodes what a daemon serves at a path of its metrics, at most limit bytes.
+func fetchReport[T any](ctx context.Context, address, path string, limit int64) (T, error) {
+	var r T
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
 		return r, err
 	}
@@ -69,7 +69,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return r, api.Errorf(api.CodeInternal, "status %d", resp.StatusCode)
 	}
-	return r, json.NewDecoder(io.LimitReader(resp.Body, maxKeysReportBytes)).Decode(&r)
+	return r, json.NewDecoder(io.LimitReader(resp.Body, limit)).Decode(&r)
 }
 
 func (r keysReport) writeText(w io.Writer) {
--- a/lib/access/access_test.go
+++ b/lib/access/access_test.go
@@ -78,7 +78,7 @@
 	x := NewIndex([]routes.Customer{{Name: "a", Keys: []string{secret}}, {Name: "b", Keys: []string{secret}}})
 	encoded, err := json.Marshal([]any{k, x.Report(), x.Ignored()})
 	assert.NilError(t, err)
-	text := fmt.Sprintf("%v %+v %#v %s %s %v", k, struct{ K Key }{k}, k, k, encoded, x.Ignored())
+	text := fmt.Sprintf("%v %+v %#v %s %s %v %+v %+v", k, struct{ K Key }{k}, k, k, encoded, x.Ignored(), x, x.byName["a"])
 	assert.Assert(t, !strings.Contains(text, secret), text)
 	assert.Assert(t, strings.Contains(x.Ignored()[0], k.Fingerprint()))
 	assert.DeepEqual(t, x.Report()[0].Keys, []string{k.Fingerprint()})
--- a/lib/access/index.go
+++ b/lib/access/index.go
@@ -24,6 +24,12 @@
 	ignored  []string
 }
 
+// String returns the customer's name: printed in any form, a customer discloses no key.
+func (c *Customer) String() string { return c.Name }
+
+// String returns the number of customers.
+func (x *Index) String() string { return fmt.Sprintf("%d customers", len(x.byName)) }
+
 // NewIndex returns an index of a configuration's customers. Invalid entries are ignored: a
 // customer without a name, an empty key, and a key that another customer has further up. All
 // daemons decide so alike, as it depends on nothing but the configuration.
--- a/lib/intake/plan.go
+++ b/lib/intake/plan.go
@@ -59,8 +59,8 @@
 // NewPlan returns the plan of a host with this memory, in bytes, and descriptors. A quarter
 // of the memory is for connections, almost a third for requests and answers, a twelfth for
 // responses that are being read and a fifth for accepted jobs, though not all of these are
-// used at once; the rest is for the daemon's other state, for garbage and for the program itself. A quarter of the descriptors is for upstreams, the
-// store and files.
+// used at once; the rest is for the daemon's other state, for garbage and for the program
+// itself. A quarter of the descriptors is for upstreams, the store and files.
 func NewPlan(memory int64, descriptors int) Plan {
 	conns := max(minConns, min(descriptors*3/8, int(memory/4/connBytes)))
 	return Plan{
