--- /dev/null
+++ b/review/harness-2/cases.go
@@ -0,0 +1,5 @@
+package main
+
+var cases = map[string]func(){
+	"late-refusal": lateRefusal,
+}
