--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -2,4 +2,5 @@
 
 var cases = map[string]func(){
 	"late-refusal": lateRefusal,
+	"late-order":   lateOrder,
 }
