--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases.go
@@ -3,4 +3,5 @@
 var cases = map[string]func(){
 	"late-refusal": lateRefusal,
 	"late-order":   lateOrder,
+	"late-failure": lateFailure,
 }
--- a/review/harness-2/lateorder.go
+++ b/review/harness-2/lateorder.go
@@ -54,7 +54,7 @@
 	time.Sleep(2 * time.Second)
 	version := 1
 	rounds := 0
-	for ; rounds < 1; rounds++ {
+	for ; rounds < 3 && lowerFences(e) == 0; rounds++ {
 		version++
 		announce(s, version)
 		holder := awaitVersion(e, version)
@@ -99,6 +99,12 @@
 		awaitReady(d)
 		time.Sleep(2 * time.Second)
 	}
+	broken := lowerFences(e)
+	verdict(broken > 0, "%d rounds, %d orders, with a fencing token below an earlier one: %d", rounds, len(e.orders), broken)
+}
+
+// lowerFences returns the number of orders with a fencing token below that of an earlier one.
+func lowerFences(e *engine) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	broken, highest := 0, 0
@@ -109,7 +115,7 @@
 		}
 		highest = max(highest, o.fence)
 	}
-	verdict(broken > 0, "%d rounds, %d orders, with a fencing token below an earlier one: %d", rounds, len(e.orders), broken)
+	return broken
 }
 
 // awaitVersion waits until the engine has a version, and returns the owner of the last order.
