--- a/review/harness-2/cases.go
+++ b/review/harness-2/cases_test.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 var cases = map[string]func(){
 	"late-refusal": lateRefusal,
--- a/review/harness-2/engine.go
+++ b/review/harness-2/engine_test.go
@@ -1,4 +1,4 @@
-package main
+package cases
 
 import (
 	"encoding/json"
--- a/review/harness-2/rig.go
+++ b/review/harness-2/rig_test.go
@@ -1,9 +1,10 @@
-// Program cases runs the cases of the review against daemons of the project, which it
+// Package cases runs the cases of the review against daemons of the project, which it
 // starts as processes, and against stand-ins of the platform, its servers and its clients.
-package main
+package cases
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -11,6 +12,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -28,6 +30,7 @@
 	daemons  []*daemon
 	tempDir  string
 	trouble  = os.Getenv("TROUBLE") != "0"
+	taken    = make(map[string]bool) // addresses of daemons
 )
 
 // note writes a line to record.txt.
@@ -78,14 +81,22 @@
 	log                          *os.File
 }
 
-// freeAddress returns a loopback address with a port that is free now.
+// freeAddress returns a loopback address with a port that is free now, below those that the
+// system gives to outgoing connections.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("no free port: %v", err)
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 18000+rand.IntN(14000))
+		if taken[address] {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			taken[address] = true
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
 
 // settingsText is deploy/settings.yaml as the platform renders it, with the figures of
@@ -183,7 +194,9 @@
 	note("all daemons are ready")
 }
 
-func main() {
+// TestMain runs the case that the first argument names, and writes its record to the file that
+// the second one names. The package has no other tests.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: cases CASE RECORD")
 		os.Exit(exitNotRun)
