--- a/review/harness-2/engine_test.go
+++ b/review/harness-2/engine_test.go
@@ -25,6 +25,7 @@
 type engine struct {
 	id, address string
 	model       string
+	born        int64 // of all that it says of itself
 	loadTime    time.Duration
 	// onReport is called for each report that is asked for, before the answer is sent; onOrder
 	// for each order. Either may be nil.
@@ -48,8 +49,8 @@
 		cannotRun("engine: %v", err)
 	}
 	e := &engine{id: id, address: l.Addr().String(), model: model, loadTime: 900 * time.Millisecond, version: 1, events: 10, pause: 20 * time.Millisecond}
+	e.born = time.Now().UnixMilli()
 	go http.Serve(l, http.HandlerFunc(e.serve))
-	born := time.Now().UnixMilli()
 	go func() {
 		for seq := 1; ; seq++ {
 			e.mu.Lock()
@@ -57,7 +58,7 @@
 			e.mu.Unlock()
 			s.put("keyed.servers", id, map[string]any{
 				"service": service, "address": e.address, "zone": "z1", "version": "v1", "slots": slots, "state": "ready",
-				"cold_left_ms": 0, "stage": "both", "models": models, "seq": seq, "born": born,
+				"cold_left_ms": 0, "stage": "both", "models": models, "seq": seq, "born": e.born,
 			})
 			time.Sleep(1200 * time.Millisecond)
 		}
@@ -85,7 +86,7 @@
 	switch r.URL.Path {
 	case "/api/report":
 		e.mu.Lock()
-		report := map[string]any{"stage": "both", "models": e.models(), "busy": e.busy, "seq": e.seq, "num_waiting": 0, "num_running": 0}
+		report := map[string]any{"stage": "both", "models": e.models(), "busy": e.busy, "seq": e.seq, "num_waiting": 0, "num_running": 0, "born": e.born}
 		onReport := e.onReport
 		e.mu.Unlock()
 		if onReport != nil {
--- a/review/harness-2/latefailure_test.go
+++ b/review/harness-2/latefailure_test.go
@@ -15,32 +15,67 @@
 )
 
 // greyEngine is a model server that, while it is grey, answers some of the requests for tokens
-// with 500, and while it garbles sends some of its answers twice, the second time late: at the
+// with 500, and while garbled is on sends some of its answers twice, the second time late: at the
 // point where the next answer on the connection is expected.
 type greyEngine struct {
 	id, address string
+	born        int64    // of all that it says of itself
+	garble      *garbled // of all engines that garble
 	mu          sync.Mutex
 	grey        bool
-	failShare   float64 // of the requests while it is grey
-	garbles     bool
-	answers     int // while it garbles
-	extras      int
+	requests    int            // while it is grey
+	failures    int            // of these
 	failed      map[string]int // answers of 500 by item
 	rand        *rand.Rand
 }
 
+// garbled counts the answers of the engines that garble during one disruption.
+type garbled struct {
+	mu            sync.Mutex
+	on            bool
+	answers       int
+	extras        int
+	total, extraN int // of all disruptions
+}
+
+func (g *garbled) set(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.on, g.answers, g.extras = on, 0, 0
+}
+
+// answer counts an answer and reports whether it is sent twice, if that is wanted and within the
+// share.
+func (g *garbled) answer(wanted bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.on {
+		return false
+	}
+	g.answers++
+	g.total++
+	if !wanted || float64(g.extras+1) > extraShare*float64(g.answers) {
+		return false
+	}
+	g.extras++
+	g.extraN++
+	return true
+}
+
 const (
-	extraShare = 0.03 // of the answers of a server that garbles
+	failShare  = 0.4  // most of the requests of a grey server
+	drawnShare = 0.6  // drawn of these; failShare bounds it
+	extraShare = 0.03 // of the answers of the servers that garble
 	eventCount = 8
 	eventPause = 5 * time.Millisecond
 )
 
-func newGreyEngine(s *store, id, service string) *greyEngine {
+func newGreyEngine(s *store, id, service string, garble *garbled) *greyEngine {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		cannotRun("engine: %v", err)
 	}
-	g := &greyEngine{id: id, address: l.Addr().String(), failShare: 0.4, failed: make(map[string]int), rand: rand.New(rand.NewPCG(1, 2))}
+	g := &greyEngine{id: id, address: l.Addr().String(), born: time.Now().UnixMilli(), garble: garble, failed: make(map[string]int), rand: rand.New(rand.NewPCG(1, 2))}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -50,12 +85,11 @@
 			go g.serve(c)
 		}
 	}()
-	born := time.Now().UnixMilli()
 	go func() {
 		for seq := 1; ; seq++ {
 			s.put("keyed.servers", id, map[string]any{
 				"service": service, "address": g.address, "zone": "z1", "version": "v1", "slots": 12, "state": "ready",
-				"cold_left_ms": 0, "stage": "both", "models": []any{map[string]any{"name": "m1", "version": 1, "adapters": []string{}}}, "seq": seq, "born": born,
+				"cold_left_ms": 0, "stage": "both", "models": []any{map[string]any{"name": "m1", "version": 1, "adapters": []string{}}}, "seq": seq, "born": g.born,
 			})
 			time.Sleep(1200 * time.Millisecond)
 		}
@@ -86,7 +120,7 @@
 			continue
 		}
 		if r.URL.Path == "/api/report" {
-			_, _ = c.Write(answer(200, id, nil, `{"stage":"both","models":[{"name":"m1","version":1,"adapters":[]}],"busy":false,"seq":0}`))
+			_, _ = c.Write(answer(200, id, nil, fmt.Sprintf(`{"stage":"both","models":[{"name":"m1","version":1,"adapters":[]}],"busy":false,"seq":0,"born":%d}`, g.born)))
 			continue
 		}
 		if g.fails() {
@@ -104,35 +138,33 @@
 		if !g.stream(c, id, r.Header.Get("Last-Event-Id")) {
 			return
 		}
-		g.mu.Lock()
-		if g.garbles {
-			g.answers++
-		}
-		g.mu.Unlock()
+		g.garble.answer(false)
 	}
 }
 
+// fails reports whether a request is answered with 500; the share of these is kept at each time.
 func (g *greyEngine) fails() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.grey && g.rand.Float64() < g.failShare
+	if !g.grey {
+		return false
+	}
+	g.requests++
+	if g.rand.Float64() >= drawnShare || float64(g.failures+1) > failShare*float64(g.requests) {
+		return false
+	}
+	g.failures++
+	return true
 }
 
-// noteFailure counts an answer of 500 and decides whether it is sent twice: the second one of an
-// item, if the server's share allows it.
+// noteFailure counts an answer of 500 and reports whether it is sent twice: the second one of an
+// item, if the share allows it.
 func (g *greyEngine) noteFailure(id string) (n int, twice bool) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.failed[id]++
-	if !g.garbles {
-		return g.failed[id], false
-	}
-	g.answers++
-	if g.failed[id] != 2 || float64(g.extras+1) > extraShare*float64(g.answers) {
-		return g.failed[id], false
-	}
-	g.extras++
-	return 2, true
+	n = g.failed[id]
+	g.mu.Unlock()
+	return n, g.garble.answer(n == 2)
 }
 
 // stream generates the events of an item in chunks.
@@ -155,7 +187,7 @@
 }
 
 // lateFailure: seven engines run the items of batch jobs. Five times, for five seconds each, one of
-// them is grey and sends some of its answers twice.
+// them is grey, and four of them, that one among them, send some of their answers twice.
 func lateFailure() {
 	const (
 		calm    = 2 * time.Second // before each disruption
@@ -168,8 +200,13 @@
 	s.put("keyed.op", "config", engineConfig(3, "engines"))
 	s.put("keyed.op", "version/m1", map[string]any{"model": "m1", "version": 1})
 	var engines []*greyEngine
+	garble, sound := &garbled{}, &garbled{}
 	for n := range 7 {
-		engines = append(engines, newGreyEngine(s, fmt.Sprintf("i-%d", n+1), "engines"))
+		counter := sound
+		if n < 4 { // share 0.57
+			counter = garble
+		}
+		engines = append(engines, newGreyEngine(s, fmt.Sprintf("i-%d", n+1), "engines", counter))
 	}
 	ds := []*daemon{newDaemon("front-1", s), newDaemon("front-2", s), newDaemon("front-3", s)}
 	awaitReady(ds...)
@@ -177,9 +214,10 @@
 	g := engines[0]
 	harm := func(on bool) {
 		g.mu.Lock()
-		g.grey, g.garbles = on, on
+		g.grey, g.requests, g.failures = on, 0, 0
 		g.mu.Unlock()
-		note("engine %s is grey and garbles: %v", g.id, on)
+		garble.set(on)
+		note("engine %s is grey, engines i-1 to i-4 garble: %v", g.id, on)
 	}
 	for n := 0; trouble && n < windows; n++ {
 		begin := calm + time.Duration(n)*(calm+harmed)
@@ -225,7 +263,7 @@
 	}
 	completed, errored, broken := 0, 0, 0
 	for n, id := range jobs {
-		for after, end := 0, time.Now().Add(timeout); after < perJob; time.Sleep(100 * time.Millisecond) {
+		for after, end := 0, time.Now().Add(timeout); after < perJob; time.Sleep(20 * time.Millisecond) {
 			if time.Now().After(end) {
 				cannotRun("batch job %s isn't done", id)
 			}
@@ -262,6 +300,6 @@
 			}
 		}
 	}
-	verdict(broken > 0, "%d batch jobs, %d items completed, %d errored; %d of %d answers of the grey engine sent twice; errored too early or not whole: %d",
-		len(jobs), completed, errored, g.extras, g.answers, broken)
+	verdict(broken > 0, "%d batch jobs, %d items completed, %d errored; %d of %d answers of the four engines sent twice; errored too early or not whole: %d",
+		len(jobs), completed, errored, garble.extraN, garble.total, broken)
 }
--- a/review/harness-2/lateorder_test.go
+++ b/review/harness-2/lateorder_test.go
@@ -1,6 +1,7 @@
 package cases
 
 import (
+	"fmt"
 	"syscall"
 	"time"
 )
@@ -35,17 +36,20 @@
 // 200 ms.
 const lostPacket = 200 * time.Millisecond
 
+// lossy is how long the link loses packets.
+const lossy = 5 * time.Second
+
 // lateOrder: a daemon is stopped while it asks an engine, over a link that loses packets, for the
 // report on which its order is based.
 func lateOrder() {
 	s := newStore()
-	s.put("keyed.op", "config", engineConfig(3, "large", "middle", "small"))
+	s.put("keyed.op", "config", engineConfig(3, "large", "middle", "small", "spare", "trial"))
 	s.put("keyed.op", "version/m1", map[string]any{"model": "m1", "version": 1})
 	e := newEngine(s, "i-1", "large", "m1", 12)
-	all := []*engine{e, newEngine(s, "i-2", "middle", "m1", 12), newEngine(s, "i-3", "small", "m1", 12)}
+	all := []*engine{e, newEngine(s, "i-2", "middle", "m1", 12), newEngine(s, "i-3", "small", "m1", 12), newEngine(s, "i-4", "spare", "m1", 12), newEngine(s, "i-5", "trial", "m1", 12)}
 	byName := make(map[string]*daemon)
 	var ds []*daemon
-	for _, name := range []string{"front-1", "front-2", "front-3"} {
+	for _, name := range []string{"front-1", "front-2", "front-3", "front-4", "front-5"} {
 		d := newDaemon(name, s)
 		byName[name] = d
 		ds = append(ds, d)
@@ -54,7 +58,7 @@
 	time.Sleep(2 * time.Second)
 	version := 1
 	rounds := 0
-	for ; rounds < 3 && lowerFences(e) == 0; rounds++ {
+	for ; rounds < 3 && len(lowerFences(e)) == 0; rounds++ {
 		version++
 		announce(s, version)
 		holder := awaitVersion(e, version)
@@ -82,6 +86,10 @@
 			}
 		}
 		e.mu.Unlock()
+		if trouble {
+			note("the link between %s and %s loses packets for %v", holder, e.id, lossy)
+			time.AfterFunc(lossy, func() { note("the link between %s and %s is sound again", holder, e.id) })
+		}
 		announce(s, version)
 		select {
 		case <-asked:
@@ -100,22 +108,26 @@
 		time.Sleep(2 * time.Second)
 	}
 	broken := lowerFences(e)
-	verdict(broken > 0, "%d rounds, %d orders, with a fencing token below an earlier one: %d", rounds, len(e.orders), broken)
+	time.Sleep(time.Second)
+	for _, line := range broken {
+		note("BROKEN: ONE: %s", line)
+	}
+	verdict(len(broken) > 0, "%d rounds, %d orders, with a fencing token below an earlier one: %d", rounds, len(e.orders), len(broken))
 }
 
-// lowerFences returns the number of orders with a fencing token below that of an earlier one.
-func lowerFences(e *engine) int {
+// lowerFences describes the orders with a fencing token below that of an earlier one.
+func lowerFences(e *engine) []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	broken, highest := 0, 0
+	var out []string
+	highest := 0
 	for i, o := range e.orders {
 		if o.fence < highest {
-			broken++
-			note("BROKEN: ONE: order %d of %s has fencing token %d, after one with %d", i+1, o.owner, o.fence, highest)
+			out = append(out, fmt.Sprintf("order %d of %s has fencing token %d, after one with %d", i+1, o.owner, o.fence, highest))
 		}
 		highest = max(highest, o.fence)
 	}
-	return broken
+	return out
 }
 
 // awaitVersion waits until the engine has a version, and returns the owner of the last order.
--- a/review/harness-2/laterefusal_test.go
+++ b/review/harness-2/laterefusal_test.go
@@ -23,6 +23,7 @@
 type plainServer struct {
 	id, address string
 	slots       int
+	born        int64         // of all that it says of itself
 	slot        chan struct{} // filled while a request runs
 	everyExtra  int           // each such answer is sent a second time; 0: none
 
@@ -38,7 +39,7 @@
 	if err != nil {
 		cannotRun("server: %v", err)
 	}
-	p := &plainServer{id: id, address: l.Addr().String(), slots: slots, slot: make(chan struct{}, slots), runs: make(map[string]int)}
+	p := &plainServer{id: id, address: l.Addr().String(), slots: slots, born: time.Now().UnixMilli(), slot: make(chan struct{}, slots), runs: make(map[string]int)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -48,12 +49,11 @@
 			go p.serve(c)
 		}
 	}()
-	born := time.Now().UnixMilli()
 	go func() {
 		for seq := 1; ; seq++ {
 			s.put("keyed.servers", id, map[string]any{
 				"service": service, "address": p.address, "zone": "z1", "version": "v1", "slots": slots, "state": "ready",
-				"cold_left_ms": 0, "stage": "both", "models": []any{}, "seq": seq, "born": born,
+				"cold_left_ms": 0, "stage": "both", "models": []any{}, "seq": seq, "born": p.born,
 			})
 			time.Sleep(1200 * time.Millisecond)
 		}
@@ -96,7 +96,7 @@
 			continue
 		}
 		if r.URL.Path == "/api/report" {
-			_, _ = c.Write(answer(200, id, nil, `{"stage":"both","models":[],"busy":false,"seq":0}`))
+			_, _ = c.Write(answer(200, id, nil, fmt.Sprintf(`{"stage":"both","models":[],"busy":false,"seq":0,"born":%d}`, p.born)))
 			continue
 		}
 		out := p.handle(id, len(body))
