Take a response without a length only if its request was taken

Callers got part of a response as a complete one. An upstream answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection while the upload was still being written.

Cause: the operating system reports a reset once. A plain end is also how a response without a length ends, so net/http returns io.EOF.

The report that the read lacks is with the write, and an upstream that reads a request to its end and then closes has acknowledged all of it, so a sound response passes.

A response is still taken if its upstream ends it in order, without having read the request, after its host has acknowledged all of it: nothing tells it from a sound one.

--- a/lib/sockets/sockets.go
+++ b/lib/sockets/sockets.go
@@ -26,3 +26,17 @@
 	}
 	return sockErr
 }
+
+// Unacknowledged returns the number of bytes written to a TCP connection that its peer has not
+// acknowledged. Errors: those of ioctl, SyscallConn and RawConn.Control.
+func Unacknowledged(c syscall.Conn) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	bytes, ioctlErr := 0, error(nil)
+	if err := raw.Control(func(fd uintptr) { bytes, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); err != nil {
+		return 0, err
+	}
+	return bytes, ioctlErr
+}
--- /dev/null
+++ b/lib/stricthttp/conn.go
@@ -0,0 +1,66 @@
+package stricthttp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"dotterelmount.example/lib/sockets"
+)
+
+// conn is a connection that knows whether its peer took what was written to it.
+type conn struct {
+	net.Conn
+	ended atomic.Bool // the peer has ended its stream
+
+	writing sync.Mutex  // held during a write
+	untaken atomic.Bool // part of what was written may not have reached the peer
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.ended.Load() {
+		c.untaken.Store(true)
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.untaken.Store(true)
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+		if c.hasUnacknowledged() {
+			c.untaken.Store(true)
+		}
+	}
+	return n, err
+}
+
+// hasUnacknowledged reports whether the peer has not acknowledged everything. It returns
+// false if the operating system can't tell.
+func (c *conn) hasUnacknowledged() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	bytes, err := sockets.Unacknowledged(s)
+	return err == nil && bytes > 0
+}
+
+// tookWrites waits for the end of a write in progress and reports whether the peer took
+// everything.
+func (c *conn) tookWrites() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return !c.untaken.Load()
+}
