Refuse responses whose status is not one of HTTP

An upstream in trouble answered with status 000. The client of upstreams returned it as the upstream's own response. The daemon then panicked while writing the head, and closed its caller's connection: the caller of a safe request got no response, and no other upstream was tried.

Cause: net/http takes any three characters that strconv.Atoi reads as a number of zero or more: 000, 099, +20, -00, 600, 999. It also takes 101 for a request that asked for no other protocol.

lib/stricthttp reads the heads of a response as they arrive, before net/http does, and ends the connection at a status outside 100 to 599, or at 101. The attempt then counts as one of unknown execution, neither as a crash of the upstream nor as a failed link: a safe request runs elsewhere, one that runs once gets 502. All other statuses, and those after interim responses, pass (TestUnusualStatusIsAResponse).

--- a/lib/stricthttp/conn.go
+++ b/lib/stricthttp/conn.go
@@ -11,10 +11,12 @@
 	"dotterelmount.example/lib/sockets"
 )
 
-// conn is a connection that knows whether its peer took what was written to it.
+// conn is a connection that checks the heads of responses and knows whether its peer took what
+// was written to it.
 type conn struct {
 	net.Conn
-	ended atomic.Bool // the peer has ended its stream
+	head  atomic.Pointer[head] // of the response to the last request; nil: no request yet
+	ended atomic.Bool          // the peer has ended its stream
 
 	writing sync.Mutex  // held during a write
 	untaken atomic.Bool // part of what was written may not have reached the peer
@@ -34,9 +36,17 @@
 	return n, err
 }
 
-// Read implements net.Conn.
+// expectHead starts the check of the next response.
+func (c *conn) expectHead() { c.head.Store(&head{}) }
+
+// Read implements net.Conn. Errors: also *MalformedError.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if h := c.head.Load(); h != nil {
+		if err := h.check(p[:n]); err != nil {
+			return 0, err
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		c.ended.Store(true)
 		if c.hasUnacknowledged() {
--- a/lib/stricthttp/stricthttp.go
+++ b/lib/stricthttp/stricthttp.go
@@ -1,5 +1,5 @@
-// Package stricthttp is an HTTP/1 client transport that returns only responses known to be
-// complete. It adds to net/http the checks that net/http leaves to its callers.
+// Package stricthttp is an HTTP/1 client transport that returns only valid responses that are
+// known to be complete. It adds to net/http the checks that net/http leaves to its callers.
 package stricthttp
 
 import (
@@ -48,7 +48,7 @@
 func (*IncompleteError) Unwrap() error { return io.ErrUnexpectedEOF }
 
 // RoundTrip implements http.RoundTripper. Reading the body fails with an *IncompleteError
-// instead of io.EOF if the response may be cut off. Other errors are those of net/http.
+// instead of io.EOF if the response may be cut off. Errors: *MalformedError, those of net/http.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	x := &exchange{ctx: r.Context()}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), x.trace())))
@@ -85,6 +85,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
 				x.attempt.Store(&attempt{conn: c, written: make(chan error, 1)})
+				c.expectHead()
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
