Refuse responses with an invalid field name in their head

An upstream in trouble answered with a head in which the name of a field held a blank. Callers got it as the upstream's own response. With the blank beside Content-Length or Transfer-Encoding they also got another body: the field did not count, and all bytes up to the end of the connection did.

Cause: net/http takes blanks in a name and keeps the name as it is. It joins a line that begins with a blank or a tab to the field before it, here the signature, and takes an LF before a name for the end of the head.

In three runs of TestBrokenResponsesAreNotPassedOn 9 of 9 requests of each kind, safe and once, got status 200 with a blank in, after or before a name and with an LF before it. Other control bytes in a name were refused before, by net/http; their cases stay.

lib/stricthttp now checks each line of a head as it arrives: the name is a token, no line is folded, and all lines end alike, with CRLF or with LF.

--- a/cmd/dotterelmountd/internal/hosted/broken_test.go
+++ b/cmd/dotterelmountd/internal/hosted/broken_test.go
@@ -27,6 +27,11 @@
 var brokenResponses = []brokenResponse{
 	{"cut by a reset while the request is sent", "HTTP/1.1 200 OK\r\n" + brokenHead + "\r\nid: 1\ndata: a\n\n", true, 4 << 20},
 	{"status 000", "HTTP/1.1 000 OK\r\n" + brokenHead + "Content-Length: 4\r\n\r\nbody", false, 0},
+	{"blank in a name", "HTTP/1.1 200 OK\r\n" + brokenHead + "X Odd: 4\r\nContent-Length: 4\r\n\r\nbody", false, 0},
+	{"blank after a name", "HTTP/1.1 200 OK\r\n" + brokenHead + "Content-Length : 4\r\n\r\nbodyrest", false, 0},
+	{"blank before a name", "HTTP/1.1 200 OK\r\n" + brokenHead + " Content-Length: 4\r\n\r\nbodyrest", false, 0},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\n" + brokenHead + "X-\x01Odd: 4\r\nContent-Length: 4\r\n\r\nbody", false, 0},
+	{"line feed before a name", "HTTP/1.1 200 OK\r\n" + brokenHead + "\nContent-Length: 4\r\n\r\nbody", false, 0},
 }
 
 // breaker makes the servers of a deployment send broken responses. It is safe for concurrent
@@ -70,6 +75,9 @@
 	if broken == nil {
 		return false
 	}
+	if !broken.reset {
+		_, _ = io.Copy(io.Discard, r.Body) // unread data would reset the connection
+	}
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return true
--- a/lib/stricthttp/head.go
+++ b/lib/stricthttp/head.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"regexp"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // MalformedError reports a response whose head is not one of HTTP/1.
@@ -23,6 +25,7 @@
 type head struct {
 	line    []byte // what has arrived of the current line
 	inside  bool   // the status line has arrived
+	hasCR   bool   // the status line ended with CRLF, not LF
 	interim bool   // another head follows
 	done    bool
 }
@@ -35,7 +38,7 @@
 		if !ended {
 			return nil
 		}
-		if err := h.checkLine(bytes.TrimSuffix(h.line, []byte("\r"))); err != nil {
+		if err := h.checkLine(h.line); err != nil {
 			return err
 		}
 		h.line, p = h.line[:0], rest
@@ -43,13 +46,32 @@
 	return nil
 }
 
+// checkLine checks a line without its LF. The lines of a head end in one way, so that an LF
+// in a name is not taken for the end of the head.
 func (h *head) checkLine(line []byte) error {
+	content := bytes.TrimSuffix(line, []byte("\r"))
+	hasCR := len(content) < len(line)
 	switch {
 	case !h.inside:
-		h.inside = true
-		return h.checkStatus(line)
-	case len(line) == 0:
+		h.inside, h.hasCR = true, hasCR
+		return h.checkStatus(content)
+	case hasCR != h.hasCR:
+		return malformed("line endings differ at %q", line)
+	case len(content) == 0:
 		h.inside, h.done = false, !h.interim
+		h.line = nil // an idle connection keeps no buffer
+		return nil
+	default:
+		return checkField(content)
+	}
+}
+
+// checkField checks the name in a field line. A folded line is refused, too: it can't be told
+// from a name that begins with a blank.
+func checkField(line []byte) error {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !httpguts.ValidHeaderFieldName(string(name)) {
+		return malformed("field name %q", name)
 	}
 	return nil
 }
