Check the responses of the product's own upstreams too

The client of the product's own protocol had the same cause: a plain service's response with status 000 or 600, or with a blank in a name, went to the caller as the service's own, and generations, load reports and load orders were taken from such responses. With a blank beside Transfer-Encoding the caller got bytes that were framed otherwise.

The pool of connections now uses lib/stricthttp. A refused response is a failed connection of a call that was sent, as one that isn't HTTP at all has been; the dispatcher asks the upstream whether it lives, and repeats what it may. TestSoundResponsesArePassedOn passes.

--- a/lib/upstream/httpupstream/client.go
+++ b/lib/upstream/httpupstream/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"dotterelmount.example/api"
+	"dotterelmount.example/lib/stricthttp"
 	"dotterelmount.example/lib/upstream"
 )
 
@@ -156,7 +157,7 @@
 
 // transport returns the transport of the call. It is used without an http.Client,
 // which would follow redirects.
-func (c *call) transport() *http.Transport {
+func (c *call) transport() *stricthttp.Transport {
 	if c.target.NewConnection {
 		return c.client.pool.unpooled
 	}
--- a/lib/upstream/httpupstream/pool.go
+++ b/lib/upstream/httpupstream/pool.go
@@ -5,42 +5,43 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"dotterelmount.example/lib/stricthttp"
 )
 
 // pool keeps one transport per address, so that the connections of an upstream
 // can be closed or expire independently of the others.
 type pool struct {
 	opts     Options
-	unpooled *http.Transport
+	unpooled *stricthttp.Transport
 
 	mu         sync.Mutex
 	transports map[string]*pooledTransport
 }
 
 type pooledTransport struct {
-	transport *http.Transport
+	transport *stricthttp.Transport
 	created   time.Time
 	lastUsed  time.Time
 }
 
 func newPool(opts Options) *pool {
-	unpooled := newTransport(opts)
-	unpooled.DisableKeepAlives = true
-	return &pool{opts: opts, unpooled: unpooled, transports: make(map[string]*pooledTransport)}
+	return &pool{opts: opts, unpooled: newTransport(opts, false), transports: make(map[string]*pooledTransport)}
 }
 
-func newTransport(opts Options) *http.Transport {
-	return &http.Transport{
+func newTransport(opts Options, keepAlive bool) *stricthttp.Transport {
+	return stricthttp.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: opts.MaxIdleConns,
 		IdleConnTimeout:     opts.IdleTimeout,
-	}
+		DisableKeepAlives:   !keepAlive,
+	})
 }
 
 // transport returns the transport of an address. A transport that has reached the
 // maximum age is replaced.
-func (p *pool) transport(address string) *http.Transport {
+func (p *pool) transport(address string) *stricthttp.Transport {
 	now := p.opts.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -51,7 +52,7 @@
 	}
 	if t == nil {
 		p.evictLocked(now)
-		t = &pooledTransport{transport: newTransport(p.opts), created: now}
+		t = &pooledTransport{transport: newTransport(p.opts, true), created: now}
 		p.transports[address] = t
 	}
 	t.lastUsed = now
