Check the responses of the host list like those of upstreams

Cause and fix are those of upstreams: net/http takes such names, lib/stricthttp does not. Status 000, a control byte in a name and a list without its end were refused before; their cases stay, and a list that ends with its connection passes.

--- a/lib/hostlist/hostlist.go
+++ b/lib/hostlist/hostlist.go
@@ -11,6 +11,7 @@
 
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/netcount"
+	"dotterelmount.example/lib/stricthttp"
 )
 
 // State is the state of a host.
@@ -54,10 +55,10 @@
 
 var traffic = netcount.New(counters)
 
-func countedTransport() *http.Transport {
+func countedTransport() *stricthttp.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.DialContext = traffic.Dial(t.DialContext)
-	return t
+	return stricthttp.New(t)
 }
 
 // NewHTTP returns a source of the list served at address (host:port). If client is
