Check the responses of the product's log like those of upstreams

The client of the product's log took offsets and records from broken responses, and counted an append as not made after a 503 that said so with a blank in the name of another field. A log that responded to a long append at once, without a length, and reset the connection while the append was still being written, passed for one that had appended it.

Cause and fix are those of upstreams: net/http takes such names, and reads a plain end where a write got the report of the reset; lib/stricthttp does not.

Status 000, a control byte in a name and part of a response were refused before; their cases stay. TestSoundResponses passes, also for a response that ends with its connection.

--- a/lib/eventlog/httplog/httplog.go
+++ b/lib/eventlog/httplog/httplog.go
@@ -16,6 +16,7 @@
 	"dotterelmount.example/api"
 	"dotterelmount.example/lib/eventlog"
 	"dotterelmount.example/lib/netcount"
+	"dotterelmount.example/lib/stricthttp"
 )
 
 const (
@@ -57,11 +58,11 @@
 // the appender and the trainers' readers call concurrently.
 const maxIdleConns = 8
 
-func countedTransport() *http.Transport {
+func countedTransport() *stricthttp.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.DialContext = traffic.Dial(t.DialContext)
 	t.MaxIdleConnsPerHost = maxIdleConns
-	return t
+	return stricthttp.New(t)
 }
 
 // New returns a client of the log at address (host:port). If client is nil, New
