Check the responses that the command line reads

dotterelmount told its operator "refused" (exit 2) after a daemon's response to a change with status 000, and success (exit 0) after one with a blank in or before the name of a field, although nothing was known of the change.

The change is now unknown (exit 4), as after a lost response, and reads report that no daemon was reached.

A control byte in a name was refused before; its case stays.

--- a/cmd/dotterelmount/cli.go
+++ b/cmd/dotterelmount/cli.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"dotterelmount.example/cmd/dotterelmount/internal/adminclient"
+	"dotterelmount.example/lib/stricthttp"
 )
 
 // Output formats.
@@ -83,7 +84,12 @@
 			return nil, &UsageError{Detail: fmt.Sprintf("--daemon %q; must be host:port", d)}
 		}
 	}
-	return &adminclient.Client{HTTP: &http.Client{}, Daemons: daemons, Operator: c.String(flagOperator)}, nil
+	return &adminclient.Client{HTTP: newHTTPClient(), Daemons: daemons, Operator: c.String(flagOperator)}, nil
+}
+
+// newHTTPClient returns a client with the default settings that refuses broken responses.
+func newHTTPClient() *http.Client {
+	return &http.Client{Transport: stricthttp.New(http.DefaultTransport.(*http.Transport).Clone())}
 }
 
 func show(c *cli.Command, r report) error {
--- a/cmd/dotterelmount/keys.go
+++ b/cmd/dotterelmount/keys.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return r, err
 	}
-	resp, err := http.DefaultClient.Do(request)
+	resp, err := newHTTPClient().Do(request)
 	if err != nil {
 		return r, err
 	}
