--- a/front/forward/forward_test.go
+++ b/front/forward/forward_test.go
@@ -141,6 +141,16 @@
 	assert.NilError(t, <-stopped)
 }
 
+// A status of 0, as a daemon of an earlier build could take from an upstream, is no response.
+func TestStatusZeroIsNoResponse(t *testing.T) {
+	_, p := serve(t, func(context.Context, *opaque.Request, opaque.StreamSink) (*opaque.Response, api.UpstreamID, error) {
+		return &opaque.Response{Status: 0, Body: []byte("body")}, "u", nil
+	})
+	resp, _, err := NewClient().Forward(t.Context(), p, newRequest(), nil)
+	assert.NilError(t, err)
+	assert.Assert(t, resp == nil)
+}
+
 // At the limit of connections, one with a call in progress makes no room for others.
 func TestConnectionOfACallMakesNoRoom(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/server/relay/peers_test.go
+++ b/server/relay/peers_test.go
@@ -94,6 +94,8 @@
 		"refused for a limit of all":     {routes.KindIdempotent, limited, 1, true},
 		"lost, may run once":             {routes.KindOnce, lost, 1, false},
 		"lost, may be repeated":          {routes.KindIdempotent, lost, 3, false},
+		"no response, may run once":      {routes.KindOnce, nil, 1, false},
+		"no response, may be repeated":   {routes.KindIdempotent, nil, 3, false},
 		"failed at the peer's upstreams": {routes.KindIdempotent, &opaque.FailedError{Reason: "failed"}, 1, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -104,6 +106,7 @@
 			r, s := startWithPeers(t, reach.CutOff, g)
 			_, _, err := r.Forward(t.Context(), newRequest(c.kind))
 			var notRun *opaque.NotRunError
+			assert.Assert(t, err != nil)
 			assert.Equal(t, errors.As(err, &notRun), c.notRun, "%v", err)
 			assert.Equal(t, g.calls.Load(), c.calls)
 			assert.Equal(t, len(s.tried()), 0)
