Make each call of the tests of sound responses on its own connection

TestSoundResponsesArePassedOn (lib/upstream/httpupstream) failed once: "connection reset by peer" for a response with a trailer. TestSoundResponses (lib/eventlog/httplog) could meet the same.

Each call now has a client of its own; the cases and what they check are the same, and load orders are among the sound ones too.

Also: only a body whose connection net/http will close can end with it, so that a decompressed response on a kept connection isn't held up.

--- a/lib/eventlog/httplog/broken_test.go
+++ b/lib/eventlog/httplog/broken_test.go
@@ -40,12 +40,15 @@
 	batches  = `{"batches":[{"stream":"s","entries":[],"oldest":1,"next":1}]}`
 )
 
-func readAndAppend(t *testing.T, address string, record eventlog.Record) (readErr, appendErr error) {
-	t.Helper()
-	l := New(address, nil)
-	_, readErr = l.Read(t.Context(), []eventlog.Position{{Stream: "s", Offset: 1}}, 10, 0)
-	_, appendErr = l.Append(t.Context(), "s", []eventlog.Record{record})
-	return readErr, appendErr
+// readFrom and appendTo make one call each, on a connection of its own.
+func readFrom(t *testing.T, address string) error {
+	_, err := New(address, nil).Read(t.Context(), []eventlog.Position{{Stream: "s", Offset: 1}}, 10, 0)
+	return err
+}
+
+func appendTo(t *testing.T, address string, record eventlog.Record) error {
+	_, err := New(address, nil).Append(t.Context(), "s", []eventlog.Record{record})
+	return err
 }
 
 // A broken response says nothing of an append, and holds no records.
@@ -61,20 +64,18 @@
 		t.Run(name, func(t *testing.T) {
 			var unavailable *eventlog.UnavailableError
 			var ambiguous *eventlog.AmbiguousError
-			readErr, _ := readAndAppend(t, serveRaw(t, fmt.Sprintf(head, len(batches))+batches, false), eventlog.Record{ID: "a"})
-			assert.Assert(t, errors.As(readErr, &unavailable), "%v", readErr)
-			_, appendErr := readAndAppend(t, serveRaw(t, fmt.Sprintf(head, len(appended))+appended, false), eventlog.Record{ID: "a"})
-			assert.Assert(t, errors.As(appendErr, &ambiguous), "%v", appendErr)
+			err := readFrom(t, serveRaw(t, fmt.Sprintf(head, len(batches))+batches, false))
+			assert.Assert(t, errors.As(err, &unavailable), "%v", err)
+			err = appendTo(t, serveRaw(t, fmt.Sprintf(head, len(appended))+appended, false), eventlog.Record{ID: "a"})
+			assert.Assert(t, errors.As(err, &ambiguous), "%v", err)
 		})
 	}
 }
 
 func TestSoundResponses(t *testing.T) {
 	for _, head := range []string{"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", "HTTP/1.1 200 OK\r\n\r\n%[2]s"} {
-		readErr, _ := readAndAppend(t, serveRaw(t, fmt.Sprintf(head, len(batches), batches), false), eventlog.Record{ID: "a"})
-		assert.NilError(t, readErr)
-		_, appendErr := readAndAppend(t, serveRaw(t, fmt.Sprintf(head, len(appended), appended), false), eventlog.Record{ID: "a"})
-		assert.NilError(t, appendErr)
+		assert.NilError(t, readFrom(t, serveRaw(t, fmt.Sprintf(head, len(batches), batches), false)))
+		assert.NilError(t, appendTo(t, serveRaw(t, fmt.Sprintf(head, len(appended), appended), false), eventlog.Record{ID: "a"}))
 	}
 }
 
@@ -86,7 +87,7 @@
 		t.Run(name, func(t *testing.T) {
 			address := serveRaw(t, "HTTP/1.1 200 OK\r\n\r\n"+body, true)
 			for range 10 {
-				_, err := New(address, nil).Append(t.Context(), "s", []eventlog.Record{record})
+				err := appendTo(t, address, record)
 				var ambiguous *eventlog.AmbiguousError
 				assert.Assert(t, errors.As(err, &ambiguous), "%v", err)
 			}
--- a/lib/stricthttp/conn.go
+++ b/lib/stricthttp/conn.go
@@ -19,7 +19,7 @@
 	ended atomic.Bool          // the peer has ended its stream
 
 	writing sync.Mutex  // held during a write
-	untaken atomic.Bool // part of what was written may not have reached the peer
+	untaken atomic.Bool // the peer may not have taken all that was written until its stream ended
 }
 
 // Write implements net.Conn.
@@ -43,8 +43,8 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if h := c.head.Load(); h != nil {
-		if err := h.check(p[:n]); err != nil {
-			return 0, err
+		if malformed := h.check(p[:n]); malformed != nil {
+			return 0, malformed
 		}
 	}
 	if errors.Is(err, io.EOF) {
--- a/lib/stricthttp/stricthttp.go
+++ b/lib/stricthttp/stricthttp.go
@@ -62,9 +62,9 @@
 }
 
 // endsWithConnection reports whether only the end of the connection ends the body of a
-// response.
+// response. A decompressed body has no length, either, but its connection may be kept.
 func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+	return resp.Close && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
 // exchange is a request and its response.
@@ -99,8 +99,8 @@
 	}
 }
 
-// isTaken reports whether the upstream took the whole request. It may only be called after
-// the end of the connection, which also ends a write in progress.
+// isTaken reports whether the upstream took the whole request. It may only be called at the
+// end of the connection: net/http then closes it, which ends a write in progress.
 func (x *exchange) isTaken() bool {
 	a := x.attempt.Load()
 	if a == nil {
--- a/lib/upstream/httpupstream/broken_test.go
+++ b/lib/upstream/httpupstream/broken_test.go
@@ -45,23 +45,42 @@
 	})
 }
 
-// callAll makes each kind of call that returns what an upstream responded.
-func callAll(t *testing.T, to upstream.Target) map[string]error {
+// calls are the kinds of calls that return what an upstream responded.
+var calls = map[string]func(*testing.T, *httpupstream.Client, upstream.Target) error{
+	"plain": func(t *testing.T, c *httpupstream.Client, to upstream.Target) error {
+		_, err := c.CallPlain(t.Context(), to, "r", &work.Plain{Method: http.MethodPost, Path: "/x"})
+		return err
+	},
+	"generate": func(t *testing.T, c *httpupstream.Client, to upstream.Target) error {
+		if _, _, err := generate(t, c, to); err != nil {
+			return err
+		}
+		return nil
+	},
+	"status": func(t *testing.T, c *httpupstream.Client, to upstream.Target) error {
+		_, err := c.Status(t.Context(), to)
+		return err
+	},
+	"load": func(t *testing.T, c *httpupstream.Client, to upstream.Target) error {
+		return c.LoadWeights(t.Context(), to, upstream.LoadOrder{Model: "m", Version: 1})
+	},
+}
+
+// bodies returns the body of a sound response to each kind of call.
+func bodies() map[string]string {
+	stream := event("r", "a ", "null") + event("r", "b ", `"stop"`) + done
+	return map[string]string{"plain": "body", "generate": stream, "status": "{}", "load": ""}
+}
+
+// callOnce makes a call on a connection of its own.
+func callOnce(t *testing.T, kind string, to upstream.Target) error {
 	t.Helper()
 	c := httpupstream.New(httpupstream.Options{})
 	defer c.Close()
-	_, plainErr := c.CallPlain(t.Context(), to, "r", &work.Plain{Method: http.MethodPost, Path: "/x"})
-	_, _, generateErr := generate(t, c, to)
-	_, statusErr := c.Status(t.Context(), to)
-	out := map[string]error{"plain": plainErr, "status": statusErr, "load": c.LoadWeights(t.Context(), to, upstream.LoadOrder{Model: "m", Version: 1})}
-	if generateErr != nil {
-		out["generate"] = generateErr
-	}
-	return out
+	return calls[kind](t, c, to)
 }
 
 func TestBrokenResponsesAreNotPassedOn(t *testing.T) {
-	stream := event("r", "a ", "null") + event("r", "b ", `"stop"`) + done
 	for name, response := range map[string]string{
 		"status 000":             "HTTP/1.1 000 OK\r\nContent-Length: %d\r\n\r\n%s",
 		"status 600":             "HTTP/1.1 600 OK\r\nContent-Length: %d\r\n\r\n%s",
@@ -72,8 +91,8 @@
 		"control byte in a name": "HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: %d\r\n\r\n%s",
 	} {
 		t.Run(name, func(t *testing.T) {
-			for kind, body := range map[string]string{"plain": "body", "generate": stream, "status": "{}", "load": ""} {
-				err := callAll(t, serveRaw(t, fmt.Sprintf(response, len(body), body)))[kind]
+			for kind, body := range bodies() {
+				err := callOnce(t, kind, serveRaw(t, fmt.Sprintf(response, len(body), body)))
 				var call *upstream.CallError
 				if assert.Check(t, errors.As(err, &call), "%s: %v", kind, err) {
 					assert.Check(t, call.Sent, "%s: %v", kind, err)
@@ -84,15 +103,14 @@
 }
 
 func TestSoundResponsesArePassedOn(t *testing.T) {
-	stream := event("r", "a ", "null") + event("r", "b ", `"stop"`) + done
 	for name, response := range map[string]string{
-		"length":         "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
-		"length, HTTP/1": "HTTP/1.0 200 OK\r\nContent-Length: %d\r\n\r\n%s",
-		"trailer":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nA: b\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
+		"old version": "HTTP/1.0 200 OK\r\nContent-Length: %d\r\n\r\n%s",
+		"trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nA: b\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			for kind, body := range map[string]string{"plain": "body", "generate": stream, "status": "{}"} {
-				assert.NilError(t, callAll(t, serveRaw(t, fmt.Sprintf(response, len(body), body)))[kind])
+			for kind, body := range bodies() {
+				assert.NilError(t, callOnce(t, kind, serveRaw(t, fmt.Sprintf(response, len(body), body))), kind)
 			}
 		})
 	}
