Test complete responses as the operating system delivers them

The connection now ends once the last byte was taken, while its write may still be on its way back, which the transport has to wait for.

--- a/cmd/dotterelmountd/internal/hosted/broken_test.go
+++ b/cmd/dotterelmountd/internal/hosted/broken_test.go
@@ -39,7 +39,7 @@
 type breaker struct {
 	mu       sync.Mutex
 	response *brokenResponse
-	max      int            // broken responses to a request
+	most     int            // broken responses to a request
 	attempts map[string]int // by request id
 }
 
@@ -47,7 +47,7 @@
 func (b *breaker) set(r *brokenResponse, most int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.response, b.max, b.attempts = r, most, make(map[string]int)
+	b.response, b.most, b.attempts = r, most, make(map[string]int)
 }
 
 // attempt counts an attempt at a request and returns the broken response to it; nil: none.
@@ -55,7 +55,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.attempts[id]++
-	if b.attempts[id] > b.max {
+	if b.attempts[id] > b.most {
 		return nil
 	}
 	return b.response
--- a/lib/stricthttp/stricthttp_test.go
+++ b/lib/stricthttp/stricthttp_test.go
@@ -1,13 +1,11 @@
 package stricthttp
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"sync"
 	"syscall"
@@ -56,7 +54,10 @@
 // Whatever becomes of the writes, a response that ends with its connection is complete only if
 // the connection took the whole request.
 func TestResponseThatEndsWithItsConnection(t *testing.T) {
-	const part = "part"
+	const (
+		part = "part"    // of the response
+		last = byte('z') // of the request
+	)
 	ok := func(p []byte) (int, error) { return len(p), nil }
 	reset := func([]byte) (int, error) { return 0, syscall.ECONNRESET }
 	for name, c := range map[string]struct {
@@ -71,7 +72,8 @@
 		"length, in progress":      {"Content-Length: 4\r\n", nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			failing := make(chan struct{})
+			writable := make(chan struct{}) // closed when later parts may be written
+			decided := make(chan struct{})  // closed when the last byte was taken, or a write fails
 			f := &fakeConn{
 				response: strings.NewReader("HTTP/1.1 200 OK\r\n" + c.head + "\r\n" + part),
 				readable: make(chan struct{}), ended: make(chan struct{}),
@@ -82,13 +84,15 @@
 					<-f.closed
 					return 0, net.ErrClosed
 				}
-				<-failing
-				return c.laterPart(p)
+				<-writable
+				n, err := c.laterPart(p)
+				if err != nil || p[len(p)-1] == last {
+					close(decided)
+				}
+				return n, err
 			}
 			transport := New(&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return f, nil }})
-			written := make(chan struct{})
-			trace := &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { close(written) }}
-			request, err := http.NewRequestWithContext(httptrace.WithClientTrace(t.Context(), trace), http.MethodPost, "http://upstream", bytes.NewReader(make([]byte, 1<<20)))
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://upstream", strings.NewReader(strings.Repeat("x", 1<<20)+string(last)))
 			assert.NilError(t, err)
 			resp, err := transport.RoundTrip(request)
 			assert.NilError(t, err)
@@ -96,9 +100,9 @@
 			got := make([]byte, len(part))
 			_, err = io.ReadFull(resp.Body, got)
 			assert.NilError(t, err)
-			close(failing)
+			close(writable)
 			if c.laterPart != nil {
-				<-written
+				<-decided
 			}
 			close(f.ended)
 			rest, err := io.ReadAll(resp.Body)
