Refuse responses of another version of HTTP

Read once more, the checks of heads left one way in which callers get a body that isn't the upstream's: a response of HTTP/1.0 with Transfer-Encoding. That version has no chunks, and the caller got their sizes as part of the body. Responses that call themselves HTTP/0.9 or HTTP/2.0 were read as those of HTTP/1.1.

Cause: net/http leaves Transfer-Encoding out of account below HTTP/1.1, and takes any version of one digit each.

lib/stricthttp refuses both as malformed. HTTP/1.0 without Transfer-Encoding passes (TestUnusualFieldsAreAResponse).

--- a/lib/stricthttp/head.go
+++ b/lib/stricthttp/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"regexp"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -26,6 +27,7 @@
 	line    []byte // what has arrived of the current line
 	inside  bool   // the status line has arrived
 	hasCR   bool   // the status line ended with CRLF, not LF
+	chunks  bool   // the version of HTTP has chunked bodies
 	interim bool   // another head follows
 	done    bool
 }
@@ -62,27 +64,34 @@
 		h.line = nil // an idle connection keeps no buffer
 		return nil
 	default:
-		return checkField(content)
+		return h.checkField(content)
 	}
 }
 
 // checkField checks the name in a field line. A folded line is refused, too: it can't be told
 // from a name that begins with a blank.
-func checkField(line []byte) error {
+func (h *head) checkField(line []byte) error {
 	name, _, hasColon := bytes.Cut(line, []byte(":"))
 	if !hasColon || !httpguts.ValidHeaderFieldName(string(name)) {
 		return malformed("field name %q", name)
 	}
+	if !h.chunks && strings.EqualFold(string(name), "Transfer-Encoding") {
+		return malformed("transfer encoding in a version without it")
+	}
 	return nil
 }
 
-// checkStatus checks that a status is between 100 and 599. No protocol may be switched to,
-// since requests ask for none.
+// checkStatus checks that the version is HTTP/1.x and the status between 100 and 599. No
+// protocol may be switched to, since requests ask for none.
 func (h *head) checkStatus(line []byte) error {
 	protocol, rest, _ := bytes.Cut(line, []byte(" "))
 	if !bytes.HasPrefix(protocol, []byte("HTTP/")) {
 		return nil // net/http refuses it
 	}
+	if !bytes.HasPrefix(protocol, []byte("HTTP/1.")) {
+		return malformed("version %q", protocol)
+	}
+	h.chunks = string(protocol) != "HTTP/1.0"
 	status, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if !validStatus.Match(status) || string(status) == "101" {
 		return malformed("status %q", status)
