--- a/lib/stricthttp/conn.go
+++ b/lib/stricthttp/conn.go
@@ -19,10 +19,10 @@
 	ended atomic.Bool          // the peer has ended its stream
 
 	writing sync.Mutex  // held during a write
-	untaken atomic.Bool // the peer may not have taken all that was written until its stream ended
+	untaken atomic.Bool // the peer may lack part of what was written
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A peer that has ended its stream may read no more of the request.
 func (c *conn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -57,7 +57,7 @@
 }
 
 // hasUnacknowledged reports whether the peer has not acknowledged everything. It returns
-// false if the operating system can't tell.
+// false if that is not known, as of a connection that is wrapped once more.
 func (c *conn) hasUnacknowledged() bool {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
