Count the repeats of a request over one connection

Neither logs nor metrics tell these apart. http_repeats_over_a_connection counts sends of an id over a connection that has carried it before, for which a copy can't be recognized.

--- a/lib/stricthttp/conn.go
+++ b/lib/stricthttp/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"syscall"
 
+	"dotterelmount.example/lib/attribution"
 	"dotterelmount.example/lib/sockets"
 )
 
@@ -20,6 +21,16 @@
 
 	writing sync.Mutex  // held during a write
 	untaken atomic.Bool // the peer may lack part of what was written
+
+	carried attribution.Connection // used by the request that has the connection
+}
+
+// sent notes that the connection carries a request with a name and reports whether it has
+// carried that name before.
+func (c *conn) sent(name string) bool {
+	repeated := c.carried.HasCarried(name)
+	c.carried.Sent(name)
+	return repeated
 }
 
 // Write implements net.Conn. A peer that has ended its stream may read no more of the request.
--- a/lib/stricthttp/stricthttp.go
+++ b/lib/stricthttp/stricthttp.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -12,15 +13,25 @@
 	"sync/atomic"
 )
 
+// repeatedSends counts requests over a connection that has carried their name before. A copy of
+// the earlier response can't be told from the response to such a request.
+var repeatedSends = expvar.NewInt("http_repeats_over_a_connection")
+
 // Transport is an http.RoundTripper over the connections of net/http. It is safe for
 // concurrent use.
-type Transport struct{ base *http.Transport }
+type Transport struct {
+	base       *http.Transport
+	nameHeader string // names requests; empty: none has a name
+}
 
 var _ http.RoundTripper = (*Transport)(nil)
 
 // New returns a Transport with the settings of base, which New changes and which must not be
 // used afterwards. base has a DialContext and uses no TLS.
-func New(base *http.Transport) *Transport {
+func New(base *http.Transport) *Transport { return NewNamed(base, "") }
+
+// NewNamed is New for requests that a header field names.
+func NewNamed(base *http.Transport, nameHeader string) *Transport {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -29,7 +40,7 @@
 		}
 		return &conn{Conn: c}, nil
 	}
-	return &Transport{base: base}
+	return &Transport{base: base, nameHeader: nameHeader}
 }
 
 // CloseIdleConnections closes the connections that are not in use.
@@ -51,6 +62,9 @@
 // instead of io.EOF if the response may be cut off. Errors: *MalformedError, those of net/http.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	x := &exchange{ctx: r.Context()}
+	if t.nameHeader != "" {
+		x.name = r.Header.Get(t.nameHeader)
+	}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), x.trace())))
 	if err != nil {
 		return nil, err
@@ -70,6 +84,7 @@
 // exchange is a request and its response.
 type exchange struct {
 	ctx     context.Context
+	name    string                  // of the request; empty: none
 	attempt atomic.Pointer[attempt] // the last one; net/http may repeat a request that was not written
 }
 
@@ -86,6 +101,9 @@
 			if c, ok := info.Conn.(*conn); ok {
 				x.attempt.Store(&attempt{conn: c, written: make(chan error, 1)})
 				c.expectHead()
+				if x.name != "" && c.sent(x.name) {
+					repeatedSends.Add(1)
+				}
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
