--- a/lib/stricthttp/conn.go
+++ b/lib/stricthttp/conn.go
@@ -19,18 +19,11 @@
 	head  atomic.Pointer[head] // of the response to the last request; nil: no request yet
 	ended atomic.Bool          // the peer has ended its stream
 
-	writing sync.Mutex  // held during a write
-	untaken atomic.Bool // the peer may lack part of what was written
-
+	closed  atomic.Bool
 	carried attribution.Connection // used by the request that has the connection
-}
 
-// sent notes that the connection carries a request with a name and reports whether it has
-// carried that name before.
-func (c *conn) sent(name string) bool {
-	repeated := c.carried.HasCarried(name)
-	c.carried.Sent(name)
-	return repeated
+	writing sync.Mutex  // held during a write
+	untaken atomic.Bool // the peer may lack part of what was written
 }
 
 // Write implements net.Conn. A peer that has ended its stream may read no more of the request.
@@ -47,6 +40,12 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // expectHead starts the check of the next response.
 func (c *conn) expectHead() { c.head.Store(&head{}) }
 
--- a/lib/stricthttp/stricthttp.go
+++ b/lib/stricthttp/stricthttp.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -13,25 +12,15 @@
 	"sync/atomic"
 )
 
-// repeatedSends counts requests over a connection that has carried their name before. A copy of
-// the earlier response can't be told from the response to such a request.
-var repeatedSends = expvar.NewInt("http_repeats_over_a_connection")
-
 // Transport is an http.RoundTripper over the connections of net/http. It is safe for
 // concurrent use.
-type Transport struct {
-	base       *http.Transport
-	nameHeader string // names requests; empty: none has a name
-}
+type Transport struct{ base *http.Transport }
 
 var _ http.RoundTripper = (*Transport)(nil)
 
 // New returns a Transport with the settings of base, which New changes and which must not be
 // used afterwards. base has a DialContext and uses no TLS.
-func New(base *http.Transport) *Transport { return NewNamed(base, "") }
-
-// NewNamed is New for requests that a header field names.
-func NewNamed(base *http.Transport, nameHeader string) *Transport {
+func New(base *http.Transport) *Transport {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -40,7 +29,7 @@
 		}
 		return &conn{Conn: c}, nil
 	}
-	return &Transport{base: base, nameHeader: nameHeader}
+	return &Transport{base: base}
 }
 
 // CloseIdleConnections closes the connections that are not in use.
@@ -61,18 +50,21 @@
 // RoundTrip implements http.RoundTripper. Reading the body fails with an *IncompleteError
 // instead of io.EOF if the response may be cut off. Errors: *MalformedError, those of net/http.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, _, err := t.exchange(r)
+	return resp, err
+}
+
+// exchange is RoundTrip. It also returns what it knows of the exchange.
+func (t *Transport) exchange(r *http.Request) (*http.Response, *exchange, error) {
 	x := &exchange{ctx: r.Context()}
-	if t.nameHeader != "" {
-		x.name = r.Header.Get(t.nameHeader)
-	}
 	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), x.trace())))
 	if err != nil {
-		return nil, err
+		return nil, x, err
 	}
 	if endsWithConnection(resp) {
 		resp.Body = &body{ReadCloser: resp.Body, exchange: x}
 	}
-	return resp, nil
+	return resp, x, nil
 }
 
 // endsWithConnection reports whether only the end of the connection ends the body of a
@@ -84,7 +76,6 @@
 // exchange is a request and its response.
 type exchange struct {
 	ctx     context.Context
-	name    string                  // of the request; empty: none
 	attempt atomic.Pointer[attempt] // the last one; net/http may repeat a request that was not written
 }
 
@@ -101,9 +92,6 @@
 			if c, ok := info.Conn.(*conn); ok {
 				x.attempt.Store(&attempt{conn: c, written: make(chan error, 1)})
 				c.expectHead()
-				if x.name != "" && c.sent(x.name) {
-					repeatedSends.Add(1)
-				}
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
