Attribute the responses to orders to one send

The response to an order names no request. Orders shared connections with requests and reports: the late copy of a request's 200, of a report or of the response to an earlier order was taken for the response to an order, which then counted as not needed or as started. Since upkeep waits for a report, a load was late, not lost.

Cause: as for requests, with the addition that the id doesn't tell these calls apart at all. A connection now carries an order only if none of its responses was without a name, and a response that names a request is refused for orders and reports. Reports stay on connections that carried other reports: a copy is then an older report of the same process, and nothing that upkeep does with a report needs the newest.

--- a/lib/stricthttp/attributed.go
+++ b/lib/stricthttp/attributed.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"sync"
+
+	"dotterelmount.example/lib/attribution"
 )
 
 // Metrics of this process.
@@ -17,7 +19,8 @@
 
 // Attributed is an http.RoundTripper that attributes each response to the send that it belongs
 // to, also if the upstream sends copies of earlier responses. A header field names requests,
-// and responses repeat it. It is safe for concurrent use.
+// and responses repeat it. A GET or HEAD without a name may get the response to an earlier
+// request without a name on its connection. It is safe for concurrent use.
 type Attributed struct {
 	base       *http.Transport // the settings of all lines
 	nameHeader string
@@ -47,15 +50,16 @@
 // RoundTrip implements http.RoundTripper. Errors: those of Transport,
 // *attribution.ForeignError.
 func (t *Attributed) RoundTrip(r *http.Request) (*http.Response, error) {
-	name, host := r.Header.Get(t.nameHeader), r.URL.Host
-	l := t.take(host, name)
+	host := r.URL.Host
+	request := attribution.Request{Name: r.Header.Get(t.nameHeader), Safe: r.Method == http.MethodGet || r.Method == http.MethodHead}
+	l := t.take(host, request)
 	resp, x, err := l.transport.exchange(r)
 	if err != nil {
 		l.transport.CloseIdleConnections()
 		return nil, err
 	}
 	l.conn = x.attempt.Load().conn
-	if err := l.conn.carried.Exchanged(name, resp.Header.Get(t.nameHeader)); err != nil {
+	if err := l.conn.carried.Exchanged(request, resp.Header.Get(t.nameHeader)); err != nil {
 		foreignResponses.Add(1)
 		_ = resp.Body.Close() // its connection is not used again
 		l.transport.CloseIdleConnections()
@@ -83,15 +87,15 @@
 	}
 }
 
-// take returns a line to a host whose connection may carry a request with this name, or one
-// without a connection.
-func (t *Attributed) take(host, name string) *line {
+// take returns a line to a host whose connection may carry a request, or one without a
+// connection.
+func (t *Attributed) take(host string, r attribution.Request) *line {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.closing = false
 	lines := slices.DeleteFunc(t.idle[host], (*line).isClosed)
 	for i, l := range slices.Backward(lines) {
-		if l.conn.carried.MayCarry(name) {
+		if l.conn.carried.MayCarry(r) {
 			t.setIdle(host, slices.Delete(lines, i, i+1))
 			return l
 		}
--- a/server/upkeep/upkeep.go
+++ b/server/upkeep/upkeep.go
@@ -352,8 +352,7 @@
 			state.versions[m] = max(state.versions[m], version)
 		}
 	}
-	// Only a report shows that a version is loaded. The response that an order is not
-	// needed may be a late copy of the response to another call on the connection.
+	// Only a report shows that a version is loaded, not the response that an order is not needed.
 	if state.loading != nil && !c.report.Busy && state.versions[state.loading.Model] >= state.loading.Version {
 		k.log.Info("weights loaded", zap.String("upstream", string(id)), zap.Stringer("version", state.loading.Version), zap.Duration("took", now.Sub(state.loadStarted)))
 		if state.orderStarted && state.loading.Mode != generation.LoadModeWait {
