Refuse invalid statuses that another daemon passes on

Callers saw, on other systems of this kind, a response with status 000 as an answer. Here clients of upstreams refuse it since. What was left is a daemon of an earlier build, which passes on what upstreams send: the daemon beside it, which forwards to it, took its statuses as they came. A stream's head with status 0 to 99 ended the caller's connection by a panic in WriteHeader, and 600 to 999 reached the caller as an answer. Only status 0 of a response that is no stream was refused.

Cause: messages between daemons were decoded without a check of the status. Such a response is now a failed attempt of unknown execution, as a broken response of an upstream is. The other ways on which responses are read were looked at: store, API, host list, log, command line and the product's own upstreams all use lib/stricthttp, with tests of status 000 in each.

--- a/front/forward/client.go
+++ b/front/forward/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -78,7 +79,9 @@
 			}
 			return part.End, nil
 		case *forwardpb.Part_Head:
-			err = sink.Head(&opaque.Response{Status: int(part.Head.GetStatus()), Headers: headersFromProto(part.Head.GetHeaders()), Leaving: part.Head.GetLeaving()})
+			if err = checkStatus(part.Head.GetStatus()); err == nil {
+				err = sink.Head(&opaque.Response{Status: int(part.Head.GetStatus()), Headers: headersFromProto(part.Head.GetHeaders()), Leaving: part.Head.GetLeaving()})
+			}
 		case *forwardpb.Part_Event:
 			err = sink.Event(opaque.Event{Number: int(part.Event.GetNumber()), Data: part.Event.GetData()}, part.Event.GetSoftware())
 		default:
@@ -96,6 +99,15 @@
 	return &opaque.AttemptError{Execution: opaque.ExecutionUnknown, Cause: err}
 }
 
+// checkStatus checks the status of a response. Daemons of earlier builds pass on what upstreams
+// send. Errors: *opaque.AttemptError.
+func checkStatus(status uint32) error {
+	if status < 200 || status > 599 {
+		return lostError(&FormatError{Detail: fmt.Sprintf("status %d", status)})
+	}
+	return nil
+}
+
 // result returns what Forward returns for the end of a response.
 func result(end *forwardpb.End) (*opaque.Response, api.UpstreamID, error) {
 	upstream := api.UpstreamID(end.GetUpstream())
@@ -107,6 +119,9 @@
 	case end.GetStatus() == 0:
 		return nil, upstream, nil
 	}
+	if err := checkStatus(end.GetStatus()); err != nil {
+		return nil, upstream, err
+	}
 	return &opaque.Response{
 		Status: int(end.GetStatus()), Headers: headersFromProto(end.GetHeaders()), Body: end.GetBody(), Signature: end.GetSignature(),
 		Leaving: end.GetLeaving(),
--- a/front/forward/forward_test.go
+++ b/front/forward/forward_test.go
@@ -151,6 +151,35 @@
 	assert.Assert(t, resp == nil)
 }
 
+// A status that is none of HTTP must not reach the caller, neither of a response nor of a stream.
+func TestInvalidStatusOfPeerIsNoResponse(t *testing.T) {
+	for _, status := range []int{0, 1, 99, 100, 199, 600, 999} {
+		_, p := serve(t, func(_ context.Context, _ *opaque.Request, sink opaque.StreamSink) (*opaque.Response, api.UpstreamID, error) {
+			return nil, "u", sink.Head(&opaque.Response{Status: status})
+		})
+		heads := &headCounter{}
+		_, _, err := NewClient().Forward(t.Context(), p, newRequest(), heads)
+		var lost *opaque.AttemptError
+		assert.Assert(t, errors.As(err, &lost) && lost.Execution == opaque.ExecutionUnknown, "head %d: %v", status, err)
+		assert.Equal(t, heads.n, 0, "status %d", status)
+		if status == 0 {
+			continue // TestStatusZeroIsNoResponse
+		}
+		_, p = serve(t, func(context.Context, *opaque.Request, opaque.StreamSink) (*opaque.Response, api.UpstreamID, error) {
+			return &opaque.Response{Status: status}, "u", nil
+		})
+		resp, _, err := NewClient().Forward(t.Context(), p, newRequest(), nil)
+		assert.Assert(t, errors.As(err, &lost) && lost.Execution == opaque.ExecutionUnknown, "response %d: %v", status, err)
+		assert.Assert(t, resp == nil)
+	}
+}
+
+// headCounter is a sink that counts heads.
+type headCounter struct{ n int }
+
+func (c *headCounter) Head(*opaque.Response) error      { c.n++; return nil }
+func (c *headCounter) Event(opaque.Event, string) error { return nil }
+
 // At the limit of connections, one with a call in progress makes no room for others.
 func TestConnectionOfACallMakesNoRoom(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
