Attribute responses of the product's own upstreams if they name requests

A plain call got the late copy of another call's response, since its client looks at no id, and a generation that is sent again counted the copy of its failure as another one.

These upstreams get the id in X-Request-Id, too, but need not repeat it. For those that do, connections carry an id once and a response with another id is refused; responses without an id are taken as before, and their connections kept, since otherwise each call to such an upstream would need a connection. That a late copy can't be told there is left open. The stand-ins repeat the id.

The tests of that package are unchanged.

--- a/lib/stricthttp/attributed.go
+++ b/lib/stricthttp/attributed.go
@@ -24,6 +24,7 @@
 type Attributed struct {
 	base       *http.Transport // the settings of all lines
 	nameHeader string
+	namesOnly  bool // responses without a name are not attributed
 
 	mu      sync.Mutex
 	idle    map[string][]*line // by host; the one used last is the last
@@ -38,6 +39,14 @@
 	return &Attributed{base: base, nameHeader: nameHeader, idle: make(map[string][]*line)}
 }
 
+// NewNamesOnly is NewAttributed for upstreams that need not repeat names. Their responses without
+// a name are returned as they come, and their connections are kept.
+func NewNamesOnly(base *http.Transport, nameHeader string) *Attributed {
+	t := NewAttributed(base, nameHeader)
+	t.namesOnly = true
+	return t
+}
+
 // line is a transport with at most one connection, so that it is known before a request is
 // sent which connection will carry it. It carries one request at a time.
 type line struct {
@@ -59,7 +68,7 @@
 		return nil, err
 	}
 	l.conn = x.attempt.Load().conn
-	if err := l.conn.carried.Exchanged(request, resp.Header.Get(t.nameHeader)); err != nil {
+	if err := t.attribute(l, request, resp.Header.Get(t.nameHeader)); err != nil {
 		foreignResponses.Add(1)
 		_ = resp.Body.Close() // its connection is not used again
 		l.transport.CloseIdleConnections()
@@ -73,6 +82,14 @@
 	return resp, nil
 }
 
+// attribute notes the name in the response to a request. Errors: *attribution.ForeignError.
+func (t *Attributed) attribute(l *line, r attribution.Request, named string) error {
+	if t.namesOnly && named == "" {
+		return nil
+	}
+	return l.conn.carried.Exchanged(r, named)
+}
+
 // CloseIdleConnections closes the connections that are not in use, and those in use after
 // their request unless another one is sent before.
 func (t *Attributed) CloseIdleConnections() {
--- a/lib/upstream/httpupstream/client.go
+++ b/lib/upstream/httpupstream/client.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"dotterelmount.example/api"
-	"dotterelmount.example/lib/stricthttp"
 	"dotterelmount.example/lib/upstream"
 )
 
@@ -157,7 +156,7 @@
 
 // transport returns the transport of the call. It is used without an http.Client,
 // which would follow redirects.
-func (c *call) transport() *stricthttp.Transport {
+func (c *call) transport() http.RoundTripper {
 	if c.target.NewConnection {
 		return c.client.pool.unpooled
 	}
--- a/lib/upstream/httpupstream/pool.go
+++ b/lib/upstream/httpupstream/pool.go
@@ -20,28 +20,29 @@
 }
 
 type pooledTransport struct {
-	transport *stricthttp.Transport
+	transport *stricthttp.Attributed
 	created   time.Time
 	lastUsed  time.Time
 }
 
 func newPool(opts Options) *pool {
-	return &pool{opts: opts, unpooled: newTransport(opts, false), transports: make(map[string]*pooledTransport)}
+	return &pool{opts: opts, unpooled: stricthttp.New(newTransport(opts, false)), transports: make(map[string]*pooledTransport)}
 }
 
-func newTransport(opts Options, keepAlive bool) *stricthttp.Transport {
-	return stricthttp.New(&http.Transport{
+// newTransport returns a transport for one of stricthttp.
+func newTransport(opts Options, keepAlive bool) *http.Transport {
+	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: opts.DialTimeout}).DialContext,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: opts.MaxIdleConns,
 		IdleConnTimeout:     opts.IdleTimeout,
 		DisableKeepAlives:   !keepAlive,
-	})
+	}
 }
 
 // transport returns the transport of an address. A transport that has reached the
 // maximum age is replaced.
-func (p *pool) transport(address string) *stricthttp.Transport {
+func (p *pool) transport(address string) *stricthttp.Attributed {
 	now := p.opts.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -52,7 +53,7 @@
 	}
 	if t == nil {
 		p.evictLocked(now)
-		t = &pooledTransport{transport: newTransport(p.opts, true), created: now}
+		t = &pooledTransport{transport: stricthttp.NewNamesOnly(newTransport(p.opts, true), HeaderRequestID), created: now}
 		p.transports[address] = t
 	}
 	t.lastUsed = now
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -47,10 +47,12 @@
 }
 
 // journalled writes the arrival of a request to the journal file, also while the
-// engine hangs.
+// engine hangs. The response names the request.
 func (h *handler) journalled(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.journalFile.Write(journal.Line{Event: journal.EventStart, RequestID: r.Header.Get(headerRequestID)})
+		id := r.Header.Get(headerRequestID)
+		h.journalFile.Write(journal.Line{Event: journal.EventStart, RequestID: id})
+		w.Header().Set(headerRequestID, id)
 		next.ServeHTTP(w, r)
 	})
 }
--- a/standin/plain/service/service.go
+++ b/standin/plain/service/service.go
@@ -114,6 +114,7 @@
 }
 
 func (s *Service) handleCall(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
 	control := s.control.Load()
 	if control.Mode == ModeRefuse {
 		http.Error(w, "refused", http.StatusServiceUnavailable)
