--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -21,6 +21,7 @@
 	FaultFail          // responds with status 500
 	FaultEndless       // sends bytes without end, in a header line or in the body, until the caller disconnects
 	FaultCutHead       // closes the connection in the middle of the head
+	FaultCopies        // sends a copy of each response once more before the next one on its connection
 )
 
 // SetFault changes the fault injected into requests that arrive from now on.
@@ -30,6 +31,13 @@
 	s.fault = f
 }
 
+// sendsCopies reports whether the fault is FaultCopies.
+func (s *Server) sendsCopies() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault == FaultCopies
+}
+
 // inject applies a fault that replaces the response from its first byte and
 // reports whether it did. For FaultLose it panics with http.ErrAbortHandler.
 func (f Fault) inject(w http.ResponseWriter, r *http.Request) bool {
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -96,6 +96,7 @@
 	}
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(s.serve))
 	s.Config.ConnContext = withConnStart
+	s.Listener = &copyingListener{s.Listener, s.sendsCopies}
 	s.Server.Start()
 	s.advertisedAddress = strings.TrimPrefix(s.URL, "http://")
 	s.writeEntry()
