--- a/lib/stricthttp/conn.go
+++ b/lib/stricthttp/conn.go
@@ -20,7 +20,7 @@
 	ended atomic.Bool          // the peer has ended its stream
 
 	closed  atomic.Bool
-	carried attribution.Connection // used by the request that has the connection
+	carried attribution.Connection // of Attributed; used by the request that has the connection
 
 	writing sync.Mutex  // held during a write
 	untaken atomic.Bool // the peer may lack part of what was written
