--- a/review/harness-3/store_test.go
+++ b/review/harness-3/store_test.go
@@ -21,6 +21,12 @@
 	maxReadKB   = 1024
 	newestPage  = 500
 	repeats     = 5 // last appends of a producer that are answered again
+
+	partBytes    = 200 << 20 // of a partition, above which the oldest records expire
+	totalBytes   = 400 << 20 // of all partitions, above which appends are refused
+	appendTime   = 2 * time.Millisecond
+	appendRate   = 20 << 20        // bytes a second of a partition
+	longestQueue = 2 * time.Second // of a partition's appends
 )
 
 // store is a stand-in of the platform's metadata store.
@@ -35,6 +41,9 @@
 }
 
 type partition struct {
+	appends sync.Mutex // held by the append in progress
+	queued  time.Duration
+	bytes   int
 	first   uint64
 	records [][]byte
 	at      []time.Time
@@ -85,6 +94,9 @@
 }
 
 func (p *partition) drop(n int) {
+	for _, r := range p.records[:n] {
+		p.bytes -= len(r)
+	}
 	p.first += uint64(n)
 	p.records, p.at = slices.Clone(p.records[n:]), slices.Clone(p.at[n:])
 }
@@ -100,6 +112,45 @@
 		}
 	}
 	p.records, p.at = append(p.records, record), append(p.at, time.Now())
+	p.bytes += len(record)
+	n := 0
+	for left := p.bytes; left > partBytes; n++ {
+		left -= len(p.records[n])
+	}
+	if n > 0 {
+		p.drop(n)
+	}
+}
+
+// total returns the size of all records.
+func (s *store) total() int {
+	n := 0
+	for _, p := range s.parts {
+		n += p.bytes
+	}
+	return n
+}
+
+// queue waits for the turn of an append and for the time that it takes. It returns false if too
+// much is waiting already; otherwise done must be called after the append.
+func (s *store) queue(name string, bytes int) (done func(), ok bool) {
+	takes := appendTime + time.Duration(float64(bytes)/appendRate*float64(time.Second))
+	s.mu.Lock()
+	p := s.part(name)
+	if p.queued > longestQueue {
+		s.mu.Unlock()
+		return nil, false
+	}
+	p.queued += takes
+	s.mu.Unlock()
+	p.appends.Lock()
+	time.Sleep(takes)
+	return func() {
+		s.mu.Lock()
+		p.queued -= takes
+		s.mu.Unlock()
+		p.appends.Unlock()
+	}, true
 }
 
 func (s *store) wake() {
@@ -164,8 +215,18 @@
 		reply(w, http.StatusForbidden, map[string]any{"why": "topic"})
 		return
 	}
+	done, ok := s.queue(partName(r), len(body))
+	if !ok {
+		reply(w, http.StatusServiceUnavailable, map[string]any{"why": "queue"})
+		return
+	}
+	defer done()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.total()+len(body) > totalBytes {
+		reply(w, http.StatusInsufficientStorage, map[string]any{"why": "full"})
+		return
+	}
 	p := s.part(partName(r))
 	if at, err := strconv.ParseUint(q.Get("at"), 10, 64); q.Has("at") && (err != nil || at != p.end()) {
 		reply(w, http.StatusPreconditionFailed, map[string]any{"end": p.end()})
