--- a/review/harness-3/bodies_test.go
+++ b/review/harness-3/bodies_test.go
@@ -28,6 +28,11 @@
 		return "", err
 	}
 	r.store.put("keyed.op", "config", engineConfig())
+	if err := r.startDaemons(3); err != nil {
+		return "", err
+	}
+	time.Sleep(contact)
+	// The engines come when all machines run, so that each machine gets some of them.
 	for n := range 6 {
 		_, err := r.startServer(fmt.Sprintf("i-%02d", n), "coach-models", map[string]int{model: 1}, func(s *server, w http.ResponseWriter, q *http.Request, _ []byte) int {
 			return s.stream(w, q, events, interval)
@@ -36,9 +41,6 @@
 			return "", err
 		}
 	}
-	if err := r.startDaemons(3); err != nil {
-		return "", err
-	}
 	time.Sleep(contact)
 	size := smallBytes
 	if r.trouble {
