--- a/review/harness-3/rig_test.go
+++ b/review/harness-3/rig_test.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -130,11 +131,30 @@
 	return err
 }
 
+// Ports that are listened on are below the range from which systems take those of clients, so
+// that they stay free while a process is restarted.
+const (
+	firstPort = 20000
+	lastPort  = 30000
+)
+
+// listen listens on a free port.
+func listen() (net.Listener, error) {
+	var err error
+	for range 100 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // freeAddresses returns addresses that nobody listens on.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listen()
 		if err != nil {
 			return nil, err
 		}
--- a/review/harness-3/server_test.go
+++ b/review/harness-3/server_test.go
@@ -45,7 +45,7 @@
 
 func (r *rig) startServer(id, service string, models map[string]int, handle func(*server, http.ResponseWriter, *http.Request, []byte) int) (*server, error) {
 	s := &server{rig: r, id: id, service: service, models: models, handle: handle}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
--- a/review/harness-3/store_test.go
+++ b/review/harness-3/store_test.go
@@ -4,7 +4,6 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -64,7 +63,7 @@
 type appended struct{ seq, offset, end uint64 }
 
 func newStore(rec *record) (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
