--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -8,5 +8,5 @@
   echo "build the deploy file's programs and run review/build-3.sh first" >&2
   exit 2
 fi
-REVIEW_CASE=spoiled REVIEW_RECORD="$here/record.txt" REVIEW_PROGRAM="$root/target/dotterelmountd" REVIEW_ROOT="$root" \
+REVIEW_CASE=survivor REVIEW_RECORD="$here/record.txt" REVIEW_PROGRAM="$root/target/dotterelmountd" REVIEW_ROOT="$root" \
   exec "$root/target/review-3"
