Read the events of a relayed stream strictly

Cause: the relay's reader took any lines up to a blank one for an event, with the next number if there was no id line. The relay noted that number as the last event forwarded and resumed the stream after it.

"attempt failed" now has the last event forwarded (last_event), which was missing to tell a wrong reader from a wrong relay.

Comments after the last event are passed on instead of failing the stream.

--- a/cmd/dotterelmountd/internal/hosted/wrongbytes_test.go
+++ b/cmd/dotterelmountd/internal/hosted/wrongbytes_test.go
@@ -46,3 +46,22 @@
 	assert.Equal(t, d.submit(d.daemons[0], "job1", 3, 1).status, http.StatusAccepted)
 	d.checkTexts(d.results(d.daemons[0], "job1", 6))
 }
+
+// Guards against streams that lack an event and end as complete, since a crash's text between
+// two events counted as one and the stream was resumed after it (review/15).
+func TestCrashTextIsNoEventOfStream(t *testing.T) {
+	d := newDeployment(t, 1)
+	defer d.stopAll()
+	for _, m := range d.models {
+		m.EventsPerItem = 5
+	}
+	sends := d.spoil("s1", crashText)
+	resp := d.call(d.daemons[0], http.MethodPost, streamPath+"x", []byte("hello"), map[string]string{"X-Request-Id": "s1", "X-Deadline-Ms": "5000", "X-Model": model})
+	assert.Equal(t, resp.status, http.StatusOK)
+	var want strings.Builder
+	for n := 1; n <= 5; n++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", n, platform.EventData(platform.FirstSoftware, "s1", n))
+	}
+	assert.Equal(t, resp.body, want.String())
+	assert.Equal(t, sends.next("s1"), 3, "one run, and one that resumed it")
+}
--- a/lib/opaque/opaque.go
+++ b/lib/opaque/opaque.go
@@ -125,7 +125,8 @@
 
 // EventStream yields the events of a stream in order.
 type EventStream interface {
-	// Next returns the next event. Errors: io.EOF at the end of a complete stream,
+	// Next returns the next event. Comments after the last event are returned as another one
+	// with its number. Errors: io.EOF at the end of a complete stream,
 	// *AttemptError.
 	Next() (Event, error)
 	// Close aborts the stream unless it has ended.
--- a/lib/sse/sse.go
+++ b/lib/sse/sse.go
@@ -16,12 +16,33 @@
 // Event is an event with data.
 type Event struct {
 	ID   string // empty: it has none
-	Data string // of all data fields, joined by line feeds
 	Lead string // value of the leading field; empty: it has none
 	// Raw are the bytes of the event, after those of comments and blank lines before it.
 	Raw []byte
 }
 
+// Data returns the values of all data fields, joined by line feeds.
+func (e Event) Data() string {
+	var data strings.Builder
+	separator := ""
+	for line := range bytes.Lines(bytes.TrimPrefix(e.Raw, byteOrderMark)) {
+		if name, value := field(bounded.TrimLineEnding(line)); string(name) == "data" {
+			data.WriteString(separator)
+			data.Write(value)
+			separator = "\n"
+		}
+	}
+	return data.String()
+}
+
+var byteOrderMark = []byte("\ufeff")
+
+// field splits a line into the name and the value of its field.
+func field(line []byte) (name, value []byte) {
+	name, value, _ = bytes.Cut(line, []byte(":"))
+	return name, bytes.TrimPrefix(value, []byte(" "))
+}
+
 // SyntaxError reports bytes that are no part of an event.
 type SyntaxError struct {
 	Reason string
@@ -74,58 +95,58 @@
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return Event{Raw: b.raw}, err
+			return Event{Raw: b.event.Raw}, err
 		}
-		b.raw = append(b.raw, raw...)
+		b.event.Raw = append(b.event.Raw, raw...)
 		line := bounded.TrimLineEnding(raw)
 		if !r.begun {
-			line = bytes.TrimPrefix(line, []byte("\ufeff"))
+			line = bytes.TrimPrefix(line, byteOrderMark)
 		}
 		r.begun = true
 		if len(line) > 0 {
-			if err := b.add(string(line)); err != nil {
+			if err := b.add(line); err != nil {
 				return Event{}, err
 			}
 			continue
 		}
-		if e, ok, err := b.end(); ok || err != nil {
-			return e, err
+		if ok, err := b.end(); ok || err != nil {
+			return b.event, err
 		}
 	}
 }
 
-// block collects the lines up to a blank one.
+// block is what was read up to a blank line, and of the blocks without data before it.
 type block struct {
-	lead           string // name of the leading field
-	raw            []byte
-	fields         int
-	hasID, hasLead bool
-	id, leadValue  string
-	data           []string
+	lead                    string // name of the leading field
+	event                   Event
+	fields                  int
+	hasID, hasLead, hasData bool
 }
 
 // add adds a line that isn't blank. Errors: *SyntaxError.
-func (b *block) add(line string) error {
-	if line[0] == ':' {
+func (b *block) add(line []byte) error {
+	name, value := field(line)
+	if len(name) == 0 {
 		return nil // a comment
 	}
-	name, value, _ := strings.Cut(line, ":")
-	value = strings.TrimPrefix(value, " ")
 	b.fields++
-	switch {
-	case name == "data":
-		b.data = append(b.data, value)
-	case name == "id" && b.hasID:
-		return syntaxError("second id", line)
-	case name == "id":
-		b.hasID, b.id = true, value
-	case name == "event" || name == "retry":
-	case b.lead != "" && name == b.lead && b.fields > 1:
-		return syntaxError(name+" after the first field", line)
-	case b.lead != "" && name == b.lead && value == "":
-		return syntaxError(name+" without a value", line)
-	case b.lead != "" && name == b.lead:
-		b.hasLead, b.leadValue = true, value
+	switch string(name) {
+	case "data":
+		b.hasData = true
+	case "id":
+		if b.hasID {
+			return syntaxError("second id", line)
+		}
+		b.hasID, b.event.ID = true, string(value)
+	case "event", "retry":
+	case b.lead:
+		if b.fields > 1 {
+			return syntaxError(b.lead+" after the first field", line)
+		}
+		if len(value) == 0 {
+			return syntaxError(b.lead+" without a value", line)
+		}
+		b.hasLead, b.event.Lead = true, string(value)
 	default:
 		return syntaxError("unknown field", line)
 	}
@@ -134,20 +155,17 @@
 
 // end ends the block at a blank line. It returns false if the block is no event, but may
 // precede one. Errors: *SyntaxError.
-func (b *block) end() (Event, bool, error) {
-	switch {
-	case len(b.data) > 0:
-		return Event{ID: b.id, Data: strings.Join(b.data, "\n"), Lead: b.leadValue, Raw: b.raw}, true, nil
-	case b.hasID || b.hasLead:
-		return Event{}, false, syntaxError("event without data", "")
+func (b *block) end() (bool, error) {
+	if !b.hasData && (b.hasID || b.hasLead) {
+		return false, syntaxError("event without data", nil)
 	}
 	b.fields = 0
-	return Event{}, false, nil
+	return b.hasData, nil
 }
 
 // maxQuoted is the number of bytes of a line that an error quotes.
 const maxQuoted = 80
 
-func syntaxError(reason, line string) *SyntaxError {
-	return &SyntaxError{Reason: reason, Line: line[:min(len(line), maxQuoted)]}
+func syntaxError(reason string, line []byte) *SyntaxError {
+	return &SyntaxError{Reason: reason, Line: string(line[:min(len(line), maxQuoted)])}
 }
--- a/lib/sse/sse_test.go
+++ b/lib/sse/sse_test.go
@@ -32,23 +32,24 @@
 	for name, c := range map[string]struct {
 		stream string
 		want   Event
+		data   string
 	}{
-		"plain":              {"id: 4\ndata: a\n\n", Event{ID: "4", Data: "a"}},
-		"data first":         {"data: a\nid: 4\n\n", Event{ID: "4", Data: "a"}},
-		"CRLF":               {"id: 4\r\ndata: a\r\n\r\n", Event{ID: "4", Data: "a"}},
-		"no blanks":          {"id:4\ndata:a\n\n", Event{ID: "4", Data: "a"}},
-		"two blanks":         {"id: 4\ndata:  a\n\n", Event{ID: "4", Data: " a"}},
-		"colons":             {"id: 4\ndata: a: b\n\n", Event{ID: "4", Data: "a: b"}},
-		"several data lines": {"id: 4\ndata: a\ndata:\ndata\ndata: b\n\n", Event{ID: "4", Data: "a\n\n\nb"}},
-		"empty data":         {"id: 4\ndata\n\n", Event{ID: "4"}},
-		"without id":         {"data: a\n\n", Event{Data: "a"}},
-		"type and retry":     {"event: token\nretry: 10\nid: 4\ndata: a\n\n", Event{ID: "4", Data: "a"}},
-		"leading field":      {"version: 7\nid: 4\ndata: a\n\n", Event{ID: "4", Data: "a", Lead: "7"}},
-		"comment first":      {": x\nversion: 7\nid: 4\ndata: a\n\n", Event{ID: "4", Data: "a", Lead: "7"}},
-		"comment within":     {"id: 4\n:\ndata: a\n\n", Event{ID: "4", Data: "a"}},
-		"comments before":    {": x\n\n\n: panic\n\nid: 4\ndata: a\n\n", Event{ID: "4", Data: "a"}},
-		"retry before":       {"retry: 10\n\nid: 4\ndata: a\n\n", Event{ID: "4", Data: "a"}},
-		"byte order mark":    {"\ufeffid: 4\ndata: a\n\n", Event{ID: "4", Data: "a"}},
+		"plain":              {"id: 4\ndata: a\n\n", Event{ID: "4"}, "a"},
+		"data first":         {"data: a\nid: 4\n\n", Event{ID: "4"}, "a"},
+		"CRLF":               {"id: 4\r\ndata: a\r\n\r\n", Event{ID: "4"}, "a"},
+		"no blanks":          {"id:4\ndata:a\n\n", Event{ID: "4"}, "a"},
+		"two blanks":         {"id: 4\ndata:  a\n\n", Event{ID: "4"}, " a"},
+		"colons":             {"id: 4\ndata: a: b\n\n", Event{ID: "4"}, "a: b"},
+		"several data lines": {"id: 4\ndata: a\ndata:\ndata\ndata: b\n\n", Event{ID: "4"}, "a\n\n\nb"},
+		"empty data":         {"id: 4\ndata\n\n", Event{ID: "4"}, ""},
+		"without id":         {"data: a\n\n", Event{}, "a"},
+		"type and retry":     {"event: token\nretry: 10\nid: 4\ndata: a\n\n", Event{ID: "4"}, "a"},
+		"leading field":      {"version: 7\nid: 4\ndata: a\n\n", Event{ID: "4", Lead: "7"}, "a"},
+		"comment first":      {": x\nversion: 7\nid: 4\ndata: a\n\n", Event{ID: "4", Lead: "7"}, "a"},
+		"comment within":     {"id: 4\n:\ndata: a\n\n", Event{ID: "4"}, "a"},
+		"comments before":    {": x\n\n\n: panic\n\nid: 4\ndata: a\n\n", Event{ID: "4"}, "a"},
+		"retry before":       {"retry: 10\n\nid: 4\ndata: a\n\n", Event{ID: "4"}, "a"},
+		"byte order mark":    {"\ufeffid: 4\ndata: a\n\n", Event{ID: "4"}, "a"},
 	} {
 		for _, rest := range []string{"", ": end\n", "\n\n"} {
 			t.Run(fmt.Sprintf("%s%q", name, rest), func(t *testing.T) {
@@ -56,6 +57,7 @@
 				events, got, err := readAll(newReader(c.stream + rest))
 				assert.ErrorIs(t, err, io.EOF)
 				assert.DeepEqual(t, events, []Event{c.want})
+				assert.Equal(t, events[0].Data(), c.data)
 				assert.Equal(t, got, rest)
 			})
 		}
@@ -118,7 +120,7 @@
 		const first, last = "id: 1\ndata: a\n\n", "\n\nid: 3\ndata: c\n\n"
 		events, _, err := readAll(newReader(first + string(wrong) + last))
 		assert.Assert(t, len(events) > 0)
-		assert.Equal(t, events[0].Data, "a")
+		assert.Equal(t, events[0].Data(), "a")
 		var raw []byte
 		for _, e := range events {
 			raw = append(raw, e.Raw...)
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -358,7 +358,7 @@
 		return
 	}
 	r.log.Info("attempt failed", zap.String("request", string(j.request.ID)), zap.String("upstream", string(a.upstream.ID)),
-		zap.Int("attempt", j.attempts), zap.Duration("took", now.Sub(a.startedAt)), zap.Duration("limit", a.timeout), zap.Error(a.cause()))
+		zap.Int("attempt", j.attempts), zap.Duration("took", now.Sub(a.startedAt)), zap.Duration("limit", a.timeout), zap.Int64("last_event", j.lastEvent()), zap.Error(a.cause()))
 	if a.err == nil {
 		j.failureResponse, j.mayHaveRun = a.response, true
 		j.runs++
--- a/server/relay/stream.go
+++ b/server/relay/stream.go
@@ -120,6 +120,14 @@
 // begun reports whether the caller has a head, after which no other response can follow.
 func (s *stream) begun() bool { return s.headSent.Load() }
 
+// lastEvent returns the number of the last event forwarded; 0: none.
+func (j *job) lastEvent() int64 {
+	if j.stream == nil {
+		return 0
+	}
+	return j.stream.lastEvent.Load()
+}
+
 // sendHead passes on the head of the first upstream; others have no effect.
 func (s *stream) sendHead(head *opaque.Response) {
 	s.headSent.Store(true)
