--- a/lib/upstream/httpupstream/sse_test.go
+++ b/lib/upstream/httpupstream/sse_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 
 	"dotterelmount.example/api"
@@ -32,3 +33,18 @@
 		assert.Assert(t, errors.As(err, &coded) || errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
 	})
 }
+
+// Guards against generations that are complete though bytes which are no event stood among
+// their events.
+func TestWrongBytesEndTheGeneration(t *testing.T) {
+	const first = `data: {"id":"r","choices":[{"delta":{"content":"a "}}]}` + "\n\n"
+	const rest = `data: {"id":"r","choices":[{"delta":{"content":"b"},"finish_reason":"stop"}],"usage":{"completion_tokens":2}}` + "\n\ndata: [DONE]\n\n"
+	ignore := func(work.Chunk) error { return nil }
+	for _, sound := range []string{"", ": comment\n\n", "retry: 10\n\n", "\r\n"} {
+		assert.NilError(t, deliver(newEventReader(strings.NewReader(first+sound+rest)), &responseAssembler{id: "r"}, ignore), "%q", sound)
+	}
+	for _, wrong := range []string{"panic: runtime error\n\n", "Killed\n", "HTTP/1.1 200 OK\r\n\r\n", "\x00\xff\n\n", "id: 4\n\n", "dat\n", "level: error\n"} {
+		err := deliver(newEventReader(strings.NewReader(first+wrong+rest)), &responseAssembler{id: "r"}, ignore)
+		assert.Equal(t, api.CodeOf(err), api.CodeInvalid, "%q: %v", wrong, err)
+	}
+}
