--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -104,6 +104,7 @@
 	limited     map[batch.ItemKey]limitWait // items that wait for a request limit
 	pausedAt    map[batch.ItemKey]int       // losses of upstreams for which the item has paused
 	startedRuns int
+	waiting     int // items that can't start for lack of a worker
 	intervals   map[api.UpstreamID]*intervalState
 	// oneVersion are the upstreams with wanted runs that must be of one weight version.
 	oneVersion atomic.Pointer[map[api.UpstreamID]bool]
@@ -215,12 +216,15 @@
 	}
 	now := r.cfg.Now()
 	r.pauseAfterLosses(now)
+	waiting := 0
 	for _, key := range r.dueRuns(now) {
 		if !r.workers.Idle() {
-			break
+			waiting++
+			continue
 		}
 		r.start(ctx, key, r.wanted[key], now)
 	}
+	r.noteWaiting(waiting)
 	for key := range r.retryAt {
 		if _, ok := r.wanted[key]; !ok {
 			delete(r.retryAt, key)
