Bound the runs of a daemon by what its host bears

Cause: a worker with a thread for each run, 96 at most, whatever the host bears and whatever engines the daemon holds.

Evidence: in the case the last daemon logs "items wait" with wanted 240, active 96, waiting 144, workers 96: all items are placed there.

Change: a run is a task of the runner without a thread of its own (duty.Tasks).

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -22,6 +22,7 @@
 	"dotterelmount.example/lib/directory"
 	"dotterelmount.example/lib/duty"
 	"dotterelmount.example/lib/generation"
+	intakeplan "dotterelmount.example/lib/intake"
 	"dotterelmount.example/lib/invariant"
 	"dotterelmount.example/lib/leases"
 	"dotterelmount.example/lib/locality"
@@ -198,7 +199,7 @@
 	n.throttle.Start(n.system, throttle.Deps{View: n.View, Snapshot: n.leaseSnapshot, LastFullRead: n.lastFullRead, Propose: n.propose, CutOff: n.reachability.CutOff})
 
 	runnerCfg := runnerConfig
-	runnerCfg.Self, runnerCfg.Process, runnerCfg.Workers = self, process, n.settings.Workers
+	runnerCfg.Self, runnerCfg.Process, runnerCfg.Capacity = self, process, runCapacity(n.intake.Plan(), n.settings.MaxRuns)
 	runnerCfg.MoveLate = n.settings.MoveLateItems
 	n.runner = runner.Start(n.system, runnerCfg, runner.Deps{
 		Engine: n.serverClient, View: n.View, StoreText: n.storeText, PostText: n.postText, Prompt: n.chunkReader.ReadChunk, Propose: func(r batch.Record) error { return n.propose(r, 0) },
@@ -257,6 +258,16 @@
 	n.startScaling()
 }
 
+// runCapacity returns how many runs a host bears. The settings allow at most this many; 0: any
+// number.
+func runCapacity(plan intakeplan.Plan, most int) runner.Capacity {
+	c := runner.Capacity{Runs: plan.Runs, Bytes: plan.RunBytes}
+	if most > 0 {
+		c.Runs = min(c.Runs, most)
+	}
+	return c
+}
+
 // handleRunOutcome passes on the outcome of a run. n.upkeep is set before the first run.
 func (n *Node) handleRunOutcome(o generation.RunOutcome) {
 	if o.Stalled {
--- a/lib/intake/plan.go
+++ b/lib/intake/plan.go
@@ -52,15 +52,20 @@
 	Conns, SideConns, PeerConns int
 	// Buffered is the limit of the responses that are being read from upstreams.
 	Buffered int64
+	// Runs are the runs of batch jobs in progress, each with a connection to an upstream, and
+	// RunBytes what they may hold together.
+	Runs     int
+	RunBytes int64
 	// HeapBytes is the size of the heap above which garbage is collected more often.
 	HeapBytes int64
 }
 
 // NewPlan returns the plan of a host with this memory, in bytes, and descriptors. A quarter
 // of the memory is for connections, almost a third for requests and answers, a twelfth for
-// responses that are being read and a fifth for accepted jobs, though not all of these are
-// used at once; the rest is for the daemon's other state, for garbage and for the program
-// itself. A quarter of the descriptors is for upstreams, the store and files.
+// responses that are being read, a fifth for accepted jobs and a sixth for their runs, though
+// not all of these are used at once: the daemon's other state, garbage and the program itself
+// need memory, too. Three sixteenths of the descriptors are for runs and a quarter for other
+// connections to upstreams, the store and files.
 func NewPlan(memory int64, descriptors int) Plan {
 	conns := max(minConns, min(descriptors*3/8, int(memory/4/connBytes)))
 	return Plan{
@@ -68,6 +73,8 @@
 		Conns: conns, SideConns: max(minConns, min(maxSideConns, conns/4)), PeerConns: max(minConns, min(maxPeerConns, conns/2)),
 		Jobs:      memory / 5,
 		Buffered:  memory / 12,
+		Runs:      max(1, descriptors*3/16),
+		RunBytes:  memory / 6,
 		HeapBytes: memory * 7 / 10,
 	}
 }
--- a/lib/settings/hosted.go
+++ b/lib/settings/hosted.go
@@ -35,7 +35,9 @@
 	// LoadShare is the maximum fraction of a service's engines that load weights at
 	// the same time.
 	LoadShare float64 `yaml:"load_share" validate:"gt=0,max=1"`
-	Workers   int     `yaml:"carriers" validate:"min=1,max=4096"` // maximum number of concurrent runs of this daemon
+	// MaxRuns bounds the concurrent runs of this daemon, besides its memory and descriptors;
+	// 0: they alone do.
+	MaxRuns int `yaml:"carriers" validate:"min=0,max=4096"`
 	// ProcessorShare is the processor capacity of this host, in cores. Hosts with more
 	// run more of the batch jobs.
 	ProcessorShare float64 `yaml:"processor_share" validate:"gt=0,max=1024"`
@@ -111,7 +113,6 @@
 	DefaultLeaseWait           = 3 * time.Second // exceeds the longest pause between a holder's lease checks
 	DefaultShutdownTimeout     = 8 * time.Second
 	DefaultLoadShare           = 1.0 / 5         // that many engines can load without slowing each other down
-	DefaultRunWorkers          = 96              // eight engines with twelve slots each
 	DefaultProcessorShare      = 1.0             // cores
 	DefaultRevoke              = 5 * time.Second // several reads of the configuration
 	DefaultMemoryMB            = 2048            // MiB; a host that names no limit is taken for a large one
@@ -132,7 +133,7 @@
 func ParseHosted(data []byte) (*Hosted, error) {
 	h := &Hosted{
 		MaxRecordBytes: DefaultMaxRecordBytes, MaxAppendBytes: DefaultMaxAppendBytes, StoreReadsPerSecond: DefaultStoreReadsPerSecond, Retention: DefaultRetention, JobRetention: DefaultJobRetention,
-		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, Workers: DefaultRunWorkers, ProcessorShare: DefaultProcessorShare,
+		LeaseWait: DefaultLeaseWait, ShutdownTimeout: DefaultShutdownTimeout, LoadShare: DefaultLoadShare, ProcessorShare: DefaultProcessorShare,
 		Keys:   Keys{Revoke: DefaultRevoke},
 		Limits: HostLimits{MemoryMB: DefaultMemoryMB, Descriptors: DefaultDescriptors},
 	}
--- a/server/runner/runner.go
+++ b/server/runner/runner.go
@@ -1,5 +1,5 @@
 // Package runner runs the items that are placed on this daemon's upstreams. One
-// duty starts and cancels runs; worker duties handle one run at a time each.
+// duty starts and cancels runs; a task for each run reads its events.
 package runner
 
 import (
@@ -25,8 +25,8 @@
 type Config struct {
 	Self     api.DaemonID
 	Process  string // unique to this process instance
-	Workers  int    // maximum concurrent runs
-	RingSize int    // capacity in messages
+	Capacity Capacity
+	RingSize int // capacity in messages
 	Tick     time.Duration
 	IdleTick time.Duration // while there are no runs
 	// FirstEventTimeout bounds the time until a run's first event, EventTimeout
@@ -95,7 +95,9 @@
 	deps        Deps
 	log         *zap.Logger
 	duty        *duty.Duty[any]
-	workers     *duty.Pool[*run]
+	tasks       *duty.Tasks
+	worker      *worker
+	load        load
 	wanted      map[batch.ItemKey]batch.Run
 	applied     batch.Offset
 	active      map[batch.ItemKey]*run
@@ -104,7 +106,7 @@
 	limited     map[batch.ItemKey]limitWait // items that wait for a request limit
 	pausedAt    map[batch.ItemKey]int       // losses of upstreams for which the item has paused
 	startedRuns int
-	waiting     int // items that can't start for lack of a worker
+	waiting     int // items that can't start for lack of capacity
 	intervals   map[api.UpstreamID]*intervalState
 	// oneVersion are the upstreams with wanted runs that must be of one weight version.
 	oneVersion atomic.Pointer[map[api.UpstreamID]bool]
@@ -118,12 +120,12 @@
 	applied batch.Offset
 }
 
-// run is a run on a worker.
+// run is a run in progress, or one whose result is not applied yet.
 type run struct {
 	batch.Run
 	key         batch.ItemKey
 	id          string
-	worker      int
+	cost        int64
 	upstream    *directory.Upstream
 	ctx         context.Context
 	cancel      context.CancelFunc
@@ -144,12 +146,11 @@
 func Start(sys *duty.System, cfg Config, deps Deps, log *zap.Logger) *Runner {
 	r := &Runner{
 		cfg: cfg, deps: deps, log: log, active: make(map[batch.ItemKey]*run),
-		intervals: make(map[api.UpstreamID]*intervalState), busyCounts: make(map[batch.ItemKey]int), retryAt: make(map[batch.ItemKey]time.Time),
+		load: load{capacity: cfg.Capacity}, intervals: make(map[api.UpstreamID]*intervalState), busyCounts: make(map[batch.ItemKey]int), retryAt: make(map[batch.ItemKey]time.Time),
 		limited: make(map[batch.ItemKey]limitWait), pausedAt: make(map[batch.ItemKey]int),
 	}
-	w := &worker{cfg: cfg, deps: deps, log: log, postEnd: func(ctx context.Context, active *run) { _ = r.duty.PostWait(ctx, active) }} // fails only while stopping
 	r.oneVersion.Store(&map[api.UpstreamID]bool{})
-	r.workers = duty.NewPool(sys, duty.Config{Name: "run-carrier"}, cfg.Workers, func() duty.Handler[*run] { return w })
+	r.tasks, r.worker = duty.NewTasks(sys, "run"), &worker{cfg: cfg, deps: deps, log: log}
 	r.duty = duty.Start(sys, duty.Config{Name: "runner", RingSize: cfg.RingSize, Tick: cfg.Tick, IdleTick: cfg.IdleTick}, duty.Handler[any](r))
 	return r
 }
@@ -170,7 +171,7 @@
 		r.wanted, r.applied = m.runs, m.applied
 		r.publishOneVersion()
 	case *run:
-		r.workers.Release(m.worker)
+		r.load.remove(m.cost)
 		r.handleEnd(m)
 	}
 	r.reconcile(ctx)
@@ -218,11 +219,13 @@
 	r.pauseAfterLosses(now)
 	waiting := 0
 	for _, key := range r.dueRuns(now) {
-		if !r.workers.Idle() {
+		wanted := r.wanted[key]
+		// A later item doesn't overtake one that has no room: it would never have any.
+		if waiting > 0 || !r.load.fits(cost(&wanted)) {
 			waiting++
 			continue
 		}
-		r.start(ctx, key, r.wanted[key], now)
+		r.start(ctx, key, wanted, now)
 	}
 	r.noteWaiting(waiting)
 	for key := range r.retryAt {
@@ -286,17 +289,15 @@
 	if !r.admit(key, wanted, now) {
 		return
 	}
-	index, ok := r.workers.Acquire()
-	if !ok {
-		return // cannot happen: reconcile checked for an idle worker
-	}
 	r.startedRuns++
-	active := &run{Run: wanted, key: key, id: fmt.Sprintf("%s/%d", r.cfg.Process, r.startedRuns), worker: index, upstream: u, startedAt: now}
+	active := &run{Run: wanted, key: key, id: fmt.Sprintf("%s/%d", r.cfg.Process, r.startedRuns), cost: cost(&wanted), upstream: u, startedAt: now}
 	active.ctx, active.cancel = context.WithCancel(ctx)
 	r.active[key] = active
-	if err := r.workers.Post(index, active); err != nil {
-		active.cancel() // stopping
-	}
+	r.load.add(active.cost)
+	r.tasks.Start(func(ctx context.Context) {
+		r.worker.work(ctx, active)
+		_ = r.duty.PostWait(ctx, active) // fails only while stopping
+	})
 }
 
 // handleEnd decides after a run whether its item is retried, moved or failed.
@@ -364,4 +365,4 @@
 }
 
 // Stop stops the duties and cancels runs in progress. Errors: ctx.Err().
-func (r *Runner) Stop(ctx context.Context) error { return duty.StopPool(ctx, r.duty, r.workers) }
+func (r *Runner) Stop(ctx context.Context) error { return duty.StopWithTasks(ctx, r.duty, r.tasks) }
--- a/server/runner/worker.go
+++ b/server/runner/worker.go
@@ -90,16 +90,15 @@
 	return r, data
 }
 
-// worker handles one run at a time.
+// worker makes runs, each in a task of its own.
 type worker struct {
-	cfg     Config
-	deps    Deps
-	log     *zap.Logger
-	postEnd func(context.Context, *run)
+	cfg  Config
+	deps Deps
+	log  *zap.Logger
 }
 
-// Handle runs an item, stores its text and reports the result.
-func (w *worker) Handle(ctx context.Context, r *run) {
+// work runs an item, stores its text and sets the run's result.
+func (w *worker) work(ctx context.Context, r *run) {
 	t := &textBuffer{runID: r.id, software: r.upstream.Software, runStart: r.EventCount, firstEvent: r.EventCount}
 	stalled := &atomic.Bool{}
 	runCtx, cancel := context.WithCancel(r.ctx)
@@ -115,7 +114,6 @@
 	r.result.cancelled = r.ctx.Err() != nil
 	r.result.complete = r.result.err == nil
 	w.store(ctx, r, t)
-	w.postEnd(ctx, r)
 }
 
 // readEvents runs the item and buffers its events, which it stores at
