Bound a daemon's attempts by what its host bears

The only daemon left refuses requests that the servers have room for.

Cause: a worker with a thread for each attempt at a request, 48 at most, whatever the host bears.

Change: an attempt is a task of the relay without a thread of its own. Attempts are bounded by a twelfth of the host's memory, at 64 KiB each, and an eighth of its descriptors; requests beyond that are refused as before, and counted in requests_refused_for_room.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -323,6 +323,7 @@
 		cfg.Chooser.Locality = &locality.Policy{MinGain: l.MinGain, LeaseExcess: l.LeaseExcess}
 	}
 	cfg.Windows = n.settings.UpstreamWindows
+	cfg.MaxInFlight = n.intake.Plan().Attempts
 	n.relay = relay.Start(n.system, cfg, n.log.Logger, n.serverClient, n.View)
 }
 
--- a/cmd/dotterelmountd/internal/hosted/limits.go
+++ b/cmd/dotterelmountd/internal/hosted/limits.go
@@ -173,7 +173,7 @@
 }
 
 var relayConfig = relay.Config{
-	AttemptTimeouts: attemptTimeouts, Workers: 48, RingSize: 1024,
+	AttemptTimeouts: attemptTimeouts, RingSize: 1024,
 	Backoff: 500 * time.Millisecond, MaxBackoff: 4 * time.Second, RetryAfter: retryAfter, Now: time.Now,
 	CrashConfirmation: 700 * time.Millisecond,               // a round of probes that all time out takes 400 ms
 	MaxWaiting:        512, WaitTick: 20 * time.Millisecond, // a seventh of the shortest latency target
--- a/lib/intake/plan.go
+++ b/lib/intake/plan.go
@@ -28,6 +28,7 @@
 )
 
 const (
+	attemptBytes = 64 << 10 // of memory of an attempt: connection, buffers, task
 	connBytes    = 24 << 10 // of memory of a connection: goroutine, buffers, FreeBytes in part
 	smallBytes   = 64 << 10 // the largest request that may use the reserve
 	minConns     = 8        // of each edge
@@ -56,16 +57,19 @@
 	// RunBytes what they may hold together.
 	Runs     int
 	RunBytes int64
+	// Attempts are the requests that are at upstreams or forwarded to other daemons, each over a
+	// connection. Their bodies and responses are part of Bytes and Buffered.
+	Attempts int
 	// HeapBytes is the size of the heap above which garbage is collected more often.
 	HeapBytes int64
 }
 
 // NewPlan returns the plan of a host with this memory, in bytes, and descriptors. A quarter
 // of the memory is for connections, almost a third for requests and answers, a twelfth for
-// responses that are being read, a fifth for accepted jobs and a sixth for their runs, though
-// not all of these are used at once: the daemon's other state, garbage and the program itself
-// need memory, too. Three sixteenths of the descriptors are for runs and a quarter for other
-// connections to upstreams, the store and files.
+// responses that are being read, a twelfth for attempts at upstreams, a fifth for accepted jobs
+// and a sixth for their runs, though not all of these are used at once: the daemon's other state,
+// garbage and the program itself need memory, too. Three sixteenths of the descriptors are for
+// runs, an eighth for attempts, and as many for the store and files.
 func NewPlan(memory int64, descriptors int) Plan {
 	conns := max(minConns, min(descriptors*3/8, int(memory/4/connBytes)))
 	return Plan{
@@ -73,6 +77,7 @@
 		Conns: conns, SideConns: max(minConns, min(maxSideConns, conns/4)), PeerConns: max(minConns, min(maxPeerConns, conns/2)),
 		Jobs:      memory / 5,
 		Buffered:  memory / 12,
+		Attempts:  max(1, min(descriptors/8, int(memory/12/attemptBytes))),
 		Runs:      max(1, descriptors*3/16),
 		RunBytes:  memory / 6,
 		HeapBytes: memory * 7 / 10,
--- a/server/relay/explain.go
+++ b/server/relay/explain.go
@@ -50,8 +50,8 @@
 		d.Reason, d.RetryAfterSeconds = "the limits of service "+q.Service+" leave no room", max(r.cfg.RetryAfter, c.chosen.Wait).Seconds()
 	case c.waits:
 		d.Outcome, d.To, d.WaitSeconds, d.RetryAfterSeconds = explain.Waits, c.chosen.Upstream.ID, c.chosen.Wait.Seconds(), 0
-	case !r.workers.Idle():
-		d.Reason = "all workers are busy"
+	case !r.hasRoom():
+		d.Reason = tooManyAttempts
 	default:
 		d.Outcome, d.To, d.RetryAfterSeconds = explain.Sent, c.chosen.Upstream.ID, 0
 	}
--- a/server/relay/peers.go
+++ b/server/relay/peers.go
@@ -52,22 +52,19 @@
 		r.finish(j, reply{Err: elsewhere(j.failure("this daemon is cut off from all upstreams", false, max(r.cfg.RetryAfter, j.retryAfter)))})
 		return true
 	}
-	index, ok := r.workers.Acquire()
-	if !ok {
-		r.finish(j, reply{Err: elsewhere(j.failure("all workers are busy", false, r.cfg.RetryAfter))})
+	if !r.hasRoom() {
+		r.finish(j, r.tooMany(j))
 		return true
 	}
 	a := &attempt{
-		worker: index, job: j, peer: &peer, startedAt: now,
+		job: j, peer: &peer, startedAt: now,
 		timeout: r.cfg.AttemptTimeouts.AttemptTimeout(j.request, now, r.cfg.Peers.MaxTries-len(j.triedPeers)),
 	}
 	j.waitingSince = time.Time{}
 	j.triedPeers[peer.ID] = true
 	r.peerStatsOf(peer.ID).inFlight++
 	r.log.Info("request forwarded", zap.String("request", string(j.request.ID)), zap.String("to", string(peer.ID)), zap.Stringer("links", links))
-	if err := r.workers.Post(index, a); err != nil {
-		r.finish(j, reply{Err: elsewhere(j.failure("stopping", false, r.cfg.RetryAfter))})
-	}
+	r.start(a)
 	return true
 }
 
--- a/server/relay/relay.go
+++ b/server/relay/relay.go
@@ -1,10 +1,11 @@
 // Package relay forwards opaque requests to upstreams. One duty chooses upstreams
-// and decides about retries; worker duties make one attempt at a time each.
+// and decides about retries; a task for each attempt waits for its response.
 package relay
 
 import (
 	"context"
 	"errors"
+	"expvar"
 	"time"
 
 	"dotterelmount.example/api"
@@ -19,11 +20,14 @@
 	"go.uber.org/zap"
 )
 
+// refusedForRoom counts requests that were refused since this host bears no more attempts.
+var refusedForRoom = expvar.NewInt("requests_refused_for_room")
+
 // Config configures a Relay.
 type Config struct {
 	Chooser         opaque.Chooser
 	AttemptTimeouts opaque.AttemptTimeouts
-	Workers         int // maximum concurrent attempts
+	MaxInFlight     int // maximum concurrent attempts
 	RingSize        int // capacity in messages
 	// Backoff is how long an upstream is avoided after a failure. It doubles with
 	// each consecutive failure, up to MaxBackoff.
@@ -63,12 +67,15 @@
 // Relay controls the duties. Its statistics and crash counts are accessed only on the
 // duty that chooses upstreams.
 type Relay struct {
-	cfg     Config
-	log     *zap.Logger
-	view    func() *directory.View
-	duty    *duty.Duty[any]
-	workers *duty.Pool[*attempt]
-	stats   map[api.UpstreamID]*upstreamStats
+	cfg    Config
+	log    *zap.Logger
+	view   func() *directory.View
+	duty   *duty.Duty[any]
+	tasks  *duty.Tasks
+	worker *worker
+	// inFlight is the number of attempts that have not ended.
+	inFlight int
+	stats    map[api.UpstreamID]*upstreamStats
 	// peerStats is what this daemon has observed of others that run requests for it.
 	peerStats map[api.DaemonID]*upstreamStats
 	crashes   *quarantine.Contents
@@ -109,7 +116,6 @@
 
 // attempt is one attempt at a job on one upstream.
 type attempt struct {
-	worker    int
 	job       *job
 	upstream  *directory.Upstream // nil: through a peer
 	peer      *opaque.Peer
@@ -137,8 +143,8 @@
 		cfg.OnBegan = ignoreBegan
 	}
 	r := &Relay{cfg: cfg, log: log, view: view, stats: make(map[api.UpstreamID]*upstreamStats), peerStats: make(map[api.DaemonID]*upstreamStats), shares: make(map[string]*fairshare.Shares), estimates: make(map[string]windowEstimate), crashes: quarantine.NewContents(daemonSpread(string(cfg.Chooser.Daemon)))}
-	w := &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, onBegan: cfg.OnBegan, now: cfg.Now, postResult: func(ctx context.Context, a *attempt) { _ = r.duty.PostWait(ctx, a) }} // fails only while stopping
-	r.workers = duty.NewPool(sys, duty.Config{Name: "relay-carrier"}, cfg.Workers, func() duty.Handler[*attempt] { return w })
+	r.worker = &worker{exchanger: exchanger, forwarder: cfg.Peers.Forwarder, streams: cfg.Streams, current: cfg.UpstreamsCurrent, onBegan: cfg.OnBegan, now: cfg.Now}
+	r.tasks = duty.NewTasks(sys, "attempt")
 	r.duty = duty.Start(sys, duty.Config{Name: "relay", RingSize: cfg.RingSize, Tick: cfg.WaitTick, IdleTick: time.Second}, duty.Handler[any](r))
 	return r
 }
@@ -213,7 +219,7 @@
 	case *job:
 		r.startNext(m)
 	case *attempt:
-		r.workers.Release(m.worker)
+		r.inFlight--
 		if m.peer != nil {
 			r.handlePeerEnd(m)
 		} else {
@@ -276,12 +282,11 @@
 		r.waitForLimit(j, c.chosen, now)
 		return
 	}
-	index, ok := r.workers.Acquire()
-	if !ok {
-		r.finish(j, reply{Err: elsewhere(j.failure("all workers are busy", false, r.cfg.RetryAfter))})
+	if !r.hasRoom() {
+		r.finish(j, r.tooMany(j))
 		return
 	}
-	r.startAttempt(index, j, c.chosen.Upstream, now)
+	r.startAttempt(j, c.chosen.Upstream, now)
 }
 
 // choice is the decision about the upstream of a job's next attempt.
@@ -303,9 +308,20 @@
 	return c
 }
 
-func (r *Relay) startAttempt(index int, j *job, u *directory.Upstream, now time.Time) {
+// hasRoom reports whether this host bears another attempt.
+func (r *Relay) hasRoom() bool { return r.inFlight < r.cfg.MaxInFlight }
+
+const tooManyAttempts = "too many requests in progress"
+
+// tooMany refuses a job for which there is no room.
+func (r *Relay) tooMany(j *job) reply {
+	refusedForRoom.Add(1)
+	return reply{Err: elsewhere(j.failure(tooManyAttempts, false, r.cfg.RetryAfter))}
+}
+
+func (r *Relay) startAttempt(j *job, u *directory.Upstream, now time.Time) {
 	a := &attempt{
-		worker: index, job: j, upstream: u, startedAt: now,
+		job: j, upstream: u, startedAt: now,
 		timeout: r.cfg.AttemptTimeouts.AttemptTimeout(j.request, now, j.request.Route.MaxAttempts-j.attempts),
 	}
 	r.cfg.Limits.Take(u.ID, now)
@@ -316,9 +332,16 @@
 	stats := r.statsOf(u.ID)
 	stats.inFlight++
 	stats.bytes += len(j.request.Body)
-	if err := r.workers.Post(index, a); err != nil {
-		r.finish(j, reply{Err: elsewhere(j.failure("stopping", false, r.cfg.RetryAfter))})
-	}
+	r.start(a)
+}
+
+// start makes an attempt in a task of its own.
+func (r *Relay) start(a *attempt) {
+	r.inFlight++
+	r.tasks.Start(func(ctx context.Context) {
+		r.worker.attempt(a)
+		_ = r.duty.PostWait(ctx, a) // fails only while stopping
+	})
 }
 
 // failure returns the error of a job without a response, or nil if a failure
@@ -426,30 +449,28 @@
 }
 
 // Stop stops the duties. Errors: ctx.Err().
-func (r *Relay) Stop(ctx context.Context) error { return duty.StopPool(ctx, r.duty, r.workers) }
+func (r *Relay) Stop(ctx context.Context) error { return duty.StopWithTasks(ctx, r.duty, r.tasks) }
 
-// worker handles one attempt at a time.
+// worker makes attempts, each in a task of its own.
 type worker struct {
-	exchanger  opaque.Exchanger
-	forwarder  opaque.Forwarder
-	streams    StreamIndex
-	current    func() bool // Config.UpstreamsCurrent
-	onBegan    func(customer string, at time.Time)
-	now        func() time.Time
-	postResult func(context.Context, *attempt)
+	exchanger opaque.Exchanger
+	forwarder opaque.Forwarder
+	streams   StreamIndex
+	current   func() bool // Config.UpstreamsCurrent
+	onBegan   func(customer string, at time.Time)
+	now       func() time.Time
 }
 
-// Handle makes one attempt.
-func (w *worker) Handle(ctx context.Context, a *attempt) {
-	attemptCtx, cancel := context.WithTimeout(a.job.ctx, a.timeout)
+// attempt makes one attempt.
+func (w *worker) attempt(a *attempt) {
+	ctx, cancel := context.WithTimeout(a.job.ctx, a.timeout)
+	defer cancel()
 	switch {
 	case a.peer != nil:
-		w.forward(attemptCtx, a)
+		w.forward(ctx, a)
 	case a.job.stream != nil:
-		w.stream(attemptCtx, a)
+		w.stream(ctx, a)
 	default:
-		a.response, a.err = w.exchanger.Exchange(attemptCtx, a.upstream, a.job.request)
+		a.response, a.err = w.exchanger.Exchange(ctx, a.upstream, a.job.request)
 	}
-	cancel()
-	w.postResult(ctx, a)
 }
--- a/server/relay/relay_test.go
+++ b/server/relay/relay_test.go
@@ -72,7 +72,7 @@
 	view := directory.NewView().Apply(changes)
 	cfg := Config{
 		Chooser: opaque.Chooser{Daemon: "d", BusyThreshold: 2}, AttemptTimeouts: opaque.AttemptTimeouts{MinTimeout: 50 * time.Millisecond, TargetMultiple: 1},
-		Workers: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: func(uint64, []quarantine.Loss) {}, Now: time.Now,
+		MaxInFlight: 4, RingSize: 16, Backoff: 100 * time.Millisecond, MaxBackoff: time.Second, RetryAfter: 100 * time.Millisecond, OnCrashes: func(uint64, []quarantine.Loss) {}, Now: time.Now,
 		Limits: ratelimit.NewBuckets(), Streams: &origins{known: map[string]opaque.StreamOrigin{}}, MaxWaiting: 8, WaitTick: 10 * time.Millisecond, UpstreamsCurrent: func() bool { return true }, CrashConfirmation: 30 * time.Millisecond,
 	}
 	change(&cfg)
--- a/server/relay/window_test.go
+++ b/server/relay/window_test.go
@@ -44,7 +44,7 @@
 }
 
 func withWindows(c *Config) {
-	c.Windows, c.Workers, c.RingSize, c.MaxWaiting = true, 16, 64, 64
+	c.Windows, c.MaxInFlight, c.RingSize, c.MaxWaiting = true, 16, 64, 64
 }
 
 // windowRequest returns a request of its own content with a deadline far away.
