--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -258,8 +258,7 @@
 	n.startScaling()
 }
 
-// runCapacity returns how many runs a host bears. The settings allow at most this many; 0: any
-// number.
+// runCapacity returns how many runs a host bears; most bounds them too, unless it is 0.
 func runCapacity(plan intakeplan.Plan, most int) runner.Capacity {
 	c := runner.Capacity{Runs: plan.Runs, Bytes: plan.RunBytes}
 	if most > 0 {
--- a/standin/platform/fault.go
+++ b/standin/platform/fault.go
@@ -14,7 +14,7 @@
 	FaultNone    Fault = iota
 	FaultSlow          // increases the time between two events
 	FaultBusy          // refuses all requests
-	FaultCut           // truncates responses midway
+	FaultCut           // truncates responses midway; every other event stream after the text of a crash
 	FaultLose          // runs requests and closes their connections without a response
 	FaultGarble        // sends bytes that are not HTTP
 	FaultHang          // sends nothing until the caller disconnects
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -426,7 +426,11 @@
 		}
 		sentVersion = version
 		if fault == FaultCut && n > after+1 {
-			_, _ = fmt.Fprintf(w, "id: %d\nda", n)
+			cut := "da"
+			if run%2 == 0 {
+				cut = "panic: runtime error: index out of range\n\n"
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\n%s", n, cut)
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(software, id, n))
