Store the texts of runs that a planned stop ends

What callers saw: items of a daemon that is stopped as planned begin anew at the next one, and may miss their step.

Cause: the stop ended the context under which the rest of a run's text is stored together with the run, so that the append was given up before it was made.

--- a/cmd/dotterelmountd/internal/hosted/hosted.go
+++ b/cmd/dotterelmountd/internal/hosted/hosted.go
@@ -419,7 +419,7 @@
 	plan := &shutdown.Plan{TakeAllUntil: begin.Add(lingerTime), End: begin.Add(n.settings.ShutdownTimeout - stopMargin - responseMargin)}
 	n.stopping.Store(plan)
 	defer time.AfterFunc(time.Until(plan.End), n.endRequests).Stop()
-	if err := n.runner.Stop(ctx); err != nil {
+	if err := n.stopRuns(ctx); err != nil {
 		n.log.Warn("stopping runs failed", zap.Error(err))
 	}
 	if err := n.rewards.Stop(ctx); err != nil {
@@ -439,6 +439,14 @@
 	return errors.Join(err, n.log.Stop(ctx))
 }
 
+// stopRuns ends the runs and waits until what they have generated is stored, unless that takes
+// too long. Errors: ctx.Err().
+func (n *Node) stopRuns(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, logCallTimeout)
+	defer cancel()
+	return n.runner.Stop(ctx)
+}
+
 func (n *Node) onViolation(v *invariant.Violation) {
 	n.log.Error("invariant violated", zap.String("invariant", v.Name), zap.String("detail", v.Detail))
 	if n.settings.FatalInvariants {
--- a/lib/duty/tasks.go
+++ b/lib/duty/tasks.go
@@ -24,7 +24,7 @@
 	return t
 }
 
-// Start starts a task. ctx ends when the tasks are stopped. A panic is handled as that of a
+// Start starts a task. ctx ends when a stop has waited long enough for it. A panic is handled as that of a
 // duty. It must not be called once Stop has been.
 func (t *Tasks) Start(f func(ctx context.Context)) {
 	t.running.Add(1)
@@ -39,9 +39,9 @@
 	}()
 }
 
-// Stop ends the context of all tasks and waits for them. Errors: ctx.Err().
+// Stop waits for all tasks. If ctx ends first, it ends theirs. Errors: ctx.Err().
 func (t *Tasks) Stop(ctx context.Context) error {
-	t.cancel()
+	defer t.cancel()
 	ended := make(chan struct{})
 	go func() {
 		t.running.Wait()
@@ -55,7 +55,7 @@
 	}
 }
 
-// StopWithTasks stops owner and then its tasks, until the first error. Errors: ctx.Err().
+// StopWithTasks stops owner and then waits for its tasks, until the first error. Errors: ctx.Err().
 func StopWithTasks[O any](ctx context.Context, owner *Duty[O], t *Tasks) error {
 	if err := owner.Stop(ctx); err != nil {
 		return err
