--- a/server/jobreplica/jobreplica_test.go
+++ b/server/jobreplica/jobreplica_test.go
@@ -172,6 +172,9 @@
 			}
 			return poll.Continue("applied %d", replica.Snapshot().NextOffset)
 		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+		// The snapshot is published before the callbacks; a query is answered after them.
+		_, err := replica.OpenItems(t.Context())
+		assert.NilError(t, err)
 	}
 	wait(2)
 	before := calls.Load()
